Lay out the workspace and its borders: ids, records, frames, platform traits

Cause: slices can only be built side by side when ids, records, frames and the platform's trait objects stand first. Change: workspace of small crates, the base crate, the configuration model and the borders of routing and admission. No behaviour yet, nothing measured.

--- /dev/null
+++ b/crates/tinbank-batch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Takes in batch jobs durably, runs their items and serves results.
--- /dev/null
+++ b/crates/tinbank-batch/src/main.rs
@@ -0,0 +1,3 @@
+//! The `tinbank-batch` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/tinbank-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command line of operators and callers.
--- /dev/null
+++ b/crates/tinbank-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The `tinbank` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/tinbank-configuration/src/snapshot.rs
@@ -0,0 +1,57 @@
+//! The configuration in force, as traffic threads read it.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use tinbank_base::{
+    digest::{self, Digest},
+    id,
+};
+
+use crate::{limit::Limits, service::Service, template::Stream};
+
+/// A customer with its template filled in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Customer {
+    /// Its name.
+    pub name: id::Customer,
+    /// The larger of its own and its template's revision.
+    pub revision: id::Revision,
+    /// Its services.
+    pub services: BTreeMap<id::Service, Arc<Service>>,
+    /// Its streams.
+    pub streams: BTreeMap<String, Stream>,
+    /// Its limits.
+    pub limits: Limits,
+    /// Its weight in the sharing of batch capacity.
+    pub share: u32,
+    /// How long its results stay readable.
+    pub keep_results: Duration,
+}
+
+/// All of the configuration in force at one process.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// The stream up to before this offset is in it.
+    pub next: id::Offset,
+    /// Customers by name.
+    pub customers: BTreeMap<id::Customer, Arc<Customer>>,
+    /// Customers by the digest of their callers' keys.
+    pub keys: HashMap<Digest, Arc<Customer>>,
+}
+
+impl Snapshot {
+    /// The customer that a caller's key belongs to.
+    ///
+    /// The key is digested first, so the time that the look-up takes tells nothing of a stored key.
+    pub fn by_key(&self, key: &str) -> Option<&Arc<Customer>> {
+        self.keys.get(&digest::of(key.as_bytes()))
+    }
+}
+
+/// The place where the control thread publishes snapshots and traffic threads read them.
+pub type Shared = Arc<ArcSwap<Snapshot>>;
--- /dev/null
+++ b/crates/tinbank-demo/src/main.rs
@@ -0,0 +1,3 @@
+//! The `tinbank-demo` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/tinbank-fleet/src/main.rs
@@ -0,0 +1,3 @@
+//! The `tinbank-fleet` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/tinbank-load/src/main.rs
@@ -0,0 +1,3 @@
+//! The `tinbank-load` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/tinbank-online/src/lib.rs
@@ -0,0 +1,1 @@
+//! Serves callers' online requests: chat completions and calls of plain services.
--- /dev/null
+++ b/crates/tinbank-online/src/main.rs
@@ -0,0 +1,3 @@
+//! The `tinbank-online` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/tinbank-standin/src/main.rs
@@ -0,0 +1,3 @@
+//! The `tinbank-standin` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/tinbank-test-support/src/lib.rs
@@ -0,0 +1,1 @@
+//! Support for tests: an in-memory log with faults, fixtures and fixed proptest seeds.
