--- a/crates/tinbank-test-support/src/lib.rs
+++ b/crates/tinbank-test-support/src/lib.rs
@@ -1,1 +1,4 @@
 //! Support for tests: an in-memory log with faults, fixtures and fixed proptest seeds.
+
+pub mod log;
+pub mod property;
