--- a/crates/tinbank-admission/src/lib.rs
+++ b/crates/tinbank-admission/src/lib.rs
@@ -3,5 +3,7 @@
 //! See `docs/design/admission.md`.
 
 pub mod gate;
+mod service;
 
 pub use gate::{Gate, Pass};
+pub use service::{Engine, Service, Settings, Teller};
--- a/crates/tinbank-base/src/frame/datagram.rs
+++ b/crates/tinbank-base/src/frame/datagram.rs
@@ -1,5 +1,7 @@
 //! The datagram: header, body and MAC.
 
+use std::net::SocketAddr;
+
 use hmac::{Hmac, Mac as _};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
@@ -79,10 +81,24 @@
 ///
 /// Used for datagrams and for frames on TCP alike.
 pub fn seal<T: Serialize>(message: &T, key: &Key) -> Vec<u8> {
+    seal_with(message, key, &[])
+}
+
+/// Signs a message for one receiver: its address goes into the MAC, at no cost in bytes, so that a frame that was
+/// sent to one process can't be replayed to another one.
+pub fn seal_for<T: Serialize>(message: &T, key: &Key, to: SocketAddr) -> Vec<u8> {
+    seal_with(message, key, &address_bytes(to))
+}
+
+fn seal_with<T: Serialize>(message: &T, key: &Key, associated: &[u8]) -> Vec<u8> {
     let header = vec![VERSION, key.number];
     let mut bytes = postcard::to_extend(message, header)
         .expect("frames hold only types that postcard can write");
-    let mac = mac(key).chain_update(&bytes).finalize().into_bytes();
+    let mac = mac(key)
+        .chain_update(&bytes)
+        .chain_update(associated)
+        .finalize()
+        .into_bytes();
     bytes.extend_from_slice(&mac[..MAC_BYTES]);
     bytes
 }
@@ -92,6 +108,26 @@
 /// # Errors
 /// Any other input gives an error; none panics.
 pub fn open<T: for<'de> Deserialize<'de>>(bytes: &[u8], keys: &[Key]) -> Result<T, Error> {
+    open_with(bytes, keys, &[])
+}
+
+/// Checks and decodes what [`seal_for`] wrote for the receiver at `address`.
+///
+/// # Errors
+/// Any other input gives an error, a frame for another receiver among them; none panics.
+pub fn open_for<T: for<'de> Deserialize<'de>>(
+    bytes: &[u8],
+    keys: &[Key],
+    address: SocketAddr,
+) -> Result<T, Error> {
+    open_with(bytes, keys, &address_bytes(address))
+}
+
+fn open_with<T: for<'de> Deserialize<'de>>(
+    bytes: &[u8],
+    keys: &[Key],
+    associated: &[u8],
+) -> Result<T, Error> {
     let body_end = bytes.len().checked_sub(MAC_BYTES).ok_or(Error::Short)?;
     let (signed, tag) = bytes.split_at(body_end);
     let [version, number, body @ ..] = signed else {
@@ -106,6 +142,7 @@
         .ok_or(Error::Key(*number))?;
     mac(key)
         .chain_update(signed)
+        .chain_update(associated)
         .verify_truncated_left(tag)
         .map_err(|_| Error::Mac)?;
     match postcard::take_from_bytes(body) {
@@ -114,6 +151,10 @@
     }
 }
 
+fn address_bytes(address: SocketAddr) -> Vec<u8> {
+    postcard::to_stdvec(&address).expect("an address is a type that postcard can write")
+}
+
 fn mac(key: &Key) -> Hmac<Sha256> {
     Hmac::new_from_slice(&key.secret).expect("HMAC takes keys of any length")
 }
