Add the routing table: prefix affinity bounded by load, ejection, leaving upstreams

Cause: online and batch both need one Router over the lagging host list. Change: Table holds immutable entries with atomic in-flight counts; pure pick, health and leaving::Tracker decide.

--- a/crates/tinbank-routing/src/lib.rs
+++ b/crates/tinbank-routing/src/lib.rs
@@ -3,5 +3,10 @@
 //! See `docs/design/routing.md`.
 
 pub mod choice;
+pub mod health;
+pub mod leaving;
+pub mod pick;
+pub mod table;
 
 pub use choice::{Ask, Choice, Router};
+pub use table::Table;
--- /dev/null
+++ b/crates/tinbank-routing/src/table/entry.rs
@@ -0,0 +1,179 @@
+//! What this process knows of one upstream, readable from traffic threads without a lock.
+
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwapOption;
+use tinbank_base::platform::{hosts, upstream::Report, weights::Artifact};
+use tinbank_configuration::template::Traffic;
+
+use crate::{
+    health::{Change, Health, Sign},
+    pick::Candidate,
+};
+
+/// One upstream.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) listed: hosts::Upstream,
+    pub(super) near: bool,
+    pub(super) live: Arc<Live>,
+}
+
+/// The part of an entry that outlives a change of the list.
+#[derive(Debug)]
+pub(super) struct Live {
+    epoch: Instant,
+    online: AtomicU32,
+    batch: AtomicU32,
+    pub(super) changed: AtomicBool,
+    pub(super) leaving: AtomicBool,
+    report: ArcSwapOption<Reported>,
+    health: Mutex<Health>,
+    /// Milliseconds since `epoch` until which it is ejected, plus 1; 0 when it is not.
+    ejected_until: AtomicU64,
+    probing: AtomicBool,
+}
+
+#[derive(Debug)]
+struct Reported {
+    report: Report,
+    own: u32,
+    at: Instant,
+}
+
+impl Live {
+    pub(super) fn new(epoch: Instant) -> Self {
+        Self {
+            epoch,
+            online: AtomicU32::new(0),
+            batch: AtomicU32::new(0),
+            changed: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            report: ArcSwapOption::empty(),
+            health: Mutex::new(Health::default()),
+            ejected_until: AtomicU64::new(0),
+            probing: AtomicBool::new(false),
+        }
+    }
+
+    pub(super) fn in_flight(&self, traffic: Traffic) -> u32 {
+        self.count(traffic).load(Ordering::Relaxed)
+    }
+
+    pub(super) fn total(&self) -> u32 {
+        self.in_flight(Traffic::Online) + self.in_flight(Traffic::Batch)
+    }
+
+    pub(super) fn begin(&self, traffic: Traffic) {
+        self.count(traffic).fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn end(&self, traffic: Traffic) {
+        self.count(traffic).fetch_sub(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn report(&self, report: Report, now: Instant) {
+        let reported = Reported {
+            report,
+            own: self.total(),
+            at: now,
+        };
+        self.report.store(Some(Arc::new(reported)));
+    }
+
+    pub(super) fn reported_at(&self) -> Option<Instant> {
+        self.report.load().as_ref().map(|reported| reported.at)
+    }
+
+    pub(super) fn last_report(&self) -> Option<Report> {
+        let reported = self.report.load_full();
+        reported.map(|reported| reported.report.clone())
+    }
+
+    pub(super) fn note(&self, sign: Sign, now: Instant) -> Change {
+        let change = self
+            .health
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .note(sign, now);
+        match change {
+            Change::None => {}
+            Change::Ejected(until) => self
+                .ejected_until
+                .store(self.millis(until), Ordering::Relaxed),
+            Change::Returned => self.ejected_until.store(0, Ordering::Relaxed),
+        }
+        change
+    }
+
+    /// Whether the next request is the probe of an ejected upstream. At most one runs at a time.
+    pub(super) fn begin_probe(&self) -> bool {
+        self.ejected_until.load(Ordering::Relaxed) != 0
+            && !self.probing.swap(true, Ordering::Relaxed)
+    }
+
+    pub(super) fn end_probe(&self) {
+        self.probing.store(false, Ordering::Relaxed);
+    }
+
+    fn is_ejected(&self, now: Instant) -> bool {
+        let until = self.ejected_until.load(Ordering::Relaxed);
+        until != 0 && (self.probing.load(Ordering::Relaxed) || self.millis(now) < until)
+    }
+
+    fn millis(&self, at: Instant) -> u64 {
+        let since: Duration = at.saturating_duration_since(self.epoch);
+        since.as_millis() as u64 + 1
+    }
+
+    fn count(&self, traffic: Traffic) -> &AtomicU32 {
+        match traffic {
+            Traffic::Online => &self.online,
+            Traffic::Batch => &self.batch,
+        }
+    }
+}
+
+impl Entry {
+    /// The entry as the choice sees it; `None` when it is known that it can't run the service.
+    pub(super) fn candidate(&self, artifact: Option<&Artifact>, now: Instant) -> Option<Candidate> {
+        if self.live.leaving.load(Ordering::Relaxed) {
+            return None;
+        }
+        let own = self.live.total();
+        let reported = self.live.report.load();
+        let mut candidate = Candidate {
+            upstream: self.listed.upstream,
+            own,
+            others: 0,
+            waiting: 0,
+            slots: self.listed.slots.unwrap_or(0),
+            near: self.near,
+            loaded: artifact.is_none(),
+            ejected: self.live.is_ejected(now),
+        };
+        if let Some(reported) = reported.as_ref() {
+            let report = &reported.report;
+            if let Some(artifact) = artifact {
+                candidate.loaded = report.loaded.contains(artifact);
+                if !candidate.loaded {
+                    return None;
+                }
+            }
+            candidate.others = (report.running + report.waiting).saturating_sub(reported.own);
+            candidate.waiting = report.waiting;
+            candidate.slots = if report.slots > 0 {
+                report.slots
+            } else {
+                candidate.slots
+            };
+        }
+        Some(candidate)
+    }
+}
--- /dev/null
+++ b/crates/tinbank-routing/src/table/mod.rs
@@ -0,0 +1,304 @@
+//! The table of upstreams: fed by the control thread, read by traffic threads.
+//!
+//! Lists, reports and words of peers come from the control thread; choices and their results from traffic threads,
+//! which read an immutable list of entries and atomic counts. See `docs/design/routing.md`.
+
+mod entry;
+mod ticket;
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
+    time::{Duration, Instant, SystemTime},
+};
+
+use arc_swap::ArcSwap;
+use smallvec::SmallVec;
+use tinbank_base::{
+    frame::{credit::Load, heartbeat::Leaving},
+    id,
+    outcome::{Code, Failure},
+    platform::{
+        hosts::{self, List},
+        upstream::{Report, Target},
+    },
+};
+use tinbank_configuration::template::Traffic;
+use tokio::sync::Notify;
+
+use self::{
+    entry::{Entry, Live},
+    ticket::Held,
+};
+use crate::{
+    choice::{Ask, Choice, Router},
+    leaving::Tracker,
+    pick::{self, Candidate},
+};
+
+/// When to ask again if no upstream can take a request.
+const ASK_AGAIN: Duration = Duration::from_secs(1);
+
+/// The table of upstreams. Cheap to clone: all clones are one table.
+#[derive(Clone, Debug)]
+pub struct Table {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    failure_domain: id::FailureDomain,
+    epoch: Instant,
+    entries: ArcSwap<Entries>,
+    tracker: Mutex<Tracker>,
+    changed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Entries {
+    all: Vec<Arc<Entry>>,
+    by_upstream: HashMap<id::Upstream, Arc<Entry>>,
+    by_pool: HashMap<id::Pool, Vec<Arc<Entry>>>,
+}
+
+impl Table {
+    /// An empty table for a process of the failure domain given.
+    pub fn new(failure_domain: impl Into<id::FailureDomain>, now: Instant) -> Self {
+        let inner = Inner {
+            failure_domain: failure_domain.into(),
+            epoch: now,
+            entries: ArcSwap::default(),
+            tracker: Mutex::default(),
+            changed: Notify::new(),
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
+    /// Takes in the host list. A list older than the one in force is ignored.
+    pub fn list(&self, list: &List, now: Instant) {
+        let mut tracker = self.inner.tracker();
+        if !tracker.list(list, now) {
+            return;
+        }
+        let before = self.inner.entries.load();
+        let mut entries = Entries::default();
+        for listed in &list.upstreams {
+            let live = match before.by_upstream.get(&listed.upstream) {
+                Some(entry) if entry.listed.address == listed.address => entry.live.clone(),
+                _ => Arc::new(Live::new(self.inner.epoch)),
+            };
+            let leaving = tracker.is_leaving(listed.upstream, now);
+            live.leaving.store(leaving, Ordering::Relaxed);
+            entries.add(Entry {
+                listed: listed.clone(),
+                near: listed.failure_domain == self.inner.failure_domain,
+                live,
+            });
+        }
+        self.inner.entries.store(Arc::new(entries));
+    }
+
+    /// Takes in an upstream's report.
+    pub fn report(&self, upstream: id::Upstream, report: Report, now: Instant) {
+        let entries = self.inner.entries.load();
+        let Some(entry) = entries.by_upstream.get(&upstream) else {
+            return;
+        };
+        if report.leaving {
+            self.inner.sign(upstream, now);
+        }
+        entry.live.report(report, now);
+    }
+
+    /// Takes in a peer's word that an upstream is leaving. Returns whether it is news.
+    pub fn hear(&self, word: Leaving, now: Instant) -> bool {
+        let news = self.inner.tracker().hear(word, now);
+        self.inner.mirror(word.upstream, now);
+        news
+    }
+
+    /// Signs of leaving upstreams to pass on to peers.
+    pub fn leaving(&self, now: Instant) -> SmallVec<[Leaving; 4]> {
+        self.inner.tracker().news(now)
+    }
+
+    /// Whether an upstream gets no new work because it leaves or is not on the list.
+    pub fn is_leaving(&self, upstream: id::Upstream, now: Instant) -> bool {
+        self.inner.tracker().is_leaving(upstream, now)
+    }
+
+    /// Requests of one kind that this process has in flight at an upstream.
+    pub fn in_flight(&self, upstream: id::Upstream, traffic: Traffic) -> u32 {
+        let entries = self.inner.entries.load();
+        entries
+            .by_upstream
+            .get(&upstream)
+            .map_or(0, |entry| entry.live.in_flight(traffic))
+    }
+
+    /// Waits until the online in-flight count of some upstream has changed, and returns the counts that did.
+    ///
+    /// For one listener, which tells the admission controllers.
+    pub async fn changed(&self) -> SmallVec<[Load; 4]> {
+        loop {
+            self.inner.changed.notified().await;
+            let changes = self.take_changes();
+            if !changes.is_empty() {
+                return changes;
+            }
+        }
+    }
+
+    /// The online in-flight counts that have changed since they were last taken.
+    pub fn take_changes(&self) -> SmallVec<[Load; 4]> {
+        let entries = self.inner.entries.load();
+        entries
+            .all
+            .iter()
+            .filter(|entry| entry.live.changed.swap(false, Ordering::AcqRel))
+            .map(|entry| Load {
+                upstream: entry.listed.upstream,
+                online: saturate(entry.live.in_flight(Traffic::Online)),
+            })
+            .collect()
+    }
+
+    /// The upstreams on the list, leaving ones included.
+    pub fn upstreams(&self) -> Vec<hosts::Upstream> {
+        let entries = self.inner.entries.load();
+        entries
+            .all
+            .iter()
+            .map(|entry| entry.listed.clone())
+            .collect()
+    }
+
+    /// The last report of an upstream.
+    pub fn last_report(&self, upstream: id::Upstream) -> Option<Report> {
+        let entries = self.inner.entries.load();
+        entries.by_upstream.get(&upstream)?.live.last_report()
+    }
+
+    /// The engines whose reports are the oldest, those never asked first: ask these next.
+    pub fn stalest(&self, count: usize) -> SmallVec<[Target; 8]> {
+        let entries = self.inner.entries.load();
+        let mut engines: Vec<&Arc<Entry>> = entries
+            .all
+            .iter()
+            .filter(|entry| entry.listed.kind == hosts::Kind::Engine)
+            .collect();
+        engines.sort_by_key(|entry| (entry.live.reported_at(), entry.listed.upstream));
+        engines
+            .iter()
+            .take(count)
+            .map(|entry| entry.target())
+            .collect()
+    }
+}
+
+impl Router for Table {
+    fn choose(&self, ask: &Ask<'_>, now: Instant) -> Result<Choice, Failure> {
+        let entries = self.inner.entries.load();
+        let pool = entries
+            .by_pool
+            .get(&ask.service.pool)
+            .map_or(&[][..], Vec::as_slice);
+        let (runners, candidates) = gather(pool, ask, now);
+        let pick = pick::choose(&candidates, ask.prefix).ok_or_else(|| refusal(ask))?;
+        let entry = runners[pick.index];
+        let ticket = Held::begin(self.inner.clone(), entry.clone(), ask.traffic);
+        let reason = if ticket.is_probe() {
+            "probe"
+        } else {
+            pick.reason
+        };
+        Ok(Choice {
+            target: entry.target(),
+            reason,
+            ticket: Box::new(ticket),
+        })
+    }
+}
+
+fn gather<'a>(
+    pool: &'a [Arc<Entry>],
+    ask: &Ask<'_>,
+    now: Instant,
+) -> (Vec<&'a Arc<Entry>>, Vec<Candidate>) {
+    let artifact = ask.service.artifact.as_ref();
+    pool.iter()
+        .filter(|entry| entry.listed.kind == ask.service.kind)
+        .filter(|entry| !ask.tried.contains(&entry.listed.upstream))
+        .filter_map(|entry| Some((entry, entry.candidate(artifact, now)?)))
+        .unzip()
+}
+
+fn refusal(ask: &Ask<'_>) -> Failure {
+    let message = if ask.tried.is_empty() {
+        format!(
+            "no upstream of pool {:?} can take the request now",
+            ask.service.pool
+        )
+    } else {
+        format!(
+            "no further upstream of pool {:?} can take the request now",
+            ask.service.pool
+        )
+    };
+    Failure::not_run(Code::NoUpstream, message).retry_at(SystemTime::now() + ASK_AGAIN)
+}
+
+impl Inner {
+    fn tracker(&self) -> MutexGuard<'_, Tracker> {
+        self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in an upstream's own word that it is leaving.
+    fn sign(&self, upstream: id::Upstream, now: Instant) {
+        self.tracker().sign(upstream, now);
+        self.mirror(upstream, now);
+    }
+
+    /// Copies the tracker's verdict to where traffic threads read it.
+    fn mirror(&self, upstream: id::Upstream, now: Instant) {
+        let leaving = self.tracker().is_leaving(upstream, now);
+        if let Some(entry) = self.entries.load().by_upstream.get(&upstream) {
+            entry.live.leaving.store(leaving, Ordering::Relaxed);
+        }
+    }
+
+    fn count_changed(&self, entry: &Entry) {
+        entry.live.changed.store(true, Ordering::Release);
+        self.changed.notify_one();
+    }
+}
+
+impl Entries {
+    fn add(&mut self, entry: Entry) {
+        let entry = Arc::new(entry);
+        for pool in &entry.listed.pools {
+            self.by_pool
+                .entry(pool.clone())
+                .or_default()
+                .push(entry.clone());
+        }
+        self.by_upstream
+            .insert(entry.listed.upstream, entry.clone());
+        self.all.push(entry);
+    }
+}
+
+impl Entry {
+    fn target(&self) -> Target {
+        Target {
+            upstream: self.listed.upstream,
+            address: self.listed.address,
+        }
+    }
+}
+
+fn saturate(count: u32) -> u16 {
+    u16::try_from(count).unwrap_or(u16::MAX)
+}
