Plan orders to engines as desired state with readback

Cause: engines that ignore fencing numbers can't be trusted to refuse a stale order. Left: the process around it (lease, reports, sends).

--- a/crates/tinbank-fleet/src/lib.rs
+++ b/crates/tinbank-fleet/src/lib.rs
@@ -1,1 +1,6 @@
 //! Keeps the models, adapters and versions that the configuration asks for on the engines.
+//!
+//! One process at a time gives orders, under a lease in the `fleet` stream. See `docs/design/fleet.md`.
+
+pub mod plan;
+pub mod wanted;
