Fold, follow and publish the configuration

Checkpoints keep the objects and the window of recent changes, so that a host that starts from one judges as all others do. Peers serve recent entries, or a checkpoint as of their own offset.

--- a/crates/tinbank-base/src/frame/request.rs
+++ b/crates/tinbank-base/src/frame/request.rs
@@ -127,7 +127,8 @@
     Claimed(Claimed),
     /// Whether the settlement counts; final.
     Settled(bool),
-    /// Some entries of the configuration stream; final.
+    /// Some entries of the configuration stream, in one frame or several. An entry that holds a part of a checkpoint
+    /// as of its own offset does not stand in the stream: the answering process made it in place of older entries.
     Config(Vec<Entry>),
     /// The asked process does not own the shard; final. The asker tries the owner it names, or the next in rank.
     Elsewhere(Option<id::Process>),
--- a/crates/tinbank-base/src/record/config.rs
+++ b/crates/tinbank-base/src/record/config.rs
@@ -3,7 +3,9 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
+use super::Writer;
 use crate::id;
 
 /// What a change is about.
@@ -48,6 +50,21 @@
     pub revision: id::Revision,
     /// Its text; `None` if it was deleted.
     pub body: Option<String>,
+    /// Who made that revision, for people.
+    pub author: String,
+}
+
+/// What a checkpoint keeps of a recent envelope, so that a copy of it that comes later is known as one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Recent {
+    /// Where it stands.
+    pub offset: id::Offset,
+    /// Who wrote it.
+    pub writer: Writer,
+    /// Its number.
+    pub sequence: u64,
+    /// The changes in it.
+    pub changes: SmallVec<[u128; 1]>,
 }
 
 /// A record of the configuration stream.
@@ -66,5 +83,7 @@
         parts: u32,
         /// The objects of this part.
         objects: Vec<Kept>,
+        /// The recent envelopes of this part.
+        recent: Vec<Recent>,
     },
 }
--- /dev/null
+++ b/crates/tinbank-configuration/src/check/text.rs
@@ -0,0 +1,200 @@
+//! An operator's text with the places of its fields.
+
+use jsonc_parser::{
+    CollectOptions, ParseOptions,
+    ast::Value,
+    common::{Range, Ranged},
+    parse_to_ast,
+};
+use serde::de::DeserializeOwned;
+
+use super::Findings;
+use crate::finding::Finding;
+
+/// Sections whose entries are checked one by one.
+const SECTIONS: [&str; 3] = ["services", "streams", "limits"];
+
+/// A parsed text.
+#[derive(Debug)]
+pub(super) struct Text<'a> {
+    body: &'a str,
+    value: Value<'a>,
+}
+
+impl<'a> Text<'a> {
+    pub(super) fn parse(body: &'a str) -> Result<Self, Findings> {
+        if body.len() > super::MAX_BODY {
+            let message = format!("{} bytes are over the limit", body.len());
+            let help = format!("keep it under {} bytes", super::MAX_BODY);
+            return Err(vec![Finding::whole(message, help)]);
+        }
+        let parsed = parse_to_ast(body, &CollectOptions::default(), &options());
+        let value = parsed.map_err(|error| {
+            let (line, column) = place(body, error.range().start);
+            vec![Finding {
+                line,
+                column,
+                ..Finding::whole(error.kind().to_string(), "correct the JSON here")
+            }]
+        })?;
+        let object = value.value.filter(|value| value.as_object().is_some());
+        let Some(value) = object else {
+            let message = "the text is not a JSON object";
+            return Err(vec![Finding::whole(message, "begin with '{'")]);
+        };
+        Ok(Self { body, value })
+    }
+
+    /// A finding at a field, or at the innermost part of its path that the text has.
+    pub(super) fn finding(&self, path: &[&str], message: &str, help: &str) -> Finding {
+        let path: Vec<&str> = path
+            .iter()
+            .copied()
+            .filter(|name| !name.is_empty())
+            .collect();
+        let mut at = self.value.range();
+        let mut value = Some(&self.value);
+        for name in &path {
+            let object = value.and_then(Value::as_object);
+            let Some(property) = object.and_then(|object| object.get(name)) else {
+                break;
+            };
+            at = property.range;
+            value = Some(&property.value);
+        }
+        self.at(at, path.join("."), message, help)
+    }
+
+    /// Names that an object has twice: a parser would quietly keep one of them.
+    pub(super) fn duplicates(&self) -> Findings {
+        let mut findings = Vec::new();
+        self.find_duplicates(&self.value, &mut Vec::new(), &mut findings);
+        findings
+    }
+
+    /// Reads the whole text.
+    pub(super) fn whole<T: DeserializeOwned>(&self) -> Result<T, Finding> {
+        let json = serde_json::Value::from(self.value.clone());
+        T::deserialize(json).map_err(|error| {
+            let field = self.named_in(&error.to_string()).unwrap_or_default();
+            self.finding(&[&field], &error.to_string(), "see docs/configuration.md")
+        })
+    }
+
+    /// Reads each entry of a section by itself, so that mistakes in several are found together.
+    pub(super) fn check_entries<T: DeserializeOwned>(
+        &self,
+        section: &str,
+        findings: &mut Findings,
+    ) {
+        let object = self.value.as_object();
+        let entries = object.and_then(|object| object.get_object(section));
+        for entry in entries.iter().flat_map(|entries| &entries.properties) {
+            let path = [section, entry.name.as_str()];
+            self.check_value::<T>(&entry.value, &path, findings);
+        }
+    }
+
+    /// Reads a section by itself.
+    pub(super) fn check_entry<T: DeserializeOwned>(&self, section: &str, findings: &mut Findings) {
+        let object = self.value.as_object();
+        if let Some(entry) = object.and_then(|object| object.get(section)) {
+            self.check_value::<T>(&entry.value, &[section], findings);
+        }
+    }
+
+    /// Whether a finding lies in a section whose entries are checked one by one.
+    pub(super) fn inside_section(&self, finding: &Finding) -> bool {
+        let object = self.value.as_object();
+        let top = object.is_some_and(|object| object.get(&finding.field).is_some());
+        !top || SECTIONS.contains(&finding.field.as_str())
+    }
+
+    fn check_value<T: DeserializeOwned>(
+        &self,
+        value: &Value<'_>,
+        path: &[&str],
+        findings: &mut Findings,
+    ) {
+        let Err(error) = T::deserialize(serde_json::Value::from(value.clone())) else {
+            return;
+        };
+        let message = error.to_string();
+        let object = value.as_object();
+        let field =
+            quoted(&message).filter(|name| object.is_some_and(|object| object.get(name).is_some()));
+        let mut path = path.to_vec();
+        path.extend(field);
+        findings.push(self.finding(&path, &message, "see docs/configuration.md"));
+    }
+
+    fn named_in(&self, message: &str) -> Option<String> {
+        let name = quoted(message)?;
+        let object = self.value.as_object()?;
+        object.get(name).map(|_| name.to_owned())
+    }
+
+    fn find_duplicates(
+        &self,
+        value: &'a Value<'a>,
+        path: &mut Vec<&'a str>,
+        findings: &mut Findings,
+    ) {
+        let Some(object) = value.as_object() else {
+            return;
+        };
+        for (index, property) in object.properties.iter().enumerate() {
+            let name = property.name.as_str();
+            path.push(name);
+            let before = &object.properties[..index];
+            if before.iter().any(|other| other.name.as_str() == name) {
+                let field = path.join(".");
+                let message = "the field is given twice";
+                findings.push(self.at(property.range, field, message, "take one away"));
+            }
+            self.find_duplicates(&property.value, path, findings);
+            path.pop();
+        }
+    }
+
+    fn at(&self, range: Range, field: String, message: &str, help: &str) -> Finding {
+        let (line, column) = place(self.body, range.start);
+        Finding {
+            line,
+            column,
+            field,
+            message: message.to_owned(),
+            help: help.to_owned(),
+        }
+    }
+}
+
+/// The first name in backquotes, which is the field that a serde message is about.
+fn quoted(message: &str) -> Option<&str> {
+    let (_, rest) = message.split_once('`')?;
+    rest.split_once('`').map(|(name, _)| name)
+}
+
+/// JSON with comments and trailing commas; nothing looser.
+fn options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_loose_object_property_names: false,
+        allow_trailing_commas: true,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
+/// Line and column of a byte, both from 1.
+fn place(body: &str, byte: usize) -> (usize, usize) {
+    let before = body.get(..byte).unwrap_or(body);
+    let line = before.matches('\n').count() + 1;
+    let start = before.rfind('\n').map_or(0, |newline| newline + 1);
+    (line, before[start..].chars().count() + 1)
+}
--- a/crates/tinbank-configuration/src/customer.rs
+++ b/crates/tinbank-configuration/src/customer.rs
@@ -1,6 +1,6 @@
 //! Customers: a template and the parameters filled in.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationSeconds, hex::Hex, serde_as};
@@ -22,7 +22,7 @@
     pub keys: SmallVec<[Digest; 2]>,
     /// Services besides the template's, or in place of those of the same name.
     #[serde(default)]
-    pub services: BTreeMap<id::Service, Service>,
+    pub services: BTreeMap<id::Service, Arc<Service>>,
     /// Streams besides the template's, or in place of those of the same name.
     #[serde(default)]
     pub streams: BTreeMap<String, Stream>,
--- a/crates/tinbank-configuration/src/snapshot.rs
+++ b/crates/tinbank-configuration/src/snapshot.rs
@@ -12,7 +12,12 @@
     id,
 };
 
-use crate::{limit::Limits, service::Service, template::Stream};
+use crate::{
+    customer,
+    limit::Limits,
+    service::Service,
+    template::{Stream, Template},
+};
 
 /// A customer with its template filled in.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,6 +38,32 @@
     pub keep_results: Duration,
 }
 
+impl Customer {
+    /// Fills a customer's parameters into its template: what the customer names goes before the template's.
+    pub fn overlaid(
+        name: &str,
+        customer: &customer::Customer,
+        template: &Template,
+        revision: id::Revision,
+    ) -> Self {
+        let mut services = template.services.clone();
+        let own = customer.services.iter();
+        services.extend(own.map(|(name, service)| (name.clone(), service.clone())));
+        let mut streams = template.streams.clone();
+        let own = customer.streams.iter();
+        streams.extend(own.map(|(name, stream)| (name.clone(), stream.clone())));
+        Self {
+            name: name.to_owned(),
+            revision,
+            services,
+            streams,
+            limits: template.limits.overlaid(customer.limits),
+            share: customer.share.unwrap_or(template.share),
+            keep_results: customer.keep_results,
+        }
+    }
+}
+
 /// All of the configuration in force at one process.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Snapshot {
--- a/crates/tinbank-configuration/src/template.rs
+++ b/crates/tinbank-configuration/src/template.rs
@@ -1,6 +1,6 @@
 //! Templates, which operators share between customers.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -39,7 +39,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Template {
     /// Services by name.
-    pub services: BTreeMap<id::Service, Service>,
+    pub services: BTreeMap<id::Service, Arc<Service>>,
     /// Streams by name.
     #[serde(default)]
     pub streams: BTreeMap<String, Stream>,
