--- a/crates/tinbank-server/src/failure.rs
+++ b/crates/tinbank-server/src/failure.rs
@@ -88,6 +88,11 @@
     }
 }
 
+/// Schema of the error body.
+pub fn schema() -> schemars::schema::RootSchema {
+    schemars::schema_for!(Shape)
+}
+
 /// Text by which dropshot tells of a body over the limit; it has no type or status of its own for that.
 const DROPSHOT_TOO_LARGE: &str = "exceeded maximum size";
 
--- a/crates/tinbank-server/src/http.rs
+++ b/crates/tinbank-server/src/http.rs
@@ -125,16 +125,3 @@
         help,
     }
 }
-
-/// The OpenAPI description of an interface, as JSON.
-///
-/// # Errors
-/// The interface can't be described; a fault of ours.
-pub fn openapi<C: ServerContext>(
-    api: &ApiDescription<C>,
-    title: &str,
-) -> Result<String, serde_json::Error> {
-    let version = semver::Version::new(1, 0, 0);
-    let description = api.openapi(title, version).json()?;
-    serde_json::to_string_pretty(&description)
-}
--- a/crates/tinbank-server/src/lib.rs
+++ b/crates/tinbank-server/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod logs;
 pub mod metrics;
+pub mod openapi;
 pub mod operator;
 pub mod readiness;
 pub mod start;
--- a/crates/tinbank-server/src/operator.rs
+++ b/crates/tinbank-server/src/operator.rs
@@ -7,28 +7,24 @@
     RequestContext, ServerContext,
 };
 use http::{HeaderValue, Method, Response, StatusCode, header};
-use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use tinbank_base::{
-    clock::Stamp,
-    event::Event,
     id,
     outcome::{Code, Failure},
     peer::Members,
 };
+use tinbank_timeline::{self as timeline, Recorder, query::Parameters};
 
-use crate::{caller, failure::Reply, metrics, readiness::State};
+use crate::{failure::Reply, metrics, readiness::State};
 
 /// What the endpoints ask of a server's context.
 pub trait Context: Send + Sync + 'static {
-    /// Which process this is.
-    fn process(&self) -> id::Process;
     /// How far it is.
     fn state(&self) -> State;
     /// Its metrics.
     fn metrics(&self) -> &metrics::Handle;
-    /// Its events after a stamp, oldest first, and how many were lost.
-    fn events(&self, since: Stamp) -> Events;
+    /// Its time line, which also knows which process this is.
+    fn recorder(&self) -> &Recorder;
     /// Whom it knows.
     fn members(&self) -> Arc<Members>;
     /// Which configuration is in force.
@@ -36,10 +32,6 @@
 }
 
 impl<T: Context + ?Sized> Context for Arc<T> {
-    fn process(&self) -> id::Process {
-        (**self).process()
-    }
-
     fn state(&self) -> State {
         (**self).state()
     }
@@ -48,8 +40,8 @@
         (**self).metrics()
     }
 
-    fn events(&self, since: Stamp) -> Events {
-        (**self).events(since)
+    fn recorder(&self) -> &Recorder {
+        (**self).recorder()
     }
 
     fn members(&self) -> Arc<Members> {
@@ -61,15 +53,6 @@
     }
 }
 
-/// Events of one process.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Events {
-    /// The events, oldest first.
-    pub events: Vec<Event>,
-    /// How many the ring has dropped since the process started.
-    pub lost: u64,
-}
-
 /// The configuration that is in force at a process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Configuration {
@@ -79,21 +62,6 @@
     pub current: bool,
 }
 
-/// Which events are wanted.
-#[derive(Debug, Default, Deserialize, JsonSchema)]
-pub struct Filter {
-    /// Only events after this time, in microseconds since 1970.
-    pub since: Option<u64>,
-    /// Only events of this request: 32 hexadecimal digits.
-    pub request: Option<String>,
-    /// Only events of this job: 32 hexadecimal digits.
-    pub job: Option<String>,
-    /// Only events of this item of the job.
-    pub item: Option<u32>,
-    /// At most so many, the newest.
-    pub limit: Option<u32>,
-}
-
 /// A member of the system, as `/members` shows it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Member {
@@ -115,9 +83,6 @@
     pub config: id::Offset,
 }
 
-/// Most events in one answer of `/timeline`.
-pub const MAX_EVENTS: usize = 100_000;
-
 /// Adds the operators' endpoints to an interface.
 ///
 /// # Errors
@@ -151,7 +116,7 @@
     )))?;
     api.register(endpoint(ApiEndpoint::new(
         "timeline".to_owned(),
-        timeline::<C>,
+        events::<C>,
         Method::GET,
         JSON,
         "/timeline",
@@ -183,7 +148,7 @@
 
 /// `GET /healthz`: the process runs.
 async fn healthz<C: Context>(rqctx: RequestContext<C>) -> Result<Response<Body>, Reply> {
-    let process = rqctx.context().process().to_string();
+    let process = rqctx.context().recorder().process().to_string();
     json(
         StatusCode::OK,
         &Health {
@@ -195,7 +160,7 @@
 
 /// `GET /readyz`: the process takes new work; the platform's balancer asks this.
 async fn readyz<C: Context>(rqctx: RequestContext<C>) -> Result<Response<Body>, Reply> {
-    let process = rqctx.context().process().to_string();
+    let process = rqctx.context().recorder().process().to_string();
     let (status, state) = match rqctx.context().state() {
         State::Starting => (StatusCode::SERVICE_UNAVAILABLE, "starting"),
         State::Ready => (StatusCode::OK, "ready"),
@@ -215,27 +180,15 @@
 }
 
 /// `GET /timeline`: the process's own events.
-async fn timeline<C: Context>(
+async fn events<C: Context>(
     rqctx: RequestContext<C>,
-    filter: Query<Filter>,
+    parameters: Query<Parameters>,
 ) -> Result<Response<Body>, Reply> {
-    let filter = filter.into_inner();
-    let (request, job) = (wide("request", &filter.request)?, wide("job", &filter.job)?);
-    let since = Stamp {
-        micros: filter.since.unwrap_or(0),
-        counter: 0,
-    };
-    let mut found = rqctx.context().events(since);
-    found.events.retain(|event| {
-        let subject = &event.subject;
-        request.is_none_or(|request| subject.request == Some(request))
-            && job.is_none_or(|job| subject.job == Some(job))
-            && filter.item.is_none_or(|item| subject.item == Some(item))
-    });
-    let limit = filter.limit.map_or(MAX_EVENTS, |limit| limit as usize);
-    let surplus = found.events.len().saturating_sub(limit.min(MAX_EVENTS));
-    found.events.drain(..surplus);
-    json(StatusCode::OK, &found)
+    let query = timeline::Query::try_from(parameters.into_inner()).map_err(|error| {
+        let failure = Failure::not_run(Code::BadRequest, error.to_string());
+        Reply(failure.help("see docs/design/timeline.md"))
+    })?;
+    json(StatusCode::OK, &rqctx.context().recorder().page(&query))
 }
 
 /// `GET /members`: whom the process knows.
@@ -269,16 +222,6 @@
     }
 }
 
-fn wide(name: &str, text: &Option<String>) -> Result<Option<u128>, Reply> {
-    let Some(text) = text else {
-        return Ok(None);
-    };
-    caller::parse_request_id(text).map(Some).ok_or_else(|| {
-        let message = format!("the query parameter `{name}` is no id");
-        Reply(Failure::not_run(Code::BadRequest, message).help("give 32 hexadecimal digits"))
-    })
-}
-
 /// A JSON answer.
 ///
 /// # Errors
--- a/crates/tinbank-server/src/start.rs
+++ b/crates/tinbank-server/src/start.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    http, logs,
+    logs, openapi,
     threads::{Handles, Threads},
 };
 
@@ -70,7 +70,7 @@
 }
 
 fn describe<C: ServerContext>(title: &str, api: &ApiDescription<C>) -> ExitCode {
-    match http::openapi(api, title) {
+    match openapi::describe(api, title) {
         Ok(json) => {
             println!("{json}");
             ExitCode::SUCCESS
