--- a/crates/tinbank-base/src/record/claim.rs
+++ b/crates/tinbank-base/src/record/claim.rs
@@ -40,6 +40,8 @@
     pub key: Key,
     /// The claimer that settles it; another's word does not count.
     pub claimer: Writer,
+    /// Id of the claimed request. Without it a late copy of an earlier `ran: no` could free the claim of a later try.
+    pub request: id::Request,
     /// The answer. A failure with `ran: no` frees the key for another try.
     pub answer: Result<Bytes, Stored>,
 }
--- a/crates/tinbank-base/src/record/lease.rs
+++ b/crates/tinbank-base/src/record/lease.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Lease {
     /// Takes the lease. It counts only if `expected` is the offset of the last lease record that counted before it
-    /// in the stream (`None`: there was none).
+    /// in the stream (`None`: there was none). Any envelope of the holder counts as a renewal.
     Take {
         /// The term that begins.
         epoch: id::Epoch,
--- a/crates/tinbank-base/src/record/work.rs
+++ b/crates/tinbank-base/src/record/work.rs
@@ -189,6 +189,20 @@
     Settled(Settled),
     /// Part of the shard's state as of `through`, written before retention takes what it stands for.
     Checkpoint(Checkpoint),
+    /// A chunk and the ends of its items, written again before retention takes the older records.
+    Carried(Carried),
+}
+
+/// A chunk carried forward: the bodies of its items that are still pending, and the completions that counted
+/// up to and including `through`. It moves bodies and results, and changes no item's state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Carried {
+    /// Its writer's fold up to and including this offset decided which completions are in it.
+    pub through: id::Offset,
+    /// The chunk; items that have ended keep their name but have an empty body.
+    pub chunk: Chunk,
+    /// The completions that counted.
+    pub completions: Vec<Completion>,
 }
 
 /// Part of a shard's state, encoded by `tinbank-ledger`.
--- /dev/null
+++ b/crates/tinbank-ledger/src/result.rs
@@ -0,0 +1,103 @@
+//! Reads results back: puts a chunk's items together with the completions that count.
+
+use tinbank_base::{
+    frame::request::Outcome,
+    id,
+    record::{Envelope, work},
+};
+
+use crate::{
+    chunk::{Chunk, Place},
+    shard::Carry,
+};
+
+/// The chunk that stands at a place of an envelope, or was carried to it; `None` if something else stands there.
+pub fn chunk_at(envelope: &Envelope<work::Record>, place: Place) -> Option<&work::Chunk> {
+    match envelope.records.get(usize::from(place.record))? {
+        work::Record::Chunk(chunk) => Some(chunk),
+        work::Record::Carried(carried) => Some(&carried.chunk),
+        _ => None,
+    }
+}
+
+/// The completions that count of a chunk's items, in item order; `None` for an item that has none.
+///
+/// `results` are the envelopes at [`Chunk::results`], in that order.
+pub fn completions<'a>(
+    job: id::Job,
+    chunk: &Chunk,
+    results: impl IntoIterator<Item = &'a Envelope<work::Record>>,
+) -> Vec<Option<work::Completion>> {
+    let mut found: Vec<Option<work::Completion>> = vec![None; chunk.items() as usize];
+    let records = results.into_iter().flat_map(|result| &result.records);
+    for completion in records.flat_map(|record| of_chunk(record, job, chunk.chunk)) {
+        if !chunk.ended(completion.item) {
+            continue;
+        }
+        let slot = &mut found[(completion.item - chunk.first) as usize];
+        if slot.is_none() {
+            *slot = Some(completion.clone());
+        }
+    }
+    found
+}
+
+/// Results of a chunk's items as other processes ask for them.
+pub fn outcomes<'a>(
+    body: &work::Chunk,
+    chunk: &Chunk,
+    results: impl IntoIterator<Item = &'a Envelope<work::Record>>,
+) -> Vec<Outcome> {
+    let completions = completions(body.job, chunk, results);
+    let items = body.items.iter().zip(completions);
+    items
+        .map(|(item, completion)| Outcome {
+            custom_id: item.custom_id.clone(),
+            completion,
+        })
+        .collect()
+}
+
+/// The record that carries a chunk forward. `through` is the last offset of the fold that `carry` was asked of.
+///
+/// Items that are not to be run any more keep their name only.
+pub fn carried<'a>(
+    carry: &Carry<'_>,
+    body: &work::Chunk,
+    results: impl IntoIterator<Item = &'a Envelope<work::Record>>,
+    through: id::Offset,
+) -> work::Record {
+    let chunk = carry.chunk;
+    let completions = completions(carry.job, chunk, results);
+    let mut items = body.items.clone();
+    for (item, completion) in items.iter_mut().zip(&completions) {
+        if completion.is_some() || carry.cancelled {
+            item.body = bytes::Bytes::new();
+        }
+    }
+    work::Record::Carried(work::Carried {
+        through,
+        chunk: work::Chunk {
+            job: carry.job,
+            intake: carry.intake,
+            chunk: chunk.chunk,
+            first: chunk.first,
+            items,
+        },
+        completions: completions.into_iter().flatten().collect(),
+    })
+}
+
+fn of_chunk(record: &work::Record, job: id::Job, chunk: id::Chunk) -> &[work::Completion] {
+    match record {
+        work::Record::Completed(completed) if completed.job == job && completed.chunk == chunk => {
+            &completed.completions
+        }
+        work::Record::Carried(carried)
+            if carried.chunk.job == job && carried.chunk.chunk == chunk =>
+        {
+            &carried.completions
+        }
+        _ => &[],
+    }
+}
