--- a/crates/tinbank-timeline/src/render/mod.rs
+++ b/crates/tinbank-timeline/src/render/mod.rs
@@ -2,7 +2,9 @@
 
 mod describe;
 mod json;
+mod page;
 mod text;
 
 pub use json::json;
+pub use page::page;
 pub use text::text;
