--- a/crates/tinbank-timeline/src/render/page.rs
+++ b/crates/tinbank-timeline/src/render/page.rs
@@ -3,10 +3,7 @@
 //! Time runs down. Each process has a lane; each event is a dot in its lane with its words beside it. Events of one
 //! request, item or job are joined by a line, so that the eye can follow it through the processes.
 
-use std::{
-    collections::HashMap,
-    fmt::Write as _,
-};
+use std::{collections::HashMap, fmt::Write as _};
 
 use tinbank_base::{
     event::{Event, Kind},
--- a/crates/tinbank-timeline/tests/render.rs
+++ b/crates/tinbank-timeline/tests/render.rs
@@ -59,7 +59,9 @@
 fn the_page_fetches_nothing_from_elsewhere() {
     let page = render::page(&timeline("logger-notes"), "night sweep");
 
-    for reference in ["http:", "https:", "src=", "href=", "url(", "@import", "<script"] {
+    for reference in [
+        "http:", "https:", "src=", "href=", "url(", "@import", "<script",
+    ] {
         assert!(!page.contains(reference), "{reference}");
     }
 }
@@ -79,9 +81,11 @@
 fn the_tags_of_the_page_are_balanced() {
     let page = render::page(&timeline("a < b & c"), "a < b");
 
-    for tag in ["html", "head", "body", "svg", "text", "tspan", "ul", "li", "h1", "p", "title"] {
-        let opened = page.matches(&format!("<{tag}>")).count()
-            + page.matches(&format!("<{tag} ")).count();
+    for tag in [
+        "html", "head", "body", "svg", "text", "tspan", "ul", "li", "h1", "p", "title",
+    ] {
+        let opened =
+            page.matches(&format!("<{tag}>")).count() + page.matches(&format!("<{tag} ")).count();
         let closed = page.matches(&format!("</{tag}>")).count();
         assert_eq!(opened, closed, "{tag}");
     }
