--- a/crates/tinbank-log/src/writer.rs
+++ b/crates/tinbank-log/src/writer.rs
@@ -182,6 +182,9 @@
     /// Appends records and returns the offset of their envelope once they last. Configuration and leases draw on the
     /// reserve by themselves; the wait is bounded by the settings.
     ///
+    /// After a lost answer the offset is that of the copy sent last, and the fold may have counted an earlier one.
+    /// So what depends on the place, such as a revision or a fencing number, is taken from the fold.
+    ///
     /// # Errors
     /// See [`Error`]; dropping the future does not take the records back.
     pub async fn append<R: Serialize>(
