--- a/crates/tinbank-settings/src/check.rs
+++ b/crates/tinbank-settings/src/check.rs
@@ -1,6 +1,6 @@
 //! Compares the parsed file with the schema, collects findings and builds the value that serde reads.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, fs, net::SocketAddr};
 
 use jsonc_parser::{
     ast::{Array, Object, ObjectProp, Value as Ast},
@@ -13,7 +13,7 @@
     finding::Place,
     near,
     ports::Port,
-    schema::{Field, Kind, Presence},
+    schema::{Field, Kind, Presence, Remark, Use},
 };
 
 /// The findings so far, and the addresses seen.
@@ -22,6 +22,16 @@
     file: &'t str,
     findings: Vec<Finding>,
     pub(crate) ports: Vec<Port>,
+    files: Vec<File>,
+    offsets: BTreeMap<String, usize>,
+}
+
+/// A file that the settings name.
+#[derive(Debug)]
+struct File {
+    path: String,
+    name: String,
+    offset: usize,
 }
 
 impl<'t> Check<'t> {
@@ -31,6 +41,8 @@
             file,
             findings: Vec::new(),
             ports: Vec::new(),
+            files: Vec::new(),
+            offsets: BTreeMap::new(),
         }
     }
 
@@ -43,6 +55,22 @@
         });
     }
 
+    pub(crate) fn remark(&mut self, remark: Remark) {
+        let offset = self.offsets.get(&remark.path).copied().unwrap_or(0);
+        self.add(offset, remark.what, remark.help);
+    }
+
+    /// Opens each file that is named, so that a missing one is found before the process starts.
+    pub(crate) fn open_files(&mut self) {
+        for file in std::mem::take(&mut self.files) {
+            if let Err(error) = fs::File::open(&file.name) {
+                let File { path, name, offset } = file;
+                let what = format!("`{path}` names {name:?}, which can't be read: {error}");
+                self.add(offset, what, "name a file that this process may read");
+            }
+        }
+    }
+
     pub(crate) fn clean(&self) -> bool {
         self.findings.is_empty()
     }
@@ -119,6 +147,7 @@
     }
 
     fn value(&mut self, value: &Ast<'_>, kind: &Kind, path: &str) -> Value {
+        self.offsets.insert(path.to_owned(), value.start());
         match (kind, value) {
             (Kind::Flag, Ast::BooleanLit(flag)) => Value::Bool(flag.value),
             (Kind::Integer { min, max, .. }, Ast::NumberLit(number)) => {
@@ -146,7 +175,15 @@
 
     fn text(&mut self, value: &Ast<'_>, text: &str, kind: &Kind, path: &str) -> Value {
         let allowed = match kind {
-            Kind::Text | Kind::File => !text.trim().is_empty(),
+            Kind::File => {
+                self.files.push(File {
+                    path: path.to_owned(),
+                    name: text.to_owned(),
+                    offset: value.start(),
+                });
+                !text.trim().is_empty()
+            }
+            Kind::Text => !text.trim().is_empty(),
             Kind::Choice(words) => words.contains(&text),
             Kind::Address(used) => {
                 return self.address(value, text, *used, kind, path);
@@ -172,14 +209,14 @@
         &mut self,
         value: &Ast<'_>,
         text: &str,
-        used: crate::schema::Use,
+        used: Use,
         kind: &Kind,
         path: &str,
     ) -> Value {
         let Ok(address) = text.parse::<SocketAddr>() else {
             return self.refuse(value, kind, path, &format!("{text:?}"));
         };
-        if used != crate::schema::Use::Listen && address.port() == 0 {
+        if used != Use::Listen && address.port() == 0 {
             return self.refuse(value, kind, path, "an address without a port");
         }
         self.ports.push(Port {
--- a/crates/tinbank-settings/src/common.rs
+++ b/crates/tinbank-settings/src/common.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 use tinbank_base::{frame::datagram, id};
 
-use crate::schema::{Field, Kind, Schema, Use};
+use crate::schema::{Field, Kind, Remark, Schema, Use};
 
 /// Most hosts that a deployment may number.
 pub const MAX_HOST: u64 = 1_000_000;
@@ -173,6 +173,20 @@
             ),
         ]
     }
+
+    fn review(&self) -> Vec<Remark> {
+        let [first, second] = self.peer_keys.as_slice() else {
+            return Vec::new();
+        };
+        if first.number != second.number {
+            return Vec::new();
+        }
+        vec![Remark {
+            path: "peer_keys[1].number".to_owned(),
+            what: format!("both peer keys have the number {}", first.number),
+            help: "give the new key a number that no other key has".to_owned(),
+        }]
+    }
 }
 
 fn peer_keys() -> Kind {
--- a/crates/tinbank-settings/src/document.rs
+++ b/crates/tinbank-settings/src/document.rs
@@ -68,3 +68,13 @@
         }
     }
 }
+
+/// Replaces the part of a page between `<!-- NAME -->` and `<!-- end -->` by freshly generated text.
+///
+/// Returns `None` when the page has no such part.
+pub fn splice(page: &str, name: &str, generated: &str) -> Option<String> {
+    let marker = format!("<!-- {name} -->\n");
+    let start = page.find(&marker)? + marker.len();
+    let end = start + page[start..].find("<!-- end -->")?;
+    Some(format!("{}{generated}{}", &page[..start], &page[end..]))
+}
--- a/crates/tinbank-settings/src/parse.rs
+++ b/crates/tinbank-settings/src/parse.rs
@@ -24,7 +24,7 @@
             help,
         }])
     })?;
-    parse(&text, &file)
+    read_text(&text, &file, |check| check.open_files())
 }
 
 fn read(path: &Path) -> Result<String, String> {
@@ -41,24 +41,44 @@
 /// # Errors
 /// All findings together, each with its place. No text makes it panic.
 pub fn parse<T: Schema>(text: &str, file: &str) -> Result<T, Findings> {
+    read_text(text, file, |_| ())
+}
+
+fn read_text<T: Schema>(
+    text: &str,
+    file: &str,
+    outside: impl FnOnce(&mut Check<'_>),
+) -> Result<T, Findings> {
     let mut check = Check::new(text, file);
-    let value = syntax(text, &mut check);
-    let Some(value) = value else {
+    let Some(tree) = syntax(text, &mut check) else {
         return Err(check.finish());
     };
-    let checked = check.top(&value, &T::fields());
+    let value = check.top(&tree, &T::fields());
     ports::check(&mut check);
+    outside(&mut check);
     if !check.clean() {
         return Err(check.finish());
     }
-    serde_json::from_value(checked).map_err(|error| {
-        check.add(
-            0,
-            format!("the settings don't fit together: {error}"),
-            "compare the file with docs/configuration.md",
-        );
-        check.finish()
-    })
+    let settings = fit::<T>(value, &mut check);
+    match settings {
+        Some(settings) if check.clean() => Ok(settings),
+        _ => Err(check.finish()),
+    }
+}
+
+fn fit<T: Schema>(value: serde_json::Value, check: &mut Check<'_>) -> Option<T> {
+    match serde_json::from_value::<T>(value) {
+        Ok(settings) => {
+            let remarks = settings.review();
+            remarks.into_iter().for_each(|remark| check.remark(remark));
+            Some(settings)
+        }
+        Err(error) => {
+            let what = format!("the settings don't fit together: {error}");
+            check.add(0, what, "compare the file with docs/configuration.md");
+            None
+        }
+    }
 }
 
 /// Parses strictly; after a mistake parses once more leniently, so that the rest of the file is checked as well.
--- a/crates/tinbank-settings/src/schema.rs
+++ b/crates/tinbank-settings/src/schema.rs
@@ -6,6 +6,24 @@
 pub trait Schema: DeserializeOwned {
     /// The keys of the file's top level, those of flattened structs included.
     fn fields() -> Vec<Field>;
+
+    /// What is wrong between settings that are each fine by themselves. It is asked once nothing else is found.
+    ///
+    /// A struct that flattens another one passes on what that one says.
+    fn review(&self) -> Vec<Remark> {
+        Vec::new()
+    }
+}
+
+/// Something wrong between settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Remark {
+    /// Path of the setting that the finding points at, such as `peer_keys[1].number`.
+    pub path: String,
+    /// What is wrong.
+    pub what: String,
+    /// What to do about it.
+    pub help: String,
 }
 
 /// One key.
--- a/crates/tinbank-settings/tests/findings.rs
+++ b/crates/tinbank-settings/tests/findings.rs
@@ -135,6 +135,36 @@
     assert!(found[1].what.contains("syntax error"), "{}", found[1]);
 }
 
+#[test]
+fn settings_that_clash_are_found_at_their_place() {
+    let text = with("\"number\": 2", "\"number\": 1");
+
+    let found = findings(&text);
+
+    assert_eq!(found.len(), 1);
+    assert_eq!((found[0].place.line, found[0].place.column), (12, 17));
+    assert!(found[0].what.contains("number 1"), "{}", found[0]);
+}
+
+#[test]
+fn a_file_that_the_settings_name_is_opened() {
+    let tls = r#""tls": { "certificate": "/nonexistent/c", "key": "/nonexistent/k" }, "host": 3,"#;
+    let path = temporary("tls.jsonc", &with("\"host\": 3,", tls));
+
+    let refused = load::<Common>(&path);
+
+    let Findings(found) = refused.expect_err("there are no such files");
+    assert_eq!(found.len(), 2);
+    assert!(found[0].what.contains("/nonexistent/c"), "{}", found[0]);
+    assert!(found[1].what.contains("/nonexistent/k"), "{}", found[1]);
+}
+
+fn temporary(name: &str, text: &str) -> std::path::PathBuf {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("the target directory is writable");
+    path
+}
+
 #[test]
 fn a_secret_is_never_shown() {
     let text = with("0202020202", "hunter2");
