--- a/crates/tinbank-routing/src/lib.rs
+++ b/crates/tinbank-routing/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod health;
 pub mod leaving;
 pub mod pick;
+pub mod prefix;
+pub mod retry;
 pub mod table;
 
 pub use choice::{Ask, Choice, Router};
--- /dev/null
+++ b/crates/tinbank-routing/src/prefix.rs
@@ -0,0 +1,43 @@
+//! Hash of a prompt's prefix, so that prompts which share it meet the same engine's cache.
+//!
+//! The prefix is the first message: for chats with instructions that is the system prompt, which many requests share,
+//! and for others it is what stays the same over the turns of one chat. See `docs/design/routing.md`.
+
+use std::{borrow::Cow, hash::Hasher as _};
+
+use serde::Deserialize;
+use siphasher::sip::SipHasher13;
+
+/// How much of the first message counts, in bytes.
+pub const MAX_BYTES: usize = 1_024;
+
+#[derive(Deserialize)]
+struct Chat<'a> {
+    #[serde(borrow)]
+    messages: Vec<Message<'a>>,
+}
+
+#[derive(Deserialize)]
+struct Message<'a> {
+    #[serde(borrow)]
+    content: Cow<'a, str>,
+}
+
+/// Hash of the prefix of a chat completion's JSON body for a service. A body that is none is hashed by its first bytes.
+pub fn of_body(service: &str, body: &[u8]) -> u64 {
+    let chat = serde_json::from_slice::<Chat<'_>>(body).ok();
+    let first = chat.as_ref().and_then(|chat| chat.messages.first());
+    match first {
+        Some(message) => of(service, message.content.as_bytes()),
+        None => of(service, body),
+    }
+}
+
+/// Hash of a service and the first bytes of a text.
+pub fn of(service: &str, text: &[u8]) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(service.as_bytes());
+    hasher.write_u8(0xff);
+    hasher.write(&text[..text.len().min(MAX_BYTES)]);
+    hasher.finish()
+}
