--- a/crates/tinbank-online/src/lib.rs
+++ b/crates/tinbank-online/src/lib.rs
@@ -1,1 +1,17 @@
 //! Serves callers' online requests: chat completions and calls of plain services.
+//!
+//! See `docs/design/online.md` for the way of a request and the ways that were weighed.
+
+pub mod api;
+mod context;
+mod control;
+pub mod openai;
+mod relay;
+mod request;
+mod run;
+pub mod server;
+pub mod settings;
+
+pub use context::Context;
+pub use server::{Platform, Server};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/tinbank-online/src/request/caller.rs
@@ -0,0 +1,115 @@
+//! Who calls, and what the headers say.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use http::HeaderMap;
+use tinbank_base::{
+    id,
+    outcome::{Code, Failure},
+    platform::hosts::Kind,
+};
+use tinbank_configuration::{Snapshot, service::Service, snapshot::Customer, template::Traffic};
+use tinbank_server::caller;
+
+use super::bad;
+
+/// A caller with a known key.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller {
+    pub(crate) customer: Arc<Customer>,
+    pub(crate) key: Option<String>,
+    now: Instant,
+    repeatable: Option<bool>,
+    deadline: Option<Instant>,
+    stream: Option<String>,
+}
+
+/// What the caller wants to use.
+#[derive(Clone, Debug)]
+pub(crate) struct Wanted {
+    pub(crate) name: id::Service,
+    pub(crate) service: Arc<Service>,
+    pub(crate) deadline: Instant,
+    pub(crate) repeatable: bool,
+}
+
+impl Caller {
+    /// Reads the headers and looks the key up.
+    pub(crate) fn read(
+        headers: &HeaderMap,
+        snapshot: &Snapshot,
+        now: Instant,
+    ) -> Result<Self, Failure> {
+        let bearer = caller::bearer(headers)?;
+        let customer = snapshot.by_key(bearer).ok_or_else(|| {
+            Failure::not_run(Code::Unauthorized, "the key is not known")
+                .help("use a key whose digest is in the customer's configuration")
+        })?;
+        Ok(Self {
+            customer: customer.clone(),
+            key: caller::idempotency_key(headers)?.map(str::to_owned),
+            now,
+            repeatable: caller::repeatable(headers)?,
+            deadline: caller::deadline(headers, now)?,
+            stream: caller::stream(headers)?.map(str::to_owned),
+        })
+    }
+
+    /// The service that the `Tinbank-Stream` header or the name given means.
+    pub(crate) fn want(&self, name: Option<&str>, kind: Kind) -> Result<Wanted, Failure> {
+        let (name, stream_timeout) = self.service_name(name)?;
+        let service = self.customer.services.get(&name).ok_or_else(|| {
+            let message = format!("there is no service {name:?} for this customer");
+            Failure::not_run(Code::NotFound, message)
+        })?;
+        if service.kind != kind {
+            return Err(wrong_kind(&name, service.kind));
+        }
+        let timeout = stream_timeout.unwrap_or(service.timeout);
+        Ok(Wanted {
+            deadline: self.deadline.unwrap_or(self.now + timeout),
+            repeatable: self.repeatable.unwrap_or(service.repeatable),
+            service: service.clone(),
+            name,
+        })
+    }
+
+    fn service_name(
+        &self,
+        name: Option<&str>,
+    ) -> Result<(id::Service, Option<Duration>), Failure> {
+        let Some(stream) = &self.stream else {
+            let name = name.ok_or_else(|| {
+                bad("model: is missing").help("name the service in `model` or a stream in `Tinbank-Stream`")
+            })?;
+            return Ok((name.to_owned(), None));
+        };
+        let found = self.customer.streams.get(stream).ok_or_else(|| {
+            let message = format!("Tinbank-Stream: there is no stream {stream:?} for this customer");
+            Failure::not_run(Code::NotFound, message)
+        })?;
+        if found.traffic != Traffic::Online {
+            let message = format!("Tinbank-Stream: the stream {stream:?} carries batch jobs");
+            return Err(bad(message).help("post its jobs to /v1/batches"));
+        }
+        if name.is_some_and(|name| name != found.service) {
+            let message = format!(
+                "model: the stream {stream:?} uses the service {:?}",
+                found.service
+            );
+            return Err(bad(message).help("leave `model` out or name that service"));
+        }
+        Ok((found.service.clone(), found.timeout))
+    }
+}
+
+fn wrong_kind(name: &str, kind: Kind) -> Failure {
+    let (what, help) = match kind {
+        Kind::Engine => ("a model service", "use POST /v1/chat/completions"),
+        Kind::Plain => ("a plain service", "use POST /v1/services/{service}/call"),
+    };
+    bad(format!("{name:?} is {what}")).help(help)
+}
--- /dev/null
+++ b/crates/tinbank-online/src/settings.rs
@@ -0,0 +1,48 @@
+//! Settings of the online process.
+
+use serde::Deserialize;
+use tinbank_settings::{
+    common::Common,
+    schema::{Field, Kind, Schema},
+};
+
+/// Settings of the online process.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    /// What all processes are told.
+    #[serde(flatten)]
+    pub common: Common,
+    /// Number of work shards of the deployment, which claims are spread over.
+    pub shards: u16,
+    /// How long the process goes on taking requests after it was told to stop, so that the balancer can notice.
+    pub stop_grace_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            common: Common::default(),
+            shards: 16,
+            stop_grace_ms: 0,
+        }
+    }
+}
+
+impl Schema for Settings {
+    fn fields() -> Vec<Field> {
+        let mut fields = Common::fields();
+        fields.push(Field::default(
+            "shards",
+            Kind::count(1, 4_096),
+            "16",
+            "Number of work shards of the deployment. The same in all settings files, and never changed.",
+        ));
+        fields.push(Field::default(
+            "stop_grace_ms",
+            Kind::millis(0, 600_000),
+            "3000",
+            "How long the process goes on taking requests after it was told to stop, so that the balancer notices.",
+        ));
+        fields
+    }
+}
