--- /dev/null
+++ b/crates/tinbank-online/src/api/answer.rs
@@ -0,0 +1,104 @@
+//! Answers as callers get them.
+
+use std::time::{Duration, SystemTime};
+
+use bytes::Bytes;
+use dropshot::Body;
+use futures::{Stream, StreamExt as _, stream};
+use http::{HeaderValue, Response, header};
+use serde::Serialize;
+use tinbank_base::{
+    id,
+    outcome::{Code, Failure, Ran},
+    platform::upstream::Part,
+};
+use tinbank_server::stream::{DONE, event};
+
+use crate::{
+    openai::{Chunk, Completion, ErrorEvent},
+    request::Request,
+};
+
+/// When a caller should ask again if nothing better is known.
+const ASK_AGAIN: Duration = Duration::from_secs(1);
+
+/// A failure, with when to ask again if asking again is safe and may help.
+pub(super) fn with_retry(failure: Failure) -> Failure {
+    let temporary = matches!(
+        failure.code,
+        Code::Overloaded
+            | Code::NoUpstream
+            | Code::LogUnavailable
+            | Code::NotReady
+            | Code::LimitReached
+    );
+    if failure.ran != Ran::No || !temporary || failure.retry_at.is_some() {
+        return failure;
+    }
+    failure.retry_at(SystemTime::now() + ASK_AGAIN)
+}
+
+/// A JSON answer.
+pub(super) fn json(bytes: Bytes) -> Response<Body> {
+    let mut response = Response::new(Body::from(bytes));
+    let value = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, value);
+    response
+}
+
+/// The parts of an answer as SSE: chunks, and the end marker only if the answer is whole.
+pub(super) fn events(
+    request: &Request,
+    parts: impl Stream<Item = Result<Part, Failure>> + Send + 'static,
+) -> impl Stream<Item = Bytes> + Send + 'static {
+    let (id, name) = (request.id, request.name.clone());
+    parts.flat_map(move |part| stream::iter(pieces(id, &name, part)))
+}
+
+fn pieces(id: id::Request, service: &str, part: Result<Part, Failure>) -> Vec<Bytes> {
+    match part {
+        Ok(Part::Token { index, text }) => vec![piece(&Chunk::token(id, service, index, text))],
+        Ok(Part::End { reason, tokens }) => vec![
+            piece(&Chunk::finish(id, service, tokens, reason)),
+            Bytes::from_static(DONE.as_bytes()),
+        ],
+        Err(error) => vec![piece(&ErrorEvent { error })],
+    }
+}
+
+fn piece<T: Serialize>(value: &T) -> Bytes {
+    event(value).expect("chunks and failures are plain data, which JSON can hold")
+}
+
+/// The parts of an answer as one JSON value.
+pub(super) async fn whole(
+    request: &Request,
+    parts: impl Stream<Item = Result<Part, Failure>>,
+) -> Result<Bytes, Failure> {
+    let mut parts = std::pin::pin!(parts);
+    let mut content = String::new();
+    while let Some(part) = parts.next().await {
+        match part? {
+            Part::Token { text, .. } => content.push_str(&text),
+            Part::End { reason, tokens } => {
+                return completion(request, content, tokens, reason);
+            }
+        }
+    }
+    Err(Failure::unknown(
+        Code::UpstreamFailed,
+        "the answer has no end marker",
+    ))
+}
+
+fn completion(
+    request: &Request,
+    content: String,
+    tokens: u32,
+    reason: String,
+) -> Result<Bytes, Failure> {
+    let completion = Completion::new(request.id, &request.name, content, tokens, reason);
+    let bytes = serde_json::to_vec(&completion)
+        .map_err(|error| Failure::unknown(Code::Internal, error.to_string()))?;
+    Ok(bytes.into())
+}
--- /dev/null
+++ b/crates/tinbank-online/src/api/call.rs
@@ -0,0 +1,67 @@
+//! `POST /v1/services/{service}/call`.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use dropshot::{Body, Path, RequestContext, UntypedBody, endpoint};
+use http::Response;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use tinbank_base::{id, outcome::Failure};
+use tinbank_server::failure::{self, Reply};
+
+use super::{Shared, answer, check_ready, note_refused, request_id};
+use crate::{
+    request::{Caller, Request, plain},
+    run::{self, Journal},
+};
+
+/// The path of a call.
+#[derive(Debug, Deserialize, JsonSchema)]
+pub struct CallPath {
+    /// Name of the service.
+    pub service: String,
+}
+
+/// Calls a plain service and passes its answer on.
+///
+/// A request marked `Tinbank-Repeatable: false` is sent at most once. See `docs/design/online.md`.
+#[endpoint {
+    method = POST,
+    path = "/v1/services/{service}/call",
+    tags = ["callers"],
+}]
+pub async fn call_service(
+    rqctx: RequestContext<Shared>,
+    path: Path<CallPath>,
+    body: UntypedBody,
+) -> Result<Response<Body>, Reply> {
+    let ctx = rqctx.context();
+    let id = request_id(&rqctx)?;
+    let name = path.into_inner().service;
+    let body = Bytes::copy_from_slice(body.as_bytes());
+    let request = match read(&rqctx, id, &name, body) {
+        Ok(request) => request,
+        Err(failure) => {
+            note_refused(ctx, id, &failure);
+            return failure::answer(Err(answer::with_retry(failure)));
+        }
+    };
+    let journal = Journal::accept(ctx.clone(), &request);
+    let answered = run::plain::run(ctx.clone(), &request, journal).await;
+    let answered = answered.map(answer::json);
+    failure::answer(answered.map_err(answer::with_retry))
+}
+
+fn read(
+    rqctx: &RequestContext<Shared>,
+    id: id::Request,
+    name: &str,
+    body: Bytes,
+) -> Result<Request, Failure> {
+    let ctx = rqctx.context();
+    check_ready(ctx)?;
+    let headers = rqctx.request.headers();
+    let caller = Caller::read(headers, &ctx.snapshot(), Instant::now())?;
+    plain::read(id, &caller, name, body)
+}
--- /dev/null
+++ b/crates/tinbank-online/src/api/chat.rs
@@ -0,0 +1,84 @@
+//! `POST /v1/chat/completions`.
+
+use std::{sync::Arc, time::Instant};
+
+use dropshot::{Body, RequestContext, UntypedBody, endpoint};
+use futures::{Stream, StreamExt as _, stream};
+use http::Response;
+use tinbank_base::{id, outcome::Failure, platform::upstream::Part};
+use tinbank_server::{
+    failure::{self, Reply},
+    stream::{Form, response},
+};
+
+use super::{Shared, answer, check_ready, note_refused, request_id};
+use crate::{
+    request::{Caller, Request, chat::Chat as Wanted},
+    run::{Journal, chat::Chat},
+};
+
+/// Answers a chat completion, whole or as server-sent events that end in `[DONE]`.
+///
+/// `model` names the service; or the header `Tinbank-Stream` names one of the customer's online streams. See
+/// `docs/design/online.md`.
+#[endpoint {
+    method = POST,
+    path = "/v1/chat/completions",
+    tags = ["callers"],
+}]
+pub async fn chat_completions(
+    rqctx: RequestContext<Shared>,
+    body: UntypedBody,
+) -> Result<Response<Body>, Reply> {
+    let ctx = rqctx.context();
+    let id = request_id(&rqctx)?;
+    let wanted = match read(&rqctx, id, body.as_bytes()) {
+        Ok(wanted) => wanted,
+        Err(failure) => {
+            note_refused(ctx, id, &failure);
+            return failure::answer(Err(answer::with_retry(failure)));
+        }
+    };
+    let answered = serve(ctx, wanted).await;
+    failure::answer(answered.map_err(answer::with_retry))
+}
+
+fn read(rqctx: &RequestContext<Shared>, id: id::Request, body: &[u8]) -> Result<Wanted, Failure> {
+    let ctx = rqctx.context();
+    check_ready(ctx)?;
+    let headers = rqctx.request.headers();
+    let caller = Caller::read(headers, &ctx.snapshot(), Instant::now())?;
+    Wanted::read(id, &caller, body)
+}
+
+async fn serve(ctx: &Shared, wanted: Wanted) -> Result<Response<Body>, Failure> {
+    let request = Arc::new(wanted.request);
+    let journal = Journal::accept(ctx.clone(), &request);
+    let chat = Chat::new(ctx.clone(), request.clone(), journal);
+    let parts = started(chat).await?;
+    respond(&request, wanted.stream, parts).await
+}
+
+/// The answer's parts, once there is a first one: a failure before it has an HTTP status of its own.
+async fn started(
+    mut chat: Chat,
+) -> Result<impl Stream<Item = Result<Part, Failure>> + Send + 'static, Failure> {
+    let first = chat.next().await.transpose()?;
+    let rest = stream::unfold(chat, |mut chat| async {
+        let part = chat.next().await?;
+        Some((part, chat))
+    });
+    Ok(stream::iter(first.map(Ok)).chain(rest))
+}
+
+async fn respond(
+    request: &Request,
+    streamed: bool,
+    parts: impl Stream<Item = Result<Part, Failure>> + Send + 'static,
+) -> Result<Response<Body>, Failure> {
+    if streamed {
+        return Ok(response(Form::Sse, answer::events(request, parts)));
+    }
+    let whole = answer::whole(request, parts).await?;
+    Ok(answer::json(whole))
+}
--- /dev/null
+++ b/crates/tinbank-online/src/run/plain.rs
@@ -0,0 +1,93 @@
+//! Runs a call of a plain service.
+
+use std::{sync::Arc, time::Instant};
+
+use bytes::Bytes;
+use smallvec::SmallVec;
+use tinbank_base::{
+    id,
+    outcome::{Failure, Ran},
+    platform::upstream::{self, Call, Kind},
+};
+use tinbank_configuration::template::Traffic;
+use tinbank_routing::{
+    Ask, Router as _,
+    retry::{Attempts, Decision},
+};
+
+use super::{Attempt, Journal};
+use crate::{context::Context, request::Request};
+
+/// Runs the call until it has an answer or may not be sent again.
+pub(crate) async fn run(
+    ctx: Arc<Context>,
+    request: &Request,
+    mut journal: Journal,
+) -> Result<Bytes, Failure> {
+    let answer = attempts(&ctx, request, &journal).await;
+    match &answer {
+        Ok(_) => journal.answered(0),
+        Err(failure) => journal.failed(failure),
+    }
+    answer
+}
+
+async fn attempts(
+    ctx: &Arc<Context>,
+    request: &Request,
+    journal: &Journal,
+) -> Result<Bytes, Failure> {
+    let mut attempts = Attempts::new(request.repeatable, request.deadline);
+    let mut tried: SmallVec<[id::Upstream; 4]> = SmallVec::new();
+    loop {
+        let ask = Ask {
+            service: &request.service,
+            traffic: Traffic::Online,
+            prefix: request.prefix,
+            tried: tried.clone(),
+        };
+        let choice = ctx.table.choose(&ask, Instant::now());
+        let choice = choice.map_err(|refusal| attempts.exhausted(refusal))?;
+        tried.push(choice.target.upstream);
+        journal.routed(choice.target.upstream, choice.reason);
+        let number = attempts.sent;
+        attempts.send(&mut ctx.budget());
+        let attempt = Attempt::new(ctx.clone(), request.id, number, choice);
+        let error = match send(ctx, request, &attempt).await {
+            Ok(answer) => {
+                attempt.succeed();
+                return Ok(answer);
+            }
+            Err(error) => error,
+        };
+        attempt.fail(&error);
+        match attempts.fail(&error, &mut ctx.budget(), Instant::now()) {
+            Decision::Again => journal.retried(&error, attempts.sent, 0),
+            Decision::Stop(failure) => return Err(failure),
+        }
+    }
+}
+
+async fn send(
+    ctx: &Context,
+    request: &Request,
+    attempt: &Attempt,
+) -> Result<Bytes, upstream::Error> {
+    let target = attempt.target();
+    let call = Call {
+        request: attempt.id(),
+        service: request.name.clone(),
+        body: request.body.clone(),
+        resume_from: 0,
+        deadline: request.deadline,
+    };
+    let answer = ctx.upstreams.call(target, call);
+    match tokio::time::timeout_at(request.deadline.into(), answer).await {
+        Ok(answer) => answer,
+        Err(_) => Err(upstream::Error {
+            upstream: target.upstream,
+            ran: Ran::Unknown,
+            kind: Kind::Timeout,
+        }),
+    }
+}
--- a/crates/tinbank-routing/src/prefix.rs
+++ b/crates/tinbank-routing/src/prefix.rs
@@ -3,9 +3,10 @@
 //! The prefix is the first message: for chats with instructions that is the system prompt, which many requests share,
 //! and for others it is what stays the same over the turns of one chat. See `docs/design/routing.md`.
 
-use std::{borrow::Cow, hash::Hasher as _};
+use std::hash::Hasher as _;
 
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use siphasher::sip::SipHasher13;
 
 /// How much of the first message counts, in bytes.
@@ -20,7 +21,7 @@
 #[derive(Deserialize)]
 struct Message<'a> {
     #[serde(borrow)]
-    content: Cow<'a, str>,
+    content: &'a RawValue,
 }
 
 /// Hash of the prefix of a chat completion's JSON body for a service. A body that is none is hashed by its first bytes.
@@ -28,7 +29,7 @@
     let chat = serde_json::from_slice::<Chat<'_>>(body).ok();
     let first = chat.as_ref().and_then(|chat| chat.messages.first());
     match first {
-        Some(message) => of(service, message.content.as_bytes()),
+        Some(message) => of(service, message.content.get().as_bytes()),
         None => of(service, body),
     }
 }
--- a/crates/tinbank-routing/src/table/entry.rs
+++ b/crates/tinbank-routing/src/table/entry.rs
@@ -38,13 +38,14 @@
     /// Milliseconds since `epoch` until which it is ejected, plus 1; 0 when it is not.
     ejected_until: AtomicU64,
     probing: AtomicBool,
+    /// Milliseconds since `epoch` at which its report was asked for, plus 1; 0 for never.
+    asked_at: AtomicU64,
 }
 
 #[derive(Debug)]
 struct Reported {
     report: Report,
     own: u32,
-    at: Instant,
 }
 
 impl Live {
@@ -59,6 +60,7 @@
             health: Mutex::new(Health::default()),
             ejected_until: AtomicU64::new(0),
             probing: AtomicBool::new(false),
+            asked_at: AtomicU64::new(0),
         }
     }
 
@@ -78,17 +80,20 @@
         self.count(traffic).fetch_sub(1, Ordering::Relaxed);
     }
 
-    pub(super) fn report(&self, report: Report, now: Instant) {
+    pub(super) fn report(&self, report: Report) {
         let reported = Reported {
             report,
             own: self.total(),
-            at: now,
         };
         self.report.store(Some(Arc::new(reported)));
     }
 
-    pub(super) fn reported_at(&self) -> Option<Instant> {
-        self.report.load().as_ref().map(|reported| reported.at)
+    pub(super) fn asked_at(&self) -> u64 {
+        self.asked_at.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn ask(&self, now: Instant) {
+        self.asked_at.store(self.millis(now), Ordering::Relaxed);
     }
 
     pub(super) fn last_report(&self) -> Option<Report> {
--- a/crates/tinbank-routing/src/table/mod.rs
+++ b/crates/tinbank-routing/src/table/mod.rs
@@ -109,7 +109,7 @@
         if report.leaving {
             self.inner.sign(upstream, now);
         }
-        entry.live.report(report, now);
+        entry.live.report(report);
     }
 
     /// Takes in a peer's word that an upstream is leaving. Returns whether it is news.
@@ -181,20 +181,22 @@
         entries.by_upstream.get(&upstream)?.live.last_report()
     }
 
-    /// The engines whose reports are the oldest, those never asked first: ask these next.
-    pub fn stalest(&self, count: usize) -> SmallVec<[Target; 8]> {
+    /// The engines that were asked for their report the longest ago. They count as asked from now on, so that an engine
+    /// which does not answer is not asked all the time.
+    pub fn ask_next(&self, count: usize, now: Instant) -> SmallVec<[Target; 8]> {
         let entries = self.inner.entries.load();
         let mut engines: Vec<&Arc<Entry>> = entries
             .all
             .iter()
             .filter(|entry| entry.listed.kind == hosts::Kind::Engine)
             .collect();
-        engines.sort_by_key(|entry| (entry.live.reported_at(), entry.listed.upstream));
-        engines
-            .iter()
-            .take(count)
-            .map(|entry| entry.target())
-            .collect()
+        engines.sort_by_key(|entry| (entry.live.asked_at(), entry.listed.upstream));
+        let next = engines.into_iter().take(count);
+        next.map(|entry| {
+            entry.live.ask(now);
+            entry.target()
+        })
+        .collect()
     }
 }
 
