--- a/crates/tinbank-online/src/api/call.rs
+++ b/crates/tinbank-online/src/api/call.rs
@@ -7,7 +7,10 @@
 use http::Response;
 use schemars::JsonSchema;
 use serde::Deserialize;
-use tinbank_base::{id, outcome::Failure};
+use tinbank_base::{
+    id,
+    outcome::{Code, Failure},
+};
 use tinbank_server::failure::{self, Reply};
 
 use super::{Shared, answer, check_ready, note_refused, request_id};
@@ -48,7 +51,10 @@
         }
     };
     let journal = Journal::accept(ctx.clone(), &request);
-    let answered = run::plain::run(ctx.clone(), &request, journal).await;
+    let answered = match request.claim_key() {
+        None => run::plain::run(ctx.clone(), &request, journal).await,
+        Some(key) => claimed(ctx, request, journal, key).await,
+    };
     let answered = answered.map(answer::json);
     failure::answer(answered.map_err(answer::with_retry))
 }
@@ -65,3 +71,18 @@
     let caller = Caller::read(headers, &ctx.snapshot(), Instant::now())?;
     plain::read(id, &caller, name, body)
 }
+
+/// Runs the call in a task of its own, which goes on when the caller goes away.
+async fn claimed(
+    ctx: &Shared,
+    request: Request,
+    journal: Journal,
+    key: String,
+) -> Result<Bytes, Failure> {
+    let call = run::claimed::call(ctx.clone(), request, journal, key);
+    let task = ctx.tasks.spawn_on(call, &ctx.traffic);
+    task.await.unwrap_or_else(|error| {
+        let message = format!("the task of the request ended early: {error}");
+        Err(Failure::unknown(Code::Internal, message))
+    })
+}
--- a/crates/tinbank-online/src/api/chat.rs
+++ b/crates/tinbank-online/src/api/chat.rs
@@ -10,11 +10,12 @@
     failure::{self, Reply},
     stream::{Form, response},
 };
+use tokio::sync::mpsc;
 
 use super::{Shared, answer, check_ready, note_refused, request_id};
 use crate::{
     request::{Caller, Request, chat::Chat as Wanted},
-    run::{Journal, chat::Chat},
+    run::{self, Journal, chat::Chat},
 };
 
 /// Answers a chat completion, whole or as server-sent events that end in `[DONE]`.
@@ -54,31 +55,40 @@
 async fn serve(ctx: &Shared, wanted: Wanted) -> Result<Response<Body>, Failure> {
     let request = Arc::new(wanted.request);
     let journal = Journal::accept(ctx.clone(), &request);
-    let chat = Chat::new(ctx.clone(), request.clone(), journal);
-    let parts = started(chat).await?;
-    respond(&request, wanted.stream, parts).await
-}
-
-/// The answer's parts, once there is a first one: a failure before it has an HTTP status of its own.
-async fn started(
-    mut chat: Chat,
-) -> Result<impl Stream<Item = Result<Part, Failure>> + Send + 'static, Failure> {
-    let first = chat.next().await.transpose()?;
-    let rest = stream::unfold(chat, |mut chat| async {
-        let part = chat.next().await?;
-        Some((part, chat))
-    });
-    Ok(stream::iter(first.map(Ok)).chain(rest))
+    match request.claim_key() {
+        Some(key) => {
+            let (sender, receiver) = mpsc::unbounded_channel();
+            let claimed = run::claimed::chat(ctx.clone(), request.clone(), journal, key, sender);
+            ctx.tasks.spawn_on(claimed, &ctx.traffic);
+            let parts = stream::unfold(receiver, |mut receiver| async {
+                let part = receiver.recv().await?;
+                Some((part, receiver))
+            });
+            respond(&request, wanted.stream, parts).await
+        }
+        None => {
+            let chat = Chat::new(ctx.clone(), request.clone(), journal);
+            let parts = stream::unfold(chat, |mut chat| async {
+                let part = chat.next().await?;
+                Some((part, chat))
+            });
+            respond(&request, wanted.stream, parts).await
+        }
+    }
 }
 
+/// Answers once there is a first part: a failure before it has an HTTP status of its own.
 async fn respond(
     request: &Request,
     streamed: bool,
     parts: impl Stream<Item = Result<Part, Failure>> + Send + 'static,
 ) -> Result<Response<Body>, Failure> {
-    if streamed {
-        return Ok(response(Form::Sse, answer::events(request, parts)));
+    if !streamed {
+        let whole = answer::whole(request, parts).await?;
+        return Ok(answer::json(whole));
     }
-    let whole = answer::whole(request, parts).await?;
-    Ok(answer::json(whole))
+    let mut parts = Box::pin(parts);
+    let first = parts.next().await.transpose()?;
+    let parts = stream::iter(first.map(Ok)).chain(parts);
+    Ok(response(Form::Sse, answer::events(request, parts)))
 }
--- a/crates/tinbank-online/src/request/chat.rs
+++ b/crates/tinbank-online/src/request/chat.rs
@@ -28,6 +28,8 @@
         let stream = fields.get("stream").and_then(Value::as_bool).unwrap_or(false);
         limit_tokens(&mut fields, &wanted)?;
         fields.insert("model".to_owned(), wanted.name.as_str().into());
+        // How the caller wants the answer is no part of the work, so that a resend may want it otherwise.
+        fields.remove("stream");
         let body = Bytes::from(Value::Object(fields).to_string());
         let request = Request {
             id,
--- a/crates/tinbank-online/src/request/mod.rs
+++ b/crates/tinbank-online/src/request/mod.rs
@@ -38,6 +38,13 @@
     pub(crate) key: Option<String>,
 }
 
+impl Request {
+    /// The idempotency key if the request has to be claimed. What may be repeated needs no claim: it is just run again.
+    pub(crate) fn claim_key(&self) -> Option<String> {
+        self.key.clone().filter(|_| !self.repeatable)
+    }
+}
+
 /// Findings about a body, reported together.
 #[derive(Debug, Default)]
 struct Findings(Vec<String>);
--- a/crates/tinbank-online/src/run/journal.rs
+++ b/crates/tinbank-online/src/run/journal.rs
@@ -75,6 +75,11 @@
         self.end("answered", "");
     }
 
+    /// The caller gets the stored answer of an earlier request.
+    pub(crate) fn replayed(&mut self) {
+        self.end("replayed", "");
+    }
+
     /// The caller is told of a failure.
     pub(crate) fn failed(&mut self, failure: &Failure) {
         let (code, ran) = (failure.code, failure.ran);
--- a/crates/tinbank-online/src/run/mod.rs
+++ b/crates/tinbank-online/src/run/mod.rs
@@ -2,7 +2,8 @@
 
 mod attempt;
 pub(crate) mod chat;
-pub(crate) mod claim;
+mod claim;
+pub(crate) mod claimed;
 mod journal;
 pub(crate) mod plain;
 
