--- /dev/null
+++ b/crates/tinbank-online/src/control/load.rs
@@ -0,0 +1,13 @@
+//! Tells the engines' admission controllers how many online requests we have in them.
+
+use tinbank_admission::service::Teller;
+use tinbank_routing::Table;
+
+/// Tells each change as it comes.
+pub(super) async fn tell(table: Table, teller: Teller) {
+    loop {
+        for load in table.changed().await {
+            teller.online(load.upstream, load.online);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tinbank-online/src/control/peers.rs
@@ -0,0 +1,110 @@
+//! What is exchanged with other processes.
+
+use std::{
+    sync::{Arc, OnceLock},
+    time::Instant,
+};
+
+use async_trait::async_trait;
+use futures::{StreamExt as _, stream, stream::BoxStream};
+use tinbank_base::{
+    clock::Stamp,
+    event::{Kind, Subject},
+    frame::{
+        credit,
+        request::{Request, Response},
+    },
+    outcome::{Code, Ran},
+    peer::{Answer, Directory, Members},
+    record::Writer,
+};
+use tinbank_configuration::follower::Follower;
+use tinbank_membership::Membership;
+use tinbank_peer::Clock;
+use tinbank_routing::Table;
+use tinbank_timeline::Recorder;
+
+/// Passes on the first signs of leaving upstreams, our own and those that we heard of.
+pub(super) async fn pass_on_leaving(recorder: Recorder, table: Table, membership: Membership) {
+    loop {
+        table.signed().await;
+        for leaving in table.leaving(Instant::now()) {
+            let subject = Subject {
+                upstream: Some(leaving.upstream),
+                ..Subject::default()
+            };
+            recorder.note(subject, Kind::UpstreamLeaving);
+            membership.upstream_leaving(leaving);
+        }
+    }
+}
+
+/// Takes in what peers say of leaving upstreams.
+pub(super) async fn hear_leaving(table: Table, membership: Membership) {
+    let mut leaving = membership.leaving();
+    loop {
+        let words = leaving.borrow_and_update().clone();
+        for word in words.iter() {
+            table.hear(*word, Instant::now());
+        }
+        if leaving.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Answers other processes.
+#[derive(Debug)]
+pub(crate) struct Answerer {
+    pub(crate) follower: Follower,
+}
+
+#[async_trait]
+impl Answer for Answerer {
+    async fn answer(&self, _from: Writer, request: Request) -> BoxStream<'static, Response> {
+        let frames = match request {
+            Request::Config { from } => self.follower.serve(from).await,
+            _ => vec![Response::Failed {
+                code: Code::BadRequest,
+                ran: Ran::No,
+                message: "an online process answers only for the configuration".to_owned(),
+            }],
+        };
+        stream::iter(frames).boxed()
+    }
+
+    /// Online processes get no credits: a frame that says so is not for us.
+    fn told(&self, _from: Writer, _message: credit::Message) {}
+}
+
+/// Who is there, once the membership has started: it needs the HTTP address, and the HTTP server needs this.
+#[derive(Debug, Default)]
+pub(crate) struct LateDirectory(OnceLock<Membership>);
+
+impl LateDirectory {
+    /// From now on the membership answers.
+    pub(crate) fn set(&self, membership: Membership) {
+        // It is set once, at the start; a second one would be the same.
+        let _ = self.0.set(membership);
+    }
+}
+
+impl Directory for LateDirectory {
+    fn members(&self) -> Arc<Members> {
+        self.0.get().map(Directory::members).unwrap_or_default()
+    }
+}
+
+/// Stamps frames by the process's time line.
+#[derive(Debug)]
+pub(crate) struct PeerClock(pub(crate) Recorder);
+
+impl Clock for PeerClock {
+    fn stamp(&self) -> Stamp {
+        self.0.stamp()
+    }
+
+    fn observe(&self, stamp: Stamp) {
+        self.0.observe(stamp);
+    }
+}
--- a/crates/tinbank-online/src/main.rs
+++ b/crates/tinbank-online/src/main.rs
@@ -1,3 +1,24 @@
 //! The `tinbank-online` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+use tinbank_online::{Platform, Server, Settings, api};
+use tinbank_server::{start, stop, threads::Handles};
+
+fn main() -> ExitCode {
+    match api::describe() {
+        Ok(api) => start::process("tinbank online", api, |settings: &Settings| &settings.common, serve),
+        Err(error) => {
+            eprintln!("the interface can't be built: {error}");
+            ExitCode::from(start::EXIT_FAILED)
+        }
+    }
+}
+
+async fn serve(settings: Settings, handles: Handles) -> Result<(), tinbank_online::server::Error> {
+    let platform = Platform::new(&settings.common);
+    let server = Server::start_on(settings, platform, handles).await?;
+    stop::signal().await;
+    server.stop().await;
+    Ok(())
+}
--- a/crates/tinbank-online/src/run/claim.rs
+++ b/crates/tinbank-online/src/run/claim.rs
@@ -152,28 +152,22 @@
 /// make it the same. `None` if nobody answered in time.
 async fn ask(ctx: &Context, key: claim::Key, frame: &Frame, until: Instant) -> Option<Response> {
     let shard = placement::shard_of_claim(key, ctx.shards);
-    let mut last = None;
     loop {
-        for answer in round(ctx, shard, frame, until).await {
-            match answer {
-                Response::Elsewhere(_) => {}
-                Response::Failed { .. } => last = Some(answer),
-                answer => return Some(answer),
-            }
+        if let Some(answer) = round(ctx, shard, frame, until).await {
+            return Some(answer);
         }
         if Instant::now() + PAUSE >= until {
-            return last;
+            return None;
         }
         tokio::time::sleep(PAUSE).await;
     }
 }
 
 /// Asks members in rank, and those that they name, until one gives a final word.
-async fn round(ctx: &Context, shard: id::Shard, frame: &Frame, until: Instant) -> Vec<Response> {
+async fn round(ctx: &Context, shard: id::Shard, frame: &Frame, until: Instant) -> Option<Response> {
     let members = ctx.directory.members();
     let mut waiting = ranked(&members, shard);
     let mut asked: SmallVec<[SocketAddr; 4]> = SmallVec::new();
-    let mut answers = Vec::new();
     while let Some(to) = waiting.pop() {
         if asked.contains(&to) || Instant::now() >= until {
             continue;
@@ -183,22 +177,15 @@
         let Ok(frames) = ctx.peers.ask(to, frame.clone(), answer_by).await else {
             continue;
         };
-        let Some(answer) = frames.into_iter().last() else {
-            continue;
-        };
-        match &answer {
-            Response::Elsewhere(Some(owner)) => {
-                waiting.extend(members.get(*owner).map(|member| member.peer));
-            }
-            Response::Elsewhere(None) | Response::Failed { .. } => {}
-            _ => {
-                answers.push(answer);
-                break;
+        match frames.into_iter().last() {
+            Some(Response::Elsewhere(Some(owner))) => {
+                waiting.extend(members.get(owner).map(|member| member.peer));
             }
+            Some(Response::Elsewhere(None)) | None => {}
+            answer => return answer,
         }
-        answers.push(answer);
     }
-    answers
+    None
 }
 
 /// Peer addresses of the batch processes, the most probable owner last.
--- a/crates/tinbank-routing/src/table/mod.rs
+++ b/crates/tinbank-routing/src/table/mod.rs
@@ -32,6 +32,7 @@
 };
 use crate::{
     choice::{Ask, Choice, Router},
+    health::Sign,
     leaving::Tracker,
     pick::{self, Candidate},
 };
@@ -52,6 +53,7 @@
     entries: ArcSwap<Entries>,
     tracker: Mutex<Tracker>,
     changed: Notify,
+    signed: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -70,6 +72,7 @@
             entries: ArcSwap::default(),
             tracker: Mutex::default(),
             changed: Notify::new(),
+            signed: Notify::new(),
         };
         Self {
             inner: Arc::new(inner),
@@ -100,6 +103,13 @@
         self.inner.entries.store(Arc::new(entries));
     }
 
+    /// Takes in that an upstream can't be reached for its report, so that no caller has to find out.
+    pub fn unreachable(&self, upstream: id::Upstream, now: Instant) {
+        if let Some(entry) = self.inner.entries.load().by_upstream.get(&upstream) {
+            entry.live.note(Sign::Down, now);
+        }
+    }
+
     /// Takes in an upstream's report.
     pub fn report(&self, upstream: id::Upstream, report: Report, now: Instant) {
         let entries = self.inner.entries.load();
@@ -116,6 +126,9 @@
     pub fn hear(&self, word: Leaving, now: Instant) -> bool {
         let news = self.inner.tracker().hear(word, now);
         self.inner.mirror(word.upstream, now);
+        if news {
+            self.inner.signed.notify_one();
+        }
         news
     }
 
@@ -124,6 +137,11 @@
         self.inner.tracker().news(now)
     }
 
+    /// Waits until there is news for [`Table::leaving`]. For one listener, which passes the signs on.
+    pub async fn signed(&self) {
+        self.inner.signed.notified().await;
+    }
+
     /// Whether an upstream gets no new work because it leaves or is not on the list.
     pub fn is_leaving(&self, upstream: id::Upstream, now: Instant) -> bool {
         self.inner.tracker().is_leaving(upstream, now)
@@ -259,8 +277,11 @@
 
     /// Takes in an upstream's own word that it is leaving.
     fn sign(&self, upstream: id::Upstream, now: Instant) {
-        self.tracker().sign(upstream, now);
+        let news = self.tracker().sign(upstream, now);
         self.mirror(upstream, now);
+        if news {
+            self.signed.notify_one();
+        }
     }
 
     /// Copies the tracker's verdict to where traffic threads read it.
