--- a/crates/tinbank-online/src/context.rs
+++ b/crates/tinbank-online/src/context.rs
@@ -1,13 +1,8 @@
 //! What traffic threads work with.
 
-use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::SystemTime,
-};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tinbank_base::{
-    clock::Stamp,
-    id,
     peer::{Directory, Members, Peers},
     platform::upstream::Upstreams,
     record::Writer,
@@ -16,7 +11,7 @@
 use tinbank_routing::{Table, retry::Budget};
 use tinbank_server::{
     metrics,
-    operator::{self, Configuration, Events},
+    operator::{self, Configuration},
     readiness::{Flag, State},
 };
 use tinbank_timeline::Recorder;
@@ -56,8 +51,8 @@
 }
 
 impl operator::Context for Context {
-    fn process(&self) -> id::Process {
-        self.writer.process
+    fn recorder(&self) -> &Recorder {
+        &self.recorder
     }
 
     fn state(&self) -> State {
@@ -68,14 +63,6 @@
         &self.metrics
     }
 
-    fn events(&self, since: Stamp) -> Events {
-        let page = self.recorder.since(since.time().max(SystemTime::UNIX_EPOCH));
-        Events {
-            events: page.events,
-            lost: page.lost,
-        }
-    }
-
     fn members(&self) -> Arc<Members> {
         self.directory.members()
     }
--- a/crates/tinbank-online/src/control/load.rs
+++ b/crates/tinbank-online/src/control/load.rs
@@ -1,6 +1,6 @@
 //! Tells the engines' admission controllers how many online requests we have in them.
 
-use tinbank_admission::service::Teller;
+use tinbank_admission::Teller;
 use tinbank_routing::Table;
 
 /// Tells each change as it comes.
--- a/crates/tinbank-online/src/control/mod.rs
+++ b/crates/tinbank-online/src/control/mod.rs
@@ -8,7 +8,7 @@
 
 use std::sync::Arc;
 
-use tinbank_admission::service::Teller;
+use tinbank_admission::Teller;
 use tinbank_base::{
     event::{Kind, Subject},
     frame::heartbeat::Phase,
@@ -49,7 +49,8 @@
         tracker.spawn(stop.clone().run_until_cancelled_owned(ask));
         let tell = load::tell(table.clone(), self.teller);
         tracker.spawn(stop.clone().run_until_cancelled_owned(tell));
-        let pass_on = peers::pass_on_leaving(ctx.recorder.clone(), table.clone(), self.membership.clone());
+        let pass_on =
+            peers::pass_on_leaving(ctx.recorder.clone(), table.clone(), self.membership.clone());
         tracker.spawn(stop.clone().run_until_cancelled_owned(pass_on));
         let hear = peers::hear_leaving(table, self.membership.clone());
         tracker.spawn(stop.clone().run_until_cancelled_owned(hear));
--- a/crates/tinbank-online/src/main.rs
+++ b/crates/tinbank-online/src/main.rs
@@ -7,7 +7,12 @@
 
 fn main() -> ExitCode {
     match api::describe() {
-        Ok(api) => start::process("tinbank online", api, |settings: &Settings| &settings.common, serve),
+        Ok(api) => start::process(
+            "tinbank online",
+            api,
+            |settings: &Settings| &settings.common,
+            serve,
+        ),
         Err(error) => {
             eprintln!("the interface can't be built: {error}");
             ExitCode::from(start::EXIT_FAILED)
--- a/crates/tinbank-online/src/request/caller.rs
+++ b/crates/tinbank-online/src/request/caller.rs
@@ -77,18 +77,17 @@
         })
     }
 
-    fn service_name(
-        &self,
-        name: Option<&str>,
-    ) -> Result<(id::Service, Option<Duration>), Failure> {
+    fn service_name(&self, name: Option<&str>) -> Result<(id::Service, Option<Duration>), Failure> {
         let Some(stream) = &self.stream else {
             let name = name.ok_or_else(|| {
-                bad("model: is missing").help("name the service in `model` or a stream in `Tinbank-Stream`")
+                bad("model: is missing")
+                    .help("name the service in `model` or a stream in `Tinbank-Stream`")
             })?;
             return Ok((name.to_owned(), None));
         };
         let found = self.customer.streams.get(stream).ok_or_else(|| {
-            let message = format!("Tinbank-Stream: there is no stream {stream:?} for this customer");
+            let message =
+                format!("Tinbank-Stream: there is no stream {stream:?} for this customer");
             Failure::not_run(Code::NotFound, message)
         })?;
         if found.traffic != Traffic::Online {
--- a/crates/tinbank-online/src/request/chat.rs
+++ b/crates/tinbank-online/src/request/chat.rs
@@ -25,7 +25,10 @@
         check(&fields, &mut findings);
         findings.check()?;
         let wanted = caller.want(model, Kind::Engine)?;
-        let stream = fields.get("stream").and_then(Value::as_bool).unwrap_or(false);
+        let stream = fields
+            .get("stream")
+            .and_then(Value::as_bool)
+            .unwrap_or(false);
         limit_tokens(&mut fields, &wanted)?;
         fields.insert("model".to_owned(), wanted.name.as_str().into());
         // How the caller wants the answer is no part of the work, so that a resend may want it otherwise.
@@ -50,7 +53,10 @@
     if fields.get("model").is_some_and(|model| !model.is_string()) {
         findings.add("model", "is no text");
     }
-    if fields.get("stream").is_some_and(|stream| !stream.is_boolean()) {
+    if fields
+        .get("stream")
+        .is_some_and(|stream| !stream.is_boolean())
+    {
         findings.add("stream", "is neither true nor false");
     }
     let max_tokens = fields.get("max_tokens").filter(|max| !max.is_null());
@@ -75,7 +81,10 @@
         }
         let content = message.get("content");
         if !content.is_some_and(|content| content.is_string() || content.is_array()) {
-            findings.add(&format!("messages[{index}].content"), "is missing or neither text nor a list");
+            findings.add(
+                &format!("messages[{index}].content"),
+                "is missing or neither text nor a list",
+            );
         }
     }
 }
@@ -86,7 +95,10 @@
     let asked = fields.get("max_tokens").and_then(Value::as_u64);
     let mut findings = Findings::default();
     if asked.is_some_and(|asked| asked > allowed) {
-        findings.add("max_tokens", &format!("is above {allowed}, which this service allows"));
+        findings.add(
+            "max_tokens",
+            &format!("is above {allowed}, which this service allows"),
+        );
     }
     findings.check()?;
     fields.insert("max_tokens".to_owned(), asked.unwrap_or(allowed).into());
--- a/crates/tinbank-online/src/run/attempt.rs
+++ b/crates/tinbank-online/src/run/attempt.rs
@@ -24,7 +24,12 @@
 
 impl Attempt {
     /// The attempt with the given number, from 0, of a request.
-    pub(crate) fn new(ctx: Arc<Context>, request: id::Request, number: u16, choice: Choice) -> Self {
+    pub(crate) fn new(
+        ctx: Arc<Context>,
+        request: id::Request,
+        number: u16,
+        choice: Choice,
+    ) -> Self {
         Self {
             ctx,
             id: request.wrapping_add(number.into()),
--- a/crates/tinbank-online/src/server.rs
+++ b/crates/tinbank-online/src/server.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant, SystemTime},
 };
 
-use tinbank_admission::service::Teller;
+use tinbank_admission::Teller;
 use tinbank_base::{
     clock,
     event::{Kind, Subject},
@@ -310,5 +310,9 @@
 ) -> Result<http::Server<api::Shared>, Error> {
     let api = api::describe().map_err(|error| Error::Interface(error.to_string()))?;
     let _traffic = handles.traffic.enter();
-    Ok(http::Server::start(http::Listen::from(common), api, ctx.clone())?)
+    Ok(http::Server::start(
+        http::Listen::from(common),
+        api,
+        ctx.clone(),
+    )?)
 }
--- a/crates/tinbank-routing/src/lib.rs
+++ b/crates/tinbank-routing/src/lib.rs
@@ -5,9 +5,11 @@
 pub mod choice;
 pub mod health;
 pub mod leaving;
+pub mod limit;
 pub mod pick;
 pub mod prefix;
 pub mod retry;
+pub mod shed;
 pub mod table;
 
 pub use choice::{Ask, Choice, Router};
--- a/crates/tinbank-routing/src/table/mod.rs
+++ b/crates/tinbank-routing/src/table/mod.rs
@@ -23,7 +23,7 @@
         upstream::{Report, Target},
     },
 };
-use tinbank_configuration::template::Traffic;
+use tinbank_configuration::{service::Service, template::Traffic};
 use tokio::sync::Notify;
 
 use self::{
@@ -35,6 +35,7 @@
     health::Sign,
     leaving::Tracker,
     pick::{self, Candidate},
+    shed::Pressure,
 };
 
 /// When to ask again if no upstream can take a request.
@@ -193,6 +194,24 @@
             .collect()
     }
 
+    /// How busy the upstreams of a service are.
+    pub fn pressure(&self, service: &Service, now: Instant) -> Pressure {
+        let entries = self.inner.entries.load();
+        let pool = entries
+            .by_pool
+            .get(&service.pool)
+            .map_or(&[][..], Vec::as_slice);
+        let candidates = pool
+            .iter()
+            .filter(|entry| entry.listed.kind == service.kind)
+            .filter_map(|entry| entry.candidate(service.artifact.as_ref(), now))
+            .filter(|candidate| candidate.slots > 0);
+        candidates.fold(Pressure::default(), |sum, candidate| Pressure {
+            capacity: sum.capacity + u64::from(candidate.slots),
+            load: sum.load + u64::from(candidate.own) + u64::from(candidate.others),
+        })
+    }
+
     /// The last report of an upstream.
     pub fn last_report(&self, upstream: id::Upstream) -> Option<Report> {
         let entries = self.inner.entries.load();
