--- a/crates/tinbank-fleet/src/lib.rs
+++ b/crates/tinbank-fleet/src/lib.rs
@@ -2,5 +2,6 @@
 //!
 //! One process at a time gives orders, under a lease in the `fleet` stream. See `docs/design/fleet.md`.
 
+pub mod holder;
 pub mod plan;
 pub mod wanted;
