--- a/crates/tinbank-platform/src/upstream/http.rs
+++ b/crates/tinbank-platform/src/upstream/http.rs
@@ -89,7 +89,7 @@
         if answer.status != StatusCode::OK {
             return Err(refusal(target, &answer));
         }
-        let echoed = answer.headers.get(wire::REQUEST_ID);
+        let echoed = answer.headers.get(wire::ANSWERED_ID);
         if echoed != Some(&wide_header(call.request)) {
             return Err(Error {
                 upstream: target.upstream,
--- a/crates/tinbank-platform/src/wire.rs
+++ b/crates/tinbank-platform/src/wire.rs
@@ -3,8 +3,11 @@
 use serde::{Deserialize, Serialize};
 use tinbank_base::{id, platform::weights};
 
-/// Header that carries the id of a request to an upstream; the answer has to repeat it.
+/// Header that carries the id of a request to an upstream.
 pub const REQUEST_ID: &str = "x-request-id";
+/// Header in which a plain service repeats the id of the request that it answers. It is not
+/// `X-Request-Id`, since many HTTP libraries (dropshot among them) put an id of their own there.
+pub const ANSWERED_ID: &str = "x-answered-request-id";
 /// Header by which an upstream says why it takes no work: [`LEAVING`] or [`FULL`].
 pub const UPSTREAM_STATE: &str = "x-upstream-state";
 /// Value of [`UPSTREAM_STATE`] of an upstream that is leaving.
--- a/crates/tinbank-standin/src/engine/run.rs
+++ b/crates/tinbank-standin/src/engine/run.rs
@@ -60,14 +60,14 @@
             self.faults
                 .until(|fault| !fault.killed && !fault.paused)
                 .await;
+            let step = self.batch.begin_step();
             self.measure();
-            let Some(step) = self.batch.begin_step() else {
+            let Some(step) = step else {
                 if !self.idle().await {
                     return;
                 }
                 continue;
             };
-            self.measure();
             if self.wait(Instant::now() + step).await {
                 self.end_step();
             }
--- a/crates/tinbank-standin/src/plain.rs
+++ b/crates/tinbank-standin/src/plain.rs
@@ -143,7 +143,7 @@
         let body = json!({ "service": service, "reference": request.reference, "done": true });
         let mut answer = answer::json(StatusCode::OK, &body);
         if let Some(id) = id {
-            answer.headers_mut().insert(wire::REQUEST_ID, id);
+            answer.headers_mut().insert(wire::ANSWERED_ID, id);
         }
         answer
     }
