--- /dev/null
+++ b/crates/tinbank-online/src/run/mod.rs
@@ -0,0 +1,11 @@
+//! Runs requests at upstreams.
+
+mod attempt;
+pub(crate) mod chat;
+mod claim;
+pub(crate) mod claimed;
+mod journal;
+pub(crate) mod plain;
+
+pub(crate) use attempt::Attempt;
+pub(crate) use journal::Journal;
--- a/crates/tinbank-routing/src/table/mod.rs
+++ b/crates/tinbank-routing/src/table/mod.rs
@@ -23,7 +23,7 @@
         upstream::{Report, Target},
     },
 };
-use tinbank_configuration::template::Traffic;
+use tinbank_configuration::{service::Service, template::Traffic};
 use tokio::sync::Notify;
 
 use self::{
@@ -32,8 +32,10 @@
 };
 use crate::{
     choice::{Ask, Choice, Router},
+    health::Sign,
     leaving::Tracker,
     pick::{self, Candidate},
+    shed::Pressure,
 };
 
 /// When to ask again if no upstream can take a request.
@@ -52,6 +54,7 @@
     entries: ArcSwap<Entries>,
     tracker: Mutex<Tracker>,
     changed: Notify,
+    signed: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -70,6 +73,7 @@
             entries: ArcSwap::default(),
             tracker: Mutex::default(),
             changed: Notify::new(),
+            signed: Notify::new(),
         };
         Self {
             inner: Arc::new(inner),
@@ -100,6 +104,13 @@
         self.inner.entries.store(Arc::new(entries));
     }
 
+    /// Takes in that an upstream can't be reached for its report, so that no caller has to find out.
+    pub fn unreachable(&self, upstream: id::Upstream, now: Instant) {
+        if let Some(entry) = self.inner.entries.load().by_upstream.get(&upstream) {
+            entry.live.note(Sign::Down, now);
+        }
+    }
+
     /// Takes in an upstream's report.
     pub fn report(&self, upstream: id::Upstream, report: Report, now: Instant) {
         let entries = self.inner.entries.load();
@@ -109,13 +120,16 @@
         if report.leaving {
             self.inner.sign(upstream, now);
         }
-        entry.live.report(report, now);
+        entry.live.report(report);
     }
 
     /// Takes in a peer's word that an upstream is leaving. Returns whether it is news.
     pub fn hear(&self, word: Leaving, now: Instant) -> bool {
         let news = self.inner.tracker().hear(word, now);
         self.inner.mirror(word.upstream, now);
+        if news {
+            self.inner.signed.notify_one();
+        }
         news
     }
 
@@ -124,6 +138,11 @@
         self.inner.tracker().news(now)
     }
 
+    /// Waits until there is news for [`Table::leaving`]. For one listener, which passes the signs on.
+    pub async fn signed(&self) {
+        self.inner.signed.notified().await;
+    }
+
     /// Whether an upstream gets no new work because it leaves or is not on the list.
     pub fn is_leaving(&self, upstream: id::Upstream, now: Instant) -> bool {
         self.inner.tracker().is_leaving(upstream, now)
@@ -175,26 +194,46 @@
             .collect()
     }
 
+    /// How busy the upstreams of a service are.
+    pub fn pressure(&self, service: &Service, now: Instant) -> Pressure {
+        let entries = self.inner.entries.load();
+        let pool = entries
+            .by_pool
+            .get(&service.pool)
+            .map_or(&[][..], Vec::as_slice);
+        let candidates = pool
+            .iter()
+            .filter(|entry| entry.listed.kind == service.kind)
+            .filter_map(|entry| entry.candidate(service.artifact.as_ref(), now))
+            .filter(|candidate| candidate.slots > 0);
+        candidates.fold(Pressure::default(), |sum, candidate| Pressure {
+            capacity: sum.capacity + u64::from(candidate.slots),
+            load: sum.load + u64::from(candidate.own) + u64::from(candidate.others),
+        })
+    }
+
     /// The last report of an upstream.
     pub fn last_report(&self, upstream: id::Upstream) -> Option<Report> {
         let entries = self.inner.entries.load();
         entries.by_upstream.get(&upstream)?.live.last_report()
     }
 
-    /// The engines whose reports are the oldest, those never asked first: ask these next.
-    pub fn stalest(&self, count: usize) -> SmallVec<[Target; 8]> {
+    /// The engines that were asked for their report the longest ago. They count as asked from now on, so that an engine
+    /// which does not answer is not asked all the time.
+    pub fn ask_next(&self, count: usize, now: Instant) -> SmallVec<[Target; 8]> {
         let entries = self.inner.entries.load();
         let mut engines: Vec<&Arc<Entry>> = entries
             .all
             .iter()
             .filter(|entry| entry.listed.kind == hosts::Kind::Engine)
             .collect();
-        engines.sort_by_key(|entry| (entry.live.reported_at(), entry.listed.upstream));
-        engines
-            .iter()
-            .take(count)
-            .map(|entry| entry.target())
-            .collect()
+        engines.sort_by_key(|entry| (entry.live.asked_at(), entry.listed.upstream));
+        let next = engines.into_iter().take(count);
+        next.map(|entry| {
+            entry.live.ask(now);
+            entry.target()
+        })
+        .collect()
     }
 }
 
@@ -257,8 +296,11 @@
 
     /// Takes in an upstream's own word that it is leaving.
     fn sign(&self, upstream: id::Upstream, now: Instant) {
-        self.tracker().sign(upstream, now);
+        let news = self.tracker().sign(upstream, now);
         self.mirror(upstream, now);
+        if news {
+            self.signed.notify_one();
+        }
     }
 
     /// Copies the tracker's verdict to where traffic threads read it.
