--- a/crates/tinbank-configuration/src/check/text.rs
+++ b/crates/tinbank-configuration/src/check/text.rs
@@ -7,6 +7,7 @@
     parse_to_ast,
 };
 use serde::de::DeserializeOwned;
+use serde_path_to_error::Segment;
 
 use super::Findings;
 use crate::finding::Finding;
@@ -74,11 +75,7 @@
 
     /// Reads the whole text.
     pub(super) fn whole<T: DeserializeOwned>(&self) -> Result<T, Finding> {
-        let json = serde_json::Value::from(self.value.clone());
-        T::deserialize(json).map_err(|error| {
-            let field = self.named_in(&error.to_string()).unwrap_or_default();
-            self.finding(&[&field], &error.to_string(), "see docs/configuration.md")
-        })
+        self.read(&self.value, &[])
     }
 
     /// Reads each entry of a section by itself, so that mistakes in several are found together.
@@ -105,9 +102,8 @@
 
     /// Whether a finding lies in a section whose entries are checked one by one.
     pub(super) fn inside_section(&self, finding: &Finding) -> bool {
-        let object = self.value.as_object();
-        let top = object.is_some_and(|object| object.get(&finding.field).is_some());
-        !top || SECTIONS.contains(&finding.field.as_str())
+        let first = finding.field.split('.').next().unwrap_or_default();
+        SECTIONS.contains(&first)
     }
 
     fn check_value<T: DeserializeOwned>(
@@ -116,22 +112,23 @@
         path: &[&str],
         findings: &mut Findings,
     ) {
-        let Err(error) = T::deserialize(serde_json::Value::from(value.clone())) else {
-            return;
-        };
-        let message = error.to_string();
-        let object = value.as_object();
-        let field =
-            quoted(&message).filter(|name| object.is_some_and(|object| object.get(name).is_some()));
-        let mut path = path.to_vec();
-        path.extend(field);
-        findings.push(self.finding(&path, &message, "see docs/configuration.md"));
+        if let Err(finding) = self.read::<T>(value, path) {
+            findings.push(finding);
+        }
     }
 
-    fn named_in(&self, message: &str) -> Option<String> {
-        let name = quoted(message)?;
-        let object = self.value.as_object()?;
-        object.get(name).map(|_| name.to_owned())
+    /// Reads a value that stands at `path`; a finding names the field inside it.
+    fn read<T: DeserializeOwned>(&self, value: &Value<'_>, path: &[&str]) -> Result<T, Finding> {
+        let json = serde_json::Value::from(value.clone());
+        serde_path_to_error::deserialize(json).map_err(|error| {
+            let message = error.inner().to_string();
+            let inside = error.path().iter().filter_map(|segment| match segment {
+                Segment::Map { key } => Some(key.as_str()),
+                _ => None,
+            });
+            let path: Vec<&str> = path.iter().copied().chain(inside).collect();
+            self.finding(&path, &message, "see docs/configuration.md")
+        })
     }
 
     fn find_duplicates(
@@ -169,12 +166,6 @@
     }
 }
 
-/// The first name in backquotes, which is the field that a serde message is about.
-fn quoted(message: &str) -> Option<&str> {
-    let (_, rest) = message.split_once('`')?;
-    rest.split_once('`').map(|(name, _)| name)
-}
-
 /// JSON with comments and trailing commas; nothing looser.
 fn options() -> ParseOptions {
     ParseOptions {
--- /dev/null
+++ b/crates/tinbank-configuration/tests/check.rs
@@ -0,0 +1,118 @@
+//! Operators' mistakes are found together, each with its place.
+
+mod support;
+
+use tinbank_configuration::check;
+use yare::parameterized;
+
+fn places(findings: &[tinbank_configuration::Finding]) -> Vec<String> {
+    findings
+        .iter()
+        .map(|finding| format!("{}:{} {}", finding.line, finding.column, finding.field))
+        .collect()
+}
+
+#[test]
+fn several_mistakes_in_a_template_are_found_in_one_run() {
+    let body = r#"{
+  "services": {
+    "a": { "kind": "engine", "pool": "gpu" },
+    "b": { "kind": "plain", "pool": "", "attempts": 0 }
+  },
+  "streams": {
+    "s": { "service": "nowhere", "traffic": "online", "timeout_ms": 0 }
+  },
+  "share": 0
+}"#;
+
+    let findings = check::template(body).unwrap_err();
+
+    let expected = [
+        "3:5 services.a",
+        "4:29 services.b.pool",
+        "4:41 services.b.attempts",
+        "7:12 streams.s.service",
+        "7:55 streams.s.timeout_ms",
+        "9:3 share",
+    ];
+    assert_eq!(places(&findings), expected);
+    assert!(findings.iter().all(|finding| !finding.help.is_empty()));
+}
+
+#[test]
+fn unknown_fields_and_wrong_types_in_several_entries_are_found_in_one_run() {
+    let body = r#"{
+  "services": {
+    "a": { "kind": "engin", "pool": "gpu" },
+    "b": { "kind": "plain", "pool": "p", "atempts": 4 }
+  },
+  "streams": { "s": { "service": "b" } },
+  "limits": { "requests": 1 }
+}"#;
+
+    let findings = check::template(body).unwrap_err();
+
+    let expected = [
+        "3:12 services.a.kind",
+        "4:42 services.b.atempts",
+        "6:16 streams.s",
+        "7:15 limits.requests",
+    ];
+    assert_eq!(places(&findings), expected);
+}
+
+#[parameterized(
+    not_json = { "{ \"services\": ", "1:15" },
+    not_an_object = { "[]", "0:0" },
+    empty = { "", "0:0" },
+    unknown_field = { "{ \"services\": {},\n  \"sevices\": {} }", "2:3" },
+    twice = { "{ \"services\": {},\n  \"services\": {} }", "2:3" },
+    wrong_type = { "{ \"services\": 3 }", "1:3" },
+    wrong_share = { "{ \"services\": {},\n  \"share\": \"much\" }", "2:3" },
+    missing_field = { "{ \"share\": 1 }", "1:1" },
+)]
+fn a_broken_template_has_its_place(body: &str, place: &str) {
+    let findings = check::template(body).unwrap_err();
+
+    let first = &findings[0];
+    assert_eq!(format!("{}:{}", first.line, first.column), place, "{first}");
+}
+
+#[test]
+fn comments_and_trailing_commas_are_taken() {
+    let body = "{ // by hand\n  \"template\": \"t\", \"key_sha256\": [], }";
+
+    let customer = check::customer(body);
+
+    assert_eq!(
+        customer.map(|customer| customer.template),
+        Ok("t".to_owned())
+    );
+}
+
+#[parameterized(
+    water_template = { include_str!("../../../examples/water-authority/template.jsonc") },
+    oberland_template = { include_str!("../../../examples/oberland/template.jsonc") },
+)]
+fn the_examples_are_valid_templates(body: &str) {
+    assert!(check::template(body).is_ok());
+}
+
+#[parameterized(
+    water = {
+        include_str!("../../../examples/water-authority/customer.jsonc"),
+        include_str!("../../../examples/water-authority/template.jsonc")
+    },
+    oberland = {
+        include_str!("../../../examples/oberland/customer.jsonc"),
+        include_str!("../../../examples/oberland/template.jsonc")
+    },
+)]
+fn the_examples_fill_their_templates(customer: &str, template: &str) {
+    let parsed = check::customer(customer).unwrap();
+    let template = check::template(template).unwrap();
+
+    let resolved = check::resolve("someone", &parsed, customer, &template, 0);
+
+    assert!(resolved.is_ok(), "{resolved:?}");
+}
