--- a/crates/tinbank-configuration/src/fold/checkpoint.rs
+++ b/crates/tinbank-configuration/src/fold/checkpoint.rs
@@ -102,9 +102,8 @@
 }
 
 impl Collector {
-    /// Takes in the parts in an envelope; returns the state of a checkpoint that is now complete and reaches at least
-    /// up to before `from`.
-    pub(super) fn take(&mut self, envelope: Envelope<Record>, from: id::Offset) -> Option<State> {
+    /// Takes in the parts in an envelope; returns the state of a checkpoint that is now complete.
+    pub(super) fn take(&mut self, envelope: Envelope<Record>) -> Option<State> {
         let mut complete = None;
         for record in envelope.records {
             let Record::Checkpoint {
@@ -117,7 +116,7 @@
             else {
                 continue;
             };
-            if part >= parts || through + 1 < from {
+            if part >= parts {
                 continue;
             }
             let name = Name {
--- a/crates/tinbank-configuration/tests/judge.rs
+++ b/crates/tinbank-configuration/tests/judge.rs
@@ -108,7 +108,7 @@
 fn a_copy_of_an_envelope_is_not_judged_again() {
     let log = Memory::new();
     let first = vec![Record::Put(put(1, template("t"), None, Some(TEMPLATE)))];
-    push(&log, 1, 5, first.clone());
+    push(&log, 1, 5, first);
     push(
         &log,
         2,
