--- /dev/null
+++ b/crates/tinbank-batch/src/owner/outbox.rs
@@ -0,0 +1,102 @@
+//! Completions on their way to the log: one append of a shard at a time, so that all that end meanwhile share the next.
+
+use std::collections::BTreeMap;
+
+use tinbank_base::{
+    id,
+    record::work::{Completed, Completion, Outcome},
+};
+
+/// About how many bytes of completions go into one append.
+const APPEND_BYTES: usize = 256 << 10;
+/// What a completion takes besides its answer, in bytes.
+const OVERHEAD: usize = 32;
+
+/// Completions of one shard that are not known to be appended.
+#[derive(Debug, Default)]
+pub(super) struct Outbox {
+    waiting: BTreeMap<(id::Job, id::Chunk), Vec<Completion>>,
+    bytes: usize,
+    /// Whether an append is under way.
+    sending: bool,
+}
+
+impl Outbox {
+    pub(super) fn push(&mut self, job: id::Job, chunk: id::Chunk, completion: Completion) {
+        self.bytes += size(&completion);
+        self.waiting.entry((job, chunk)).or_default().push(completion);
+    }
+
+    /// What to append now, if anything, and if no append is under way.
+    pub(super) fn take(&mut self) -> Option<Vec<Completed>> {
+        if self.sending || self.waiting.is_empty() {
+            return None;
+        }
+        let mut batch = Vec::new();
+        let mut bytes = 0;
+        while let Some(((job, chunk), mut completions)) = self.waiting.pop_first() {
+            let fits = fitting(&completions, APPEND_BYTES - bytes, batch.is_empty());
+            let rest = completions.split_off(fits);
+            bytes += completions.iter().map(size).sum::<usize>();
+            if !completions.is_empty() {
+                batch.push(Completed {
+                    job,
+                    chunk,
+                    completions,
+                });
+            }
+            if !rest.is_empty() {
+                self.waiting.insert((job, chunk), rest);
+                break;
+            }
+            if bytes >= APPEND_BYTES {
+                break;
+            }
+        }
+        self.bytes = self.bytes.saturating_sub(bytes);
+        self.sending = true;
+        Some(batch)
+    }
+
+    /// The append has ended; what is not known to stand in the log is appended again, since the first copy counts.
+    pub(super) fn done(&mut self, failed: Vec<Completed>) {
+        self.sending = false;
+        for completed in failed {
+            for completion in completed.completions {
+                self.push(completed.job, completed.chunk, completion);
+            }
+        }
+    }
+
+    pub(super) fn drop_job(&mut self, job: id::Job) {
+        self.waiting.retain(|(of, _), _| *of != job);
+        self.bytes = self.waiting.values().flatten().map(size).sum();
+    }
+
+    /// Bytes that wait.
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.waiting.is_empty() && !self.sending
+    }
+}
+
+/// How many of the completions fit into so many bytes; at least one if nothing else goes along.
+fn fitting(completions: &[Completion], room: usize, first: bool) -> usize {
+    let mut bytes = 0;
+    let fits = completions.iter().take_while(|completion| {
+        bytes += size(completion);
+        bytes <= room
+    });
+    fits.count().max(usize::from(first))
+}
+
+fn size(completion: &Completion) -> usize {
+    let body = match &completion.outcome {
+        Outcome::Answer(answer) => answer.len(),
+        Outcome::Failed { message, .. } => message.len(),
+    };
+    body + OVERHEAD
+}
--- a/crates/tinbank-batch/src/runner/mod.rs
+++ b/crates/tinbank-batch/src/runner/mod.rs
@@ -1,3 +1,10 @@
-//! Runs items: shares capacity between customers, sends to engines, retries, and hands ends to the owner.
+//! Runs items: shares capacity between customers, sends to upstreams, retries, and hands ends to the owner.
 
+pub mod answer;
+pub mod attempt;
+pub mod lanes;
+pub mod pool;
+pub mod retry;
+pub mod room;
 pub mod share;
+pub mod task;
--- /dev/null
+++ b/crates/tinbank-batch/src/runner/room.rs
@@ -0,0 +1,92 @@
+//! A gate that only bounds how many batch requests of this process are in an upstream at once.
+
+use std::{
+    collections::HashMap,
+    fmt,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use tinbank_admission::{Gate, Pass};
+use tinbank_base::id;
+use tokio::sync::watch;
+
+/// The gate. Clones share their counts.
+#[derive(Clone)]
+pub struct Room {
+    limit: u32,
+    shared: Arc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared {
+    inside: Mutex<HashMap<id::Upstream, u32>>,
+}
+
+struct Guard {
+    upstream: id::Upstream,
+    shared: Arc<Shared>,
+    /// Held so that the pass never looks withdrawn.
+    _open: watch::Sender<bool>,
+}
+
+impl Room {
+    /// A gate that lets `limit` requests into each upstream.
+    pub fn new(limit: u32) -> Self {
+        Self {
+            limit,
+            shared: Arc::default(),
+        }
+    }
+}
+
+impl Gate for Room {
+    fn enter(&self, upstream: id::Upstream, _customer: &str, _now: Instant) -> Option<Pass> {
+        let mut inside = self.shared.lock();
+        let count = inside.entry(upstream).or_default();
+        if *count >= self.limit {
+            return None;
+        }
+        *count += 1;
+        let (open, withdrawn) = watch::channel(false);
+        let guard = Guard {
+            upstream,
+            shared: self.shared.clone(),
+            _open: open,
+        };
+        Some(Pass {
+            upstream,
+            withdrawn,
+            guard: Box::new(guard),
+        })
+    }
+
+    fn wish(&self, _: id::Upstream, _: &str, _: u16, _: Instant, _: Instant) {}
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, HashMap<id::Upstream, u32>> {
+        self.inside.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let mut inside = self.shared.lock();
+        if let Some(count) = inside.get_mut(&self.upstream) {
+            *count -= 1;
+            if *count == 0 {
+                inside.remove(&self.upstream);
+            }
+        }
+    }
+}
+
+impl fmt::Debug for Room {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Room")
+            .field("limit", &self.limit)
+            .field("inside", &*self.shared.lock())
+            .finish()
+    }
+}
--- a/crates/tinbank-batch/src/runner/share.rs
+++ b/crates/tinbank-batch/src/runner/share.rs
@@ -109,6 +109,11 @@
         })
     }
 
+    /// How much work of a flow waits.
+    pub fn waiting(&self, key: &K) -> usize {
+        self.flows.get(key).map_or(0, |flow| flow.queue.len())
+    }
+
     /// How much work waits.
     pub fn len(&self) -> usize {
         self.waiting
