--- /dev/null
+++ b/crates/tinbank-batch/src/owner/answer.rs
@@ -0,0 +1,111 @@
+//! Answers requests, whether a peer or our own HTTP interface asks.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use futures::{
+    StreamExt as _,
+    stream::{self, BoxStream},
+};
+use tinbank_base::{
+    frame::{
+        credit,
+        request::{Request, Response},
+    },
+    peer::Answer,
+    platform::log::Log,
+    record::Writer,
+};
+use tokio::sync::{mpsc, oneshot};
+
+use super::{
+    Ask, Owner,
+    results::{self, Wanted},
+};
+
+/// Frames of an answer that are read ahead of whoever asked.
+const FRAMES_AHEAD: usize = 2;
+
+/// Answers by the control task's state.
+#[derive(Clone, Debug)]
+pub struct Answerer {
+    owner: Owner,
+    log: Arc<dyn Log>,
+    credits: Option<Arc<dyn Credits>>,
+}
+
+/// Takes in datagrams about batch credits.
+pub trait Credits: Send + Sync + std::fmt::Debug {
+    /// Takes in one.
+    fn told(&self, from: Writer, message: credit::Message);
+}
+
+impl Answerer {
+    /// Answers for an owner. Datagrams about credits go to `credits`, if it is there.
+    pub fn new(owner: Owner, log: Arc<dyn Log>, credits: Option<Arc<dyn Credits>>) -> Self {
+        Self {
+            owner,
+            log,
+            credits,
+        }
+    }
+
+    /// Answers one request; the last frame is the final one.
+    pub async fn ask(&self, request: Request) -> BoxStream<'static, Response> {
+        match request {
+            Request::Results {
+                job,
+                shard,
+                from,
+                custom_id,
+            } => {
+                let (reply, plan) = oneshot::channel();
+                self.owner
+                    .ask(Ask::Results {
+                        job,
+                        shard,
+                        from,
+                        reply,
+                    })
+                    .await;
+                let Ok(Some(plan)) = plan.await else {
+                    return one(Response::Elsewhere(None));
+                };
+                let wanted = Wanted {
+                    job,
+                    shard,
+                    custom_id,
+                };
+                let (frames, answer) = mpsc::channel(FRAMES_AHEAD);
+                tokio::spawn(results::send(self.log.clone(), wanted, plan, frames));
+                let answer = stream::unfold(answer, |mut answer| async {
+                    let frame = answer.recv().await?;
+                    Some((frame, answer))
+                });
+                answer.boxed()
+            }
+            request => {
+                let (reply, answer) = oneshot::channel();
+                self.owner.ask(Ask::Request { request, reply }).await;
+                one(answer.await.unwrap_or(Response::Elsewhere(None)))
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl Answer for Answerer {
+    async fn answer(&self, _from: Writer, request: Request) -> BoxStream<'static, Response> {
+        self.ask(request).await
+    }
+
+    fn told(&self, from: Writer, message: credit::Message) {
+        if let Some(credits) = &self.credits {
+            credits.told(from, message);
+        }
+    }
+}
+
+fn one(response: Response) -> BoxStream<'static, Response> {
+    stream::iter([response]).boxed()
+}
--- /dev/null
+++ b/crates/tinbank-batch/src/owner/asks.rs
@@ -0,0 +1,170 @@
+//! Questions of peers and of our own HTTP interface.
+
+use tinbank_base::{
+    frame::request::{Request, Response},
+    id,
+    outcome::{Code, Ran},
+    platform::log::{self, Stream},
+    record::work,
+};
+use tinbank_ledger::placement;
+use tokio::sync::oneshot;
+
+use super::{
+    control::Control,
+    input::{Ask, Input, Plan, Then, Wait, What},
+    shard::{answer, failed},
+};
+
+/// Most chunks whose results one answer holds, so that it stays small.
+pub(crate) const CHUNKS_AT_ONCE: usize = 4;
+
+impl Control {
+    pub(super) fn asked(&mut self, ask: Ask) {
+        match ask {
+            Ask::Request { request, reply } => self.request(request, reply),
+            Ask::Results {
+                job,
+                shard,
+                from,
+                reply,
+            } => {
+                // Whoever asked may have gone away.
+                let _ = reply.send(self.plan(job, shard, from));
+            }
+        }
+    }
+
+    fn request(&mut self, request: Request, reply: oneshot::Sender<Response>) {
+        let shards = self.parts.shards;
+        match request {
+            Request::Job { job } => {
+                let shard = placement::shard_of_job(job, shards);
+                self.job(shard, job, reply);
+            }
+            Request::Committed { job, shard, offset } => {
+                let then = Then::Committed(job);
+                self.wait(shard, offset + 1, Wait { then, reply });
+            }
+            Request::Cancel { job } => {
+                let shard = placement::shard_of_job(job, shards);
+                self.cancel(shard, job, reply);
+            }
+            Request::Claim(claim) => {
+                let shard = placement::shard_of_claim(claim.key, shards);
+                self.claim(shard, claim, reply);
+            }
+            Request::Settle(settled) => {
+                let shard = placement::shard_of_claim(settled.key, shards);
+                let record = work::Record::Settled(settled.clone());
+                let then = Then::Settled(settled);
+                self.append_for(shard, record, Wait { then, reply });
+            }
+            Request::Results { .. } | Request::Config { .. } => {
+                let message = "the request is not one for the owner of a shard";
+                answer(reply, failed(Code::Internal, Ran::No, message));
+            }
+        }
+    }
+
+    fn job(&mut self, shard: id::Shard, job: id::Job, reply: oneshot::Sender<Response>) {
+        let Some(followed) = self.shards.get(&shard).filter(|followed| followed.current) else {
+            return answer(reply, Response::Elsewhere(None));
+        };
+        let then = Then::Job(job);
+        if followed.fold.job(job).is_some() {
+            return answer(reply, followed.respond(&then));
+        }
+        // "There is none" is only true at the tail as it is now.
+        self.ask_tail(shard, Wait { then, reply });
+    }
+
+    fn cancel(&mut self, shard: id::Shard, job: id::Job, reply: oneshot::Sender<Response>) {
+        let Some(followed) = self.shards.get(&shard).filter(|followed| followed.current) else {
+            return answer(reply, Response::Elsewhere(None));
+        };
+        let known = followed.fold.job(job);
+        if let Some(known) = known
+            && (known.cancelled || known.finished())
+        {
+            return answer(reply, Response::Cancelled(known.cancelled));
+        }
+        let then = Then::Cancelled(job);
+        self.append_for(shard, work::Record::Cancel { job }, Wait { then, reply });
+    }
+
+    fn claim(
+        &mut self,
+        shard: id::Shard,
+        claim: tinbank_base::record::claim::Claim,
+        reply: oneshot::Sender<Response>,
+    ) {
+        let Some(followed) = self.shards.get(&shard).filter(|followed| followed.current) else {
+            return answer(reply, Response::Elsewhere(None));
+        };
+        if let Some(claimed) = followed.fold.ask(&claim) {
+            return answer(reply, Response::Claimed(claimed));
+        }
+        let record = work::Record::Claim(claim.clone());
+        let then = Then::Claimed(claim);
+        self.append_for(shard, record, Wait { then, reply });
+    }
+
+    /// Appends a record and answers once it is read back.
+    fn append_for(&mut self, shard: id::Shard, record: work::Record, wait: Wait) {
+        if !self.shards.contains_key(&shard) {
+            return answer(wait.reply, Response::Elsewhere(None));
+        }
+        self.append(shard, shard, vec![record], What::Wait(Box::new(wait)));
+    }
+
+    fn wait(&mut self, shard: id::Shard, past: id::Offset, wait: Wait) {
+        self.dirty.insert(shard);
+        match self.shards.get_mut(&shard) {
+            Some(followed) => followed.waits.push((past, wait)),
+            None => answer(wait.reply, Response::Elsewhere(None)),
+        }
+    }
+
+    fn ask_tail(&self, shard: id::Shard, wait: Wait) {
+        let (log, done) = (self.parts.log.clone(), self.done.clone());
+        let wait = Box::new(wait);
+        self.parts.traffic.spawn(async move {
+            let bounds = log.bounds(Stream::Work(shard)).await;
+            let result = bounds.map(|bounds| bounds.tail);
+            // The control task ends only with the process.
+            let _ = done.send(Input::Tail {
+                shard,
+                result,
+                wait,
+            });
+        });
+    }
+
+    pub(super) fn tail_known(
+        &mut self,
+        shard: id::Shard,
+        result: Result<id::Offset, log::Error>,
+        wait: Wait,
+    ) {
+        match result {
+            Ok(tail) => self.wait(shard, tail, wait),
+            Err(error) => {
+                let response = failed(Code::LogUnavailable, Ran::No, error.to_string());
+                answer(wait.reply, response);
+            }
+        }
+    }
+
+    fn plan(&self, job: id::Job, shard: id::Shard, from: id::Chunk) -> Option<Plan> {
+        let followed = self.shards.get(&shard).filter(|followed| followed.current)?;
+        let Some(work) = followed.fold.work(job) else {
+            return Some(Plan::default());
+        };
+        let wanted = work.chunks().iter().filter(|chunk| chunk.chunk >= from);
+        Some(Plan {
+            chunks: wanted.take(CHUNKS_AT_ONCE).cloned().collect(),
+            count: work.count(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/tinbank-batch/src/owner/follow.rs
@@ -0,0 +1,187 @@
+//! Which shards we follow, and what their readers bring.
+
+use std::sync::Arc;
+
+use tinbank_base::{
+    event::Kind,
+    id,
+    platform::log::Stream,
+    record::{Envelope, work},
+};
+use tinbank_ledger::{Change, Changes, checkpoint::Recovery, lease, shard::Shard};
+use tinbank_log::reader::{self, Event, Reader};
+use tinbank_membership::rendezvous;
+
+use super::{control::Control, input::Input, shard::Followed};
+
+impl Control {
+    /// Follows the shards that we rank high for, and leaves others once nothing of ours is in them.
+    pub(super) fn follow(&mut self) {
+        let members = self.parts.directory.members();
+        if Arc::ptr_eq(&members, &self.members) {
+            return;
+        }
+        self.members = members;
+        for shard in 0..self.parts.shards {
+            self.follow_shard(shard);
+        }
+    }
+
+    fn follow_shard(&mut self, shard: id::Shard) {
+        let rank = self.rank(shard);
+        let near = rank.is_some_and(|rank| rank < self.parts.followers);
+        if near && !self.shards.contains_key(&shard) {
+            let followed = self.begin_at(shard, 0);
+            self.shards.insert(shard, followed);
+        }
+        let Some(followed) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        followed.rank = rank;
+        if !near && followed.is_idle(self.parts.me) {
+            self.shards.remove(&shard);
+        }
+    }
+
+    /// Our place among the members that may own the shard.
+    fn rank(&self, shard: id::Shard) -> Option<u32> {
+        let ready = self.members.ready(id::Role::Batch);
+        let ranked = rendezvous::rank(ready, rendezvous::Key::Shard(shard));
+        let place = ranked
+            .iter()
+            .position(|member| member.writer.process == self.parts.me.process);
+        place.map(|place| place as u32)
+    }
+
+    fn begin_at(&mut self, shard: id::Shard, from: id::Offset) -> Followed {
+        self.followings += 1;
+        let following = self.followings;
+        let reader = Reader::new(
+            self.parts.log.clone(),
+            Stream::Work(shard),
+            from,
+            reader::Settings::default(),
+        );
+        let inputs = self.inputs.clone();
+        let task = self.parts.traffic.spawn(async move {
+            let mut reader: Reader<work::Record> = reader;
+            loop {
+                let event = Box::new(reader.next().await);
+                let input = Input::Read {
+                    shard,
+                    following,
+                    event,
+                };
+                if inputs.send(input).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let (shards, me, terms) = (self.parts.shards, self.parts.me, self.parts.terms);
+        Followed::new(shard, shards, me, terms, following, task.abort_handle())
+    }
+
+    /// Takes in what a reader brought.
+    pub(super) fn read(&mut self, shard: id::Shard, following: u64, event: Event<work::Record>) {
+        let Some(followed) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        if followed.following != following {
+            return;
+        }
+        self.dirty.insert(shard);
+        let now = std::time::Instant::now();
+        match event {
+            Event::Record { entry, envelope } => self.fold(shard, entry.offset, &envelope),
+            Event::Skipped { entry, .. } => followed.fold.skip(entry.offset),
+            Event::Tail { .. } => {
+                let lease = *followed.fold.lease();
+                followed.current |= followed.recovery.is_none();
+                followed.readable = true;
+                followed.contender.observe_tail(&lease, true, now);
+                self.give_up_recovery(shard);
+            }
+            Event::Trimmed { first } => {
+                followed.recovery = Some(Recovery::new(first));
+                followed.first = first;
+                followed.current = false;
+            }
+            Event::Outage { .. } => {
+                let lease = *followed.fold.lease();
+                followed.readable = false;
+                followed.contender.observe_tail(&lease, false, now);
+            }
+        }
+    }
+
+    fn fold(&mut self, shard: id::Shard, offset: id::Offset, envelope: &Envelope<work::Record>) {
+        let Some(followed) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        self.parts.recorder.observe(envelope.stamp);
+        if let Some(recovery) = &mut followed.recovery {
+            match recovery.offer(envelope) {
+                Ok(Some(fold)) => self.recovered(shard, fold),
+                Ok(None) => {}
+                Err(error) => log::warn!(shard, offset, error:%; "checkpoint passed over"),
+            }
+            return;
+        }
+        let changes = followed.fold.apply(offset, envelope);
+        for change in &changes {
+            followed.changed(change, self.parts.me);
+        }
+        self.note_changes(shard, &changes);
+    }
+
+    /// A checkpoint was found; what stands between it and here has to be read again.
+    fn recovered(&mut self, shard: id::Shard, fold: Shard) {
+        let mut begun = self.begin_at(shard, fold.next());
+        begun.rank = self.rank(shard);
+        begun.fold = fold;
+        self.shards.insert(shard, begun);
+    }
+
+    /// The tail was reached without a checkpoint: the state starts at the first record left.
+    fn give_up_recovery(&mut self, shard: id::Shard) {
+        let Some(followed) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        if followed.recovery.take().is_none() {
+            return;
+        }
+        log::error!(shard; "older records of the shard are gone and there is no checkpoint");
+        let first = followed.first;
+        let mut begun = self.begin_at(shard, first);
+        begun.rank = self.rank(shard);
+        begun.fold = Shard::starting_at(shard, self.parts.shards, first);
+        self.shards.insert(shard, begun);
+    }
+
+    fn note_changes(&self, shard: id::Shard, changes: &Changes) {
+        let me = self.parts.me;
+        for change in changes {
+            match change {
+                Change::Committed(job) => {
+                    let fold = self.shards.get(&shard).map(|followed| &followed.fold);
+                    let items = fold.and_then(|fold| fold.job(*job)).map(|job| job.head.items);
+                    if let Some(items) = items {
+                        self.note(shard, Some(*job), Kind::Committed { items });
+                    }
+                }
+                Change::Lease(lease::Change::Taken(holder)) if holder.writer == me => {
+                    let epoch = holder.epoch;
+                    log::info!(shard, epoch; "lease taken");
+                    self.note(shard, None, Kind::LeaseTaken { epoch });
+                }
+                Change::Lease(lease::Change::Released(holder)) if holder.writer == me => {
+                    let epoch = holder.epoch;
+                    log::info!(shard, epoch; "lease released");
+                    self.note(shard, None, Kind::LeaseReleased { epoch });
+                }
+                Change::Cancelled(job) => self.note(shard, Some(*job), Kind::Cancelled),
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tinbank-batch/src/owner/load.rs
@@ -0,0 +1,331 @@
+//! Brings chunks from the log to the runner, by customers' turns and due times, and takes back how items ended.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime},
+};
+
+use tinbank_base::{
+    event::{Kind, Subject},
+    id,
+    platform::log::{Log, Stream},
+    record::{Envelope, work},
+};
+use tinbank_configuration::{Snapshot, service::Service, snapshot};
+use tinbank_ledger::{chunk::Place, result, shard::Sending};
+
+use super::{control::Control, input::Input};
+use crate::runner::{
+    pool::Command,
+    task::{Flow, Kept, Key, Report, Task},
+};
+
+/// Most chunks in hand of one customer and service.
+const CHUNKS_PER_FLOW: usize = 4;
+/// Most items in hand.
+const MAX_ITEMS: usize = 8_192;
+/// Bytes of completions that wait for the log from which on no further chunk is loaded.
+const MAX_OUTBOX_BYTES: usize = 8 << 20;
+/// Time that a chunk has to be loaded.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a chunk that could not be loaded, or had nothing to run, is left alone.
+const REST: Duration = Duration::from_secs(1);
+
+/// A chunk that may be loaded next.
+struct Candidate {
+    /// Chunks of its flow that are in hand.
+    in_hand: usize,
+    due: SystemTime,
+    shard: id::Shard,
+    epoch: id::Epoch,
+    job: id::Job,
+    chunk: id::Chunk,
+    place: Place,
+    flow: Flow,
+}
+
+impl Control {
+    /// Loads chunks as long as there is room for their items.
+    pub(super) fn load(&mut self, now: Instant) {
+        let outbox: usize = self.shards.values().map(|followed| followed.outbox.bytes()).sum();
+        if outbox > MAX_OUTBOX_BYTES {
+            return;
+        }
+        let configuration = self.parts.configuration.load_full();
+        let mut in_hand: usize = self.shards.values().map(|followed| followed.hand.len()).sum();
+        while in_hand < MAX_ITEMS {
+            let Some(next) = self.next_chunk(&configuration) else {
+                return;
+            };
+            in_hand += 1;
+            self.load_chunk(next, now);
+        }
+    }
+
+    /// The chunk of the customer that has the fewest in hand; of these, the one that is due first.
+    fn next_chunk(&self, configuration: &Snapshot) -> Option<Candidate> {
+        let mut in_hand: HashMap<&Flow, usize> = HashMap::new();
+        for flow in self.shards.values().flat_map(|followed| followed.hand.flows()) {
+            *in_hand.entry(flow).or_default() += 1;
+        }
+        let mut best: Option<Candidate> = None;
+        for (shard, followed) in &self.shards {
+            let Some(epoch) = followed.epoch(self.parts.me).filter(|_| followed.running) else {
+                continue;
+            };
+            for customer in followed.fold.customers() {
+                let mut ready = followed.fold.ready(customer);
+                let found = ready.find_map(|ready| {
+                    let flow = Flow {
+                        customer: customer.to_owned(),
+                        service: ready.service.to_owned(),
+                    };
+                    let count = in_hand.get(&flow).copied().unwrap_or_default();
+                    let held = followed.hand.holds(ready.job, ready.chunk.chunk);
+                    let known = service(configuration, &flow).is_some();
+                    let open = !held && known && count < CHUNKS_PER_FLOW;
+                    open.then(|| Candidate {
+                        in_hand: count,
+                        due: ready.due,
+                        shard: *shard,
+                        epoch,
+                        job: ready.job,
+                        chunk: ready.chunk.chunk,
+                        place: ready.chunk.place(),
+                        flow,
+                    })
+                });
+                let Some(found) = found else {
+                    continue;
+                };
+                let better = best
+                    .as_ref()
+                    .is_none_or(|best| (found.in_hand, found.due) < (best.in_hand, best.due));
+                if better {
+                    best = Some(found);
+                }
+            }
+        }
+        best
+    }
+
+    fn load_chunk(&mut self, next: Candidate, now: Instant) {
+        let Candidate {
+            shard,
+            epoch,
+            job,
+            chunk,
+            place,
+            flow,
+            ..
+        } = next;
+        if let Some(followed) = self.shards.get_mut(&shard) {
+            let until = now + LOAD_TIMEOUT + REST;
+            followed.hand.begin(job, chunk, flow, until);
+        }
+        let (log, done) = (self.parts.log.clone(), self.done.clone());
+        self.parts.traffic.spawn(async move {
+            let result = read_chunk(&*log, shard, place).await;
+            let result = result.map(|chunk| chunk.items);
+            // The control task ends only with the process.
+            let _ = done.send(Input::Loaded {
+                shard,
+                epoch,
+                job,
+                chunk,
+                result,
+            });
+        });
+    }
+
+    pub(super) fn loaded(
+        &mut self,
+        shard: id::Shard,
+        epoch: id::Epoch,
+        job: id::Job,
+        chunk: id::Chunk,
+        result: Result<Vec<work::Item>, String>,
+    ) {
+        let me = self.parts.me;
+        let rest = Instant::now() + REST;
+        self.dirty.insert(shard);
+        let Some(followed) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        if followed.epoch(me) != Some(epoch) || !followed.hand.holds(job, chunk) {
+            return;
+        }
+        let items = match result {
+            Ok(items) => items,
+            Err(reason) => {
+                log::warn!(shard, chunk, reason:%; "chunk not loaded");
+                followed.hand.run(job, chunk, [], rest);
+                return;
+            }
+        };
+        let tasks = self.tasks(shard, epoch, job, chunk, items);
+        let Some(followed) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        let numbers = tasks.iter().map(|task| task.key.item);
+        followed.hand.run(job, chunk, numbers, rest);
+        if !tasks.is_empty() {
+            // The runner ends only with the process.
+            let _ = self.parts.pool.send(Command::Add(tasks));
+        }
+    }
+
+    fn tasks(
+        &mut self,
+        shard: id::Shard,
+        epoch: id::Epoch,
+        job: id::Job,
+        chunk: id::Chunk,
+        items: Vec<work::Item>,
+    ) -> Vec<Task> {
+        let configuration = self.parts.configuration.load_full();
+        let Some(followed) = self.shards.get_mut(&shard) else {
+            return Vec::new();
+        };
+        let stop = followed.hand.stop(job);
+        let work = followed.fold.work(job);
+        let release = work.and_then(|work| work.release.as_ref());
+        let summary = work.and_then(|work| work.chunk(chunk));
+        let (Some(release), Some(summary)) = (release, summary) else {
+            return Vec::new();
+        };
+        let flow = Flow {
+            customer: release.customer.clone(),
+            service: release.service.clone(),
+        };
+        let Some((customer, service)) = service(&configuration, &flow) else {
+            return Vec::new();
+        };
+        let numbered = (summary.first..).zip(items);
+        numbered
+            .filter_map(|(number, item)| {
+                let key = Key {
+                    shard,
+                    epoch,
+                    job,
+                    chunk,
+                    item: number,
+                };
+                let sending = followed.sending(key, item.repeatable);
+                let runs = matches!(sending, Sending::Yes | Sending::DispatchFirst);
+                runs.then(|| Task {
+                    key,
+                    flow: flow.clone(),
+                    weight: customer.share,
+                    service: service.clone(),
+                    due: release.due,
+                    prefix: tinbank_routing::prefix::of_body(&flow.service, &item.body),
+                    body: item.body,
+                    repeatable: item.repeatable,
+                    attempts: 0,
+                    failures: 0,
+                    losses: 0,
+                    tries: 0,
+                    kept: Kept::default(),
+                    stop: stop.clone(),
+                })
+            })
+            .collect()
+    }
+
+    /// Takes in what the runner says.
+    pub(super) fn reported(&mut self, report: Report) {
+        let me = self.parts.me;
+        match report {
+            Report::Dispatch { key, reply } => {
+                let Some(followed) = self.shards.get_mut(&key.shard) else {
+                    return;
+                };
+                self.dirty.insert(key.shard);
+                // The answer comes from the fold when the shard is driven.
+                followed.dispatches.ask(key, reply);
+            }
+            Report::Returned { key } => {
+                if let Some(followed) = self.shards.get_mut(&key.shard)
+                    && followed.epoch(me) == Some(key.epoch)
+                {
+                    self.dirty.insert(key.shard);
+                    let rest = Instant::now() + REST;
+                    followed.hand.give_back(key.job, key.chunk, key.item, rest);
+                }
+            }
+            Report::Ended { key, completion } => self.ended(key, completion),
+        }
+    }
+
+    fn ended(&mut self, key: Key, completion: work::Completion) {
+        let Some(followed) = self.shards.get_mut(&key.shard) else {
+            return;
+        };
+        self.dirty.insert(key.shard);
+        let work = followed.fold.work(key.job).filter(|work| !work.cancelled);
+        let chunk = work.and_then(|work| work.chunk(key.chunk));
+        let open = chunk.is_some_and(|chunk| !chunk.ended(key.item));
+        let in_hand = followed.hand.end(key.job, key.chunk, key.item);
+        if !open {
+            // Another owner's completion counts, or a cancel.
+            if in_hand {
+                followed.hand.read_back(key.job, key.chunk, &[key.item]);
+            }
+            return;
+        }
+        let kind = Kind::Completed {
+            answered: matches!(completion.outcome, work::Outcome::Answer(_)),
+            attempts: completion.attempts,
+        };
+        followed.outbox.push(key.job, key.chunk, completion);
+        let subject = Subject {
+            shard: Some(key.shard),
+            job: Some(key.job),
+            item: Some(key.item),
+            ..Subject::default()
+        };
+        self.parts.recorder.note(subject, kind);
+    }
+}
+
+/// A flow's customer and service, as far as both are configured.
+fn service<'a>(
+    configuration: &'a Snapshot,
+    flow: &Flow,
+) -> Option<(&'a snapshot::Customer, &'a Arc<Service>)> {
+    let customer = configuration.customers.get(&flow.customer)?;
+    let service = customer.services.get(&flow.service)?;
+    Some((customer, service))
+}
+
+/// Reads the chunk that stands at a place.
+pub(super) async fn read_chunk(
+    log: &dyn Log,
+    shard: id::Shard,
+    place: Place,
+) -> Result<work::Chunk, String> {
+    let envelope = read_envelope(log, shard, place.offset).await?;
+    let chunk = result::chunk_at(&envelope, place);
+    chunk
+        .cloned()
+        .ok_or_else(|| format!("no chunk stands at {place:?}"))
+}
+
+/// Reads one envelope.
+pub(super) async fn read_envelope(
+    log: &dyn Log,
+    shard: id::Shard,
+    offset: id::Offset,
+) -> Result<Envelope<work::Record>, String> {
+    let until = Instant::now() + LOAD_TIMEOUT;
+    let read = log.read(Stream::Work(shard), offset, 1, until);
+    let page = tokio::time::timeout_at(until.into(), read)
+        .await
+        .map_err(|_| "the log gave no answer in time".to_owned())?
+        .map_err(|error| error.to_string())?;
+    let entry = page.entries.first().filter(|entry| entry.offset == offset);
+    let entry = entry.ok_or_else(|| format!("no entry stands at offset {offset}"))?;
+    Envelope::decode(&entry.payload).map_err(|error| error.to_string())
+}
