--- a/crates/tinbank-batch/src/intake/cut.rs
+++ b/crates/tinbank-batch/src/intake/cut.rs
@@ -4,11 +4,12 @@
     id,
     record::work::{Chunk, Item},
 };
+use tinbank_ledger::placement;
 
 /// Most items of a chunk.
-pub const MAX_ITEMS: usize = 250;
+pub const MAX_ITEMS: usize = placement::ITEMS_PER_CHUNK;
 /// Size, in bytes of bodies and names, from which a chunk is full.
-pub const FULL_BYTES: usize = 256 << 10;
+pub const FULL_BYTES: usize = 128 << 10;
 
 /// Collects items until a chunk is full.
 #[derive(Debug)]
--- a/crates/tinbank-batch/src/intake/mod.rs
+++ b/crates/tinbank-batch/src/intake/mod.rs
@@ -7,7 +7,10 @@
 pub mod finding;
 pub mod limit;
 pub mod line;
-pub mod place;
+pub mod order;
+pub mod store;
 
 pub use finding::Finding;
 pub use limit::Limits;
+pub use order::Order;
+pub use store::{Intake, Taken};
--- a/crates/tinbank-batch/src/lib.rs
+++ b/crates/tinbank-batch/src/lib.rs
@@ -1,4 +1,6 @@
 //! Takes in batch jobs durably, runs their items and serves results.
 
+pub mod asker;
 pub mod intake;
+pub mod owner;
 pub mod runner;
--- a/crates/tinbank-batch/src/owner/appends.rs
+++ b/crates/tinbank-batch/src/owner/appends.rs
@@ -16,7 +16,7 @@
 
 use super::{
     control::Control,
-    input::{Input, What, Wait},
+    input::{Input, Wait, What},
     shard::{answer, failed},
 };
 
@@ -112,7 +112,10 @@
         self.dirty.insert(shard);
         let Some(followed) = self.shards.get_mut(&shard) else {
             if let What::Wait(wait) = what {
-                answer(wait.reply, tinbank_base::frame::request::Response::Elsewhere(None));
+                answer(
+                    wait.reply,
+                    tinbank_base::frame::request::Response::Elsewhere(None),
+                );
             }
             return;
         };
@@ -150,8 +153,15 @@
         match result {
             Ok(offset) => followed.waits.push((offset + 1, wait)),
             Err(error) => {
-                let ran = if error.may_stand() { Ran::Unknown } else { Ran::No };
-                answer(wait.reply, failed(Code::LogUnavailable, ran, error.to_string()));
+                let ran = if error.may_stand() {
+                    Ran::Unknown
+                } else {
+                    Ran::No
+                };
+                answer(
+                    wait.reply,
+                    failed(Code::LogUnavailable, ran, error.to_string()),
+                );
             }
         }
     }
--- a/crates/tinbank-batch/src/owner/asks.rs
+++ b/crates/tinbank-batch/src/owner/asks.rs
@@ -157,7 +157,10 @@
     }
 
     fn plan(&self, job: id::Job, shard: id::Shard, from: id::Chunk) -> Option<Plan> {
-        let followed = self.shards.get(&shard).filter(|followed| followed.current)?;
+        let followed = self
+            .shards
+            .get(&shard)
+            .filter(|followed| followed.current)?;
         let Some(work) = followed.fold.work(job) else {
             return Some(Plan::default());
         };
--- a/crates/tinbank-batch/src/owner/control.rs
+++ b/crates/tinbank-batch/src/owner/control.rs
@@ -75,7 +75,10 @@
 
 impl Owner {
     /// Starts the control task on the runtime that we are in.
-    pub fn start(parts: Parts, reports: mpsc::UnboundedReceiver<Report>) -> (Self, tokio::task::JoinHandle<()>) {
+    pub fn start(
+        parts: Parts,
+        reports: mpsc::UnboundedReceiver<Report>,
+    ) -> (Self, tokio::task::JoinHandle<()>) {
         let (inputs, received) = mpsc::channel(WAITING);
         let (asks, asked) = mpsc::channel(WAITING);
         let (done, ended) = mpsc::unbounded_channel();
--- a/crates/tinbank-batch/src/owner/follow.rs
+++ b/crates/tinbank-batch/src/owner/follow.rs
@@ -164,7 +164,9 @@
             match change {
                 Change::Committed(job) => {
                     let fold = self.shards.get(&shard).map(|followed| &followed.fold);
-                    let items = fold.and_then(|fold| fold.job(*job)).map(|job| job.head.items);
+                    let items = fold
+                        .and_then(|fold| fold.job(*job))
+                        .map(|job| job.head.items);
                     if let Some(items) = items {
                         self.note(shard, Some(*job), Kind::Committed { items });
                     }
--- a/crates/tinbank-batch/src/owner/hand.rs
+++ b/crates/tinbank-batch/src/owner/hand.rs
@@ -78,7 +78,13 @@
     }
 
     /// The runner gave an item back. It stays off the runner until `rest`.
-    pub(super) fn give_back(&mut self, job: id::Job, chunk: id::Chunk, item: id::Item, rest: Instant) {
+    pub(super) fn give_back(
+        &mut self,
+        job: id::Job,
+        chunk: id::Chunk,
+        item: id::Item,
+        rest: Instant,
+    ) {
         if let Some(held) = self.chunks.get_mut(&(job, chunk))
             && held.running.remove(&item)
         {
--- a/crates/tinbank-batch/src/owner/load.rs
+++ b/crates/tinbank-batch/src/owner/load.rs
@@ -48,12 +48,20 @@
 impl Control {
     /// Loads chunks as long as there is room for their items.
     pub(super) fn load(&mut self, now: Instant) {
-        let outbox: usize = self.shards.values().map(|followed| followed.outbox.bytes()).sum();
+        let outbox: usize = self
+            .shards
+            .values()
+            .map(|followed| followed.outbox.bytes())
+            .sum();
         if outbox > MAX_OUTBOX_BYTES {
             return;
         }
         let configuration = self.parts.configuration.load_full();
-        let mut in_hand: usize = self.shards.values().map(|followed| followed.hand.len()).sum();
+        let mut in_hand: usize = self
+            .shards
+            .values()
+            .map(|followed| followed.hand.len())
+            .sum();
         while in_hand < MAX_ITEMS {
             let Some(next) = self.next_chunk(&configuration) else {
                 return;
@@ -66,7 +74,11 @@
     /// The chunk of the customer that has the fewest in hand; of these, the one that is due first.
     fn next_chunk(&self, configuration: &Snapshot) -> Option<Candidate> {
         let mut in_hand: HashMap<&Flow, usize> = HashMap::new();
-        for flow in self.shards.values().flat_map(|followed| followed.hand.flows()) {
+        for flow in self
+            .shards
+            .values()
+            .flat_map(|followed| followed.hand.flows())
+        {
             *in_hand.entry(flow).or_default() += 1;
         }
         let mut best: Option<Candidate> = None;
--- a/crates/tinbank-batch/src/owner/outbox.rs
+++ b/crates/tinbank-batch/src/owner/outbox.rs
@@ -24,7 +24,10 @@
 impl Outbox {
     pub(super) fn push(&mut self, job: id::Job, chunk: id::Chunk, completion: Completion) {
         self.bytes += size(&completion);
-        self.waiting.entry((job, chunk)).or_default().push(completion);
+        self.waiting
+            .entry((job, chunk))
+            .or_default()
+            .push(completion);
     }
 
     /// What to append now, if anything, and if no append is under way.
--- a/crates/tinbank-batch/src/owner/results.rs
+++ b/crates/tinbank-batch/src/owner/results.rs
@@ -11,7 +11,11 @@
 use tinbank_ledger::{chunk::Chunk, result};
 use tokio::sync::mpsc;
 
-use super::{input::Plan, load::{read_chunk, read_envelope}, shard::failed};
+use super::{
+    input::Plan,
+    load::{read_chunk, read_envelope},
+    shard::failed,
+};
 
 /// About how many bytes of results one frame holds.
 const FRAME_BYTES: usize = 1 << 20;
@@ -93,7 +97,11 @@
 
 fn size(outcome: &Outcome) -> usize {
     use tinbank_base::record::work::Outcome as End;
-    let body = match outcome.completion.as_ref().map(|completion| &completion.outcome) {
+    let body = match outcome
+        .completion
+        .as_ref()
+        .map(|completion| &completion.outcome)
+    {
         Some(End::Answer(answer)) => answer.len(),
         Some(End::Failed { message, .. }) => message.len(),
         None => 0,
