--- /dev/null
+++ b/crates/tinbank-batch/src/http/results.rs
@@ -0,0 +1,79 @@
+//! `GET /v1/batches/{id}/results`: all items that have ended, as NDJSON, in bounded memory.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use bytes::Bytes;
+use dropshot::{Body, Path, RequestContext, endpoint};
+use futures::stream;
+use http::{HeaderMap, Response};
+use tinbank_base::{frame::request::Status, outcome::Failure};
+use tinbank_server::{
+    failure::{Reply, answer},
+    stream::{Form, fallible, line},
+};
+
+use super::{
+    context::Context,
+    job::JobPath,
+    view::{Item, ItemState},
+};
+use crate::pages::{Page, Pages};
+
+/// All items that have ended, one a line. If the stream breaks, the connection is cut, so that a part never looks whole.
+#[endpoint {
+    method = GET,
+    path = "/v1/batches/{id}/results",
+}]
+pub(super) async fn get_results(
+    rqctx: RequestContext<Arc<Context>>,
+    path: Path<JobPath>,
+) -> Result<Response<Body>, Reply> {
+    let id = path.into_inner().id;
+    let headers = rqctx.request.headers();
+    answer(send(rqctx.context(), headers, &id).await)
+}
+
+async fn send(context: &Context, headers: &HeaderMap, id: &str) -> Result<Response<Body>, Reply> {
+    let status = context.job(headers, id).await?;
+    let shards = status.head.shards.iter();
+    let pages: VecDeque<Pages> = shards
+        .map(|shard| Pages::new(context.asker.clone(), &status.head, *shard, context.shards))
+        .collect();
+    let state = State { pages, status };
+    let pieces = stream::try_unfold(state, |mut state| async {
+        let piece = state.next().await?;
+        Ok::<_, Failure>(piece.map(|piece| (piece, state)))
+    });
+    Ok(fallible(Form::Ndjson, pieces))
+}
+
+struct State {
+    /// One reader for each shard; the first is being read.
+    pages: VecDeque<Pages>,
+    status: Status,
+}
+
+impl State {
+    /// The lines of the next page that has any.
+    async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
+        while let Some(pages) = self.pages.front_mut() {
+            let Page::Results(page) = pages.next().await? else {
+                self.pages.pop_front();
+                continue;
+            };
+            let mut lines = Vec::new();
+            for outcome in page {
+                let item = Item::of(outcome, self.status.cancelled);
+                if item.state != ItemState::Pending
+                    && let Ok(line) = line(&item)
+                {
+                    lines.extend_from_slice(&line);
+                }
+            }
+            if !lines.is_empty() {
+                return Ok(Some(lines.into()));
+            }
+        }
+        Ok(None)
+    }
+}
--- /dev/null
+++ b/crates/tinbank-batch/src/http/submit.rs
@@ -0,0 +1,114 @@
+//! `POST /v1/batches`: takes in a job.
+
+use std::{sync::Arc, time::SystemTime};
+
+use dropshot::{Body, Query, RequestContext, StreamingBody, endpoint};
+use http::{HeaderMap, Response, StatusCode, header};
+use schemars::JsonSchema;
+use serde::Deserialize;
+use tinbank_base::{
+    event::{Kind, Subject},
+    outcome::{Code, Failure, Ran},
+};
+use tinbank_server::{
+    caller,
+    failure::{Reply, answer},
+    operator::json,
+};
+
+use super::{
+    context::Context,
+    view::{Counts, Job, JobState},
+};
+use crate::intake::{Order, Taken, order::Wish};
+
+/// Largest body of a job, in bytes; the intake's own limit is the same.
+const MAX_BODY_BYTES: usize = 4 << 30;
+
+/// What is wanted of a job.
+#[derive(Debug, Deserialize, JsonSchema)]
+pub struct Submit {
+    /// Name of the service that runs the items.
+    pub service: String,
+    /// When the job is due, as in RFC 3339.
+    pub due: Option<String>,
+}
+
+/// Takes in a job: one item a line, each with `custom_id`, `body` and, optionally, `repeatable`.
+///
+/// The answer comes when the job lasts: 201 for a new one, 200 for one that the same idempotency key made before.
+#[endpoint {
+    method = POST,
+    path = "/v1/batches",
+    request_body_max_bytes = MAX_BODY_BYTES,
+}]
+pub(super) async fn submit_batch(
+    rqctx: RequestContext<Arc<Context>>,
+    query: Query<Submit>,
+    body: StreamingBody,
+) -> Result<Response<Body>, Reply> {
+    let context = rqctx.context();
+    let headers = rqctx.request.headers();
+    answer(take(context, headers, &query.into_inner(), body).await)
+}
+
+async fn take(
+    context: &Context,
+    headers: &HeaderMap,
+    submit: &Submit,
+    body: StreamingBody,
+) -> Result<Response<Body>, Reply> {
+    if !context.flag.is_ready() {
+        let message = "the process is starting or stopping";
+        return Err(Failure::not_run(Code::NotReady, message).into());
+    }
+    let customer = context.customer(headers)?;
+    let wish = Wish {
+        service: &submit.service,
+        due: submit.due.as_deref(),
+        stream: caller::stream(headers)?,
+        repeatable: caller::repeatable(headers)?,
+        key: caller::idempotency_key(headers)?,
+        length: length(headers),
+    };
+    let order = Order::check(customer, &wish, SystemTime::now())?;
+    let taken = context.intake.take(&order, body.into_stream()).await;
+    note(context, &order, &taken);
+    let Taken { head, new } = taken?;
+    let status = match new {
+        true => StatusCode::CREATED,
+        false => StatusCode::OK,
+    };
+    let counts = new.then(|| Counts::pending(head.items));
+    json(status, &Job::of(&head, JobState::Running, counts))
+}
+
+fn length(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get(header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
+
+fn note(context: &Context, order: &Order, taken: &Result<Taken, Failure>) {
+    let job = taken.as_ref().ok().map(|taken| taken.head.job);
+    let subject = Subject {
+        job,
+        ..Subject::default()
+    };
+    let kind = match taken {
+        Ok(_) => Kind::Accepted {
+            customer: order.customer.name.clone(),
+            service: order.service.clone(),
+        },
+        Err(failure) => Kind::Refused {
+            code: failure.code,
+            ran: failure.ran,
+        },
+    };
+    context.recorder.note(subject, kind);
+    let ran = match taken {
+        Ok(_) => "accepted",
+        Err(failure) if failure.ran == Ran::No => "not_run",
+        Err(_) => "unknown",
+    };
+    metrics::counter!("batch_jobs_total", "outcome" => ran).increment(1);
+}
