--- a/crates/tinbank-batch/src/lib.rs
+++ b/crates/tinbank-batch/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod owner;
 pub mod pages;
 pub mod runner;
+pub mod service;
--- a/crates/tinbank-batch/src/owner/answer.rs
+++ b/crates/tinbank-batch/src/owner/answer.rs
@@ -16,6 +16,7 @@
     platform::log::Log,
     record::Writer,
 };
+use tinbank_configuration::follower::Follower;
 use tokio::sync::{mpsc, oneshot};
 
 use super::{
@@ -31,6 +32,7 @@
 pub struct Answerer {
     owner: Owner,
     log: Arc<dyn Log>,
+    follower: Option<Follower>,
     credits: Option<Arc<dyn Credits>>,
 }
 
@@ -41,11 +43,17 @@
 }
 
 impl Answerer {
-    /// Answers for an owner. Datagrams about credits go to `credits`, if it is there.
-    pub fn new(owner: Owner, log: Arc<dyn Log>, credits: Option<Arc<dyn Credits>>) -> Self {
+    /// Answers for an owner. The configuration comes from `follower`; datagrams about credits go to `credits`.
+    pub fn new(
+        owner: Owner,
+        log: Arc<dyn Log>,
+        follower: Option<Follower>,
+        credits: Option<Arc<dyn Credits>>,
+    ) -> Self {
         Self {
             owner,
             log,
+            follower,
             credits,
         }
     }
@@ -84,6 +92,10 @@
                 });
                 answer.boxed()
             }
+            Request::Config { from } => match &self.follower {
+                Some(follower) => stream::iter(follower.serve(from).await).boxed(),
+                None => one(Response::Config(Vec::new())),
+            },
             request => {
                 let (reply, answer) = oneshot::channel();
                 self.owner.ask(Ask::Request { request, reply }).await;
--- a/crates/tinbank-batch/src/owner/load.rs
+++ b/crates/tinbank-batch/src/owner/load.rs
@@ -232,7 +232,7 @@
                     weight: customer.share,
                     service: service.clone(),
                     due: release.due,
-                    prefix: tinbank_routing::prefix::of_body(&flow.service, &item.body),
+                    prefix: 0,
                     body: item.body,
                     repeatable: item.repeatable,
                     attempts: 0,
--- /dev/null
+++ b/crates/tinbank-batch/tests/session.rs
@@ -0,0 +1,322 @@
+//! What a caller sees of batch jobs, over real HTTP.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use http::StatusCode;
+use support::{Host, ORDERS, World, engines, eventually, line, lines};
+use tinbank_base::record::work::Record;
+
+/// How each item of a job ended, by its name; fails if one comes twice.
+fn by_name(reply: &support::session::Reply) -> BTreeMap<String, String> {
+    let mut states = BTreeMap::new();
+    for item in reply.lines() {
+        let name = item["custom_id"].as_str().unwrap().to_owned();
+        let state = item["state"].as_str().unwrap().to_owned();
+        assert_eq!(states.insert(name, state), None, "{item} came twice");
+    }
+    states
+}
+
+fn world_of(hosts: u32) -> (World, Vec<Host>) {
+    let world = World::new();
+    let hosts = (1..=hosts).map(|host| world.start(host)).collect();
+    (world, hosts)
+}
+
+#[tokio::test]
+async fn a_job_is_taken_in_run_and_read_at_another_host() {
+    let (world, hosts) = world_of(2);
+    let (first, second) = (
+        hosts[0].session("key-moreton"),
+        hosts[1].session("key-moreton"),
+    );
+
+    let id = first.accepted(None, lines(0, 700)).await;
+    second.until(&id, "completed").await;
+
+    let status = second.status(&id).await;
+    assert_eq!(status.json()["counts"]["answered"], 700);
+    let item = second.item(&id, "item-600").await;
+    assert_eq!(item.text("/state"), "answered");
+    assert_eq!(
+        item.text("/response/choices/0/message/content"),
+        "noted: note 600"
+    );
+    assert_eq!(by_name(&second.results(&id).await).len(), 700);
+    assert_eq!(world.engines.starts(), 700);
+}
+
+#[tokio::test]
+async fn a_resend_gets_the_same_job_and_another_body_is_refused() {
+    let (world, hosts) = world_of(2);
+    let (first, second) = (
+        hosts[0].session("key-moreton"),
+        hosts[1].session("key-moreton"),
+    );
+    let id = first.accepted(Some("sweep-1"), lines(0, 3)).await;
+
+    let again = second.submit(Some("sweep-1"), lines(0, 3)).await;
+    let other = second.submit(Some("sweep-1"), lines(0, 4)).await;
+    let neighbour = hosts[1].session("key-oberland");
+    let foreign = neighbour.submit(Some("sweep-1"), lines(0, 3)).await;
+
+    assert_eq!(
+        (again.status, again.text("/id")),
+        (StatusCode::OK, id.clone())
+    );
+    assert_eq!(other.status, StatusCode::UNPROCESSABLE_ENTITY);
+    assert_eq!(
+        (other.text("/code"), other.text("/ran")),
+        ("key_reused".into(), "no".into())
+    );
+    assert_eq!(foreign.status, StatusCode::CREATED);
+    assert_ne!(foreign.text("/id"), id);
+    first.until(&id, "completed").await;
+    neighbour.until(&foreign.text("/id"), "completed").await;
+    assert_eq!(world.engines.starts(), 6);
+}
+
+#[tokio::test]
+async fn two_hosts_that_take_in_one_job_at_once_make_one_job() {
+    let (world, hosts) = world_of(2);
+    let (first, second) = (
+        hosts[0].session("key-moreton"),
+        hosts[1].session("key-moreton"),
+    );
+
+    let (one, other) = tokio::join!(
+        first.submit(Some("sweep"), lines(0, 300)),
+        second.submit(Some("sweep"), lines(0, 300)),
+    );
+
+    assert!(
+        one.status.is_success() && other.status.is_success(),
+        "{one:?} {other:?}"
+    );
+    assert_eq!(one.text("/id"), other.text("/id"));
+    let id = one.text("/id");
+    first.until(&id, "completed").await;
+    assert_eq!(by_name(&second.results(&id).await).len(), 300);
+    assert_eq!(world.engines.starts(), 300);
+}
+
+#[tokio::test]
+async fn a_bad_line_leaves_nothing_behind() {
+    let (world, hosts) = world_of(1);
+    let caller = hosts[0].session("key-moreton");
+    let body = format!("{}{}", lines(0, 600), line("item-7", "again"));
+
+    let reply = caller.submit(Some("sweep"), body).await;
+
+    assert_eq!(reply.status, StatusCode::BAD_REQUEST);
+    assert_eq!(
+        reply.text("/message"),
+        "line 601: `custom_id` \"item-7\" stands on an earlier line as well"
+    );
+    let heads = world
+        .records()
+        .into_iter()
+        .filter(|record| matches!(record, Record::Head(_)));
+    assert_eq!(heads.count(), 0);
+    caller.accepted(Some("sweep"), lines(0, 2)).await;
+}
+
+#[tokio::test]
+async fn bad_requests_are_told_apart() {
+    let (_world, hosts) = world_of(1);
+    let caller = hosts[0].session("key-moreton");
+    let id = caller.accepted(None, lines(0, 1)).await;
+
+    let no_service = caller.submit_to("unknown", None, lines(0, 1)).await;
+    let wrong_key = hosts[0]
+        .session("key-nobody")
+        .submit(None, lines(0, 1))
+        .await;
+    let foreign = hosts[0].session("key-oberland").status(&id).await;
+    let no_item = caller.item(&id, "item-9").await;
+    let no_id = caller.status("17").await;
+    let bad_due = caller
+        .submit_to("notes&due=tomorrow", None, lines(0, 1))
+        .await;
+
+    let codes = [
+        &no_service,
+        &wrong_key,
+        &foreign,
+        &no_item,
+        &no_id,
+        &bad_due,
+    ]
+    .map(|reply| (reply.status.as_u16(), reply.text("/ran")));
+    let no = || "no".to_owned();
+    assert_eq!(
+        codes,
+        [
+            (404, no()),
+            (401, no()),
+            (404, no()),
+            (404, no()),
+            (404, no()),
+            (400, no())
+        ]
+    );
+}
+
+#[tokio::test]
+async fn a_cancelled_job_stops_at_the_engines() {
+    let (world, hosts) = world_of(2);
+    let caller = hosts[0].session("key-moreton");
+    world.engines.hold();
+    let id = caller.accepted(None, lines(0, 200)).await;
+    eventually("items are in the engines", || async {
+        world.engines.starts() > 0
+    })
+    .await;
+
+    let reply = hosts[1].session("key-moreton").cancel(&id).await;
+    assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+    caller.until(&id, "cancelled").await;
+
+    let started = world.engines.starts();
+    eventually("all are cancelled at the engines", || async {
+        world.engines.read(|account| account.cancelled.len()) == started
+    })
+    .await;
+    world.engines.go_on();
+    let counts = caller.status(&id).await.json()["counts"].clone();
+    assert_eq!(
+        (&counts["cancelled"], &counts["answered"]),
+        (&200.into(), &0.into())
+    );
+    assert_eq!(world.engines.starts(), started);
+    assert_eq!(caller.item(&id, "item-3").await.text("/state"), "cancelled");
+}
+
+#[tokio::test]
+async fn items_that_can_never_be_done_end_without_hurting_others() {
+    let (world, hosts) = world_of(1);
+    let caller = hosts[0].session("key-moreton");
+    let body = [
+        lines(0, 50),
+        line("bad", engines::MALFORMED),
+        line("killer", engines::POISON),
+        line("cut", engines::CUT_ONCE),
+    ];
+
+    let id = caller.accepted(None, body.concat()).await;
+    caller.until(&id, "completed").await;
+
+    let states = by_name(&caller.results(&id).await);
+    let answered = states.values().filter(|state| *state == "answered").count();
+    assert_eq!(
+        (answered, &*states["bad"], &*states["killer"]),
+        (51, "failed", "failed")
+    );
+    let bad = caller.item(&id, "bad").await;
+    assert_eq!(bad.text("/error/code"), "upstream_rejected");
+    assert_eq!(caller.item(&id, "cut").await.json()["attempts"], 2);
+    assert_eq!(
+        world
+            .engines
+            .read(|account| account.resumed[engines::CUT_ONCE]),
+        1
+    );
+    assert_eq!(
+        world
+            .engines
+            .read(|account| account.started[engines::POISON]),
+        3
+    );
+}
+
+#[tokio::test]
+async fn a_lost_host_s_job_is_finished_by_another() {
+    let (world, mut hosts) = world_of(3);
+    let caller = hosts[0].session("key-moreton");
+    world.engines.hold();
+    let id = caller.accepted(None, lines(0, 300)).await;
+
+    hosts[0].kill();
+    world.engines.go_on();
+    let survivor = hosts[1].session("key-moreton");
+    survivor.until(&id, "completed").await;
+
+    let states = by_name(&survivor.results(&id).await);
+    assert_eq!(states.len(), 300);
+    assert!(states.values().all(|state| state == "answered"));
+    let counts = survivor.status(&id).await.json()["counts"].clone();
+    assert_eq!(counts["answered"], 300);
+}
+
+#[tokio::test]
+async fn whichever_host_is_lost_each_item_ends_once_and_orders_run_at_most_once() {
+    for lost in 0..3 {
+        let (world, mut hosts) = world_of(3);
+        let caller = hosts[(lost + 1) % 3].session("key-moreton");
+        world.engines.hold();
+        let reply = caller.submit_to(ORDERS, Some("round"), lines(0, 40)).await;
+        let id = reply.text("/id");
+        eventually("orders are under way", || async {
+            world.engines.starts() > 0
+        })
+        .await;
+
+        hosts[lost].kill();
+        world.engines.go_on();
+        caller.until(&id, "completed").await;
+
+        let states = by_name(&caller.results(&id).await);
+        assert_eq!(states.len(), 40);
+        let most = world
+            .engines
+            .read(|account| account.started.values().copied().max());
+        assert_eq!(most, Some(1), "an order ran twice");
+        for (name, state) in states {
+            if state == "failed" {
+                let item = caller.item(&id, &name).await;
+                assert_eq!(item.text("/error/code"), "outcome_unknown");
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_planned_stop_hands_the_job_on_and_reruns_no_order() {
+    let (world, mut hosts) = world_of(2);
+    let caller = hosts[1].session("key-moreton");
+    let reply = caller.submit_to(ORDERS, None, lines(0, 200)).await;
+    let id = reply.text("/id");
+    eventually("orders are under way", || async {
+        world.engines.starts() > 0
+    })
+    .await;
+
+    hosts[0].stop().await;
+    caller.until(&id, "completed").await;
+
+    let states = by_name(&caller.results(&id).await);
+    let answered = states.values().filter(|state| *state == "answered").count();
+    assert_eq!(answered, 200, "a stopped host left orders behind");
+    assert_eq!(world.engines.starts(), 200);
+}
+
+#[tokio::test]
+async fn without_the_log_a_job_is_refused_as_not_run() {
+    let (world, hosts) = world_of(1);
+    let caller = hosts[0].session("key-moreton");
+    let id = caller.accepted(Some("before"), lines(0, 2)).await;
+    caller.until(&id, "completed").await;
+    world.log.outage(true);
+
+    let reply = caller.submit(Some("during"), lines(0, 2)).await;
+    world.log.outage(false);
+
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(
+        (reply.text("/code"), reply.text("/ran")),
+        ("log_unavailable".into(), "no".into())
+    );
+    caller.accepted(Some("during"), lines(0, 2)).await;
+}
--- /dev/null
+++ b/crates/tinbank-batch/tests/support/engines.rs
@@ -0,0 +1,183 @@
+//! Upstreams that answer by what the prompt says, and keep an account of what they ran.
+
+use std::{
+    collections::HashMap,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex},
+    time::Instant,
+};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::{StreamExt as _, stream};
+use tinbank_base::{
+    id,
+    outcome::{Code, Failure, Ran},
+    platform::upstream::{
+        Call, Error, Kind, Order, Part, Parts, Report, Target, Upstreams, Verdict,
+    },
+};
+use tinbank_routing::choice::{Ask, Choice, Router, Ticket};
+use tokio::sync::watch;
+
+/// A prompt with this word takes its engine's answer down each time.
+pub const POISON: &str = "poison";
+/// A prompt with this word is refused as malformed.
+pub const MALFORMED: &str = "malformed";
+/// A prompt with this word is cut short the first time.
+pub const CUT_ONCE: &str = "cut once";
+
+#[derive(Clone, Debug)]
+pub struct Engines {
+    count: id::Upstream,
+    open: watch::Sender<bool>,
+    account: Arc<Mutex<Account>>,
+}
+
+/// What was asked of all upstreams.
+#[derive(Debug, Default)]
+pub struct Account {
+    /// How many times each prompt was started.
+    pub started: HashMap<String, usize>,
+    /// Tokens that were resumed from, for each prompt.
+    pub resumed: HashMap<String, u32>,
+    /// Requests that were cancelled.
+    pub cancelled: Vec<id::Request>,
+}
+
+impl Engines {
+    pub fn new(count: id::Upstream) -> Self {
+        Self {
+            count,
+            open: watch::channel(true).0,
+            account: Arc::default(),
+        }
+    }
+
+    /// Holds all answers before their end until [`Engines::go_on`].
+    pub fn hold(&self) {
+        self.open.send_replace(false);
+    }
+
+    pub fn go_on(&self) {
+        self.open.send_replace(true);
+    }
+
+    /// How many times prompts were started, all together.
+    pub fn starts(&self) -> usize {
+        self.read(|account| account.started.values().sum())
+    }
+
+    pub fn read<T>(&self, read: impl FnOnce(&Account) -> T) -> T {
+        read(&self.account.lock().unwrap())
+    }
+
+    fn start(&self, call: &Call) -> (String, usize) {
+        let body: serde_json::Value = serde_json::from_slice(&call.body).unwrap();
+        let prompt = body["messages"][0]["content"].as_str().unwrap().to_owned();
+        let mut account = self.account.lock().unwrap();
+        if call.resume_from > 0 {
+            account.resumed.insert(prompt.clone(), call.resume_from);
+        }
+        let count = account.started.entry(prompt.clone()).or_default();
+        *count += 1;
+        (prompt, *count)
+    }
+}
+
+#[async_trait]
+impl Upstreams for Engines {
+    async fn chat(&self, target: Target, call: Call) -> Result<Parts, Error> {
+        let (prompt, run) = self.start(&call);
+        let error = |ran, kind| Error {
+            upstream: target.upstream,
+            ran,
+            kind,
+        };
+        if prompt.contains(MALFORMED) {
+            let status = 400;
+            let message = "no such prompt".to_owned();
+            return Err(error(Ran::No, Kind::Rejected { status, message }));
+        }
+        let tokens = ["noted: ", prompt.as_str()];
+        let cut = prompt.contains(POISON) || (prompt.contains(CUT_ONCE) && run == 1);
+        let all = tokens.iter().zip(0..).map(|(text, index)| Part::Token {
+            index,
+            text: (*text).to_owned(),
+        });
+        let mut parts: Vec<Result<Part, Error>> = all.map(Ok).collect();
+        parts.drain(..call.resume_from as usize);
+        parts.truncate(if cut { 1 } else { 2 });
+        let end = match cut {
+            true => Err(error(Ran::Unknown, Kind::Cut("connection lost".to_owned()))),
+            false => Ok(Part::End {
+                reason: "stop".to_owned(),
+                tokens: 2,
+            }),
+        };
+        let mut open = self.open.subscribe();
+        let end = stream::once(async move {
+            // The sender lives as long as the world.
+            let _ = open.wait_for(|open| *open).await;
+            end
+        });
+        Ok(stream::iter(parts).chain(end).boxed())
+    }
+
+    async fn call(&self, _target: Target, call: Call) -> Result<Bytes, Error> {
+        let (prompt, run) = self.start(&call);
+        let mut open = self.open.subscribe();
+        // The sender lives as long as the world.
+        let _ = open.wait_for(|open| *open).await;
+        let answer = serde_json::json!({"order": prompt, "run": run});
+        Ok(answer.to_string().into())
+    }
+
+    async fn cancel(&self, _target: Target, request: id::Request) -> Result<(), Error> {
+        self.account.lock().unwrap().cancelled.push(request);
+        Ok(())
+    }
+
+    async fn report(&self, target: Target) -> Result<Report, Error> {
+        Err(unused(target))
+    }
+
+    async fn order(&self, target: Target, _order: Order) -> Result<Verdict, Error> {
+        Err(unused(target))
+    }
+}
+
+fn unused(target: Target) -> Error {
+    Error {
+        upstream: target.upstream,
+        ran: Ran::No,
+        kind: Kind::Connect("batch does not ask this".to_owned()),
+    }
+}
+
+/// Chooses the first engine that was not tried.
+#[derive(Debug)]
+pub struct Routes(pub Engines);
+
+struct Silent;
+
+impl Ticket for Silent {
+    fn note(&self, _result: Result<(), &Error>, _now: Instant) {}
+}
+
+impl Router for Routes {
+    fn choose(&self, ask: &Ask<'_>, _now: Instant) -> Result<Choice, Failure> {
+        let mut untried = (0..self.0.count).filter(|upstream| !ask.tried.contains(upstream));
+        let upstream = untried
+            .next()
+            .ok_or_else(|| Failure::not_run(Code::NoUpstream, "all were tried"))?;
+        Ok(Choice {
+            target: Target {
+                upstream,
+                address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            },
+            reason: "first",
+            ticket: Box::new(Silent),
+        })
+    }
+}
--- /dev/null
+++ b/crates/tinbank-batch/tests/support/mod.rs
@@ -0,0 +1,282 @@
+//! Hosts of a small deployment in one process: real HTTP on loopback and the real control loop, over a log in memory,
+//! fake upstreams and a fake network between the hosts.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub mod engines;
+pub mod net;
+pub mod session;
+
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+use arc_swap::ArcSwap;
+use tinbank_base::{
+    clock, digest,
+    frame::heartbeat::{Health, Phase},
+    id,
+    peer::Member,
+    platform::{hosts::Kind, log::Stream},
+    record::{Envelope, Writer, work},
+};
+use tinbank_batch::{
+    intake::Limits,
+    runner::room::Room,
+    service::{Edges, Service},
+};
+use tinbank_configuration::{
+    limit::Limits as CustomerLimits,
+    service::Service as Served,
+    snapshot::{Customer, Shared, Snapshot},
+};
+use tinbank_ledger::lease::Terms;
+use tinbank_log::writer;
+use tinbank_server::{http::Listen, readiness::Flag, threads::Handles};
+use tinbank_test_support::log::Memory;
+use tinbank_timeline::Recorder;
+use tokio::{runtime::Runtime, sync::watch};
+
+use engines::{Engines, Routes};
+use net::{Net, View};
+use session::Session;
+
+pub const SHARDS: id::Shard = 4;
+pub const SERVICE: &str = "notes";
+pub const ORDERS: &str = "orders";
+
+/// What all hosts share.
+pub struct World {
+    pub log: Memory,
+    pub engines: Engines,
+    pub net: Net,
+    configuration: Shared,
+}
+
+/// One host's batch process.
+pub struct Host {
+    pub writer: Writer,
+    pub address: SocketAddr,
+    service: Option<Service>,
+    runtime: Option<Runtime>,
+    net: Net,
+}
+
+impl World {
+    pub fn new() -> Self {
+        Self {
+            log: Memory::new(),
+            engines: Engines::new(3),
+            net: Net::default(),
+            configuration: Arc::new(ArcSwap::from_pointee(configuration())),
+        }
+    }
+
+    /// Starts a host and tells all hosts of it.
+    pub fn start(&self, host: id::Host) -> Host {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
+        let writer = Writer {
+            process: id::Process {
+                host,
+                role: id::Role::Batch,
+            },
+            incarnation: clock::incarnation(SystemTime::now()),
+        };
+        let handles = Handles {
+            control: runtime.handle().clone(),
+            traffic: runtime.handle().clone(),
+        };
+        let edges = self.edges(writer, handles);
+        let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let service = Service::start(edges, Listen::plain(loopback)).unwrap();
+        let address = service.http.local_addr();
+        self.net
+            .join(member(writer, address), service.answerer.clone());
+        Host {
+            writer,
+            address,
+            service: Some(service),
+            runtime: Some(runtime),
+            net: self.net.clone(),
+        }
+    }
+
+    /// All records of all work shards, each envelope once.
+    pub fn records(&self) -> Vec<work::Record> {
+        let shards = (0..SHARDS).map(Stream::Work);
+        let envelopes: Vec<Envelope<work::Record>> = shards
+            .flat_map(|stream| self.log.envelopes(stream))
+            .collect();
+        envelopes
+            .into_iter()
+            .flat_map(|envelope| envelope.records)
+            .collect()
+    }
+
+    fn edges(&self, me: Writer, handles: Handles) -> Edges {
+        let flag = Flag::new();
+        flag.ready();
+        Edges {
+            me,
+            shards: SHARDS,
+            terms: terms(),
+            followers: 2,
+            intakes: 4,
+            items_at_once: 64,
+            plain_at_once: 8,
+            limits: Limits::default(),
+            log: Arc::new(self.log.clone()),
+            upstreams: Arc::new(self.engines.clone()),
+            writer: writer::Settings::default(),
+            writers: watch::channel(1).1,
+            directory: Arc::new(View(self.net.clone())),
+            peers: Arc::new(self.net.clone()),
+            configuration: self.configuration.clone(),
+            follower: None,
+            router: Arc::new(Routes(self.engines.clone())),
+            gate: Arc::new(Room::new(8)),
+            credits: None,
+            recorder: Recorder::new(me.process, 1_024).with_incarnation(me.incarnation),
+            flag,
+            handles,
+        }
+    }
+}
+
+impl Host {
+    /// A caller with the key of a customer.
+    pub fn session(&self, key: &'static str) -> Session {
+        Session::new(self.address, key)
+    }
+
+    /// Ends the host like a lost machine: nothing is released, nobody is told.
+    pub fn kill(&mut self) {
+        self.net.lose(self.writer);
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Stops the host in an orderly way.
+    pub async fn stop(&mut self) {
+        self.net.leave(self.writer);
+        if let Some(service) = self.service.take() {
+            service.release().await;
+            service.close().await;
+        }
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+fn member(writer: Writer, http: SocketAddr) -> Member {
+    Member {
+        writer,
+        health: Health::Alive,
+        phase: Phase::Ready,
+        // The fake network goes by the HTTP address.
+        peer: http,
+        http,
+        failure_domain: "local".to_owned(),
+        config: 0,
+    }
+}
+
+/// Short terms, so that takeovers don't make the tests slow; no test depends on their length.
+fn terms() -> Terms {
+    Terms {
+        silence: Duration::from_millis(600),
+        stagger: Duration::from_millis(200),
+        gap: Duration::from_millis(1_500),
+        renew: Duration::from_millis(200),
+        retry: Duration::from_millis(300),
+        idle: Duration::from_millis(500),
+        hand_over: Duration::from_millis(500),
+    }
+}
+
+fn configuration() -> Snapshot {
+    let customers = [
+        customer("moreton", "key-moreton"),
+        customer("oberland", "key-oberland"),
+    ];
+    let mut snapshot = Snapshot::default();
+    for (key, customer) in customers {
+        snapshot
+            .customers
+            .insert(customer.name.clone(), customer.clone());
+        snapshot.keys.insert(digest::of(key.as_bytes()), customer);
+    }
+    snapshot
+}
+
+fn customer(name: &str, key: &'static str) -> (&'static str, Arc<Customer>) {
+    let services = BTreeMap::from([
+        (SERVICE.to_owned(), Arc::new(served(Kind::Engine, true))),
+        (ORDERS.to_owned(), Arc::new(served(Kind::Plain, false))),
+    ]);
+    let customer = Customer {
+        name: name.to_owned(),
+        revision: 1,
+        services,
+        streams: BTreeMap::new(),
+        limits: CustomerLimits::default(),
+        share: 1,
+        keep_results: Duration::from_secs(3_600),
+    };
+    (key, Arc::new(customer))
+}
+
+fn served(kind: Kind, repeatable: bool) -> Served {
+    Served {
+        kind,
+        pool: "pool".to_owned(),
+        artifact: None,
+        max_tokens: 64,
+        timeout: Duration::from_secs(20),
+        repeatable,
+        attempts: 3,
+    }
+}
+
+/// A body of items `first..first + count`.
+pub fn lines(first: usize, count: usize) -> String {
+    (first..first + count)
+        .map(|item| line(&format!("item-{item}"), &format!("note {item}")))
+        .collect()
+}
+
+/// One line of a body.
+pub fn line(custom_id: &str, content: &str) -> String {
+    let line = serde_json::json!({
+        "custom_id": custom_id,
+        "body": {"messages": [{"role": "user", "content": content}]},
+    });
+    format!("{line}\n")
+}
+
+/// Waits until something holds.
+pub async fn eventually<F: Future<Output = bool>>(what: &str, mut holds: impl FnMut() -> F) {
+    for _ in 0..1_500 {
+        if holds().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("never: {what}");
+}
