--- a/crates/tinbank-batch/src/owner/answer.rs
+++ b/crates/tinbank-batch/src/owner/answer.rs
@@ -79,11 +79,7 @@
                 let Ok(Some(plan)) = plan.await else {
                     return one(Response::Elsewhere(None));
                 };
-                let wanted = Wanted {
-                    job,
-                    shard,
-                    custom_id,
-                };
+                let wanted = Wanted { shard, custom_id };
                 let (frames, answer) = mpsc::channel(FRAMES_AHEAD);
                 tokio::spawn(results::send(self.log.clone(), wanted, plan, frames));
                 let answer = stream::unfold(answer, |mut answer| async {
--- a/crates/tinbank-batch/src/owner/dispatches.rs
+++ b/crates/tinbank-batch/src/owner/dispatches.rs
@@ -80,10 +80,6 @@
         self.asked.keys().copied().collect()
     }
 
-    pub(super) fn is_empty(&self) -> bool {
-        self.asked.is_empty()
-    }
-
     /// The lease is gone: nothing may be sent any more.
     pub(super) fn drop_all(&mut self) {
         for (_, asked) in std::mem::take(&mut self.asked) {
--- a/crates/tinbank-batch/src/owner/results.rs
+++ b/crates/tinbank-batch/src/owner/results.rs
@@ -23,7 +23,6 @@
 /// Which results are wanted.
 #[derive(Clone, Debug)]
 pub(super) struct Wanted {
-    pub(super) job: id::Job,
     pub(super) shard: id::Shard,
     /// Only the item of this name.
     pub(super) custom_id: Option<String>,
