--- a/crates/tinbank-batch/src/http/submit.rs
+++ b/crates/tinbank-batch/src/http/submit.rs
@@ -14,6 +14,7 @@
     caller,
     failure::{Reply, answer},
     operator::json,
+    readiness::State,
 };
 
 use super::{
@@ -58,8 +59,9 @@
     submit: &Submit,
     body: StreamingBody,
 ) -> Result<Response<Body>, Reply> {
-    if !context.flag.is_ready() {
-        let message = "the process is starting or stopping";
+    // A stopping process goes on taking jobs in until the balancer has noticed; others run them.
+    if context.flag.state() == State::Starting {
+        let message = "the process is starting";
         return Err(Failure::not_run(Code::NotReady, message).into());
     }
     let customer = context.customer(headers)?;
--- a/crates/tinbank-batch/src/main.rs
+++ b/crates/tinbank-batch/src/main.rs
@@ -1,3 +1,33 @@
 //! The `tinbank-batch` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+use tinbank_batch::{
+    http,
+    server::{Error, Platform, Server},
+    settings::Settings,
+};
+use tinbank_server::{start, stop, threads::Handles};
+
+fn main() -> ExitCode {
+    match http::api() {
+        Ok(api) => start::process(
+            "tinbank batch",
+            api,
+            |settings: &Settings| &settings.common,
+            serve,
+        ),
+        Err(error) => {
+            eprintln!("the interface can't be built: {error}");
+            ExitCode::from(start::EXIT_FAILED)
+        }
+    }
+}
+
+async fn serve(settings: Settings, handles: Handles) -> Result<(), Error> {
+    let platform = Platform::new(&settings.common);
+    let server = Server::start_on(settings, platform, handles).await?;
+    stop::signal().await;
+    server.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/tinbank-batch/src/settings.rs
@@ -0,0 +1,132 @@
+//! Settings of the batch process.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use tinbank_ledger::lease::Terms;
+use tinbank_settings::{
+    common::Common,
+    schema::{Field, Kind, Schema},
+};
+
+/// Settings of the batch process.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    /// What all processes are told.
+    #[serde(flatten)]
+    pub common: Common,
+    /// Number of work shards of the deployment.
+    pub shards: u16,
+    /// How long the process goes on taking requests after it was told to stop, so that the balancer can notice.
+    pub stop_grace_ms: u64,
+    /// How long items in flight may take to end at a stop.
+    pub stop_limit_ms: u64,
+    /// Silence after which another process may take a shard's lease.
+    pub lease_silence_ms: u64,
+    /// Appends a second of the whole fleet.
+    pub appends_per_second: u32,
+    /// Items that the process sends at once.
+    pub items_at_once: usize,
+    /// What lets items into engines.
+    pub admission: Admission,
+    /// Items of this process in one upstream at once, where `admission` is `bounded`, and in plain services.
+    pub items_per_upstream: u32,
+}
+
+/// What lets items into engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Admission {
+    /// Credits of the engines' admission controllers.
+    Credits,
+    /// A fixed number in each engine.
+    Bounded,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            common: Common::default(),
+            shards: 16,
+            stop_grace_ms: 0,
+            stop_limit_ms: 30_000,
+            lease_silence_ms: 6_000,
+            appends_per_second: 300,
+            items_at_once: 256,
+            admission: Admission::Bounded,
+            items_per_upstream: 4,
+        }
+    }
+}
+
+impl Settings {
+    /// How leases are timed: all times follow from the silence.
+    pub fn terms(&self) -> Terms {
+        let silence = Duration::from_millis(self.lease_silence_ms);
+        Terms {
+            silence,
+            stagger: silence / 3,
+            gap: silence / 3 + Duration::from_secs(1),
+            renew: silence / 3,
+            retry: silence / 3,
+            ..Terms::default()
+        }
+    }
+}
+
+impl Schema for Settings {
+    fn fields() -> Vec<Field> {
+        let mut fields = Common::fields();
+        fields.extend([
+            Field::default(
+                "shards",
+                Kind::count(1, 4_096),
+                "16",
+                "Number of work shards of the deployment. The same in all settings files, and never changed.",
+            ),
+            Field::default(
+                "stop_grace_ms",
+                Kind::millis(0, 600_000),
+                "3000",
+                "How long the process goes on taking requests after it was told to stop, so that the balancer notices.",
+            ),
+            Field::default(
+                "stop_limit_ms",
+                Kind::millis(0, 3_600_000),
+                "30000",
+                "How long items in flight may take to end at a stop; what is left then is run again elsewhere.",
+            ),
+            Field::default(
+                "lease_silence_ms",
+                Kind::millis(1_000, 600_000),
+                "6000",
+                "Silence of a shard's owner after which another process takes its work over. The same on all hosts.",
+            ),
+            Field::default(
+                "appends_per_second",
+                Kind::count(1, 1_000_000),
+                "300",
+                "Appends a second that the platform's log takes from the whole fleet.",
+            ),
+            Field::default(
+                "items_at_once",
+                Kind::count(1, 100_000),
+                "256",
+                "Items that this process sends at once.",
+            ),
+            Field::default(
+                "admission",
+                Kind::Choice(&["credits", "bounded"]),
+                "\"bounded\"",
+                "What lets items into engines: credits of the admission controllers, or a fixed number in each engine.",
+            ),
+            Field::default(
+                "items_per_upstream",
+                Kind::count(1, 10_000),
+                "4",
+                "Items of this process in one plain service at once, and in one engine where `admission` is `bounded`.",
+            ),
+        ]);
+        fields
+    }
+}
