Share the common part of server processes

Cause: online, batch and fleet each need platform, time line, peers, membership, configuration and host list; three copies of that glue would drift apart.

--- /dev/null
+++ b/crates/tinbank-process/src/core.rs
@@ -0,0 +1,240 @@
+//! The common part of a server process.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::SystemTime,
+};
+
+use tinbank_base::{
+    clock,
+    event::{Kind, Subject},
+    frame::heartbeat::Phase,
+    id,
+    peer::{Answer, Directory, Members, Peers},
+    record::Writer,
+};
+use tinbank_configuration::{
+    follower::{self, Follower},
+    snapshot::Shared,
+};
+use tinbank_membership::Membership;
+use tinbank_peer::Endpoint;
+use tinbank_server::{
+    metrics,
+    operator::{self, Configuration},
+    readiness::{Flag, State},
+};
+use tinbank_settings::common::Common;
+use tinbank_timeline::{Recorder, recorder::DEFAULT_CAPACITY};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::{clock::Timeline, hosts, platform::Platform, ready};
+
+/// Why a process does not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The HTTP server can't listen.
+    #[error(transparent)]
+    Http(#[from] tinbank_server::http::Error),
+    /// The peer endpoint can't listen.
+    #[error(transparent)]
+    Peer(#[from] tinbank_peer::Error),
+    /// The interface has two endpoints with one path; a fault of ours.
+    #[error("the interface can't be built: {0}")]
+    Interface(String),
+    /// The system gives no threads, or a task ended early.
+    #[error("the process can't run: {0}")]
+    Run(String),
+}
+
+/// What a process and its handlers share.
+#[derive(Debug)]
+pub struct Core {
+    /// Which process and start this is.
+    pub writer: Writer,
+    /// Its time line.
+    pub recorder: Recorder,
+    /// The platform.
+    pub platform: Platform,
+    /// Frames to and from other processes.
+    pub endpoint: Endpoint,
+    /// The configuration stream.
+    pub follower: Follower,
+    /// The configuration in force.
+    pub configuration: Shared,
+    /// Whether the process takes requests.
+    pub ready: Flag,
+    /// The metrics of the program.
+    pub metrics: metrics::Handle,
+    /// Cancelled when the process ends.
+    pub stop: CancellationToken,
+    failure_domain: id::FailureDomain,
+    seeds: Vec<SocketAddr>,
+    lists: watch::Sender<Option<Arc<tinbank_base::platform::hosts::List>>>,
+    membership: OnceLock<Membership>,
+}
+
+impl Core {
+    /// Starts the common part. To be called on the control thread.
+    ///
+    /// # Errors
+    /// The peer address is taken.
+    pub async fn start(
+        common: &Common,
+        role: id::Role,
+        platform: Platform,
+    ) -> Result<Arc<Self>, Error> {
+        let process = id::Process {
+            host: common.host,
+            role,
+        };
+        let recorder = Recorder::new(process, DEFAULT_CAPACITY)
+            .with_incarnation(clock::incarnation(SystemTime::now()));
+        let writer = Writer {
+            process,
+            incarnation: recorder.incarnation(),
+        };
+        recorder.note(Subject::default(), Kind::Started);
+        let endpoint = Endpoint::bind(tinbank_peer::Settings {
+            address: common.peer,
+            writer,
+            keys: common.peer_keys.clone(),
+            clock: Arc::new(Timeline(recorder.clone())),
+        })
+        .await?;
+        let follower = Follower::start(
+            platform.log.clone(),
+            recorder.clone(),
+            None,
+            follower::Settings::default(),
+        );
+        Ok(Arc::new(Self {
+            writer,
+            recorder,
+            platform,
+            endpoint,
+            configuration: follower.shared(),
+            follower,
+            ready: Flag::new(),
+            metrics: metrics::install(),
+            stop: CancellationToken::new(),
+            failure_domain: common.failure_domain.clone(),
+            seeds: common.seeds.to_vec(),
+            lists: watch::channel(None).0,
+            membership: OnceLock::new(),
+        }))
+    }
+
+    /// Joins the peers, follows the host list, and becomes ready once there are a configuration and a host list. To be
+    /// called once, on the control thread, when the process listens.
+    pub async fn join(self: &Arc<Self>, http: SocketAddr, answer: Arc<dyn Answer>) {
+        let settings = tinbank_membership::Settings {
+            http,
+            failure_domain: self.failure_domain.clone(),
+            seeds: self.seeds.clone(),
+        };
+        let membership = self
+            .membership
+            .get_or_init(|| Membership::start(&self.endpoint, settings))
+            .clone();
+        self.follower
+            .connect(self.peers(), Arc::new(membership.clone()))
+            .await;
+        self.endpoint.serve(answer);
+        self.spawn(hosts::follow(
+            self.platform.hosts.clone(),
+            self.lists.clone(),
+        ));
+        self.spawn(ready::pass_on(
+            self.follower.clone(),
+            membership.clone(),
+            self.hosts(),
+        ));
+        self.spawn(ready::become_ready(
+            self.follower.clone(),
+            membership,
+            self.hosts(),
+            self.ready.clone(),
+            self.recorder.clone(),
+        ));
+    }
+
+    /// Runs a task on the current runtime until the process ends.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        tokio::spawn(self.stop.clone().run_until_cancelled_owned(task));
+    }
+
+    /// The newest host list.
+    pub fn hosts(&self) -> hosts::Watch {
+        self.lists.subscribe()
+    }
+
+    /// Access to other processes.
+    pub fn peers(&self) -> Arc<dyn Peers> {
+        Arc::new(self.endpoint.clone())
+    }
+
+    /// The membership, once the process has joined.
+    pub fn membership(&self) -> Option<&Membership> {
+        self.membership.get()
+    }
+
+    /// Begins a planned stop: not ready, and peers are told.
+    pub fn begin_leaving(&self) {
+        self.ready.leave();
+        if let Some(membership) = self.membership() {
+            membership.set_phase(Phase::Leaving);
+        }
+        self.recorder.note(Subject::default(), Kind::Leaving);
+    }
+
+    /// Ends a planned stop: nothing is left to do.
+    pub async fn end_leaving(&self) {
+        if let Some(membership) = self.membership() {
+            membership.leave().await;
+        }
+        self.recorder.note(Subject::default(), Kind::Drained);
+        self.end();
+    }
+
+    /// Ends the common tasks at once, telling nobody.
+    pub fn end(&self) {
+        self.stop.cancel();
+        self.endpoint.close();
+    }
+}
+
+impl Directory for Core {
+    fn members(&self) -> Arc<Members> {
+        self.membership()
+            .map(Directory::members)
+            .unwrap_or_default()
+    }
+}
+
+impl operator::Context for Core {
+    fn recorder(&self) -> &Recorder {
+        &self.recorder
+    }
+
+    fn state(&self) -> State {
+        self.ready.state()
+    }
+
+    fn metrics(&self) -> &metrics::Handle {
+        &self.metrics
+    }
+
+    fn members(&self) -> Arc<Members> {
+        Directory::members(self)
+    }
+
+    fn configuration(&self) -> Configuration {
+        Configuration {
+            offset: self.configuration.load().next,
+            current: self.ready.state() != State::Starting,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tinbank-process/src/lib.rs
@@ -0,0 +1,17 @@
+//! What every server process runs on: platform, time line, peers, membership, configuration and host list.
+//!
+//! A process starts its [`Core`] on the control thread, listens, joins its peers, and adds its own duty. See
+//! `docs/architecture.md`.
+
+mod clock;
+mod core;
+pub mod hosts;
+mod platform;
+mod ready;
+mod runtimes;
+
+pub use self::{
+    core::{Core, Error},
+    platform::Platform,
+    runtimes::Runtimes,
+};
