Start and stop the batch process

Cause: jobs have to be taken in durably, run, and read at any host. Change: server::Server over tinbank-process; intake, owner, runner and the callers' interface behind it.

--- a/crates/tinbank-batch/src/control/mod.rs
+++ b/crates/tinbank-batch/src/control/mod.rs
@@ -1,111 +1,97 @@
-//! What keeps a batch process's picture of the fleet fresh: host list, reports, configuration, members.
+//! What keeps a batch process's picture of upstreams, customers and members fresh, besides what all processes do.
 
-mod hosts;
 mod peers;
 mod reports;
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Instant};
 
-use tinbank_admission::Service as Admission;
+use tinbank_admission::{Engine, Service as Admission};
 use tinbank_base::{
-    event::{Kind, Subject},
-    frame::heartbeat::Phase,
     id,
     peer::Members,
-    platform::{hosts::Hosts, upstream::Upstreams},
+    platform::hosts::{Kind, List, State},
 };
-use tinbank_configuration::follower::Follower;
+use tinbank_configuration::Snapshot;
 use tinbank_membership::Membership;
+use tinbank_process::{Core, hosts};
 use tinbank_routing::Table;
-use tinbank_server::readiness::Flag;
-use tinbank_timeline::Recorder;
 use tokio::sync::watch;
-use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-pub(crate) use peers::{LateDirectory, PeerClock};
+/// Requests that an engine runs at once when the platform doesn't say.
+const DEFAULT_SLOTS: u32 = 8;
 
-/// What the tasks work with.
-#[derive(Clone, Debug)]
-pub(crate) struct Control {
-    pub(crate) hosts: Arc<dyn Hosts>,
-    pub(crate) upstreams: Arc<dyn Upstreams>,
-    pub(crate) table: Table,
-    pub(crate) follower: Follower,
-    pub(crate) membership: Membership,
-    pub(crate) admission: Admission,
-    pub(crate) recorder: Recorder,
-    pub(crate) flag: Flag,
-}
-
-impl Control {
-    /// Starts the tasks on the current runtime. They end when `stop` is cancelled.
-    pub(crate) fn start(self, writers: watch::Sender<usize>, stop: &CancellationToken) {
-        let tracker = TaskTracker::new();
-        let (listed, have_list) = watch::channel(false);
-        let follow = hosts::follow(self.clone(), listed);
-        tracker.spawn(stop.clone().run_until_cancelled_owned(follow));
-        let ask = reports::ask(self.upstreams.clone(), self.table.clone());
-        tracker.spawn(stop.clone().run_until_cancelled_owned(ask));
-        let hear = peers::hear_leaving(self.table.clone(), self.membership.clone());
-        tracker.spawn(stop.clone().run_until_cancelled_owned(hear));
-        let count = count_writers(self.membership.watch(), writers);
-        tracker.spawn(stop.clone().run_until_cancelled_owned(count));
-        tracker.spawn(
-            stop.clone()
-                .run_until_cancelled_owned(self.configured(have_list)),
-        );
-    }
-
-    /// Takes in each new configuration, and says that the process serves once it has one and a host list.
-    async fn configured(self, mut have_list: watch::Receiver<bool>) {
-        let mut progress = self.follower.progress();
-        let mut was_ready = false;
+/// Starts the tasks on the current runtime, once the process has joined its peers.
+pub(crate) fn start(
+    core: &Core,
+    membership: &Membership,
+    table: &Table,
+    admission: &Admission,
+    writers: watch::Sender<usize>,
+) {
+    core.spawn(take_lists(core.hosts(), table.clone(), admission.clone()));
+    core.spawn(reports::ask(core.platform.upstreams.clone(), table.clone()));
+    core.spawn(peers::pass_on_leaving(
+        core.recorder.clone(),
+        table.clone(),
+        membership.clone(),
+    ));
+    core.spawn(peers::hear_leaving(table.clone(), membership.clone()));
+    core.spawn(count_writers(membership.watch(), writers));
+    let mut progress = core.follower.progress();
+    let (follower, admission) = (core.follower.clone(), admission.clone());
+    core.spawn(async move {
         loop {
-            let now = *progress.borrow_and_update();
-            self.membership.set_config(now.next);
-            self.admission.set_shares(self.shares());
-            if now.ready && *have_list.borrow_and_update() && !was_ready {
-                was_ready = true;
-                self.ready();
-            }
-            let changed = tokio::select! {
-                changed = progress.changed() => changed,
-                changed = have_list.changed(), if !was_ready => changed,
-            };
-            if changed.is_err() {
+            progress.borrow_and_update();
+            admission.set_shares(shares(&follower.snapshot()));
+            if progress.changed().await.is_err() {
                 return;
             }
         }
-    }
+    });
+}
 
-    fn ready(&self) {
-        self.flag.ready();
-        if self.flag.is_ready() {
-            self.membership.set_phase(Phase::Ready);
-            self.recorder.note(Subject::default(), Kind::Ready);
+async fn take_lists(mut lists: hosts::Watch, table: Table, admission: Admission) {
+    loop {
+        let list = lists.borrow_and_update().clone();
+        if let Some(list) = list {
+            table.list(&list, Instant::now());
+            admission.set_engines(engines(&list));
+        }
+        if lists.changed().await.is_err() {
+            return;
         }
-    }
-
-    fn shares(&self) -> BTreeMap<id::Customer, u32> {
-        let snapshot = self.follower.snapshot();
-        let customers = snapshot.customers.iter();
-        customers
-            .map(|(name, customer)| (name.clone(), customer.share))
-            .collect()
     }
 }
 
 /// Tells the log writer how many processes share the budget of appends.
 async fn count_writers(mut members: watch::Receiver<Arc<Members>>, writers: watch::Sender<usize>) {
     loop {
-        let count = members.borrow_and_update().ready(id::Role::Batch).count();
-        writers.send_if_modified(|known| {
-            let changed = *known != count.max(1);
-            *known = count.max(1);
-            changed
-        });
+        let ready = members.borrow_and_update().ready(id::Role::Batch).count();
+        let count = ready.max(1);
+        writers.send_if_modified(|known| std::mem::replace(known, count) != count);
         if members.changed().await.is_err() {
             return;
         }
     }
 }
+
+fn engines(list: &List) -> Vec<Engine> {
+    let upstreams = list.upstreams.iter();
+    let live =
+        upstreams.filter(|upstream| upstream.kind == Kind::Engine && upstream.state == State::Live);
+    live.map(|upstream| {
+        let slots = upstream.slots.unwrap_or(DEFAULT_SLOTS);
+        Engine {
+            upstream: upstream.upstream,
+            slots: u16::try_from(slots).unwrap_or(u16::MAX),
+        }
+    })
+    .collect()
+}
+
+fn shares(snapshot: &Snapshot) -> BTreeMap<id::Customer, u32> {
+    let customers = snapshot.customers.iter();
+    customers
+        .map(|(name, customer)| (name.clone(), customer.share))
+        .collect()
+}
--- a/crates/tinbank-batch/src/control/reports.rs
+++ b/crates/tinbank-batch/src/control/reports.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use tinbank_base::platform::upstream::Upstreams;
+use tinbank_base::platform::upstream::{Kind, Upstreams};
 use tinbank_routing::Table;
 use tokio::{
     task::JoinSet,
@@ -30,12 +30,17 @@
         if open.len() >= MAX_OPEN {
             continue;
         }
-        for target in table.stalest(AT_A_TIME) {
+        for target in table.ask_next(AT_A_TIME, Instant::now()) {
             let (upstreams, table) = (upstreams.clone(), table.clone());
             open.spawn(async move {
-                match upstreams.report(target).await {
-                    Ok(report) => table.report(target.upstream, report, Instant::now()),
+                let report = upstreams.report(target).await;
+                let now = Instant::now();
+                match report {
+                    Ok(report) => table.report(target.upstream, report, now),
                     Err(error) => {
+                        if matches!(error.kind, Kind::Connect(_)) {
+                            table.unreachable(target.upstream, now);
+                        }
                         log::debug!(event = "report_failed", error:%; "an engine gave no load report");
                     }
                 }
--- a/crates/tinbank-batch/src/lib.rs
+++ b/crates/tinbank-batch/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod service;
 pub mod settings;
 
-pub use server::{Platform, Server};
+pub use server::Server;
 pub use settings::Settings;
+pub use tinbank_process::Platform;
--- a/crates/tinbank-batch/src/main.rs
+++ b/crates/tinbank-batch/src/main.rs
@@ -2,11 +2,8 @@
 
 use std::process::ExitCode;
 
-use tinbank_batch::{
-    http,
-    server::{Error, Platform, Server},
-    settings::Settings,
-};
+use tinbank_batch::{Platform, Server, Settings, http};
+use tinbank_process::Error;
 use tinbank_server::{start, stop, threads::Handles};
 
 fn main() -> ExitCode {
--- a/crates/tinbank-batch/src/owner/load.rs
+++ b/crates/tinbank-batch/src/owner/load.rs
@@ -232,7 +232,7 @@
                     weight: customer.share,
                     service: service.clone(),
                     due: release.due,
-                    prefix: 0,
+                    prefix: tinbank_routing::prefix::of_body(&flow.service, &item.body),
                     body: item.body,
                     repeatable: item.repeatable,
                     attempts: 0,
--- a/crates/tinbank-batch/src/service.rs
+++ b/crates/tinbank-batch/src/service.rs
@@ -12,6 +12,7 @@
 use tinbank_configuration::{follower::Follower, snapshot::Shared};
 use tinbank_ledger::lease::Terms;
 use tinbank_log::writer;
+use tinbank_process::Error;
 use tinbank_routing::choice::Router;
 use tinbank_server::{http, metrics, readiness::Flag, threads::Handles};
 use tinbank_timeline::Recorder;
@@ -90,17 +91,6 @@
     control: AbortHandle,
 }
 
-/// Why a service does not start.
-#[derive(Debug, thiserror::Error)]
-pub enum Error {
-    /// The HTTP server can't listen.
-    #[error(transparent)]
-    Http(#[from] http::Error),
-    /// Two endpoints clash; a fault of ours.
-    #[error("the interface can't be built: {0}")]
-    Interface(String),
-}
-
 impl Service {
     /// Starts everything.
     ///
