--- a/crates/tinbank-peer/src/clock.rs
+++ b/crates/tinbank-peer/src/clock.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use tinbank_base::clock::Stamp;
+use tinbank_timeline::Recorder;
 
 /// Stamps what is sent and takes in the stamps of what is received, so that the time line never shows an answer
 /// before its question. See `docs/design/timeline.md`.
@@ -13,3 +14,13 @@
     /// Takes in the stamp of a frame that was received.
     fn observe(&self, stamp: Stamp);
 }
+
+impl Clock for Recorder {
+    fn stamp(&self) -> Stamp {
+        Self::stamp(self)
+    }
+
+    fn observe(&self, stamp: Stamp) {
+        Self::observe(self, stamp);
+    }
+}
--- a/crates/tinbank-peer/src/endpoint.rs
+++ b/crates/tinbank-peer/src/endpoint.rs
@@ -238,7 +238,11 @@
     loop {
         let tcp = TcpListener::bind(address).await?;
         match UdpSocket::bind(tcp.local_addr()?).await {
-            Ok(udp) => return Ok((tcp, udp)),
+            Ok(udp) => {
+                // Before the first readiness event `try_send_to` would drop what it is given.
+                udp.writable().await?;
+                return Ok((tcp, udp));
+            }
             Err(error) if address.port() != 0 || tries == PORT_TRIES => return Err(error),
             Err(_) => tries += 1,
         }
