--- a/crates/tinbank-fleet/src/main.rs
+++ b/crates/tinbank-fleet/src/main.rs
@@ -1,3 +1,30 @@
 //! The `tinbank-fleet` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+use tinbank_fleet::{Server, Settings, server};
+use tinbank_process::{Error, Platform};
+use tinbank_server::{start, stop, threads::Handles};
+
+fn main() -> ExitCode {
+    match server::describe() {
+        Ok(api) => start::process(
+            "tinbank fleet",
+            api,
+            |settings: &Settings| &settings.common,
+            serve,
+        ),
+        Err(error) => {
+            eprintln!("the interface can't be built: {error}");
+            ExitCode::from(start::EXIT_FAILED)
+        }
+    }
+}
+
+async fn serve(settings: Settings, handles: Handles) -> Result<(), Error> {
+    let platform = Platform::new(&settings.common);
+    let server = Server::start_on(settings, platform, handles).await?;
+    stop::signal().await;
+    server.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/tinbank-fleet/src/server.rs
@@ -0,0 +1,171 @@
+//! Starts and stops the fleet process.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use async_trait::async_trait;
+use dropshot::ApiDescription;
+use futures::{StreamExt as _, stream, stream::BoxStream};
+use tinbank_base::{
+    frame::{
+        credit,
+        request::{Request, Response},
+    },
+    id,
+    outcome::{Code, Ran},
+    peer::Answer,
+    record::Writer,
+};
+use tinbank_configuration::follower::Follower;
+use tinbank_ledger::lease::Terms;
+use tinbank_log::writer;
+use tinbank_process::{Core, Error, Platform, Runtimes};
+use tinbank_server::{http, operator, threads::Handles};
+use tokio::sync::watch;
+
+use crate::{
+    control::{Control, Phase},
+    settings::Settings,
+};
+
+/// A running fleet process.
+pub struct Server {
+    http: http::Server<Arc<Core>>,
+    http_address: SocketAddr,
+    core: Arc<Core>,
+    phase: watch::Sender<Phase>,
+    runtimes: Runtimes,
+}
+
+impl Server {
+    /// Starts the process on threads of its own, so that [`Server::kill`] can end it like a lost host.
+    ///
+    /// # Errors
+    /// An address is taken, or the system gives no threads.
+    pub async fn start(settings: Settings) -> Result<Self, Error> {
+        let (runtimes, handles) = Runtimes::start(settings.common.traffic_threads)
+            .map_err(|error| Error::Run(error.to_string()))?;
+        let platform = Platform::new(&settings.common);
+        let server = Self::start_on(settings, platform, handles).await?;
+        Ok(Self { runtimes, ..server })
+    }
+
+    /// Starts the process on runtimes that the caller keeps.
+    ///
+    /// # Errors
+    /// An address is taken.
+    pub async fn start_on(
+        settings: Settings,
+        platform: Platform,
+        handles: Handles,
+    ) -> Result<Self, Error> {
+        let control = handles.control.clone();
+        let started = control.spawn(start(settings, platform, handles));
+        started
+            .await
+            .map_err(|error| Error::Run(error.to_string()))?
+    }
+
+    /// Where operators reach the process.
+    pub fn http_address(&self) -> SocketAddr {
+        self.http_address
+    }
+
+    /// Where other processes reach it.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.core.endpoint.address()
+    }
+
+    /// The common part of the process.
+    pub fn core(&self) -> &Arc<Core> {
+        &self.core
+    }
+
+    /// Stops the process: the lease is given back first, so that another takes it at once.
+    pub async fn stop(self) {
+        self.core.begin_leaving();
+        let mut stopped = self.phase.subscribe();
+        self.phase.send_replace(Phase::Stopping);
+        let given_back = stopped.wait_for(|phase| *phase == Phase::Stopped);
+        if tokio::time::timeout(Terms::default().silence, given_back)
+            .await
+            .is_err()
+        {
+            log::warn!(event = "lease_kept"; "the lease could not be given back and has to lapse");
+        }
+        if let Err(reason) = self.http.close().await {
+            log::warn!(event = "http_close_failed", reason = reason.as_str(); "the HTTP server ended badly");
+        }
+        self.core.end_leaving().await;
+        self.runtimes.end();
+    }
+
+    /// Ends the process at once, as when its host is lost.
+    pub fn kill(self) {
+        self.core.end();
+        self.runtimes.end();
+    }
+}
+
+/// The HTTP interface: the operators' endpoints.
+///
+/// # Errors
+/// Two endpoints have one path; a fault of ours.
+pub fn describe() -> Result<ApiDescription<Arc<Core>>, Error> {
+    let mut api = ApiDescription::new();
+    operator::register(&mut api).map_err(|error| Error::Interface(error.to_string()))?;
+    Ok(api)
+}
+
+async fn start(settings: Settings, platform: Platform, handles: Handles) -> Result<Server, Error> {
+    let common = &settings.common;
+    let core = Core::start(common, id::Role::Fleet, platform).await?;
+    let http = {
+        let _traffic = handles.traffic.enter();
+        http::Server::start(http::Listen::from(common), describe()?, core.clone())?
+    };
+    let http_address = http.local_addr();
+    let answer = Answerer {
+        follower: core.follower.clone(),
+    };
+    core.join(http_address, Arc::new(answer)).await;
+    let recorder = core.recorder.clone();
+    let writer = writer::Writer::start(
+        core.platform.log.clone(),
+        core.writer,
+        Arc::new(move || recorder.stamp()),
+        writer::Settings::default(),
+        watch::channel(1).1,
+    );
+    let phase = watch::Sender::new(Phase::Running);
+    let control = Control::new(core.clone(), writer, Terms::default(), phase.clone());
+    core.spawn(control.run());
+    Ok(Server {
+        http,
+        http_address,
+        core,
+        phase,
+        runtimes: Runtimes::default(),
+    })
+}
+
+/// Answers other processes: the fleet process only has the configuration to give.
+struct Answerer {
+    follower: Follower,
+}
+
+#[async_trait]
+impl Answer for Answerer {
+    async fn answer(&self, _from: Writer, request: Request) -> BoxStream<'static, Response> {
+        let frames = match request {
+            Request::Config { from } => self.follower.serve(from).await,
+            _ => vec![Response::Failed {
+                code: Code::BadRequest,
+                ran: Ran::No,
+                message: "a fleet process answers only for the configuration".to_owned(),
+            }],
+        };
+        stream::iter(frames).boxed()
+    }
+
+    fn told(&self, _from: Writer, _message: credit::Message) {}
+}
