--- a/crates/tinbank-configuration/src/follower/task.rs
+++ b/crates/tinbank-configuration/src/follower/task.rs
@@ -120,7 +120,7 @@
         if self.fold.incomplete() {
             let have = self.fold.state().next();
             log::error!(have, tail = next; "the configuration stream has no whole checkpoint");
-            metrics::counter!("configuration_incomplete_total").increment(1);
+            metrics::counter!("tinbank_configuration_incomplete_total").increment(1);
             return;
         }
         self.publish();
@@ -165,7 +165,7 @@
             }
         }
         report(&judged);
-        metrics::counter!("configuration_from_peers_total").increment(next - before);
+        metrics::counter!("tinbank_configuration_from_peers_total").increment(next - before);
         self.reader.skip_to(next);
         self.publish();
     }
@@ -208,7 +208,7 @@
         self.progress.send_modify(|progress| progress.next = next);
         self.recorder
             .note(Subject::default(), Kind::Configured { config: next });
-        metrics::gauge!("configuration_offset").set(next as f64);
+        metrics::gauge!("tinbank_configuration_offset").set(next as f64);
     }
 
     fn serve(&self, from: id::Offset) -> Vec<Response> {
@@ -321,7 +321,7 @@
             }
             Verdict::Copy => ("copy", String::new()),
         };
-        metrics::counter!("configuration_changes_total", "verdict" => verdict).increment(1);
+        metrics::counter!("tinbank_configuration_changes_total", "verdict" => verdict).increment(1);
         log::info!(
             offset = judged.offset,
             object:% = judged.object,
--- a/crates/tinbank-log/src/reader.rs
+++ b/crates/tinbank-log/src/reader.rs
@@ -234,7 +234,7 @@
         }
         self.failures = self.failures.saturating_add(1);
         self.at_tail = false;
-        metrics::counter!("log_read_failures_total").increment(1);
+        metrics::counter!("tinbank_log_read_failures_total").increment(1);
         Event::Outage {
             failures: self.failures,
             error,
@@ -245,7 +245,7 @@
         match Envelope::decode(&entry.payload) {
             Ok(envelope) => Event::Record { entry, envelope },
             Err(error) => {
-                metrics::counter!("log_entries_skipped_total").increment(1);
+                metrics::counter!("tinbank_log_entries_skipped_total").increment(1);
                 ::log::warn!(stream:% = self.stream, offset = entry.offset, error:%; "entry skipped");
                 Event::Skipped { entry, error }
             }
--- a/crates/tinbank-log/src/writer.rs
+++ b/crates/tinbank-log/src/writer.rs
@@ -246,7 +246,7 @@
                 bytes,
             }),
             Err(buffered) => {
-                metrics::counter!("log_appends_refused_total").increment(1);
+                metrics::counter!("tinbank_log_appends_refused_total").increment(1);
                 Err(Error::Full { buffered, limit })
             }
         }
@@ -318,7 +318,7 @@
             return;
         };
         if let Answer::Unknown(reason) | Answer::Refused { reason, .. } = &answer {
-            metrics::counter!("log_append_failures_total").increment(1);
+            metrics::counter!("tinbank_log_append_failures_total").increment(1);
             ::log::warn!(stream:%, reason:%; "append failed");
         }
         let actions = self.group.answered(stream, answer, rand::random(), now());
@@ -337,7 +337,7 @@
                     let stamp = (self.stamper)();
                     let envelope =
                         encode::envelope(self.identity, sequence, stamp, count, &records);
-                    metrics::counter!("log_records_total").increment(count as u64);
+                    metrics::counter!("tinbank_log_records_total").increment(count as u64);
                     self.envelopes.insert(stream, envelope.clone());
                     self.send(stream, envelope);
                 }
@@ -358,8 +358,8 @@
     }
 
     fn send(&mut self, stream: Stream, envelope: Bytes) {
-        metrics::counter!("log_appends_total").increment(1);
-        metrics::counter!("log_append_bytes_total").increment(envelope.len() as u64);
+        metrics::counter!("tinbank_log_appends_total").increment(1);
+        metrics::counter!("tinbank_log_append_bytes_total").increment(envelope.len() as u64);
         let log = self.log.clone();
         let until = time::Instant::now() + self.answer_timeout;
         self.sends.spawn(async move {
--- a/crates/tinbank-server/src/failure.rs
+++ b/crates/tinbank-server/src/failure.rs
@@ -6,7 +6,7 @@
 use http::{Response, StatusCode, header};
 use schemars::{JsonSchema, r#gen::SchemaGenerator, schema::Schema};
 use serde::Serialize;
-use tinbank_base::outcome::{Code, Failure, Ran};
+use tinbank_base::outcome::{Code, Failure};
 
 /// Error of an HTTP handler: a [`Failure`] as the caller gets it.
 ///
@@ -60,7 +60,22 @@
 /// # Errors
 /// None; the type is the one that dropshot's handlers have.
 pub fn answer<E: Into<Reply>>(result: Result<Response<Body>, E>) -> Result<Response<Body>, Reply> {
-    Ok(result.unwrap_or_else(|error| error.into().response()))
+    Ok(result.unwrap_or_else(|error| {
+        let reply = error.into();
+        count(&reply.0);
+        reply.response()
+    }))
+}
+
+fn count(failure: &Failure) {
+    let (code, ran) = (word(&failure.code), word(&failure.ran));
+    metrics::counter!("tinbank_failures_total", "code" => code, "ran" => ran).increment(1);
+}
+
+/// The word that stands for a code in the JSON body.
+fn word<T: Serialize>(value: &T) -> String {
+    let json = serde_json::to_value(value).unwrap_or_default();
+    json.as_str().unwrap_or_default().to_owned()
 }
 
 /// Seconds from `now` to `at`, rounded up, so that nobody comes back too early. At least 1.
@@ -84,7 +99,9 @@
         if code == Code::Internal {
             log::error!(reason = error.internal_message.as_str(); "dropshot failed");
         }
-        Self(Failure::not_run(code, error.external_message))
+        let failure = Failure::not_run(code, error.external_message);
+        count(&failure);
+        Self(failure)
     }
 }
 
@@ -131,8 +148,3 @@
             .unwrap_or(ErrorStatusCode::INTERNAL_SERVER_ERROR)
     }
 }
-
-/// Whether the failure promises that nothing ran.
-pub fn is_not_run(failure: &Failure) -> bool {
-    failure.ran == Ran::No
-}
--- /dev/null
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -0,0 +1,263 @@
+//! Every metric of the system: name, kind, unit, labels and meaning. `docs/metrics.md` is generated from this table, and
+//! a test compares it with the names in the source.
+//!
+//! Labels take a few fixed words each. None names a request, a customer or an upstream, so that the number of time
+//! series does not grow with them.
+
+use std::fmt;
+
+/// What a metric is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Only rises; starts at 0 with the process.
+    Counter,
+    /// Rises and falls.
+    Gauge,
+    /// Distribution of values, as Prometheus buckets.
+    Histogram,
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Counter => "counter",
+            Self::Gauge => "gauge",
+            Self::Histogram => "histogram",
+        })
+    }
+}
+
+/// One metric.
+#[derive(Clone, Copy, Debug)]
+pub struct Metric {
+    /// Its name.
+    pub name: &'static str,
+    /// What it is.
+    pub kind: Kind,
+    /// What it counts or measures.
+    pub unit: &'static str,
+    /// Names of its labels.
+    pub labels: &'static [&'static str],
+    /// What it tells.
+    pub help: &'static str,
+}
+
+const fn counter(
+    name: &'static str,
+    unit: &'static str,
+    labels: &'static [&'static str],
+    help: &'static str,
+) -> Metric {
+    Metric {
+        name,
+        kind: Kind::Counter,
+        unit,
+        labels,
+        help,
+    }
+}
+
+const fn seconds(name: &'static str, help: &'static str) -> Metric {
+    Metric {
+        name,
+        kind: Kind::Histogram,
+        unit: "seconds",
+        labels: &[],
+        help,
+    }
+}
+
+/// All metrics, by name.
+pub const METRICS: &[Metric] = &[
+    counter(
+        "tinbank_configuration_changes_total",
+        "changes",
+        &["verdict"],
+        "Changes of the configuration that were judged, by verdict.",
+    ),
+    counter(
+        "tinbank_configuration_from_peers_total",
+        "offsets",
+        &[],
+        "Positions of the configuration stream that came from peers and not from the log.",
+    ),
+    counter(
+        "tinbank_configuration_incomplete_total",
+        "times",
+        &[],
+        "Times that the tail was reached without a whole checkpoint to start from.",
+    ),
+    Metric {
+        name: "tinbank_configuration_offset",
+        kind: Kind::Gauge,
+        unit: "offset",
+        labels: &[],
+        help: "Everything before this offset of the configuration stream is in force here.",
+    },
+    counter(
+        "tinbank_failures_total",
+        "answers",
+        &["code", "ran"],
+        "Answers with an error, by its code and by whether the work ran.",
+    ),
+    counter(
+        "tinbank_log_append_bytes_total",
+        "bytes",
+        &[],
+        "Bytes sent to the log in appends, resends included.",
+    ),
+    counter(
+        "tinbank_log_append_failures_total",
+        "appends",
+        &[],
+        "Appends that the log refused, or whose answer was lost.",
+    ),
+    counter(
+        "tinbank_log_appends_refused_total",
+        "requests",
+        &[],
+        "Requests to append that were refused because the buffer is full.",
+    ),
+    counter(
+        "tinbank_log_appends_total",
+        "appends",
+        &[],
+        "Appends sent to the log, resends included.",
+    ),
+    counter(
+        "tinbank_log_entries_skipped_total",
+        "entries",
+        &[],
+        "Entries of the log that could not be decoded and were passed over.",
+    ),
+    counter(
+        "tinbank_log_read_failures_total",
+        "reads",
+        &[],
+        "Reads of the log that failed; they are tried again.",
+    ),
+    counter(
+        "tinbank_log_records_total",
+        "records",
+        &[],
+        "Records sent to the log, resends not counted.",
+    ),
+    counter(
+        "tinbank_online_cancels_total",
+        "requests",
+        &[],
+        "Requests cancelled at the engine because the caller went away.",
+    ),
+    seconds(
+        "tinbank_online_first_token_seconds",
+        "Time from the request to its first token.",
+    ),
+    seconds(
+        "tinbank_online_request_seconds",
+        "Time from the request to the end of its answer.",
+    ),
+    counter(
+        "tinbank_online_requests_total",
+        "requests",
+        &["outcome"],
+        "Online requests that ended, by outcome.",
+    ),
+    counter(
+        "tinbank_online_resumed_total",
+        "streams",
+        &[],
+        "Streams that went on at another engine.",
+    ),
+    counter(
+        "tinbank_online_retries_total",
+        "requests",
+        &[],
+        "Requests sent again.",
+    ),
+    counter(
+        "tinbank_peer_asks_failed_total",
+        "requests",
+        &["phase", "reason"],
+        "Requests to other processes without a whole answer.",
+    ),
+    counter(
+        "tinbank_peer_connections_failed_total",
+        "connections",
+        &["reason"],
+        "Connections of other processes that were closed for a fault.",
+    ),
+    counter(
+        "tinbank_peer_dropped_total",
+        "frames",
+        &["reason"],
+        "Datagrams that were dropped: bad MAC, unknown key, replay, malformed, not taken.",
+    ),
+    counter(
+        "tinbank_peer_not_sent_total",
+        "frames",
+        &["reason"],
+        "Datagrams that could not be sent.",
+    ),
+    counter(
+        "tinbank_peer_sent_bytes_total",
+        "bytes",
+        &[],
+        "Bytes of datagrams sent.",
+    ),
+];
+
+/// Endings that Prometheus text adds to the name of a histogram.
+const HISTOGRAM_ENDINGS: [&str; 3] = ["_bucket", "_sum", "_count"];
+
+/// Tells the recorder what the metrics mean, for the `# HELP` lines.
+pub(super) fn describe() {
+    for metric in METRICS {
+        match metric.kind {
+            Kind::Counter => metrics::describe_counter!(metric.name, metric.help),
+            Kind::Gauge => metrics::describe_gauge!(metric.name, metric.help),
+            Kind::Histogram => metrics::describe_histogram!(metric.name, metric.help),
+        }
+    }
+}
+
+/// The metric of a name, as it stands in the source or in Prometheus text.
+pub fn find(name: &str) -> Option<&'static Metric> {
+    let family = HISTOGRAM_ENDINGS
+        .iter()
+        .find_map(|ending| name.strip_suffix(ending));
+    METRICS
+        .iter()
+        .find(|metric| metric.name == name || family == Some(metric.name))
+}
+
+/// Names in Prometheus text that the table doesn't have.
+pub fn unlisted(exposition: &str) -> Vec<&str> {
+    let samples = exposition
+        .lines()
+        .filter(|line| !line.is_empty() && !line.starts_with('#'));
+    let names = samples.filter_map(|line| line.split(['{', ' ']).next());
+    names.filter(|name| find(name).is_none()).collect()
+}
+
+/// The table in Markdown, for `docs/metrics.md`.
+pub fn table() -> String {
+    let mut lines = vec![
+        "| metric | kind | unit | labels | meaning |".to_owned(),
+        "| --- | --- | --- | --- | --- |".to_owned(),
+    ];
+    lines.extend(METRICS.iter().map(row));
+    lines.push(String::new());
+    lines.join("\n")
+}
+
+fn row(metric: &Metric) -> String {
+    let Metric {
+        name,
+        kind,
+        unit,
+        labels,
+        help,
+    } = metric;
+    let labels = labels.join(", ");
+    format!("| `{name}` | {kind} | {unit} | {labels} | {help} |")
+}
--- a/crates/tinbank-server/src/metrics.rs
+++ b/crates/tinbank-server/src/metrics/mod.rs
@@ -1,5 +1,7 @@
 //! Metrics in the Prometheus text form. `docs/metrics.md` lists their names, units and meaning.
 
+pub mod catalog;
+
 use std::{sync::OnceLock, time::Duration};
 
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
@@ -25,6 +27,7 @@
         if metrics::set_global_recorder(recorder).is_err() {
             log::warn!("another metrics recorder is installed; /metrics stays empty");
         }
+        catalog::describe();
         handle
     });
     Handle(handle.clone())
