--- /dev/null
+++ b/crates/tinbank-cli/src/command/customer/list.rs
@@ -0,0 +1,22 @@
+//! `tinbank customer list`.
+
+use argh::FromArgs;
+use tinbank_base::record::config::Object;
+
+use crate::{context::Context, error::Error, exit::Exit, object, output::Output};
+
+/// Lists the customers with their revisions and who made them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list", example = "{command_name}")]
+pub struct List {}
+
+impl List {
+    pub(crate) async fn run(
+        self,
+        context: &mut Context,
+        output: &mut Output,
+    ) -> Result<Exit, Error> {
+        let wanted = |object: &Object| matches!(object, Object::Customer(_));
+        object::list(wanted, context, output).await
+    }
+}
--- a/crates/tinbank-cli/src/main.rs
+++ b/crates/tinbank-cli/src/main.rs
@@ -1,3 +1,7 @@
 //! The `tinbank` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    tinbank_cli::main()
+}
