--- a/crates/tinbank-cli/tests/examples.rs
+++ b/crates/tinbank-cli/tests/examples.rs
@@ -44,7 +44,7 @@
         "timeline --since yesterday",
     ] {
         let arguments = words(line);
-        let mut captured = Captured::default();
+        let captured = Captured::default();
 
         let exit = tinbank_cli::run(&arguments, &mut captured.output()).await;
 
@@ -59,7 +59,7 @@
 
 #[tokio::test]
 async fn a_command_without_settings_says_how_to_name_them() {
-    let mut captured = Captured::default();
+    let captured = Captured::default();
     let arguments = words("hosts --settings /nowhere/tinbank.jsonc --json");
 
     let exit = tinbank_cli::run(&arguments, &mut captured.output()).await;
@@ -95,7 +95,7 @@
 async fn help(path: &[String]) -> String {
     let mut arguments = path.to_vec();
     arguments.push("--help".to_owned());
-    let mut captured = Captured::default();
+    let captured = Captured::default();
     let exit = tinbank_cli::run(&arguments, &mut captured.output()).await;
     assert_eq!(exit, Exit::Done, "{path:?}");
     captured.out()
