--- a/crates/tinbank-standin/src/engine/settings.rs
+++ b/crates/tinbank-standin/src/engine/settings.rs
@@ -20,7 +20,7 @@
     pub pools: SmallVec<[id::Pool; 2]>,
     /// Where it listens. Default 127.0.0.1:0.
     pub address: SocketAddr,
-    /// Where it stands.
+    /// Where it stands. Default `local`.
     pub failure_domain: id::FailureDomain,
     /// Whether it refuses orders with a stale fencing number. Default true.
     pub checks_fence: bool,
@@ -65,7 +65,7 @@
             name: None,
             pools: SmallVec::new(),
             address: crate::settings::any_port(),
-            failure_domain: String::new(),
+            failure_domain: "local".to_owned(),
             checks_fence: true,
             slots: 8,
             lists_slots: true,
--- a/crates/tinbank-standin/src/lib.rs
+++ b/crates/tinbank-standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod account;
 pub mod admin;
 mod bucket;
+pub mod command;
 pub mod engine;
 pub mod fault;
 pub mod hosts;
--- a/crates/tinbank-standin/src/main.rs
+++ b/crates/tinbank-standin/src/main.rs
@@ -1,3 +1,9 @@
 //! The `tinbank-standin` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+use tinbank_standin::command;
+
+fn main() -> ExitCode {
+    command::run(&argh::from_env())
+}
--- a/crates/tinbank-standin/src/plain.rs
+++ b/crates/tinbank-standin/src/plain.rs
@@ -35,7 +35,7 @@
     pub pools: SmallVec<[id::Pool; 2]>,
     /// Where it listens. Default 127.0.0.1:0.
     pub address: SocketAddr,
-    /// Where it stands.
+    /// Where it stands. Default `local`.
     pub failure_domain: id::FailureDomain,
     /// Time that a call takes, in milliseconds. Default 5.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -52,7 +52,7 @@
             name: None,
             pools: SmallVec::new(),
             address: crate::settings::any_port(),
-            failure_domain: String::new(),
+            failure_domain: "local".to_owned(),
             call: Duration::from_millis(5),
             seed: 0,
         }
--- a/crates/tinbank-standin/src/settings.rs
+++ b/crates/tinbank-standin/src/settings/mod.rs
@@ -1,5 +1,7 @@
 //! What a stand-in process runs.
 
+mod schema;
+
 use std::net::{Ipv4Addr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
@@ -8,7 +10,7 @@
 
 /// Settings of the stand-ins. Every service listens on an address of its own; port 0 lets the
 /// system choose one.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Where faults are switched and accounts are read. Default 127.0.0.1:0.
