--- a/crates/tinbank-configuration/src/follower/task.rs
+++ b/crates/tinbank-configuration/src/follower/task.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use tinbank_base::{
+    digest,
     event::{Kind, Subject},
     frame::request::Response,
     id,
@@ -44,6 +45,7 @@
     looking: JoinSet<Option<Bounds>>,
     writing: JoinSet<()>,
     outage: Option<time::Instant>,
+    looks: u64,
 }
 
 impl Task {
@@ -70,6 +72,7 @@
             looking: JoinSet::new(),
             writing: JoinSet::new(),
             outage: None,
+            looks: 0,
         }
     }
 
@@ -87,8 +90,8 @@
                 Some(_) = self.writing.join_next() => {}
                 _ = peers.tick() => self.look_at_peers(),
                 () = time::sleep_until(look) => {
-                    look = time::Instant::now() + self.spread();
                     self.look_at_bounds();
+                    look = time::Instant::now() + self.spread();
                 }
                 Some(Ok(bounds)) = self.looking.join_next() => self.look_at_checkpoint(bounds),
             }
@@ -242,6 +245,7 @@
 
     /// Asks what the stream still holds; [`Task::look_at_checkpoint`] goes on with the answer.
     fn look_at_bounds(&mut self) {
+        self.looks += 1;
         if self.checkpoints.is_none() {
             return;
         }
@@ -271,9 +275,12 @@
         }
     }
 
+    /// Time till the next look: different for each process and look, and the same in each run of a test.
     fn spread(&self) -> Duration {
         let every = self.settings.checkpoint_every;
-        every + every.mul_f64(rand::random())
+        let name = format!("{}/{}", self.recorder.process(), self.looks);
+        let drawn = digest::prefix(&digest::of(name.as_bytes()));
+        every + every.mul_f64(drawn as f64 / u128::MAX as f64)
     }
 }
 
--- a/crates/tinbank-configuration/src/publish.rs
+++ b/crates/tinbank-configuration/src/publish.rs
@@ -1,6 +1,7 @@
 //! Publishes a change and finds out what became of it.
 
 use std::{
+    collections::BTreeMap,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -50,6 +51,7 @@
     reader: Reader<Record>,
     writer: Writer,
     fold: Fold,
+    judged: BTreeMap<u128, Judged>,
     problem: String,
 }
 
@@ -60,6 +62,7 @@
             reader: Reader::new(log, Stream::Config, 0, settings),
             writer,
             fold: Fold::default(),
+            judged: BTreeMap::new(),
             problem: String::new(),
         }
     }
@@ -69,8 +72,7 @@
     /// # Errors
     /// [`Error::Unreadable`] if that does not work in time, or if the stream's beginning is gone without a checkpoint.
     pub async fn load(&mut self, until: Instant) -> Result<&State, Error> {
-        let mut seen = Vec::new();
-        if !self.read_to_tail(until, &mut seen).await {
+        if !self.read_to_tail(until).await {
             return Err(Error::Unreadable {
                 reason: self.problem.clone(),
             });
@@ -103,10 +105,9 @@
                 }
             }
             // Its own number makes a second copy harmless, so it is looked for first and then sent once more.
-            let mut seen = Vec::new();
-            self.read_to_tail(until, &mut seen).await;
-            if let Some(judged) = find(seen, change) {
-                return Ok(judged);
+            self.read_to_tail(until).await;
+            if let Some(judged) = self.judged.get(&change) {
+                return Ok(judged.clone());
             }
             if now() >= until {
                 return Err(self.unknown(change));
@@ -129,16 +130,20 @@
         change: u128,
         until: Instant,
     ) -> Result<Judged, Error> {
-        let mut seen = Vec::new();
         while self.fold.state().next() <= offset {
-            if !self.step(until, &mut seen).await {
+            let Some(event) = self.event(until).await else {
                 return Err(self.unknown(change));
-            }
+            };
+            self.take(event);
         }
-        find(seen, change).ok_or_else(|| self.unknown(change))
+        let judged = self.judged.get(&change).cloned();
+        judged.ok_or_else(|| Error::Unknown {
+            change,
+            reason: "it was published before, and its verdict is older than the stream".to_owned(),
+        })
     }
 
-    async fn read_to_tail(&mut self, until: Instant, seen: &mut Vec<Judged>) -> bool {
+    async fn read_to_tail(&mut self, until: Instant) -> bool {
         // A tail that was asked for before this call may be older than what is looked for.
         let from = now();
         loop {
@@ -146,30 +151,26 @@
                 return false;
             };
             let done = matches!(event, Event::Tail { asked, .. } if asked >= from);
-            self.take(event, seen);
+            self.take(event);
             if done {
                 return true;
             }
         }
     }
 
-    async fn step(&mut self, until: Instant, seen: &mut Vec<Judged>) -> bool {
-        let Some(event) = self.event(until).await else {
-            return false;
-        };
-        self.take(event, seen);
-        true
-    }
-
     async fn event(&mut self, until: Instant) -> Option<Event<Record>> {
         let until = time::Instant::from_std(until);
         time::timeout_at(until, self.reader.next()).await.ok()
     }
 
-    fn take(&mut self, event: Event<Record>, seen: &mut Vec<Judged>) {
+    fn take(&mut self, event: Event<Record>) {
         match event {
             Event::Record { entry, .. } | Event::Skipped { entry, .. } => {
-                seen.extend(self.fold.take(&entry));
+                // The verdict on a copy says nothing: that on the first one holds.
+                let judged = self.fold.take(&entry).into_iter();
+                let first = judged.filter(|judged| judged.verdict != Verdict::Copy);
+                self.judged
+                    .extend(first.map(|judged| (judged.change, judged)));
             }
             Event::Trimmed { first } => self.fold.trimmed(first),
             Event::Outage { error, .. } => self.problem = error.to_string(),
@@ -185,12 +186,6 @@
     }
 }
 
-/// The verdict on a change; that of a copy says nothing.
-fn find(seen: Vec<Judged>, change: u128) -> Option<Judged> {
-    seen.into_iter()
-        .find(|judged| judged.change == change && judged.verdict != Verdict::Copy)
-}
-
 /// Time that is usually enough to publish a change and read it back.
 pub const TIMEOUT: Duration = Duration::from_secs(20);
 
--- a/crates/tinbank-log/src/writer.rs
+++ b/crates/tinbank-log/src/writer.rs
@@ -11,6 +11,7 @@
 };
 
 use bytes::Bytes;
+use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
 use serde::Serialize;
 use tinbank_base::{
     clock::Stamp,
@@ -163,6 +164,7 @@
             replies: HashMap::new(),
             envelopes: HashMap::new(),
             sends: JoinSet::new(),
+            jitter: StdRng::seed_from_u64(seed(identity)),
             next_ticket: 0,
         };
         tokio::spawn(task.run(messages, writers));
@@ -265,6 +267,7 @@
     replies: HashMap<Ticket, Reply>,
     envelopes: HashMap<Stream, Bytes>,
     sends: JoinSet<Sent>,
+    jitter: StdRng,
     next_ticket: Ticket,
 }
 
@@ -324,7 +327,9 @@
             metrics::counter!("tinbank_log_append_failures_total").increment(1);
             ::log::warn!(stream:%, reason:%; "append failed");
         }
-        let actions = self.group.answered(stream, answer, rand::random(), now());
+        let actions = self
+            .group
+            .answered(stream, answer, self.jitter.random(), now());
         self.act(actions);
     }
 
@@ -376,6 +381,12 @@
     }
 }
 
+/// Differs between processes, so that they don't come back in step, and is the same in each run of a test.
+fn seed(identity: record::Writer) -> u64 {
+    let host = u64::from(identity.process.host);
+    identity.incarnation ^ (host << 32) ^ identity.process.role as u64
+}
+
 fn answer(result: Result<id::Offset, log::Error>) -> Answer {
     match result {
         Ok(offset) => Answer::Durable(offset),
