--- /dev/null
+++ b/crates/tinbank-load/src/slopes/mod.rs
@@ -0,0 +1,133 @@
+//! Series of measurements at growing sizes, and the line through each.
+
+mod configuration;
+mod fit;
+mod ledger;
+mod peers;
+mod routing;
+mod timeline;
+
+use std::{fmt, time::Duration};
+
+use cpu_time::ThreadTime;
+use serde::Serialize;
+
+pub use fit::Fit;
+
+/// Tells how many bytes are allocated now.
+pub type Allocated<'a> = &'a dyn Fn() -> usize;
+
+/// How often each point is measured; the median counts.
+const REPEATS: usize = 5;
+
+/// What is measured at one size.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Point {
+    /// The size.
+    pub x: f64,
+    /// What it cost, the median of several runs.
+    pub y: f64,
+}
+
+/// Measurements of one thing at growing sizes.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Series {
+    /// What was measured.
+    pub name: &'static str,
+    /// What grows.
+    pub x: &'static str,
+    /// What it costs, with its unit.
+    pub y: &'static str,
+    /// The raw figures.
+    pub points: Vec<Point>,
+    /// The line through them.
+    pub fit: Fit,
+}
+
+impl Series {
+    fn new(name: &'static str, x: &'static str, y: &'static str, points: Vec<Point>) -> Self {
+        let fit = Fit::through(&points);
+        Self {
+            name,
+            x,
+            y,
+            points,
+            fit,
+        }
+    }
+}
+
+impl fmt::Display for Series {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            name,
+            x,
+            y,
+            points,
+            fit,
+        } = self;
+        write!(
+            f,
+            "{name}: {:.4} {y} per {x}, {:.1} at none, r2 {:.4};",
+            fit.slope, fit.intercept, fit.r2
+        )?;
+        for point in points {
+            write!(f, " {}:{:.1}", point.x, point.y)?;
+        }
+        Ok(())
+    }
+}
+
+/// Measures all series whose name begins with `only`.
+pub fn measure(only: &str, allocated: Allocated) -> Vec<Series> {
+    let measurements: [(&str, &dyn Fn() -> Series); 12] = [
+        ("ledger fold items", &ledger::fold_items),
+        ("ledger fold records", &ledger::fold_records),
+        ("ledger pending bytes", &|| ledger::pending_bytes(allocated)),
+        ("ledger ended bytes", &|| ledger::ended_bytes(allocated)),
+        ("ledger checkpoint bytes", &ledger::checkpoint_bytes),
+        ("configuration change", &configuration::change),
+        ("configuration bytes", &|| configuration::bytes(allocated)),
+        ("routing choice", &routing::choice),
+        ("routing bytes", &|| routing::bytes(allocated)),
+        ("peers seal", &peers::seal),
+        ("peers open", &peers::open),
+        ("timeline note", &timeline::note),
+    ];
+    measurements
+        .iter()
+        .filter(|(name, _)| name.starts_with(only))
+        .map(|(_, measurement)| measurement())
+        .collect()
+}
+
+/// Processor time that a piece of work takes on this thread, the median of several runs. `prepare` is not counted.
+fn processor_time<T>(prepare: impl Fn() -> T, work: impl Fn(T)) -> Duration {
+    let mut times: Vec<_> = (0..REPEATS)
+        .map(|_| {
+            let input = prepare();
+            let start = ThreadTime::now();
+            work(input);
+            start.elapsed()
+        })
+        .collect();
+    times.sort();
+    times[REPEATS / 2]
+}
+
+/// Bytes that a value keeps allocated.
+fn weight<T>(allocated: Allocated, make: impl FnOnce() -> T) -> f64 {
+    let before = allocated();
+    let value = make();
+    let after = allocated();
+    drop(value);
+    after.saturating_sub(before) as f64
+}
+
+fn point(size: usize, y: f64) -> Point {
+    Point { x: size as f64, y }
+}
+
+fn micros(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e6
+}
