--- a/crates/tinbank-demo/src/main.rs
+++ b/crates/tinbank-demo/src/main.rs
@@ -1,3 +1,9 @@
 //! The `tinbank-demo` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+use tinbank_demo::command;
+
+fn main() -> ExitCode {
+    command::run(&argh::from_env())
+}
