--- a/crates/tinbank-demo/src/caller.rs
+++ b/crates/tinbank-demo/src/caller.rs
@@ -152,7 +152,7 @@
         let lines = body
             .split(|byte| *byte == b'\n')
             .filter(|line| !line.is_empty());
-        let outcomes = lines.map(|line| serde_json::from_slice(line));
+        let outcomes = lines.map(serde_json::from_slice);
         outcomes
             .collect::<Result<_, _>>()
             .map_err(|error| Error::Wrong(error.to_string()))
--- a/crates/tinbank-demo/src/command.rs
+++ b/crates/tinbank-demo/src/command.rs
@@ -13,7 +13,7 @@
 use crate::{example::Example, run};
 
 /// Longest time of traffic: with start and end the demo stays within two minutes.
-const LONGEST: u64 = 80;
+const LONGEST: u64 = 70;
 
 /// Runs a whole deployment in one process and counts what became of every request and item.
 #[derive(Clone, Debug, FromArgs)]
@@ -24,7 +24,7 @@
     /// print the summary as one JSON object
     #[argh(switch)]
     pub json: bool,
-    /// seconds of traffic, a third of it online alone: 3 to 80, default 45
+    /// seconds of traffic, a third of it online alone: 3 to 70, default 45
     #[argh(option, default = "45")]
     pub seconds: u64,
 }
--- a/crates/tinbank-demo/src/entry.rs
+++ b/crates/tinbank-demo/src/entry.rs
@@ -28,12 +28,16 @@
     /// A service of the platform is missing.
     #[error("the platform has no {0}")]
     Missing(&'static str),
-    /// An online process does not start.
-    #[error(transparent)]
-    Online(#[from] tinbank_online::server::Error),
-    /// A batch process does not start.
-    #[error(transparent)]
-    Batch(#[from] tinbank_batch::server::Error),
+    /// A process does not start.
+    #[error("{role} process of host {host}: {message}")]
+    Start {
+        /// Which kind.
+        role: id::Role,
+        /// Where.
+        host: id::Host,
+        /// Why.
+        message: String,
+    },
     /// Some processes were not ready in time.
     #[error("{unready} of {all} processes were not ready within {START:?}")]
     Unready {
@@ -118,13 +122,16 @@
             common: self.common(host, example, addresses),
             ..tinbank_online::Settings::default()
         };
+        let online = tinbank_online::Server::start(online).await;
         self.online
-            .push(tinbank_online::Server::start(online).await?);
+            .push(online.map_err(|error| refused(id::Role::Online, host, &error))?);
         let batch = tinbank_batch::Settings {
             common: self.common(host, example, addresses),
             ..tinbank_batch::Settings::default()
         };
-        self.batch.push(tinbank_batch::Server::start(batch).await?);
+        let batch = tinbank_batch::Server::start(batch).await;
+        self.batch
+            .push(batch.map_err(|error| refused(id::Role::Batch, host, &error))?);
         Ok(())
     }
 
@@ -227,3 +234,11 @@
         );
     }
 }
+
+fn refused(role: id::Role, host: id::Host, error: &dyn std::error::Error) -> Error {
+    Error::Start {
+        role,
+        host,
+        message: error.to_string(),
+    }
+}
--- a/crates/tinbank-demo/src/run.rs
+++ b/crates/tinbank-demo/src/run.rs
@@ -26,6 +26,10 @@
 /// Time that open lots have to end after the last was handed in.
 const DRAIN: Duration = Duration::from_secs(25);
 
+/// Time of online traffic before the first phase that is measured, so that connections are open and prefixes cached in
+/// both phases.
+const WARM_UP: Duration = Duration::from_secs(4);
+
 /// Why the demo did not run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -73,6 +77,8 @@
         tally: Arc::default(),
         progress: progress.clone(),
     };
+    progress.step("warming up");
+    traffic.online("warm-up", WARM_UP).await;
     progress.step("online traffic alone");
     let alone = traffic.online("alone", lasting / 3).await;
     progress.step("online traffic beside the sweep");
--- a/crates/tinbank-demo/src/sweep.rs
+++ b/crates/tinbank-demo/src/sweep.rs
@@ -1,10 +1,14 @@
 //! The sweep: lots of items handed in through the HTTP interface, followed and read back.
 
-use std::{collections::VecDeque, net::SocketAddr, sync::PoisonError, time::Duration};
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use serde::Serialize;
 use serde_json::{Value, json};
-use std::sync::{Arc, Mutex};
 use tokio::time::Instant;
 
 use crate::{
@@ -21,7 +25,7 @@
 /// Time between two looks at a lot.
 const LOOK: Duration = Duration::from_millis(150);
 /// Tries of handing in a lot; all carry one idempotency key.
-const TRIES: usize = 20;
+const TRIES: usize = 100;
 
 /// How the sweep went.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
@@ -104,10 +108,11 @@
         let key = format!("sweep-{number}");
         for attempt in 0..TRIES {
             let host = self.hosts[(number + attempt) % self.hosts.len()];
-            match caller
-                .submit(host, &self.example.service, &key, body.clone())
-                .await
-            {
+            let submit = caller.submit(host, &self.example.service, &key, body.clone());
+            let Ok(taken) = tokio::time::timeout_at(latest, submit).await else {
+                break;
+            };
+            match taken {
                 Ok(job) => {
                     let mut tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
                     references
@@ -117,9 +122,6 @@
                 }
                 Err(error) => self.progress.note(&format!("lot {number}: {error}")),
             }
-            if Instant::now() >= latest {
-                break;
-            }
             tokio::time::sleep(LOOK).await;
         }
         None
