Bring the ledger's properties to deeper states

A whole turn of a host as one step, completions grouped in one append, items that tell their intake, a process asleep through an outage: mutations that had survived turn tests red now.

--- a/crates/tinbank-ledger/tests/ledger/claims.rs
+++ b/crates/tinbank-ledger/tests/ledger/claims.rs
@@ -79,6 +79,20 @@
     assert_eq!(shard.ask(&next), Some(Claimed::Won));
 }
 
+#[test]
+fn a_late_copy_of_a_claim_does_not_take_the_freed_key() {
+    let (first, next) = (claim(1, 10), claim(2, 20));
+    let mut shard = Shard::new(0, SHARDS);
+    let claimed = fixture::envelope(writer(7, 1), 1, 1, vec![Record::Claim(first.clone())]);
+    shard.apply(0, &claimed);
+    append(&mut shard, vec![Record::Settled(not_run(&first))]);
+
+    let next_offset = shard.next();
+    shard.apply(next_offset, &claimed);
+
+    assert_eq!(shard.ask(&next), None);
+}
+
 #[test]
 fn a_late_copy_of_not_run_does_not_free_the_next_claim() {
     let first = claim(1, 10);
--- a/crates/tinbank-ledger/tests/ledger/fixture.rs
+++ b/crates/tinbank-ledger/tests/ledger/fixture.rs
@@ -51,7 +51,15 @@
     work::Item {
         custom_id: format!("item-{number}"),
         body: Bytes::from(format!("body of {number}")),
-        repeatable: number % 3 != 0,
+        repeatable: !number.is_multiple_of(3),
+    }
+}
+
+/// The item of an intake, told apart from that of another one.
+fn named(intake: u64, number: id::Item) -> work::Item {
+    work::Item {
+        custom_id: format!("item-{number}-of-{intake}"),
+        ..item(number)
     }
 }
 
@@ -67,7 +75,9 @@
         intake,
         chunk,
         first,
-        items: (first..first + items).map(item).collect(),
+        items: (first..first + items)
+            .map(|number| named(intake, number))
+            .collect(),
     }
 }
 
--- a/crates/tinbank-ledger/tests/ledger/interleaving.rs
+++ b/crates/tinbank-ledger/tests/ledger/interleaving.rs
@@ -50,6 +50,10 @@
         host: usize,
         limit: usize,
     },
+    Turn {
+        host: usize,
+        phases: usize,
+    },
     Cancel {
         host: usize,
         job: usize,
@@ -79,7 +83,7 @@
     let shard = 0..SHARDS;
     let job = 0..2usize;
     prop_oneof![
-        3 => (host.clone(), job.clone(), 1..5usize)
+        3 => (host.clone(), job.clone(), prop_oneof![Just(4usize), 1..4usize])
             .prop_map(|(host, job, records)| Step::Intake { host, job, records }),
         12 => (host.clone(), shard.clone(), 1..20usize)
             .prop_map(|(host, shard, count)| Step::Read { host, shard, count }),
@@ -90,6 +94,7 @@
         8 => (host.clone(), shard.clone(), 1..6usize)
             .prop_map(|(host, shard, limit)| Step::Run { host, shard, limit }),
         6 => (host.clone(), 1..4usize).prop_map(|(host, limit)| Step::Finish { host, limit }),
+        6 => (host.clone(), 1..=10usize).prop_map(|(host, phases)| Step::Turn { host, phases }),
         1 => (host.clone(), job).prop_map(|(host, job)| Step::Cancel { host, job }),
         1 => host.clone().prop_map(|host| Step::Restart { host }),
         2 => (shard.clone(), any::<Index>()).prop_map(|(shard, pick)| Step::Copy { shard, pick }),
@@ -109,6 +114,7 @@
         Step::Duties { host, shard, limit } => world.duties(host, shard, limit),
         Step::Run { host, shard, limit } => world.run(host, shard, limit),
         Step::Finish { host, limit } => world.finish(host, limit),
+        Step::Turn { host, phases } => world.turn(host, phases),
         Step::Cancel { host, job } => world.cancel(host, world.jobs[job]),
         Step::Restart { host } => world.restart(host),
         Step::Copy { shard, pick } => world.copy(shard, pick.index(usize::MAX)),
--- a/crates/tinbank-ledger/tests/ledger/lease.rs
+++ b/crates/tinbank-ledger/tests/ledger/lease.rs
@@ -140,7 +140,7 @@
 
     #[test]
     fn an_outage_or_a_paused_contender_expires_nobody(
-        outages in prop::collection::vec((0..POLLS, 1..120usize), 0..8),
+        outages in prop::collection::vec((0..POLLS, 1..120usize, 0..PROCESSES), 0..8),
         pauses in prop::collection::vec((1..PROCESSES, 0..POLLS, 1..120usize), 0..8),
         order in prop::collection::vec(0..PROCESSES, 1..20),
     ) {
@@ -152,8 +152,12 @@
 
         world.run(POLLS, |process, poll| {
             let paused = pauses.iter().any(|(who, from, long)| *who == process && within(poll, *from, *long));
-            let outage = outages.iter().any(|(from, long)| within(poll, *from, *long));
-            match (paused, outage) {
+            let outage = outages.iter().any(|(from, long, _)| within(poll, *from, *long));
+            // A process may also sleep through the whole outage and wake first.
+            let asleep = outages
+                .iter()
+                .any(|(from, long, who)| *who == process && *who > 0 && within(poll, *from, *long));
+            match (paused || asleep, outage) {
                 (true, _) => Fate::Paused,
                 (_, true) => Fate::Outage,
                 _ => Fate::Up,
--- a/crates/tinbank-ledger/tests/ledger/world.rs
+++ b/crates/tinbank-ledger/tests/ledger/world.rs
@@ -201,15 +201,44 @@
         }
     }
 
-    /// Up to `limit` items in flight come back.
+    /// Up to `limit` items in flight come back; those of one shard are appended together.
     pub fn finish(&mut self, host: usize, limit: usize) {
         let this = &mut self.hosts[host];
         let count = limit.min(this.flights.len());
-        for flight in this.flights.drain(..count).collect::<Vec<_>>() {
-            let text = format!("by {host} at {}", self.seconds);
-            let completion = fixture::answer(flight.item, &text);
-            let record = fixture::completed(flight.job, flight.chunk, vec![completion]);
-            self.append(host, flight.shard, vec![record]);
+        let flights: Vec<_> = this.flights.drain(..count).collect();
+        for shard in 0..SHARDS {
+            let records: Vec<_> = flights
+                .iter()
+                .filter(|flight| flight.shard == shard)
+                .map(|flight| {
+                    let text = format!("by {host} at {}", self.seconds);
+                    let completion = fixture::answer(flight.item, &text);
+                    fixture::completed(flight.job, flight.chunk, vec![completion])
+                })
+                .collect();
+            if !records.is_empty() {
+                self.append(host, shard, records);
+            }
+        }
+    }
+
+    /// A host that believes in itself does its whole round in both shards, or only the first `phases` steps of it.
+    pub fn turn(&mut self, host: usize, phases: usize) {
+        for shard in 0..SHARDS {
+            for phase in 0..phases {
+                self.phase(host, shard, phase);
+            }
+        }
+    }
+
+    fn phase(&mut self, host: usize, shard: id::Shard, phase: usize) {
+        match phase {
+            1 if self.term(host, shard).is_none() => self.take(host, shard),
+            1 => {}
+            3 => self.duties(host, shard, usize::MAX),
+            5 | 7 => self.run(host, shard, usize::MAX),
+            9 => self.finish(host, usize::MAX),
+            _ => self.read(host, shard, usize::MAX),
         }
     }
 
