Test the configuration commands on the stand-in's log; find the verdict of an earlier try

A change repeated under its own number after a lost answer is a copy, and its verdict said nothing: the command ended as unknown for ever. It now looks for the first one's verdict before it publishes.

--- a/crates/tinbank-cli/src/command/config/history.rs
+++ b/crates/tinbank-cli/src/command/config/history.rs
@@ -1,24 +1,21 @@
 //! `tinbank config history`.
 
-use std::time::Instant;
-
 use argh::FromArgs;
 use jiff::Timestamp;
 use serde::Serialize;
-use tinbank_base::{
-    id,
-    platform::log::{Entry, Log, Stream},
-    record::{Envelope, config::Record},
-};
+use tinbank_base::{id, record::config::Object};
 use tinbank_configuration::{
     finding::Finding,
-    fold::{Fold, Judged, Verdict},
+    fold::{Judged, Verdict},
 };
 
-use crate::{context::Context, error::Error, exit::Exit, output::Output};
-
-/// About how many bytes one read of the log brings.
-const PAGE_BYTES: usize = 1 << 20;
+use crate::{
+    context::Context,
+    error::Error,
+    exit::Exit,
+    history::{self, Change},
+    output::Output,
+};
 
 /// Shows all changes that the log still holds, also those that were refused.
 #[derive(FromArgs)]
@@ -57,11 +54,11 @@
         output: &mut Output,
     ) -> Result<Exit, Error> {
         let log = context.log()?;
-        let changes = read(log.as_ref()).await?;
+        let changes = history::read(log.as_ref()).await?;
         let rows: Vec<Row> = changes
             .into_iter()
-            .filter(|(judged, _)| self.wants(judged))
-            .map(|(judged, time)| row(judged, time))
+            .filter(|change| self.wants(&change.judged))
+            .map(row)
             .collect();
         if output.json {
             output.value(&rows)?;
@@ -75,7 +72,6 @@
     }
 
     fn wants(&self, judged: &Judged) -> bool {
-        use tinbank_base::record::config::Object;
         match (&self.customer, &self.template, &judged.object) {
             (None, None, _) => true,
             (Some(customer), _, Object::Customer(name)) => customer == name,
@@ -85,49 +81,8 @@
     }
 }
 
-/// All changes with their verdicts and times, read from the oldest record that the log keeps.
-async fn read(log: &dyn Log) -> Result<Vec<(Judged, Option<Timestamp>)>, Error> {
-    let bounds = log
-        .bounds(Stream::Config)
-        .await
-        .map_err(|error| unread(&error))?;
-    let mut fold = Fold::default();
-    if bounds.first > 0 {
-        fold.trimmed(bounds.first);
-    }
-    let mut changes = Vec::new();
-    let mut next = bounds.first;
-    while next < bounds.tail {
-        let page = log
-            .read(Stream::Config, next, PAGE_BYTES, Instant::now())
-            .await;
-        let page = page.map_err(|error| unread(&error))?;
-        if page.next <= next {
-            break;
-        }
-        for entry in &page.entries {
-            let time = time(entry);
-            changes.extend(fold.take(entry).into_iter().map(|judged| (judged, time)));
-        }
-        next = page.next;
-    }
-    Ok(changes)
-}
-
-fn unread(error: &tinbank_base::platform::log::Error) -> Error {
-    Error::new(
-        Exit::Unreachable,
-        format!("the configuration can't be read: {error}"),
-    )
-    .help("see that `log` in the settings is right and the log is reachable, then repeat")
-}
-
-fn time(entry: &Entry) -> Option<Timestamp> {
-    let envelope = Envelope::<Record>::decode(&entry.payload).ok()?;
-    Timestamp::try_from(envelope.stamp.time()).ok()
-}
-
-fn row(judged: Judged, time: Option<Timestamp>) -> Row {
+fn row(change: Change) -> Row {
+    let Change { judged, time } = change;
     let (verdict, overtaken_by, findings) = match judged.verdict {
         Verdict::Accepted { .. } => ("accepted", None, Vec::new()),
         Verdict::Overtaken { by, .. } => ("overtaken", by, Vec::new()),
--- a/crates/tinbank-cli/src/configuration.rs
+++ b/crates/tinbank-cli/src/configuration.rs
@@ -22,7 +22,7 @@
 use tinbank_log::{reader, writer, writer::Writer};
 use tokio::sync::watch;
 
-use crate::{context::Context, error::Error, exit::Exit};
+use crate::{context::Context, error::Error, exit::Exit, history};
 
 /// Which revision a change is made from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +48,7 @@
 
 /// The log's configuration stream as the command line uses it.
 pub(crate) struct Configuration {
+    log: Arc<dyn Log>,
     publisher: Publisher,
     author: String,
 }
@@ -58,7 +59,8 @@
         let log = context.log()?;
         let writer = start_writer(log.clone());
         Ok(Self {
-            publisher: Publisher::new(log, writer, reader::Settings::default()),
+            publisher: Publisher::new(log.clone(), writer, reader::Settings::default()),
+            log,
             author,
         })
     }
@@ -74,9 +76,12 @@
 
     /// Publishes a change and gives the revision that it has become.
     pub(crate) async fn publish(&mut self, change: Change) -> Result<id::Revision, Error> {
+        let place = change.object.to_string();
+        if let Some(judged) = self.earlier(change.number).await? {
+            return accepted(&judged).map_err(|error| error.at(place));
+        }
         let state = self.load().await?;
         let base = base(state, &change);
-        let place = change.object.to_string();
         let put = Put {
             change: change.number.unwrap_or_else(rand::random),
             object: change.object,
@@ -89,6 +94,18 @@
         let judged = judged.map_err(|error| failed(&error).at(place.clone()))?;
         accepted(&judged).map_err(|error| error.at(place))
     }
+
+    /// What became of an earlier try of the same change. Its copy would tell nothing.
+    async fn earlier(&self, number: Option<u128>) -> Result<Option<Judged>, Error> {
+        let Some(number) = number else {
+            return Ok(None);
+        };
+        let changes = history::read(self.log.as_ref()).await?;
+        Ok(changes
+            .into_iter()
+            .map(|change| change.judged)
+            .find(|judged| judged.change == number && judged.verdict != Verdict::Copy))
+    }
 }
 
 pub(crate) fn base(state: &State, change: &Change) -> Option<id::Revision> {
--- a/crates/tinbank-cli/src/lib.rs
+++ b/crates/tinbank-cli/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod error;
 pub mod exit;
 pub mod global;
+mod history;
 mod object;
 pub mod output;
 mod processes;
--- a/crates/tinbank-cli/tests/examples.rs
+++ b/crates/tinbank-cli/tests/examples.rs
@@ -5,8 +5,8 @@
 use argh::FromArgs as _;
 use tinbank_cli::{command::Tinbank, exit::Exit, output::Output};
 
-mod capture;
-use capture::Captured;
+mod world;
+use world::{Captured, words};
 
 #[tokio::test]
 async fn every_command_has_an_example_and_every_example_is_taken() {
@@ -123,14 +123,3 @@
         panic!("{example}: {}", early.output);
     }
 }
-
-/// Splits a line the way a shell does, as far as the examples need it.
-fn words(line: &str) -> Vec<String> {
-    line.split('"')
-        .enumerate()
-        .flat_map(|(index, part)| match index % 2 {
-            0 => part.split_whitespace().map(str::to_owned).collect(),
-            _ => vec![part.to_owned()],
-        })
-        .collect()
-}
