--- a/crates/tinbank-online/src/api/call.rs
+++ b/crates/tinbank-online/src/api/call.rs
@@ -13,7 +13,7 @@
 };
 use tinbank_server::failure::{self, Reply};
 
-use super::{Shared, answer, check_ready, note_refused, request_id};
+use super::{Shared, accept, answer, check_ready, note_refused, request_id};
 use crate::{
     request::{Caller, Request, plain},
     run::{self, Journal},
@@ -50,12 +50,7 @@
             return failure::answer(Err(answer::with_retry(failure)));
         }
     };
-    let journal = Journal::accept(ctx.clone(), &request);
-    let answered = match request.claim_key() {
-        None => run::plain::run(ctx.clone(), &request, journal).await,
-        Some(key) => claimed(ctx, request, journal, key).await,
-    };
-    let answered = answered.map(answer::json);
+    let answered = serve(ctx, request).await.map(answer::json);
     failure::answer(answered.map_err(answer::with_retry))
 }
 
@@ -72,6 +67,14 @@
     plain::read(id, &caller, name, body)
 }
 
+async fn serve(ctx: &Shared, request: Request) -> Result<Bytes, Failure> {
+    let journal = accept(ctx, &request)?;
+    match request.claim_key() {
+        None => run::plain::run(ctx.clone(), &request, journal).await,
+        Some(key) => claimed(ctx, request, journal, key).await,
+    }
+}
+
 /// Runs the call in a task of its own, which goes on when the caller goes away.
 async fn claimed(
     ctx: &Shared,
--- a/crates/tinbank-online/src/api/chat.rs
+++ b/crates/tinbank-online/src/api/chat.rs
@@ -12,10 +12,10 @@
 };
 use tokio::sync::mpsc;
 
-use super::{Shared, answer, check_ready, note_refused, request_id};
+use super::{Shared, accept, answer, check_ready, note_refused, request_id};
 use crate::{
     request::{Caller, Request, chat::Chat as Wanted},
-    run::{self, Journal, chat::Chat},
+    run::{self, chat::Chat},
 };
 
 /// Answers a chat completion, whole or as server-sent events that end in `[DONE]`.
@@ -54,7 +54,7 @@
 
 async fn serve(ctx: &Shared, wanted: Wanted) -> Result<Response<Body>, Failure> {
     let request = Arc::new(wanted.request);
-    let journal = Journal::accept(ctx.clone(), &request);
+    let journal = accept(ctx, &request)?;
     match request.claim_key() {
         Some(key) => {
             let (sender, receiver) = mpsc::unbounded_channel();
--- a/crates/tinbank-online/src/api/mod.rs
+++ b/crates/tinbank-online/src/api/mod.rs
@@ -4,7 +4,7 @@
 pub mod call;
 pub mod chat;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use dropshot::{ApiDescription, ApiDescriptionRegisterError, RequestContext};
 use tinbank_base::{
@@ -14,7 +14,7 @@
 };
 use tinbank_server::{caller, operator, readiness::State};
 
-use crate::context::Context;
+use crate::{context::Context, gate::Permit, request::Request, run::Journal};
 
 /// What the handlers get.
 pub type Shared = Arc<Context>;
@@ -50,6 +50,17 @@
     }
 }
 
+/// Lets a good request in, if the customer's limits and the load allow it.
+fn accept(ctx: &Shared, request: &Request) -> Result<Journal, Failure> {
+    match Permit::get(ctx, request, Instant::now()) {
+        Ok(permit) => Ok(Journal::accept(ctx.clone(), request, permit)),
+        Err(failure) => {
+            note_refused(ctx, request.id, &failure);
+            Err(failure)
+        }
+    }
+}
+
 /// Notes that a request was refused before anything was sent.
 fn note_refused(ctx: &Context, request: id::Request, failure: &Failure) {
     let subject = Subject {
--- a/crates/tinbank-online/src/context.rs
+++ b/crates/tinbank-online/src/context.rs
@@ -18,6 +18,8 @@
 use tokio::runtime::Handle;
 use tokio_util::task::TaskTracker;
 
+use crate::gate::Gate;
+
 /// What the handlers share.
 #[derive(Debug)]
 pub struct Context {
@@ -36,6 +38,7 @@
     /// What has to end before the process may go.
     pub(crate) tasks: TaskTracker,
     pub(crate) budget: Mutex<Budget>,
+    pub(crate) gate: Gate,
 }
 
 impl Context {
--- a/crates/tinbank-online/src/control/mod.rs
+++ b/crates/tinbank-online/src/control/mod.rs
@@ -52,6 +52,8 @@
         let pass_on =
             peers::pass_on_leaving(ctx.recorder.clone(), table.clone(), self.membership.clone());
         tracker.spawn(stop.clone().run_until_cancelled_owned(pass_on));
+        let share = peers::share_limits(ctx.clone(), self.membership.clone());
+        tracker.spawn(stop.clone().run_until_cancelled_owned(share));
         let hear = peers::hear_leaving(table, self.membership.clone());
         tracker.spawn(stop.clone().run_until_cancelled_owned(hear));
         let ready = become_ready(ctx, self.follower, self.membership, have_list);
--- a/crates/tinbank-online/src/control/peers.rs
+++ b/crates/tinbank-online/src/control/peers.rs
@@ -14,6 +14,7 @@
         credit,
         request::{Request, Response},
     },
+    id,
     outcome::{Code, Ran},
     peer::{Answer, Directory, Members},
     record::Writer,
@@ -24,6 +25,8 @@
 use tinbank_routing::Table;
 use tinbank_timeline::Recorder;
 
+use crate::context::Context;
+
 /// Passes on the first signs of leaving upstreams, our own and those that we heard of.
 pub(super) async fn pass_on_leaving(recorder: Recorder, table: Table, membership: Membership) {
     loop {
@@ -53,6 +56,20 @@
     }
 }
 
+/// Shares the limits of customers with the online processes that serve.
+pub(super) async fn share_limits(ctx: Arc<Context>, membership: Membership) {
+    let mut members = membership.watch();
+    loop {
+        let now = members.borrow_and_update().clone();
+        let hosts = now.ready(id::Role::Online);
+        ctx.gate
+            .set_hosts(hosts.map(|member| member.writer.process.host));
+        if members.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Answers other processes.
 #[derive(Debug)]
 pub(crate) struct Answerer {
--- a/crates/tinbank-online/src/lib.rs
+++ b/crates/tinbank-online/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod api;
 mod context;
 mod control;
+mod gate;
 pub mod openai;
 mod relay;
 mod request;
--- a/crates/tinbank-online/src/run/journal.rs
+++ b/crates/tinbank-online/src/run/journal.rs
@@ -9,12 +9,13 @@
     platform::upstream,
 };
 
-use crate::{context::Context, request::Request};
+use crate::{context::Context, gate::Permit, request::Request};
 
 /// Notes what becomes of one request. A request that is dropped before it ended counts as cancelled by its caller.
 #[derive(Debug)]
 pub(crate) struct Journal {
     ctx: Arc<Context>,
+    permit: Permit,
     request: id::Request,
     customer: id::Customer,
     service: id::Service,
@@ -25,9 +26,10 @@
 
 impl Journal {
     /// The request was accepted.
-    pub(crate) fn accept(ctx: Arc<Context>, request: &Request) -> Self {
+    pub(crate) fn accept(ctx: Arc<Context>, request: &Request, permit: Permit) -> Self {
         let journal = Self {
             ctx,
+            permit,
             request: request.id,
             customer: request.customer.name.clone(),
             service: request.name.clone(),
@@ -62,6 +64,7 @@
 
     /// A token is passed on.
     pub(crate) fn token(&mut self) {
+        self.permit.spend_token();
         if std::mem::take(&mut self.first) {
             let wait = self.began.elapsed().as_secs_f64();
             metrics::histogram!("tinbank_online_first_token_seconds").record(wait);
--- a/crates/tinbank-online/src/server.rs
+++ b/crates/tinbank-online/src/server.rs
@@ -34,6 +34,7 @@
     api,
     context::Context,
     control::{Answerer, Control, LateDirectory, PeerClock},
+    gate::Gate,
     settings::Settings,
 };
 
@@ -264,6 +265,7 @@
         traffic: handles.traffic.clone(),
         tasks: TaskTracker::new(),
         budget: Mutex::new(Budget::default()),
+        gate: Gate::new(common.host),
     });
     let http = listen(common, &ctx, &handles)?;
     let http_address = http.local_addr();
--- a/crates/tinbank-routing/src/shed.rs
+++ b/crates/tinbank-routing/src/shed.rs
@@ -3,6 +3,10 @@
 //! The customer over its share goes first. Batch is not asked here: it has given way long before. See
 //! `docs/design/limits.md`.
 
+use std::collections::BTreeMap;
+
+use tinbank_base::id;
+
 /// Load in per cent of the capacity above which customers are held to their shares.
 pub const SHARED_PERCENT: u64 = 150;
 /// Load in per cent of the capacity above which nobody is let in: what waits would be too late.
@@ -41,3 +45,54 @@
         (part.own + 1).saturating_mul(part.weights) > (part.total + 1).saturating_mul(part.weight);
     !reaches(FULL_PERCENT) && !over_share
 }
+
+/// Which customers have requests in flight at this process, and their weights.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Active {
+    customers: BTreeMap<id::Customer, Weighted>,
+    total: u64,
+    weights: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Weighted {
+    running: u64,
+    weight: u64,
+}
+
+impl Active {
+    /// The part of a customer, as if it had one at least.
+    pub fn part(&self, customer: &str, weight: u32) -> Part {
+        let weight = u64::from(weight.max(1));
+        let known = self.customers.get(customer).copied().unwrap_or_default();
+        Part {
+            own: known.running,
+            weight,
+            total: self.total,
+            weights: self.weights - known.weight + weight,
+        }
+    }
+
+    /// A request of a customer begins.
+    pub fn begin(&mut self, customer: &str, weight: u32) {
+        let weight = u64::from(weight.max(1));
+        let known = self.customers.entry(customer.to_owned()).or_default();
+        self.weights = self.weights - known.weight + weight;
+        known.weight = weight;
+        known.running += 1;
+        self.total += 1;
+    }
+
+    /// A request of a customer has ended.
+    pub fn end(&mut self, customer: &str) {
+        let Some(known) = self.customers.get_mut(customer) else {
+            return;
+        };
+        known.running -= 1;
+        self.total -= 1;
+        if known.running == 0 {
+            self.weights -= known.weight;
+            self.customers.remove(customer);
+        }
+    }
+}
