--- a/crates/tinbank-online/src/api/call.rs
+++ b/crates/tinbank-online/src/api/call.rs
@@ -15,6 +15,7 @@
 
 use super::{Shared, accept, answer, check_ready, note_refused, request_id};
 use crate::{
+    clock,
     request::{Caller, Request, plain},
     run::{self, Journal},
 };
@@ -63,7 +64,7 @@
     let ctx = rqctx.context();
     check_ready(ctx)?;
     let headers = rqctx.request.headers();
-    let caller = Caller::read(headers, &ctx.snapshot(), Instant::now())?;
+    let caller = Caller::read(headers, &ctx.snapshot(), clock::now())?;
     plain::read(id, &caller, name, body)
 }
 
--- a/crates/tinbank-online/src/api/chat.rs
+++ b/crates/tinbank-online/src/api/chat.rs
@@ -14,6 +14,7 @@
 
 use super::{Shared, accept, answer, check_ready, note_refused, request_id};
 use crate::{
+    clock,
     request::{Caller, Request, chat::Chat as Wanted},
     run::{self, chat::Chat},
 };
@@ -48,7 +49,7 @@
     let ctx = rqctx.context();
     check_ready(ctx)?;
     let headers = rqctx.request.headers();
-    let caller = Caller::read(headers, &ctx.snapshot(), Instant::now())?;
+    let caller = Caller::read(headers, &ctx.snapshot(), clock::now())?;
     Wanted::read(id, &caller, body)
 }
 
--- a/crates/tinbank-online/src/api/mod.rs
+++ b/crates/tinbank-online/src/api/mod.rs
@@ -14,7 +14,7 @@
 };
 use tinbank_server::{caller, operator, readiness::State};
 
-use crate::{context::Context, gate::Permit, request::Request, run::Journal};
+use crate::{clock, context::Context, gate::Permit, request::Request, run::Journal};
 
 /// What the handlers get.
 pub type Shared = Arc<Context>;
@@ -52,7 +52,7 @@
 
 /// Lets a good request in, if the customer's limits and the load allow it.
 fn accept(ctx: &Shared, request: &Request) -> Result<Journal, Failure> {
-    match Permit::get(ctx, request, Instant::now()) {
+    match Permit::get(ctx, request, clock::now()) {
         Ok(permit) => Ok(Journal::accept(ctx.clone(), request, permit)),
         Err(failure) => {
             note_refused(ctx, request.id, &failure);
--- a/crates/tinbank-online/src/control/hosts.rs
+++ b/crates/tinbank-online/src/control/hosts.rs
@@ -13,6 +13,8 @@
     time::{MissedTickBehavior, interval, timeout},
 };
 
+use crate::clock;
+
 /// How often the list is read.
 const EVERY: Duration = Duration::from_millis(500);
 /// How long one reading may take.
@@ -36,7 +38,7 @@
         let Ok(list) = read else {
             continue;
         };
-        table.list(&list, Instant::now());
+        table.list(&list, clock::now());
         listed.send_replace(true);
         if version.is_none_or(|version| version < list.version) {
             version = Some(list.version);
--- a/crates/tinbank-online/src/control/peers.rs
+++ b/crates/tinbank-online/src/control/peers.rs
@@ -25,13 +25,13 @@
 use tinbank_routing::Table;
 use tinbank_timeline::Recorder;
 
-use crate::context::Context;
+use crate::{clock, context::Context};
 
 /// Passes on the first signs of leaving upstreams, our own and those that we heard of.
 pub(super) async fn pass_on_leaving(recorder: Recorder, table: Table, membership: Membership) {
     loop {
         table.signed().await;
-        for leaving in table.leaving(Instant::now()) {
+        for leaving in table.leaving(clock::now()) {
             let subject = Subject {
                 upstream: Some(leaving.upstream),
                 ..Subject::default()
@@ -48,7 +48,7 @@
     loop {
         let words = leaving.borrow_and_update().clone();
         for word in words.iter() {
-            table.hear(*word, Instant::now());
+            table.hear(*word, clock::now());
         }
         if leaving.changed().await.is_err() {
             return;
--- a/crates/tinbank-online/src/control/reports.rs
+++ b/crates/tinbank-online/src/control/reports.rs
@@ -12,6 +12,8 @@
     time::{MissedTickBehavior, interval},
 };
 
+use crate::clock;
+
 /// How often some engines are asked.
 const EVERY: Duration = Duration::from_millis(250);
 /// How many are asked at a time. So a fleet of 20 is heard of every 2.5 seconds; between the reports the own in-flight
@@ -31,7 +33,7 @@
         if open.len() >= MAX_OPEN {
             continue;
         }
-        for target in table.ask_next(AT_A_TIME, Instant::now()) {
+        for target in table.ask_next(AT_A_TIME, clock::now()) {
             open.spawn(ask_one(upstreams.clone(), table.clone(), target));
         }
     }
@@ -39,7 +41,7 @@
 
 async fn ask_one(upstreams: Arc<dyn Upstreams>, table: Table, target: Target) {
     let report = upstreams.report(target).await;
-    let now = Instant::now();
+    let now = clock::now();
     match report {
         Ok(report) => table.report(target.upstream, report, now),
         Err(error) => {
--- a/crates/tinbank-online/src/gate.rs
+++ b/crates/tinbank-online/src/gate.rs
@@ -14,7 +14,7 @@
     shed::{self, Active},
 };
 
-use crate::{context::Context, request::Request};
+use crate::{clock, context::Context, request::Request};
 
 /// When a shed request should come back.
 const SHED_WAIT: Duration = Duration::from_secs(2);
@@ -89,7 +89,7 @@
     /// A token was generated.
     pub(crate) fn spend_token(&self) {
         let mut state = self.ctx.gate.state();
-        state.limiter.spend(&self.customer, 1, Instant::now());
+        state.limiter.spend(&self.customer, 1, clock::now());
     }
 }
 
--- a/crates/tinbank-online/src/lib.rs
+++ b/crates/tinbank-online/src/lib.rs
@@ -3,6 +3,7 @@
 //! See `docs/design/online.md` for the way of a request and the ways that were weighed.
 
 pub mod api;
+mod clock;
 mod context;
 mod control;
 mod gate;
--- a/crates/tinbank-online/src/run/attempt.rs
+++ b/crates/tinbank-online/src/run/attempt.rs
@@ -9,7 +9,7 @@
 };
 use tinbank_routing::Choice;
 
-use crate::context::Context;
+use crate::{clock, context::Context};
 
 /// A request at an upstream. Dropped while the work may still run there, it cancels the work, whatever the reason: the
 /// caller went away, the deadline passed, or the answer can't be trusted.
@@ -56,7 +56,7 @@
     pub(crate) fn succeed(mut self) {
         self.armed = false;
         if let Some(choice) = &self.choice {
-            choice.ticket.note(Ok(()), Instant::now());
+            choice.ticket.note(Ok(()), clock::now());
         }
     }
 
@@ -66,7 +66,7 @@
             self.armed = false;
         }
         if let Some(choice) = &self.choice {
-            choice.ticket.note(Err(error), Instant::now());
+            choice.ticket.note(Err(error), clock::now());
         }
     }
 }
--- a/crates/tinbank-online/src/run/chat.rs
+++ b/crates/tinbank-online/src/run/chat.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{Attempt, Journal};
-use crate::{context::Context, relay::Relay, request::Request};
+use crate::{clock, context::Context, relay::Relay, request::Request};
 
 /// A chat completion in flight.
 pub(crate) struct Chat {
@@ -101,7 +101,7 @@
             prefix: self.request.prefix,
             tried: self.tried.clone(),
         };
-        let choice = self.ctx.table.choose(&ask, Instant::now());
+        let choice = self.ctx.table.choose(&ask, clock::now());
         let choice = choice.map_err(Trouble::Refused)?;
         let target = choice.target;
         self.tried.push(target.upstream);
@@ -147,7 +147,7 @@
         }
         let decision = self
             .attempts
-            .fail(error, &mut self.ctx.budget(), Instant::now());
+            .fail(error, &mut self.ctx.budget(), clock::now());
         match decision {
             Decision::Stop(failure) => Err(failure),
             Decision::Again => {
--- a/crates/tinbank-online/src/run/claim.rs
+++ b/crates/tinbank-online/src/run/claim.rs
@@ -19,7 +19,7 @@
 use tinbank_ledger::placement;
 use tinbank_membership::rendezvous;
 
-use crate::{context::Context, request::Request};
+use crate::{clock, context::Context, request::Request};
 
 /// Longest time that a claim may take; what is left of the caller's time is for the request itself.
 const CLAIM_TIME: Duration = Duration::from_secs(5);
@@ -61,7 +61,7 @@
         key: placement::claim_key(&request.customer.name, key),
         request: request.id,
     };
-    let until = request.deadline.min(Instant::now() + CLAIM_TIME);
+    let until = request.deadline.min(clock::now() + CLAIM_TIME);
     let frame = Frame::Claim(record(&claim, request));
     match ask(ctx, claim.key, &frame, until).await {
         Some(Response::Claimed(Claimed::Won)) => Ok(Start::Run(claim)),
@@ -86,7 +86,7 @@
         };
         let (ctx, key, request) = (self.ctx.clone(), self.key, self.request);
         let settle = async move {
-            let until = Instant::now() + SETTLE_TIME;
+            let until = clock::now() + SETTLE_TIME;
             let answer = ask(&ctx, key, &Frame::Settle(settled), until).await;
             if !matches!(answer, Some(Response::Settled(true))) {
                 log::warn!(
@@ -103,7 +103,7 @@
 
 fn record(claim: &Claim, request: &Request) -> claim::Claim {
     let now = SystemTime::now();
-    let left = request.deadline.saturating_duration_since(Instant::now());
+    let left = request.deadline.saturating_duration_since(clock::now());
     claim::Claim {
         key: claim.key,
         body: digest::of_fields(&[request.name.as_bytes(), &request.body]),
@@ -156,7 +156,7 @@
         if let Some(answer) = round(ctx, shard, frame, until).await {
             return Some(answer);
         }
-        if Instant::now() + PAUSE >= until {
+        if clock::now() + PAUSE >= until {
             return None;
         }
         tokio::time::sleep(PAUSE).await;
@@ -169,11 +169,11 @@
     let mut waiting = ranked(&members, shard);
     let mut asked: SmallVec<[SocketAddr; 4]> = SmallVec::new();
     while let Some(to) = waiting.pop() {
-        if asked.contains(&to) || Instant::now() >= until {
+        if asked.contains(&to) || clock::now() >= until {
             continue;
         }
         asked.push(to);
-        let answer_by = until.min(Instant::now() + ASK_TIME);
+        let answer_by = until.min(clock::now() + ASK_TIME);
         let Ok(frames) = ctx.peers.ask(to, frame.clone(), answer_by).await else {
             continue;
         };
--- a/crates/tinbank-online/src/run/journal.rs
+++ b/crates/tinbank-online/src/run/journal.rs
@@ -9,7 +9,7 @@
     platform::upstream,
 };
 
-use crate::{context::Context, gate::Permit, request::Request};
+use crate::{clock, context::Context, gate::Permit, request::Request};
 
 /// Notes what becomes of one request. A request that is dropped before it ended counts as cancelled by its caller.
 #[derive(Debug)]
@@ -33,7 +33,7 @@
             request: request.id,
             customer: request.customer.name.clone(),
             service: request.name.clone(),
-            began: Instant::now(),
+            began: clock::now(),
             first: true,
             ended: false,
         };
@@ -66,7 +66,7 @@
     pub(crate) fn token(&mut self) {
         self.permit.spend_token();
         if std::mem::take(&mut self.first) {
-            let wait = self.began.elapsed().as_secs_f64();
+            let wait = clock::now().duration_since(self.began).as_secs_f64();
             metrics::histogram!("tinbank_online_first_token_seconds").record(wait);
             self.note(None, Kind::FirstToken);
         }
@@ -92,7 +92,7 @@
 
     fn end(&mut self, outcome: &'static str, reason: &str) {
         self.ended = true;
-        let elapsed = self.began.elapsed();
+        let elapsed = clock::now().duration_since(self.began);
         metrics::counter!("tinbank_online_requests_total", "outcome" => outcome).increment(1);
         metrics::histogram!("tinbank_online_request_seconds").record(elapsed.as_secs_f64());
         log::info!(
--- a/crates/tinbank-online/src/run/mod.rs
+++ b/crates/tinbank-online/src/run/mod.rs
@@ -9,3 +9,6 @@
 
 pub(crate) use attempt::Attempt;
 pub(crate) use journal::Journal;
+
+#[cfg(test)]
+mod tests;
--- a/crates/tinbank-online/src/run/plain.rs
+++ b/crates/tinbank-online/src/run/plain.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{Attempt, Journal};
-use crate::{context::Context, request::Request};
+use crate::{clock, context::Context, request::Request};
 
 /// Runs the call until it has an answer or may not be sent again.
 pub(crate) async fn run(
@@ -46,7 +46,7 @@
             prefix: request.prefix,
             tried: tried.clone(),
         };
-        let choice = ctx.table.choose(&ask, Instant::now());
+        let choice = ctx.table.choose(&ask, clock::now());
         let choice = choice.map_err(|refusal| attempts.exhausted(refusal))?;
         tried.push(choice.target.upstream);
         journal.routed(choice.target.upstream, choice.reason);
@@ -61,7 +61,7 @@
             Err(error) => error,
         };
         attempt.fail(&error);
-        match attempts.fail(&error, &mut ctx.budget(), Instant::now()) {
+        match attempts.fail(&error, &mut ctx.budget(), clock::now()) {
             Decision::Again => journal.retried(&error, attempts.sent, 0),
             Decision::Stop(failure) => return Err(failure),
         }
--- /dev/null
+++ b/crates/tinbank-online/src/run/tests/fixture.rs
@@ -0,0 +1,410 @@
+//! Scripted upstreams and peers, and a context around them.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::{StreamExt as _, stream};
+use tinbank_base::{
+    frame::{
+        credit,
+        heartbeat::{Health, Phase},
+        request::{Request as Frame, Response},
+    },
+    id,
+    outcome::{Failure, Ran},
+    peer::{self, Directory, Member, Members, Peers},
+    platform::{
+        hosts::{self, List, State},
+        upstream::{Call, Error, Kind, Order, Part, Parts, Report, Target, Upstreams, Verdict},
+    },
+    record::Writer,
+};
+use tinbank_configuration::{limit::Limits, service::Service, snapshot::Customer};
+use tinbank_routing::{Table, retry::Budget};
+use tinbank_server::{metrics, readiness::Flag};
+use tinbank_timeline::Recorder;
+use tokio::runtime::Handle;
+use tokio_util::task::TaskTracker;
+
+use crate::{
+    clock,
+    context::Context,
+    gate::{Gate, Permit},
+    request::Request,
+    run::{Journal, chat::Chat},
+};
+
+/// Tokens in a whole answer of the scripted engines.
+pub(super) const TOKENS: u32 = 8;
+pub(super) const POOL: &str = "pool";
+
+/// How a scripted upstream takes one call.
+#[derive(Clone, Debug)]
+pub(super) enum Script {
+    /// The whole answer, from where the call resumes.
+    Whole,
+    /// The call fails before there is an answer.
+    Refuse(Kind, Ran),
+    /// So many tokens from where the call resumes, then this.
+    Then(u32, After),
+}
+
+/// What follows the tokens of a script.
+#[derive(Clone, Debug)]
+pub(super) enum After {
+    /// The connection breaks.
+    Cut,
+    /// The connection ends without an end marker.
+    Close,
+    /// Nothing comes any more.
+    Hang,
+    /// A token with another index.
+    Token(u32),
+    /// An end marker that counts so many tokens.
+    End(u32),
+}
+
+/// Upstreams that do as their scripts say, and whole answers after them.
+#[derive(Debug, Default)]
+pub(super) struct Scripted {
+    state: Mutex<Record>,
+}
+
+#[derive(Debug, Default)]
+struct Record {
+    first: VecDeque<Script>,
+    always: Option<Script>,
+    calls: Vec<Called>,
+    cancels: Vec<(id::Upstream, id::Request)>,
+}
+
+/// A call that reached an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Called {
+    pub(super) upstream: id::Upstream,
+    pub(super) request: id::Request,
+    pub(super) resume_from: u32,
+}
+
+impl Scripted {
+    /// The next call that has no script yet does this, at whichever upstream.
+    pub(super) fn first(&self, script: Script) {
+        self.state.lock().unwrap().first.push_back(script);
+    }
+
+    /// All upstreams always do this.
+    pub(super) fn always(&self, script: Script) {
+        self.state.lock().unwrap().always = Some(script);
+    }
+
+    pub(super) fn calls(&self) -> Vec<Called> {
+        self.state.lock().unwrap().calls.clone()
+    }
+
+    pub(super) fn cancels(&self) -> Vec<(id::Upstream, id::Request)> {
+        self.state.lock().unwrap().cancels.clone()
+    }
+
+    fn next(&self, target: Target, call: &Call) -> Script {
+        let mut state = self.state.lock().unwrap();
+        state.calls.push(Called {
+            upstream: target.upstream,
+            request: call.request,
+            resume_from: call.resume_from,
+        });
+        let scripted = state.first.pop_front();
+        let always = state.always.clone();
+        scripted.or(always).unwrap_or(Script::Whole)
+    }
+}
+
+pub(super) fn word(index: u32) -> String {
+    format!("w{index} ")
+}
+
+/// The text that a caller has to get, no more and no less.
+pub(super) fn whole_text() -> String {
+    (0..TOKENS).map(word).collect()
+}
+
+fn token(index: u32) -> Part {
+    Part::Token {
+        index,
+        text: word(index),
+    }
+}
+
+fn end(tokens: u32) -> Part {
+    Part::End {
+        reason: "stop".to_owned(),
+        tokens,
+    }
+}
+
+#[async_trait]
+impl Upstreams for Scripted {
+    async fn chat(&self, target: Target, call: Call) -> Result<Parts, Error> {
+        let error = move |ran, kind| Error {
+            upstream: target.upstream,
+            ran,
+            kind,
+        };
+        let from = call.resume_from;
+        let cut = move || error(Ran::Unknown, Kind::Cut("scripted".to_owned()));
+        let (until, after) = match self.next(target, &call) {
+            Script::Refuse(kind, ran) => return Err(error(ran, kind)),
+            Script::Whole => (TOKENS, vec![Ok(end(TOKENS))]),
+            Script::Then(count, after) => {
+                let after = match after {
+                    After::Cut => vec![Err(cut())],
+                    After::Close => vec![],
+                    After::Hang => {
+                        let tokens = (from..from + count).map(|index| Ok(token(index)));
+                        return Ok(stream::iter(tokens).chain(stream::pending()).boxed());
+                    }
+                    After::Token(index) => vec![Ok(token(index))],
+                    After::End(tokens) => vec![Ok(end(tokens))],
+                };
+                (from + count, after)
+            }
+        };
+        let tokens = (from..until).map(|index| Ok(token(index)));
+        Ok(stream::iter(tokens.chain(after)).boxed())
+    }
+
+    async fn call(&self, target: Target, call: Call) -> Result<Bytes, Error> {
+        match self.next(target, &call) {
+            Script::Whole => Ok(Bytes::from_static(b"{\"done\":true}")),
+            Script::Refuse(kind, ran) => Err(Error {
+                upstream: target.upstream,
+                ran,
+                kind,
+            }),
+            Script::Then(..) => {
+                std::future::pending::<()>().await;
+                unreachable!("a pending future does not end")
+            }
+        }
+    }
+
+    async fn cancel(&self, target: Target, request: id::Request) -> Result<(), Error> {
+        let mut state = self.state.lock().unwrap();
+        state.cancels.push((target.upstream, request));
+        Ok(())
+    }
+
+    async fn report(&self, _target: Target) -> Result<Report, Error> {
+        Ok(Report::default())
+    }
+
+    async fn order(&self, _target: Target, _order: Order) -> Result<Verdict, Error> {
+        Ok(Verdict::Taken)
+    }
+}
+
+/// Peers that answer as told, and keep what they were asked.
+#[derive(Debug, Default)]
+pub(super) struct Answering {
+    answers: Mutex<VecDeque<Result<Response, peer::Error>>>,
+    asked: Mutex<Vec<(SocketAddr, Frame)>>,
+}
+
+impl Answering {
+    pub(super) fn then(&self, answer: Response) {
+        self.answers.lock().unwrap().push_back(Ok(answer));
+    }
+
+    pub(super) fn asked(&self) -> Vec<(SocketAddr, Frame)> {
+        self.asked.lock().unwrap().clone()
+    }
+}
+
+#[async_trait]
+impl Peers for Answering {
+    async fn ask(
+        &self,
+        to: SocketAddr,
+        request: Frame,
+        _until: Instant,
+    ) -> Result<Vec<Response>, peer::Error> {
+        self.asked.lock().unwrap().push((to, request));
+        let answer = self.answers.lock().unwrap().pop_front();
+        let answer = answer.unwrap_or(Err(peer::Error::Connect(to)));
+        answer.map(|answer| vec![answer])
+    }
+
+    fn tell(&self, _to: SocketAddr, _message: credit::Message) {}
+}
+
+#[derive(Debug)]
+struct Known(Arc<Members>);
+
+impl Directory for Known {
+    fn members(&self) -> Arc<Members> {
+        self.0.clone()
+    }
+}
+
+/// A context with its fakes.
+pub(super) struct Fixture {
+    pub(super) ctx: Arc<Context>,
+    pub(super) upstreams: Arc<Scripted>,
+    pub(super) peers: Arc<Answering>,
+}
+
+impl Fixture {
+    /// A context over so many engines and batch processes.
+    pub(super) fn new(upstreams: u32, batch_hosts: u32) -> Self {
+        let process = id::Process {
+            host: 1,
+            role: id::Role::Online,
+        };
+        let table = Table::new("here", clock::now());
+        table.list(&list(upstreams), clock::now());
+        let scripted = Arc::new(Scripted::default());
+        let peers = Arc::new(Answering::default());
+        let ctx = Context {
+            writer: Writer {
+                process,
+                incarnation: 1,
+            },
+            shards: 16,
+            configuration: Default::default(),
+            table,
+            upstreams: scripted.clone(),
+            peers: peers.clone(),
+            directory: Arc::new(Known(Arc::new(members(batch_hosts)))),
+            recorder: Recorder::new(process, 1_024),
+            ready: Flag::new(),
+            metrics: metrics::install(),
+            traffic: Handle::current(),
+            tasks: TaskTracker::new(),
+            budget: Mutex::new(Budget::default()),
+            gate: Gate::new(1),
+        };
+        Self {
+            ctx: Arc::new(ctx),
+            upstreams: scripted,
+            peers,
+        }
+    }
+
+    pub(super) fn journal(&self, request: &Request) -> Journal {
+        let permit = Permit::get(&self.ctx, request, clock::now()).unwrap();
+        Journal::accept(self.ctx.clone(), request, permit)
+    }
+
+    pub(super) fn chat(&self, request: Request) -> Chat {
+        let journal = self.journal(&request);
+        Chat::new(self.ctx.clone(), Arc::new(request), journal)
+    }
+
+    /// Waits for cancels and settlements.
+    pub(super) async fn settle(&self) {
+        self.ctx.tasks.close();
+        self.ctx.tasks.wait().await;
+    }
+}
+
+/// What a caller got.
+#[derive(Debug, Default)]
+pub(super) struct Got {
+    pub(super) text: String,
+    pub(super) end: Option<u32>,
+    pub(super) failure: Option<Failure>,
+}
+
+pub(super) async fn drain(chat: &mut Chat) -> Got {
+    let mut got = Got::default();
+    while let Some(part) = chat.next().await {
+        match part {
+            Ok(Part::Token { text, .. }) => got.text.push_str(&text),
+            Ok(Part::End { tokens, .. }) => got.end = Some(tokens),
+            Err(failure) => got.failure = Some(failure),
+        }
+    }
+    got
+}
+
+/// A request with 10 seconds of time.
+pub(super) fn request(repeatable: bool) -> Request {
+    let service = Service {
+        kind: hosts::Kind::Engine,
+        pool: POOL.to_owned(),
+        artifact: None,
+        max_tokens: 64,
+        timeout: Duration::from_secs(10),
+        repeatable,
+        attempts: 4,
+    };
+    let customer = Customer {
+        name: "customer".to_owned(),
+        revision: 1,
+        services: BTreeMap::new(),
+        streams: BTreeMap::new(),
+        limits: Limits::default(),
+        share: 1,
+        keep_results: Duration::from_secs(60),
+    };
+    Request {
+        id: 0x100,
+        customer: Arc::new(customer),
+        name: "notes".to_owned(),
+        service: Arc::new(service),
+        body: Bytes::from_static(b"{}"),
+        prefix: 7,
+        deadline: clock::now() + Duration::from_secs(10),
+        repeatable,
+        key: None,
+    }
+}
+
+fn list(upstreams: u32) -> List {
+    let upstream = |number: u32| hosts::Upstream {
+        upstream: number,
+        name: format!("engine-{number}"),
+        kind: hosts::Kind::Engine,
+        pools: [POOL.to_owned()].into_iter().collect(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1_000 + number as u16)),
+        failure_domain: "here".to_owned(),
+        checks_fence: false,
+        slots: None,
+        state: State::Live,
+    };
+    List {
+        version: 1,
+        upstreams: (1..=upstreams).map(upstream).collect(),
+        members: vec![],
+    }
+}
+
+pub(super) fn peer_address(host: u32) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 2_000 + host as u16))
+}
+
+fn members(batch_hosts: u32) -> Members {
+    let member = |host: u32| Member {
+        writer: Writer {
+            process: id::Process {
+                host,
+                role: id::Role::Batch,
+            },
+            incarnation: 1,
+        },
+        health: Health::Alive,
+        phase: Phase::Ready,
+        peer: peer_address(host),
+        http: peer_address(host),
+        failure_domain: "here".to_owned(),
+        config: 0,
+    };
+    Members {
+        members: (1..=batch_hosts).map(member).collect(),
+    }
+}
--- /dev/null
+++ b/crates/tinbank-online/src/run/tests/mod.rs
@@ -0,0 +1,7 @@
+//! Runs requests against scripted upstreams and peers, under virtual time.
+
+mod chat;
+mod claimed;
+mod fixture;
+mod plain;
+mod storm;
--- a/crates/tinbank-online/src/server.rs
+++ b/crates/tinbank-online/src/server.rs
@@ -255,7 +255,7 @@
         writer,
         shards: settings.shards,
         configuration: follower.shared(),
-        table: Table::new(common.failure_domain.clone(), Instant::now()),
+        table: Table::new(common.failure_domain.clone(), crate::clock::now()),
         upstreams: platform.upstreams.clone(),
         peers: Arc::new(endpoint.clone()),
         directory: directory.clone(),
