--- a/crates/tinbank-online/src/api/call.rs
+++ b/crates/tinbank-online/src/api/call.rs
@@ -1,7 +1,5 @@
 //! `POST /v1/services/{service}/call`.
 
-use std::time::Instant;
-
 use bytes::Bytes;
 use dropshot::{Body, Path, RequestContext, UntypedBody, endpoint};
 use http::Response;
--- a/crates/tinbank-online/src/api/chat.rs
+++ b/crates/tinbank-online/src/api/chat.rs
@@ -1,6 +1,6 @@
 //! `POST /v1/chat/completions`.
 
-use std::{sync::Arc, time::Instant};
+use std::sync::Arc;
 
 use dropshot::{Body, RequestContext, UntypedBody, endpoint};
 use futures::{Stream, StreamExt as _, stream};
--- a/crates/tinbank-online/src/api/mod.rs
+++ b/crates/tinbank-online/src/api/mod.rs
@@ -4,7 +4,7 @@
 pub mod call;
 pub mod chat;
 
-use std::{sync::Arc, time::Instant};
+use std::sync::Arc;
 
 use dropshot::{ApiDescription, ApiDescriptionRegisterError, RequestContext};
 use tinbank_base::{
--- a/crates/tinbank-online/src/control/hosts.rs
+++ b/crates/tinbank-online/src/control/hosts.rs
@@ -1,9 +1,6 @@
 //! Follows the platform's host list.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use tinbank_base::platform::hosts::{Error, Hosts, List};
 use tinbank_membership::Membership;
--- a/crates/tinbank-online/src/control/peers.rs
+++ b/crates/tinbank-online/src/control/peers.rs
@@ -1,9 +1,6 @@
 //! What is exchanged with other processes.
 
-use std::{
-    sync::{Arc, OnceLock},
-    time::Instant,
-};
+use std::sync::{Arc, OnceLock};
 
 use async_trait::async_trait;
 use futures::{StreamExt as _, stream, stream::BoxStream};
--- a/crates/tinbank-online/src/control/reports.rs
+++ b/crates/tinbank-online/src/control/reports.rs
@@ -1,9 +1,6 @@
 //! Asks engines for their load reports, a few at a time, so that the cost does not grow with the fleet.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use tinbank_base::platform::upstream::{Kind, Target, Upstreams};
 use tinbank_routing::Table;
--- a/crates/tinbank-online/src/run/attempt.rs
+++ b/crates/tinbank-online/src/run/attempt.rs
@@ -1,6 +1,6 @@
 //! One sending of a request to one upstream.
 
-use std::{sync::Arc, time::Instant};
+use std::sync::Arc;
 
 use tinbank_base::{
     id,
--- a/crates/tinbank-online/src/run/plain.rs
+++ b/crates/tinbank-online/src/run/plain.rs
@@ -1,6 +1,6 @@
 //! Runs a call of a plain service.
 
-use std::{sync::Arc, time::Instant};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use smallvec::SmallVec;
--- a/crates/tinbank-online/src/server.rs
+++ b/crates/tinbank-online/src/server.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::{Duration, Instant, SystemTime},
+    time::{Duration, SystemTime},
 };
 
 use tinbank_admission::Teller;
