--- /dev/null
+++ b/crates/tinbank-batch/src/control/mod.rs
@@ -0,0 +1,97 @@
+//! What keeps a batch process's picture of upstreams, customers and members fresh, besides what all processes do.
+
+mod peers;
+mod reports;
+
+use std::{collections::BTreeMap, sync::Arc, time::Instant};
+
+use tinbank_admission::{Engine, Service as Admission};
+use tinbank_base::{
+    id,
+    peer::Members,
+    platform::hosts::{Kind, List, State},
+};
+use tinbank_configuration::Snapshot;
+use tinbank_membership::Membership;
+use tinbank_process::{Core, hosts};
+use tinbank_routing::Table;
+use tokio::sync::watch;
+
+/// Requests that an engine runs at once when the platform doesn't say.
+const DEFAULT_SLOTS: u32 = 8;
+
+/// Starts the tasks on the current runtime, once the process has joined its peers.
+pub(crate) fn start(
+    core: &Core,
+    membership: &Membership,
+    table: &Table,
+    admission: &Admission,
+    writers: watch::Sender<usize>,
+) {
+    core.spawn(take_lists(core.hosts(), table.clone(), admission.clone()));
+    core.spawn(reports::ask(core.platform.upstreams.clone(), table.clone()));
+    core.spawn(peers::pass_on_leaving(
+        core.recorder.clone(),
+        table.clone(),
+        membership.clone(),
+    ));
+    core.spawn(peers::hear_leaving(table.clone(), membership.clone()));
+    core.spawn(count_writers(membership.watch(), writers));
+    let mut progress = core.follower.progress();
+    let (follower, admission) = (core.follower.clone(), admission.clone());
+    core.spawn(async move {
+        loop {
+            progress.borrow_and_update();
+            admission.set_shares(shares(&follower.snapshot()));
+            if progress.changed().await.is_err() {
+                return;
+            }
+        }
+    });
+}
+
+async fn take_lists(mut lists: hosts::Watch, table: Table, admission: Admission) {
+    loop {
+        let list = lists.borrow_and_update().clone();
+        if let Some(list) = list {
+            table.list(&list, Instant::now());
+            admission.set_engines(engines(&list));
+        }
+        if lists.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Tells the log writer how many processes share the budget of appends.
+async fn count_writers(mut members: watch::Receiver<Arc<Members>>, writers: watch::Sender<usize>) {
+    loop {
+        let ready = members.borrow_and_update().ready(id::Role::Batch).count();
+        let count = ready.max(1);
+        writers.send_if_modified(|known| std::mem::replace(known, count) != count);
+        if members.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn engines(list: &List) -> Vec<Engine> {
+    let upstreams = list.upstreams.iter();
+    let live =
+        upstreams.filter(|upstream| upstream.kind == Kind::Engine && upstream.state == State::Live);
+    live.map(|upstream| {
+        let slots = upstream.slots.unwrap_or(DEFAULT_SLOTS);
+        Engine {
+            upstream: upstream.upstream,
+            slots: u16::try_from(slots).unwrap_or(u16::MAX),
+        }
+    })
+    .collect()
+}
+
+fn shares(snapshot: &Snapshot) -> BTreeMap<id::Customer, u32> {
+    let customers = snapshot.customers.iter();
+    customers
+        .map(|(name, customer)| (name.clone(), customer.share))
+        .collect()
+}
--- a/crates/tinbank-online/src/lib.rs
+++ b/crates/tinbank-online/src/lib.rs
@@ -3,8 +3,10 @@
 //! See `docs/design/online.md` for the way of a request and the ways that were weighed.
 
 pub mod api;
+mod clock;
 mod context;
 mod control;
+mod gate;
 pub mod openai;
 mod relay;
 mod request;
--- a/crates/tinbank-online/src/run/journal.rs
+++ b/crates/tinbank-online/src/run/journal.rs
@@ -9,12 +9,13 @@
     platform::upstream,
 };
 
-use crate::{context::Context, request::Request};
+use crate::{clock, context::Context, gate::Permit, request::Request};
 
 /// Notes what becomes of one request. A request that is dropped before it ended counts as cancelled by its caller.
 #[derive(Debug)]
 pub(crate) struct Journal {
     ctx: Arc<Context>,
+    permit: Permit,
     request: id::Request,
     customer: id::Customer,
     service: id::Service,
@@ -25,13 +26,14 @@
 
 impl Journal {
     /// The request was accepted.
-    pub(crate) fn accept(ctx: Arc<Context>, request: &Request) -> Self {
+    pub(crate) fn accept(ctx: Arc<Context>, request: &Request, permit: Permit) -> Self {
         let journal = Self {
             ctx,
+            permit,
             request: request.id,
             customer: request.customer.name.clone(),
             service: request.name.clone(),
-            began: Instant::now(),
+            began: clock::now(),
             first: true,
             ended: false,
         };
@@ -62,8 +64,9 @@
 
     /// A token is passed on.
     pub(crate) fn token(&mut self) {
+        self.permit.spend_token();
         if std::mem::take(&mut self.first) {
-            let wait = self.began.elapsed().as_secs_f64();
+            let wait = clock::now().duration_since(self.began).as_secs_f64();
             metrics::histogram!("tinbank_online_first_token_seconds").record(wait);
             self.note(None, Kind::FirstToken);
         }
@@ -89,7 +92,7 @@
 
     fn end(&mut self, outcome: &'static str, reason: &str) {
         self.ended = true;
-        let elapsed = self.began.elapsed();
+        let elapsed = clock::now().duration_since(self.began);
         metrics::counter!("tinbank_online_requests_total", "outcome" => outcome).increment(1);
         metrics::histogram!("tinbank_online_request_seconds").record(elapsed.as_secs_f64());
         log::info!(
