--- a/crates/tinbank-online/src/server.rs
+++ b/crates/tinbank-online/src/server.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::{Duration, Instant, SystemTime},
+    time::{Duration, SystemTime},
 };
 
 use tinbank_admission::Teller;
@@ -34,6 +34,7 @@
     api,
     context::Context,
     control::{Answerer, Control, LateDirectory, PeerClock},
+    gate::Gate,
     settings::Settings,
 };
 
@@ -254,7 +255,7 @@
         writer,
         shards: settings.shards,
         configuration: follower.shared(),
-        table: Table::new(common.failure_domain.clone(), Instant::now()),
+        table: Table::new(common.failure_domain.clone(), crate::clock::now()),
         upstreams: platform.upstreams.clone(),
         peers: Arc::new(endpoint.clone()),
         directory: directory.clone(),
@@ -264,6 +265,7 @@
         traffic: handles.traffic.clone(),
         tasks: TaskTracker::new(),
         budget: Mutex::new(Budget::default()),
+        gate: Gate::new(common.host),
     });
     let http = listen(common, &ctx, &handles)?;
     let http_address = http.local_addr();
