--- a/crates/tinbank-server/src/client.rs
+++ b/crates/tinbank-server/src/client.rs
@@ -22,6 +22,9 @@
 pub const MAX_IDLE: usize = 64;
 
 /// Makes a client with a pool of its own.
+///
+/// A request for which a pooled connection turns out to be closed before anything was written goes out on another one;
+/// that can't run it twice. Nothing else is sent again here.
 pub fn new() -> Client {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
@@ -30,7 +33,7 @@
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(MAX_IDLE)
-        .retry_canceled_requests(false)
+        .retry_canceled_requests(true)
         .build(connector)
 }
 
--- a/crates/tinbank-server/src/failure.rs
+++ b/crates/tinbank-server/src/failure.rs
@@ -4,7 +4,11 @@
 
 use dropshot::{Body, ErrorStatusCode, HttpError, HttpResponseError};
 use http::{Response, StatusCode, header};
-use schemars::{JsonSchema, r#gen::SchemaGenerator, schema::Schema};
+use schemars::{
+    JsonSchema,
+    r#gen::{SchemaGenerator, SchemaSettings},
+    schema::{Schema, SchemaObject},
+};
 use serde::Serialize;
 use tinbank_base::outcome::{Code, Failure};
 
@@ -17,7 +21,7 @@
 #[serde(transparent)]
 pub struct Reply(pub Failure);
 
-/// The JSON body, for the OpenAPI description.
+/// No answer: why, and whether the work ran.
 #[derive(JsonSchema)]
 #[schemars(rename = "Failure")]
 #[expect(dead_code, reason = "it only describes the body")]
@@ -105,9 +109,10 @@
     }
 }
 
-/// Schema of the error body.
-pub fn schema() -> schemars::schema::RootSchema {
-    schemars::schema_for!(Shape)
+/// Schema of the error body, for the OpenAPI description.
+pub fn schema() -> SchemaObject {
+    let generator = SchemaSettings::openapi3().into_generator();
+    generator.into_root_schema_for::<Shape>().schema
 }
 
 /// Text by which dropshot tells of a body over the limit; it has no type or status of its own for that.
--- a/crates/tinbank-server/src/start.rs
+++ b/crates/tinbank-server/src/start.rs
@@ -1,6 +1,11 @@
 //! The main function that all server binaries share.
 
-use std::{future::Future, process::ExitCode};
+use std::{
+    fmt,
+    future::Future,
+    io::{self, Write as _},
+    process::ExitCode,
+};
 
 use dropshot::{ApiDescription, ServerContext};
 use tinbank_settings::{
@@ -17,10 +22,28 @@
 /// Exit code of a server that could not start or ended badly.
 pub const EXIT_FAILED: u8 = 1;
 
+/// Does what the command line asks for; see [`run`].
+pub fn process<T, C, F, E>(
+    title: &str,
+    api: ApiDescription<C>,
+    common: impl FnOnce(&T) -> &Common,
+    serve: impl FnOnce(T, Handles) -> F,
+) -> ExitCode
+where
+    T: Schema,
+    C: ServerContext,
+    F: Future<Output = Result<(), E>>,
+    E: fmt::Display,
+{
+    run(argh::from_env(), title, api, common, serve)
+}
+
 /// Does what the arguments ask for: describes the interface, checks the settings, or serves until told to stop.
 ///
-/// `serve` starts the process, waits for [`crate::stop::signal`] and stops gracefully.
-pub fn process<T, C, F, E>(
+/// `serve` starts the process, waits for [`crate::stop::signal`] and stops gracefully. The exit code is 0 after that,
+/// [`EXIT_FAILED`] when it failed, and [`tinbank_settings::cli::EXIT_SETTINGS`] when the settings are refused.
+pub fn run<T, C, F, E>(
+    arguments: Arguments,
     title: &str,
     api: ApiDescription<C>,
     common: impl FnOnce(&T) -> &Common,
@@ -30,29 +53,25 @@
     T: Schema,
     C: ServerContext,
     F: Future<Output = Result<(), E>>,
-    E: std::fmt::Display,
+    E: fmt::Display,
 {
-    let arguments: Arguments = argh::from_env();
     match arguments.resolve::<T>() {
         Err(error) => refuse(&error),
         Ok(Request::OpenApi) => describe(title, &api),
-        Ok(Request::Checked(path)) => {
-            println!("{}: no findings", path.display());
-            ExitCode::SUCCESS
-        }
+        Ok(Request::Checked(path)) => print(&format!("{}: no findings", path.display())),
         Ok(Request::Serve(settings)) => {
             let common = common(&settings);
             logs::start_at(logs::level(&common.log_level));
             let threads = Threads::start(common.traffic_threads);
-            run(threads, |handles| serve(settings, handles))
+            on(threads, |handles| serve(settings, handles))
         }
     }
 }
 
-fn run<F, E>(threads: std::io::Result<Threads>, serve: impl FnOnce(Handles) -> F) -> ExitCode
+fn on<F, E>(threads: io::Result<Threads>, serve: impl FnOnce(Handles) -> F) -> ExitCode
 where
     F: Future<Output = Result<(), E>>,
-    E: std::fmt::Display,
+    E: fmt::Display,
 {
     let threads = match threads {
         Ok(threads) => threads,
@@ -64,20 +83,30 @@
     }
 }
 
-fn failed(error: &impl std::fmt::Display) -> ExitCode {
+fn failed(error: &impl fmt::Display) -> ExitCode {
     log::error!(reason = error.to_string().as_str(); "the process failed");
     ExitCode::from(EXIT_FAILED)
 }
 
 fn describe<C: ServerContext>(title: &str, api: &ApiDescription<C>) -> ExitCode {
     match openapi::describe(api, title) {
-        Ok(json) => {
-            println!("{json}");
-            ExitCode::SUCCESS
-        }
-        Err(error) => {
-            eprintln!("the interface can't be described: {error}");
-            ExitCode::from(EXIT_FAILED)
+        Ok(json) => print(&json),
+        Err(error) => complain(&format!("the interface can't be described: {error}")),
+    }
+}
+
+/// Writes to stdout. A reader that has seen enough and closed the pipe is no failure.
+fn print(text: &str) -> ExitCode {
+    match writeln!(io::stdout(), "{text}") {
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => {
+            complain(&format!("stdout can't be written: {error}"))
         }
+        _ => ExitCode::SUCCESS,
     }
 }
+
+fn complain(text: &str) -> ExitCode {
+    // Where stderr is closed nobody reads it; the exit code still says it.
+    let _ = writeln!(io::stderr(), "{text}");
+    ExitCode::from(EXIT_FAILED)
+}
--- a/crates/tinbank-server/tests/server.rs
+++ b/crates/tinbank-server/tests/server.rs
@@ -353,6 +353,7 @@
     assert!(described["paths"]["/readyz"]["get"].is_object());
     let shape = &described["components"]["schemas"]["Failure"]["properties"];
     assert!(shape["ran"].is_object(), "{shape}");
+    assert!(described["components"]["schemas"]["Failure"]["$schema"].is_null());
     let refused = &described["paths"]["/numbers/{number}"]["get"]["responses"]["4XX"];
     assert!(
         refused["content"]["application/json"].is_object(),
--- a/crates/tinbank-settings/src/cli.rs
+++ b/crates/tinbank-settings/src/cli.rs
@@ -1,6 +1,10 @@
 //! Arguments that all server binaries share. See `docs/running.md`.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    io::{self, Write as _},
+    path::PathBuf,
+    process::ExitCode,
+};
 
 use argh::FromArgs;
 
@@ -65,6 +69,7 @@
 
 /// Shows why the server doesn't start.
 pub fn refuse(error: &Error) -> ExitCode {
-    eprintln!("{error}");
+    // Where stderr is closed nobody reads it; the exit code still says it.
+    let _ = writeln!(io::stderr(), "{error}");
     ExitCode::from(EXIT_SETTINGS)
 }
--- a/crates/tinbank-settings/src/document.rs
+++ b/crates/tinbank-settings/src/document.rs
@@ -69,6 +69,13 @@
     }
 }
 
+/// The fields that a process has besides the common ones.
+pub fn own(fields: Vec<Field>, common: &[Field]) -> Vec<Field> {
+    let is_common = |field: &Field| common.iter().any(|common| common.key == field.key);
+    let own = fields.into_iter().filter(|field| !is_common(field));
+    own.collect()
+}
+
 /// Replaces the part of a page between `<!-- NAME -->` and `<!-- end -->` by freshly generated text.
 ///
 /// Returns `None` when the page has no such part.
