--- a/crates/tinbank-batch/src/main.rs
+++ b/crates/tinbank-batch/src/main.rs
@@ -1,3 +1,30 @@
 //! The `tinbank-batch` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+use tinbank_batch::{Platform, Server, Settings, http};
+use tinbank_process::Error;
+use tinbank_server::{start, stop, threads::Handles};
+
+fn main() -> ExitCode {
+    match http::api() {
+        Ok(api) => start::process(
+            "tinbank batch",
+            api,
+            |settings: &Settings| &settings.common,
+            serve,
+        ),
+        Err(error) => {
+            eprintln!("the interface can't be built: {error}");
+            ExitCode::from(start::EXIT_FAILED)
+        }
+    }
+}
+
+async fn serve(settings: Settings, handles: Handles) -> Result<(), Error> {
+    let platform = Platform::new(&settings.common);
+    let server = Server::start_on(settings, platform, handles).await?;
+    stop::signal().await;
+    server.stop().await;
+    Ok(())
+}
--- a/crates/tinbank-online/src/api/chat.rs
+++ b/crates/tinbank-online/src/api/chat.rs
@@ -1,6 +1,6 @@
 //! `POST /v1/chat/completions`.
 
-use std::{sync::Arc, time::Instant};
+use std::sync::Arc;
 
 use dropshot::{Body, RequestContext, UntypedBody, endpoint};
 use futures::{Stream, StreamExt as _, stream};
@@ -12,10 +12,11 @@
 };
 use tokio::sync::mpsc;
 
-use super::{Shared, answer, check_ready, note_refused, request_id};
+use super::{Shared, accept, answer, check_ready, note_refused, request_id};
 use crate::{
+    clock,
     request::{Caller, Request, chat::Chat as Wanted},
-    run::{self, Journal, chat::Chat},
+    run::{self, chat::Chat},
 };
 
 /// Answers a chat completion, whole or as server-sent events that end in `[DONE]`.
@@ -48,13 +49,13 @@
     let ctx = rqctx.context();
     check_ready(ctx)?;
     let headers = rqctx.request.headers();
-    let caller = Caller::read(headers, &ctx.snapshot(), Instant::now())?;
+    let caller = Caller::read(headers, &ctx.snapshot(), clock::now())?;
     Wanted::read(id, &caller, body)
 }
 
 async fn serve(ctx: &Shared, wanted: Wanted) -> Result<Response<Body>, Failure> {
     let request = Arc::new(wanted.request);
-    let journal = Journal::accept(ctx.clone(), &request);
+    let journal = accept(ctx, &request)?;
     match request.claim_key() {
         Some(key) => {
             let (sender, receiver) = mpsc::unbounded_channel();
