--- a/crates/tinbank-batch/src/http/submit.rs
+++ b/crates/tinbank-batch/src/http/submit.rs
@@ -112,5 +112,5 @@
         Err(failure) if failure.ran == Ran::No => "not_run",
         Err(_) => "unknown",
     };
-    metrics::counter!("batch_jobs_total", "outcome" => ran).increment(1);
+    metrics::counter!("tinbank_batch_jobs_total", "outcome" => ran).increment(1);
 }
--- a/crates/tinbank-batch/src/runner/pool.rs
+++ b/crates/tinbank-batch/src/runner/pool.rs
@@ -273,7 +273,7 @@
             }
             End::Withdrawn => {
                 task.attempts += 1;
-                metrics::counter!("batch_withdrawn_total").increment(1);
+                metrics::counter!("tinbank_batch_withdrawn_total").increment(1);
                 self.push(task);
             }
             End::Stopped | End::Lost => self.give_back(&task),
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -69,6 +69,18 @@
 
 /// All metrics, by name.
 pub const METRICS: &[Metric] = &[
+    counter(
+        "tinbank_batch_jobs_total",
+        "jobs",
+        &["outcome"],
+        "Jobs that were sent in: accepted, refused as not run, or of unknown outcome.",
+    ),
+    counter(
+        "tinbank_batch_withdrawn_total",
+        "items",
+        &[],
+        "Batch items taken off an engine for the sake of online requests, and queued again.",
+    ),
     counter(
         "tinbank_configuration_changes_total",
         "changes",
@@ -152,6 +164,12 @@
         "tinbank_online_first_token_seconds",
         "Time from the request to its first token.",
     ),
+    counter(
+        "tinbank_online_limited_total",
+        "requests",
+        &["limit"],
+        "Requests refused as not run because the customer is over a limit, by limit.",
+    ),
     seconds(
         "tinbank_online_request_seconds",
         "Time from the request to the end of its answer.",
@@ -174,6 +192,12 @@
         &[],
         "Requests sent again.",
     ),
+    counter(
+        "tinbank_online_shed_total",
+        "requests",
+        &[],
+        "Requests refused as not run because the upstreams are overloaded.",
+    ),
     counter(
         "tinbank_peer_asks_failed_total",
         "requests",
