--- a/crates/tinbank-settings/src/document.rs
+++ b/crates/tinbank-settings/src/document.rs
@@ -35,6 +35,9 @@
 
 /// A Markdown table of the keys, nested ones with their path.
 pub fn table(fields: &[Field]) -> String {
+    if fields.is_empty() {
+        return "None.\n".to_owned();
+    }
     let mut lines = vec![
         "| key | value | default | meaning |".to_owned(),
         "| --- | --- | --- | --- |".to_owned(),
