Share services and streams between customers of one template

Cause: 35.6 MB resident at 13,000 customers, of which each had a map of services and one of streams of its own. The literals in the tests of tinbank-online and tinbank-batch and one line of tinbank-demo follow the types.

--- a/crates/tinbank-batch/tests/support/mod.rs
+++ b/crates/tinbank-batch/tests/support/mod.rs
@@ -233,8 +233,8 @@
     let customer = Customer {
         name: name.to_owned(),
         revision: 1,
-        services,
-        streams: BTreeMap::new(),
+        services: services.into(),
+        streams: Default::default(),
         limits: CustomerLimits::default(),
         share: 1,
         keep_results: Duration::from_secs(3_600),
--- a/crates/tinbank-configuration/src/snapshot.rs
+++ b/crates/tinbank-configuration/src/snapshot.rs
@@ -26,10 +26,10 @@
     pub name: id::Customer,
     /// The larger of its own and its template's revision.
     pub revision: id::Revision,
-    /// Its services.
-    pub services: BTreeMap<id::Service, Arc<Service>>,
-    /// Its streams.
-    pub streams: BTreeMap<String, Stream>,
+    /// Its services; the template's own map if it has no others.
+    pub services: Arc<BTreeMap<id::Service, Arc<Service>>>,
+    /// Its streams; the template's own map if it has no others.
+    pub streams: Arc<BTreeMap<String, Stream>>,
     /// Its limits.
     pub limits: Limits,
     /// Its weight in the sharing of batch capacity.
@@ -46,17 +46,11 @@
         template: &Template,
         revision: id::Revision,
     ) -> Self {
-        let mut services = template.services.clone();
-        let own = customer.services.iter();
-        services.extend(own.map(|(name, service)| (name.clone(), service.clone())));
-        let mut streams = template.streams.clone();
-        let own = customer.streams.iter();
-        streams.extend(own.map(|(name, stream)| (name.clone(), stream.clone())));
         Self {
             name: name.to_owned(),
             revision,
-            services,
-            streams,
+            services: overlay(&template.services, &customer.services),
+            streams: overlay(&template.streams, &customer.streams),
             limits: template.limits.overlaid(customer.limits),
             share: customer.share.unwrap_or(template.share),
             keep_results: customer.keep_results,
@@ -64,6 +58,22 @@
     }
 }
 
+/// Most customers name no services or streams of their own, and share their template's map.
+fn overlay<V: Clone>(
+    template: &Arc<BTreeMap<String, V>>,
+    own: &BTreeMap<String, V>,
+) -> Arc<BTreeMap<String, V>> {
+    if own.is_empty() {
+        return template.clone();
+    }
+    let mut overlaid = BTreeMap::clone(template);
+    overlaid.extend(
+        own.iter()
+            .map(|(name, value)| (name.clone(), value.clone())),
+    );
+    Arc::new(overlaid)
+}
+
 /// All of the configuration in force at one process.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Snapshot {
--- a/crates/tinbank-configuration/src/template.rs
+++ b/crates/tinbank-configuration/src/template.rs
@@ -38,11 +38,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Template {
-    /// Services by name.
-    pub services: BTreeMap<id::Service, Arc<Service>>,
-    /// Streams by name.
+    /// Services by name, shared with the customers that have no others.
+    pub services: Arc<BTreeMap<id::Service, Arc<Service>>>,
+    /// Streams by name, shared likewise.
     #[serde(default)]
-    pub streams: BTreeMap<String, Stream>,
+    pub streams: Arc<BTreeMap<String, Stream>>,
     /// Limits of each customer.
     #[serde(default)]
     pub limits: Limits,
--- a/crates/tinbank-demo/src/example.rs
+++ b/crates/tinbank-demo/src/example.rs
@@ -3,6 +3,7 @@
 use std::{
     fs,
     path::{Path, PathBuf},
+    sync::Arc,
     time::Duration,
 };
 
@@ -183,7 +184,7 @@
         let _: Customer = typed(&directory.join("customer.jsonc"), &customer)?;
         let path = directory.join("template.jsonc");
         let services = typed::<Template>(&path, &template)?.services;
-        let service = services
+        let service = Arc::unwrap_or_clone(services)
             .into_iter()
             .find(|(_, service)| service.pool == deployment.engines.pool);
         let (service, kind) = service.ok_or_else(|| Error {
--- a/crates/tinbank-online/src/run/tests/fixture.rs
+++ b/crates/tinbank-online/src/run/tests/fixture.rs
@@ -1,7 +1,7 @@
 //! Scripted upstreams and peers, and a context around them.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::VecDeque,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
@@ -346,8 +346,8 @@
     let customer = Customer {
         name: "customer".to_owned(),
         revision: 1,
-        services: BTreeMap::new(),
-        streams: BTreeMap::new(),
+        services: Default::default(),
+        streams: Default::default(),
         limits: Limits::default(),
         share: 1,
         keep_results: Duration::from_secs(60),
