--- a/crates/tinbank-base/src/record/work.rs
+++ b/crates/tinbank-base/src/record/work.rs
@@ -151,6 +151,8 @@
 pub struct Part {
     /// Which job.
     pub job: id::Job,
+    /// Its intake, so that a job taken in again under the same key, long after, is not ended by its predecessor.
+    pub intake: u64,
     /// Which shard speaks.
     pub shard: id::Shard,
     /// Items with an answer.
--- a/crates/tinbank-ledger/src/checkpoint.rs
+++ b/crates/tinbank-ledger/src/checkpoint.rs
@@ -97,7 +97,7 @@
         if part.version != VERSION {
             return Err(Error::Version(part.version));
         }
-        if part.through + 1 < self.first {
+        if part.through.saturating_add(1) < self.first {
             return Ok(None);
         }
         let series = Series {
@@ -127,7 +127,7 @@
     if !rest.is_empty() {
         return Err(malformed(format!("{} bytes too many", rest.len())));
     }
-    if shard.next() != through + 1 {
+    if shard.next().checked_sub(1) != Some(through) {
         return Err(malformed(format!("its state is of {}", shard.next())));
     }
     Ok(shard)
--- a/crates/tinbank-ledger/src/chunk.rs
+++ b/crates/tinbank-ledger/src/chunk.rs
@@ -37,12 +37,10 @@
 }
 
 impl Chunk {
-    /// The summary of a chunk that stands at a place; `None` if it has too many items to be one of ours.
+    /// The summary of a chunk that stands at a place; `None` if its numbers can't be ours.
     pub fn new(place: Place, chunk: &work::Chunk) -> Option<Self> {
-        if chunk.items.len() > MAX_ITEMS {
-            return None;
-        }
-        let items = chunk.items.len() as u16;
+        let items = u16::try_from(chunk.items.len()).ok()?;
+        chunk.first.checked_add(id::Item::from(items))?;
         Some(Self {
             offset: place.offset,
             record: place.record,
--- a/crates/tinbank-ledger/src/duty.rs
+++ b/crates/tinbank-ledger/src/duty.rs
@@ -139,15 +139,13 @@
 
     fn releases(&self, shard: &Shard, job: &Job, open: &mut Vec<Duty>) {
         for to in missing(job) {
+            if self.released(shard, job, to) {
+                continue;
+            }
             let key = Key::Release {
                 job: job.head.job,
                 shard: to,
             };
-            let work = shard.work(job.head.job).filter(|_| to == shard.number());
-            let read_back = work.is_some_and(|work| work.release.is_some());
-            if read_back || self.acknowledged.contains(&key) {
-                continue;
-            }
             open.push(Duty {
                 key,
                 shard: to,
@@ -156,6 +154,17 @@
         }
     }
 
+    fn released(&self, shard: &Shard, job: &Job, to: id::Shard) -> bool {
+        if to == shard.number() {
+            let work = shard.work(job.head.job);
+            return work.is_some_and(|work| work.intake() == job.head.intake);
+        }
+        self.acknowledged.contains(&Key::Release {
+            job: job.head.job,
+            shard: to,
+        })
+    }
+
     fn cancels(&self, shard: &Shard, job: &Job, open: &mut Vec<Duty>) {
         if !job.cancelled {
             return;
@@ -165,9 +174,12 @@
                 job: job.head.job,
                 shard: to,
             };
+            // A cancel that came before its release could meet a finished predecessor of the job.
+            if !self.released(shard, job, to) || self.acknowledged.contains(&key) {
+                continue;
+            }
             let work = shard.work(job.head.job).filter(|_| to == shard.number());
-            let read_back = work.is_some_and(|work| work.cancelled || work.finished());
-            if read_back || self.acknowledged.contains(&key) {
+            if work.is_some_and(|work| work.cancelled || work.finished()) {
                 continue;
             }
             open.push(Duty {
@@ -183,6 +195,7 @@
         let count = work.count();
         let part = work::Part {
             job,
+            intake: work.intake(),
             shard: shard.number(),
             answered: count.answered,
             failed: count.failed,
--- a/crates/tinbank-ledger/src/job.rs
+++ b/crates/tinbank-ledger/src/job.rs
@@ -43,7 +43,7 @@
     pub(crate) ended: bool,
     /// Chunks of the released intake, by number.
     chunks: Vec<Chunk>,
-    /// Chunks before the release, of any intake.
+    /// Chunks of intakes that are not released.
     waiting: Vec<Waiting>,
     /// All chunks before this index have ended.
     low: usize,
@@ -55,6 +55,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Waiting {
     pub(crate) intake: u64,
+    /// Log time of its record, in microseconds since 1970.
+    at: u64,
     pub(crate) chunk: Chunk,
 }
 
@@ -110,28 +112,34 @@
             .filter(|chunk| chunk.pending() > 0)
     }
 
-    /// Takes in a chunk; the first copy counts.
-    pub(crate) fn add(&mut self, intake: u64, chunk: Chunk) -> bool {
-        match &self.release {
-            None => {
-                let known = self
-                    .waiting
-                    .iter()
-                    .any(|other| other.intake == intake && other.chunk.chunk == chunk.chunk);
-                if !known {
-                    self.waiting.push(Waiting { intake, chunk });
-                }
-                !known
-            }
-            Some(release) if release.intake == intake => self.insert(chunk),
-            Some(_) => false,
+    /// Takes in a chunk at log time `at`; the first copy counts. `true` if it may run.
+    pub(crate) fn add(&mut self, intake: u64, chunk: Chunk, at: u64) -> bool {
+        if self.runs(intake) {
+            return self.insert(chunk);
+        }
+        let known = self
+            .waiting
+            .iter()
+            .any(|other| other.intake == intake && other.chunk.chunk == chunk.chunk);
+        if !known {
+            self.waiting.push(Waiting { intake, at, chunk });
         }
+        false
     }
 
-    /// Lets the chunks of an intake run; the first release counts.
+    /// Lets the chunks of an intake run; the first release counts. Long after, when the head's shard has forgotten
+    /// the job, it may be taken in again under the same key: that release takes the place of a finished one.
     pub(crate) fn release(&mut self, release: work::Release) -> bool {
-        if self.release.is_some() {
-            return false;
+        if let Some(known) = &self.release {
+            let again = release.intake != known.intake && release.keep_until > known.keep_until;
+            if !again || !self.finished() {
+                return false;
+            }
+            *self = Self {
+                waiting: std::mem::take(&mut self.waiting),
+                touched: self.touched,
+                ..Self::default()
+            };
         }
         let intake = release.intake;
         self.release = Some(release);
@@ -170,18 +178,19 @@
 
     /// The chunk that a carried copy speaks of.
     pub(crate) fn carried(&mut self, intake: u64, chunk: id::Chunk) -> Option<&mut Chunk> {
-        match &self.release {
-            None => self
-                .waiting
-                .iter_mut()
-                .find(|waiting| waiting.intake == intake && waiting.chunk.chunk == chunk)
-                .map(|waiting| &mut waiting.chunk),
-            Some(release) if release.intake == intake => {
-                let index = self.find(chunk).ok()?;
-                self.chunks.get_mut(index)
-            }
-            Some(_) => None,
+        if self.runs(intake) {
+            let index = self.find(chunk).ok()?;
+            return self.chunks.get_mut(index);
         }
+        self.waiting
+            .iter_mut()
+            .find(|waiting| waiting.intake == intake && waiting.chunk.chunk == chunk)
+            .map(|waiting| &mut waiting.chunk)
+    }
+
+    /// Forgets chunks that have waited for their release since before log time `since`.
+    pub(crate) fn forget_waiting(&mut self, since: u64) {
+        self.waiting.retain(|waiting| waiting.at >= since);
     }
 
     /// The intake that runs; 0 before the release.
@@ -193,6 +202,12 @@
         &self.waiting
     }
 
+    fn runs(&self, intake: u64) -> bool {
+        self.release
+            .as_ref()
+            .is_some_and(|release| release.intake == intake)
+    }
+
     fn open(&self) -> id::Item {
         self.items - self.answered - self.failed
     }
@@ -201,7 +216,7 @@
         let Err(index) = self.find(chunk.chunk) else {
             return false;
         };
-        self.items += chunk.items();
+        self.items = self.items.saturating_add(chunk.items());
         self.low = self.low.min(index);
         self.chunks.insert(index, chunk);
         self.advance();
--- a/crates/tinbank-ledger/src/shard/fold.rs
+++ b/crates/tinbank-ledger/src/shard/fold.rs
@@ -85,7 +85,7 @@
         let time = self.time();
         let work = self.works.entry(chunk.job).or_default();
         work.touched = time;
-        if work.add(chunk.intake, summary) && work.release.is_some() {
+        if work.add(chunk.intake, summary, time) {
             self.index(chunk.job);
             self.check_finished(chunk.job, changes);
         }
@@ -233,6 +233,7 @@
     fn part(&mut self, part: &work::Part, changes: &mut Changes) {
         if part.shard == self.shard
             && let Some(work) = self.works.get_mut(&part.job)
+            && work.intake() == part.intake
             && work.finished()
         {
             work.told = true;
@@ -241,7 +242,8 @@
         let Some(job) = self.jobs.get_mut(&part.job) else {
             return;
         };
-        if job.has_part(part.shard) || !job.head.shards.contains(&part.shard) {
+        let ours = job.head.intake == part.intake && job.head.shards.contains(&part.shard);
+        if !ours || job.has_part(part.shard) {
             return;
         }
         job.parts.push(part.clone());
--- a/crates/tinbank-ledger/src/shard/forget.rs
+++ b/crates/tinbank-ledger/src/shard/forget.rs
@@ -11,10 +11,17 @@
 const GARBAGE_AFTER: u64 = 24 * 3_600_000_000;
 
 impl Shard {
+    /// Whether an owner is needed to write a checkpoint or to carry chunks forward before the records before `before` go.
+    pub fn needs_care(&self, before: id::Offset) -> bool {
+        self.needs_checkpoint(before) || self.to_carry(before).next().is_some()
+    }
+
     /// Whether the state would be lost with the records before `before`: an owner has to write a checkpoint.
     pub fn needs_checkpoint(&self, before: id::Offset) -> bool {
         match self.checkpoint {
-            Some(checkpoint) => checkpoint.offset < before || checkpoint.through + 1 < before,
+            Some(checkpoint) => {
+                checkpoint.offset < before || checkpoint.through.saturating_add(1) < before
+            }
             None => before > 0,
         }
     }
@@ -28,7 +35,11 @@
         self.forgotten = now;
         self.claims.forget(now);
         self.jobs.retain(|_, job| !job_is_over(job, now));
-        self.works.retain(|_, work| !work_is_over(work, now));
+        let since = now.saturating_sub(GARBAGE_AFTER);
+        self.works.retain(|_, work| {
+            work.forget_waiting(since);
+            !work_is_over(work, since, now)
+        });
     }
 }
 
@@ -36,9 +47,9 @@
     clock::micros(job.head.keep_until) < now && job.finished()
 }
 
-fn work_is_over(work: &Work, now: u64) -> bool {
+fn work_is_over(work: &Work, since: u64, now: u64) -> bool {
     match &work.release {
         Some(release) => clock::micros(release.keep_until) < now && work.told,
-        None => work.touched.saturating_add(GARBAGE_AFTER) < now,
+        None => work.touched < since,
     }
 }
--- /dev/null
+++ b/crates/tinbank-ledger/tests/ledger/claim_world.rs
@@ -0,0 +1,234 @@
+//! Any interleaving of claims of one key: online processes that ask stale owners, resend, die; owners that settle.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use proptest::{prelude::*, sample::Index};
+use tinbank_base::{
+    frame::request::Claimed,
+    id,
+    outcome::{Code, Ran},
+    record::{
+        Envelope,
+        claim::{Claim, Settled, Stored},
+        work::Record,
+    },
+};
+use tinbank_ledger::{placement, shard::Shard};
+use tinbank_test_support::property;
+
+use crate::fixture::{self, DAY, SHARDS, time, writer};
+
+const CASES: u32 = 1_000;
+const MAX_STEPS: usize = 60;
+const OWNERS: usize = 2;
+const CLAIMERS: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A caller sends the request, again, to an online process, which asks an owner.
+    Ask {
+        claimer: usize,
+        owner: usize,
+    },
+    Read {
+        owner: usize,
+        count: usize,
+    },
+    /// An online process sends if it has won; the upstream may say that it did not run.
+    Send {
+        claimer: usize,
+        owner: usize,
+        runs: bool,
+    },
+    /// An online process hands its result to an owner, perhaps twice.
+    Settle {
+        claimer: usize,
+        owner: usize,
+    },
+    /// An online process dies; its next start knows nothing.
+    Die {
+        claimer: usize,
+    },
+    /// An owner ends the claims of processes that it believes to be gone, rightly or not.
+    Expire {
+        owner: usize,
+        claimer: usize,
+    },
+    Copy {
+        pick: Index,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let (claimer, owner) = (0..CLAIMERS, 0..OWNERS);
+    prop_oneof![
+        4 => (claimer.clone(), owner.clone()).prop_map(|(claimer, owner)| Step::Ask { claimer, owner }),
+        6 => (owner.clone(), 1..6usize).prop_map(|(owner, count)| Step::Read { owner, count }),
+        6 => (claimer.clone(), owner.clone(), any::<bool>())
+            .prop_map(|(claimer, owner, runs)| Step::Send { claimer, owner, runs }),
+        4 => (claimer.clone(), owner.clone()).prop_map(|(claimer, owner)| Step::Settle { claimer, owner }),
+        1 => claimer.clone().prop_map(|claimer| Step::Die { claimer }),
+        1 => (owner, claimer).prop_map(|(owner, claimer)| Step::Expire { owner, claimer }),
+        2 => any::<Index>().prop_map(|pick| Step::Copy { pick }),
+    ]
+}
+
+#[derive(Default)]
+struct World {
+    log: Vec<Envelope<Record>>,
+    owners: Vec<Shard>,
+    claimers: Vec<Claimer>,
+    requests: id::Request,
+    /// Results of requests that ran, as their callers got them.
+    ran: Vec<Bytes>,
+}
+
+struct Claimer {
+    start: u64,
+    claim: Option<Claim>,
+    result: Option<Settled>,
+}
+
+impl World {
+    fn new() -> Self {
+        let claimer = |_| Claimer {
+            start: 1,
+            claim: None,
+            result: None,
+        };
+        Self {
+            owners: vec![Shard::new(0, SHARDS); OWNERS],
+            claimers: (0..CLAIMERS).map(claimer).collect(),
+            ..Self::default()
+        }
+    }
+
+    fn act(&mut self, step: Step) {
+        match step {
+            Step::Ask { claimer, owner } => self.ask(claimer, owner),
+            Step::Read { owner, count } => self.read(owner, count),
+            Step::Send {
+                claimer,
+                owner,
+                runs,
+            } => self.send(claimer, owner, runs),
+            Step::Settle { claimer, owner } => self.settle(claimer, owner),
+            Step::Die { claimer } => {
+                self.claimers[claimer] = Claimer {
+                    start: self.claimers[claimer].start + 1,
+                    claim: None,
+                    result: None,
+                };
+            }
+            Step::Expire { owner, claimer } => {
+                let process = writer(claimer as id::Host, 1).process;
+                let gone = |writer: tinbank_base::record::Writer| writer.process == process;
+                let overdue = self.owners[owner]
+                    .claims()
+                    .overdue(time(0), Duration::ZERO, gone);
+                self.append(owner, overdue.into_iter().map(Record::Settled).collect());
+            }
+            Step::Copy { pick } => {
+                if !self.log.is_empty() {
+                    let copy = self.log[pick.index(self.log.len())].clone();
+                    self.log.push(copy);
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self, claimer: usize, owner: usize) {
+        self.requests += 1;
+        let request = self.requests;
+        let this = &mut self.claimers[claimer];
+        let claim = this.claim.get_or_insert_with(|| Claim {
+            key: placement::claim_key("water", "alarm"),
+            body: [1; 32],
+            claimer: writer(claimer as id::Host, this.start),
+            request,
+            deadline: time(30),
+            keep_until: time(DAY),
+        });
+        let claim = claim.clone();
+        if self.owners[owner].ask(&claim).is_none() {
+            self.append(owner, vec![Record::Claim(claim)]);
+        }
+    }
+
+    fn send(&mut self, claimer: usize, owner: usize, runs: bool) {
+        let this = &mut self.claimers[claimer];
+        let Some(claim) = this.claim.as_ref().filter(|_| this.result.is_none()) else {
+            return;
+        };
+        if self.owners[owner].ask(claim) != Some(Claimed::Won) {
+            return;
+        }
+        let answer = Bytes::from(format!("answer to {}", claim.request));
+        let refused = Stored {
+            code: Code::NoUpstream,
+            ran: Ran::No,
+            message: String::new(),
+        };
+        this.result = Some(Settled {
+            key: claim.key,
+            claimer: claim.claimer,
+            request: claim.request,
+            answer: if runs {
+                Ok(answer.clone())
+            } else {
+                Err(refused)
+            },
+        });
+        if runs {
+            self.ran.push(answer);
+        }
+    }
+
+    fn settle(&mut self, claimer: usize, owner: usize) {
+        let this = &mut self.claimers[claimer];
+        let Some(result) = this.result.clone() else {
+            return;
+        };
+        // A caller that was told that it did not run may send the request again: a new request then.
+        if result.answer.is_err() {
+            this.claim = None;
+            this.result = None;
+        }
+        self.append(owner, vec![Record::Settled(result)]);
+    }
+
+    fn read(&mut self, owner: usize, count: usize) {
+        let fold = &mut self.owners[owner];
+        for _ in 0..count {
+            if let Some(envelope) = self.log.get(fold.next() as usize) {
+                fold.apply(fold.next(), envelope);
+            }
+        }
+    }
+
+    fn append(&mut self, owner: usize, records: Vec<Record>) {
+        let by = writer(100 + owner as id::Host, 1);
+        let sequence = self.log.len() as u64 + 1;
+        self.log.push(fixture::envelope(by, sequence, 1, records));
+    }
+}
+
+proptest! {
+    #![proptest_config(property::config(CASES))]
+
+    #[test]
+    fn a_claimed_request_runs_at_most_once(steps in prop::collection::vec(step(), 1..MAX_STEPS)) {
+        let mut world = World::new();
+
+        for step in steps {
+            world.act(step);
+        }
+
+        prop_assert!(world.ran.len() <= 1, "ran: {:?}", world.ran);
+        for owner in 0..OWNERS {
+            world.read(owner, world.log.len());
+        }
+        prop_assert_eq!(&world.owners[0], &world.owners[1]);
+    }
+}
--- a/crates/tinbank-ledger/tests/ledger/fold.rs
+++ b/crates/tinbank-ledger/tests/ledger/fold.rs
@@ -259,9 +259,7 @@
 
 #[test]
 fn a_finished_job_is_forgotten_after_its_time() {
-    let mut shard = running();
-    let ends = (0..4).map(|item| answer(item, "a")).collect();
-    add(&mut shard, vec![completed(JOB, 0, ends), part()]);
+    let mut shard = finished();
 
     add_at(&mut shard, writer(1, 1), 8 * DAY, Vec::new());
 
@@ -269,10 +267,95 @@
 }
 
 #[test]
-fn one_fast_clock_makes_nobody_forget() {
+fn a_job_taken_in_again_long_after_runs_even_where_the_first_is_remembered() {
+    let mut shard = finished();
+    let stale = release(1);
+    let again = Record::Release(released_again(7 * DAY + 1));
+
+    add(&mut shard, vec![chunk(2)]);
+    let changes = add(&mut shard, vec![again]);
+    let flipped = add(&mut shard, vec![stale, part()]);
+
+    assert_eq!(changes[..], [Change::Released(JOB)]);
+    assert!(flipped.is_empty());
+    assert_eq!(shard.count(JOB).map(|count| count.pending), Some(4));
+    assert!(
+        shard.live(),
+        "the part of the first does not end the second"
+    );
+}
+
+#[test]
+fn a_release_of_another_intake_does_not_end_a_running_job() {
     let mut shard = running();
-    let ends = (0..4).map(|item| answer(item, "a")).collect();
-    add(&mut shard, vec![completed(JOB, 0, ends), part()]);
+
+    let changes = add(
+        &mut shard,
+        vec![chunk(2), Record::Release(released_again(7 * DAY + 1))],
+    );
+
+    assert!(changes.is_empty());
+    assert_eq!(
+        shard
+            .work(JOB)
+            .and_then(|work| work.release.as_ref())
+            .map(|release| release.intake),
+        Some(1)
+    );
+}
+
+#[test]
+fn chunks_without_a_release_are_forgotten_after_a_day() {
+    let mut shard = running();
+    add(&mut shard, vec![chunk(2)]);
+    add_at(&mut shard, writer(2, 1), 2, Vec::new());
+    let waiting = shard.to_carry(shard.next()).count();
+
+    add_at(&mut shard, writer(1, 1), DAY + 100, Vec::new());
+    add_at(&mut shard, writer(2, 1), DAY + 100, Vec::new());
+
+    assert_eq!(waiting, 2);
+    assert_eq!(shard.to_carry(shard.next()).count(), 1);
+}
+
+#[test]
+fn a_cancel_follows_the_release() {
+    let job = fixture::job_in(0);
+    let mut shard = Shard::new(0, SHARDS);
+    add(
+        &mut shard,
+        vec![
+            Record::Head(fixture::head(job, 1, 8, 2, 2)),
+            Record::Cancel { job },
+        ],
+    );
+    take(&mut shard, OWNER);
+    let now = std::time::Instant::now();
+    let mut duties = Duties::new(std::time::Duration::from_secs(1));
+
+    let first = duties.due(&shard, writer(OWNER, 1), now);
+    first
+        .iter()
+        .for_each(|duty| duties.acknowledged(&shard, duty));
+    let next = duties.due(&shard, writer(OWNER, 1), now);
+
+    assert!(
+        first
+            .iter()
+            .all(|duty| matches!(duty.record, Record::Release(_)))
+    );
+    assert_eq!(
+        next.iter()
+            .map(|duty| duty.record.clone())
+            .collect::<Vec<_>>(),
+        [Record::Cancel { job }]
+    );
+    assert_eq!(shards(&next), [1]);
+}
+
+#[test]
+fn one_fast_clock_makes_nobody_forget() {
+    let mut shard = finished();
     add_at(&mut shard, writer(2, 1), 2, Vec::new());
 
     add_at(&mut shard, writer(3, 1), 1_000 * DAY, Vec::new());
@@ -281,6 +364,22 @@
     assert!(shard.work(JOB).is_some());
 }
 
+fn finished() -> Shard {
+    let mut shard = running();
+    let ends = (0..4).map(|item| answer(item, "a")).collect();
+    add(&mut shard, vec![completed(JOB, 0, ends), part()]);
+    shard
+}
+
+/// A release of the second intake whose results stay readable until `keep_until` seconds.
+fn released_again(keep_until: u64) -> work::Release {
+    let head = fixture::head(JOB, 2, 4, 1, 1);
+    work::Release {
+        keep_until: fixture::time(keep_until),
+        ..duty::release(&head, head.shards[0], SHARDS)
+    }
+}
+
 fn running() -> Shard {
     let mut shard = Shard::new(0, SHARDS);
     add(&mut shard, vec![chunk(1), release(1)]);
@@ -299,6 +398,7 @@
 fn part() -> Record {
     Record::Part(work::Part {
         job: JOB,
+        intake: 1,
         shard: 0,
         answered: 4,
         failed: 0,
