Drain hosts and upstreams by a record of the configuration

Cause: operators had no way to drain from the command line, and the platform's host list is not ours to write. Change: records for hosts and upstreams in the configuration stream (leaving, live), judged by the rule of all changes; processes lay them over the platform's list, and a process of a drained host stops as on a signal and never becomes ready again until the host is returned. Tests: overlay and checks; draining an engine under online calls and a host of two, over real HTTP.

--- a/crates/tinbank-base/src/record/config.rs
+++ b/crates/tinbank-base/src/record/config.rs
@@ -15,6 +15,10 @@
     Template(String),
     /// A customer's parameters.
     Customer(id::Customer),
+    /// Whether operators want an entry host left alone.
+    Host(id::Host),
+    /// Whether operators want an upstream left alone.
+    Upstream(id::Upstream),
 }
 
 impl fmt::Display for Object {
@@ -22,6 +26,8 @@
         match self {
             Self::Template(name) => write!(f, "template {name}"),
             Self::Customer(name) => write!(f, "customer {name}"),
+            Self::Host(host) => write!(f, "host {host}"),
+            Self::Upstream(upstream) => write!(f, "upstream {upstream}"),
         }
     }
 }
--- a/crates/tinbank-batch/src/server.rs
+++ b/crates/tinbank-batch/src/server.rs
@@ -97,6 +97,11 @@
         self.core.ready.is_ready()
     }
 
+    /// Waits until operators want this host drained; whoever runs the process then stops it.
+    pub async fn drained(&self) {
+        self.core.drained().await;
+    }
+
     /// Its time line.
     pub fn recorder(&self) -> &Recorder {
         &self.core.recorder
--- a/crates/tinbank-cli/src/command/mod.rs
+++ b/crates/tinbank-cli/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod check;
 mod config;
 mod customer;
+mod drain;
 mod hosts;
 mod template;
 mod timeline;
@@ -56,6 +57,8 @@
     Hosts(hosts::Hosts),
     /// The upstreams.
     Upstreams(upstreams::Upstreams),
+    /// Draining.
+    Drain(drain::Drain),
     /// Checking files.
     Check(check::Check),
 }
@@ -75,6 +78,7 @@
             Self::Timeline(command) => command.run(context, output).await,
             Self::Hosts(command) => command.run(context, output).await,
             Self::Upstreams(command) => command.run(context, output).await,
+            Self::Drain(command) => command.run(context, output).await,
             Self::Check(command) => command.run(output),
         }
     }
--- a/crates/tinbank-cli/src/object.rs
+++ b/crates/tinbank-cli/src/object.rs
@@ -125,7 +125,7 @@
         .objects()
         .filter(|(object, _)| wanted(object))
         .map(|(object, held)| Shown {
-            object: name(object).to_owned(),
+            object: name(object),
             revision: held.revision,
             author: &held.author,
             body: None,
@@ -267,9 +267,10 @@
     }
 }
 
-fn name(object: &Object) -> &str {
+fn name(object: &Object) -> String {
     match object {
-        Object::Template(name) | Object::Customer(name) => name,
+        Object::Template(name) | Object::Customer(name) => name.clone(),
+        Object::Host(_) | Object::Upstream(_) => object.to_string(),
     }
 }
 
--- a/crates/tinbank-cli/src/processes.rs
+++ b/crates/tinbank-cli/src/processes.rs
@@ -4,7 +4,7 @@
 
 use futures::{StreamExt as _, stream};
 use serde::{Deserialize, Serialize};
-use tinbank_base::id;
+use tinbank_base::{id, platform::hosts::State};
 
 use crate::{
     context::Context,
@@ -12,6 +12,10 @@
     server::{Ask, Server},
 };
 
+/// What `/members` calls a process that was heard of lately.
+const ALIVE: &str = "alive";
+/// What `/members` calls a process that serves.
+const READY: &str = "ready";
 /// How many processes are asked at once.
 const ASKED_AT_ONCE: usize = 32;
 
@@ -21,6 +25,8 @@
     pub(crate) process: id::Process,
     pub(crate) http: SocketAddr,
     pub(crate) failure_domain: id::FailureDomain,
+    /// What the platform's list says; `None` if it is not there.
+    pub(crate) listed: Option<State>,
     /// What the members believe of it; `None` if it is only on the platform's list.
     pub(crate) known: Option<Known>,
 }
@@ -46,6 +52,15 @@
     config: id::Offset,
 }
 
+impl Process {
+    /// Whether nothing speaks against giving it work.
+    pub(crate) fn is_in_use(&self) -> bool {
+        let known = self.known.as_ref();
+        let healthy = known.is_none_or(|known| known.health == ALIVE && known.phase == READY);
+        healthy && self.listed != Some(State::Leaving)
+    }
+}
+
 /// All processes: those that an entry's members list names, and those on the platform's host list. The two
 /// differ while a process comes or goes, and each helps when the other can't be had.
 pub(crate) async fn find(context: &mut Context) -> Result<Vec<Process>, Error> {
@@ -69,10 +84,16 @@
                 process: member.process,
                 http: member.http,
                 failure_domain: member.failure_domain.clone(),
+                listed: None,
                 known: None,
             });
         }
     }
+    for process in &mut found {
+        let mut members = listed.iter().flat_map(|list| &list.members);
+        let member = members.find(|member| member.process == process.process);
+        process.listed = member.map(|member| member.state);
+    }
     found.sort_by_key(|process| process.process);
     Ok(found)
 }
@@ -94,6 +115,7 @@
         process: parse(&member.process)?,
         http: member.http,
         failure_domain: member.failure_domain.clone(),
+        listed: None,
         known: Some(Known {
             incarnation: member.incarnation,
             health: member.health.clone(),
--- a/crates/tinbank-cli/tests/world/mod.rs
+++ b/crates/tinbank-cli/tests/world/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
+pub mod deployment;
+
 use std::{
     fs,
     io::Write,
--- a/crates/tinbank-configuration/src/check/mod.rs
+++ b/crates/tinbank-configuration/src/check/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     customer::Customer,
+    drain::Drain,
     finding::Finding,
     service::Service,
     snapshot,
@@ -86,6 +87,15 @@
     whole(overlaid, findings)
 }
 
+/// Reads what operators want of a host or upstream.
+///
+/// # Errors
+/// All findings of the text.
+pub fn drain(body: &str) -> Result<Drain, Findings> {
+    let text = Text::parse(body)?;
+    parse::<Drain>(&text)
+}
+
 /// A finding at a field of a text that could be read.
 pub(crate) fn field_finding(body: &str, field: &str, message: &str, help: &str) -> Finding {
     match Text::parse(body) {
@@ -99,7 +109,9 @@
 /// # Errors
 /// A finding if it is empty, too long, or has characters that don't go into URLs and file names.
 pub fn name(object: &Object) -> Result<(), Findings> {
-    let (Object::Template(name) | Object::Customer(name)) = object;
+    let (Object::Template(name) | Object::Customer(name)) = object else {
+        return Ok(());
+    };
     match name_problem(name) {
         None => Ok(()),
         Some(problem) => Err(vec![Finding::whole(
--- a/crates/tinbank-configuration/src/fold/state.rs
+++ b/crates/tinbank-configuration/src/fold/state.rs
@@ -8,7 +8,7 @@
 use tinbank_base::{
     digest::Digest,
     id,
-    platform::log::Entry,
+    platform::{hosts::State as Use, log::Entry},
     record::{
         Envelope,
         config::{Kept, Object, Put, Recent, Record},
@@ -22,6 +22,7 @@
 use crate::{
     check::{self, Findings},
     customer::Customer,
+    drain::Leaving,
     finding::Finding,
     snapshot::{self, Snapshot},
     template::Template,
@@ -42,6 +43,7 @@
     users: BTreeMap<String, BTreeSet<id::Customer>>,
     customers: BTreeMap<id::Customer, Arc<snapshot::Customer>>,
     keys: HashMap<Digest, Arc<snapshot::Customer>>,
+    leaving: Leaving,
     deleted: BTreeSet<Deleted>,
     window: Window,
 }
@@ -86,6 +88,7 @@
             next: self.next,
             customers: self.customers.clone(),
             keys: self.keys.clone(),
+            leaving: self.leaving.clone(),
         }
     }
 
@@ -204,6 +207,11 @@
         match object {
             Object::Template(name) => self.put_template(name, body, revision),
             Object::Customer(name) => self.put_customer(name, body, revision),
+            Object::Host(_) | Object::Upstream(_) => {
+                let drain = check::drain(body)?;
+                self.leaving.set(object, drain.state);
+                Ok(())
+            }
         }
     }
 
@@ -305,6 +313,7 @@
                 }
                 self.templates.remove(name);
             }
+            Object::Host(_) | Object::Upstream(_) => self.leaving.set(object, Use::Live),
         }
         Ok(())
     }
--- a/crates/tinbank-configuration/src/lib.rs
+++ b/crates/tinbank-configuration/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod check;
 pub mod customer;
+pub mod drain;
 pub mod finding;
 pub mod fold;
 pub mod follower;
--- a/crates/tinbank-configuration/src/snapshot.rs
+++ b/crates/tinbank-configuration/src/snapshot.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     customer,
+    drain::Leaving,
     limit::Limits,
     service::Service,
     template::{Stream, Template},
@@ -73,6 +74,8 @@
     pub customers: BTreeMap<id::Customer, Arc<Customer>>,
     /// Customers by the digest of their callers' keys.
     pub keys: HashMap<Digest, Arc<Customer>>,
+    /// What operators want left alone.
+    pub leaving: Leaving,
 }
 
 impl Snapshot {
--- a/crates/tinbank-configuration/tests/support/naive.rs
+++ b/crates/tinbank-configuration/tests/support/naive.rs
@@ -124,6 +124,11 @@
                     return false;
                 }
             }
+            Object::Host(_) | Object::Upstream(_) => {
+                if check::drain(&kept.body).is_err() {
+                    return false;
+                }
+            }
         }
     }
     true
--- a/crates/tinbank-fleet/src/main.rs
+++ b/crates/tinbank-fleet/src/main.rs
@@ -24,7 +24,10 @@
 async fn serve(settings: Settings, handles: Handles) -> Result<(), Error> {
     let platform = Platform::new(&settings.common);
     let server = Server::start_on(settings, platform, handles).await?;
-    stop::signal().await;
+    tokio::select! {
+        () = stop::signal() => {}
+        () = server.core().drained() => {}
+    }
     server.stop().await;
     Ok(())
 }
--- a/crates/tinbank-online/src/control/hosts.rs
+++ b/crates/tinbank-online/src/control/hosts.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use tinbank_base::platform::hosts::{Error, Hosts, List};
+use tinbank_configuration::snapshot::Shared;
 use tinbank_membership::Membership;
 use tinbank_routing::Table;
 use tokio::{
@@ -20,6 +21,7 @@
 /// Reads the list again and again; the last one that could be read stays in force.
 pub(super) async fn follow(
     hosts: Arc<dyn Hosts>,
+    configuration: Shared,
     table: Table,
     membership: Membership,
     listed: watch::Sender<bool>,
@@ -35,7 +37,8 @@
         let Ok(list) = read else {
             continue;
         };
-        table.list(&list, clock::now());
+        let effective = configuration.load().leaving.overlay(&list);
+        table.list(&effective, clock::now());
         listed.send_replace(true);
         if version.is_none_or(|version| version < list.version) {
             version = Some(list.version);
--- a/crates/tinbank-online/src/control/mod.rs
+++ b/crates/tinbank-online/src/control/mod.rs
@@ -40,6 +40,7 @@
         let (ctx, table) = (self.ctx.clone(), self.ctx.table.clone());
         let follow_hosts = hosts::follow(
             self.platform.hosts.clone(),
+            ctx.configuration.clone(),
             table.clone(),
             self.membership.clone(),
             listed,
@@ -70,10 +71,12 @@
 ) {
     let mut progress = follower.progress();
     let mut was_ready = false;
+    let host = ctx.writer.process.host;
     loop {
         let now = *progress.borrow_and_update();
         membership.set_config(now.next);
-        if now.ready && *have_list.borrow_and_update() && !was_ready {
+        let drained = follower.snapshot().leaving.hosts.contains(&host);
+        if now.ready && *have_list.borrow_and_update() && !was_ready && !drained {
             was_ready = true;
             ctx.ready.ready();
             if ctx.ready.is_ready() {
--- a/crates/tinbank-online/src/server.rs
+++ b/crates/tinbank-online/src/server.rs
@@ -20,6 +20,7 @@
 use tinbank_membership::Membership;
 use tinbank_peer::Endpoint;
 use tinbank_platform::{hosts, log, upstream};
+use tinbank_process::drain;
 use tinbank_routing::{Table, retry::Budget};
 use tinbank_server::{http, metrics, readiness::Flag, threads::Handles};
 use tinbank_settings::common::Common;
@@ -83,6 +84,7 @@
     http_address: SocketAddr,
     endpoint: Endpoint,
     membership: Membership,
+    follower: Follower,
     ctx: Arc<Context>,
     stop_grace: Duration,
     control: DropGuard,
@@ -156,6 +158,11 @@
         self.ctx.ready.is_ready()
     }
 
+    /// Waits until operators want this host drained; whoever runs the process then stops it.
+    pub async fn drained(&self) {
+        drain::wanted(&self.follower, self.ctx.writer.process.host).await;
+    }
+
     /// Its time line.
     pub fn recorder(&self) -> &Recorder {
         &self.ctx.recorder
@@ -287,7 +294,7 @@
     let control = Control {
         ctx: ctx.clone(),
         platform,
-        follower,
+        follower: follower.clone(),
         membership: membership.clone(),
         teller: Teller::start(peers, directory),
     };
@@ -297,6 +304,7 @@
         http_address,
         endpoint,
         membership,
+        follower,
         ctx,
         stop_grace: Duration::from_millis(settings.stop_grace_ms),
         control: stop.drop_guard(),
--- a/crates/tinbank-process/src/core.rs
+++ b/crates/tinbank-process/src/core.rs
@@ -12,6 +12,7 @@
     frame::heartbeat::Phase,
     id,
     peer::{Answer, Directory, Members, Peers},
+    platform::hosts::List,
     record::Writer,
 };
 use tinbank_configuration::{
@@ -30,7 +31,7 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::{clock::Timeline, hosts, platform::Platform, ready};
+use crate::{clock::Timeline, drain, hosts, platform::Platform, ready};
 
 /// Why a process does not start.
 #[derive(Debug, thiserror::Error)]
@@ -72,7 +73,8 @@
     pub stop: CancellationToken,
     failure_domain: id::FailureDomain,
     seeds: Vec<SocketAddr>,
-    lists: watch::Sender<Option<Arc<tinbank_base::platform::hosts::List>>>,
+    listed: watch::Sender<Option<Arc<List>>>,
+    lists: watch::Sender<Option<Arc<List>>>,
     membership: OnceLock<Membership>,
 }
 
@@ -122,6 +124,7 @@
             stop: CancellationToken::new(),
             failure_domain: common.failure_domain.clone(),
             seeds: common.seeds.to_vec(),
+            listed: watch::channel(None).0,
             lists: watch::channel(None).0,
             membership: OnceLock::new(),
         }))
@@ -145,12 +148,18 @@
         self.endpoint.serve(answer);
         self.spawn(hosts::follow(
             self.platform.hosts.clone(),
+            self.listed.clone(),
+        ));
+        self.spawn(drain::overlay(
+            self.follower.clone(),
+            self.listed.subscribe(),
             self.lists.clone(),
         ));
+        // Peers order lists by the platform's versions, so they are told of the platform's own list only.
         self.spawn(ready::pass_on(
             self.follower.clone(),
             membership.clone(),
-            self.hosts(),
+            self.listed.subscribe(),
         ));
         self.spawn(ready::become_ready(
             self.follower.clone(),
@@ -166,7 +175,12 @@
         tokio::spawn(self.stop.clone().run_until_cancelled_owned(task));
     }
 
-    /// The newest host list.
+    /// Waits until operators want this host drained. Until then the future only waits, however long that is.
+    pub async fn drained(&self) {
+        drain::wanted(&self.follower, self.writer.process.host).await;
+    }
+
+    /// The newest host list, with what operators want left alone.
     pub fn hosts(&self) -> hosts::Watch {
         self.lists.subscribe()
     }
--- a/crates/tinbank-process/src/lib.rs
+++ b/crates/tinbank-process/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod clock;
 mod core;
+pub mod drain;
 pub mod hosts;
 mod platform;
 mod ready;
--- a/crates/tinbank-process/src/ready.rs
+++ b/crates/tinbank-process/src/ready.rs
@@ -41,7 +41,9 @@
     let mut progress = follower.progress();
     let configured = progress.wait_for(|progress| progress.ready).await.is_ok();
     let listed = lists.wait_for(Option::is_some).await.is_ok();
-    if !configured || !listed {
+    let host = recorder.process().host;
+    let drained = follower.snapshot().leaving.hosts.contains(&host);
+    if !configured || !listed || drained {
         return;
     }
     ready.ready();
