Go on elsewhere when an engine stands still

Cause: an engine that hangs keeps its connection open, so a repeatable stream waited out its whole deadline.

--- a/crates/tinbank-online/src/api/answer.rs
+++ b/crates/tinbank-online/src/api/answer.rs
@@ -24,15 +24,16 @@
 
 /// A failure, with when to ask again if asking again is safe and may help.
 pub(super) fn with_retry(failure: Failure) -> Failure {
-    let temporary = matches!(
-        failure.code,
+    let temporary = match failure.code {
         Code::Overloaded
-            | Code::NoUpstream
-            | Code::LogUnavailable
-            | Code::NotReady
-            | Code::LimitReached
-    );
-    if failure.ran != Ran::No || !temporary || failure.retry_at.is_some() {
+        | Code::NoUpstream
+        | Code::LogUnavailable
+        | Code::NotReady
+        | Code::LimitReached => failure.ran == Ran::No,
+        Code::InProgress => true,
+        _ => false,
+    };
+    if !temporary || failure.retry_at.is_some() {
         return failure;
     }
     failure.retry_at(SystemTime::now() + ASK_AGAIN)
--- a/crates/tinbank-online/src/run/chat.rs
+++ b/crates/tinbank-online/src/run/chat.rs
@@ -14,8 +14,9 @@
     Ask, Router as _,
     retry::{Attempts, Decision},
 };
+use tokio::time::timeout_at;
 
-use super::{Attempt, Journal};
+use super::{Attempt, Journal, patience::Patience};
 use crate::{clock, context::Context, relay::Relay, request::Request};
 
 /// A chat completion in flight.
@@ -33,6 +34,7 @@
 struct Running {
     attempt: Attempt,
     parts: Parts,
+    patience: Patience,
 }
 
 /// Why there is no next part.
@@ -117,9 +119,18 @@
             deadline: self.request.deadline,
         };
         attempt.arm();
-        match self.ctx.upstreams.chat(target, call).await {
+        let now = clock::now();
+        let patience = Patience::new(self.request.repeatable, self.request.deadline, now);
+        let until = patience.until(self.request.deadline, now);
+        let answer = timeout_at(until.into(), self.ctx.upstreams.chat(target, call)).await;
+        let late = |_| Err(silence(target.upstream, until, self.request.deadline));
+        match answer.unwrap_or_else(late) {
             Ok(parts) => {
-                self.running = Some(Running { attempt, parts });
+                self.running = Some(Running {
+                    attempt,
+                    parts,
+                    patience,
+                });
                 Ok(())
             }
             Err(error) => {
@@ -171,11 +182,27 @@
         ran: Ran::Unknown,
         kind,
     };
-    let next = tokio::time::timeout_at(deadline.into(), running.parts.next()).await;
+    let until = running.patience.until(deadline, clock::now());
+    let next = timeout_at(until.into(), running.parts.next()).await;
     let part = match next {
-        Err(_) => return Err(error(Kind::Timeout)),
+        Err(_) => return Err(silence(upstream, until, deadline)),
         Ok(None) => return Err(error(Kind::Cut("no end marker".to_owned()))),
         Ok(Some(part)) => part?,
     };
+    running.patience.heard();
     relay.take(part).map_err(error)
 }
+
+/// Nothing came in time: the caller's time is over, or the engine stands still.
+fn silence(upstream: id::Upstream, until: Instant, deadline: Instant) -> upstream::Error {
+    let kind = if until < deadline {
+        Kind::Cut("it stands still".to_owned())
+    } else {
+        Kind::Timeout
+    };
+    upstream::Error {
+        upstream,
+        ran: Ran::Unknown,
+        kind,
+    }
+}
--- a/crates/tinbank-online/src/run/mod.rs
+++ b/crates/tinbank-online/src/run/mod.rs
@@ -5,6 +5,7 @@
 mod claim;
 pub(crate) mod claimed;
 mod journal;
+mod patience;
 pub(crate) mod plain;
 
 pub(crate) use attempt::Attempt;
--- a/crates/tinbank-online/src/run/tests/chat.rs
+++ b/crates/tinbank-online/src/run/tests/chat.rs
@@ -188,11 +188,38 @@
     assert_eq!(fixture.upstreams.cancels(), []);
 }
 
+#[parameterized(
+    before_headers = { Script::Silent, 0 },
+    before_the_first_token = { Script::Then(0, After::Hang), 0 },
+    between_tokens = { Script::Then(3, After::Hang), 3 },
+    before_the_end_marker = { Script::Then(TOKENS, After::Hang), TOKENS },
+)]
+#[test_macro(tokio::test(start_paused = true))]
+async fn a_repeatable_stream_goes_on_elsewhere_when_its_engine_stands_still(
+    script: Script,
+    passed_on: u32,
+) {
+    let fixture = Fixture::new(3, 0);
+    fixture.upstreams.first(script);
+    let mut chat = fixture.chat(request(true));
+
+    let got = drain(&mut chat).await;
+    fixture.settle().await;
+
+    assert_eq!((got.text, got.end), (whole_text(), Some(TOKENS)));
+    let calls = fixture.upstreams.calls();
+    assert_eq!((calls.len(), calls[1].resume_from), (2, passed_on));
+    assert_eq!(
+        fixture.upstreams.cancels(),
+        [(calls[0].upstream, calls[0].request)]
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_engine_that_hangs_ends_in_a_timeout_and_a_cancel() {
-    let fixture = Fixture::new(1, 0);
+    let fixture = Fixture::new(3, 0);
     fixture.upstreams.first(Script::Then(2, After::Hang));
-    let mut chat = fixture.chat(request(true));
+    let mut chat = fixture.chat(request(false));
     let began = tokio::time::Instant::now();
 
     let got = drain(&mut chat).await;
--- a/crates/tinbank-online/src/run/tests/fixture.rs
+++ b/crates/tinbank-online/src/run/tests/fixture.rs
@@ -51,6 +51,8 @@
     Whole,
     /// The call fails before there is an answer.
     Refuse(Kind, Ran),
+    /// Not even headers come.
+    Silent,
     /// So many tokens from where the call resumes, then this.
     Then(u32, After),
 }
@@ -160,6 +162,7 @@
         let (until, after) = match self.next(target, &call) {
             Script::Refuse(kind, ran) => return Err(error(ran, kind)),
             Script::Whole => (TOKENS, vec![Ok(end(TOKENS))]),
+            Script::Silent => std::future::pending().await,
             Script::Then(count, after) => {
                 let after = match after {
                     After::Cut => vec![Err(cut())],
@@ -186,10 +189,7 @@
                 ran,
                 kind,
             }),
-            Script::Then(..) => {
-                std::future::pending::<()>().await;
-                unreachable!("a pending future does not end")
-            }
+            Script::Silent | Script::Then(..) => std::future::pending().await,
         }
     }
 
