Name the TLS files when a server can't use them

Cause: dropshot's message for a file without a key names no file; the new test failed for it. Change: the error names certificate and key.

--- a/crates/tinbank-server/src/http.rs
+++ b/crates/tinbank-server/src/http.rs
@@ -74,15 +74,15 @@
             default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
             ..ConfigDropshot::default()
         };
-        let tls = listen.tls.map(|tls| ConfigTls::AsFile {
-            cert_file: tls.certificate,
-            key_file: tls.key,
+        let tls = listen.tls.as_ref().map(|tls| ConfigTls::AsFile {
+            cert_file: tls.certificate.clone(),
+            key_file: tls.key.clone(),
         });
         let started = ServerBuilder::new(api, context, logs::dropshot())
             .config(config)
             .tls(tls)
             .start();
-        let inner = started.map_err(|error| refused(address, &error))?;
+        let inner = started.map_err(|error| refused(&listen, &error))?;
         Ok(Self { inner })
     }
 
@@ -105,13 +105,18 @@
     }
 }
 
-fn refused(address: SocketAddr, error: &dropshot::BuildError) -> Error {
+fn refused(listen: &Listen, error: &dropshot::BuildError) -> Error {
     use dropshot::BuildError;
     let cause = std::error::Error::source(error);
-    let reason = match cause {
+    let mut reason = match cause {
         Some(cause) => format!("{error}: {cause}"),
         None => error.to_string(),
     };
+    // Dropshot doesn't name the files of a certificate or key that it can't use.
+    if let (Some(tls), false) = (&listen.tls, matches!(error, BuildError::BindError { .. })) {
+        let (certificate, key) = (tls.certificate.display(), tls.key.display());
+        reason = format!("{reason} (certificate {certificate}, key {key})");
+    }
     let help = match error {
         BuildError::BindError { .. } => "give `http` a free port of this host",
         BuildError::NotOnePrivateKey | BuildError::PemError { .. } => {
@@ -120,7 +125,7 @@
         _ => "check `http` and `tls` in the settings",
     };
     Error {
-        address,
+        address: listen.address,
         reason,
         help,
     }
--- a/crates/tinbank-server/tests/tls.rs
+++ b/crates/tinbank-server/tests/tls.rs
@@ -82,3 +82,21 @@
     assert_eq!(answer.status(), StatusCode::OK);
     server.close().await.expect("a clean close");
 }
+
+#[tokio::test]
+async fn files_that_hold_something_else_are_named() {
+    let garbage = write("garbage.pem", "no certificate");
+    let listen = Listen {
+        tls: Some(Tls {
+            certificate: garbage.clone(),
+            key: garbage,
+        }),
+        ..Listen::plain(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
+    };
+
+    let refused = Server::start(listen, api(), ()).err();
+
+    let refused = refused.expect("there is no key in it").to_string();
+    assert!(refused.contains("PEM files"), "{refused}");
+    assert!(refused.contains("garbage.pem"), "{refused}");
+}
