Carry jobs over retention, and let batch give way

Cause: results have to stay readable after the records that hold them are gone; a withdrawn pass must not lose the tokens received. Change: owner::upkeep appends carried chunks, then checkpoints, before half of the retention is over; answers over 128 KiB end as failed; items suspected by the ledger's policy go alone; a shard about to be released starts nothing. Tests: log outage in mid-run, lost and refused appends, withdrawn passes, trimmed streams.

--- a/crates/tinbank-batch/src/http/job.rs
+++ b/crates/tinbank-batch/src/http/job.rs
@@ -76,11 +76,8 @@
         .ask(shard, Request::Cancel { job }, until())
         .await;
     match frames?.pop() {
-        Some(request::Response::Cancelled(true)) => {}
-        Some(request::Response::Cancelled(false)) => {
-            let message = "the batch had ended before";
-            return Err(Failure::not_run(Code::BadRequest, message).into());
-        }
+        // One that had ended before stays as it is; its state says so.
+        Some(request::Response::Cancelled(_)) => {}
         Some(other) => return Err(unexpected(&other).into()),
         None => return Err(Failure::unknown(Code::Internal, "empty answer").into()),
     }
--- a/crates/tinbank-batch/src/intake/store.rs
+++ b/crates/tinbank-batch/src/intake/store.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::Bytes;
-use futures::{Stream, StreamExt as _, future::BoxFuture, stream::FuturesOrdered};
+use futures::{Stream, StreamExt as _, stream::FuturesOrdered};
 use sha2::{Digest as _, Sha256};
 use tinbank_base::{
     digest::Digest,
@@ -19,7 +19,11 @@
 };
 use tinbank_ledger::placement::{self, ITEMS_PER_CHUNK, ITEMS_PER_SHARD};
 use tinbank_log::writer::{self, Writer};
-use tokio::{sync::Semaphore, time};
+use tokio::{
+    sync::Semaphore,
+    task::{JoinError, JoinHandle},
+    time,
+};
 
 use super::{Limits, Order, cut::Cutter, line::Parser};
 use crate::asker::Asker;
@@ -202,7 +206,7 @@
     /// Chunks that wait until the spread is known.
     held: VecDeque<Chunk>,
     spread: Option<u16>,
-    appends: FuturesOrdered<BoxFuture<'static, Result<id::Offset, writer::Error>>>,
+    appends: FuturesOrdered<JoinHandle<Result<id::Offset, writer::Error>>>,
 }
 
 impl<'a> Run<'a> {
@@ -254,7 +258,7 @@
             .get_or_insert_with(|| placement::shards_for(items, shards));
         self.store(spread).await?;
         while let Some(result) = self.appends.next().await {
-            result.map_err(|error| chunk_failed(&error))?;
+            stored(result)?;
         }
         let body = self.hasher.finalize().into();
         Ok(Head {
@@ -299,13 +303,15 @@
             if self.appends.len() == APPENDS_AT_ONCE
                 && let Some(result) = self.appends.next().await
             {
-                result.map_err(|error| chunk_failed(&error))?;
+                stored(result)?;
             }
             let shards = self.intake.shards;
             let shard = placement::shard_of_chunk(self.job, chunk.chunk, spread, shards);
             let writer = self.intake.writer.clone();
-            let append = async move { append(&writer, shard, Record::Chunk(chunk)).await };
-            self.appends.push_back(Box::pin(append));
+            // A task of its own goes on while the next part of the body is awaited.
+            let append =
+                tokio::spawn(async move { append(&writer, shard, Record::Chunk(chunk)).await });
+            self.appends.push_back(append);
         }
         Ok(())
     }
@@ -363,6 +369,14 @@
     Failure::not_run(Code::BadRequest, format!("the body broke off: {error}"))
 }
 
+fn stored(result: Result<Result<id::Offset, writer::Error>, JoinError>) -> Result<(), Failure> {
+    match result {
+        Ok(Ok(_)) => Ok(()),
+        Ok(Err(error)) => Err(chunk_failed(&error)),
+        Err(error) => Err(Failure::not_run(Code::Internal, error.to_string())),
+    }
+}
+
 /// Whatever became of a chunk's append, no head names it.
 fn chunk_failed(error: &writer::Error) -> Failure {
     Failure::not_run(
--- a/crates/tinbank-batch/src/owner/control.rs
+++ b/crates/tinbank-batch/src/owner/control.rs
@@ -11,7 +11,7 @@
     id,
     peer::{Directory, Members},
     platform::log::Log,
-    record::Writer,
+    record::{Writer, lease},
 };
 use tinbank_configuration::snapshot;
 use tinbank_ledger::lease::{Step, Terms};
@@ -50,6 +50,8 @@
     pub terms: Terms,
     /// How many members in rank follow a shard.
     pub followers: u32,
+    /// How long the log keeps records.
+    pub retention: Duration,
     /// The log, for reading.
     pub log: Arc<dyn Log>,
     /// The log, for appending.
@@ -91,6 +93,7 @@
             members: Arc::default(),
             followings: 0,
             stopping: None,
+            upkeep_at: Instant::now(),
         };
         let task = tokio::spawn(control.run(received, ended, asked, reports));
         (Self { asks, inputs }, task)
@@ -124,6 +127,8 @@
     pub(super) members: Arc<Members>,
     pub(super) followings: u64,
     stopping: Option<oneshot::Sender<()>>,
+    /// When to look again for what retention would take.
+    pub(super) upkeep_at: Instant,
 }
 
 impl Control {
@@ -178,6 +183,7 @@
                 chunk,
                 result,
             } => self.loaded(shard, epoch, job, chunk, result),
+            Input::Kept { shard, last } => self.kept(shard, last),
             Input::Tail {
                 shard,
                 result,
@@ -195,6 +201,7 @@
     /// What happens by time alone.
     fn tick(&mut self) {
         self.follow();
+        self.look_for_upkeep(Instant::now());
         self.dirty.extend(self.shards.keys());
     }
 
@@ -221,6 +228,7 @@
         let stop = match step {
             Step::Hold => Some(Stop::Go),
             Step::Drain => Some(Stop::Drain),
+            Step::Append(lease::Lease::Release { .. }) => Some(Stop::Drain),
             // A renewal says nothing of whether the lease is about to be given back.
             Step::Append(_) => None,
             Step::Wait => Some(Stop::Now),
@@ -235,6 +243,9 @@
         if matches!(step, Step::Hold | Step::Drain) {
             self.do_duties(shard, now);
         }
+        if matches!(step, Step::Hold) {
+            self.do_upkeep(shard);
+        }
         self.flush(shard);
     }
 
--- a/crates/tinbank-batch/src/owner/hand.rs
+++ b/crates/tinbank-batch/src/owner/hand.rs
@@ -17,6 +17,8 @@
 pub(super) struct Hand {
     chunks: BTreeMap<Place, Held>,
     jobs: BTreeMap<id::Job, watch::Sender<Stop>>,
+    /// What jobs that come in hand are told.
+    mode: Stop,
 }
 
 #[derive(Debug)]
@@ -118,6 +120,7 @@
 
     /// Says whether items go on being run; `true` if that is new.
     pub(super) fn set(&mut self, stop: Stop) -> bool {
+        self.mode = stop;
         let mut changed = false;
         for job in self.jobs.values() {
             changed |= job.send_replace(stop) != stop;
@@ -130,7 +133,7 @@
         let sender = self
             .jobs
             .entry(job)
-            .or_insert_with(|| watch::channel(Stop::Go).0);
+            .or_insert_with(|| watch::channel(self.mode).0);
         sender.subscribe()
     }
 
--- a/crates/tinbank-batch/src/owner/input.rs
+++ b/crates/tinbank-batch/src/owner/input.rs
@@ -67,6 +67,12 @@
         chunk: id::Chunk,
         result: Result<Vec<work::Item>, String>,
     },
+    /// What retention would have taken was carried forward, or not.
+    Kept {
+        shard: id::Shard,
+        /// Offset of the last record that was appended.
+        last: Option<id::Offset>,
+    },
     /// The tail of a shard is known, for an answer that has to be as new as that.
     Tail {
         shard: id::Shard,
--- a/crates/tinbank-batch/src/owner/load.rs
+++ b/crates/tinbank-batch/src/owner/load.rs
@@ -168,6 +168,11 @@
         if followed.epoch(me) != Some(epoch) || !followed.hand.holds(job, chunk) {
             return;
         }
+        if !followed.running {
+            // The lease is about to be given back: nothing more is started.
+            followed.hand.run(job, chunk, [], rest);
+            return;
+        }
         let items = match result {
             Ok(items) => items,
             Err(reason) => {
--- a/crates/tinbank-batch/src/owner/mod.rs
+++ b/crates/tinbank-batch/src/owner/mod.rs
@@ -15,6 +15,7 @@
 mod outbox;
 mod results;
 mod shard;
+mod upkeep;
 
 pub use control::{Owner, Parts};
 pub use input::{Ask, Plan};
--- a/crates/tinbank-batch/src/owner/shard.rs
+++ b/crates/tinbank-batch/src/owner/shard.rs
@@ -22,6 +22,7 @@
     hand::Hand,
     input::{Then, Wait},
     outbox::Outbox,
+    upkeep::Upkeep,
 };
 use crate::runner::task::{Key, Permit, Stop};
 
@@ -52,6 +53,7 @@
     /// Offset of the first record that was left when the stream was found trimmed.
     pub(super) first: id::Offset,
     pub(super) waits: Vec<(id::Offset, Wait)>,
+    pub(super) upkeep: Upkeep,
     reader: AbortHandle,
 }
 
@@ -85,6 +87,7 @@
             recovery: None,
             first: 0,
             waits: Vec::new(),
+            upkeep: Upkeep::default(),
             reader,
         }
     }
@@ -94,7 +97,7 @@
         let in_flight = self.hand.in_flight() + usize::from(!self.outbox.is_empty());
         let want = Want {
             rank: self.rank,
-            live: self.fold.live(),
+            live: self.fold.live() || self.upkeep.due.is_some(),
             stopping,
             in_flight,
         };
--- a/crates/tinbank-batch/src/runner/pool.rs
+++ b/crates/tinbank-batch/src/runner/pool.rs
@@ -10,7 +10,7 @@
 use tinbank_admission::Gate;
 use tinbank_base::{
     id,
-    outcome::Ran,
+    outcome::{Code, Ran},
     platform::{
         hosts,
         upstream::{Error, Kind},
@@ -39,6 +39,9 @@
 /// Most upstreams asked for room for one item in one look.
 const MAX_CHOICES: usize = 64;
 
+/// Largest answer that is stored, in bytes: a record of the log has to hold it.
+pub const MAX_ANSWER_BYTES: usize = 128 << 10;
+
 /// What the pool works with.
 #[derive(Debug)]
 pub struct Parts {
@@ -269,7 +272,11 @@
         match end {
             End::Answer(answer) => {
                 task.attempts += 1;
-                self.complete(&task, Outcome::Answer(answer));
+                let outcome = match answer.len() {
+                    0..=MAX_ANSWER_BYTES => Outcome::Answer(answer),
+                    size => too_large(size),
+                };
+                self.complete(&task, outcome);
             }
             End::Withdrawn => {
                 task.attempts += 1;
@@ -299,6 +306,7 @@
             repeatable: task.repeatable,
             failures: task.failures,
             limit: task.service.attempts,
+            hopeless: task.hopeless(),
         };
         match retry::decide(&error, past) {
             Verdict::Again => self.rest(task),
@@ -328,6 +336,14 @@
     }
 }
 
+fn too_large(size: usize) -> Outcome {
+    Outcome::Failed {
+        code: Code::TooLarge,
+        ran: Ran::Yes,
+        message: format!("the answer of {size} bytes is over the limit of {MAX_ANSWER_BYTES}"),
+    }
+}
+
 /// How long until a time; zero when it has passed.
 fn until(at: SystemTime) -> Duration {
     at.duration_since(SystemTime::now()).unwrap_or_default()
--- a/crates/tinbank-batch/src/runner/retry.rs
+++ b/crates/tinbank-batch/src/runner/retry.rs
@@ -12,8 +12,6 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 /// Longest wait between two attempts.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(5);
-/// Losses of upstreams after which an item is tried alone, so that it takes no neighbours along.
-pub const SUSPECT_LOSSES: u16 = 2;
 
 /// What is known of an item that is retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,6 +22,8 @@
     pub failures: u16,
     /// How many times it may be sent at most.
     pub limit: u16,
+    /// Whether it took so many upstreams down that it is given up.
+    pub hopeless: bool,
 }
 
 /// What to do.
@@ -53,7 +53,7 @@
         };
         return end(code, error);
     }
-    if past.failures >= past.limit {
+    if past.failures >= past.limit || past.hopeless {
         return end(Code::UpstreamFailed, error);
     }
     Verdict::Again
--- a/crates/tinbank-batch/src/runner/task.rs
+++ b/crates/tinbank-batch/src/runner/task.rs
@@ -5,10 +5,9 @@
 use bytes::Bytes;
 use tinbank_base::{id, record::work::Completion};
 use tinbank_configuration::service::Service;
+use tinbank_ledger::suspect::Policy;
 use tokio::sync::{oneshot, watch};
 
-use super::retry::SUSPECT_LOSSES;
-
 /// Which item, and under which term of its shard's lease it is in hand.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Key {
@@ -95,7 +94,12 @@
 
     /// Whether it is suspected of taking upstreams down, and so is only sent where nothing else of ours is.
     pub fn suspect(&self) -> bool {
-        self.losses >= SUSPECT_LOSSES
+        self.losses >= Policy::default().alone_after
+    }
+
+    /// Whether it took so many upstreams down that it is given up.
+    pub fn hopeless(&self) -> bool {
+        self.losses >= Policy::default().give_up_after
     }
 }
 
--- a/crates/tinbank-batch/src/server.rs
+++ b/crates/tinbank-batch/src/server.rs
@@ -171,6 +171,7 @@
         shards: settings.shards,
         terms: settings.terms(),
         followers: FOLLOWERS,
+        retention: Duration::from_secs(settings.log_retention_s),
         intakes: INTAKES,
         items_at_once: settings.items_at_once,
         plain_at_once: settings.items_per_upstream,
--- a/crates/tinbank-batch/src/service.rs
+++ b/crates/tinbank-batch/src/service.rs
@@ -1,6 +1,6 @@
 //! The working parts of a batch process, put together. What they reach is given, so that tests can put fakes there.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use tinbank_admission::Gate;
 use tinbank_base::{
@@ -43,6 +43,8 @@
     pub terms: Terms,
     /// How many members in rank follow a shard.
     pub followers: u32,
+    /// How long the log keeps records.
+    pub retention: Duration,
     /// Jobs that are taken in at once.
     pub intakes: usize,
     /// Items that are sent at once.
@@ -130,6 +132,7 @@
             shards: edges.shards,
             terms: edges.terms,
             followers: edges.followers,
+            retention: edges.retention,
             log: edges.log.clone(),
             writer: writer.clone(),
             directory: edges.directory.clone(),
--- a/crates/tinbank-batch/src/settings.rs
+++ b/crates/tinbank-batch/src/settings.rs
@@ -25,6 +25,8 @@
     pub lease_silence_ms: u64,
     /// Appends a second of the whole fleet.
     pub appends_per_second: u32,
+    /// How long the platform's log keeps records.
+    pub log_retention_s: u64,
     /// Items that the process sends at once.
     pub items_at_once: usize,
     /// What lets items into engines.
@@ -52,6 +54,7 @@
             stop_limit_ms: 30_000,
             lease_silence_ms: 6_000,
             appends_per_second: 300,
+            log_retention_s: 24 * 3_600,
             items_at_once: 256,
             admission: Admission::Bounded,
             items_per_upstream: 4,
@@ -108,6 +111,16 @@
                 "300",
                 "Appends a second that the platform's log takes from the whole fleet.",
             ),
+            Field::default(
+                "log_retention_s",
+                Kind::Integer {
+                    min: 60,
+                    max: 31_536_000,
+                    unit: "s",
+                },
+                "86400",
+                "How long the platform's log keeps records. What has to last longer is carried forward at half of it.",
+            ),
             Field::default(
                 "items_at_once",
                 Kind::count(1, 100_000),
--- /dev/null
+++ b/crates/tinbank-batch/tests/faults.rs
@@ -0,0 +1,168 @@
+//! What becomes of jobs when the log fails, forgets or loses answers, and when engines are wanted for online requests.
+
+mod support;
+
+use std::{collections::BTreeSet, time::Duration};
+
+use support::{Host, SHARDS, World, eventually, lines};
+use tinbank_base::{
+    id,
+    platform::log::Stream,
+    record::{Envelope, work::Record},
+};
+use tinbank_test_support::log::Fault;
+
+fn world_of(hosts: u32) -> (World, Vec<Host>) {
+    let world = World::new();
+    let hosts = (1..=hosts).map(|host| world.start(host)).collect();
+    (world, hosts)
+}
+
+/// The names of a job's items that have an answer; fails if one comes twice.
+fn answered(reply: &support::session::Reply) -> BTreeSet<String> {
+    let mut names = BTreeSet::new();
+    for item in reply.lines() {
+        assert_eq!(item["state"], "answered", "{item}");
+        let name = item["custom_id"].as_str().unwrap().to_owned();
+        assert!(names.insert(name), "{item} came twice");
+    }
+    names
+}
+
+#[tokio::test]
+async fn items_assigned_before_an_outage_go_on_and_are_not_run_again() {
+    let (world, hosts) = world_of(2);
+    let caller = hosts[0].session("key-moreton");
+    world.engines.hold();
+    let id = caller.accepted(None, lines(0, 200)).await;
+    eventually("items are in the engines", || async {
+        world.engines.starts() > 0
+    })
+    .await;
+
+    world.log.outage(true);
+    world.engines.go_on();
+    eventually("the assigned items have run", || async {
+        world.engines.starts() == 200
+    })
+    .await;
+    world.log.outage(false);
+    caller.until(&id, "completed").await;
+
+    assert_eq!(answered(&caller.results(&id).await).len(), 200);
+    assert_eq!(world.engines.starts(), 200);
+}
+
+#[tokio::test]
+async fn lost_answers_of_the_log_neither_lose_nor_double_an_item() {
+    let (world, hosts) = world_of(2);
+    let caller = hosts[0].session("key-moreton");
+    for fault in [
+        Fault::LostAfter,
+        Fault::LostBefore,
+        Fault::Refused,
+        Fault::LostAfter,
+    ] {
+        world.log.fault_next_append(fault);
+    }
+
+    let id = caller.accepted(Some("sweep"), lines(0, 600)).await;
+    for fault in [
+        Fault::LostBefore,
+        Fault::LostAfter,
+        Fault::LostAfter,
+        Fault::Refused,
+    ] {
+        world.log.fault_next_append(fault);
+    }
+    caller.until(&id, "completed").await;
+
+    assert_eq!(answered(&caller.results(&id).await).len(), 600);
+    assert_eq!(
+        caller
+            .submit(Some("sweep"), lines(0, 600))
+            .await
+            .text("/id"),
+        id
+    );
+}
+
+#[tokio::test]
+async fn batch_gives_way_and_resumes_where_it_was() {
+    let (world, hosts) = world_of(1);
+    let caller = hosts[0].session("key-moreton");
+    world.engines.hold();
+    let id = caller.accepted(None, lines(0, 10)).await;
+    eventually("all are in the engines", || async {
+        world.engines.starts() == 10
+    })
+    .await;
+
+    world.gate.withdraw();
+    eventually("all are cancelled at the engines", || async {
+        world.engines.read(|account| account.cancelled.len()) == 10
+    })
+    .await;
+    world.engines.go_on();
+    world.gate.reopen();
+    caller.until(&id, "completed").await;
+
+    assert_eq!(answered(&caller.results(&id).await).len(), 10);
+    assert_eq!(world.engines.read(|account| account.resumed.len()), 10);
+    let item = caller.item(&id, "item-4").await;
+    assert_eq!(
+        item.text("/response/choices/0/message/content"),
+        "noted: note 4"
+    );
+}
+
+#[tokio::test]
+async fn results_outlive_the_records_that_held_them() {
+    let world = World {
+        retention: Duration::from_secs(2),
+        ..World::new()
+    };
+    let mut first = world.start(1);
+    let caller = first.session("key-moreton");
+    let id = caller.accepted(Some("sweep"), lines(0, 300)).await;
+    caller.until(&id, "completed").await;
+    let tails: Vec<id::Offset> = (0..SHARDS).map(|shard| tail(&world, shard)).collect();
+
+    eventually("what is old is carried forward", || async {
+        (0..SHARDS).all(|shard| is_kept(&world, shard, tails[usize::from(shard)]))
+    })
+    .await;
+    for (shard, tail) in (0..SHARDS).zip(&tails) {
+        world.log.trim(Stream::Work(shard), *tail);
+    }
+    first.kill();
+    let second = world.start(2);
+    let caller = second.session("key-moreton");
+
+    assert_eq!(caller.status(&id).await.json()["counts"]["answered"], 300);
+    assert_eq!(answered(&caller.results(&id).await).len(), 300);
+    assert_eq!(
+        caller
+            .submit(Some("sweep"), lines(0, 300))
+            .await
+            .text("/id"),
+        id
+    );
+    assert_eq!(world.engines.starts(), 300);
+}
+
+fn tail(world: &World, shard: id::Shard) -> id::Offset {
+    let last = world.log.entries(Stream::Work(shard)).pop();
+    last.map_or(0, |entry| entry.offset + 1)
+}
+
+/// Whether a whole checkpoint stands after an offset, which is only written when all chunks before are carried.
+fn is_kept(world: &World, shard: id::Shard, before: id::Offset) -> bool {
+    let envelopes: Vec<Envelope<Record>> = world.log.envelopes(Stream::Work(shard));
+    let records = envelopes.iter().flat_map(|envelope| &envelope.records);
+    let mut whole = records.filter_map(|record| match record {
+        Record::Checkpoint(part) if part.part + 1 == part.parts => Some(part.through),
+        _ => None,
+    });
+    before == 0 || whole.any(|through| through + 1 >= before)
+}
--- a/crates/tinbank-batch/tests/session.rs
+++ b/crates/tinbank-batch/tests/session.rs
@@ -106,21 +106,22 @@
 async fn a_bad_line_leaves_nothing_behind() {
     let (world, hosts) = world_of(1);
     let caller = hosts[0].session("key-moreton");
-    let body = format!("{}{}", lines(0, 600), line("item-7", "again"));
+    let body = format!("{}{}", lines(0, 20_000), line("item-7", "again"));
 
     let reply = caller.submit(Some("sweep"), body).await;
 
     assert_eq!(reply.status, StatusCode::BAD_REQUEST);
     assert_eq!(
         reply.text("/message"),
-        "line 601: `custom_id` \"item-7\" stands on an earlier line as well"
+        "line 20001: `custom_id` \"item-7\" stands on an earlier line as well"
     );
-    let heads = world
-        .records()
-        .into_iter()
-        .filter(|record| matches!(record, Record::Head(_)));
-    assert_eq!(heads.count(), 0);
-    caller.accepted(Some("sweep"), lines(0, 2)).await;
+    let records = world.records();
+    let of = |wanted: fn(&Record) -> bool| records.iter().filter(|record| wanted(record)).count();
+    assert!(of(|record| matches!(record, Record::Chunk(_))) > 0);
+    assert_eq!(of(|record| matches!(record, Record::Head(_))), 0);
+    let id = caller.accepted(Some("sweep"), lines(0, 2)).await;
+    caller.until(&id, "completed").await;
+    assert_eq!(world.engines.starts(), 2, "chunks without a head ran");
 }
 
 #[tokio::test]
--- a/crates/tinbank-batch/tests/support/mod.rs
+++ b/crates/tinbank-batch/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod engines;
+pub mod gate;
 pub mod net;
 pub mod session;
 
@@ -24,7 +25,6 @@
 };
 use tinbank_batch::{
     intake::Limits,
-    runner::room::Room,
     service::{Edges, Service},
 };
 use tinbank_configuration::{
@@ -52,7 +52,11 @@
     pub log: Memory,
     pub engines: Engines,
     pub net: Net,
-    configuration: Shared,
+    pub configuration: Shared,
+    /// Lets items into engines.
+    pub gate: gate::Valve,
+    /// How long the hosts believe that the log keeps records.
+    pub retention: Duration,
 }
 
 /// One host's batch process.
@@ -71,6 +75,8 @@
             engines: Engines::new(3),
             net: Net::default(),
             configuration: Arc::new(ArcSwap::from_pointee(configuration())),
+            gate: gate::Valve::default(),
+            retention: Duration::from_secs(3_600),
         }
     }
 
@@ -127,6 +133,7 @@
             shards: SHARDS,
             terms: terms(),
             followers: 2,
+            retention: self.retention,
             intakes: 4,
             items_at_once: 64,
             plain_at_once: 8,
@@ -140,7 +147,7 @@
             configuration: self.configuration.clone(),
             follower: None,
             router: Arc::new(Routes(self.engines.clone())),
-            gate: Arc::new(Room::new(8)),
+            gate: Arc::new(self.gate.clone()),
             credits: None,
             recorder: Recorder::new(me.process, 1_024).with_incarnation(me.incarnation),
             flag,
