--- a/crates/tinbank-online/src/control/peers.rs
+++ b/crates/tinbank-online/src/control/peers.rs
@@ -1,9 +1,6 @@
 //! What is exchanged with other processes.
 
-use std::{
-    sync::{Arc, OnceLock},
-    time::Instant,
-};
+use std::sync::{Arc, OnceLock};
 
 use async_trait::async_trait;
 use futures::{StreamExt as _, stream, stream::BoxStream};
@@ -14,6 +11,7 @@
         credit,
         request::{Request, Response},
     },
+    id,
     outcome::{Code, Ran},
     peer::{Answer, Directory, Members},
     record::Writer,
@@ -24,11 +22,13 @@
 use tinbank_routing::Table;
 use tinbank_timeline::Recorder;
 
+use crate::{clock, context::Context};
+
 /// Passes on the first signs of leaving upstreams, our own and those that we heard of.
 pub(super) async fn pass_on_leaving(recorder: Recorder, table: Table, membership: Membership) {
     loop {
         table.signed().await;
-        for leaving in table.leaving(Instant::now()) {
+        for leaving in table.leaving(clock::now()) {
             let subject = Subject {
                 upstream: Some(leaving.upstream),
                 ..Subject::default()
@@ -45,7 +45,7 @@
     loop {
         let words = leaving.borrow_and_update().clone();
         for word in words.iter() {
-            table.hear(*word, Instant::now());
+            table.hear(*word, clock::now());
         }
         if leaving.changed().await.is_err() {
             return;
@@ -53,6 +53,20 @@
     }
 }
 
+/// Shares the limits of customers with the online processes that serve.
+pub(super) async fn share_limits(ctx: Arc<Context>, membership: Membership) {
+    let mut members = membership.watch();
+    loop {
+        let now = members.borrow_and_update().clone();
+        let hosts = now.ready(id::Role::Online);
+        ctx.gate
+            .set_hosts(hosts.map(|member| member.writer.process.host));
+        if members.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Answers other processes.
 #[derive(Debug)]
 pub(crate) struct Answerer {
