--- a/crates/tinbank-batch/src/owner/control.rs
+++ b/crates/tinbank-batch/src/owner/control.rs
@@ -202,9 +202,21 @@
     fn tick(&mut self) {
         self.follow();
         self.look_for_upkeep(Instant::now());
+        self.measure();
         self.dirty.extend(self.shards.keys());
     }
 
+    fn measure(&self) {
+        let me = self.parts.me;
+        let shards = self.shards.values();
+        let owned = shards
+            .clone()
+            .filter(|followed| followed.epoch(me).is_some());
+        let in_hand: usize = shards.map(|followed| followed.hand.in_flight()).sum();
+        metrics::gauge!("tinbank_batch_shards_owned").set(owned.count() as f64);
+        metrics::gauge!("tinbank_batch_items_in_hand").set(in_hand as f64);
+    }
+
     /// Drives the shards that something happened to.
     fn drive(&mut self) {
         let now = Instant::now();
--- a/crates/tinbank-batch/src/owner/follow.rs
+++ b/crates/tinbank-batch/src/owner/follow.rs
@@ -1,6 +1,6 @@
 //! Which shards we follow, and what their readers bring.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::SystemTime};
 
 use tinbank_base::{
     event::Kind,
@@ -78,7 +78,16 @@
             }
         });
         let (shards, me, terms) = (self.parts.shards, self.parts.me, self.parts.terms);
-        Followed::new(shard, shards, me, terms, following, task.abort_handle())
+        let retention = self.parts.retention;
+        Followed::new(
+            shard,
+            shards,
+            me,
+            terms,
+            retention,
+            following,
+            task.abort_handle(),
+        )
     }
 
     /// Takes in what a reader brought.
@@ -127,6 +136,8 @@
             }
             return;
         }
+        let now = SystemTime::now();
+        followed.upkeep.marks.note(offset, envelope.stamp, now);
         let changes = followed.fold.apply(offset, envelope);
         for change in &changes {
             followed.changed(change, self.parts.me);
--- a/crates/tinbank-batch/src/owner/shard.rs
+++ b/crates/tinbank-batch/src/owner/shard.rs
@@ -69,6 +69,7 @@
         shards: id::Shard,
         me: Writer,
         terms: Terms,
+        retention: Duration,
         following: u64,
         reader: AbortHandle,
     ) -> Self {
@@ -87,7 +88,7 @@
             recovery: None,
             first: 0,
             waits: Vec::new(),
-            upkeep: Upkeep::default(),
+            upkeep: Upkeep::new(retention),
             reader,
         }
     }
--- a/crates/tinbank-batch/src/owner/upkeep.rs
+++ b/crates/tinbank-batch/src/owner/upkeep.rs
@@ -7,11 +7,11 @@
 };
 
 use tinbank_base::{
-    clock, id,
+    id,
     platform::log::{Log, Stream},
     record::work,
 };
-use tinbank_ledger::{checkpoint, chunk::Chunk, result, shard::Carry};
+use tinbank_ledger::{checkpoint, chunk::Chunk, result, retention::Marks, shard::Carry};
 use tinbank_log::writer::Writer;
 
 use super::{
@@ -30,8 +30,10 @@
 const LOOK_AT_MOST_EVERY: Duration = Duration::from_millis(200);
 
 /// What a shard needs so that retention loses nothing.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Upkeep {
+    /// When what was appended, as far as we have read it.
+    pub(super) marks: Marks,
     /// Records before this offset will soon be gone, and something there is still needed.
     pub(super) due: Option<id::Offset>,
     /// Whether it is being carried forward.
@@ -40,6 +42,23 @@
     until: id::Offset,
 }
 
+impl Upkeep {
+    /// Nothing is due yet.
+    pub(super) fn new(retention: Duration) -> Self {
+        Self {
+            marks: Marks::new(look_every(retention)),
+            due: None,
+            under_way: false,
+            until: 0,
+        }
+    }
+}
+
+/// How often it is looked for what is getting old.
+fn look_every(retention: Duration) -> Duration {
+    (retention / LOOKS).max(LOOK_AT_MOST_EVERY)
+}
+
 /// A chunk to carry, as the fold stood.
 struct Carried {
     job: id::Job,
@@ -65,12 +84,12 @@
             return;
         }
         let retention = self.parts.retention;
-        self.upkeep_at = now + (retention / LOOKS).max(LOOK_AT_MOST_EVERY);
+        self.upkeep_at = now + look_every(retention);
         let Some(old) = SystemTime::now().checked_sub(retention / 2) else {
             return;
         };
         for followed in self.shards.values_mut().filter(|followed| followed.current) {
-            let before = followed.fold.offset_before(clock::micros(old));
+            let before = followed.upkeep.marks.before(old);
             let carries = followed.fold.to_carry(before).next().is_some();
             if carries || followed.fold.needs_checkpoint(before) {
                 // What was once due stays so until it is done: the lease that it needs makes the shard look young again.
--- a/crates/tinbank-batch/src/runner/pool.rs
+++ b/crates/tinbank-batch/src/runner/pool.rs
@@ -117,6 +117,7 @@
                 _ = look.tick(), if !self.queue.is_empty() => {}
             }
             self.fill();
+            metrics::gauge!("tinbank_batch_items_waiting").set(self.queue.len() as f64);
         }
     }
 
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -57,6 +57,16 @@
     }
 }
 
+const fn gauge(name: &'static str, unit: &'static str, help: &'static str) -> Metric {
+    Metric {
+        name,
+        kind: Kind::Gauge,
+        unit,
+        labels: &[],
+        help,
+    }
+}
+
 const fn seconds(name: &'static str, help: &'static str) -> Metric {
     Metric {
         name,
@@ -69,12 +79,27 @@
 
 /// All metrics, by name.
 pub const METRICS: &[Metric] = &[
+    gauge(
+        "tinbank_batch_items_in_hand",
+        "items",
+        "Batch items that this process sends, or whose end it has not read back from the log yet.",
+    ),
+    gauge(
+        "tinbank_batch_items_waiting",
+        "items",
+        "Batch items in hand that wait for room in an upstream.",
+    ),
     counter(
         "tinbank_batch_jobs_total",
         "jobs",
         &["outcome"],
         "Jobs that were sent in: accepted, refused as not run, or of unknown outcome.",
     ),
+    gauge(
+        "tinbank_batch_shards_owned",
+        "shards",
+        "Work shards that this process holds the lease of.",
+    ),
     counter(
         "tinbank_batch_withdrawn_total",
         "items",
