--- a/crates/tinbank-standin/src/engine/run.rs
+++ b/crates/tinbank-standin/src/engine/run.rs
@@ -132,3 +132,6 @@
         self.gauge.waiting.store(number(waiting), Ordering::Relaxed);
     }
 }
+
+#[cfg(test)]
+mod tests;
