Let each host of the demo hold one item in an engine

Cause: the batch process's default of 4 items an engine and host is 36 items before 8 slots, and online queues behind them in the engine. Conclusion: 1 until credits work; they are what preemption rests on.

--- a/crates/tinbank-demo/src/entry.rs
+++ b/crates/tinbank-demo/src/entry.rs
@@ -19,6 +19,9 @@
 const FIRST_BYTE: u8 = 10;
 /// Most hosts that fit on 127.0.0.x.
 const MOST_HOSTS: u32 = 200;
+/// Items of one host in an engine at once. The batch process does not yet give way by credits in the demo, so what sits
+/// in an engine has to be little: nine hosts fill its slots with one each.
+const ITEMS_PER_UPSTREAM: u32 = 1;
 /// Time that all processes have to become ready.
 const START: Duration = Duration::from_secs(15);
 
@@ -127,6 +130,7 @@
             .push(online.map_err(|error| refused(id::Role::Online, host, &error))?);
         let batch = tinbank_batch::Settings {
             common: self.common(host, example, addresses),
+            items_per_upstream: ITEMS_PER_UPSTREAM,
             ..tinbank_batch::Settings::default()
         };
         let batch = tinbank_batch::Server::start(batch).await;
