--- a/crates/tinbank-settings/src/document.rs
+++ b/crates/tinbank-settings/src/document.rs
@@ -35,6 +35,9 @@
 
 /// A Markdown table of the keys, nested ones with their path.
 pub fn table(fields: &[Field]) -> String {
+    if fields.is_empty() {
+        return "None.\n".to_owned();
+    }
     let mut lines = vec![
         "| key | value | default | meaning |".to_owned(),
         "| --- | --- | --- | --- |".to_owned(),
@@ -69,6 +72,13 @@
     }
 }
 
+/// The fields that a process has besides the common ones.
+pub fn own(fields: Vec<Field>, common: &[Field]) -> Vec<Field> {
+    let is_common = |field: &Field| common.iter().any(|common| common.key == field.key);
+    let own = fields.into_iter().filter(|field| !is_common(field));
+    own.collect()
+}
+
 /// Replaces the part of a page between `<!-- NAME -->` and `<!-- end -->` by freshly generated text.
 ///
 /// Returns `None` when the page has no such part.
