--- a/crates/tinbank-batch/src/server.rs
+++ b/crates/tinbank-batch/src/server.rs
@@ -97,6 +97,11 @@
         self.core.ready.is_ready()
     }
 
+    /// Waits until operators want this host drained; whoever runs the process then stops it.
+    pub async fn drained(&self) {
+        self.core.drained().await;
+    }
+
     /// Its time line.
     pub fn recorder(&self) -> &Recorder {
         &self.core.recorder
@@ -171,6 +176,7 @@
         shards: settings.shards,
         terms: settings.terms(),
         followers: FOLLOWERS,
+        retention: Duration::from_secs(settings.log_retention_s),
         intakes: INTAKES,
         items_at_once: settings.items_at_once,
         plain_at_once: settings.items_per_upstream,
