--- a/crates/tinbank-batch/src/owner/appends.rs
+++ b/crates/tinbank-batch/src/owner/appends.rs
@@ -20,8 +20,6 @@
     shard::{answer, failed},
 };
 
-/// Time that an append has; what it was for is tried again after.
-const APPEND_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long after its deadline an open claim is ended by the owner of its shard.
 const CLAIM_GRACE: Duration = Duration::from_secs(10);
 
@@ -90,7 +88,7 @@
     ) {
         let writer = self.parts.writer.clone();
         let done = self.done.clone();
-        let deadline = Instant::now() + APPEND_TIMEOUT;
+        let deadline = Instant::now() + self.parts.append_timeout;
         tokio::spawn(async move {
             let stream = Stream::Work(to);
             let result = writer.append_by(stream, records, priority, deadline).await;
--- a/crates/tinbank-batch/src/owner/control.rs
+++ b/crates/tinbank-batch/src/owner/control.rs
@@ -56,6 +56,8 @@
     pub log: Arc<dyn Log>,
     /// The log, for appending.
     pub writer: writer::Writer,
+    /// Time that an append has; what it was for is tried again after.
+    pub append_timeout: Duration,
     /// Who is there.
     pub directory: Arc<dyn Directory>,
     /// The configuration in force.
--- a/crates/tinbank-batch/src/service.rs
+++ b/crates/tinbank-batch/src/service.rs
@@ -135,6 +135,7 @@
             retention: edges.retention,
             log: edges.log.clone(),
             writer: writer.clone(),
+            append_timeout: edges.writer.append_timeout,
             directory: edges.directory.clone(),
             configuration: edges.configuration.clone(),
             pool,
--- a/crates/tinbank-batch/tests/faults.rs
+++ b/crates/tinbank-batch/tests/faults.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use support::{Host, SHARDS, World, eventually, lines};
+use support::{APPEND_TIMEOUT, Host, SHARDS, World, eventually, lines};
 use tinbank_base::{
     id,
     platform::log::Stream,
@@ -46,6 +46,8 @@
         world.engines.starts() == 200
     })
     .await;
+    // Long enough for appends to fail for good, so that their completions have to be appended anew.
+    tokio::time::sleep(APPEND_TIMEOUT * 2).await;
     world.log.outage(false);
     caller.until(&id, "completed").await;
 
--- a/crates/tinbank-batch/tests/support/mod.rs
+++ b/crates/tinbank-batch/tests/support/mod.rs
@@ -46,6 +46,8 @@
 pub const SHARDS: id::Shard = 4;
 pub const SERVICE: &str = "notes";
 pub const ORDERS: &str = "orders";
+/// How long hosts try an append before it has failed.
+pub const APPEND_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What all hosts share.
 pub struct World {
@@ -140,7 +142,10 @@
             limits: Limits::default(),
             log: Arc::new(self.log.clone()),
             upstreams: Arc::new(self.engines.clone()),
-            writer: writer::Settings::default(),
+            writer: writer::Settings {
+                append_timeout: APPEND_TIMEOUT,
+                ..writer::Settings::default()
+            },
             writers: watch::channel(1).1,
             directory: Arc::new(View(self.net.clone())),
             peers: Arc::new(self.net.clone()),
