--- /dev/null
+++ b/crates/tinbank-ledger/src/shard/items.rs
@@ -0,0 +1,96 @@
+//! Records about items: dispatches, completions, and chunks carried forward.
+
+use smallvec::SmallVec;
+use tinbank_base::{
+    id,
+    record::{Writer, work},
+};
+
+use super::{Dispatch, Key, Shard};
+use crate::{
+    change::{Change, Changes},
+    chunk::Place,
+};
+
+impl Shard {
+    /// Only the holder of the lease may dispatch, and an item only once: whoever reads its dispatch back here knows
+    /// that nobody else has sent it or ever will.
+    pub(super) fn dispatch(
+        &mut self,
+        writer: Writer,
+        dispatch: &work::Dispatch,
+        changes: &mut Changes,
+    ) {
+        if self.lease.term(writer) != Some(dispatch.epoch) {
+            return;
+        }
+        let work = self.works.get(&dispatch.job).filter(|work| work.runnable());
+        let Some(chunk) = work.and_then(|work| work.chunk(dispatch.chunk)) else {
+            return;
+        };
+        let mut items = SmallVec::new();
+        for item in &dispatch.items {
+            let key = Key {
+                job: dispatch.job,
+                item: *item,
+            };
+            let pending = chunk.holds(*item) && !chunk.ended(*item);
+            if !pending || self.dispatches.contains_key(&key) {
+                continue;
+            }
+            let open = Dispatch {
+                chunk: dispatch.chunk,
+                epoch: dispatch.epoch,
+            };
+            self.dispatches.insert(key, open);
+            items.push(*item);
+        }
+        if !items.is_empty() {
+            changes.push(Change::Dispatched {
+                job: dispatch.job,
+                items,
+            });
+        }
+    }
+
+    pub(super) fn completed(
+        &mut self,
+        offset: id::Offset,
+        completed: &work::Completed,
+        changes: &mut Changes,
+    ) {
+        let job = completed.job;
+        let Some(work) = self.works.get_mut(&job) else {
+            return;
+        };
+        let mut items = SmallVec::new();
+        for completion in &completed.completions {
+            if !work.end(completed.chunk, completion, offset) {
+                continue;
+            }
+            items.push(completion.item);
+            if !self.dispatches.is_empty() {
+                let item = completion.item;
+                self.dispatches.remove(&Key { job, item });
+            }
+        }
+        if items.is_empty() {
+            return;
+        }
+        changes.push(Change::Completed {
+            job,
+            chunk: completed.chunk,
+            items,
+        });
+        self.check_finished(job, changes);
+    }
+
+    pub(super) fn carried(&mut self, place: Place, carried: &work::Carried, changes: &mut Changes) {
+        let (job, number) = (carried.chunk.job, carried.chunk.chunk);
+        let work = self.works.get_mut(&job);
+        let chunk = work.and_then(|work| work.carried(carried.chunk.intake, number));
+        if chunk.is_some_and(|chunk| chunk.carry(place, carried.through)) {
+            changes.push(Change::Carried { job, chunk: number });
+        }
+    }
+}
--- a/crates/tinbank-ledger/src/shard/mod.rs
+++ b/crates/tinbank-ledger/src/shard/mod.rs
@@ -5,6 +5,8 @@
 
 mod fold;
 mod forget;
+mod items;
+mod jobs;
 mod query;
 mod remembered;
 mod time;
--- a/crates/tinbank-ledger/tests/ledger/claim_world.rs
+++ b/crates/tinbank-ledger/tests/ledger/claim_world.rs
@@ -19,10 +19,10 @@
 
 use crate::fixture::{self, DAY, SHARDS, time, writer};
 
-const CASES: u32 = 1_000;
-const MAX_STEPS: usize = 60;
+const CASES: u32 = 2_000;
+const MAX_STEPS: usize = 80;
 const OWNERS: usize = 2;
-const CLAIMERS: usize = 3;
+const CLAIMERS: usize = 2;
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -41,10 +41,11 @@
         owner: usize,
         runs: bool,
     },
-    /// An online process hands its result to an owner, perhaps twice.
+    /// An online process hands its result to an owner, or once more what it handed over last.
     Settle {
         claimer: usize,
         owner: usize,
+        again: bool,
     },
     /// An online process dies; its next start knows nothing.
     Die {
@@ -67,7 +68,7 @@
         6 => (owner.clone(), 1..6usize).prop_map(|(owner, count)| Step::Read { owner, count }),
         6 => (claimer.clone(), owner.clone(), any::<bool>())
             .prop_map(|(claimer, owner, runs)| Step::Send { claimer, owner, runs }),
-        4 => (claimer.clone(), owner.clone()).prop_map(|(claimer, owner)| Step::Settle { claimer, owner }),
+        5 => (claimer.clone(), owner.clone(), any::<bool>()).prop_map(|(claimer, owner, again)| Step::Settle { claimer, owner, again }),
         1 => claimer.clone().prop_map(|claimer| Step::Die { claimer }),
         1 => (owner, claimer).prop_map(|(owner, claimer)| Step::Expire { owner, claimer }),
         2 => any::<Index>().prop_map(|pick| Step::Copy { pick }),
@@ -88,6 +89,8 @@
     start: u64,
     claim: Option<Claim>,
     result: Option<Settled>,
+    /// What it handed over last, for which it may have had no answer.
+    handed: Option<Settled>,
 }
 
 impl World {
@@ -96,6 +99,7 @@
             start: 1,
             claim: None,
             result: None,
+            handed: None,
         };
         Self {
             owners: vec![Shard::new(0, SHARDS); OWNERS],
@@ -113,12 +117,17 @@
                 owner,
                 runs,
             } => self.send(claimer, owner, runs),
-            Step::Settle { claimer, owner } => self.settle(claimer, owner),
+            Step::Settle {
+                claimer,
+                owner,
+                again,
+            } => self.settle(claimer, owner, again),
             Step::Die { claimer } => {
                 self.claimers[claimer] = Claimer {
                     start: self.claimers[claimer].start + 1,
                     claim: None,
                     result: None,
+                    handed: None,
                 };
             }
             Step::Expire { owner, claimer } => {
@@ -185,17 +194,23 @@
         }
     }
 
-    fn settle(&mut self, claimer: usize, owner: usize) {
+    fn settle(&mut self, claimer: usize, owner: usize, again: bool) {
         let this = &mut self.claimers[claimer];
-        let Some(result) = this.result.clone() else {
+        let handed = if again {
+            this.handed.clone()
+        } else {
+            this.result.clone()
+        };
+        let Some(settled) = handed else {
             return;
         };
+        this.handed = Some(settled.clone());
         // A caller that was told that it did not run may send the request again: a new request then.
-        if result.answer.is_err() {
+        if settled.answer.is_err() && !again {
             this.claim = None;
             this.result = None;
         }
-        self.append(owner, vec![Record::Settled(result)]);
+        self.append(owner, vec![Record::Settled(settled)]);
     }
 
     fn read(&mut self, owner: usize, count: usize) {
