--- a/crates/tinbank-online/src/control/mod.rs
+++ b/crates/tinbank-online/src/control/mod.rs
@@ -40,6 +40,7 @@
         let (ctx, table) = (self.ctx.clone(), self.ctx.table.clone());
         let follow_hosts = hosts::follow(
             self.platform.hosts.clone(),
+            ctx.configuration.clone(),
             table.clone(),
             self.membership.clone(),
             listed,
@@ -52,6 +53,8 @@
         let pass_on =
             peers::pass_on_leaving(ctx.recorder.clone(), table.clone(), self.membership.clone());
         tracker.spawn(stop.clone().run_until_cancelled_owned(pass_on));
+        let share = peers::share_limits(ctx.clone(), self.membership.clone());
+        tracker.spawn(stop.clone().run_until_cancelled_owned(share));
         let hear = peers::hear_leaving(table, self.membership.clone());
         tracker.spawn(stop.clone().run_until_cancelled_owned(hear));
         let ready = become_ready(ctx, self.follower, self.membership, have_list);
@@ -68,10 +71,12 @@
 ) {
     let mut progress = follower.progress();
     let mut was_ready = false;
+    let host = ctx.writer.process.host;
     loop {
         let now = *progress.borrow_and_update();
         membership.set_config(now.next);
-        if now.ready && *have_list.borrow_and_update() && !was_ready {
+        let drained = follower.snapshot().leaving.hosts.contains(&host);
+        if now.ready && *have_list.borrow_and_update() && !was_ready && !drained {
             was_ready = true;
             ctx.ready.ready();
             if ctx.ready.is_ready() {
--- a/crates/tinbank-online/src/server.rs
+++ b/crates/tinbank-online/src/server.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::{Duration, Instant, SystemTime},
+    time::{Duration, SystemTime},
 };
 
 use tinbank_admission::Teller;
@@ -20,6 +20,7 @@
 use tinbank_membership::Membership;
 use tinbank_peer::Endpoint;
 use tinbank_platform::{hosts, log, upstream};
+use tinbank_process::drain;
 use tinbank_routing::{Table, retry::Budget};
 use tinbank_server::{http, metrics, readiness::Flag, threads::Handles};
 use tinbank_settings::common::Common;
@@ -34,6 +35,7 @@
     api,
     context::Context,
     control::{Answerer, Control, LateDirectory, PeerClock},
+    gate::Gate,
     settings::Settings,
 };
 
@@ -82,6 +84,7 @@
     http_address: SocketAddr,
     endpoint: Endpoint,
     membership: Membership,
+    follower: Follower,
     ctx: Arc<Context>,
     stop_grace: Duration,
     control: DropGuard,
@@ -155,6 +158,11 @@
         self.ctx.ready.is_ready()
     }
 
+    /// Waits until operators want this host drained; whoever runs the process then stops it.
+    pub async fn drained(&self) {
+        drain::wanted(&self.follower, self.ctx.writer.process.host).await;
+    }
+
     /// Its time line.
     pub fn recorder(&self) -> &Recorder {
         &self.ctx.recorder
@@ -254,7 +262,7 @@
         writer,
         shards: settings.shards,
         configuration: follower.shared(),
-        table: Table::new(common.failure_domain.clone(), Instant::now()),
+        table: Table::new(common.failure_domain.clone(), crate::clock::now()),
         upstreams: platform.upstreams.clone(),
         peers: Arc::new(endpoint.clone()),
         directory: directory.clone(),
@@ -264,6 +272,7 @@
         traffic: handles.traffic.clone(),
         tasks: TaskTracker::new(),
         budget: Mutex::new(Budget::default()),
+        gate: Gate::new(common.host),
     });
     let http = listen(common, &ctx, &handles)?;
     let http_address = http.local_addr();
@@ -285,7 +294,7 @@
     let control = Control {
         ctx: ctx.clone(),
         platform,
-        follower,
+        follower: follower.clone(),
         membership: membership.clone(),
         teller: Teller::start(peers, directory),
     };
@@ -295,6 +304,7 @@
         http_address,
         endpoint,
         membership,
+        follower,
         ctx,
         stop_grace: Duration::from_millis(settings.stop_grace_ms),
         control: stop.drop_guard(),
