--- a/crates/tinbank-membership/src/edge.rs
+++ b/crates/tinbank-membership/src/edge.rs
@@ -165,7 +165,7 @@
             let event = tokio::select! {
                 _ = ticks.tick() => Event::Tick,
                 heard = heard.recv() => match heard {
-                    Some(Heard { from, heartbeat }) => Event::Heard { from, heartbeat },
+                    Some(Heard { from, heartbeat }) => Event::Heard { from, heartbeat: Box::new(heartbeat) },
                     None => return,
                 },
                 command = commands.recv() => match command {
@@ -189,7 +189,7 @@
         for action in actions {
             match action {
                 Action::Send { to, heartbeat } => {
-                    self.endpoint.beat(to, heartbeat);
+                    self.endpoint.beat(to, *heartbeat);
                 }
                 Action::Members => members = true,
                 Action::Leaving => leaving = true,
--- a/crates/tinbank-membership/src/state.rs
+++ b/crates/tinbank-membership/src/state.rs
@@ -79,7 +79,7 @@
         /// Who sent it.
         from: Writer,
         /// What it says.
-        heartbeat: Heartbeat,
+        heartbeat: Box<Heartbeat>,
     },
     /// We are in another phase.
     Phase(Phase),
@@ -101,7 +101,7 @@
         /// Where to.
         to: SocketAddr,
         /// What it says.
-        heartbeat: Heartbeat,
+        heartbeat: Box<Heartbeat>,
     },
     /// Publish [`State::members`]: it changed.
     Members,
@@ -185,7 +185,7 @@
         let mut actions = Vec::new();
         match event {
             Event::Tick => self.tick(now, &mut actions),
-            Event::Heard { from, heartbeat } => self.heard(from, heartbeat, now, &mut actions),
+            Event::Heard { from, heartbeat } => self.heard(from, *heartbeat, now, &mut actions),
             Event::Phase(phase) => self.set_phase(phase, &mut actions),
             Event::Config(config) => self.set_config(config, &mut actions),
             Event::Load(load) => self.load = load,
@@ -587,8 +587,8 @@
         }
     }
 
-    fn heartbeat(&mut self, to: Option<id::Process>, answer: bool) -> Heartbeat {
-        Heartbeat {
+    fn heartbeat(&mut self, to: Option<id::Process>, answer: bool) -> Box<Heartbeat> {
+        Box::new(Heartbeat {
             phase: self.phase,
             refutation: self.refutation,
             peer: self.own.peer,
@@ -599,7 +599,7 @@
             news: self.pick_news(to),
             leaving: self.pick_leaving(),
             answer,
-        }
+        })
     }
 
     /// First what the receiver has to refute, then what is fresh, then some at random: many for a receiver that is new.
--- a/crates/tinbank-membership/tests/network/mod.rs
+++ b/crates/tinbank-membership/tests/network/mod.rs
@@ -238,7 +238,7 @@
         let actions = node.state.handle(event, now);
         for action in actions {
             match action {
-                Action::Send { to, heartbeat } => self.send(writer, to, heartbeat),
+                Action::Send { to, heartbeat } => self.send(writer, to, *heartbeat),
                 Action::Note {
                     process: dead,
                     kind: Kind::Died,
@@ -321,7 +321,7 @@
         }
         let event = Event::Heard {
             from: flight.from,
-            heartbeat: flight.heartbeat,
+            heartbeat: Box::new(flight.heartbeat),
         };
         self.event(to, event);
     }
