--- a/crates/tinbank-configuration/src/fold/checkpoint.rs
+++ b/crates/tinbank-configuration/src/fold/checkpoint.rs
@@ -31,7 +31,7 @@
 impl Default for Policy {
     fn default() -> Self {
         Self {
-            after: Duration::from_secs(12 * 3_600),
+            after: Duration::from_secs(6 * 3_600),
             changes: 2_000,
         }
     }
--- a/crates/tinbank-process/src/core.rs
+++ b/crates/tinbank-process/src/core.rs
@@ -50,6 +50,40 @@
     Run(String),
 }
 
+/// Appends a second of all checkpoint writers together: a checkpoint at the target's size has some 30 parts.
+const CHECKPOINT_APPENDS: f64 = 10.0;
+
+/// The writer of the configuration's checkpoints. One role writes them, so that few hosts write the same one.
+fn checkpoints(
+    platform: &Platform,
+    recorder: &Recorder,
+    identity: Writer,
+) -> Option<tinbank_log::writer::Writer> {
+    if identity.process.role != id::Role::Batch {
+        return None;
+    }
+    let stamps = recorder.clone();
+    let budget = tinbank_log::budget::Settings {
+        fleet_per_second: CHECKPOINT_APPENDS,
+        ..Default::default()
+    };
+    let settings = tinbank_log::writer::Settings {
+        group: tinbank_log::group::Settings {
+            budget,
+            ..Default::default()
+        },
+        ..Default::default()
+    };
+    let (_, writers) = watch::channel(1);
+    Some(tinbank_log::writer::Writer::start(
+        platform.log.clone(),
+        identity,
+        Arc::new(move || stamps.stamp()),
+        settings,
+        writers,
+    ))
+}
+
 /// What a process and its handlers share.
 #[derive(Debug)]
 pub struct Core {
@@ -109,7 +143,7 @@
         let follower = Follower::start(
             platform.log.clone(),
             recorder.clone(),
-            None,
+            checkpoints(&platform, &recorder, writer),
             follower::Settings::default(),
         );
         Ok(Arc::new(Self {
