--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -79,6 +79,12 @@
 
 /// All metrics, by name.
 pub const METRICS: &[Metric] = &[
+    counter(
+        "tinbank_admission_cancelled_total",
+        "items",
+        &[],
+        "Batch items that a holder cancelled at the engine because their credits were withdrawn or ran out.",
+    ),
     gauge(
         "tinbank_batch_items_in_hand",
         "items",
@@ -179,6 +185,13 @@
         &[],
         "Records sent to the log, resends not counted.",
     ),
+    Metric {
+        name: "tinbank_members",
+        kind: Kind::Gauge,
+        unit: "processes",
+        labels: &["health"],
+        help: "Processes of the system that are known here, by what is believed of them.",
+    },
     counter(
         "tinbank_online_cancels_total",
         "requests",
