Ask the log again for an entry whose answer was lost

Cause: a job's results are read entry by entry, and one lost answer among some hundred reads failed the whole answer to the caller. Ruled out: the owner's death in the same test (without it the result is the same: each try failed at another entry), and the asker, which passes the failure on rightly. Loading a chunk for the runner failed in the same way, and rested for a second each time.

Change: an entry is read up to five times with pauses from 20 ms on; reads have no effect. An outage still shows after 0.3 s of refusals.

Before: with 15% of the log's answers lost, the results of a job of 300 items were not read whole once in 60 s at any try.

--- a/crates/tinbank-batch/src/owner/load.rs
+++ b/crates/tinbank-batch/src/owner/load.rs
@@ -9,7 +9,7 @@
 use tinbank_base::{
     event::{Kind, Subject},
     id,
-    platform::log::{Log, Stream},
+    platform::log::{Error as LogError, Log, Page, Stream},
     record::{Envelope, work},
 };
 use tinbank_configuration::{Snapshot, service::Service, snapshot};
@@ -30,6 +30,10 @@
 const MAX_OUTBOX_BYTES: usize = 8 << 20;
 /// Time that a chunk has to be loaded.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Most times that one entry is asked for.
+const READ_TRIES: u32 = 5;
+/// Wait before an entry is asked for again; it doubles with each further time.
+const READ_PAUSE: Duration = Duration::from_millis(20);
 /// How long a chunk that could not be loaded, or had nothing to run, is left alone.
 const REST: Duration = Duration::from_secs(1);
 
@@ -346,18 +350,39 @@
         .ok_or_else(|| format!("no chunk stands at {place:?}"))
 }
 
-/// Reads one envelope.
+/// Reads one envelope. A read has no effect, so one whose answer was lost is asked again at once: many reads make one
+/// answer to a caller, and each would fail it.
 pub(super) async fn read_envelope(
     log: &dyn Log,
     shard: id::Shard,
     offset: id::Offset,
 ) -> Result<Envelope<work::Record>, String> {
+    let mut pause = READ_PAUSE;
+    for _ in 1..READ_TRIES {
+        match read_entry(log, shard, offset).await {
+            Err(LogError::Unavailable(_) | LogError::Throttled { .. }) => {}
+            read => return decode(read, offset),
+        }
+        tokio::time::sleep(pause).await;
+        pause *= 2;
+    }
+    decode(read_entry(log, shard, offset).await, offset)
+}
+
+async fn read_entry(log: &dyn Log, shard: id::Shard, offset: id::Offset) -> Result<Page, LogError> {
     let until = Instant::now() + LOAD_TIMEOUT;
     let read = log.read(Stream::Work(shard), offset, 1, until);
-    let page = tokio::time::timeout_at(until.into(), read)
+    let late = |_| Err(LogError::Protocol("no answer in time".to_owned()));
+    tokio::time::timeout_at(until.into(), read)
         .await
-        .map_err(|_| "the log gave no answer in time".to_owned())?
-        .map_err(|error| error.to_string())?;
+        .unwrap_or_else(late)
+}
+
+fn decode(
+    read: Result<Page, LogError>,
+    offset: id::Offset,
+) -> Result<Envelope<work::Record>, String> {
+    let page = read.map_err(|error| error.to_string())?;
     let entry = page.entries.first().filter(|entry| entry.offset == offset);
     let entry = entry.ok_or_else(|| format!("no entry stands at offset {offset}"))?;
     Envelope::decode(&entry.payload).map_err(|error| error.to_string())
--- a/crates/tinbank-proof/src/deployment.rs
+++ b/crates/tinbank-proof/src/deployment.rs
@@ -10,7 +10,9 @@
 use tinbank_demo::{entry::Addresses, example::Example, publish};
 use tinbank_process::{Platform, Runtimes};
 use tinbank_settings::common::Common;
-use tinbank_standin::{Standin, account::End, engine, hosts, log, plain, service::Service, weights};
+use tinbank_standin::{
+    Standin, account::End, engine, hosts, log, plain, service::Service, weights,
+};
 
 use crate::{
     host::{Process, member},
@@ -188,8 +190,12 @@
         eventually("all processes are ready", || async {
             let online = self.online.iter().flatten();
             let batch = self.batch.iter().flatten();
-            online.map(|process| process.server.is_ready()).all(|ready| ready)
-                && batch.map(|process| process.server.is_ready()).all(|ready| ready)
+            online
+                .map(|process| process.server.is_ready())
+                .all(|ready| ready)
+                && batch
+                    .map(|process| process.server.is_ready())
+                    .all(|ready| ready)
         })
         .await;
     }
@@ -303,7 +309,9 @@
 fn settings(shape: &Shape, example: &Example) -> tinbank_standin::Settings {
     let engine = |index| engine::Settings {
         upstream: index + 1,
-        pools: [example.deployment.engines.pool.clone()].into_iter().collect(),
+        pools: [example.deployment.engines.pool.clone()]
+            .into_iter()
+            .collect(),
         failure_domain: DOMAIN.to_owned(),
         slots: shape.slots,
         base_step: shape.step,
@@ -315,7 +323,9 @@
     };
     let plain = |index| plain::Settings {
         upstream: FIRST_PLAIN + index,
-        pools: [example.deployment.plain.pool.clone()].into_iter().collect(),
+        pools: [example.deployment.plain.pool.clone()]
+            .into_iter()
+            .collect(),
         failure_domain: DOMAIN.to_owned(),
         call: shape.call,
         seed: shape.seed + u64::from(index),
--- a/crates/tinbank-proof/src/session.rs
+++ b/crates/tinbank-proof/src/session.rs
@@ -108,11 +108,14 @@
 
     /// Waits until the job is in a state.
     pub async fn until(&self, id: &str, state: &str) {
-        eventually(&format!("job {id} is {state} at {}", self.address), || async {
-            self.job(id)
-                .await
-                .is_ok_and(|reply| reply.text("/state") == state)
-        })
+        eventually(
+            &format!("job {id} is {state} at {}", self.address),
+            || async {
+                self.job(id)
+                    .await
+                    .is_ok_and(|reply| reply.text("/state") == state)
+            },
+        )
         .await;
     }
 
--- a/crates/tinbank-proof/tests/completed.rs
+++ b/crates/tinbank-proof/tests/completed.rs
@@ -31,7 +31,9 @@
     let mut deployment = Deployment::start(Shape::default()).await;
     for (lost, job) in [(0, "north"), (1, "logan")] {
         let caller = deployment.at_batch(lost);
-        let reply = caller.submit(work::NOTES, job, work::notes(job, 300, 4)).await;
+        let reply = caller
+            .submit(work::NOTES, job, work::notes(job, 300, 4))
+            .await;
         deployment.kill_batch(lost);
 
         let id = reply.unwrap().text("/id");
@@ -43,7 +45,9 @@
 async fn a_host_lost_with_items_in_flight_loses_nothing() {
     let mut deployment = Deployment::start(Shape::default()).await;
     let caller = deployment.at_batch(2);
-    let id = caller.accepted(work::NOTES, "sweep", &work::notes("sweep", 400, 20)).await;
+    let id = caller
+        .accepted(work::NOTES, "sweep", &work::notes("sweep", 400, 20))
+        .await;
 
     for lost in [0, 1] {
         let before = deployment.started();
@@ -60,9 +64,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_answers_of_the_log_neither_lose_nor_double_an_item() {
     let mut deployment = Deployment::start(Shape::default()).await;
-    deployment.log().faults.change(|fault| fault.lose_probability = 0.15);
+    deployment
+        .log()
+        .faults
+        .change(|fault| fault.lose_probability = 0.15);
     let caller = deployment.at_batch(1);
-    let id = caller.accepted(work::NOTES, "sweep", &work::notes("sweep", 300, 4)).await;
+    let id = caller
+        .accepted(work::NOTES, "sweep", &work::notes("sweep", 300, 4))
+        .await;
     eventually("items run", || async { deployment.started() > 0 }).await;
     deployment.kill_batch(0);
 
@@ -73,7 +82,9 @@
 async fn a_log_outage_in_the_middle_of_intake_and_run_loses_nothing() {
     let deployment = Deployment::start(Shape::default()).await;
     let running = deployment.at_batch(0);
-    let id = running.accepted(work::NOTES, "before", &work::notes("before", 300, 20)).await;
+    let id = running
+        .accepted(work::NOTES, "before", &work::notes("before", 300, 20))
+        .await;
     eventually("items are in flight", || async { deployment.running() > 0 }).await;
     let caller = deployment.at_batch(1);
     let log = deployment.log();
@@ -86,14 +97,21 @@
         deployment.running() == 0
     })
     .await;
-    if let Ok(reply) = reply && !reply.status.is_success() {
-        assert!(["no", "unknown"].contains(&&*reply.text("/ran")), "{reply:?}");
+    if let Ok(reply) = reply
+        && !reply.status.is_success()
+    {
+        assert!(
+            ["no", "unknown"].contains(&&*reply.text("/ran")),
+            "{reply:?}"
+        );
     }
     log.faults.change(|fault| fault.outage = false);
 
     assert_complete(&deployment, &id, "before", 300, 20).await;
     let resent = deployment.at_batch(2);
-    let id = resent.accepted(work::NOTES, "during", &work::notes("during", 3_000, 2)).await;
+    let id = resent
+        .accepted(work::NOTES, "during", &work::notes("during", 3_000, 2))
+        .await;
     assert_complete(&deployment, &id, "during", 3_000, 2).await;
 }
 
@@ -108,7 +126,10 @@
         second.submit(work::NOTES, "round", body.clone()),
     );
     deployment.kill_batch(0);
-    let id = deployment.at_batch(2).accepted(work::NOTES, "round", &body).await;
+    let id = deployment
+        .at_batch(2)
+        .accepted(work::NOTES, "round", &body)
+        .await;
 
     for reply in [one.unwrap(), other.unwrap()] {
         assert!(reply.status.is_success(), "{reply:?}");
@@ -121,7 +142,9 @@
 async fn engines_that_die_with_items_in_flight_lose_nothing() {
     let deployment = Deployment::start(Shape::default()).await;
     let caller = deployment.at_batch(0);
-    let id = caller.accepted(work::NOTES, "sweep", &work::notes("sweep", 300, 20)).await;
+    let id = caller
+        .accepted(work::NOTES, "sweep", &work::notes("sweep", 300, 20))
+        .await;
 
     for engine in deployment.standin.engines() {
         let busy = || async { engine.account.runs().iter().any(|run| run.tokens > 0) };
@@ -139,7 +162,9 @@
 async fn a_frozen_owner_neither_loses_nor_doubles_an_item() {
     let deployment = Deployment::start(Shape::default()).await;
     let caller = deployment.at_batch(2);
-    let id = caller.accepted(work::NOTES, "sweep", &work::notes("sweep", 400, 20)).await;
+    let id = caller
+        .accepted(work::NOTES, "sweep", &work::notes("sweep", 400, 20))
+        .await;
     eventually("items are in flight", || async { deployment.running() > 0 }).await;
 
     let frozen = [deployment.batch(0).freeze(), deployment.batch(1).freeze()];
@@ -149,5 +174,8 @@
 
     assert_complete(&deployment, &id, "sweep", 400, 20).await;
     let after = deployment.at_batch(0).readable(&id).await;
-    assert_eq!(before, after, "a result changed when its first owner went on");
+    assert_eq!(
+        before, after,
+        "a result changed when its first owner went on"
+    );
 }
