--- a/crates/tinbank-batch/src/owner/upkeep.rs
+++ b/crates/tinbank-batch/src/owner/upkeep.rs
@@ -90,8 +90,7 @@
         };
         for followed in self.shards.values_mut().filter(|followed| followed.current) {
             let before = followed.upkeep.marks.before(old);
-            let carries = followed.fold.to_carry(before).next().is_some();
-            if carries || followed.fold.needs_checkpoint(before) {
+            if followed.fold.needs_care(before) {
                 // What was once due stays so until it is done: the lease that it needs makes the shard look young again.
                 followed.upkeep.due = followed.upkeep.due.max(Some(before));
             }
--- a/crates/tinbank-batch/src/settings.rs
+++ b/crates/tinbank-batch/src/settings.rs
@@ -56,7 +56,7 @@
             appends_per_second: 300,
             log_retention_s: 24 * 3_600,
             items_at_once: 256,
-            admission: Admission::Bounded,
+            admission: Admission::Credits,
             items_per_upstream: 4,
         }
     }
@@ -97,7 +97,7 @@
                 "stop_limit_ms",
                 Kind::millis(0, 3_600_000),
                 "30000",
-                "How long items in flight may take to end at a stop; what is left then is run again elsewhere.",
+                "How long items in flight may take to end at a stop; what is left then is treated as that of a lost host.",
             ),
             Field::default(
                 "lease_silence_ms",
@@ -130,7 +130,7 @@
             Field::default(
                 "admission",
                 Kind::Choice(&["credits", "bounded"]),
-                "\"bounded\"",
+                "\"credits\"",
                 "What lets items into engines: credits of the admission controllers, or a fixed number in each engine.",
             ),
             Field::default(
--- a/crates/tinbank-batch/tests/support/engines.rs
+++ b/crates/tinbank-batch/tests/support/engines.rs
@@ -16,6 +16,7 @@
     platform::upstream::{
         Call, Error, Kind, Order, Part, Parts, Report, Target, Upstreams, Verdict,
     },
+    platform::weights::Artifact,
 };
 use tinbank_routing::choice::{Ask, Choice, Router, Ticket};
 use tokio::sync::watch;
@@ -138,8 +139,17 @@
         Ok(())
     }
 
-    async fn report(&self, target: Target) -> Result<Report, Error> {
-        Err(unused(target))
+    async fn report(&self, _target: Target) -> Result<Report, Error> {
+        let artifact = Artifact {
+            model: "notes".to_owned(),
+            version: "1".to_owned(),
+            adapter: None,
+        };
+        Ok(Report {
+            slots: 8,
+            loaded: [artifact].into_iter().collect(),
+            ..Report::default()
+        })
     }
 
     async fn order(&self, target: Target, _order: Order) -> Result<Verdict, Error> {
