Give test hosts a backoff that fits into their append timeout

Cause: with an append timeout of 1 s and backoffs of up to 2 s an append could end without a try, so without_the_log_a_job_is_refused_as_not_run failed once in a landing. With the defaults (10 s and 2 s) that can't be.

--- a/crates/tinbank-batch/tests/support/mod.rs
+++ b/crates/tinbank-batch/tests/support/mod.rs
@@ -33,7 +33,7 @@
     snapshot::{Customer, Shared, Snapshot},
 };
 use tinbank_ledger::lease::Terms;
-use tinbank_log::writer;
+use tinbank_log::{group, writer};
 use tinbank_server::{http::Listen, readiness::Flag, threads::Handles};
 use tinbank_test_support::log::Memory;
 use tinbank_timeline::Recorder;
@@ -144,6 +144,11 @@
             upstreams: Arc::new(self.engines.clone()),
             writer: writer::Settings {
                 append_timeout: APPEND_TIMEOUT,
+                // As with the defaults, a try fits into the timeout whatever the backoff.
+                group: group::Settings {
+                    backoff_longest: APPEND_TIMEOUT / 5,
+                    ..group::Settings::default()
+                },
                 ..writer::Settings::default()
             },
             writers: watch::channel(1).1,
