Tell a deployment's story through the command line; note what peers do on the time line

Change: the wrappers pass notes on; a peer's leaving is an event; submit prints the options that repeat it exactly.

--- a/crates/tinbank-base/src/event.rs
+++ b/crates/tinbank-base/src/event.rs
@@ -142,6 +142,8 @@
     Died,
     /// A peer was heard of (again).
     Joined,
+    /// A peer said that it leaves.
+    PeerLeaving,
     /// An upstream is no longer given work.
     UpstreamLeaving,
     /// An upstream is not given work for a while, for it failed.
--- a/crates/tinbank-cli/src/command/batch/submit.rs
+++ b/crates/tinbank-cli/src/command/batch/submit.rs
@@ -47,7 +47,9 @@
                {command_name} --service logger-notes --due 7h --wait sweep.ndjson\n\
                {command_name} --service logger-notes --key sweep-2026-12-02 -",
     note = "It draws an idempotency key, prints it before anything is sent, and repeats the submission under it when \
-            an answer is lost. Repeating the command with --key KEY gives the same job, never a second one. Input from stdin is held in memory."
+            an answer is lost. Repeating the command with the options that it \
+            prints (the key, and the due time as it was then) gives the same job, never a second one. Input from \
+            stdin is held in memory."
 )]
 pub struct Submit {
     /// file with the items, or - for stdin
@@ -100,7 +102,8 @@
         let key = self.key.clone().unwrap_or_else(draw_key);
         let ask = self.ask(&context.key()?, &key)?;
         let entries = context.batch()?;
-        output.note(format!("idempotency key {key}"));
+        let repeat = self.repeat(&key);
+        output.note(format!("to repeat it safely: {repeat}"));
         let submission = Submission {
             server: context.server(),
             entries,
@@ -111,7 +114,7 @@
         };
         let accepted = submission.run().await;
         submission.bar.finish_and_clear();
-        let accepted = accepted.map_err(|error| with_key(error, &key))?;
+        let accepted = accepted.map_err(|error| with_repeat(error, &repeat))?;
         let job = id_of(&accepted)?;
         if self.wait {
             output.note(format!("job {job}"));
@@ -125,6 +128,14 @@
         Ok(Exit::Done)
     }
 
+    /// The options under which a repeated command gives the same job. A time span from now would be another due time.
+    fn repeat(&self, key: &str) -> String {
+        match self.due {
+            Some(due) => format!("--key {key} --due {due}"),
+            None => format!("--key {key}"),
+        }
+    }
+
     fn ask(&self, key: &str, idempotency_key: &str) -> Result<Ask, Error> {
         let mut path = format!("/v1/batches?service={}", escape(&self.service));
         if let Some(due) = self.due {
@@ -235,11 +246,11 @@
     Error::new(exit, broken.to_string()).at(entry.to_string())
 }
 
-fn with_key(error: Error, key: &str) -> Error {
+fn with_repeat(error: Error, repeat: &str) -> Error {
     if error.exit == Exit::Input || error.exit == Exit::Missing {
         return error;
     }
-    let repeat = format!("repeat it with --key {key}: it gives the same job, never a second one");
+    let repeat = format!("repeat it with {repeat}: it gives the same job, never a second one");
     let help = match &error.help {
         Some(help) => format!("{help}; {repeat}"),
         None => repeat,
--- a/crates/tinbank-cli/src/server.rs
+++ b/crates/tinbank-cli/src/server.rs
@@ -111,7 +111,7 @@
         request.headers_mut().extend(ask.headers.clone());
         match time::timeout_at(until.into(), self.client.request(request)).await {
             Ok(Ok(response)) => Ok(response),
-            Ok(Err(error)) if error.is_connect() => Err(Broken::Connect(chain(&error))),
+            Ok(Err(error)) if error.is_connect() => Err(Broken::Connect(root(&error))),
             Ok(Err(error)) => Err(Broken::Lost(chain(&error))),
             Err(_) => Err(Broken::Lost("no answer in time".to_owned())),
         }
@@ -156,6 +156,7 @@
 pub(crate) fn unreachable(tried: &[String]) -> Error {
     let what = match tried {
         [] => "there is nobody to ask: the settings name no entry address".to_owned(),
+        [tried] => tried.clone(),
         tried => format!("nobody answered: {}", tried.join("; ")),
     };
     Error::new(Exit::Unreachable, what)
@@ -234,6 +235,15 @@
     text
 }
 
+/// The cause behind all causes: what the system says of a connection.
+fn root(error: &dyn error::Error) -> String {
+    let mut root = error;
+    while let Some(cause) = root.source() {
+        root = cause;
+    }
+    root.to_string()
+}
+
 /// Escapes a text for use in a path or query.
 pub(crate) fn escape(text: &str) -> String {
     let mut escaped = String::with_capacity(text.len());
--- a/crates/tinbank-membership/src/state.rs
+++ b/crates/tinbank-membership/src/state.rs
@@ -418,6 +418,7 @@
             (None | Some(Health::Dead), Health::Alive) => Some(event::Kind::Joined),
             (_, Health::Suspect) => Some(event::Kind::Suspected),
             (_, Health::Dead) => Some(event::Kind::Died),
+            (_, Health::Leaving) => Some(event::Kind::PeerLeaving),
             _ => None,
         };
         if let Some(kind) = kind {
--- a/crates/tinbank-online/src/control/peers.rs
+++ b/crates/tinbank-online/src/control/peers.rs
@@ -121,4 +121,8 @@
     fn observe(&self, stamp: Stamp) {
         self.0.observe(stamp);
     }
+
+    fn note(&self, subject: Subject, kind: Kind) {
+        self.0.note(subject, kind);
+    }
 }
--- a/crates/tinbank-process/src/clock.rs
+++ b/crates/tinbank-process/src/clock.rs
@@ -1,6 +1,9 @@
 //! Stamps of frames.
 
-use tinbank_base::clock::Stamp;
+use tinbank_base::{
+    clock::Stamp,
+    event::{Kind, Subject},
+};
 use tinbank_peer::Clock;
 use tinbank_timeline::Recorder;
 
@@ -16,4 +19,8 @@
     fn observe(&self, stamp: Stamp) {
         self.0.observe(stamp);
     }
+
+    fn note(&self, subject: Subject, kind: Kind) {
+        self.0.note(subject, kind);
+    }
 }
--- a/crates/tinbank-timeline/src/render/page.rs
+++ b/crates/tinbank-timeline/src/render/page.rs
@@ -242,6 +242,7 @@
         | Kind::LeaseReleased { .. }
         | Kind::Credits { .. }
         | Kind::Joined
+        | Kind::PeerLeaving
         | Kind::UpstreamLeaving
         | Kind::Ordered { .. } => "state",
         Kind::Accepted { .. }
