--- a/crates/tinbank-batch/src/server.rs
+++ b/crates/tinbank-batch/src/server.rs
@@ -29,6 +29,10 @@
 /// Jobs that are taken in at once.
 const INTAKES: usize = 8;
 
+/// Most bytes of records in one append: a chunk that is carried forward holds the answers of all its items. The
+/// platform's log has to take records of 1 MiB.
+const GROUP_BYTES: usize = 960 << 10;
+
 /// A running batch process.
 pub struct Server {
     core: Arc<Core>,
@@ -205,6 +209,7 @@
                 fleet_per_second: f64::from(settings.appends_per_second),
                 ..budget::Settings::default()
             },
+            group_bytes: GROUP_BYTES,
             ..group::Settings::default()
         },
         ..writer::Settings::default()
--- a/crates/tinbank-batch/tests/support/session.rs
+++ b/crates/tinbank-batch/tests/support/session.rs
@@ -112,6 +112,9 @@
             .method(method)
             .uri(format!("http://{}{path}", self.address))
             .header("authorization", format!("Bearer {}", self.key));
+        if !body.is_empty() {
+            request = request.header("content-type", "application/x-ndjson");
+        }
         if let Some(key) = key {
             request = request.header("idempotency-key", key);
         }
