Stand on the common part of server processes; let signs of leaving end without a new list

Cause: start, host list, readiness and runtimes stood twice, here and in tinbank-process; the table learnt that a sign had ended only with a new list. Change: Server is built on Core; the table keeps until when a sign holds; unused dependencies are gone.

--- a/crates/tinbank-online/src/control/mod.rs
+++ b/crates/tinbank-online/src/control/mod.rs
@@ -1,7 +1,6 @@
-//! What the control thread does: it follows the host list, the engines' reports, the configuration and the peers, and
-//! publishes what traffic threads read.
+//! What the control thread does besides the common part of all processes: it feeds the routing table and the gate, which
+//! traffic threads read.
 
-mod hosts;
 mod load;
 mod peers;
 mod reports;
@@ -9,83 +8,40 @@
 use std::sync::Arc;
 
 use tinbank_admission::Teller;
-use tinbank_base::{
-    event::{Kind, Subject},
-    frame::heartbeat::Phase,
-};
-use tinbank_configuration::follower::Follower;
-use tinbank_membership::Membership;
-use tokio::sync::watch;
-use tokio_util::{sync::CancellationToken, task::TaskTracker};
-
-pub(crate) use peers::{Answerer, LateDirectory, PeerClock};
-
-use crate::{context::Context, server::Platform};
-
-/// What the control tasks work with.
-#[derive(Clone, Debug)]
-pub(crate) struct Control {
-    pub(crate) ctx: Arc<Context>,
-    pub(crate) platform: Platform,
-    pub(crate) follower: Follower,
-    pub(crate) membership: Membership,
-    pub(crate) teller: Teller,
-}
-
-impl Control {
-    /// Starts the control tasks on the current runtime. They end when `stop` is cancelled.
-    pub(crate) fn start(self, stop: &CancellationToken) {
-        let tracker = TaskTracker::new();
-        let (listed, have_list) = watch::channel(false);
-        let (ctx, table) = (self.ctx.clone(), self.ctx.table.clone());
-        let follow_hosts = hosts::follow(
-            self.platform.hosts.clone(),
-            table.clone(),
-            self.membership.clone(),
-            listed,
-        );
-        tracker.spawn(stop.clone().run_until_cancelled_owned(follow_hosts));
-        let ask = reports::ask(self.platform.upstreams.clone(), table.clone());
-        tracker.spawn(stop.clone().run_until_cancelled_owned(ask));
-        let tell = load::tell(table.clone(), self.teller);
-        tracker.spawn(stop.clone().run_until_cancelled_owned(tell));
-        let pass_on =
-            peers::pass_on_leaving(ctx.recorder.clone(), table.clone(), self.membership.clone());
-        tracker.spawn(stop.clone().run_until_cancelled_owned(pass_on));
-        let share = peers::share_limits(ctx.clone(), self.membership.clone());
-        tracker.spawn(stop.clone().run_until_cancelled_owned(share));
-        let hear = peers::hear_leaving(table, self.membership.clone());
-        tracker.spawn(stop.clone().run_until_cancelled_owned(hear));
-        let ready = become_ready(ctx, self.follower, self.membership, have_list);
-        tracker.spawn(stop.clone().run_until_cancelled_owned(ready));
-    }
+use tinbank_process::{Core, hosts::Watch};
+use tinbank_routing::Table;
+
+pub(crate) use peers::Answerer;
+
+use crate::{clock, context::Context};
+
+/// Starts the control tasks on the current runtime. They end with the process.
+pub(crate) fn start(core: &Core, ctx: &Arc<Context>, teller: Teller) {
+    let table = &ctx.table;
+    core.spawn(list(core.hosts(), table.clone()));
+    core.spawn(reports::ask(ctx.upstreams.clone(), table.clone()));
+    core.spawn(load::tell(table.clone(), teller));
+    let Some(membership) = core.membership() else {
+        return;
+    };
+    let recorder = ctx.recorder.clone();
+    core.spawn(peers::pass_on_leaving(
+        recorder,
+        table.clone(),
+        membership.clone(),
+    ));
+    core.spawn(peers::hear_leaving(table.clone(), membership.clone()));
+    core.spawn(peers::share_limits(ctx.clone(), membership.clone()));
 }
 
-/// Says how far the configuration is, and that the process serves once it has both a configuration and a host list.
-async fn become_ready(
-    ctx: Arc<Context>,
-    follower: Follower,
-    membership: Membership,
-    mut have_list: watch::Receiver<bool>,
-) {
-    let mut progress = follower.progress();
-    let mut was_ready = false;
+/// Gives the table each new host list.
+async fn list(mut lists: Watch, table: Table) {
     loop {
-        let now = *progress.borrow_and_update();
-        membership.set_config(now.next);
-        if now.ready && *have_list.borrow_and_update() && !was_ready {
-            was_ready = true;
-            ctx.ready.ready();
-            if ctx.ready.is_ready() {
-                membership.set_phase(Phase::Ready);
-                ctx.recorder.note(Subject::default(), Kind::Ready);
-            }
+        let list = lists.borrow_and_update().clone();
+        if let Some(list) = list {
+            table.list(&list, clock::now());
         }
-        let changed = tokio::select! {
-            changed = progress.changed() => changed,
-            changed = have_list.changed(), if !was_ready => changed,
-        };
-        if changed.is_err() {
+        if lists.changed().await.is_err() {
             return;
         }
     }
--- a/crates/tinbank-online/src/control/peers.rs
+++ b/crates/tinbank-online/src/control/peers.rs
@@ -1,11 +1,10 @@
 //! What is exchanged with other processes.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 
 use async_trait::async_trait;
 use futures::{StreamExt as _, stream, stream::BoxStream};
 use tinbank_base::{
-    clock::Stamp,
     event::{Kind, Subject},
     frame::{
         credit,
@@ -13,12 +12,11 @@
     },
     id,
     outcome::{Code, Ran},
-    peer::{Answer, Directory, Members},
+    peer::Answer,
     record::Writer,
 };
 use tinbank_configuration::follower::Follower;
 use tinbank_membership::Membership;
-use tinbank_peer::Clock;
 use tinbank_routing::Table;
 use tinbank_timeline::Recorder;
 
@@ -90,35 +88,3 @@
     /// Online processes get no credits: a frame that says so is not for us.
     fn told(&self, _from: Writer, _message: credit::Message) {}
 }
-
-/// Who is there, once the membership has started: it needs the HTTP address, and the HTTP server needs this.
-#[derive(Debug, Default)]
-pub(crate) struct LateDirectory(OnceLock<Membership>);
-
-impl LateDirectory {
-    /// From now on the membership answers.
-    pub(crate) fn set(&self, membership: Membership) {
-        // It is set once, at the start; a second one would be the same.
-        let _ = self.0.set(membership);
-    }
-}
-
-impl Directory for LateDirectory {
-    fn members(&self) -> Arc<Members> {
-        self.0.get().map(Directory::members).unwrap_or_default()
-    }
-}
-
-/// Stamps frames by the process's time line.
-#[derive(Debug)]
-pub(crate) struct PeerClock(pub(crate) Recorder);
-
-impl Clock for PeerClock {
-    fn stamp(&self) -> Stamp {
-        self.0.stamp()
-    }
-
-    fn observe(&self, stamp: Stamp) {
-        self.0.observe(stamp);
-    }
-}
--- a/crates/tinbank-online/tests/support/mod.rs
+++ b/crates/tinbank-online/tests/support/mod.rs
@@ -18,7 +18,7 @@
     },
 };
 use tinbank_online::{Platform, Server, Settings, openai::Chunk};
-use tinbank_platform::{hosts, upstream};
+use tinbank_platform::hosts;
 use tinbank_server::client;
 use tinbank_settings::common::Common;
 use tinbank_standin::{
@@ -39,6 +39,7 @@
 pub struct World {
     pub standin: Standin,
     pub servers: Vec<Server>,
+    pub batch: Vec<tinbank_batch::Server>,
 }
 
 /// What to build.
@@ -46,6 +47,8 @@
     pub engines: u32,
     pub plain: u32,
     pub servers: u32,
+    /// Batch processes, which own the claims.
+    pub batch: u32,
     pub limits: Value,
 }
 
@@ -55,6 +58,7 @@
             engines: 3,
             plain: 2,
             servers: 1,
+            batch: 0,
             limits: json!({}),
         }
     }
@@ -68,31 +72,47 @@
         let log = Memory::new();
         publish(&log, &size.limits);
         let list = standin.hosts().expect("there is a host list").address;
-        let mut servers = Vec::new();
-        for host in 1..=size.servers {
-            let platform = Platform {
-                log: Arc::new(log.clone()),
-                hosts: Arc::new(hosts::Http::new(list)),
-                upstreams: Arc::new(upstream::Http::new()),
+        let mut world = Self {
+            standin,
+            servers: Vec::new(),
+            batch: Vec::new(),
+        };
+        for host in 1..=size.batch {
+            let settings = tinbank_batch::Settings {
+                common: world.common(host),
+                lease_silence_ms: 1_000,
+                ..tinbank_batch::Settings::default()
             };
+            let platform = platform(&log, list, &settings.common);
+            let server = tinbank_batch::Server::start_with(settings, platform).await;
+            world.batch.push(server.expect("the batch process starts"));
+        }
+        for host in 1..=size.servers {
             let settings = Settings {
-                common: Common {
-                    host,
-                    failure_domain: "here".to_owned(),
-                    ..Common::default()
-                },
+                common: world.common(host),
                 ..Settings::default()
             };
-            let server = Server::start_with(settings, platform)
-                .await
-                .expect("the server starts");
-            servers.push(server);
+            let platform = platform(&log, list, &settings.common);
+            let server = Server::start_with(settings, platform).await;
+            world.servers.push(server.expect("the server starts"));
         }
-        let world = Self { standin, servers };
         until(|| world.servers.iter().all(Server::is_ready)).await;
+        until(|| world.batch.iter().all(tinbank_batch::Server::is_ready)).await;
         world
     }
 
+    /// Settings of the next process, which knows those that run.
+    fn common(&self, host: id::Host) -> Common {
+        let online = self.servers.iter().map(Server::peer_address);
+        let batch = self.batch.iter().map(tinbank_batch::Server::peer_address);
+        Common {
+            host,
+            failure_domain: "here".to_owned(),
+            seeds: online.chain(batch).collect(),
+            ..Common::default()
+        }
+    }
+
     pub fn server(&self) -> &Server {
         &self.servers[0]
     }
@@ -120,6 +140,14 @@
     }
 }
 
+fn platform(log: &Memory, list: SocketAddr, common: &Common) -> Platform {
+    Platform {
+        log: Arc::new(log.clone()),
+        hosts: Arc::new(hosts::Http::new(list)),
+        ..Platform::new(common)
+    }
+}
+
 fn artifact() -> Artifact {
     Artifact {
         model: "m".to_owned(),
--- a/crates/tinbank-routing/src/leaving.rs
+++ b/crates/tinbank-routing/src/leaving.rs
@@ -38,6 +38,17 @@
     live_since: u64,
 }
 
+/// How long an upstream must get no new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Until {
+    /// It may get work.
+    Never,
+    /// A sign holds until then, if no list says otherwise.
+    Time(Instant),
+    /// Until a list shows it live.
+    Listed,
+}
+
 /// Follows which upstreams are leaving.
 #[derive(Clone, Debug, Default)]
 pub struct Tracker {
@@ -94,11 +105,20 @@
 
     /// Whether an upstream must get no new work.
     pub fn is_leaving(&self, upstream: id::Upstream, now: Instant) -> bool {
-        let signed = self
-            .signs
-            .get(&upstream)
-            .is_some_and(|sign| now < sign.held_until);
-        signed || self.listed.get(&upstream).is_none_or(|listed| !listed.live)
+        match self.until(upstream) {
+            Until::Never => false,
+            Until::Time(until) => now < until,
+            Until::Listed => true,
+        }
+    }
+
+    /// How long an upstream must get no new work, as far as is known now.
+    pub fn until(&self, upstream: id::Upstream) -> Until {
+        if self.listed.get(&upstream).is_none_or(|listed| !listed.live) {
+            return Until::Listed;
+        }
+        let sign = self.signs.get(&upstream);
+        sign.map_or(Until::Never, |sign| Until::Time(sign.held_until))
     }
 
     /// The signs to pass on to peers, by number of the upstream.
@@ -113,14 +133,6 @@
             .collect()
     }
 
-    /// Upstreams whose sign is in force, for the edges that mirror it.
-    pub fn signed(&self, now: Instant) -> impl Iterator<Item = id::Upstream> {
-        self.signs
-            .iter()
-            .filter(move |(_, sign)| now < sign.held_until)
-            .map(|(upstream, _)| *upstream)
-    }
-
     fn add(&mut self, upstream: id::Upstream, list: u64, now: Instant) -> bool {
         let known = self.signs.get(&upstream).copied();
         if let Some(known) = known
--- a/crates/tinbank-routing/src/table/entry.rs
+++ b/crates/tinbank-routing/src/table/entry.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     health::{Change, Health, Sign},
+    leaving::Until,
     pick::Candidate,
 };
 
@@ -32,7 +33,8 @@
     online: AtomicU32,
     batch: AtomicU32,
     pub(super) changed: AtomicBool,
-    pub(super) leaving: AtomicBool,
+    /// Milliseconds since `epoch` until which it must get no new work; 0 when it may, the largest number for good.
+    leaving_until: AtomicU64,
     report: ArcSwapOption<Reported>,
     health: Mutex<Health>,
     /// Milliseconds since `epoch` until which it is ejected, plus 1; 0 when it is not.
@@ -55,7 +57,7 @@
             online: AtomicU32::new(0),
             batch: AtomicU32::new(0),
             changed: AtomicBool::new(false),
-            leaving: AtomicBool::new(false),
+            leaving_until: AtomicU64::new(0),
             report: ArcSwapOption::empty(),
             health: Mutex::new(Health::default()),
             ejected_until: AtomicU64::new(0),
@@ -64,6 +66,19 @@
         }
     }
 
+    pub(super) fn leave(&self, until: Until) {
+        let millis = match until {
+            Until::Never => 0,
+            Until::Time(until) => self.millis(until),
+            Until::Listed => u64::MAX,
+        };
+        self.leaving_until.store(millis, Ordering::Relaxed);
+    }
+
+    fn is_leaving(&self, now: Instant) -> bool {
+        self.millis(now) < self.leaving_until.load(Ordering::Relaxed)
+    }
+
     pub(super) fn in_flight(&self, traffic: Traffic) -> u32 {
         self.count(traffic).load(Ordering::Relaxed)
     }
@@ -148,7 +163,7 @@
 impl Entry {
     /// The entry as the choice sees it; `None` when it is known that it can't run the service.
     pub(super) fn candidate(&self, artifact: Option<&Artifact>, now: Instant) -> Option<Candidate> {
-        if self.live.leaving.load(Ordering::Relaxed) {
+        if self.live.is_leaving(now) {
             return None;
         }
         let own = self.live.total();
--- a/crates/tinbank-routing/src/table/mod.rs
+++ b/crates/tinbank-routing/src/table/mod.rs
@@ -93,8 +93,7 @@
                 Some(entry) if entry.listed.address == listed.address => entry.live.clone(),
                 _ => Arc::new(Live::new(self.inner.epoch)),
             };
-            let leaving = tracker.is_leaving(listed.upstream, now);
-            live.leaving.store(leaving, Ordering::Relaxed);
+            live.leave(tracker.until(listed.upstream));
             entries.add(Entry {
                 listed: listed.clone(),
                 near: listed.failure_domain == self.inner.failure_domain,
@@ -126,7 +125,7 @@
     /// Takes in a peer's word that an upstream is leaving. Returns whether it is news.
     pub fn hear(&self, word: Leaving, now: Instant) -> bool {
         let news = self.inner.tracker().hear(word, now);
-        self.inner.mirror(word.upstream, now);
+        self.inner.mirror(word.upstream);
         if news {
             self.inner.signed.notify_one();
         }
@@ -297,17 +296,17 @@
     /// Takes in an upstream's own word that it is leaving.
     fn sign(&self, upstream: id::Upstream, now: Instant) {
         let news = self.tracker().sign(upstream, now);
-        self.mirror(upstream, now);
+        self.mirror(upstream);
         if news {
             self.signed.notify_one();
         }
     }
 
     /// Copies the tracker's verdict to where traffic threads read it.
-    fn mirror(&self, upstream: id::Upstream, now: Instant) {
-        let leaving = self.tracker().is_leaving(upstream, now);
+    fn mirror(&self, upstream: id::Upstream) {
+        let until = self.tracker().until(upstream);
         if let Some(entry) = self.entries.load().by_upstream.get(&upstream) {
-            entry.live.leaving.store(leaving, Ordering::Relaxed);
+            entry.live.leave(until);
         }
     }
 
--- a/crates/tinbank-routing/tests/table.rs
+++ b/crates/tinbank-routing/tests/table.rs
@@ -17,7 +17,7 @@
     },
 };
 use tinbank_configuration::{service::Service, template::Traffic};
-use tinbank_routing::{Ask, Choice, Router as _, Table, health::FIRST};
+use tinbank_routing::{Ask, Choice, Router as _, Table, health::FIRST, leaving::HOLD};
 use yare::parameterized;
 
 const POOL: &str = "notes";
@@ -240,6 +240,22 @@
     assert_eq!(table.leaving(now).as_slice(), [word]);
 }
 
+#[test]
+fn a_sign_that_no_list_confirms_ends_without_a_new_list() {
+    let now = Instant::now();
+    let table = table(1, now);
+    table.hear(
+        Leaving {
+            upstream: 1,
+            list: 1,
+        },
+        now,
+    );
+
+    assert!(online(&table, now + HOLD - Duration::from_secs(1)).is_none());
+    assert!(online(&table, now + HOLD).is_some());
+}
+
 #[test]
 fn a_leaving_report_and_a_peer_s_word_count_alike() {
     let now = Instant::now();
