--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -57,6 +57,16 @@
     }
 }
 
+const fn gauge(name: &'static str, unit: &'static str, help: &'static str) -> Metric {
+    Metric {
+        name,
+        kind: Kind::Gauge,
+        unit,
+        labels: &[],
+        help,
+    }
+}
+
 const fn seconds(name: &'static str, help: &'static str) -> Metric {
     Metric {
         name,
@@ -69,6 +79,33 @@
 
 /// All metrics, by name.
 pub const METRICS: &[Metric] = &[
+    gauge(
+        "tinbank_batch_items_in_hand",
+        "items",
+        "Batch items that this process sends, or whose end it has not read back from the log yet.",
+    ),
+    gauge(
+        "tinbank_batch_items_waiting",
+        "items",
+        "Batch items in hand that wait for room in an upstream.",
+    ),
+    counter(
+        "tinbank_batch_jobs_total",
+        "jobs",
+        &["outcome"],
+        "Jobs that were sent in: accepted, refused as not run, or of unknown outcome.",
+    ),
+    gauge(
+        "tinbank_batch_shards_owned",
+        "shards",
+        "Work shards that this process holds the lease of.",
+    ),
+    counter(
+        "tinbank_batch_withdrawn_total",
+        "items",
+        &[],
+        "Batch items taken off an engine for the sake of online requests, and queued again.",
+    ),
     counter(
         "tinbank_configuration_changes_total",
         "changes",
@@ -152,6 +189,12 @@
         "tinbank_online_first_token_seconds",
         "Time from the request to its first token.",
     ),
+    counter(
+        "tinbank_online_limited_total",
+        "requests",
+        &["limit"],
+        "Requests refused as not run because the customer is over a limit, by limit.",
+    ),
     seconds(
         "tinbank_online_request_seconds",
         "Time from the request to the end of its answer.",
@@ -174,6 +217,12 @@
         &[],
         "Requests sent again.",
     ),
+    counter(
+        "tinbank_online_shed_total",
+        "requests",
+        &[],
+        "Requests refused as not run because the upstreams are overloaded.",
+    ),
     counter(
         "tinbank_peer_asks_failed_total",
         "requests",
