--- a/crates/tinbank-batch/tests/support/mod.rs
+++ b/crates/tinbank-batch/tests/support/mod.rs
@@ -33,7 +33,7 @@
     snapshot::{Customer, Shared, Snapshot},
 };
 use tinbank_ledger::lease::Terms;
-use tinbank_log::writer;
+use tinbank_log::{group, writer};
 use tinbank_server::{http::Listen, readiness::Flag, threads::Handles};
 use tinbank_test_support::log::Memory;
 use tinbank_timeline::Recorder;
@@ -46,6 +46,8 @@
 pub const SHARDS: id::Shard = 4;
 pub const SERVICE: &str = "notes";
 pub const ORDERS: &str = "orders";
+/// How long hosts try an append before it has failed.
+pub const APPEND_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What all hosts share.
 pub struct World {
@@ -140,7 +142,15 @@
             limits: Limits::default(),
             log: Arc::new(self.log.clone()),
             upstreams: Arc::new(self.engines.clone()),
-            writer: writer::Settings::default(),
+            writer: writer::Settings {
+                append_timeout: APPEND_TIMEOUT,
+                // As with the defaults, a try fits into the timeout whatever the backoff.
+                group: group::Settings {
+                    backoff_longest: APPEND_TIMEOUT / 5,
+                    ..group::Settings::default()
+                },
+                ..writer::Settings::default()
+            },
             writers: watch::channel(1).1,
             directory: Arc::new(View(self.net.clone())),
             peers: Arc::new(self.net.clone()),
@@ -240,8 +250,8 @@
     let customer = Customer {
         name: name.to_owned(),
         revision: 1,
-        services,
-        streams: BTreeMap::new(),
+        services: services.into(),
+        streams: Default::default(),
         limits: CustomerLimits::default(),
         share: 1,
         keep_results: Duration::from_secs(3_600),
