--- a/crates/tinbank-online/tests/stop.rs
+++ b/crates/tinbank-online/tests/stop.rs
@@ -2,7 +2,11 @@
 
 mod support;
 
+use std::time::Instant;
+
 use support::{Size, World, chat, prompt, streamed, until, whole_text};
+use tinbank_base::frame::heartbeat::Leaving;
+use tinbank_online::Server;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_finishes_every_stream() {
@@ -92,3 +96,33 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_sign_that_one_host_has_heard_reaches_the_others() {
+    let world = World::start(Size {
+        servers: 3,
+        ..Size::default()
+    })
+    .await;
+    // Nothing but the word says so: the engine itself and the list hold it for live.
+    let word = Leaving {
+        upstream: 1,
+        list: u64::MAX,
+    };
+
+    world.server().table().hear(word, Instant::now());
+
+    let everywhere = || {
+        let mut tables = world.servers.iter().map(Server::table);
+        tables.all(|table| table.is_leaving(1, Instant::now()))
+    };
+    until(everywhere).await;
+    let asked = chat(
+        world.servers[2].http_address(),
+        &[],
+        &prompt("after the word"),
+    )
+    .await;
+    assert!(asked.status.is_success());
+    assert!(world.standin.engines()[0].account.runs().is_empty());
+}
