--- a/crates/tinbank-batch/src/http/item.rs
+++ b/crates/tinbank-batch/src/http/item.rs
@@ -10,10 +10,7 @@
 use http::{HeaderMap, Response, StatusCode};
 use schemars::JsonSchema;
 use serde::Deserialize;
-use tinbank_base::{
-    frame::request::Outcome,
-    outcome::{Code, Failure},
-};
+use tinbank_base::outcome::{Code, Failure};
 use tinbank_server::{
     failure::{Reply, answer},
     operator::json,
@@ -63,26 +60,26 @@
     let status = context.job(headers, &path.id).await?;
     let mut searches = Vec::with_capacity(status.head.shards.len());
     for shard in &status.head.shards {
-        let pages = Pages::new(context.asker.clone(), &status.head, *shard, context.shards);
+        let pages = Pages::new(context.asker.clone(), &status, *shard, context.shards);
         searches.push(find(pages.only(&path.custom_id)));
     }
     let mut found = stream::iter(searches).buffer_unordered(SHARDS_AT_ONCE);
-    while let Some(outcome) = found.try_next().await? {
-        if let Some(outcome) = outcome {
-            return json(StatusCode::OK, &Item::of(outcome, status.cancelled));
+    while let Some(item) = found.try_next().await? {
+        if let Some(item) = item {
+            return json(StatusCode::OK, &item);
         }
     }
     let message = format!("the batch has no item {:?}", path.custom_id);
     Err(Failure::not_run(Code::NotFound, message).into())
 }
 
-async fn find(mut pages: Pages) -> Result<Option<Outcome>, Failure> {
+async fn find(mut pages: Pages) -> Result<Option<Item>, Failure> {
     let until = until();
     loop {
         match pages.next().await? {
-            Page::Results(page) => {
-                if let Some(outcome) = page.into_iter().next() {
-                    return Ok(Some(outcome));
+            Page::Items(page) => {
+                if let Some(outcome) = page.outcomes.into_iter().next() {
+                    return Ok(Some(Item::of(outcome, page.cancelled)));
                 }
             }
             Page::NotYet if Instant::now() < until => time::sleep(NOT_YET).await,
--- a/crates/tinbank-batch/src/http/job.rs
+++ b/crates/tinbank-batch/src/http/job.rs
@@ -1,6 +1,9 @@
 //! `GET /v1/batches/{id}` and `POST /v1/batches/{id}/cancel`.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use dropshot::{Body, Path, RequestContext, endpoint};
 use futures::future::try_join_all;
@@ -17,12 +20,16 @@
     failure::{Reply, answer},
     operator::json,
 };
+use tokio::time;
 
 use super::{
     context::{Context, unexpected, until},
     view::{Counts, Job, JobState},
 };
 
+/// How often it is looked whether a cancelled job has stopped.
+const STOPPED_LOOK: Duration = Duration::from_millis(50);
+
 /// Which job.
 #[derive(Debug, Deserialize, JsonSchema)]
 pub(super) struct JobPath {
@@ -45,6 +52,8 @@
 }
 
 /// Stops a job: completions after it don't count, and what runs is cancelled at the upstream.
+///
+/// Answers 200 once the job has stopped in all its shards, and 202 with the state `cancelling` if that takes longer.
 #[endpoint {
     method = POST,
     path = "/v1/batches/{id}/cancel",
@@ -81,7 +90,27 @@
         Some(other) => return Err(unexpected(&other).into()),
         None => return Err(Failure::unknown(Code::Internal, "empty answer").into()),
     }
-    show(context, headers, id).await
+    let status = stopped(context, headers, id).await?;
+    let state = JobState::of(&status);
+    let code = match state {
+        JobState::Cancelling => StatusCode::ACCEPTED,
+        _ => StatusCode::OK,
+    };
+    let counts = counts(context, &status).await?;
+    json(code, &Job::of(&status.head, state, Some(counts)))
+}
+
+/// Waits until every shard has said that the job stopped there: a shard whose owner was lost reads the cancel only once
+/// it has a new one, and until then items may still start and count. Gives up in time for the answer.
+async fn stopped(context: &Context, headers: &HeaderMap, id: &str) -> Result<Status, Failure> {
+    let until = until();
+    loop {
+        let status = context.job(headers, id).await?;
+        if JobState::of(&status) != JobState::Cancelling || Instant::now() >= until {
+            return Ok(status);
+        }
+        time::sleep(STOPPED_LOOK).await;
+    }
 }
 
 /// Counts of the whole job: shards that have finished said so in the head's shard, the others are asked.
--- a/crates/tinbank-batch/src/http/results.rs
+++ b/crates/tinbank-batch/src/http/results.rs
@@ -6,7 +6,7 @@
 use dropshot::{Body, Path, RequestContext, endpoint};
 use futures::stream;
 use http::{HeaderMap, Response};
-use tinbank_base::{frame::request::Status, outcome::Failure};
+use tinbank_base::outcome::Failure;
 use tinbank_server::{
     failure::{Reply, answer},
     stream::{Form, fallible, line},
@@ -37,9 +37,9 @@
     let status = context.job(headers, id).await?;
     let shards = status.head.shards.iter();
     let pages: VecDeque<Pages> = shards
-        .map(|shard| Pages::new(context.asker.clone(), &status.head, *shard, context.shards))
+        .map(|shard| Pages::new(context.asker.clone(), &status, *shard, context.shards))
         .collect();
-    let state = State { pages, status };
+    let state = State { pages };
     let pieces = stream::try_unfold(state, |mut state| async {
         let piece = state.next().await?;
         Ok::<_, Failure>(piece.map(|piece| (piece, state)))
@@ -50,20 +50,19 @@
 struct State {
     /// One reader for each shard; the first is being read.
     pages: VecDeque<Pages>,
-    status: Status,
 }
 
 impl State {
     /// The lines of the next page that has any.
     async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
         while let Some(pages) = self.pages.front_mut() {
-            let Page::Results(page) = pages.next().await? else {
+            let Page::Items(page) = pages.next().await? else {
                 self.pages.pop_front();
                 continue;
             };
             let mut lines = Vec::new();
-            for outcome in page {
-                let item = Item::of(outcome, self.status.cancelled);
+            for outcome in page.outcomes {
+                let item = Item::of(outcome, page.cancelled);
                 if item.state != ItemState::Pending
                     && let Ok(line) = line(&item)
                 {
--- a/crates/tinbank-proof/src/deployment.rs
+++ b/crates/tinbank-proof/src/deployment.rs
@@ -188,14 +188,10 @@
     /// Waits until all processes are ready.
     pub async fn ready(&self) {
         eventually("all processes are ready", || async {
-            let online = self.online.iter().flatten();
-            let batch = self.batch.iter().flatten();
-            online
-                .map(|process| process.server.is_ready())
-                .all(|ready| ready)
-                && batch
-                    .map(|process| process.server.is_ready())
-                    .all(|ready| ready)
+            let mut online = self.online.iter().flatten();
+            let mut batch = self.batch.iter().flatten();
+            online.all(|process| process.server.is_ready())
+                && batch.all(|process| process.server.is_ready())
         })
         .await;
     }
--- a/crates/tinbank-proof/src/session.rs
+++ b/crates/tinbank-proof/src/session.rs
@@ -11,7 +11,7 @@
     client::{self, Client},
 };
 
-use crate::wait::eventually;
+use crate::wait::found;
 
 /// Someone with a key, at one process.
 #[derive(Clone, Debug)]
@@ -91,32 +91,24 @@
 
     /// Submits a job again and again until it is taken, and gives its id.
     pub async fn accepted(&self, service: &str, key: &str, body: &str) -> String {
-        let mut id = String::new();
-        eventually(&format!("{key} is taken in"), || async {
-            self.submit(service, key, body.to_owned())
-                .await
-                .is_ok_and(|reply| reply.status.is_success())
-        })
-        .await;
-        if let Ok(reply) = self.submit(service, key, body.to_owned()).await {
-            assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
-            id = reply.text("/id");
-        }
-        assert!(!id.is_empty(), "a resend of {key} has no answer");
-        id
+        let submit = || async {
+            match self.submit(service, key, body.to_owned()).await {
+                Ok(reply) if reply.status.is_success() => Ok(reply.text("/id")),
+                other => Err(format!("{other:?}")),
+            }
+        };
+        found(&format!("{key} is taken in"), submit).await
     }
 
     /// Waits until the job is in a state.
     pub async fn until(&self, id: &str, state: &str) {
-        eventually(
-            &format!("job {id} is {state} at {}", self.address),
-            || async {
-                self.job(id)
-                    .await
-                    .is_ok_and(|reply| reply.text("/state") == state)
-            },
-        )
-        .await;
+        let look = || async {
+            match self.job(id).await {
+                Ok(reply) if reply.text("/state") == state => Ok(()),
+                other => Err(format!("{other:?}")),
+            }
+        };
+        found(&format!("job {id} is {state} at {}", self.address), look).await;
     }
 
     /// How far a job is.
@@ -164,18 +156,11 @@
 
     /// The results, once they can be read.
     pub async fn readable(&self, id: &str) -> BTreeMap<String, Ended> {
-        let mut last = None;
-        let found = std::sync::Mutex::new(&mut last);
-        eventually(&format!("results of {id} at {}", self.address), || async {
-            let results = self.results(id).await.ok();
-            let is_read = results.is_some();
-            if let Ok(mut found) = found.lock() {
-                **found = results;
-            }
-            is_read
-        })
-        .await;
-        last.unwrap_or_default()
+        let read = || async {
+            let results = self.results(id).await;
+            results.map_err(|Broken(reason)| reason)
+        };
+        found(&format!("results of {id} at {}", self.address), read).await
     }
 
     /// Asks for a whole chat completion.
--- a/crates/tinbank-proof/src/wait.rs
+++ b/crates/tinbank-proof/src/wait.rs
@@ -14,9 +14,27 @@
 /// # Panics
 /// It does not hold for very long.
 pub async fn eventually<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
+    let holds = || {
+        let condition = condition();
+        async { condition.await.then_some(()).ok_or_else(String::new) }
+    };
+    found(what, holds).await;
+}
+
+/// Tries until there is a value.
+///
+/// # Panics
+/// There is none for very long; tells why the last try gave none.
+pub async fn found<T, F: Future<Output = Result<T, String>>>(
+    what: &str,
+    mut attempt: impl FnMut() -> F,
+) -> T {
     let until = Instant::now() + GIVE_UP;
-    while !condition().await {
-        assert!(Instant::now() < until, "never: {what}");
+    loop {
+        match attempt().await {
+            Ok(value) => return value,
+            Err(reason) => assert!(Instant::now() < until, "never: {what} {reason}"),
+        }
         tokio::time::sleep(LOOK).await;
     }
 }
