--- a/crates/tinbank-batch/src/server.rs
+++ b/crates/tinbank-batch/src/server.rs
@@ -134,7 +134,9 @@
     let core = Core::start(common, id::Role::Batch, platform).await?;
     let table = Table::new(common.failure_domain.clone(), Instant::now());
     let admission = AdmissionService::start(
-        tinbank_admission::Settings::default(),
+        tinbank_admission::Settings {
+            lean: settings.lean_percent,
+        },
         core.writer,
         core.peers(),
         core.clone(),
--- a/crates/tinbank-batch/src/settings.rs
+++ b/crates/tinbank-batch/src/settings.rs
@@ -31,6 +31,8 @@
     pub items_at_once: usize,
     /// What lets items into engines.
     pub admission: Admission,
+    /// Where batch stands between throughput and the tail of online requests, for `admission` `credits`.
+    pub lean_percent: u16,
     /// Items of this process in one upstream at once, where `admission` is `bounded`, and in plain services.
     pub items_per_upstream: u32,
 }
@@ -56,7 +58,8 @@
             appends_per_second: 300,
             log_retention_s: 24 * 3_600,
             items_at_once: 256,
-            admission: Admission::Bounded,
+            admission: Admission::Credits,
+            lean_percent: 100,
             items_per_upstream: 4,
         }
     }
@@ -130,9 +133,20 @@
             Field::default(
                 "admission",
                 Kind::Choice(&["credits", "bounded"]),
-                "\"bounded\"",
+                "\"credits\"",
                 "What lets items into engines: credits of the admission controllers, or a fixed number in each engine.",
             ),
+            Field::default(
+                "lean_percent",
+                Kind::Integer {
+                    min: 0,
+                    max: 400,
+                    unit: "%",
+                },
+                "100",
+                "Part of the largest burst of online requests seen lately that credits keep free in each engine: 0 for \
+                 batch throughput, 100 and more for the tail of online requests.",
+            ),
             Field::default(
                 "items_per_upstream",
                 Kind::count(1, 10_000),
--- a/crates/tinbank-online/src/control/mod.rs
+++ b/crates/tinbank-online/src/control/mod.rs
@@ -18,7 +18,7 @@
 use tokio::sync::watch;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-pub(crate) use peers::{Answerer, LateDirectory, PeerClock};
+pub(crate) use peers::{Answerer, LateDirectory};
 
 use crate::{context::Context, server::Platform};
 
--- a/crates/tinbank-online/src/control/peers.rs
+++ b/crates/tinbank-online/src/control/peers.rs
@@ -5,7 +5,6 @@
 use async_trait::async_trait;
 use futures::{StreamExt as _, stream, stream::BoxStream};
 use tinbank_base::{
-    clock::Stamp,
     event::{Kind, Subject},
     frame::{
         credit,
@@ -18,7 +17,6 @@
 };
 use tinbank_configuration::follower::Follower;
 use tinbank_membership::Membership;
-use tinbank_peer::Clock;
 use tinbank_routing::Table;
 use tinbank_timeline::Recorder;
 
@@ -108,17 +106,3 @@
         self.0.get().map(Directory::members).unwrap_or_default()
     }
 }
-
-/// Stamps frames by the process's time line.
-#[derive(Debug)]
-pub(crate) struct PeerClock(pub(crate) Recorder);
-
-impl Clock for PeerClock {
-    fn stamp(&self) -> Stamp {
-        self.0.stamp()
-    }
-
-    fn observe(&self, stamp: Stamp) {
-        self.0.observe(stamp);
-    }
-}
--- a/crates/tinbank-online/src/server.rs
+++ b/crates/tinbank-online/src/server.rs
@@ -34,7 +34,7 @@
 use crate::{
     api,
     context::Context,
-    control::{Answerer, Control, LateDirectory, PeerClock},
+    control::{Answerer, Control, LateDirectory},
     gate::Gate,
     settings::Settings,
 };
@@ -248,7 +248,7 @@
         address: common.peer,
         writer,
         keys: common.peer_keys.clone(),
-        clock: Arc::new(PeerClock(recorder.clone())),
+        clock: Arc::new(recorder.clone()),
     })
     .await?;
     let follower = Follower::start(
