--- a/crates/tinbank-batch/src/settings.rs
+++ b/crates/tinbank-batch/src/settings.rs
@@ -100,7 +100,7 @@
                 "stop_limit_ms",
                 Kind::millis(0, 3_600_000),
                 "30000",
-                "How long items in flight may take to end at a stop; what is left then is run again elsewhere.",
+                "How long items in flight may take to end at a stop; what is left then is treated as that of a lost host.",
             ),
             Field::default(
                 "lease_silence_ms",
--- a/crates/tinbank-process/src/lib.rs
+++ b/crates/tinbank-process/src/lib.rs
@@ -3,6 +3,7 @@
 //! A process starts its [`Core`] on the control thread, listens, joins its peers, and adds its own duty. See
 //! `docs/architecture.md`.
 
+mod clock;
 mod core;
 pub mod drain;
 pub mod hosts;
