--- a/crates/tinbank-cli/src/sse.rs
+++ b/crates/tinbank-cli/src/sse.rs
@@ -52,3 +52,6 @@
         .collect();
     (!lines.is_empty()).then(|| lines.join("\n"))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/tinbank-cli/src/when.rs
+++ b/crates/tinbank-cli/src/when.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, SystemTime};
 
-use jiff::{SignedDuration, Timestamp};
+use jiff::{SignedDuration, Timestamp, Unit};
 
 /// A time in the past: RFC 3339, or how long ago, such as `10m` or `1h 30m`.
 ///
@@ -28,7 +28,9 @@
             .checked_add(span)
             .ok_or_else(|| format!("`{text}` is too far away"))?,
     };
-    Timestamp::try_from(time).map_err(|error| error.to_string())
+    let time = Timestamp::try_from(time).map_err(|error| error.to_string())?;
+    // Whole seconds are easier to repeat.
+    time.round(Unit::Second).map_err(|error| error.to_string())
 }
 
 /// A time span, such as `30s`.
--- a/crates/tinbank-cli/tests/operate.rs
+++ b/crates/tinbank-cli/tests/operate.rs
@@ -120,6 +120,33 @@
     assert_eq!(lost.exit, Exit::Unreachable, "{}", lost.err);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_submission_goes_on_at_another_entry_and_names_bad_lines() {
+    let deployment = start(1).await;
+    let world = &deployment.world;
+    let mut addresses = deployment.addresses();
+    addresses.batch.insert(0, ([127, 0, 0, 1], 9).into());
+    world.settings("bob", &addresses);
+    let line = r#"{"custom_id": "a", "body": {"max_tokens": 2, "messages": []}}"#;
+    world.file("good.ndjson", line);
+    world.file("bad.ndjson", &format!("{line}\n{{\n{line}\n"));
+
+    let good = world
+        .run("bob", "batch submit --service logger-notes good.ndjson")
+        .await;
+    let bad = world
+        .run("bob", "batch submit --service logger-notes bad.ndjson")
+        .await;
+    let missing = world
+        .run("bob", "batch status 00000000000000000000000000000001")
+        .await;
+
+    assert_eq!(good.done().trim().len(), 32);
+    assert_eq!(bad.exit, Exit::Input, "{}", bad.err);
+    assert!(bad.err.contains("line 2"), "{}", bad.err);
+    assert_eq!(missing.exit, Exit::Missing, "{}", missing.err);
+}
+
 async fn start(hosts: u32) -> Deployment {
     let deployment = Deployment::start(hosts).await;
     let world = &deployment.world;
