--- /dev/null
+++ b/crates/tinbank-admission/tests/service.rs
@@ -0,0 +1,135 @@
+//! The edges of admission control: from the load that an online process tells to the request that is cancelled.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use async_trait::async_trait;
+use tinbank_admission::{Engine, Gate, Pass, Service, Settings, Teller};
+use tinbank_base::{
+    frame::{
+        credit::Message,
+        heartbeat::{Health, Phase},
+        request::{Request, Response},
+    },
+    id::{Process, Role},
+    peer::{Directory, Error, Member, Members, Peers},
+    record::Writer,
+};
+
+const ENGINE: u32 = 7;
+const SLOTS: u16 = 4;
+
+fn writer(host: u32, role: Role) -> Writer {
+    Writer {
+        process: Process { host, role },
+        incarnation: 1,
+    }
+}
+
+#[derive(Debug)]
+struct Fixed(Arc<Members>);
+
+impl Directory for Fixed {
+    fn members(&self) -> Arc<Members> {
+        self.0.clone()
+    }
+}
+
+/// One batch process that serves.
+fn directory() -> Arc<Fixed> {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let member = Member {
+        writer: writer(1, Role::Batch),
+        health: Health::Alive,
+        phase: Phase::Ready,
+        peer: address,
+        http: address,
+        failure_domain: "garmisch".into(),
+        config: 0,
+    };
+    let members = vec![member];
+    Arc::new(Fixed(Arc::new(Members { members })))
+}
+
+/// Gives what is told to the service, as the network would.
+#[derive(Debug, Default)]
+struct Wire {
+    service: Mutex<Option<Service>>,
+}
+
+#[async_trait]
+impl Peers for Wire {
+    async fn ask(&self, to: SocketAddr, _: Request, _: Instant) -> Result<Vec<Response>, Error> {
+        Err(Error::Connect(to))
+    }
+
+    fn tell(&self, _: SocketAddr, message: Message) {
+        if let Some(service) = &*self.service.lock().unwrap() {
+            service.told(writer(2, Role::Online), message);
+        }
+    }
+}
+
+fn start(lean: u16) -> (Service, Teller) {
+    let wire = Arc::new(Wire::default());
+    let own = writer(1, Role::Batch);
+    let service = Service::start(Settings { lean }, own, wire.clone(), directory());
+    *wire.service.lock().unwrap() = Some(service.clone());
+    let engine = Engine {
+        upstream: ENGINE,
+        slots: SLOTS,
+    };
+    service.set_engines(vec![engine]);
+    (service, Teller::start(wire, directory()))
+}
+
+/// Wishes and enters until `count` requests are in, as the runner of items does.
+async fn fill(service: &Service, count: usize) -> Vec<Pass> {
+    let mut passes = Vec::new();
+    while passes.len() < count {
+        let now = Instant::now();
+        let due = now + Duration::from_secs(60);
+        match service.enter(ENGINE, "north", now) {
+            Some(pass) => passes.push(pass),
+            None => service.wish(ENGINE, "north", SLOTS, due, now),
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    passes
+}
+
+#[tokio::test]
+async fn online_load_takes_batch_requests_out_of_an_engine() {
+    let (service, teller) = start(0);
+    let now = Instant::now();
+    assert!(
+        service.enter(ENGINE, "north", now).is_none(),
+        "no credit yet"
+    );
+    let mut passes = fill(&service, SLOTS.into()).await;
+    let now = Instant::now();
+    assert!(service.enter(ENGINE, "north", now).is_none(), "all are out");
+
+    teller.online(ENGINE, 1);
+    let newest = passes.last_mut().unwrap();
+    newest.withdrawn.changed().await.unwrap();
+
+    let withdrawn = passes.iter().filter(|pass| *pass.withdrawn.borrow());
+    assert_eq!(withdrawn.count(), 1);
+}
+
+#[tokio::test]
+async fn an_engine_that_is_gone_from_the_list_gets_no_batch() {
+    let (service, _teller) = start(0);
+    let mut passes = fill(&service, 1).await;
+
+    service.set_engines(Vec::new());
+    passes[0].withdrawn.changed().await.unwrap();
+
+    assert!(*passes[0].withdrawn.borrow());
+    let now = Instant::now();
+    assert!(service.enter(ENGINE, "north", now).is_none());
+}
