--- a/crates/tinbank-admission/src/controller.rs
+++ b/crates/tinbank-admission/src/controller.rs
@@ -44,8 +44,8 @@
 /// Parameters of admission control.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
-    /// Part of a learned burst that is kept free, in per cent: 100 keeps room for the largest rise seen lately, 0
-    /// keeps none. See `docs/design/admission.md` for the curve.
+    /// Part of a learned burst that is kept free, in per cent: 100 keeps room for the largest rise seen lately, 50
+    /// is for throughput. See `docs/design/admission.md` for the curve.
     pub lean: u16,
 }
 
--- a/crates/tinbank-batch/src/settings.rs
+++ b/crates/tinbank-batch/src/settings.rs
@@ -144,8 +144,8 @@
                     unit: "%",
                 },
                 "100",
-                "Part of the largest burst of online requests seen lately that credits keep free in each engine: 0 for \
-                 batch throughput, 100 and more for the tail of online requests.",
+                "Part of the largest burst of online requests seen lately that credits keep free in each engine: 50 \
+                 for batch throughput, 100 and more for the tail of online requests.",
             ),
             Field::default(
                 "items_per_upstream",
