Answer for results only from a fold that is at the tail

Change: the answerer asks the log for the shard's tail, and the control task answers once its fold has come so far; a member that lags has 3 s, then the next in rank is asked.

--- a/crates/tinbank-batch/src/asker.rs
+++ b/crates/tinbank-batch/src/asker.rs
@@ -22,6 +22,8 @@
 const FIRST_WAIT: Duration = Duration::from_millis(20);
 /// Longest wait between two rounds.
 const LONGEST_WAIT: Duration = Duration::from_millis(500);
+/// Time that one member has: one that lags must not use up the time of the next, and all may be asked again.
+const MEMBER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Members in rank that are asked in each round.
 const ASKED: usize = 3;
 
@@ -97,6 +99,7 @@
         until: Instant,
     ) -> Result<Vec<Response>, Error> {
         let to = member.peer;
+        let until = until.min(Instant::now() + MEMBER_TIMEOUT);
         if member.writer != self.me {
             return self.peers.ask(to, request.clone(), until).await;
         }
--- a/crates/tinbank-batch/src/owner/answer.rs
+++ b/crates/tinbank-batch/src/owner/answer.rs
@@ -12,8 +12,10 @@
         credit,
         request::{Request, Response},
     },
+    id,
+    outcome::{Code, Ran},
     peer::Answer,
-    platform::log::Log,
+    platform::log::{Log, Stream},
     record::Writer,
 };
 use tinbank_configuration::follower::Follower;
@@ -22,6 +24,7 @@
 use super::{
     Ask, Owner,
     results::{self, Wanted},
+    shard::failed,
 };
 
 /// Frames of an answer that are read ahead of whoever asked.
@@ -67,12 +70,29 @@
                 from,
                 custom_id,
             } => {
+                // A follower that lags would show items as pending, or none at all, of a job that has ended.
+                let past = match from {
+                    id::Chunk::MAX => Ok(0),
+                    _ => self
+                        .log
+                        .bounds(Stream::Work(shard))
+                        .await
+                        .map(|bounds| bounds.tail),
+                };
+                let past = match past {
+                    Ok(past) => past,
+                    Err(error) => {
+                        let message = error.to_string();
+                        return one(failed(Code::LogUnavailable, Ran::No, message));
+                    }
+                };
                 let (reply, plan) = oneshot::channel();
                 self.owner
                     .ask(Ask::Results {
                         job,
                         shard,
                         from,
+                        past,
                         reply,
                     })
                     .await;
--- a/crates/tinbank-batch/src/owner/asks.rs
+++ b/crates/tinbank-batch/src/owner/asks.rs
@@ -12,13 +12,10 @@
 
 use super::{
     control::Control,
-    input::{Ask, Input, Plan, Then, Wait, What},
+    input::{Ask, Input, PlanWait, Then, Wait, What},
     shard::{answer, failed},
 };
 
-/// Most chunks whose results one answer holds, so that it stays small.
-pub(crate) const CHUNKS_AT_ONCE: usize = 4;
-
 impl Control {
     pub(super) fn asked(&mut self, ask: Ask) {
         match ask {
@@ -27,10 +24,25 @@
                 job,
                 shard,
                 from,
+                past,
                 reply,
             } => {
-                // Whoever asked may have gone away.
-                let _ = reply.send(self.plan(job, shard, from));
+                self.dirty.insert(shard);
+                let wait = PlanWait {
+                    past,
+                    job,
+                    from,
+                    reply,
+                };
+                match self
+                    .shards
+                    .get_mut(&shard)
+                    .filter(|followed| followed.current)
+                {
+                    Some(followed) => followed.plans.push(wait),
+                    // Dropping it tells the asker that the shard is not followed here.
+                    None => drop(wait),
+                }
             }
         }
     }
@@ -155,19 +167,4 @@
             }
         }
     }
-
-    fn plan(&self, job: id::Job, shard: id::Shard, from: id::Chunk) -> Option<Plan> {
-        let followed = self
-            .shards
-            .get(&shard)
-            .filter(|followed| followed.current)?;
-        let Some(work) = followed.fold.work(job) else {
-            return Some(Plan::default());
-        };
-        let wanted = work.chunks().iter().filter(|chunk| chunk.chunk >= from);
-        Some(Plan {
-            chunks: wanted.take(CHUNKS_AT_ONCE).cloned().collect(),
-            count: work.count(),
-        })
-    }
 }
--- a/crates/tinbank-batch/src/owner/control.rs
+++ b/crates/tinbank-batch/src/owner/control.rs
@@ -236,6 +236,7 @@
             return;
         };
         followed.answer_waits();
+        followed.answer_plans();
         followed.decide_dispatches(me);
         followed.hand.tidy(now);
         let step = followed.step(stopping, now);
--- a/crates/tinbank-batch/src/owner/input.rs
+++ b/crates/tinbank-batch/src/owner/input.rs
@@ -30,11 +30,22 @@
         shard: id::Shard,
         /// First chunk wanted.
         from: id::Chunk,
+        /// The fold has to have come so far.
+        past: id::Offset,
         /// Gets the answer; `None` when the shard is not followed here.
         reply: oneshot::Sender<Option<Plan>>,
     },
 }
 
+/// A question for results that waits until the fold has come so far.
+#[derive(Debug)]
+pub(super) struct PlanWait {
+    pub(super) past: id::Offset,
+    pub(super) job: id::Job,
+    pub(super) from: id::Chunk,
+    pub(super) reply: oneshot::Sender<Option<Plan>>,
+}
+
 /// Where the results of some chunks of a job stand in a shard.
 #[derive(Clone, Debug, Default)]
 pub struct Plan {
--- a/crates/tinbank-batch/src/owner/shard.rs
+++ b/crates/tinbank-batch/src/owner/shard.rs
@@ -20,7 +20,7 @@
 use super::{
     dispatches::Dispatches,
     hand::Hand,
-    input::{Then, Wait},
+    input::{Plan, PlanWait, Then, Wait},
     outbox::Outbox,
     upkeep::Upkeep,
 };
@@ -29,6 +29,9 @@
 /// How long a duty's append may stay without effect before it is appended again.
 const DUTY_RETRY: Duration = Duration::from_secs(2);
 
+/// Most chunks whose results one answer holds, so that it stays small.
+const CHUNKS_AT_ONCE: usize = 4;
+
 /// A followed shard.
 #[derive(Debug)]
 pub(super) struct Followed {
@@ -53,6 +56,7 @@
     /// Offset of the first record that was left when the stream was found trimmed.
     pub(super) first: id::Offset,
     pub(super) waits: Vec<(id::Offset, Wait)>,
+    pub(super) plans: Vec<PlanWait>,
     pub(super) upkeep: Upkeep,
     reader: AbortHandle,
 }
@@ -88,6 +92,7 @@
             recovery: None,
             first: 0,
             waits: Vec::new(),
+            plans: Vec::new(),
             upkeep: Upkeep::new(retention),
             reader,
         }
@@ -186,6 +191,34 @@
         }
     }
 
+    /// Answers questions for results for which enough has been folded.
+    pub(super) fn answer_plans(&mut self) {
+        let next = self.fold.next();
+        for wait in std::mem::take(&mut self.plans) {
+            if wait.reply.is_closed() {
+                continue;
+            }
+            if wait.past > next {
+                self.plans.push(wait);
+                continue;
+            }
+            let plan = self.plan(wait.job, wait.from);
+            // Whoever asked may have gone away.
+            let _ = wait.reply.send(Some(plan));
+        }
+    }
+
+    fn plan(&self, job: id::Job, from: id::Chunk) -> Plan {
+        let Some(work) = self.fold.work(job) else {
+            return Plan::default();
+        };
+        let wanted = work.chunks().iter().filter(|chunk| chunk.chunk >= from);
+        Plan {
+            chunks: wanted.take(CHUNKS_AT_ONCE).cloned().collect(),
+            count: work.count(),
+        }
+    }
+
     /// The answer that the fold gives now.
     pub(super) fn respond(&self, then: &Then) -> Response {
         match then {
