Let an engine that never obeys not hold up the others' loading

Cause: of a small pool one engine loads at a time; one that ignores every order kept its turn for ever, so that a new version stopped rolling out. Change: after 15 orders without effect an engine no longer takes a turn; it is still ordered. The new test failed before.

--- a/crates/tinbank-fleet/src/plan.rs
+++ b/crates/tinbank-fleet/src/plan.rs
@@ -25,6 +25,8 @@
 pub const REPEAT_AFTER: Duration = Duration::from_secs(20);
 /// One in this many engines of a pool, but at least one, may load at a time.
 pub const LOADING_DIVISOR: usize = 8;
+/// An engine that was given the same order so often without effect no longer keeps others from loading.
+pub const STUCK_AFTER: u32 = 15;
 /// Reports older than this say nothing of what an engine holds now.
 pub const REPORT_VALID: Duration = Duration::from_secs(15);
 
@@ -92,6 +94,7 @@
 struct Sent {
     order: Order,
     repeat_at: Instant,
+    times: u32,
 }
 
 /// State of the planning of one term. It is soft: a new holder starts with an empty one and reads the engines.
@@ -170,7 +173,7 @@
             return actions;
         }
         let missing: BTreeSet<_> = target.difference(&loaded).cloned().collect();
-        if !missing.is_empty() && !room.take(engine) {
+        if !missing.is_empty() && !progress.is_stuck() && !room.take(engine) {
             return actions;
         }
         let may_ask = self.retry_tickets_at.is_none_or(|at| now >= at);
@@ -195,10 +198,7 @@
         if progress.is_waiting(&order, now) {
             return actions;
         }
-        progress.sent = Some(Sent {
-            order: order.clone(),
-            repeat_at: now + REPEAT_AFTER,
-        });
+        progress.send(order.clone(), now);
         actions.push(Action::Send {
             upstream: engine.upstream,
             order,
@@ -215,6 +215,22 @@
 }
 
 impl Progress {
+    fn send(&mut self, order: Order, now: Instant) {
+        let before = self.sent.as_ref().filter(|sent| sent.order == order);
+        let times = before.map_or(0, |sent| sent.times) + 1;
+        self.sent = Some(Sent {
+            order,
+            repeat_at: now + REPEAT_AFTER,
+            times,
+        });
+    }
+
+    fn is_stuck(&self) -> bool {
+        self.sent
+            .as_ref()
+            .is_some_and(|sent| sent.times >= STUCK_AFTER)
+    }
+
     fn is_waiting(&self, order: &Order, now: Instant) -> bool {
         self.sent
             .as_ref()
--- a/crates/tinbank-fleet/tests/plan.rs
+++ b/crates/tinbank-fleet/tests/plan.rs
@@ -8,7 +8,7 @@
     platform::{upstream::Report, weights::Artifact},
 };
 use tinbank_fleet::{
-    plan::{Action, Engine, Plan, REPEAT_AFTER, REPORT_VALID, Seen, Term},
+    plan::{Action, Engine, Plan, REPEAT_AFTER, REPORT_VALID, STUCK_AFTER, Seen, Term},
     wanted::Wanted,
 };
 use yare::parameterized;
@@ -104,6 +104,27 @@
     assert_eq!(actions.len(), 8);
 }
 
+#[test]
+fn an_engine_that_never_obeys_does_not_keep_the_others_from_loading() {
+    let start = Instant::now();
+    let mut plan = Plan::default();
+    let wanted = wanted("2");
+    let fleet = |at| [engine(1, &["1"], at), engine(2, &["1"], at)];
+    plan.step(&wanted, &fleet(start), term(start), start);
+    plan.ticket(1, artifact("2"), 77);
+
+    let rounds = (0..=STUCK_AFTER).map(|round| start + REPEAT_AFTER * round);
+    let last = rounds.fold(Vec::new(), |_, now| {
+        plan.step(&wanted, &fleet(now), term(now), now)
+    });
+
+    let asks_for_the_other = Action::Ask {
+        upstream: 2,
+        artifact: artifact("2"),
+    };
+    assert!(last.contains(&asks_for_the_other), "{last:?}");
+}
+
 #[test]
 fn a_refusal_of_the_weight_store_pauses_all_asking() {
     let now = Instant::now();
