Run the fleet process in the demo

Cause: the demo left out one of the three processes of a host. Change: each entry host of tinbank-demo also runs tinbank-fleet, which contends for the order lease beside the traffic. Compiled and linted; not run yet in this state.

--- a/crates/tinbank-demo/src/entry.rs
+++ b/crates/tinbank-demo/src/entry.rs
@@ -1,4 +1,4 @@
-//! The entry hosts: on each an online and a batch process, on threads of their own.
+//! The entry hosts: on each an online, a batch and a fleet process, on threads of their own.
 
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -85,6 +85,7 @@
 pub struct Entry {
     online: Vec<tinbank_online::Server>,
     batch: Vec<tinbank_batch::Server>,
+    fleet: Vec<tinbank_fleet::Server>,
 }
 
 impl Entry {
@@ -100,6 +101,7 @@
         let mut entry = Self {
             online: Vec::new(),
             batch: Vec::new(),
+            fleet: Vec::new(),
         };
         let deployment = &example.deployment;
         let domains = u32::try_from(deployment.failure_domains.len()).unwrap_or(u32::MAX);
@@ -136,6 +138,12 @@
         let batch = tinbank_batch::Server::start(batch).await;
         self.batch
             .push(batch.map_err(|error| refused(id::Role::Batch, host, &error))?);
+        let fleet = tinbank_fleet::Settings {
+            common: self.common(host, example, addresses),
+        };
+        let fleet = tinbank_fleet::Server::start(fleet).await;
+        self.fleet
+            .push(fleet.map_err(|error| refused(id::Role::Fleet, host, &error))?);
         Ok(())
     }
 
@@ -179,7 +187,14 @@
                 server.http_address(),
             )
         });
-        online.chain(batch).collect()
+        let fleet = self.fleet.iter().map(|server| {
+            member(
+                server.core().writer.process,
+                server.peer_address(),
+                server.http_address(),
+            )
+        });
+        online.chain(batch).chain(fleet).collect()
     }
 
     async fn ready(&self) -> Result<(), Error> {
@@ -195,12 +210,17 @@
                 .iter()
                 .filter(|server| !server.is_ready())
                 .count();
-            let unready = online + batch;
+            let fleet = self
+                .fleet
+                .iter()
+                .filter(|server| !server.core().ready.is_ready())
+                .count();
+            let unready = online + batch + fleet;
             if unready == 0 {
                 return Ok(());
             }
             if Instant::now() >= until {
-                let all = self.online.len() + self.batch.len();
+                let all = self.online.len() + self.batch.len() + self.fleet.len();
                 return Err(Error::Unready { unready, all });
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -232,9 +252,11 @@
     pub async fn stop(self) {
         let online = self.online.into_iter().map(tinbank_online::Server::stop);
         let batch = self.batch.into_iter().map(tinbank_batch::Server::stop);
+        let fleet = self.fleet.into_iter().map(tinbank_fleet::Server::stop);
         futures::join!(
             futures::future::join_all(online),
-            futures::future::join_all(batch)
+            futures::future::join_all(batch),
+            futures::future::join_all(fleet)
         );
     }
 }
