Admission: the second controller keeps silent at small rises

Cause: with lean_percent 0 it withdrew at each rise, though it hears of falls late. Change: it speaks at rises over an eighth of the slots. Conclusion: the curve falls all along.

--- a/crates/tinbank-admission/src/controller.rs
+++ b/crates/tinbank-admission/src/controller.rs
@@ -38,6 +38,8 @@
 const REPEATS: u8 = 2;
 /// Time between moves of a credit for the sake of shares; a move cancels an item.
 const REBALANCE: Duration = Duration::from_secs(4);
+/// Part of the slots by which online load may rise without a word of the second controller, however small the headroom.
+const SMALL_RISE: u16 = 8;
 /// Part of the slots that is taken for a burst until one is seen.
 const GUESSED_BURST: u16 = 4;
 
@@ -264,7 +266,7 @@
                 seat.tell(load.upstream, &mut self.round, now, actions);
             }
             // The first one may be gone; as long as the burst fits into the headroom that costs nothing.
-            Rank::Second if rise > headroom => {
+            Rank::Second if rise > headroom.max(seat.slots.div_ceil(SMALL_RISE)) => {
                 seat.caution(load.upstream, budget.most, &mut self.round, actions);
             }
             Rank::First | Rank::Second | Rank::Other => {}
--- a/crates/tinbank-admission/tests/curve.rs
+++ b/crates/tinbank-admission/tests/curve.rs
@@ -64,9 +64,7 @@
             point.used, point.harm, point.cancelled
         );
     }
-    // At 0 the second controller withdraws at each rise, which costs batch as well: the curve begins at 50.
-    assert!(points[0].harm > points[1].harm);
-    for pair in points[1..].windows(2) {
+    for pair in points.windows(2) {
         assert!(pair[0].used > pair[1].used);
         assert!(pair[0].harm >= pair[1].harm);
         assert!(pair[0].cancelled > pair[1].cancelled);
