--- a/crates/tinbank-batch/src/http/job.rs
+++ b/crates/tinbank-batch/src/http/job.rs
@@ -84,13 +84,14 @@
         .asker
         .ask(shard, Request::Cancel { job }, until())
         .await;
-    match frames?.pop() {
-        // One that had ended before stays as it is; its state says so.
-        Some(request::Response::Cancelled(_)) => {}
+    // One that had ended before stays as it is; its state says so.
+    let cancelled = match frames?.pop() {
+        Some(request::Response::Cancelled(cancelled)) => cancelled,
         Some(other) => return Err(unexpected(&other).into()),
         None => return Err(Failure::unknown(Code::Internal, "empty answer").into()),
-    }
-    let status = stopped(context, headers, id).await?;
+    };
+    let mut status = stopped(context, headers, id, cancelled).await?;
+    status.cancelled |= cancelled;
     let state = JobState::of(&status);
     let code = match state {
         JobState::Cancelling => StatusCode::ACCEPTED,
@@ -102,11 +103,20 @@
 
 /// Waits until every shard has said that the job stopped there: a shard whose owner was lost reads the cancel only once
 /// it has a new one, and until then items may still start and count. Gives up in time for the answer.
-async fn stopped(context: &Context, headers: &HeaderMap, id: &str) -> Result<Status, Failure> {
+///
+/// Whoever tells the status may not have read the cancel yet, though another has.
+async fn stopped(
+    context: &Context,
+    headers: &HeaderMap,
+    id: &str,
+    cancelled: bool,
+) -> Result<Status, Failure> {
     let until = until();
     loop {
         let status = context.job(headers, id).await?;
-        if JobState::of(&status) != JobState::Cancelling || Instant::now() >= until {
+        let current = status.cancelled || !cancelled;
+        let stopped = JobState::of(&status) != JobState::Cancelling;
+        if (current && stopped) || Instant::now() >= until {
             return Ok(status);
         }
         time::sleep(STOPPED_LOOK).await;
--- a/crates/tinbank-batch/src/pages.rs
+++ b/crates/tinbank-batch/src/pages.rs
@@ -3,19 +3,17 @@
 use std::time::{Duration, Instant};
 
 use tinbank_base::{
-    frame::request::{Count, Outcome, Request, Response, Status},
+    frame::request::{Outcome, Request, Response},
     id,
-    outcome::{Code, Failure},
+    outcome::Failure,
+    record::work::Head,
 };
 use tinbank_ledger::placement;
-use tokio::time;
 
 use crate::asker::Asker;
 
 /// Time to read one page.
 const PAGE_TIMEOUT: Duration = Duration::from_secs(15);
-/// Pause before whoever has not read enough yet is asked again.
-const BEHIND: Duration = Duration::from_millis(50);
 
 /// A reader of a job's results in one shard.
 #[derive(Debug)]
@@ -26,8 +24,6 @@
     shards: id::Shard,
     spread: u16,
     chunks: id::Chunk,
-    /// Whether the shard has said that none of the job's items is pending there.
-    finished: bool,
     /// The chunk to read next.
     next: id::Chunk,
     custom_id: Option<String>,
@@ -56,8 +52,7 @@
 
 impl Pages {
     /// A reader at the start.
-    pub fn new(asker: Asker, status: &Status, shard: id::Shard, shards: id::Shard) -> Self {
-        let head = &status.head;
+    pub fn new(asker: Asker, head: &Head, shard: id::Shard, shards: id::Shard) -> Self {
         Self {
             asker,
             job: head.job,
@@ -65,7 +60,6 @@
             shards,
             spread: head.shards.len() as u16,
             chunks: head.chunks,
-            finished: status.parts.iter().any(|part| part.shard == shard),
             next: 0,
             custom_id: None,
         }
@@ -87,7 +81,14 @@
         let Some(first) = self.chunk_from(self.next) else {
             return Ok(Page::End);
         };
-        let frames = self.ask(first).await?;
+        let request = Request::Results {
+            job: self.job,
+            shard: self.shard,
+            from: first,
+            custom_id: self.custom_id.clone(),
+        };
+        let until = Instant::now() + PAGE_TIMEOUT;
+        let frames = self.asker.ask(self.shard, request, until).await?;
         let mut items = Items::default();
         let mut ended = 0;
         for frame in frames {
@@ -110,29 +111,6 @@
         Ok(Page::Items(items))
     }
 
-    /// Asks until whoever answers has read as much of the shard as the job's status knows of it: a process that was
-    /// paused may be asked before it has read on, and would leave out items that have ended.
-    async fn ask(&self, from: id::Chunk) -> Result<Vec<Response>, Failure> {
-        let until = Instant::now() + PAGE_TIMEOUT;
-        loop {
-            let request = Request::Results {
-                job: self.job,
-                shard: self.shard,
-                from,
-                custom_id: self.custom_id.clone(),
-            };
-            let frames = self.asker.ask(self.shard, request, until).await?;
-            if !(self.finished && frames.iter().any(is_behind)) {
-                return Ok(frames);
-            }
-            if Instant::now() + BEHIND >= until {
-                let message = "the results of the job's last items can't be read yet";
-                return Err(Failure::not_run(Code::NotReady, message).help("ask again"));
-            }
-            time::sleep(BEHIND).await;
-        }
-    }
-
     /// The first chunk of the shard from `from` on.
     fn chunk_from(&self, from: id::Chunk) -> Option<id::Chunk> {
         (from..self.chunks).find(|chunk| {
@@ -140,11 +118,3 @@
         })
     }
 }
-
-/// Whether this count of a finished part was made before its end.
-fn is_behind(frame: &Response) -> bool {
-    let Response::Counted(count) = frame else {
-        return false;
-    };
-    count.pending > 0 || *count == Count::default()
-}
--- a/crates/tinbank-proof/tests/cancelled.rs
+++ b/crates/tinbank-proof/tests/cancelled.rs
@@ -20,7 +20,7 @@
         }
     };
     let state = found("the cancel is acknowledged", cancel).await;
-    assert_eq!(state, "cancelled");
+    assert_eq!(state, "cancelled", "the answer to the cancel");
 }
 
 /// Runs of a job's items in all engines that neither ended nor were cancelled.
@@ -129,6 +129,8 @@
         .accepted(work::NOTES, "sweep", &work::notes("sweep", 600, 12))
         .await;
     eventually("items are in flight", || async { deployment.running() > 0 }).await;
+    // Engines stand still, so that the job can't end before its cancel.
+    deployment.pause_engines(true);
     let log = deployment.log();
     log.faults.change(|fault| fault.outage = true);
 
@@ -138,6 +140,7 @@
     assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{reply:?}");
     assert!(reply.headers.contains_key("retry-after"), "{reply:?}");
     cancel(&deployment.at_batch(2), &id).await;
+    deployment.pause_engines(false);
     let known = answered(&caller.readable(&id).await);
     assert_stopped(&deployment, &id, "sweep", 600, &known).await;
 }
