--- a/crates/tinbank-batch/src/main.rs
+++ b/crates/tinbank-batch/src/main.rs
@@ -7,18 +7,12 @@
 use tinbank_server::{start, stop, threads::Handles};
 
 fn main() -> ExitCode {
-    match http::api() {
-        Ok(api) => start::process(
-            "tinbank batch",
-            api,
-            |settings: &Settings| &settings.common,
-            serve,
-        ),
-        Err(error) => {
-            eprintln!("the interface can't be built: {error}");
-            ExitCode::from(start::EXIT_FAILED)
-        }
-    }
+    start::process(
+        "tinbank batch",
+        http::api(),
+        |settings: &Settings| &settings.common,
+        serve,
+    )
 }
 
 async fn serve(settings: Settings, handles: Handles) -> Result<(), Error> {
--- a/crates/tinbank-fleet/src/main.rs
+++ b/crates/tinbank-fleet/src/main.rs
@@ -7,18 +7,12 @@
 use tinbank_server::{start, stop, threads::Handles};
 
 fn main() -> ExitCode {
-    match server::describe() {
-        Ok(api) => start::process(
-            "tinbank fleet",
-            api,
-            |settings: &Settings| &settings.common,
-            serve,
-        ),
-        Err(error) => {
-            eprintln!("the interface can't be built: {error}");
-            ExitCode::from(start::EXIT_FAILED)
-        }
-    }
+    start::process(
+        "tinbank fleet",
+        server::describe(),
+        |settings: &Settings| &settings.common,
+        serve,
+    )
 }
 
 async fn serve(settings: Settings, handles: Handles) -> Result<(), Error> {
--- a/crates/tinbank-online/src/main.rs
+++ b/crates/tinbank-online/src/main.rs
@@ -6,18 +6,12 @@
 use tinbank_server::{start, stop, threads::Handles};
 
 fn main() -> ExitCode {
-    match api::describe() {
-        Ok(api) => start::process(
-            "tinbank online",
-            api,
-            |settings: &Settings| &settings.common,
-            serve,
-        ),
-        Err(error) => {
-            eprintln!("the interface can't be built: {error}");
-            ExitCode::from(start::EXIT_FAILED)
-        }
-    }
+    start::process(
+        "tinbank online",
+        api::describe(),
+        |settings: &Settings| &settings.common,
+        serve,
+    )
 }
 
 async fn serve(settings: Settings, handles: Handles) -> Result<(), tinbank_online::server::Error> {
--- a/crates/tinbank-process/src/core.rs
+++ b/crates/tinbank-process/src/core.rs
@@ -31,7 +31,7 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::{clock::Timeline, drain, hosts, platform::Platform, ready};
+use crate::{drain, hosts, platform::Platform, ready};
 
 /// Why a process does not start.
 #[derive(Debug, thiserror::Error)]
@@ -137,7 +137,7 @@
             address: common.peer,
             writer,
             keys: common.peer_keys.clone(),
-            clock: Arc::new(Timeline(recorder.clone())),
+            clock: Arc::new(recorder.clone()),
         })
         .await?;
         let follower = Follower::start(
--- a/crates/tinbank-process/src/lib.rs
+++ b/crates/tinbank-process/src/lib.rs
@@ -3,7 +3,6 @@
 //! A process starts its [`Core`] on the control thread, listens, joins its peers, and adds its own duty. See
 //! `docs/architecture.md`.
 
-mod clock;
 mod core;
 pub mod drain;
 pub mod hosts;
--- a/crates/tinbank-server/src/start.rs
+++ b/crates/tinbank-server/src/start.rs
@@ -22,10 +22,10 @@
 /// Exit code of a server that could not start or ended badly.
 pub const EXIT_FAILED: u8 = 1;
 
-/// Does what the command line asks for; see [`run`].
+/// Does what the command line asks for; see [`run`]. An interface that can't be built is a fault of ours, and fails.
 pub fn process<T, C, F, E>(
     title: &str,
-    api: ApiDescription<C>,
+    api: Result<ApiDescription<C>, impl fmt::Display>,
     common: impl FnOnce(&T) -> &Common,
     serve: impl FnOnce(T, Handles) -> F,
 ) -> ExitCode
@@ -35,7 +35,10 @@
     F: Future<Output = Result<(), E>>,
     E: fmt::Display,
 {
-    run(argh::from_env(), title, api, common, serve)
+    match api {
+        Ok(api) => run(argh::from_env(), title, api, common, serve),
+        Err(error) => complain(&format!("the interface can't be built: {error}")),
+    }
 }
 
 /// Does what the arguments ask for: describes the interface, checks the settings, or serves until told to stop.
