--- a/crates/tinbank-load/src/lib.rs
+++ b/crates/tinbank-load/src/lib.rs
@@ -1,6 +1,6 @@
 //! Load and measurement: compares arms under load and faults, and measures slopes.
 //!
-//! It prints figures and judges none: `docs/measurements.md` and `docs/CAPACITY.md` hold them.
+//! It prints figures and judges none; those that were seen stand in `docs/CAPACITY.md`, the design notes and commit bodies.
 
 pub mod command;
 pub mod slopes;
--- a/crates/tinbank-membership/tests/network/mod.rs
+++ b/crates/tinbank-membership/tests/network/mod.rs
@@ -55,7 +55,7 @@
         .collect()
 }
 
-struct Node {
+struct Member {
     state: State,
     incarnation: u64,
     next_tick: Instant,
@@ -103,7 +103,7 @@
     pub sent_bytes: u64,
     pub sent_frames: u64,
     pub largest_frame: usize,
-    nodes: BTreeMap<Process, Node>,
+    members: BTreeMap<Process, Member>,
     by_address: BTreeMap<SocketAddr, Process>,
     ticks: BTreeSet<(Instant, Process)>,
     flights: BinaryHeap<Flight>,
@@ -124,7 +124,7 @@
             sent_bytes: 0,
             sent_frames: 0,
             largest_frame: 0,
-            nodes: BTreeMap::new(),
+            members: BTreeMap::new(),
             by_address: BTreeMap::new(),
             ticks: BTreeSet::new(),
             flights: BinaryHeap::new(),
@@ -168,7 +168,11 @@
 
     /// Starts a process, or starts it again.
     pub fn start(&mut self, process: Process) {
-        let incarnation = self.nodes.get(&process).map_or(1, |node| node.incarnation) + 1;
+        let incarnation = self
+            .members
+            .get(&process)
+            .map_or(1, |member| member.incarnation)
+            + 1;
         self.kill(process);
         let own = Own {
             writer: Writer {
@@ -183,14 +187,14 @@
         let state = State::new(own, self.seeds.clone(), seed, self.now);
         let offset = TICK.mul_f64(self.random.random_range(0.0..1.0));
         let next_tick = self.now + offset;
-        let node = Node {
+        let member = Member {
             state,
             incarnation,
             next_tick,
             paused: false,
             sequence: 0,
         };
-        self.nodes.insert(process, node);
+        self.members.insert(process, member);
         self.by_address.insert(address(process), process);
         self.ticks.insert((next_tick, process));
         self.event(process, Event::Phase(Phase::Ready));
@@ -199,8 +203,8 @@
     /// Stops a process without a word. Its number of starts is kept.
     pub fn kill(&mut self, process: Process) {
         self.by_address.remove(&address(process));
-        if let Some(node) = self.nodes.get(&process) {
-            self.ticks.remove(&(node.next_tick, process));
+        if let Some(member) = self.members.get(&process) {
+            self.ticks.remove(&(member.next_tick, process));
         }
     }
 
@@ -209,11 +213,11 @@
     }
 
     pub fn pause(&mut self, process: Process) {
-        self.node(process).paused = true;
+        self.member(process).paused = true;
     }
 
     pub fn wake(&mut self, process: Process) {
-        self.node(process).paused = false;
+        self.member(process).paused = false;
     }
 
     pub fn up(&self) -> Vec<Process> {
@@ -221,21 +225,21 @@
     }
 
     pub fn state(&self, process: Process) -> &State {
-        &self.nodes[&process].state
+        &self.members[&process].state
     }
 
     pub fn view(&self, process: Process) -> Members {
-        self.nodes[&process].state.members()
+        self.members[&process].state.members()
     }
 
     pub fn event(&mut self, process: Process, event: Event) {
         let now = self.now;
-        let node = self.node(process);
+        let member = self.member(process);
         let writer = Writer {
             process,
-            incarnation: node.incarnation,
+            incarnation: member.incarnation,
         };
-        let actions = node.state.handle(event, now);
+        let actions = member.state.handle(event, now);
         for action in actions {
             match action {
                 Action::Send { to, heartbeat } => self.send(writer, to, *heartbeat),
@@ -295,16 +299,16 @@
         self.now - start
     }
 
-    fn node(&mut self, process: Process) -> &mut Node {
-        self.nodes.get_mut(&process).unwrap()
+    fn member(&mut self, process: Process) -> &mut Member {
+        self.members.get_mut(&process).unwrap()
     }
 
     fn tick(&mut self) {
         let (at, process) = self.ticks.pop_first().unwrap();
-        let node = self.node(process);
-        node.next_tick = at + TICK;
-        let next = node.next_tick;
-        let paused = node.paused;
+        let member = self.member(process);
+        member.next_tick = at + TICK;
+        let next = member.next_tick;
+        let paused = member.paused;
         self.ticks.insert((next, process));
         if !paused {
             self.event(process, Event::Tick);
@@ -316,7 +320,7 @@
         let Some(&to) = self.by_address.get(&flight.to) else {
             return;
         };
-        if self.node(to).paused || self.is_cut(flight.from.process, to) {
+        if self.member(to).paused || self.is_cut(flight.from.process, to) {
             return;
         }
         let event = Event::Heard {
@@ -332,9 +336,9 @@
     }
 
     fn send(&mut self, from: Writer, to: SocketAddr, heartbeat: Heartbeat) {
-        let node = self.node(from.process);
-        node.sequence += 1;
-        let sequence = node.sequence;
+        let member = self.member(from.process);
+        member.sequence += 1;
+        let sequence = member.sequence;
         self.count(from, sequence, &heartbeat);
         if self.random.random_range(0..100) < self.loss {
             return;
--- a/crates/tinbank-test-support/src/log.rs
+++ b/crates/tinbank-test-support/src/log/mod.rs
@@ -2,11 +2,12 @@
 //!
 //! It waits by tokio's clock, so that a test under `tokio::time::pause` runs at once and always the same way.
 
+mod state;
+
 use std::{
-    collections::{BTreeMap, VecDeque},
     fmt,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::{Duration, Instant, SystemTime},
+    time::{Duration, Instant},
 };
 
 use async_trait::async_trait;
@@ -19,6 +20,8 @@
 };
 use tokio::{sync::Notify, time};
 
+use self::state::{Rate, State};
+
 /// Largest record that [`Memory`] takes, in bytes.
 pub const LIMIT: usize = 1 << 20;
 
@@ -49,28 +52,6 @@
     changed: Notify,
 }
 
-#[derive(Default)]
-struct State {
-    streams: BTreeMap<Stream, Contents>,
-    outage: bool,
-    faults: VecDeque<Fault>,
-    delay: Duration,
-    rate: Option<Rate>,
-    calls: usize,
-}
-
-#[derive(Default)]
-struct Contents {
-    first: id::Offset,
-    entries: VecDeque<Bytes>,
-}
-
-struct Rate {
-    per_second: u32,
-    began: time::Instant,
-    used: u32,
-}
-
 impl fmt::Debug for Memory {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let state = self.lock();
@@ -174,58 +155,6 @@
     }
 }
 
-impl State {
-    fn up(&self) -> Result<(), Error> {
-        if self.outage {
-            return Err(Error::Unavailable("outage".to_owned()));
-        }
-        Ok(())
-    }
-
-    fn push(&mut self, stream: Stream, payload: Bytes) -> id::Offset {
-        let contents = self.streams.entry(stream).or_default();
-        contents.entries.push_back(payload);
-        contents.tail() - 1
-    }
-}
-
-impl Contents {
-    fn tail(&self) -> id::Offset {
-        self.first + self.entries.len() as u64
-    }
-
-    fn from(&self, from: id::Offset) -> Vec<Entry> {
-        let skip = from.saturating_sub(self.first) as usize;
-        let offsets = from.max(self.first)..;
-        let kept = self.entries.iter().skip(skip);
-        offsets
-            .zip(kept)
-            .map(|(offset, payload)| Entry {
-                offset,
-                payload: payload.clone(),
-            })
-            .collect()
-    }
-}
-
-impl Rate {
-    fn take(&mut self) -> Result<(), Error> {
-        let now = time::Instant::now();
-        if now.duration_since(self.began) >= Duration::from_secs(1) {
-            self.began = now;
-            self.used = 0;
-        }
-        if self.used < self.per_second {
-            self.used += 1;
-            return Ok(());
-        }
-        let left = (self.began + Duration::from_secs(1)).duration_since(now);
-        Err(Error::Throttled {
-            retry_at: SystemTime::now() + left,
-        })
-    }
-}
-
 #[async_trait]
 impl Log for Memory {
     async fn append(&self, stream: Stream, payload: Bytes) -> Result<id::Offset, Error> {
@@ -300,35 +229,3 @@
         )
     }
 }
-
-impl State {
-    fn page(&self, stream: Stream, from: id::Offset, limit: usize) -> Result<Page, Error> {
-        self.up()?;
-        let Some(contents) = self.streams.get(&stream) else {
-            return Ok(Page {
-                next: from,
-                ..Page::default()
-            });
-        };
-        if from < contents.first {
-            return Err(Error::Trimmed {
-                first: contents.first,
-            });
-        }
-        let mut bytes = 0;
-        let mut entries = contents.from(from);
-        let fitting = entries
-            .iter()
-            .take_while(|entry| {
-                bytes += entry.payload.len();
-                bytes <= limit
-            })
-            .count();
-        entries.truncate(fitting.max(1));
-        Ok(Page {
-            next: entries.last().map_or(from, |last| last.offset + 1),
-            entries,
-            tail: contents.tail(),
-        })
-    }
-}
