--- a/crates/tinbank-proof/src/deployment.rs
+++ b/crates/tinbank-proof/src/deployment.rs
@@ -3,16 +3,22 @@
 use std::{
     collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr},
+    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
-use tinbank_base::{id, platform::hosts::Member};
+use tinbank_base::{
+    frame::datagram,
+    id,
+    platform::hosts::{Member, Upstream},
+};
 use tinbank_demo::{entry::Addresses, example::Example, publish};
 use tinbank_process::{Platform, Runtimes};
 use tinbank_settings::common::Common;
 use tinbank_standin::{
     Standin, account::End, engine, hosts, log, plain, service::Service, weights,
 };
+use tokio::task::JoinHandle;
 
 use crate::{
     host::{Process, member},
@@ -26,6 +32,8 @@
 const FIRST_PLAIN: u32 = 10_001;
 /// Where everything stands, where it doesn't matter.
 const DOMAIN: &str = "garmisch";
+/// How long a process that stops goes on taking requests, so that the balancer can notice.
+const STOP_GRACE_MS: u64 = 1_000;
 /// Worker threads that carry a process's traffic.
 const TRAFFIC_THREADS: usize = 2;
 
@@ -82,6 +90,8 @@
     shape: Shape,
     example: Example,
     addresses: Addresses,
+    keys: datagram::Keys,
+    customer_revision: id::Revision,
     started: u8,
 }
 
@@ -93,13 +103,15 @@
         let standin = standin.expect("loopback has ports");
         let addresses = Addresses::of(&standin).expect("the platform is whole");
         let published = publish::publish(addresses.log, &example).await;
-        published.expect("the example is accepted");
+        let customer_revision = published.expect("the example is accepted");
         let mut deployment = Self {
             standin,
             online: Vec::new(),
             batch: Vec::new(),
             example,
             addresses,
+            keys: keys(),
+            customer_revision,
             started: 0,
             shape,
         };
@@ -128,7 +140,7 @@
         let settings = tinbank_online::Settings {
             common,
             shards: self.shape.shards,
-            ..tinbank_online::Settings::default()
+            stop_grace_ms: STOP_GRACE_MS,
         };
         let server = tinbank_online::Server::start_on(settings, platform, handles.clone()).await;
         Process::new(server.expect("loopback has ports"), runtimes, handles)
@@ -141,6 +153,7 @@
         let settings = tinbank_batch::Settings {
             common,
             shards: self.shape.shards,
+            stop_grace_ms: STOP_GRACE_MS,
             lease_silence_ms: self.shape.silence.as_millis() as u64,
             ..tinbank_batch::Settings::default()
         };
@@ -159,6 +172,7 @@
             log: self.addresses.log,
             hosts: self.addresses.hosts,
             weights: self.addresses.weights,
+            peer_keys: self.keys.clone(),
             seeds: seeds.collect(),
             ..Common::default()
         }
@@ -196,16 +210,27 @@
         .await;
     }
 
+    /// Puts an upstream on the host list, at once.
+    pub fn enlist(&self, upstream: Upstream) {
+        if let Some(list) = self.standin.list() {
+            list.change_at_once(|list| list.upstreams.push(upstream));
+        }
+    }
+
     /// A caller at a host's online process.
     pub fn at_online(&self, host: usize) -> Session {
-        let process = self.online[host].as_ref().expect("the process runs");
-        Session::new(process.server.http_address(), &self.example.deployment.key)
+        self.at_online_as(host, &self.example.deployment.key)
+    }
+
+    /// A caller with another key at a host's online process.
+    pub fn at_online_as(&self, host: usize, key: &str) -> Session {
+        Session::new(self.online(host).server.http_address(), key)
     }
 
     /// A caller at a host's batch process.
     pub fn at_batch(&self, host: usize) -> Session {
-        let process = self.batch[host].as_ref().expect("the process runs");
-        Session::new(process.server.http_address(), &self.example.deployment.key)
+        let server = &self.batch(host).server;
+        Session::new(server.http_address(), &self.example.deployment.key)
     }
 
     /// A running batch process.
@@ -232,18 +257,22 @@
         runtimes.end();
     }
 
-    /// Stops a host's batch process as planned.
-    pub async fn stop_batch(&mut self, host: usize) {
+    /// Stops a host's batch process as planned; the task ends when it has stopped.
+    pub fn stop_batch(&mut self, host: usize) -> JoinHandle<()> {
         let (server, runtimes) = self.batch[host].take().expect("it runs").into_parts();
-        server.stop().await;
-        runtimes.end();
+        tokio::spawn(async move {
+            server.stop().await;
+            runtimes.end();
+        })
     }
 
-    /// Stops a host's online process as planned.
-    pub async fn stop_online(&mut self, host: usize) {
+    /// Stops a host's online process as planned; the task ends when it has stopped.
+    pub fn stop_online(&mut self, host: usize) -> JoinHandle<()> {
         let (server, runtimes) = self.online[host].take().expect("it runs").into_parts();
-        server.stop().await;
-        runtimes.end();
+        tokio::spawn(async move {
+            server.stop().await;
+            runtimes.end();
+        })
     }
 
     /// The log.
@@ -261,6 +290,11 @@
         &self.example
     }
 
+    /// Revision of the customer as it was published at the start.
+    pub fn customer_revision(&self) -> id::Revision {
+        self.customer_revision
+    }
+
     /// Runs in all engines, by the items' names: how many of each came to an end.
     pub fn engine_runs(&self) -> BTreeMap<String, usize> {
         runs(self.standin.engines(), |end| end == End::Completed)
@@ -293,6 +327,17 @@
     }
 }
 
+/// Keys of a deployment's own: many run on one machine at once, and a port that one gave back may be the next one's,
+/// whose processes must not take each other for members.
+fn keys() -> datagram::Keys {
+    static DEPLOYMENTS: AtomicU32 = AtomicU32::new(0);
+    let number = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
+    let mut secret = [0; 32];
+    secret[..4].copy_from_slice(&number.to_be_bytes());
+    secret[4..8].copy_from_slice(&std::process::id().to_be_bytes());
+    datagram::Keys::from_iter([datagram::Key { number: 1, secret }])
+}
+
 fn runs(services: &[Service], counts: impl Fn(End) -> bool) -> BTreeMap<String, usize> {
     let mut found = BTreeMap::new();
     let runs = services.iter().flat_map(|service| service.account.runs());
--- a/crates/tinbank-proof/src/lib.rs
+++ b/crates/tinbank-proof/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod deployment;
 pub mod freeze;
 pub mod host;
+pub mod operator;
+pub mod rogue;
 pub mod session;
 pub mod wait;
 pub mod work;
--- /dev/null
+++ b/crates/tinbank-proof/tests/leaving.rs
@@ -0,0 +1,62 @@
+//! A leaving upstream receives no new work once one host has its sign, though the host list lags.
+
+use std::time::Duration;
+
+use tinbank_proof::{
+    deployment::{Deployment, Shape},
+    wait::eventually,
+    work,
+};
+
+/// Whether a process says that an upstream is leaving.
+async fn knows(session: &tinbank_proof::session::Session) -> bool {
+    let events = session.get("/timeline").await;
+    events.is_ok_and(|events| String::from_utf8_lossy(&events.body).contains("upstream_leaving"))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_says_so_to_one_host_gets_nothing_from_any() {
+    let deployment = Deployment::start(Shape {
+        lag: Duration::from_secs(600),
+        ..Shape::default()
+    })
+    .await;
+    let leaving = &deployment.standin.engines()[0];
+    let caller = deployment.at_batch(0);
+    let busy = caller
+        .accepted(work::NOTES, "before", &work::notes("before", 200, 20))
+        .await;
+    eventually("the engine is at work", || async {
+        !leaving.account.runs().is_empty()
+    })
+    .await;
+
+    leaving.faults.change(|fault| fault.leaving = true);
+    for host in 0..deployment.online.len() {
+        let (online, batch) = (deployment.at_online(host), deployment.at_batch(host));
+        eventually("every process has the sign", || async {
+            knows(&online).await && knows(&batch).await
+        })
+        .await;
+    }
+    // It would take work again, but nobody may send it any: the list does not show it as live again.
+    leaving.faults.change(|fault| fault.leaving = false);
+    let before = leaving.account.runs().len();
+    let id = caller
+        .accepted(work::NOTES, "after", &work::notes("after", 100, 4))
+        .await;
+    for number in 0..30 {
+        let online = deployment.at_online(number % 3);
+        let body = work::note(&format!("call-{number}"), 4);
+        let reply = online.chat(&[], &body).await.unwrap();
+        assert!(reply.status.is_success(), "{reply:?}");
+    }
+    caller.until(&id, "completed").await;
+    caller.until(&busy, "completed").await;
+
+    assert_eq!(
+        leaving.account.runs().len(),
+        before,
+        "new work after the sign"
+    );
+}
--- a/crates/tinbank-routing/src/limit/limiter.rs
+++ b/crates/tinbank-routing/src/limit/limiter.rs
@@ -170,13 +170,14 @@
 
 impl Account {
     fn new(now: Instant) -> Self {
-        let empty = Rate {
+        // Full by whatever rate it is filled at first: nothing was asked for lately.
+        let untouched = Rate {
             per_second: 0.0,
-            burst: 1.0,
+            burst: f64::INFINITY,
         };
         Self {
-            requests: Bucket::new(empty, now),
-            tokens: Bucket::new(empty, now),
+            requests: Bucket::new(untouched, now),
+            tokens: Bucket::new(untouched, now),
             running: 0,
             arrivals: Average::new(now),
             accepted: Average::new(now),
