--- a/crates/tinbank-batch/tests/faults.rs
+++ b/crates/tinbank-batch/tests/faults.rs
@@ -8,7 +8,7 @@
 use tinbank_base::{
     id,
     platform::log::Stream,
-    record::{Envelope, work::Record},
+    record::{Envelope, lease::Lease, work::Record},
 };
 use tinbank_test_support::log::Fault;
 
@@ -89,6 +89,40 @@
     );
 }
 
+#[tokio::test]
+async fn a_host_that_lags_does_not_answer_for_a_job_that_has_ended() {
+    let (world, hosts) = world_of(2);
+    let caller = hosts[0].session("key-moreton");
+    let id = caller.accepted(None, lines(0, 10)).await;
+    caller.until(&id, "completed").await;
+    eventually("all leases are given back", || async {
+        open_leases(&world) == 0
+    })
+    .await;
+    world.frozen.send_replace(true);
+
+    let mut counts = Vec::new();
+    for job in 1..5 {
+        // The keys fix the jobs' shards, so that some of them have the lagging host first in rank.
+        let key = format!("job-{job}");
+        let id = caller.accepted(Some(&key), lines(job * 100, 10)).await;
+        caller.until(&id, "completed").await;
+        counts.push(answered(&caller.results(&id).await).len());
+    }
+    world.frozen.send_replace(false);
+
+    assert_eq!(counts, [10; 4]);
+}
+
+fn open_leases(world: &World) -> i32 {
+    let steps = world.records().into_iter().map(|record| match record {
+        Record::Lease(Lease::Take { .. }) => 1,
+        Record::Lease(Lease::Release { .. }) => -1,
+        _ => 0,
+    });
+    steps.sum()
+}
+
 #[tokio::test]
 async fn batch_gives_way_and_resumes_where_it_was() {
     let (world, hosts) = world_of(1);
--- a/crates/tinbank-batch/tests/support/mod.rs
+++ b/crates/tinbank-batch/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod engines;
 pub mod gate;
+pub mod lag;
 pub mod net;
 pub mod session;
 
@@ -45,6 +46,8 @@
 
 pub const SHARDS: id::Shard = 4;
 pub const SERVICE: &str = "notes";
+/// The host whose reads of the log can be held up.
+pub const LAGGING: id::Host = 2;
 pub const ORDERS: &str = "orders";
 /// How long hosts try an append before it has failed.
 pub const APPEND_TIMEOUT: Duration = Duration::from_secs(1);
@@ -57,6 +60,8 @@
     pub configuration: Shared,
     /// Lets items into engines.
     pub gate: gate::Valve,
+    /// Holds up what the host [`LAGGING`] reads.
+    pub frozen: watch::Sender<bool>,
     /// How long the hosts believe that the log keeps records.
     pub retention: Duration,
 }
@@ -78,6 +83,7 @@
             net: Net::default(),
             configuration: Arc::new(ArcSwap::from_pointee(configuration())),
             gate: gate::Valve::default(),
+            frozen: watch::channel(false).0,
             retention: Duration::from_secs(3_600),
         }
     }
@@ -140,7 +146,13 @@
             items_at_once: 64,
             plain_at_once: 8,
             limits: Limits::default(),
-            log: Arc::new(self.log.clone()),
+            log: Arc::new(lag::Lag {
+                log: self.log.clone(),
+                frozen: match me.process.host {
+                    LAGGING => self.frozen.subscribe(),
+                    _ => watch::channel(false).1,
+                },
+            }),
             upstreams: Arc::new(self.engines.clone()),
             writer: writer::Settings {
                 append_timeout: APPEND_TIMEOUT,
