A lease holder whose reads fail while its appends work lets go of the lease

Cause: renewal went by the holder's own fold alone. With reads that hang it renewed for ever, and chunks that it had not loaded were never run by anyone. Change: Terms::stale (3 s of a silence of 6 s; by settings half the silence, at least 1.5 s). Past it the holder neither renews nor appends duties or carries anything forward; if appends were acknowledged meanwhile it starts no items, answers 'elsewhere', finishes what is in flight and releases. In an outage for all items in hand go on, as before.

--- a/crates/tinbank-batch/src/owner/appends.rs
+++ b/crates/tinbank-batch/src/owner/appends.rs
@@ -117,6 +117,9 @@
             }
             return;
         };
+        if result.is_ok() {
+            followed.contender.observe_append(Instant::now());
+        }
         match what {
             // Each is given again by its state machine until its effect is read.
             What::Lease | What::Repeated => {}
--- a/crates/tinbank-batch/src/owner/asks.rs
+++ b/crates/tinbank-batch/src/owner/asks.rs
@@ -37,7 +37,7 @@
                 match self
                     .shards
                     .get_mut(&shard)
-                    .filter(|followed| followed.current)
+                    .filter(|followed| followed.answers())
                 {
                     Some(followed) => followed.plans.push(wait),
                     // Dropping it tells the asker that the shard is not followed here.
@@ -80,7 +80,11 @@
     }
 
     fn job(&mut self, shard: id::Shard, job: id::Job, reply: oneshot::Sender<Response>) {
-        let Some(followed) = self.shards.get(&shard).filter(|followed| followed.current) else {
+        let Some(followed) = self
+            .shards
+            .get(&shard)
+            .filter(|followed| followed.answers())
+        else {
             return answer(reply, Response::Elsewhere(None));
         };
         let then = Then::Job(job);
@@ -92,7 +96,11 @@
     }
 
     fn cancel(&mut self, shard: id::Shard, job: id::Job, reply: oneshot::Sender<Response>) {
-        let Some(followed) = self.shards.get(&shard).filter(|followed| followed.current) else {
+        let Some(followed) = self
+            .shards
+            .get(&shard)
+            .filter(|followed| followed.answers())
+        else {
             return answer(reply, Response::Elsewhere(None));
         };
         let known = followed.fold.job(job);
@@ -111,7 +119,11 @@
         claim: tinbank_base::record::claim::Claim,
         reply: oneshot::Sender<Response>,
     ) {
-        let Some(followed) = self.shards.get(&shard).filter(|followed| followed.current) else {
+        let Some(followed) = self
+            .shards
+            .get(&shard)
+            .filter(|followed| followed.answers())
+        else {
             return answer(reply, Response::Elsewhere(None));
         };
         if let Some(claimed) = followed.fold.ask(&claim) {
--- a/crates/tinbank-batch/src/owner/control.rs
+++ b/crates/tinbank-batch/src/owner/control.rs
@@ -248,6 +248,8 @@
             Step::Append(_) => None,
             Step::Wait => Some(Stop::Now),
         };
+        // Duties that come of a stale fold would renew the lease over and over.
+        let fresh = !followed.contender.is_stale(now);
         let purge = stop.is_some_and(|stop| followed.set(stop));
         if purge {
             self.purge();
@@ -255,10 +257,10 @@
         if let Step::Append(record) = step {
             self.append_lease(shard, record);
         }
-        if matches!(step, Step::Hold | Step::Drain) {
+        if matches!(step, Step::Hold | Step::Drain) && fresh {
             self.do_duties(shard, now);
         }
-        if matches!(step, Step::Hold) {
+        if matches!(step, Step::Hold) && fresh {
             self.do_upkeep(shard);
         }
         self.flush(shard);
--- a/crates/tinbank-batch/src/owner/hand.rs
+++ b/crates/tinbank-batch/src/owner/hand.rs
@@ -162,6 +162,11 @@
         self.chunks.values().map(|held| items(held).max(1)).sum()
     }
 
+    /// Items that are with the runner.
+    pub(super) fn running(&self) -> usize {
+        self.chunks.values().map(|held| held.running.len()).sum()
+    }
+
     /// Items that are with the runner or not yet read back.
     pub(super) fn in_flight(&self) -> usize {
         let items = |held: &Held| held.running.len() + held.ended.len();
--- a/crates/tinbank-batch/src/owner/shard.rs
+++ b/crates/tinbank-batch/src/owner/shard.rs
@@ -47,6 +47,8 @@
     pub(super) following: u64,
     /// Whether the fold has ever been at the tail: before, it may miss what long stands in the log.
     pub(super) current: bool,
+    /// Whether the log takes our appends while our reads have long not been at the tail.
+    pub(super) deaf: bool,
     /// Whether the log answers reads of the shard.
     pub(super) readable: bool,
     /// Whether new items may be started: we hold the lease and are not about to give it back.
@@ -87,6 +89,7 @@
             rank: None,
             following,
             current: false,
+            deaf: false,
             readable: true,
             running: false,
             recovery: None,
@@ -100,7 +103,13 @@
 
     /// What to do about the lease now.
     pub(super) fn step(&mut self, stopping: bool, now: Instant) -> Step {
-        let in_flight = self.hand.in_flight() + usize::from(!self.outbox.is_empty());
+        self.deaf = self.contender.is_deaf(now);
+        // What a deaf holder has appended will not be read back before it has let go.
+        let items = match self.deaf {
+            true => self.hand.running(),
+            false => self.hand.in_flight(),
+        };
+        let in_flight = items + usize::from(!self.outbox.is_empty());
         let want = Want {
             rank: self.rank,
             live: self.fold.live() || self.upkeep.due.is_some(),
@@ -111,6 +120,11 @@
         self.contender.step(&lease, want, now)
     }
 
+    /// Whether others' questions can be answered by the fold.
+    pub(super) fn answers(&self) -> bool {
+        self.current && !self.deaf
+    }
+
     /// Our term, if we hold the lease.
     pub(super) fn epoch(&self, me: Writer) -> Option<id::Epoch> {
         self.fold.lease().term(me)
--- a/crates/tinbank-batch/src/settings.rs
+++ b/crates/tinbank-batch/src/settings.rs
@@ -65,6 +65,9 @@
     }
 }
 
+/// Reads at the tail come up to a second apart, so that less would take a quiet log for a failing one.
+const SHORTEST_STALE: Duration = Duration::from_millis(1_500);
+
 impl Settings {
     /// How leases are timed: all times follow from the silence.
     pub fn terms(&self) -> Terms {
@@ -75,6 +78,7 @@
             gap: silence / 3 + Duration::from_secs(1),
             renew: silence / 3,
             retry: silence / 3,
+            stale: (silence / 2).max(SHORTEST_STALE),
             ..Terms::default()
         }
     }
--- a/crates/tinbank-batch/tests/faults.rs
+++ b/crates/tinbank-batch/tests/faults.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use support::{APPEND_TIMEOUT, Host, SHARDS, World, eventually, lines};
+use support::{APPEND_TIMEOUT, Host, LAGGING, SHARDS, World, eventually, lines};
 use tinbank_base::{
     id,
     platform::log::Stream,
@@ -115,6 +115,30 @@
     assert_eq!(counts, [10; 4]);
 }
 
+#[tokio::test]
+async fn a_holder_whose_reads_hang_is_followed_by_another() {
+    let (world, hosts) = world_of(2);
+    let caller = hosts[0].session("key-moreton");
+    world.engines.hold();
+    // More chunks than a holder takes in hand, so that it can't end them without reading more.
+    let id = caller.accepted(Some("sweep"), lines(0, 4_096)).await;
+    eventually(
+        "both hosts hold leases and the engines are full",
+        || async {
+            let holders = holders(&world);
+            holders.contains(&1) && holders.contains(&2) && world.engines.starts() == 24
+        },
+    )
+    .await;
+
+    world.frozen.send_replace(true);
+    world.engines.go_on();
+    caller.until(&id, "completed").await;
+
+    assert_eq!(answered(&caller.results(&id).await).len(), 4_096);
+    assert!(!holders(&world).contains(&LAGGING));
+}
+
 /// The hosts that hold leases now, by a fold of their own.
 fn holders(world: &World) -> BTreeSet<id::Host> {
     let holder = |shard| {
--- a/crates/tinbank-batch/tests/support/mod.rs
+++ b/crates/tinbank-batch/tests/support/mod.rs
@@ -236,6 +236,7 @@
         retry: Duration::from_millis(300),
         idle: Duration::from_millis(500),
         hand_over: Duration::from_millis(500),
+        stale: Duration::from_millis(1_500),
     }
 }
 
--- a/crates/tinbank-ledger/src/lease/contender.rs
+++ b/crates/tinbank-ledger/src/lease/contender.rs
@@ -26,6 +26,9 @@
     pub idle: Duration,
     /// A holder that has not been first in rank for so long hands the lease over.
     pub hand_over: Duration,
+    /// A holder that has not been at the tail for so long goes by a fold that is too old: it renews no more, and gives
+    /// the lease back if the log goes on taking its appends. Well below `silence`, and longer than a read waits.
+    pub stale: Duration,
 }
 
 impl Default for Terms {
@@ -38,6 +41,7 @@
             retry: Duration::from_secs(2),
             idle: Duration::from_secs(10),
             hand_over: Duration::from_secs(10),
+            stale: Duration::from_secs(3),
         }
     }
 }
@@ -80,6 +84,12 @@
     quiet: Option<Instant>,
     /// The last read that reached the tail.
     at_tail: Option<Instant>,
+    /// The last read that reached the tail, also when later ones failed.
+    current: Option<Instant>,
+    /// When an append of ours was last acknowledged.
+    appended: Option<Instant>,
+    /// Since when we have been seen to be deaf.
+    deaf: Option<Instant>,
     /// A step given at that place is not given again before then.
     retry: Option<(Option<id::Offset>, Instant)>,
     idle: Option<Instant>,
@@ -96,6 +106,9 @@
             changed: None,
             quiet: None,
             at_tail: None,
+            current: None,
+            appended: None,
+            deaf: None,
             retry: None,
             idle: None,
             passed_over: None,
@@ -125,6 +138,29 @@
             self.quiet = Some(now);
         }
         self.at_tail = Some(now);
+        self.current = Some(now);
+    }
+
+    /// Takes in that the log acknowledged an append of ours to the shard.
+    pub fn observe_append(&mut self, now: Instant) {
+        self.appended = Some(now);
+    }
+
+    /// Whether the last read at the tail is too long ago to go by the fold.
+    pub fn is_stale(&self, now: Instant) -> bool {
+        self.current
+            .is_some_and(|current| now.saturating_duration_since(current) > self.terms.stale)
+    }
+
+    /// Whether the fold is stale although the log takes appends: then others may read it, and one of them should have
+    /// the lease. In an outage for all this is not so, since no append is acknowledged.
+    pub fn is_deaf(&self, now: Instant) -> bool {
+        let (Some(current), Some(appended)) = (self.current, self.appended) else {
+            return false;
+        };
+        // What was acknowledged soon after the last read at the tail may only be on its way back.
+        let proof = appended.saturating_duration_since(current) > self.terms.stale / 2;
+        proof && self.is_stale(now)
     }
 
     /// What to do now.
@@ -136,6 +172,16 @@
     }
 
     fn hold(&mut self, lease: &Lease, epoch: id::Epoch, want: Want, now: Instant) -> Step {
+        // A contender that began while we held the lease has the same time as others to come to the tail.
+        self.current.get_or_insert(now);
+        let is_deaf = self.is_deaf(now);
+        let deaf = for_long(&mut self.deaf, is_deaf, self.terms.stale / 4, now);
+        if self.is_stale(now) && !deaf {
+            return Step::Hold;
+        }
+        if deaf {
+            return self.hold_deaf(lease, epoch, want, now);
+        }
         let idle = for_long(&mut self.idle, !want.live, self.terms.idle, now);
         let passed_over = want.rank.is_some_and(|rank| rank > 0);
         let hand_over = for_long(
@@ -154,6 +200,15 @@
         self.renew(lease, epoch, now).unwrap_or(Step::Hold)
     }
 
+    /// Waiting for silence would not do where appends still work, since any envelope of ours renews.
+    fn hold_deaf(&mut self, lease: &Lease, epoch: id::Epoch, want: Want, now: Instant) -> Step {
+        if want.in_flight > 0 {
+            return Step::Drain;
+        }
+        let release = record::Lease::Release { epoch };
+        self.append(lease, release, now).unwrap_or(Step::Drain)
+    }
+
     fn renew(&mut self, lease: &Lease, epoch: id::Epoch, now: Instant) -> Option<Step> {
         let changed = *self.changed.get_or_insert(now);
         if now.saturating_duration_since(changed) < self.terms.renew {
--- a/crates/tinbank-ledger/tests/ledger/lease.rs
+++ b/crates/tinbank-ledger/tests/ledger/lease.rs
@@ -120,6 +120,47 @@
     assert_eq!(done, Step::Append(Record::Release { epoch: 1 }));
 }
 
+#[parameterized(
+    appends_work = { true, 0, Step::Append(Record::Release { epoch: 1 }) },
+    appends_work_and_items_are_in_flight = { true, 2, Step::Drain },
+    outage_for_all = { false, 2, Step::Hold },
+)]
+fn a_holder_that_reads_nothing_does_not_renew(appends_work: bool, in_flight: usize, last: Step) {
+    let start = Instant::now();
+    let me = writer(0, 1);
+    let lease = held_by(me);
+    let mut contender = Contender::new(me, Terms::default());
+    contender.observe_tail(&lease, true, start);
+    let want = Want {
+        rank: Some(0),
+        live: true,
+        stopping: false,
+        in_flight,
+    };
+
+    let mut steps = Vec::new();
+    for poll in 1..11 {
+        let now = start + POLL * poll;
+        contender.observe_tail(&lease, false, now);
+        if appends_work {
+            contender.observe_append(now);
+        }
+        steps.push((now, contender.step(&lease, want, now)));
+    }
+
+    let renewed = steps
+        .iter()
+        .rfind(|(_, step)| *step == Step::Append(Record::Renew { epoch: 1 }));
+    assert!(renewed.is_some_and(|(at, _)| *at <= start + Terms::default().stale));
+    assert!(steps.iter().any(|(_, step)| *step == last), "{steps:?}");
+    // Its release is given once, until the time to try again.
+    let end = match last {
+        Step::Append(_) => Step::Drain,
+        step => step,
+    };
+    assert_eq!(steps.last().map(|(_, step)| *step), Some(end));
+}
+
 #[test]
 fn a_holder_that_is_not_first_in_rank_hands_over() {
     let mut world = World::new(true);
