--- a/crates/tinbank-batch/src/pages.rs
+++ b/crates/tinbank-batch/src/pages.rs
@@ -32,14 +32,24 @@
 /// What was read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Page {
-    /// Results of some items, or of none.
-    Results(Vec<Outcome>),
+    /// Some items, or none.
+    Items(Items),
     /// The shard has not yet been told of the job; none of its items has ended.
     NotYet,
     /// There are no more.
     End,
 }
 
+/// Items of a job, as a shard's owner says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Items {
+    /// The items, ended or not.
+    pub outcomes: Vec<Outcome>,
+    /// Whether those that have not ended never will: the shard has read the job's cancel. Until then a completion may
+    /// still count.
+    pub cancelled: bool,
+}
+
 impl Pages {
     /// A reader at the start.
     pub fn new(asker: Asker, head: &Head, shard: id::Shard, shards: id::Shard) -> Self {
@@ -63,7 +73,7 @@
         }
     }
 
-    /// The next results.
+    /// The next items.
     ///
     /// # Errors
     /// No owner answers in time, or the results can't be read.
@@ -79,12 +89,13 @@
         };
         let until = Instant::now() + PAGE_TIMEOUT;
         let frames = self.asker.ask(self.shard, request, until).await?;
-        let mut page = Vec::new();
+        let mut items = Items::default();
         let mut ended = 0;
         for frame in frames {
             match frame {
                 Response::Results(outcomes) if outcomes.is_empty() => ended += 1,
-                Response::Results(outcomes) => page.extend(outcomes),
+                Response::Results(outcomes) => items.outcomes.extend(outcomes),
+                Response::Counted(count) => items.cancelled = count.cancelled > 0,
                 _ => {}
             }
         }
@@ -97,7 +108,7 @@
                 .chunk_from(self.next)
                 .map_or(self.chunks, |chunk| chunk + 1);
         }
-        Ok(Page::Results(page))
+        Ok(Page::Items(items))
     }
 
     /// The first chunk of the shard from `from` on.
