--- a/crates/tinbank-batch/tests/support/mod.rs
+++ b/crates/tinbank-batch/tests/support/mod.rs
@@ -34,7 +34,7 @@
     snapshot::{Customer, Shared, Snapshot},
 };
 use tinbank_ledger::lease::Terms;
-use tinbank_log::{group, writer};
+use tinbank_log::{budget, group, writer};
 use tinbank_server::{http::Listen, readiness::Flag, threads::Handles};
 use tinbank_test_support::log::Memory;
 use tinbank_timeline::Recorder;
@@ -48,6 +48,8 @@
 pub const SERVICE: &str = "notes";
 /// The host whose reads of the log can be held up.
 pub const LAGGING: id::Host = 2;
+/// Most pending items of the customer whose key is "key-limited".
+pub const PENDING_ITEMS: u32 = 100;
 pub const ORDERS: &str = "orders";
 /// How long hosts try an append before it has failed.
 pub const APPEND_TIMEOUT: Duration = Duration::from_secs(1);
@@ -64,6 +66,8 @@
     pub frozen: watch::Sender<bool>,
     /// How long the hosts believe that the log keeps records.
     pub retention: Duration,
+    /// Appends a second that each host takes for its share.
+    pub appends_per_second: f64,
 }
 
 /// One host's batch process.
@@ -85,6 +89,7 @@
             gate: gate::Valve::default(),
             frozen: watch::channel(false).0,
             retention: Duration::from_secs(3_600),
+            appends_per_second: budget::Settings::default().fleet_per_second,
         }
     }
 
@@ -159,6 +164,10 @@
                 // As with the defaults, a try fits into the timeout whatever the backoff.
                 group: group::Settings {
                     backoff_longest: APPEND_TIMEOUT / 5,
+                    budget: budget::Settings {
+                        fleet_per_second: self.appends_per_second,
+                        ..budget::Settings::default()
+                    },
                     ..group::Settings::default()
                 },
                 ..writer::Settings::default()
@@ -244,6 +253,7 @@
     let customers = [
         customer("moreton", "key-moreton"),
         customer("oberland", "key-oberland"),
+        limited("limited", "key-limited"),
     ];
     let mut snapshot = Snapshot::default();
     for (key, customer) in customers {
@@ -272,6 +282,20 @@
     (key, Arc::new(customer))
 }
 
+/// A customer with a limit of [`PENDING_ITEMS`].
+fn limited(name: &str, key: &'static str) -> (&'static str, Arc<Customer>) {
+    let (key, customer) = customer(name, key);
+    let limits = CustomerLimits {
+        pending_items: Some(PENDING_ITEMS),
+        ..customer.limits
+    };
+    let customer = Customer {
+        limits,
+        ..(*customer).clone()
+    };
+    (key, Arc::new(customer))
+}
+
 fn served(kind: Kind, repeatable: bool) -> Served {
     Served {
         kind,
