Hold customers to pending_items at intake; split the intake's store by duty

Cause: the limit stood in the configuration and nobody enforced it. Change: each batch process answers for the shards that it owns how many released items of a customer are pending (Request::Pending). The intake asks all before the body is read, checks with each line and again before the head, and refuses with 429, limit_reached, ran: no. Jobs being committed at one host count each other. Shown: session.rs a_customer_may_have_so_many_pending_items_over_all_hosts.

--- a/crates/tinbank-base/src/frame/request.rs
+++ b/crates/tinbank-base/src/frame/request.rs
@@ -57,6 +57,11 @@
         /// First offset wanted.
         from: id::Offset,
     },
+    /// How many items of a customer are pending in the shards that the asked process owns.
+    Pending {
+        /// Whose.
+        customer: id::Customer,
+    },
 }
 
 /// State and counts of a job.
@@ -141,4 +146,6 @@
         /// What happened.
         message: String,
     },
+    /// Pending items of a customer in the shards that the answering process owns; final.
+    Pending(u64),
 }
--- a/crates/tinbank-batch/src/asker.rs
+++ b/crates/tinbank-batch/src/asker.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant, SystemTime},
 };
 
-use futures::{StreamExt as _, stream::FuturesUnordered};
+use futures::{StreamExt as _, future::join_all, stream::FuturesUnordered};
 use smallvec::SmallVec;
 use tinbank_base::{
     frame::request::{Request, Response},
@@ -87,6 +87,24 @@
             .retry_at(SystemTime::now() + RETRY_AFTER))
     }
 
+    /// How many items of a customer are pending at all processes together. One that gives no answer counts as none.
+    pub async fn pending(&self, customer: &str, until: Instant) -> u64 {
+        let members = self.directory.members();
+        let request = Request::Pending {
+            customer: customer.to_owned(),
+        };
+        let ready = members.ready(id::Role::Batch);
+        let answers = ready.map(|member| self.ask_member(member.clone(), &request, until));
+        let answers = join_all(answers).await.into_iter();
+        let items = answers.map(|(_, frames)| frames.ok().and_then(|mut frames| frames.pop()));
+        items
+            .map(|last| match last {
+                Some(Response::Pending(items)) => items,
+                _ => 0,
+            })
+            .sum()
+    }
+
     /// Those that may know, the most probable owner first.
     fn ranked(&self, shard: id::Shard) -> SmallVec<[Member; ASKED]> {
         let members = self.directory.members();
--- a/crates/tinbank-batch/src/intake/mod.rs
+++ b/crates/tinbank-batch/src/intake/mod.rs
@@ -4,10 +4,14 @@
 //! fold drops them. See `docs/design/items.md`.
 
 pub mod cut;
+mod failure;
 pub mod finding;
 pub mod limit;
 pub mod line;
 pub mod order;
+mod quota;
+mod resend;
+mod run;
 pub mod store;
 
 pub use finding::Finding;
--- /dev/null
+++ b/crates/tinbank-batch/src/intake/resend.rs
@@ -0,0 +1,41 @@
+//! A body that is only compared, since its job was taken in before.
+
+use bytes::Bytes;
+use futures::{Stream, StreamExt as _};
+use sha2::{Digest as _, Sha256};
+use tinbank_base::{
+    digest::Digest,
+    outcome::{Code, Failure},
+    record::work::Head,
+};
+
+use super::{Taken, failure::broken};
+
+/// Reads a body only to compare it.
+pub(super) async fn digest_of<E: std::fmt::Display>(
+    mut body: impl Stream<Item = Result<Bytes, E>> + Unpin,
+    limit: u64,
+) -> Result<Digest, Failure> {
+    let mut hasher = Sha256::new();
+    let mut bytes = 0;
+    while let Some(part) = body.next().await {
+        let part = part.map_err(broken)?;
+        bytes += part.len() as u64;
+        if bytes > limit {
+            let message = format!("a job takes at most {limit} bytes");
+            return Err(Failure::not_run(Code::TooLarge, message));
+        }
+        hasher.update(&part);
+    }
+    Ok(hasher.finalize().into())
+}
+
+/// An earlier job with the same key: the same one if the body is the same.
+pub(super) fn same(head: Head, digest: Digest) -> Result<Taken, Failure> {
+    if head.body == digest {
+        return Ok(Taken { head, new: false });
+    }
+    let message = "the idempotency key was used for another job";
+    let help = "use a new key for a new job; a resend has to repeat service, due time and body";
+    Err(Failure::not_run(Code::KeyReused, message).help(help))
+}
--- a/crates/tinbank-batch/src/intake/store.rs
+++ b/crates/tinbank-batch/src/intake/store.rs
@@ -1,49 +1,38 @@
 //! Stores a job: chunks while the body comes in, then the head, which is read back before the job is acknowledged.
 
 use std::{
-    collections::{HashSet, VecDeque},
+    collections::HashSet,
     sync::{Mutex, PoisonError},
     time::{Duration, Instant, SystemTime},
 };
 
 use bytes::Bytes;
-use futures::{Stream, StreamExt as _, stream::FuturesOrdered};
-use sha2::{Digest as _, Sha256};
+use futures::{Stream, StreamExt as _};
 use tinbank_base::{
-    digest::Digest,
     frame::request::{Request, Response},
     id,
-    outcome::{Code, Failure, Ran},
-    platform::log,
-    record::work::{self, Chunk, Head, Record},
+    outcome::{Code, Failure},
+    record::work::{Head, Record},
 };
-use tinbank_ledger::placement::{self, ITEMS_PER_CHUNK, ITEMS_PER_SHARD};
-use tinbank_log::writer::{self, Writer};
-use tokio::{
-    sync::Semaphore,
-    task::{JoinError, JoinHandle},
-    time,
+use tinbank_ledger::placement;
+use tinbank_log::writer::Writer;
+use tokio::sync::Semaphore;
+
+use super::{
+    Limits, Order,
+    failure::{RETRY_AFTER, broken, head_failed, unknown},
+    quota::{Quota, Quotas, Reservation},
+    resend::{digest_of, same},
+    run::{Run, append},
 };
-
-use super::{Limits, Order, cut::Cutter, line::Parser};
 use crate::asker::Asker;
 
-/// Chunks of one job that are being appended at once; the caller's body waits for them.
-const APPENDS_AT_ONCE: usize = 4;
-/// Chunks held until it is known how many shards the job is worth.
-const HELD_CHUNKS: usize = ITEMS_PER_SHARD as usize / ITEMS_PER_CHUNK;
-/// Shards of a job that is larger than what is held, if the caller doesn't say how large.
-const DEFAULT_SPREAD: u16 = 16;
 /// Time to look up an earlier job with the same key. Without an answer the head decides.
 const LOOK_UP: Duration = Duration::from_secs(2);
+/// Time to count a customer's pending items.
+const COUNT: Duration = Duration::from_secs(2);
 /// Time to read the head back.
 const READ_BACK: Duration = Duration::from_secs(15);
-/// Time that an append waits for room in the log writer's buffer.
-const FULL_FOR: Duration = Duration::from_secs(5);
-/// Pause before an append is tried again that found the buffer full.
-const FULL_WAIT: Duration = Duration::from_millis(20);
-/// When a caller that was refused for want of room should come back.
-const RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// Takes in jobs.
 #[derive(Debug)]
@@ -56,6 +45,7 @@
     room: Semaphore,
     /// Jobs with a key that are being taken in here.
     under_way: Mutex<HashSet<id::Job>>,
+    quotas: Quotas,
 }
 
 /// A job that was taken in.
@@ -83,6 +73,7 @@
             limits,
             room: Semaphore::new(at_once),
             under_way: Mutex::default(),
+            quotas: Quotas::default(),
         }
     }
 
@@ -117,14 +108,46 @@
             let digest = order.digest(&digest_of(body.as_mut(), self.limits.body_bytes).await?);
             return same(head, digest);
         }
-        let mut run = Run::new(self, order, job);
+        let quota = self.quota(order).await;
+        if let Some(quota) = quota {
+            quota.check(1)?;
+        }
+        let mut run = Run::new(&self.writer, self.shards, self.limits, quota, order, job);
         while let Some(part) = body.next().await {
             run.part(&part.map_err(broken)?).await?;
         }
         let head = run.finish().await?;
+        let _reserved = self.reserve(order, head.items).await?;
         self.commit(head).await
     }
 
+    /// What the customer may still have, if that is limited.
+    async fn quota(&self, order: &Order) -> Option<Quota> {
+        let limit = order.customer.limits.pending_items?;
+        let customer = &order.customer.name;
+        let pending = self.pending(customer).await;
+        Some(self.quotas.of(customer, limit, pending))
+    }
+
+    /// Counts the job's items while it is committed; other jobs may have come since its first line.
+    async fn reserve(
+        &self,
+        order: &Order,
+        items: id::Item,
+    ) -> Result<Option<Reservation<'_>>, Failure> {
+        let Some(limit) = order.customer.limits.pending_items else {
+            return Ok(None);
+        };
+        let customer = &order.customer.name;
+        let pending = self.pending(customer).await;
+        let reserved = self.quotas.reserve(customer, limit, pending, items)?;
+        Ok(Some(reserved))
+    }
+
+    async fn pending(&self, customer: &str) -> u64 {
+        self.asker.pending(customer, Instant::now() + COUNT).await
+    }
+
     /// Notes that the job is being taken in here.
     fn begin(&self, job: id::Job) -> Result<UnderWay<'_>, Failure> {
         let new = self.lock().insert(job);
@@ -190,216 +213,3 @@
         self.intake.lock().remove(&self.job);
     }
 }
-
-/// One body being read.
-struct Run<'a> {
-    intake: &'a Intake,
-    order: &'a Order,
-    job: id::Job,
-    intake_id: u64,
-    parser: Parser,
-    cutter: Cutter,
-    hasher: Sha256,
-    bytes: u64,
-    items: Vec<work::Item>,
-    count: id::Item,
-    /// Chunks that wait until the spread is known.
-    held: VecDeque<Chunk>,
-    spread: Option<u16>,
-    appends: FuturesOrdered<JoinHandle<Result<id::Offset, writer::Error>>>,
-}
-
-impl<'a> Run<'a> {
-    fn new(intake: &'a Intake, order: &'a Order, job: id::Job) -> Self {
-        let intake_id = rand::random();
-        Self {
-            intake,
-            order,
-            job,
-            intake_id,
-            parser: Parser::new(intake.limits, order.repeatable),
-            cutter: Cutter::new(job, intake_id),
-            hasher: Sha256::new(),
-            bytes: 0,
-            items: Vec::new(),
-            count: 0,
-            held: VecDeque::new(),
-            spread: None,
-            appends: FuturesOrdered::new(),
-        }
-    }
-
-    async fn part(&mut self, part: &[u8]) -> Result<(), Failure> {
-        self.hasher.update(part);
-        self.bytes += part.len() as u64;
-        self.parser.push(part, &mut self.items)?;
-        for item in std::mem::take(&mut self.items) {
-            self.count += 1;
-            if let Some(chunk) = self.cutter.push(item) {
-                self.chunk(chunk).await?;
-            }
-        }
-        Ok(())
-    }
-
-    async fn finish(mut self) -> Result<Head, Failure> {
-        let items = self.parser.finish(&mut self.items)?;
-        for item in std::mem::take(&mut self.items) {
-            if let Some(chunk) = self.cutter.push(item) {
-                self.chunk(chunk).await?;
-            }
-        }
-        if let Some(chunk) = self.cutter.finish() {
-            self.held.push_back(chunk);
-        }
-        let shards = self.intake.shards;
-        let spread = *self
-            .spread
-            .get_or_insert_with(|| placement::shards_for(items, shards));
-        self.store(spread).await?;
-        while let Some(result) = self.appends.next().await {
-            stored(result)?;
-        }
-        let body = self.hasher.finalize().into();
-        Ok(Head {
-            job: self.job,
-            intake: self.intake_id,
-            customer: self.order.customer.name.clone(),
-            service: self.order.service.clone(),
-            body: self.order.digest(&body),
-            items,
-            chunks: self.cutter.chunks(),
-            shards: placement::shards_of_chunks(self.job, self.cutter.chunks(), spread, shards),
-            received: self.order.received,
-            due: self.order.due,
-            keep_until: self.order.received + self.order.customer.keep_results,
-        })
-    }
-
-    async fn chunk(&mut self, chunk: Chunk) -> Result<(), Failure> {
-        self.held.push_back(chunk);
-        if self.spread.is_none() && self.held.len() > HELD_CHUNKS {
-            self.spread = Some(self.estimate());
-        }
-        match self.spread {
-            Some(spread) => self.store(spread).await,
-            None => Ok(()),
-        }
-    }
-
-    /// How many shards the job seems to be worth, by the size of its first items.
-    fn estimate(&self) -> u16 {
-        let shards = self.intake.shards;
-        let Some(length) = self.order.length else {
-            return shards.min(DEFAULT_SPREAD);
-        };
-        let items = length.saturating_mul(u64::from(self.count)) / self.bytes.max(1);
-        let items = id::Item::try_from(items).unwrap_or(id::Item::MAX);
-        placement::shards_for(items, shards)
-    }
-
-    async fn store(&mut self, spread: u16) -> Result<(), Failure> {
-        while let Some(chunk) = self.held.pop_front() {
-            if self.appends.len() == APPENDS_AT_ONCE
-                && let Some(result) = self.appends.next().await
-            {
-                stored(result)?;
-            }
-            let shards = self.intake.shards;
-            let shard = placement::shard_of_chunk(self.job, chunk.chunk, spread, shards);
-            let writer = self.intake.writer.clone();
-            // A task of its own goes on while the next part of the body is awaited.
-            let append =
-                tokio::spawn(async move { append(&writer, shard, Record::Chunk(chunk)).await });
-            self.appends.push_back(append);
-        }
-        Ok(())
-    }
-}
-
-/// Appends one record, waiting a while for room in the writer's buffer.
-async fn append(
-    writer: &Writer,
-    shard: id::Shard,
-    record: Record,
-) -> Result<id::Offset, writer::Error> {
-    let stream = log::Stream::Work(shard);
-    let until = Instant::now() + FULL_FOR;
-    loop {
-        let result = writer.append(stream, vec![record.clone()]).await;
-        match result {
-            Err(writer::Error::Full { .. }) if Instant::now() < until => {
-                time::sleep(FULL_WAIT).await;
-            }
-            result => return result,
-        }
-    }
-}
-
-/// Reads a body only to compare it.
-async fn digest_of<E: std::fmt::Display>(
-    mut body: impl Stream<Item = Result<Bytes, E>> + Unpin,
-    limit: u64,
-) -> Result<Digest, Failure> {
-    let mut hasher = Sha256::new();
-    let mut bytes = 0;
-    while let Some(part) = body.next().await {
-        let part = part.map_err(broken)?;
-        bytes += part.len() as u64;
-        if bytes > limit {
-            let message = format!("a job takes at most {limit} bytes");
-            return Err(Failure::not_run(Code::TooLarge, message));
-        }
-        hasher.update(&part);
-    }
-    Ok(hasher.finalize().into())
-}
-
-/// An earlier job with the same key: the same one if the body is the same.
-fn same(head: Head, digest: Digest) -> Result<Taken, Failure> {
-    if head.body == digest {
-        return Ok(Taken { head, new: false });
-    }
-    let message = "the idempotency key was used for another job";
-    let help = "use a new key for a new job; a resend has to repeat service, due time and body";
-    Err(Failure::not_run(Code::KeyReused, message).help(help))
-}
-
-fn broken(error: impl std::fmt::Display) -> Failure {
-    Failure::not_run(Code::BadRequest, format!("the body broke off: {error}"))
-}
-
-fn stored(result: Result<Result<id::Offset, writer::Error>, JoinError>) -> Result<(), Failure> {
-    match result {
-        Ok(Ok(_)) => Ok(()),
-        Ok(Err(error)) => Err(chunk_failed(&error)),
-        Err(error) => Err(Failure::not_run(Code::Internal, error.to_string())),
-    }
-}
-
-/// Whatever became of a chunk's append, no head names it.
-fn chunk_failed(error: &writer::Error) -> Failure {
-    Failure::not_run(
-        Code::LogUnavailable,
-        format!("the job was not stored: {error}"),
-    )
-    .retry_at(SystemTime::now() + RETRY_AFTER)
-}
-
-fn head_failed(head: &Head, error: &writer::Error) -> Failure {
-    if error.may_stand() {
-        return unknown(head, &error.to_string());
-    }
-    chunk_failed(error)
-}
-
-fn unknown(head: &Head, reason: &str) -> Failure {
-    let id = id::format_wide(head.job);
-    let message = format!("it is not known whether job {id} was accepted: {reason}");
-    Failure {
-        ran: Ran::Unknown,
-        ..Failure::not_run(Code::LogUnavailable, message)
-    }
-    .help("send it again with the same Idempotency-Key, or ask for the job by its id")
-    .retry_at(SystemTime::now() + RETRY_AFTER)
-}
--- a/crates/tinbank-batch/src/owner/asks.rs
+++ b/crates/tinbank-batch/src/owner/asks.rs
@@ -72,6 +72,9 @@
                 let then = Then::Settled(settled);
                 self.append_for(shard, record, Wait { then, reply });
             }
+            Request::Pending { customer } => {
+                answer(reply, Response::Pending(self.pending(&customer)));
+            }
             Request::Results { .. } | Request::Config { .. } => {
                 let message = "the request is not one for the owner of a shard";
                 answer(reply, failed(Code::Internal, Ran::No, message));
@@ -79,6 +82,21 @@
         }
     }
 
+    /// Released items of a customer that have not ended, in the shards that we own.
+    fn pending(&self, customer: &str) -> u64 {
+        let me = self.parts.me;
+        let owned = self.shards.values();
+        let owned = owned.filter(|followed| followed.epoch(me).is_some());
+        let works = owned.flat_map(|followed| followed.fold.works());
+        let of_customer = works.filter(|(_, work)| {
+            let release = work.release.as_ref();
+            !work.cancelled && release.is_some_and(|release| release.customer == customer)
+        });
+        of_customer
+            .map(|(_, work)| u64::from(work.count().pending))
+            .sum()
+    }
+
     fn job(&mut self, shard: id::Shard, job: id::Job, reply: oneshot::Sender<Response>) {
         let Some(followed) = self
             .shards
--- a/crates/tinbank-batch/tests/session.rs
+++ b/crates/tinbank-batch/tests/session.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use http::StatusCode;
-use support::{Host, ORDERS, World, engines, eventually, line, lines};
+use support::{Host, ORDERS, PENDING_ITEMS, World, engines, eventually, line, lines};
 use tinbank_base::record::work::Record;
 
 /// How each item of a job ended, by its name; fails if one comes twice.
@@ -101,6 +101,47 @@
     assert_eq!(world.engines.starts(), 300);
 }
 
+#[tokio::test]
+async fn a_customer_may_have_so_many_pending_items_over_all_hosts() {
+    let (world, hosts) = world_of(2);
+    let (first, second) = (
+        hosts[0].session("key-limited"),
+        hosts[1].session("key-limited"),
+    );
+    world.engines.hold();
+    let most = PENDING_ITEMS as usize;
+    let too_large = first.submit(Some("large"), lines(0, most + 1)).await;
+    let id = first.accepted(None, lines(0, most - 40)).await;
+    eventually("items of the job run, so that all are counted", || async {
+        world.engines.starts() > 0
+    })
+    .await;
+
+    let over = second.submit(Some("over"), lines(0, 41)).await;
+    let other = hosts[1]
+        .session("key-moreton")
+        .submit(None, lines(0, 41))
+        .await;
+    let rest = second.accepted(None, lines(0, 40)).await;
+    world.engines.go_on();
+    first.until(&id, "completed").await;
+    first.until(&rest, "completed").await;
+    let again = second.submit(Some("over"), lines(0, 41)).await;
+
+    for refused in [too_large, over] {
+        assert_eq!(refused.status, StatusCode::TOO_MANY_REQUESTS);
+        assert_eq!(
+            (refused.text("/code"), refused.text("/ran")),
+            ("limit_reached".into(), "no".into())
+        );
+    }
+    assert_eq!(other.status, StatusCode::CREATED);
+    assert_eq!(again.status, StatusCode::CREATED);
+    let heads = world.records().into_iter();
+    let heads = heads.filter(|record| matches!(record, Record::Head(_)));
+    assert_eq!(heads.count(), 4);
+}
+
 #[tokio::test]
 async fn a_bad_line_leaves_nothing_behind() {
     let (world, hosts) = world_of(1);
