--- a/crates/tinbank-batch/src/owner/load.rs
+++ b/crates/tinbank-batch/src/owner/load.rs
@@ -1,4 +1,4 @@
-//! Brings chunks from the log to the runner, by customers' turns and due times, and takes back how items ended.
+//! Brings chunks from the log to the runner, by customers' turns and due times.
 
 use std::{
     collections::HashMap,
@@ -6,20 +6,15 @@
     time::{Duration, Instant, SystemTime},
 };
 
-use tinbank_base::{
-    event::{Kind, Subject},
-    id,
-    platform::log::{Error as LogError, Log, Page, Stream},
-    record::{Envelope, work},
-};
+use tinbank_base::{id, record::work};
 use tinbank_configuration::{Snapshot, service::Service, snapshot};
-use tinbank_ledger::{chunk::Place, result, shard::Sending};
+use tinbank_ledger::{chunk::Place, shard::Sending};
 
-use super::{control::Control, input::Input};
+use super::{control::Control, input::Input, read::read_chunk};
 use crate::runner::{
     pool::Command,
     quota,
-    task::{Flow, Kept, Key, Report, Task},
+    task::{Flow, Kept, Key, Task},
 };
 
 /// Most chunks in hand of one customer and service.
@@ -29,13 +24,9 @@
 /// Bytes of completions that wait for the log from which on no further chunk is loaded.
 const MAX_OUTBOX_BYTES: usize = 8 << 20;
 /// Time that a chunk has to be loaded.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// Most times that one entry is asked for.
-const READ_TRIES: u32 = 5;
-/// Wait before an entry is asked for again; it doubles with each further time.
-const READ_PAUSE: Duration = Duration::from_millis(20);
+pub(super) const LOAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a chunk that could not be loaded, or had nothing to run, is left alone.
-const REST: Duration = Duration::from_secs(1);
+pub(super) const REST: Duration = Duration::from_secs(1);
 
 /// A chunk that may be loaded next.
 struct Candidate {
@@ -252,6 +243,7 @@
                     failures: 0,
                     losses: 0,
                     tries: 0,
+                    request: None,
                     kept: Kept::default(),
                     stop: stop.clone(),
                 })
@@ -270,61 +262,6 @@
             processes.len() as u32,
         )
     }
-
-    /// Takes in what the runner says.
-    pub(super) fn reported(&mut self, report: Report) {
-        let me = self.parts.me;
-        match report {
-            Report::Dispatch { key, reply } => {
-                let Some(followed) = self.shards.get_mut(&key.shard) else {
-                    return;
-                };
-                self.dirty.insert(key.shard);
-                // The answer comes from the fold when the shard is driven.
-                followed.dispatches.ask(key, reply);
-            }
-            Report::Returned { key } => {
-                if let Some(followed) = self.shards.get_mut(&key.shard)
-                    && followed.epoch(me) == Some(key.epoch)
-                {
-                    self.dirty.insert(key.shard);
-                    let rest = Instant::now() + REST;
-                    followed.hand.give_back(key.job, key.chunk, key.item, rest);
-                }
-            }
-            Report::Ended { key, completion } => self.ended(key, completion),
-        }
-    }
-
-    fn ended(&mut self, key: Key, completion: work::Completion) {
-        let Some(followed) = self.shards.get_mut(&key.shard) else {
-            return;
-        };
-        self.dirty.insert(key.shard);
-        let work = followed.fold.work(key.job).filter(|work| !work.cancelled);
-        let chunk = work.and_then(|work| work.chunk(key.chunk));
-        let open = chunk.is_some_and(|chunk| !chunk.ended(key.item));
-        let in_hand = followed.hand.end(key.job, key.chunk, key.item);
-        if !open {
-            // Another owner's completion counts, or a cancel.
-            if in_hand {
-                followed.hand.read_back(key.job, key.chunk, &[key.item]);
-            }
-            return;
-        }
-        let kind = Kind::Completed {
-            answered: matches!(completion.outcome, work::Outcome::Answer(_)),
-            attempts: completion.attempts,
-        };
-        followed.outbox.push(key.job, key.chunk, completion);
-        let subject = Subject {
-            shard: Some(key.shard),
-            job: Some(key.job),
-            item: Some(key.item),
-            ..Subject::default()
-        };
-        self.parts.recorder.note(subject, kind);
-    }
 }
 
 /// A flow's customer and service, as far as both are configured.
@@ -336,54 +273,3 @@
     let service = customer.services.get(&flow.service)?;
     Some((customer, service))
 }
-
-/// Reads the chunk that stands at a place.
-pub(super) async fn read_chunk(
-    log: &dyn Log,
-    shard: id::Shard,
-    place: Place,
-) -> Result<work::Chunk, String> {
-    let envelope = read_envelope(log, shard, place.offset).await?;
-    let chunk = result::chunk_at(&envelope, place);
-    chunk
-        .cloned()
-        .ok_or_else(|| format!("no chunk stands at {place:?}"))
-}
-
-/// Reads one envelope. A read has no effect, so one whose answer was lost is asked again at once: many reads make one
-/// answer to a caller, and each would fail it.
-pub(super) async fn read_envelope(
-    log: &dyn Log,
-    shard: id::Shard,
-    offset: id::Offset,
-) -> Result<Envelope<work::Record>, String> {
-    let mut pause = READ_PAUSE;
-    for _ in 1..READ_TRIES {
-        match read_entry(log, shard, offset).await {
-            Err(LogError::Unavailable(_) | LogError::Throttled { .. }) => {}
-            read => return decode(read, offset),
-        }
-        tokio::time::sleep(pause).await;
-        pause *= 2;
-    }
-    decode(read_entry(log, shard, offset).await, offset)
-}
-
-async fn read_entry(log: &dyn Log, shard: id::Shard, offset: id::Offset) -> Result<Page, LogError> {
-    let until = Instant::now() + LOAD_TIMEOUT;
-    let read = log.read(Stream::Work(shard), offset, 1, until);
-    let late = |_| Err(LogError::Protocol("no answer in time".to_owned()));
-    tokio::time::timeout_at(until.into(), read)
-        .await
-        .unwrap_or_else(late)
-}
-
-fn decode(
-    read: Result<Page, LogError>,
-    offset: id::Offset,
-) -> Result<Envelope<work::Record>, String> {
-    let page = read.map_err(|error| error.to_string())?;
-    let entry = page.entries.first().filter(|entry| entry.offset == offset);
-    let entry = entry.ok_or_else(|| format!("no entry stands at offset {offset}"))?;
-    Envelope::decode(&entry.payload).map_err(|error| error.to_string())
-}
--- a/crates/tinbank-batch/src/owner/mod.rs
+++ b/crates/tinbank-batch/src/owner/mod.rs
@@ -13,6 +13,8 @@
 mod input;
 mod load;
 mod outbox;
+mod read;
+mod reports;
 mod results;
 mod shard;
 mod upkeep;
--- a/crates/tinbank-batch/src/owner/results.rs
+++ b/crates/tinbank-batch/src/owner/results.rs
@@ -13,7 +13,7 @@
 
 use super::{
     input::Plan,
-    load::{read_chunk, read_envelope},
+    read::{read_chunk, read_envelope},
     shard::failed,
 };
 
--- a/crates/tinbank-batch/src/owner/upkeep.rs
+++ b/crates/tinbank-batch/src/owner/upkeep.rs
@@ -17,7 +17,7 @@
 use super::{
     control::Control,
     input::Input,
-    load::{read_chunk, read_envelope},
+    read::{read_chunk, read_envelope},
 };
 
 /// Chunks that are carried forward in one go.
--- a/crates/tinbank-batch/src/runner/attempt.rs
+++ b/crates/tinbank-batch/src/runner/attempt.rs
@@ -6,6 +6,7 @@
 use futures::StreamExt as _;
 use tinbank_admission::Pass;
 use tinbank_base::{
+    event::{Kind as Event, Subject},
     id,
     outcome::Ran,
     platform::{
@@ -14,6 +15,7 @@
     },
 };
 use tinbank_routing::choice::Choice;
+use tinbank_timeline::Recorder;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::{
@@ -28,6 +30,23 @@
     pub upstreams: Arc<dyn Upstreams>,
     /// Where the owner hears of items.
     pub reports: mpsc::UnboundedSender<Report>,
+    /// The time line.
+    pub recorder: Recorder,
+}
+
+impl Edge {
+    /// Notes what happened to an item in its latest attempt.
+    pub fn note(&self, task: &Task, upstream: id::Upstream, kind: Event) {
+        let subject = Subject {
+            request: task.request,
+            upstream: Some(upstream),
+            job: Some(task.key.job),
+            item: Some(task.key.item),
+            shard: Some(task.key.shard),
+            ..Subject::default()
+        };
+        self.recorder.note(subject, kind);
+    }
 }
 
 /// Where an attempt goes.
@@ -66,7 +85,19 @@
             Permit::Never => return End::Lost,
         }
     }
-    let end = send(edge, task, choice.target, pass).await;
+    let request: id::Request = rand::random();
+    let upstream = choice.target.upstream;
+    task.request = Some(request);
+    let reason = choice.reason.into();
+    edge.note(task, upstream, Event::Routed { reason });
+    if task.kept.tokens > 0 {
+        let from = task.kept.tokens;
+        edge.note(task, upstream, Event::Resumed { from });
+    }
+    let end = send(edge, task, choice.target, pass, request).await;
+    if matches!(end, End::Withdrawn) {
+        edge.note(task, upstream, Event::Preempted);
+    }
     let now = Instant::now();
     match &end {
         End::Answer(_) => choice.ticket.note(Ok(()), now),
@@ -85,8 +116,13 @@
     permit.await.unwrap_or(Permit::Later)
 }
 
-async fn send(edge: &Edge, task: &mut Task, target: Target, pass: Pass) -> End {
-    let request: id::Request = rand::random();
+async fn send(
+    edge: &Edge,
+    task: &mut Task,
+    target: Target,
+    pass: Pass,
+    request: id::Request,
+) -> End {
     // What may not be repeated is not taken back either: it could not be sent again.
     let mut stop = task.stop.clone();
     let mut withdrawn = pass.withdrawn.clone();
--- a/crates/tinbank-batch/src/runner/pool.rs
+++ b/crates/tinbank-batch/src/runner/pool.rs
@@ -1,24 +1,17 @@
 //! Runs items on the traffic threads: takes them by share and due time, sends them where there is room, and retries.
 
+mod ends;
+mod place;
+
 use std::{
     collections::HashSet,
     sync::Arc,
-    time::{Duration, Instant, SystemTime},
+    time::{Duration, Instant},
 };
 
-use smallvec::SmallVec;
 use tinbank_admission::Gate;
-use tinbank_base::{
-    id,
-    outcome::{Code, Ran},
-    platform::{
-        hosts,
-        upstream::{Error, Kind},
-    },
-    record::work::{Completion, Outcome},
-};
-use tinbank_configuration::template::Traffic;
-use tinbank_routing::choice::{Ask, Choice, Router};
+use tinbank_base::id;
+use tinbank_routing::choice::Router;
 use tokio::{
     sync::mpsc,
     task::JoinSet,
@@ -29,16 +22,13 @@
     attempt::{self, Edge, End, Spot},
     lanes::Lanes,
     quota::Quotas,
-    retry::{self, Past, Verdict},
     room::Room,
     share::Scheduler,
-    task::{Flow, Kept, Report, Task},
+    task::{Flow, Report, Task},
 };
 
 /// How often waiting items look for room: credits and upstreams change without a word.
 const LOOK_EVERY: Duration = Duration::from_millis(10);
-/// Most upstreams asked for room for one item in one look.
-const MAX_CHOICES: usize = 64;
 
 /// Largest answer that is stored, in bytes: a record of the log has to hold it.
 pub const MAX_ANSWER_BYTES: usize = 128 << 10;
@@ -188,62 +178,6 @@
         }
     }
 
-    fn place(&mut self, task: &Task, now: Instant) -> Option<Spot> {
-        let mut ask = Ask {
-            service: &task.service,
-            traffic: Traffic::Batch,
-            prefix: task.prefix,
-            tried: SmallVec::new(),
-        };
-        for _ in 0..MAX_CHOICES {
-            let Ok(choice) = self.parts.router.choose(&ask, now) else {
-                break;
-            };
-            let upstream = choice.target.upstream;
-            if ask.tried.contains(&upstream) {
-                break;
-            }
-            if let Some(spot) = self.enter(task, choice, now) {
-                return Some(spot);
-            }
-            ask.tried.push(upstream);
-        }
-        if task.suspect() {
-            self.lanes.reserve(&ask.tried);
-        }
-        self.wish(task, &ask.tried, now);
-        None
-    }
-
-    fn enter(&self, task: &Task, choice: Choice, now: Instant) -> Option<Spot> {
-        let upstream = choice.target.upstream;
-        if !self.lanes.open(upstream, task.suspect()) {
-            return None;
-        }
-        let gate: &dyn Gate = match task.service.kind {
-            hosts::Kind::Engine => &*self.parts.gate,
-            hosts::Kind::Plain => &self.plain,
-        };
-        let pass = gate.enter(upstream, &task.flow.customer, now)?;
-        Some(Spot { choice, pass })
-    }
-
-    /// Asks for more room in the upstreams that had none, in equal parts.
-    fn wish(&self, task: &Task, full: &[id::Upstream], now: Instant) {
-        if full.is_empty() || task.service.kind == hosts::Kind::Plain {
-            return;
-        }
-        let waiting = self.queue.waiting(&task.flow) + 1;
-        let each = waiting.div_ceil(full.len()) as u32;
-        let due = now + until(task.due);
-        for upstream in full {
-            let wanted = each + self.lanes.running(*upstream);
-            let wanted = u16::try_from(wanted).unwrap_or(u16::MAX);
-            let customer = &task.flow.customer;
-            self.parts.gate.wish(*upstream, customer, wanted, due, now);
-        }
-    }
-
     fn send(&mut self, mut task: Box<Task>, spot: Spot) {
         let upstream = spot.choice.target.upstream;
         self.lanes.enter(upstream, task.suspect());
@@ -276,84 +210,4 @@
             Err(error) => log::error!(error:%; "an attempt panicked"),
         }
     }
-
-    fn ended(&mut self, mut task: Box<Task>, end: End) {
-        match end {
-            End::Answer(answer) => {
-                task.attempts += 1;
-                let outcome = match answer.len() {
-                    0..=MAX_ANSWER_BYTES => Outcome::Answer(answer),
-                    size => too_large(size),
-                };
-                self.complete(&task, outcome);
-            }
-            End::Withdrawn => {
-                task.attempts += 1;
-                metrics::counter!("tinbank_batch_withdrawn_total").increment(1);
-                self.push(task);
-            }
-            End::Stopped | End::Lost => self.give_back(&task),
-            End::NotDispatched => self.rest(task),
-            End::Failed(error) => self.failed(task, error),
-        }
-    }
-
-    fn failed(&mut self, mut task: Box<Task>, error: Error) {
-        if error.ran != Ran::No {
-            task.attempts += 1;
-            task.failures += 1;
-            task.losses += u16::from(retry::lost(&error));
-        }
-        let refused = matches!(error.kind, Kind::Rejected { .. } | Kind::Crossed(_));
-        if refused && task.kept.tokens > 0 {
-            // The engine may not take up where another one left off.
-            task.kept = Kept::default();
-            self.rest(task);
-            return;
-        }
-        let past = Past {
-            repeatable: task.repeatable,
-            failures: task.failures,
-            limit: task.service.attempts,
-            hopeless: task.hopeless(),
-        };
-        match retry::decide(&error, past) {
-            Verdict::Again => self.rest(task),
-            Verdict::End(outcome) => self.complete(&task, outcome),
-        }
-    }
-
-    fn complete(&self, task: &Task, outcome: Outcome) {
-        let completion = Completion {
-            item: task.key.item,
-            attempts: task.attempts,
-            outcome,
-        };
-        let key = task.key;
-        self.report(Report::Ended { key, completion });
-    }
-
-    /// Tries again after a pause.
-    fn rest(&mut self, mut task: Box<Task>) {
-        task.tries += 1;
-        let spread = rand::random_range(0.5..1.0);
-        let pause = retry::backoff(task.tries).mul_f64(spread);
-        self.work.spawn(async move {
-            time::sleep(pause).await;
-            Done::Rested(task)
-        });
-    }
-}
-
-fn too_large(size: usize) -> Outcome {
-    Outcome::Failed {
-        code: Code::TooLarge,
-        ran: Ran::Yes,
-        message: format!("the answer of {size} bytes is over the limit of {MAX_ANSWER_BYTES}"),
-    }
-}
-
-/// How long until a time; zero when it has passed.
-fn until(at: SystemTime) -> Duration {
-    at.duration_since(SystemTime::now()).unwrap_or_default()
 }
--- a/crates/tinbank-batch/src/runner/task.rs
+++ b/crates/tinbank-batch/src/runner/task.rs
@@ -70,6 +70,8 @@
     pub losses: u16,
     /// How many tries in a row ended without an answer, those that did not run included.
     pub tries: u32,
+    /// The request of its latest attempt.
+    pub request: Option<id::Request>,
     /// Tokens received so far.
     pub kept: Kept,
     /// Whether the item is still to be run here.
--- a/crates/tinbank-batch/src/service.rs
+++ b/crates/tinbank-batch/src/service.rs
@@ -116,6 +116,7 @@
         let edge = Edge {
             upstreams: edges.upstreams,
             reports,
+            recorder: edges.recorder.clone(),
         };
         let pool = {
             let _traffic = traffic.enter();
--- a/crates/tinbank-cli/tests/story.rs
+++ b/crates/tinbank-cli/tests/story.rs
@@ -186,7 +186,7 @@
 
     let events = names(&timeline);
     assert_in_order(&events, &["committed", "accepted"]);
-    assert_in_order(&events, &["committed", "completed"]);
+    assert_in_order(&events, &["committed", "routed", "completed"]);
     assert_eq!(timeline["gaps"], serde_json::json!([]));
     let page = std::fs::read_to_string(page).expect("the page was written");
     assert_eq!(page.matches("<circle").count(), events.len());
