Results too large for one record are carried forward one envelope at a time

Cause: a Carried record holds all results of its chunk; over 960 KiB the append was refused, and the results ended with the log's retention. Change: over 256 KiB of answers the completions of each envelope are appended as Moved, which names the envelope that it stands for, and Carried then takes the bodies alone. The fold replaces the one offset by the other and drops a copy of an envelope that it doesn't read from. Shown: faults.rs results_too_large_for_one_record_outlive_the_records_that_held_them (100 answers of 32 KiB): without the split 'never: what is old is carried forward'. The interleavings of tinbank-ledger carry every second chunk so; with a fold that doesn't move the offset every_item_ends_once_as_in_the_naive_model turns red.

--- a/crates/tinbank-base/src/record/work.rs
+++ b/crates/tinbank-base/src/record/work.rs
@@ -193,6 +193,8 @@
     Checkpoint(Checkpoint),
     /// A chunk and the ends of its items, written again before retention takes the older records.
     Carried(Carried),
+    /// Ends of a chunk's items, written again by themselves because they are too large to go with the chunk.
+    Moved(Moved),
 }
 
 /// A chunk carried forward: the bodies of its items that are still pending, and the completions that counted
@@ -207,6 +209,17 @@
     pub completions: Vec<Completion>,
 }
 
+/// The completions that counted of one envelope, carried forward. It moves them, and changes no item's state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Moved {
+    /// The chunk's intake.
+    pub intake: u64,
+    /// Offset of the envelope that they stood in.
+    pub from: id::Offset,
+    /// The completions.
+    pub completed: Completed,
+}
+
 /// Part of a shard's state, encoded by `tinbank-ledger`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Checkpoint {
--- a/crates/tinbank-batch/src/owner/upkeep.rs
+++ b/crates/tinbank-batch/src/owner/upkeep.rs
@@ -9,7 +9,7 @@
 use tinbank_base::{
     id,
     platform::log::{Log, Stream},
-    record::work,
+    record::{Envelope, work},
 };
 use tinbank_ledger::{checkpoint, chunk::Chunk, result, retention::Marks, shard::Carry};
 use tinbank_log::writer::Writer;
@@ -24,6 +24,8 @@
 const CHUNKS_AT_ONCE: usize = 16;
 /// Largest part of a checkpoint, in bytes.
 const PART_BYTES: usize = 256 << 10;
+/// Most bytes of results that go into one record with their chunk, whose bodies take a few hundred KiB at most.
+const RESULT_BYTES: usize = 256 << 10;
 /// In how many parts the retention is divided: what is older than half of it is carried, and it is looked for this often.
 const LOOKS: u32 = 40;
 /// Shortest time between two looks.
@@ -168,8 +170,9 @@
         let stream = Stream::Work(self.shard);
         let mut last = self.through;
         for carried in &self.carried {
-            let record = self.record(&*log, carried).await?;
-            last = append(&writer, stream, record).await?;
+            for record in self.records(&*log, carried).await? {
+                last = append(&writer, stream, record).await?;
+            }
         }
         for part in self.checkpoint {
             last = append(&writer, stream, part).await?;
@@ -177,7 +180,8 @@
         Ok(last)
     }
 
-    async fn record(&self, log: &dyn Log, carried: &Carried) -> Result<work::Record, String> {
+    /// A chunk whose results are large is carried in several records, the one with its bodies last.
+    async fn records(&self, log: &dyn Log, carried: &Carried) -> Result<Vec<work::Record>, String> {
         let chunk = &carried.chunk;
         let body = read_chunk(log, self.shard, chunk.place()).await?;
         let mut results = Vec::with_capacity(chunk.results().len());
@@ -190,7 +194,14 @@
             cancelled: carried.cancelled,
             chunk,
         };
-        Ok(result::carried(&carry, &body, &results, self.through))
+        let bytes: usize = results.iter().map(answers).sum();
+        if bytes <= RESULT_BYTES {
+            return Ok(vec![result::carried(&carry, &body, &results, self.through)]);
+        }
+        let moved = chunk.results().iter().zip(&results);
+        let moved = moved.map(|(from, result)| result::moved(&carry, *from, result));
+        let bodies = result::carried(&carry, &body, [], self.through);
+        Ok(moved.chain([bodies]).collect())
     }
 }
 
@@ -202,3 +213,19 @@
     let appended = writer.append(stream, vec![record]).await;
     appended.map_err(|error| error.to_string())
 }
+
+/// Bytes of the answers that an envelope holds; those of other chunks count as well, which only splits a little early.
+fn answers(envelope: &Envelope<work::Record>) -> usize {
+    let completions = envelope.records.iter().flat_map(|record| match record {
+        work::Record::Completed(completed) => completed.completions.as_slice(),
+        work::Record::Moved(moved) => moved.completed.completions.as_slice(),
+        work::Record::Carried(carried) => carried.completions.as_slice(),
+        _ => &[],
+    });
+    completions
+        .map(|completion| match &completion.outcome {
+            work::Outcome::Answer(answer) => answer.len(),
+            work::Outcome::Failed { message, .. } => message.len(),
+        })
+        .sum()
+}
--- a/crates/tinbank-batch/tests/faults.rs
+++ b/crates/tinbank-batch/tests/faults.rs
@@ -4,7 +4,9 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use support::{APPEND_TIMEOUT, Host, LAGGING, SHARDS, World, eventually, lines};
+use support::{
+    APPEND_TIMEOUT, Host, LAGGING, SHARDS, World, engines::LARGE, eventually, line, lines,
+};
 use tinbank_base::{
     id,
     platform::log::Stream,
@@ -188,13 +190,26 @@
 
 #[tokio::test]
 async fn results_outlive_the_records_that_held_them() {
+    results_outlive_their_records(lines(0, 300), 300).await;
+}
+
+#[tokio::test]
+async fn results_too_large_for_one_record_outlive_the_records_that_held_them() {
+    let lines: String = (0..100)
+        .map(|item| line(&format!("item-{item}"), &format!("{LARGE} {item}")))
+        .collect();
+
+    results_outlive_their_records(lines, 100).await;
+}
+
+async fn results_outlive_their_records(lines: String, items: usize) {
     let world = World {
         retention: Duration::from_secs(2),
         ..World::new()
     };
     let mut first = world.start(1);
     let caller = first.session("key-moreton");
-    let id = caller.accepted(Some("sweep"), lines(0, 300)).await;
+    let id = caller.accepted(Some("sweep"), lines.clone()).await;
     caller.until(&id, "completed").await;
     let tails: Vec<id::Offset> = (0..SHARDS).map(|shard| tail(&world, shard)).collect();
 
@@ -209,16 +224,16 @@
     let second = world.start(2);
     let caller = second.session("key-moreton");
 
-    assert_eq!(caller.status(&id).await.json()["counts"]["answered"], 300);
-    assert_eq!(answered(&caller.results(&id).await).len(), 300);
+    assert_eq!(caller.status(&id).await.json()["counts"]["answered"], items);
+    assert_eq!(answered(&caller.results(&id).await).len(), items);
     assert_eq!(
         caller
-            .submit(Some("sweep"), lines(0, 300))
+            .submit(Some("sweep"), lines.clone())
             .await
             .text("/id"),
         id
     );
-    assert_eq!(world.engines.starts(), 300);
+    assert_eq!(world.engines.starts(), items);
 }
 
 fn tail(world: &World, shard: id::Shard) -> id::Offset {
--- a/crates/tinbank-batch/tests/support/engines.rs
+++ b/crates/tinbank-batch/tests/support/engines.rs
@@ -27,6 +27,10 @@
 pub const MALFORMED: &str = "malformed";
 /// A prompt with this word is cut short the first time.
 pub const CUT_ONCE: &str = "cut once";
+/// A prompt with this word gets an answer of [`LARGE_BYTES`] more.
+pub const LARGE: &str = "large";
+/// So that the answers of some dozen items are more than one append takes.
+pub const LARGE_BYTES: usize = 32 << 10;
 
 #[derive(Clone, Debug)]
 pub struct Engines {
@@ -100,7 +104,13 @@
             let message = "no such prompt".to_owned();
             return Err(error(Ran::No, Kind::Rejected { status, message }));
         }
-        let tokens = ["noted: ", prompt.as_str()];
+        let more = if prompt.contains(LARGE) {
+            LARGE_BYTES
+        } else {
+            0
+        };
+        let noted = format!("{prompt}{}", ".".repeat(more));
+        let tokens = ["noted: ", noted.as_str()];
         let cut = prompt.contains(POISON) || (prompt.contains(CUT_ONCE) && run == 1);
         let all = tokens.iter().zip(0..).map(|(text, index)| Part::Token {
             index,
--- a/crates/tinbank-ledger/src/chunk.rs
+++ b/crates/tinbank-ledger/src/chunk.rs
@@ -139,6 +139,17 @@
         }
         true
     }
+
+    /// Moves the results of one envelope to another; `false` if none are read from there.
+    pub(crate) fn move_results(&mut self, from: id::Offset, to: id::Offset) -> bool {
+        let results = self.progress.iter_mut();
+        let mut results = results.flat_map(|progress| &mut progress.results);
+        let Some(place) = results.find(|result| **result == from) else {
+            return false;
+        };
+        *place = to;
+        true
+    }
 }
 
 fn position(index: id::Item) -> (usize, u64) {
--- a/crates/tinbank-ledger/src/result.rs
+++ b/crates/tinbank-ledger/src/result.rs
@@ -60,7 +60,8 @@
 
 /// The record that carries a chunk forward. `through` is the last offset of the fold that `carry` was asked of.
 ///
-/// Items that are not to be run any more keep their name only.
+/// Items that are not to be run any more keep their name only. Without `results` the record moves the bodies alone; what
+/// holds results has then to be moved first, each by [`moved`].
 pub fn carried<'a>(
     carry: &Carry<'_>,
     body: &work::Chunk,
@@ -70,8 +71,8 @@
     let chunk = carry.chunk;
     let completions = completions(carry.job, chunk, results);
     let mut items = body.items.clone();
-    for (item, completion) in items.iter_mut().zip(&completions) {
-        if completion.is_some() || carry.cancelled {
+    for (number, item) in (chunk.first..).zip(&mut items) {
+        if chunk.ended(number) || carry.cancelled {
             item.body = bytes::Bytes::new();
         }
     }
@@ -88,11 +89,35 @@
     })
 }
 
+/// The record that carries forward what the envelope at `from`, one of [`Chunk::results`], holds of a chunk's completions.
+pub fn moved(
+    carry: &Carry<'_>,
+    from: id::Offset,
+    envelope: &Envelope<work::Record>,
+) -> work::Record {
+    let chunk = carry.chunk;
+    let completions = completions(carry.job, chunk, [envelope]);
+    work::Record::Moved(work::Moved {
+        intake: carry.intake,
+        from,
+        completed: work::Completed {
+            job: carry.job,
+            chunk: chunk.chunk,
+            completions: completions.into_iter().flatten().collect(),
+        },
+    })
+}
+
 fn of_chunk(record: &work::Record, job: id::Job, chunk: id::Chunk) -> &[work::Completion] {
     match record {
         work::Record::Completed(completed) if completed.job == job && completed.chunk == chunk => {
             &completed.completions
         }
+        work::Record::Moved(moved)
+            if moved.completed.job == job && moved.completed.chunk == chunk =>
+        {
+            &moved.completed.completions
+        }
         work::Record::Carried(carried)
             if carried.chunk.job == job && carried.chunk.chunk == chunk =>
         {
--- a/crates/tinbank-ledger/src/shard/fold.rs
+++ b/crates/tinbank-ledger/src/shard/fold.rs
@@ -73,6 +73,7 @@
             }
             work::Record::Checkpoint(part) => self.checkpoint_part(place.offset, writer, part),
             work::Record::Carried(carried) => self.carried(place, carried, changes),
+            work::Record::Moved(moved) => self.moved(place, moved, changes),
         }
     }
 
--- a/crates/tinbank-ledger/src/shard/items.rs
+++ b/crates/tinbank-ledger/src/shard/items.rs
@@ -93,4 +93,13 @@
             changes.push(Change::Carried { job, chunk: number });
         }
     }
+
+    pub(super) fn moved(&mut self, place: Place, moved: &work::Moved, changes: &mut Changes) {
+        let (job, number) = (moved.completed.job, moved.completed.chunk);
+        let work = self.works.get_mut(&job);
+        let chunk = work.and_then(|work| work.carried(moved.intake, number));
+        if chunk.is_some_and(|chunk| chunk.move_results(moved.from, place.offset)) {
+            changes.push(Change::Carried { job, chunk: number });
+        }
+    }
 }
--- a/crates/tinbank-ledger/tests/ledger/world.rs
+++ b/crates/tinbank-ledger/tests/ledger/world.rs
@@ -275,20 +275,28 @@
             return;
         }
         let through = fold.next() - 1;
-        let carried: Vec<_> = fold
+        let carried: Vec<Vec<_>> = fold
             .to_carry(fold.next())
             .filter_map(|carry| {
                 let body =
                     result::chunk_at(log.get(carry.chunk.place().offset)?, carry.chunk.place())?;
                 let results = envelopes(log, carry.chunk)?;
-                Some(result::carried(&carry, body, results, through))
+                // As for results that are too large for one record.
+                if carry.chunk.chunk % 2 == 1 {
+                    let moved = carry.chunk.results().iter().zip(results);
+                    let moved = moved.map(|(from, result)| result::moved(&carry, *from, result));
+                    let bodies = result::carried(&carry, body, [], through);
+                    return Some(moved.chain([bodies]).collect());
+                }
+                Some(vec![result::carried(&carry, body, results, through)])
             })
             .collect();
+        let carried = carried.into_iter().flatten();
         let parts: Vec<_> = checkpoint::records(fold, CHECKPOINT_BYTES)
             .into_iter()
             .take(parts)
             .collect();
-        for record in carried.into_iter().chain(parts) {
+        for record in carried.chain(parts) {
             self.append(host, shard, vec![record]);
         }
     }
