--- a/crates/tinbank-cli/src/command/batch/results.rs
+++ b/crates/tinbank-cli/src/command/batch/results.rs
@@ -6,6 +6,7 @@
 use http::Response;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
+use tinbank_base::cause;
 use tokio::{fs::File, io::AsyncWriteExt as _, time};
 
 use super::job_path;
@@ -14,7 +15,7 @@
     error::Error,
     exit::Exit,
     output::Output,
-    server::{Ask, chain, escape},
+    server::{Ask, escape},
 };
 
 /// Longest silence in the midst of the results.
@@ -110,7 +111,7 @@
                     sink.write(&bytes).await?;
                 }
             }
-            Ok(Some(Err(error))) => return Err(cut(&chain(&error))),
+            Ok(Some(Err(error))) => return Err(cut(&cause::chain(&error))),
             Err(_) => return Err(cut("no more came")),
         }
     }
--- a/crates/tinbank-cli/src/command/chat.rs
+++ b/crates/tinbank-cli/src/command/chat.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
-use tinbank_base::outcome::Failure;
+use tinbank_base::{cause, outcome::Failure};
 use tinbank_server::{caller, client};
 use tokio::time;
 
@@ -20,7 +20,7 @@
     exit::Exit,
     object,
     output::Output,
-    server::{Ask, Broken, Server, chain, good, unreachable},
+    server::{Ask, Broken, Server, good, unreachable},
     sse, when,
 };
 
@@ -212,7 +212,7 @@
             let frame = time::timeout_at(until.into(), body.frame()).await;
             let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => return Err(cut(&chain(&error))),
+                Ok(Some(Err(error))) => return Err(cut(&cause::chain(&error))),
                 Ok(None) => return Err(cut("the stream ended without its end marker")),
                 Err(_) => return Err(cut("the time is up")),
             };
--- a/crates/tinbank-cli/src/server.rs
+++ b/crates/tinbank-cli/src/server.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
-use tinbank_base::outcome::Failure;
+use tinbank_base::{cause, outcome::Failure};
 use tinbank_server::client::{self, Body, Client};
 use tokio::time;
 
@@ -112,7 +112,7 @@
         match time::timeout_at(until.into(), self.client.request(request)).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) if error.is_connect() => Err(Broken::Connect(root(&error))),
-            Ok(Err(error)) => Err(Broken::Lost(chain(&error))),
+            Ok(Err(error)) => Err(Broken::Lost(cause::chain(&error))),
             Err(_) => Err(Broken::Lost("no answer in time".to_owned())),
         }
     }
@@ -224,17 +224,6 @@
     }
 }
 
-/// An error with its causes, since hyper's own text leaves them out.
-pub(crate) fn chain(error: &dyn error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text.push_str(&format!(": {cause}"));
-        source = cause.source();
-    }
-    text
-}
-
 /// The cause behind all causes: what the system says of a connection.
 fn root(error: &dyn error::Error) -> String {
     let mut root = error;
--- a/crates/tinbank-cli/tests/configuration.rs
+++ b/crates/tinbank-cli/tests/configuration.rs
@@ -39,21 +39,9 @@
 async fn of_two_operators_who_race_one_wins_and_the_other_is_told_by_whom() {
     let (world, _standin) = published().await;
 
-    let (ann, bob) = tokio::join!(
-        world.run("ann", "customer put --base 1 moreton-basin customer.jsonc"),
-        world.run("bob", "customer put --base 1 moreton-basin customer.jsonc"),
-    );
+    let line = "customer put --base 1 moreton-basin customer.jsonc";
+    world.race(line).await;
 
-    let (winner, loser) = match ann.exit {
-        Exit::Done => ("ann", bob),
-        _ => ("bob", ann),
-    };
-    assert_eq!(loser.exit, Exit::Overtaken, "{}", loser.err);
-    assert!(
-        loser.err.contains(&format!("overtaken by {winner}")),
-        "{}",
-        loser.err
-    );
     let history = world
         .run("bob", "config history --json --customer moreton-basin")
         .await;
--- a/crates/tinbank-cli/tests/operate.rs
+++ b/crates/tinbank-cli/tests/operate.rs
@@ -51,15 +51,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drained_host_ends_and_the_last_one_is_kept() {
     let mut deployment = start(2).await;
-    let host = deployment.hosts.pop().expect("there are two");
-    let stop = async {
-        tokio::join!(host.online.drained(), host.batch.drained());
-        // What the programs do when they see it.
-        tokio::join!(host.online.stop(), host.batch.stop());
-    };
-    let world = &deployment.world;
 
-    let (drained, ()) = tokio::join!(world.run("ann", "drain host 2 --wait"), stop);
+    let drained = deployment.drain_second_host().await;
+    let world = &deployment.world;
     let last = world.run("ann", "drain host 1").await;
     let unknown = world.run("ann", "drain host 77").await;
 
--- a/crates/tinbank-cli/tests/story.rs
+++ b/crates/tinbank-cli/tests/story.rs
@@ -52,18 +52,7 @@
         shown["revision"]
     );
 
-    let (ann, bob) = tokio::join!(world.run("ann", &line), world.run("bob", &line));
-
-    let (winner, loser) = match ann.exit {
-        Exit::Done => ("ann", bob),
-        _ => ("bob", ann),
-    };
-    assert_eq!(loser.exit, Exit::Overtaken, "{}", loser.err);
-    assert!(
-        loser.err.contains(&format!("overtaken by {winner}")),
-        "{}",
-        loser.err
-    );
+    world.race(&line).await;
 }
 
 async fn in_force_everywhere(deployment: &Deployment) {
@@ -161,16 +150,9 @@
 }
 
 async fn drain(deployment: &mut Deployment) {
-    let host = deployment.hosts.pop().expect("there are two");
-    let stop = async {
-        tokio::join!(host.online.drained(), host.batch.drained());
-        // What the programs do when they see it.
-        tokio::join!(host.online.stop(), host.batch.stop());
-    };
-    let world = &deployment.world;
-
-    let (drained, ()) = tokio::join!(world.run("ann", "drain host 2 --wait"), stop);
+    let drained = deployment.drain_second_host().await;
 
+    let world = &deployment.world;
     assert!(drained.done().contains("host 2: to be drained"));
     let last = world.run("ann", "drain host 1").await;
     assert_eq!(last.exit, Exit::Refused, "{}", last.err);
--- a/crates/tinbank-cli/tests/world/deployment.rs
+++ b/crates/tinbank-cli/tests/world/deployment.rs
@@ -13,7 +13,7 @@
 use tinbank_settings::common::Common;
 use tinbank_standin::{Settings, Standin, engine, hosts, log, plain, weights};
 
-use super::{Addresses, World};
+use super::{Addresses, Ran, World};
 
 /// The key of the example customer.
 pub const KEY: &str = "wa-example-key";
@@ -82,6 +82,18 @@
         }
     }
 
+    /// Drains the second of two hosts; its servers do what the programs do when they see it.
+    pub async fn drain_second_host(&mut self) -> Ran {
+        let host = self.hosts.pop().expect("there are two");
+        let stop = async {
+            tokio::join!(host.online.drained(), host.batch.drained());
+            tokio::join!(host.online.stop(), host.batch.stop());
+        };
+        let drain = self.world.run("ann", "drain host 2 --wait");
+        let (drained, ()) = tokio::join!(drain, stop);
+        drained
+    }
+
     async fn start_host(&mut self, host: id::Host) {
         let common = self.common(host);
         let online = tinbank_online::Settings {
--- a/crates/tinbank-cli/tests/world/mod.rs
+++ b/crates/tinbank-cli/tests/world/mod.rs
@@ -66,6 +66,22 @@
         self.file(author, &settings.to_string());
     }
 
+    /// Lets ann and bob run the same change at once: one wins, and the other is told by whom it was overtaken.
+    pub async fn race(&self, line: &str) {
+        let (ann, bob) = tokio::join!(self.run("ann", line), self.run("bob", line));
+
+        let (winner, loser) = match ann.exit {
+            Exit::Done => ("ann", bob),
+            _ => ("bob", ann),
+        };
+        assert_eq!(loser.exit, Exit::Overtaken, "{}", loser.err);
+        assert!(
+            loser.err.contains(&format!("overtaken by {winner}")),
+            "{}",
+            loser.err
+        );
+    }
+
     /// Writes a file.
     pub fn file(&self, name: &str, text: &str) {
         fs::write(self.path(name), text).expect("the directory is ours");
--- a/crates/tinbank-log/src/group/mod.rs
+++ b/crates/tinbank-log/src/group/mod.rs
@@ -33,6 +33,13 @@
     streams: BTreeMap<Stream, Queue>,
 }
 
+/// A stream that has an envelope to send now.
+struct Due {
+    stream: Stream,
+    priority: Priority,
+    deadline: Option<Instant>,
+}
+
 impl Group {
     /// An empty group for a process that shares the budget with `writers` in all.
     pub fn new(settings: Settings, writers: usize, now: Instant) -> Self {
@@ -135,14 +142,21 @@
             return;
         }
         self.paused_until = None;
-        let mut due: Vec<(Stream, Priority, Option<Instant>)> = self
+        let mut due: Vec<Due> = self
             .streams
             .iter()
             .filter(|(_, queue)| queue.sendable() && queue.retry_at.is_none_or(|at| at <= now))
-            .map(|(stream, queue)| (*stream, queue.priority(), queue.next_deadline()))
+            .map(|(stream, queue)| Due {
+                stream: *stream,
+                priority: queue.priority(),
+                deadline: queue.next_deadline(),
+            })
             .collect();
-        due.sort_by_key(|(_, priority, deadline)| (Reverse(*priority), *deadline));
-        for (stream, priority, _) in due {
+        due.sort_by_key(|due| (Reverse(due.priority), due.deadline));
+        for Due {
+            stream, priority, ..
+        } in due
+        {
             if !self.budget.take(priority, now) {
                 continue;
             }
--- a/crates/tinbank-peer/src/endpoint.rs
+++ b/crates/tinbank-peer/src/endpoint.rs
@@ -119,24 +119,32 @@
     }
 }
 
+impl Settings {
+    /// Frames are signed, and signed for one address.
+    fn check(&self) -> Result<(), Error> {
+        if self.address.ip().is_unspecified() {
+            return Err(Error::Unspecified(self.address));
+        }
+        if self.keys.is_empty() {
+            return Err(Error::NoKey);
+        }
+        Ok(())
+    }
+}
+
 impl Endpoint {
     /// Binds both protocols and starts to receive. Requests wait until [`Endpoint::serve`] says who answers them.
     ///
     /// # Errors
     /// When the address is unspecified or taken, or there is no key.
     pub async fn bind(settings: Settings) -> Result<Self, Error> {
+        settings.check()?;
         let Settings {
             address,
             writer,
             keys,
             clock,
         } = settings;
-        if address.ip().is_unspecified() {
-            return Err(Error::Unspecified(address));
-        }
-        if keys.is_empty() {
-            return Err(Error::NoKey);
-        }
         let (tcp, udp) = open(address)
             .await
             .map_err(|source| Error::Bind { address, source })?;
--- a/crates/tinbank-platform/src/client.rs
+++ b/crates/tinbank-platform/src/client.rs
@@ -13,6 +13,7 @@
     client::legacy::{self, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
+use tinbank_base::cause::chain;
 
 use crate::wire;
 
@@ -152,14 +153,3 @@
 fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
-
-/// An error with its causes, since hyper's own text leaves them out.
-fn chain(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text.push_str(&format!(": {cause}"));
-        source = cause.source();
-    }
-    text
-}
--- a/crates/tinbank-platform/tests/support/mod.rs
+++ b/crates/tinbank-platform/tests/support/mod.rs
@@ -16,7 +16,10 @@
         weights::Artifact,
     },
 };
-use tinbank_standin::{Settings, Standin, engine, hosts, log, plain, service::Service, weights};
+use tinbank_platform::upstream::Http;
+use tinbank_standin::{
+    Settings, Standin, account::Run, engine, hosts, log, plain, service::Service, weights,
+};
 
 /// Bounds every wait of a test.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -56,6 +59,35 @@
         .expect("ports are chosen by the system")
 }
 
+pub async fn fixture() -> (Standin, Http, Target) {
+    let standin = start(settings()).await;
+    let engine = target(&standin.engines()[0]);
+    (standin, Http::new(), engine)
+}
+
+/// An engine whose answers take half a second, so that they are still going on when cut short.
+pub async fn slow_fixture() -> (Standin, Http, Target) {
+    let mut slow = engine(1);
+    slow.base_step = Duration::from_millis(25);
+    let standin = start(Settings {
+        engines: vec![slow],
+        ..Settings::default()
+    })
+    .await;
+    let engine = target(&standin.engines()[0]);
+    (standin, Http::new(), engine)
+}
+
+pub fn runs(standin: &Standin) -> Vec<Run> {
+    standin.engines()[0].account.runs()
+}
+
+pub fn marked(marker: &str) -> Value {
+    let mut body = prompt(marker);
+    body["standin"] = json!(marker);
+    body
+}
+
 pub fn target(service: &Service) -> Target {
     Target {
         upstream: 1,
--- a/crates/tinbank-standin/src/settings/schema.rs
+++ b/crates/tinbank-standin/src/settings/schema.rs
@@ -95,17 +95,8 @@
 }
 
 fn engine() -> Vec<Field> {
-    vec![
-        Field::required("upstream", Kind::count(0, MOST), "Its number on the list."),
-        Field::optional("name", Kind::Text, "Its name; else engine- and its number."),
-        Field::default("pools", pools(), "[]", "Pools that it belongs to."),
-        address("address", "Where it listens."),
-        Field::default(
-            "failure_domain",
-            Kind::Text,
-            "\"local\"",
-            "Where it stands.",
-        ),
+    let mut fields = upstream("Its name; else engine- and its number.");
+    fields.extend([
         flag("checks_fence", "Whether it refuses stale orders."),
         count("slots", "8", "Sequences that it runs at once."),
         flag("lists_slots", "Whether the host list tells its slots."),
@@ -131,13 +122,21 @@
         tables("loaded", artifact(), "What is loaded at the start."),
         millis("load_ms", "2000", "Time that loading one artifact takes."),
         seed(),
-    ]
+    ]);
+    fields
 }
 
 fn plain() -> Vec<Field> {
+    let mut fields = upstream("Its name; else plain- and its number.");
+    fields.extend([millis("call_ms", "5", "Time that a call takes."), seed()]);
+    fields
+}
+
+/// What all upstreams have.
+fn upstream(name: &'static str) -> Vec<Field> {
     vec![
         Field::required("upstream", Kind::count(0, MOST), "Its number on the list."),
-        Field::optional("name", Kind::Text, "Its name; else plain- and its number."),
+        Field::optional("name", Kind::Text, name),
         Field::default("pools", pools(), "[]", "Pools that it belongs to."),
         address("address", "Where it listens."),
         Field::default(
@@ -146,8 +145,6 @@
             "\"local\"",
             "Where it stands.",
         ),
-        millis("call_ms", "5", "Time that a call takes."),
-        seed(),
     ]
 }
 
