--- a/crates/tinbank-membership/tests/network/mod.rs
+++ b/crates/tinbank-membership/tests/network/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "not every test file uses all of it")]
 
+mod flight;
+mod place;
+
 use std::{
     collections::{BTreeMap, BTreeSet, BinaryHeap},
     net::SocketAddr,
@@ -18,42 +21,17 @@
         datagram::{Key, seal},
         heartbeat::{Health, Heartbeat, Phase},
     },
-    id::{Process, Role},
+    id::Process,
     peer::Members,
     platform::hosts,
     record::Writer,
 };
 use tinbank_membership::state::{Action, Event, Own, State, TICK};
 
-pub const DOMAINS: [&str; 3] = ["brisbane-north", "logan", "ipswich"];
-const ROLES: [Role; 3] = [Role::Online, Role::Batch, Role::Fleet];
-const LATENCY: Duration = Duration::from_millis(1);
-
-pub fn address(process: Process) -> SocketAddr {
-    let [.., a, b] = process.host.to_be_bytes();
-    let port = 7_000 + process.role as u16;
-    SocketAddr::from(([10, 0, a, b], port))
-}
-
-pub fn domain(process: Process) -> usize {
-    process.host as usize % DOMAINS.len()
-}
-
-pub fn listed(process: Process) -> hosts::Member {
-    hosts::Member {
-        process,
-        peer: address(process),
-        http: address(process),
-        failure_domain: DOMAINS[domain(process)].into(),
-        state: hosts::State::Live,
-    }
-}
+use self::flight::Flight;
+pub use self::place::{DOMAINS, address, domain, listed, processes};
 
-pub fn processes(hosts: u32) -> Vec<Process> {
-    (1..=hosts)
-        .flat_map(|host| ROLES.map(|role| Process { host, role }))
-        .collect()
-}
+const LATENCY: Duration = Duration::from_millis(1);
 
 struct Member {
     state: State,
@@ -63,34 +41,6 @@
     sequence: u64,
 }
 
-struct Flight {
-    at: Instant,
-    number: u64,
-    from: Writer,
-    to: SocketAddr,
-    heartbeat: Heartbeat,
-}
-
-impl PartialEq for Flight {
-    fn eq(&self, other: &Self) -> bool {
-        self.number == other.number
-    }
-}
-
-impl Eq for Flight {}
-
-impl PartialOrd for Flight {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Flight {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (other.at, other.number).cmp(&(self.at, self.number))
-    }
-}
-
 pub struct Network {
     pub now: Instant,
     pub start: Instant,
--- a/crates/tinbank-process/src/core.rs
+++ b/crates/tinbank-process/src/core.rs
@@ -84,6 +84,14 @@
     ))
 }
 
+/// The time line of a start of a process, which it begins.
+fn record(process: id::Process) -> Recorder {
+    let recorder = Recorder::new(process, DEFAULT_CAPACITY)
+        .with_incarnation(clock::incarnation(SystemTime::now()));
+    recorder.note(Subject::default(), Kind::Started);
+    recorder
+}
+
 /// What a process and its handlers share.
 #[derive(Debug)]
 pub struct Core {
@@ -126,13 +134,11 @@
             host: common.host,
             role,
         };
-        let recorder = Recorder::new(process, DEFAULT_CAPACITY)
-            .with_incarnation(clock::incarnation(SystemTime::now()));
+        let recorder = record(process);
         let writer = Writer {
             process,
             incarnation: recorder.incarnation(),
         };
-        recorder.note(Subject::default(), Kind::Started);
         let endpoint = Endpoint::bind(tinbank_peer::Settings {
             address: common.peer,
             writer,
