Compare ways of sharing engines with tinbank-load: arms side by side, in one run

Cause: how batch harms the online tail, and what it reaches of the idle capacity, was not measured. Change: tinbank-load compare runs online alone, naive, static and credits as whole deployments with the same servers and the same seeded arrivals, with faults switched on in the middle; tinbank-batch gets the gate `static` and the setting burst_headroom_percent; the demo's deployment building takes the gate as a setting.

--- a/crates/tinbank-batch/src/runner/mod.rs
+++ b/crates/tinbank-batch/src/runner/mod.rs
@@ -3,6 +3,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod lanes;
+pub mod partition;
 pub mod pool;
 pub mod quota;
 pub mod retry;
--- a/crates/tinbank-batch/src/runner/room.rs
+++ b/crates/tinbank-batch/src/runner/room.rs
@@ -40,11 +40,12 @@
     }
 }
 
-impl Gate for Room {
-    fn enter(&self, upstream: id::Upstream, _customer: &str, _now: Instant) -> Option<Pass> {
+impl Room {
+    /// Lets a request in if there are fewer than `limit` in the upstream.
+    pub(super) fn enter_within(&self, upstream: id::Upstream, limit: u32) -> Option<Pass> {
         let mut inside = self.shared.lock();
         let count = inside.entry(upstream).or_default();
-        if *count >= self.limit {
+        if *count >= limit {
             return None;
         }
         *count += 1;
@@ -60,6 +61,12 @@
             guard: Box::new(guard),
         })
     }
+}
+
+impl Gate for Room {
+    fn enter(&self, upstream: id::Upstream, _customer: &str, _now: Instant) -> Option<Pass> {
+        self.enter_within(upstream, self.limit)
+    }
 
     fn wish(&self, _: id::Upstream, _: &str, _: u16, _: Instant, _: Instant) {}
 }
--- a/crates/tinbank-batch/src/server.rs
+++ b/crates/tinbank-batch/src/server.rs
@@ -9,6 +9,7 @@
 use tinbank_admission::{Gate, Service as AdmissionService};
 use tinbank_base::{id, record::Writer};
 use tinbank_log::{budget, group, writer};
+use tinbank_peer::Endpoint;
 use tinbank_process::{Core, Error, Platform, Runtimes};
 use tinbank_routing::Table;
 use tinbank_server::{http::Listen, threads::Handles};
@@ -19,7 +20,7 @@
     control,
     intake::Limits,
     owner::answer::Credits,
-    runner::room::Room,
+    runner::{partition::Partition, room::Room},
     service::{Edges, Service},
     settings::{Admission, Settings},
 };
@@ -102,6 +103,11 @@
         self.core.drained().await;
     }
 
+    /// Its frames to and from other processes.
+    pub fn endpoint(&self) -> &Endpoint {
+        &self.core.endpoint
+    }
+
     /// Its time line.
     pub fn recorder(&self) -> &Recorder {
         &self.core.recorder
@@ -134,7 +140,9 @@
     let core = Core::start(common, id::Role::Batch, platform).await?;
     let table = Table::new(common.failure_domain.clone(), Instant::now());
     let admission = AdmissionService::start(
-        tinbank_admission::Settings::default(),
+        tinbank_admission::Settings {
+            lean: settings.burst_headroom_percent,
+        },
         core.writer,
         core.peers(),
         core.clone(),
@@ -169,6 +177,12 @@
     let gate: Arc<dyn Gate> = match settings.admission {
         Admission::Credits => Arc::new(admission.clone()),
         Admission::Bounded => Arc::new(Room::new(settings.items_per_upstream)),
+        Admission::Static => Arc::new(Partition::new(
+            core.writer.process,
+            core.clone(),
+            core.hosts(),
+            settings.slots_for_online,
+        )),
     };
     let credits: Arc<dyn Credits> = Arc::new(admission.clone());
     Edges {
--- a/crates/tinbank-batch/src/settings.rs
+++ b/crates/tinbank-batch/src/settings.rs
@@ -31,6 +31,11 @@
     pub items_at_once: usize,
     /// What lets items into engines.
     pub admission: Admission,
+    /// Slots of each engine that batch never takes, where `admission` is `static`.
+    pub slots_for_online: u16,
+    /// Part of the largest burst seen lately that stays free in each engine, in per cent, where `admission` is
+    /// `credits`. Less leans to batch throughput, more to the online tail.
+    pub burst_headroom_percent: u16,
     /// Items of this process in one upstream at once, where `admission` is `bounded`, and in plain services.
     pub items_per_upstream: u32,
 }
@@ -43,6 +48,8 @@
     Credits,
     /// A fixed number in each engine.
     Bounded,
+    /// A fixed part of each engine's slots, divided among the batch processes; it never gives way.
+    Static,
 }
 
 impl Default for Settings {
@@ -57,6 +64,8 @@
             log_retention_s: 24 * 3_600,
             items_at_once: 256,
             admission: Admission::Bounded,
+            slots_for_online: 2,
+            burst_headroom_percent: 100,
             items_per_upstream: 4,
         }
     }
@@ -129,9 +138,23 @@
             ),
             Field::default(
                 "admission",
-                Kind::Choice(&["credits", "bounded"]),
+                Kind::Choice(&["credits", "bounded", "static"]),
                 "\"bounded\"",
-                "What lets items into engines: credits of the admission controllers, or a fixed number in each engine.",
+                "What lets items into engines: credits of the admission controllers, a fixed number in each engine, or a fixed \
+                 part of its slots (`static`), which never gives way.",
+            ),
+            Field::default(
+                "slots_for_online",
+                Kind::count(0, 10_000),
+                "2",
+                "Slots of each engine that batch never takes where `admission` is `static`. The same on all hosts.",
+            ),
+            Field::default(
+                "burst_headroom_percent",
+                Kind::count(0, 400),
+                "100",
+                "Part of the largest online burst seen lately that stays free in each engine where `admission` is \
+                 `credits`, in per cent: less leans to batch throughput, more to the online tail. The same on all hosts.",
             ),
             Field::default(
                 "items_per_upstream",
--- /dev/null
+++ b/crates/tinbank-batch/tests/partition.rs
@@ -0,0 +1,21 @@
+//! The fixed division of an engine's slots.
+
+use tinbank_batch::runner::partition::part;
+use yare::parameterized;
+
+#[parameterized(
+    fewer_slots_than_processes = { 6, 9 },
+    as_many = { 8, 8 },
+    more = { 8, 3 },
+    none = { 0, 9 },
+)]
+fn all_slots_are_dealt_out_once(slots: u32, processes: usize) {
+    let parts: Vec<_> = (0..processes)
+        .map(|rank| part(slots, processes, rank))
+        .collect();
+
+    let (least, most) = (parts.iter().min(), parts.iter().max());
+
+    assert_eq!(parts.iter().sum::<u32>(), slots);
+    assert!(most.unwrap_or(&0) - least.unwrap_or(&0) <= 1);
+}
--- a/crates/tinbank-demo/src/caller.rs
+++ b/crates/tinbank-demo/src/caller.rs
@@ -41,6 +41,10 @@
     pub text: String,
     /// Time to the first token.
     pub first: Duration,
+    /// Time between one token and the next.
+    pub gaps: Vec<Duration>,
+    /// Time to the end.
+    pub whole: Duration,
 }
 
 /// A job, as far as the demo reads it.
@@ -217,6 +221,8 @@
     text: String,
     next: u32,
     first: Option<Duration>,
+    last: Instant,
+    gaps: Vec<Duration>,
     finished: bool,
     done: bool,
 }
@@ -230,6 +236,8 @@
             text: String::new(),
             next: 0,
             first: None,
+            last: begun,
+            gaps: Vec::new(),
             finished: false,
             done: false,
         }
@@ -268,7 +276,7 @@
             return Err(Error::Wrong("a chunk without a choice".to_owned()));
         };
         if let Some(text) = choice.delta.content {
-            self.first.get_or_insert_with(|| self.begun.elapsed());
+            self.time();
             self.text.push_str(&text);
             self.next += 1;
         }
@@ -276,11 +284,22 @@
         Ok(())
     }
 
+    fn time(&mut self) {
+        let now = Instant::now();
+        match self.first {
+            None => self.first = Some(now - self.begun),
+            Some(_) => self.gaps.push(now - self.last),
+        }
+        self.last = now;
+    }
+
     fn finish(self) -> Result<Streamed, Error> {
         match (self.finished && self.done, self.first) {
             (true, Some(first)) => Ok(Streamed {
                 text: self.text,
                 first,
+                gaps: self.gaps,
+                whole: self.last - self.begun,
             }),
             _ => Err(Error::Broken(format!(
                 "it ended after {} tokens",
--- a/crates/tinbank-demo/src/entry.rs
+++ b/crates/tinbank-demo/src/entry.rs
@@ -5,10 +5,12 @@
     time::Duration,
 };
 
+use smallvec::SmallVec;
 use tinbank_base::{
     id,
     platform::hosts::{Member, State},
 };
+use tinbank_batch::settings::Admission;
 use tinbank_settings::common::Common;
 use tinbank_standin::{Standin, service::Service};
 use tokio::time::Instant;
@@ -51,6 +53,27 @@
     },
 }
 
+/// How batch items get into engines.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// What lets them in.
+    pub admission: Admission,
+    /// Slots that batch leaves alone, where admission is static.
+    pub slots_for_online: u16,
+    /// Part of a burst that stays free, where admission is by credits.
+    pub burst_headroom_percent: u16,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            admission: Admission::Bounded,
+            slots_for_online: 0,
+            burst_headroom_percent: 100,
+        }
+    }
+}
+
 /// Where the platform is.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -96,6 +119,7 @@
         example: &Example,
         standin: &Standin,
         addresses: Addresses,
+        settings: Settings,
     ) -> Result<Self, Error> {
         let mut entry = Self {
             online: Vec::new(),
@@ -105,7 +129,7 @@
         let domains = u32::try_from(deployment.failure_domains.len()).unwrap_or(u32::MAX);
         let hosts = deployment.hosts_per_domain.saturating_mul(domains);
         for host in 1..=hosts.clamp(1, MOST_HOSTS) {
-            entry.start_host(host, example, addresses).await?;
+            entry.start_host(host, example, addresses, settings).await?;
         }
         let members = entry.members(example);
         if let Some(list) = standin.list() {
@@ -120,6 +144,7 @@
         host: id::Host,
         example: &Example,
         addresses: Addresses,
+        settings: Settings,
     ) -> Result<(), Error> {
         let online = tinbank_online::Settings {
             common: self.common(host, example, addresses),
@@ -131,6 +156,9 @@
         let batch = tinbank_batch::Settings {
             common: self.common(host, example, addresses),
             items_per_upstream: ITEMS_PER_UPSTREAM,
+            admission: settings.admission,
+            slots_for_online: settings.slots_for_online,
+            burst_headroom_percent: settings.burst_headroom_percent,
             ..tinbank_batch::Settings::default()
         };
         let batch = tinbank_batch::Server::start(batch).await;
@@ -228,6 +256,39 @@
             .collect()
     }
 
+    /// Loses a host: both its processes end at once. Returns where they were reached; empty if there is no such host.
+    pub fn kill(&mut self, host: id::Host) -> SmallVec<[SocketAddr; 2]> {
+        let online = self
+            .online
+            .iter()
+            .position(|server| server.writer().process.host == host);
+        let batch = self
+            .batch
+            .iter()
+            .position(|server| server.writer().process.host == host);
+        let mut lost = SmallVec::new();
+        if let Some(online) = online {
+            let server = self.online.remove(online);
+            lost.push(server.http_address());
+            server.kill();
+        }
+        if let Some(batch) = batch {
+            let server = self.batch.remove(batch);
+            lost.push(server.http_address());
+            server.kill();
+        }
+        lost
+    }
+
+    /// Loses so many in 100 datagrams between the processes.
+    pub fn lose_datagrams(&self, percent: u8) {
+        let online = self.online.iter().map(tinbank_online::Server::endpoint);
+        let batch = self.batch.iter().map(tinbank_batch::Server::endpoint);
+        online
+            .chain(batch)
+            .for_each(|endpoint| endpoint.lose(percent));
+    }
+
     /// Stops all processes as planned.
     pub async fn stop(self) {
         let online = self.online.into_iter().map(tinbank_online::Server::stop);
--- a/crates/tinbank-demo/src/lib.rs
+++ b/crates/tinbank-demo/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Its figures come from counting results and the stand-ins' accounts, see `docs/design/demo.md`.
 
+pub mod balancer;
 pub mod caller;
 pub mod command;
 pub mod entry;
--- a/crates/tinbank-demo/src/platform.rs
+++ b/crates/tinbank-demo/src/platform.rs
@@ -60,7 +60,7 @@
 }
 
 /// Failure domains take turns.
-pub(crate) fn domain(example: &Example, index: u32) -> String {
+pub fn domain(example: &Example, index: u32) -> String {
     let domains = &example.deployment.failure_domains;
     match domains.is_empty() {
         true => "local".to_owned(),
--- a/crates/tinbank-demo/src/run.rs
+++ b/crates/tinbank-demo/src/run.rs
@@ -14,7 +14,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    entry::{self, Entry},
+    balancer::Balancer,
+    entry::{self, Entry, Settings},
     example::Example,
     platform, publish,
     summary::Summary,
@@ -26,6 +27,11 @@
 /// Time that open lots have to end after the last was handed in.
 const DRAIN: Duration = Duration::from_secs(25);
 
+/// Items in a lot.
+const LOT: usize = 60;
+/// Lots that are open at once.
+const OPEN: usize = 8;
+
 /// Time of online traffic before the first phase that is measured, so that connections are open and prefixes cached in
 /// both phases.
 const WARM_UP: Duration = Duration::from_secs(4);
@@ -70,7 +76,7 @@
     progress.step("publishing template and customer through the log");
     publish::publish(addresses.log, &example).await?;
     progress.step("starting the entry hosts");
-    let entry = Entry::start(&example, &standin, addresses).await?;
+    let entry = Entry::start(&example, &standin, addresses, Settings::default()).await?;
     let traffic = Traffic {
         example: example.clone(),
         entry: &entry,
@@ -118,23 +124,27 @@
 
 impl Traffic<'_> {
     async fn online(&self, phase: &str, lasting: Duration) -> Latency {
-        let hosts = self.entry.online();
-        traffic::run(
-            &self.example,
-            &hosts,
+        let hosts = Balancer::new(self.entry.online());
+        let seen = traffic::run(traffic::Traffic {
+            example: &self.example,
+            hosts: &hosts,
             phase,
             lasting,
-            &self.tally,
-            &self.progress,
-        )
-        .await
+            seed: traffic::SEED,
+            tally: &self.tally,
+            progress: &self.progress,
+        });
+        seen.await.first
     }
 
     async fn beside(&self, lasting: Duration) -> Result<(Latency, Swept), Error> {
         let tally: Arc<Mutex<Tally>> = Arc::default();
         let sweep = Sweep {
+            name: "sweep".to_owned(),
+            lot: LOT,
+            open: OPEN,
             example: self.example.clone(),
-            hosts: self.entry.batch(),
+            hosts: Balancer::new(self.entry.batch()),
             tally: tally.clone(),
             progress: self.progress.clone(),
         };
@@ -147,7 +157,7 @@
 }
 
 /// Adds the engines' accounts, and counts.
-fn count(tally: &Mutex<Tally>, standin: &Standin) -> Counts {
+pub fn count(tally: &Mutex<Tally>, standin: &Standin) -> Counts {
     let mut tally = tally.lock().unwrap_or_else(PoisonError::into_inner);
     for service in standin.engines().iter().chain(standin.plain()) {
         service.account.runs().iter().for_each(|run| tally.ran(run));
@@ -156,7 +166,7 @@
 }
 
 /// A body by which the engines' accounts name the request.
-pub(crate) fn with_reference(body: &Map<String, Value>, reference: &str) -> Map<String, Value> {
+pub fn with_reference(body: &Map<String, Value>, reference: &str) -> Map<String, Value> {
     let mut body = body.clone();
     body.insert("reference".to_owned(), reference.into());
     body
@@ -182,8 +192,15 @@
 /// Most notes that are shown, so that one fault does not flood the terminal.
 const MOST_NOTES: u64 = 20;
 
+impl Default for Progress {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Progress {
-    fn new() -> Self {
+    /// Nothing is done yet.
+    pub fn new() -> Self {
         let bar = ProgressBar::new_spinner();
         if let Ok(style) = ProgressStyle::with_template("{spinner} {elapsed} {prefix}: {msg}") {
             bar.set_style(style);
@@ -197,14 +214,16 @@
         }
     }
 
-    fn step(&self, what: &'static str) {
+    /// A new part begins.
+    pub fn step(&self, what: &'static str) {
         self.bar.set_prefix(what);
         if self.bar.is_hidden() {
             eprintln!("{what}");
         }
     }
 
-    fn finish(&self) {
+    /// All is done.
+    pub fn finish(&self) {
         self.bar.finish_and_clear();
     }
 
@@ -221,7 +240,7 @@
     }
 
     /// Something went wrong.
-    pub(crate) fn note(&self, text: &str) {
+    pub fn note(&self, text: &str) {
         if self.notes.fetch_add(1, Ordering::Relaxed) < MOST_NOTES {
             self.bar.suspend(|| eprintln!("{text}"));
         }
--- a/crates/tinbank-demo/src/sweep.rs
+++ b/crates/tinbank-demo/src/sweep.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::VecDeque,
-    net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -12,16 +11,13 @@
 use tokio::time::Instant;
 
 use crate::{
+    balancer::Balancer,
     caller::{Caller, Outcome},
     example::Example,
     run::{Progress, expected, with_reference},
     tally::Tally,
 };
 
-/// Items in a lot.
-const LOT: usize = 60;
-/// Lots that are open at once.
-const OPEN: usize = 8;
 /// Time between two looks at a lot.
 const LOOK: Duration = Duration::from_millis(150);
 /// Tries of handing in a lot; all carry one idempotency key.
@@ -42,10 +38,16 @@
 
 /// A sweep that goes on till told to hand in no more, and then till its lots have ended.
 pub struct Sweep {
+    /// Its name, which sets its keys and items apart from those of other sweeps.
+    pub name: String,
+    /// Items in a lot.
+    pub lot: usize,
+    /// Lots that are open at once.
+    pub open: usize,
     /// What runs.
     pub example: Arc<Example>,
     /// Where lots are handed in and read, in turn: one host takes a lot, another is asked for it.
-    pub hosts: Vec<SocketAddr>,
+    pub hosts: Balancer,
     /// Where all is counted.
     pub tally: Arc<Mutex<Tally>>,
     /// Where it is shown.
@@ -66,7 +68,7 @@
         let mut number = 0;
         let mut items = 0;
         loop {
-            let wanted = Instant::now() < until && open.len() < OPEN;
+            let wanted = Instant::now() < until && open.len() < self.open;
             if wanted {
                 open.extend(self.hand_in(&caller, number, latest).await);
                 number += 1;
@@ -80,7 +82,7 @@
                 None if Instant::now() >= latest => self.give_up(&lot),
                 None => {
                     open.push_back(lot);
-                    tokio::time::sleep(LOOK / OPEN as u32).await;
+                    tokio::time::sleep(LOOK / self.open as u32).await;
                 }
             }
         }
@@ -96,18 +98,18 @@
     async fn hand_in(&self, caller: &Caller, number: usize, latest: Instant) -> Option<Lot> {
         let mut body = String::new();
         let mut references = Vec::new();
-        for place in number * LOT..(number + 1) * LOT {
+        for place in number * self.lot..(number + 1) * self.lot {
             let item = &self.example.items[place % self.example.items.len()];
-            let reference = format!("{}-{place}", item.custom_id);
+            let reference = format!("{}-{}-{place}", self.name, item.custom_id);
             let request = with_reference(&item.body, &reference);
             references.push((reference.clone(), expected(&request)));
             let line = json!({ "custom_id": reference, "body": request });
             body.push_str(&line.to_string());
             body.push('\n');
         }
-        let key = format!("sweep-{number}");
+        let key = format!("{}-{number}", self.name);
         for attempt in 0..TRIES {
-            let host = self.hosts[(number + attempt) % self.hosts.len()];
+            let host = self.hosts.at(number + attempt);
             let submit = caller.submit(host, &self.example.service, &key, body.clone());
             let Ok(taken) = tokio::time::timeout_at(latest, submit).await else {
                 break;
@@ -129,7 +131,7 @@
 
     /// Looks at a lot through another host than took it; counts its results when it has ended.
     async fn look(&self, caller: &Caller, lot: &Lot) -> Option<u64> {
-        let host = self.hosts[(lot.number + 1) % self.hosts.len()];
+        let host = self.hosts.at(lot.number + 1);
         let job = match caller.job(host, &lot.id).await {
             Ok(job) => job,
             Err(error) => {
@@ -140,7 +142,7 @@
         if job.state != "completed" {
             return None;
         }
-        let host = self.hosts[(lot.number + 2) % self.hosts.len()];
+        let host = self.hosts.at(lot.number + 2);
         match caller.results(host, &lot.id).await {
             Ok(outcomes) => Some(self.count(&outcomes)),
             Err(error) => {
--- a/crates/tinbank-demo/src/tally.rs
+++ b/crates/tinbank-demo/src/tally.rs
@@ -82,6 +82,15 @@
         }
     }
 
+    /// How many got more than one answer: what a caller would see as doubled, however often it ran.
+    pub fn answered_twice(&self) -> u64 {
+        let twice = self
+            .asked
+            .values()
+            .filter(|asked| asked.answers + asked.failures > 1);
+        twice.count() as u64
+    }
+
     /// The counts so far.
     pub fn counts(&self) -> Counts {
         let mut counts = Counts {
--- a/crates/tinbank-demo/src/traffic.rs
+++ b/crates/tinbank-demo/src/traffic.rs
@@ -12,14 +12,15 @@
 use tokio::{task::JoinSet, time::Instant};
 
 use crate::{
-    caller::Caller,
+    balancer::Balancer,
+    caller::{Caller, Streamed},
     example::{Example, Online, Request},
     run::{Progress, expected, with_reference},
     tally::Tally,
 };
 
-/// Seed of arrivals: the same in every phase, so that phases can be compared.
-const SEED: u64 = 20_261_202;
+/// Seed of arrivals unless told otherwise: the same in every phase, so that phases can be compared.
+pub const SEED: u64 = 20_261_202;
 
 /// Time to the first token.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
@@ -36,18 +37,49 @@
     pub max_ms: f64,
 }
 
-/// Sends online traffic for a time, and waits for all answers.
-pub async fn run(
-    example: &Example,
-    hosts: &[SocketAddr],
-    phase: &str,
-    lasting: Duration,
-    tally: &Arc<Mutex<Tally>>,
-    progress: &Progress,
-) -> Latency {
+/// What the callers saw.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Seen {
+    /// Time to the first token.
+    pub first: Latency,
+    /// Time between two tokens; `requests` counts the gaps.
+    pub between: Latency,
+    /// Time that all whole answers took together, in seconds: so long online held slots, or waited for one.
+    pub busy_s: f64,
+}
+
+/// Online traffic that is sent for a time.
+pub struct Traffic<'a> {
+    /// What is sent.
+    pub example: &'a Example,
+    /// Where to.
+    pub hosts: &'a Balancer,
+    /// Sets its requests apart from others.
+    pub phase: &'a str,
+    /// For how long.
+    pub lasting: Duration,
+    /// Seed of the arrivals.
+    pub seed: u64,
+    /// Where all is counted.
+    pub tally: &'a Arc<Mutex<Tally>>,
+    /// Where it is shown.
+    pub progress: &'a Progress,
+}
+
+/// Sends online traffic, each request at its time however slow the answers are, and waits for all answers.
+pub async fn run(traffic: Traffic<'_>) -> Seen {
+    let Traffic {
+        example,
+        hosts,
+        phase,
+        lasting,
+        seed,
+        tally,
+        progress,
+    } = traffic;
     let caller = Caller::new(&example.deployment.key);
-    let latencies = Arc::new(Mutex::new(histogram()));
-    let mut random = StdRng::seed_from_u64(SEED);
+    let times = Arc::new(Mutex::new(Times::default()));
+    let mut random = StdRng::seed_from_u64(seed);
     let mut calls = JoinSet::new();
     let begun = Instant::now();
     let mut at = Duration::ZERO;
@@ -59,19 +91,57 @@
         tokio::time::sleep_until(begun + at).await;
         let call = Call {
             caller: caller.clone(),
-            host: hosts[number % hosts.len()],
+            host: hosts.at(number),
             request: example.requests[number % example.requests.len()].clone(),
             service: example.service.clone(),
             reference: format!("online-{phase}-{number}"),
             tally: tally.clone(),
-            latencies: latencies.clone(),
+            times: times.clone(),
             progress: progress.clone(),
         };
         calls.spawn(call.run());
     }
     calls.join_all().await;
-    let latencies = latencies.lock().unwrap_or_else(PoisonError::into_inner);
-    Latency::of(&latencies)
+    lock(&times).seen()
+}
+
+/// What was measured so far.
+struct Times {
+    first: Histogram<u64>,
+    between: Histogram<u64>,
+    busy: Duration,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Self {
+            first: histogram(),
+            between: histogram(),
+            busy: Duration::ZERO,
+        }
+    }
+}
+
+impl Times {
+    fn note(&mut self, answer: &Streamed) {
+        self.first.saturating_record(micros(answer.first));
+        for gap in &answer.gaps {
+            self.between.saturating_record(micros(*gap));
+        }
+        self.busy += answer.whole;
+    }
+
+    fn seen(&self) -> Seen {
+        Seen {
+            first: Latency::of(&self.first),
+            between: Latency::of(&self.between),
+            busy_s: self.busy.as_secs_f64(),
+        }
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
 
 struct Call {
@@ -81,7 +151,7 @@
     service: String,
     reference: String,
     tally: Arc<Mutex<Tally>>,
-    latencies: Arc<Mutex<Histogram<u64>>>,
+    times: Arc<Mutex<Times>>,
     progress: Progress,
 }
 
@@ -98,8 +168,7 @@
         {
             Ok(answer) => {
                 lock(&self.tally).answered(&self.reference, &answer.text);
-                let micros = u64::try_from(answer.first.as_micros()).unwrap_or(u64::MAX);
-                lock(&self.latencies).saturating_record(micros);
+                lock(&self.times).note(&answer);
                 self.progress.online();
             }
             Err(error) => {
--- a/crates/tinbank-load/src/command/mod.rs
+++ b/crates/tinbank-load/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The commands of `tinbank-load`, one a file.
 
+mod compare;
 mod slopes;
 
 use std::process::ExitCode;
@@ -18,12 +19,14 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Compare(compare::Compare),
     Slopes(slopes::Slopes),
 }
 
 /// Runs the command that was asked for.
 pub fn run(arguments: &Arguments, allocated: Allocated) -> ExitCode {
     match &arguments.command {
+        Command::Compare(compare) => compare.run(),
         Command::Slopes(slopes) => slopes.run(allocated),
     }
 }
--- a/crates/tinbank-load/src/lib.rs
+++ b/crates/tinbank-load/src/lib.rs
@@ -3,4 +3,5 @@
 //! It prints figures and judges none: `docs/measurements.md` and `docs/CAPACITY.md` hold them.
 
 pub mod command;
+pub mod compare;
 pub mod slopes;
--- a/crates/tinbank-online/src/server.rs
+++ b/crates/tinbank-online/src/server.rs
@@ -163,6 +163,11 @@
         drain::wanted(&self.follower, self.ctx.writer.process.host).await;
     }
 
+    /// Its frames to and from other processes.
+    pub fn endpoint(&self) -> &Endpoint {
+        &self.endpoint
+    }
+
     /// Its time line.
     pub fn recorder(&self) -> &Recorder {
         &self.ctx.recorder
--- a/crates/tinbank-peer/src/endpoint.rs
+++ b/crates/tinbank-peer/src/endpoint.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, OnceLock,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU8, AtomicU64, Ordering},
     },
     time::Instant,
 };
@@ -93,6 +93,7 @@
     address: SocketAddr,
     identity: Arc<Identity>,
     udp: Arc<UdpSocket>,
+    loss_percent: AtomicU8,
     pool: Pool,
     answer: Arc<OnceLock<Arc<dyn Answer>>>,
     heard: std::sync::Mutex<Option<mpsc::Receiver<Heard>>>,
@@ -165,6 +166,7 @@
                 pool: Pool::new(identity.clone()),
                 identity,
                 udp,
+                loss_percent: AtomicU8::new(0),
                 answer,
                 heard: std::sync::Mutex::new(Some(heard)),
                 _stop_on_drop: stop.clone().drop_guard(),
@@ -210,6 +212,11 @@
         self.send(to, Body::Heartbeat(Box::new(heartbeat)))
     }
 
+    /// Loses so many in 100 datagrams that this endpoint sends, as a bad network does, so that the harm can be measured.
+    pub fn lose(&self, percent: u8) {
+        self.shared.loss_percent.store(percent, Ordering::Relaxed);
+    }
+
     /// Closes the sockets and breaks off open requests.
     pub fn close(&self) {
         self.shared.stop.cancel();
@@ -228,6 +235,10 @@
             metrics::counter!("tinbank_peer_not_sent_total", "reason" => "too_large").increment(1);
             return 0;
         }
+        let loss = self.shared.loss_percent.load(Ordering::Relaxed);
+        if loss > 0 && rand::random_range(0..100) < loss {
+            return bytes.len();
+        }
         if self.shared.udp.try_send_to(&bytes, to).is_err() {
             metrics::counter!("tinbank_peer_not_sent_total", "reason" => "socket").increment(1);
             return 0;
