--- a/crates/tinbank-batch/src/server.rs
+++ b/crates/tinbank-batch/src/server.rs
@@ -9,7 +9,6 @@
 use tinbank_admission::{Gate, Service as AdmissionService};
 use tinbank_base::{id, record::Writer};
 use tinbank_log::{budget, group, writer};
-use tinbank_peer::Endpoint;
 use tinbank_process::{Core, Error, Platform, Runtimes};
 use tinbank_routing::Table;
 use tinbank_server::{http::Listen, threads::Handles};
@@ -30,6 +29,10 @@
 /// Jobs that are taken in at once.
 const INTAKES: usize = 8;
 
+/// Most bytes of records in one append: a chunk that is carried forward holds the answers of all its items. The
+/// platform's log has to take records of 1 MiB.
+const GROUP_BYTES: usize = 960 << 10;
+
 /// A running batch process.
 pub struct Server {
     core: Arc<Core>,
@@ -103,9 +106,9 @@
         self.core.drained().await;
     }
 
-    /// Its frames to and from other processes.
-    pub fn endpoint(&self) -> &Endpoint {
-        &self.core.endpoint
+    /// The common part of the process.
+    pub fn core(&self) -> &Arc<Core> {
+        &self.core
     }
 
     /// Its time line.
@@ -141,7 +144,7 @@
     let table = Table::new(common.failure_domain.clone(), Instant::now());
     let admission = AdmissionService::start(
         tinbank_admission::Settings {
-            lean: settings.burst_headroom_percent,
+            lean: settings.lean_percent,
         },
         core.writer,
         core.peers(),
@@ -219,6 +222,7 @@
                 fleet_per_second: f64::from(settings.appends_per_second),
                 ..budget::Settings::default()
             },
+            group_bytes: GROUP_BYTES,
             ..group::Settings::default()
         },
         ..writer::Settings::default()
--- a/crates/tinbank-batch/src/settings.rs
+++ b/crates/tinbank-batch/src/settings.rs
@@ -33,9 +33,8 @@
     pub admission: Admission,
     /// Slots of each engine that batch never takes, where `admission` is `static`.
     pub slots_for_online: u16,
-    /// Part of the largest burst seen lately that stays free in each engine, in per cent, where `admission` is
-    /// `credits`. Less leans to batch throughput, more to the online tail.
-    pub burst_headroom_percent: u16,
+    /// Where batch stands between throughput and the tail of online requests, for `admission` `credits`.
+    pub lean_percent: u16,
     /// Items of this process in one upstream at once, where `admission` is `bounded`, and in plain services.
     pub items_per_upstream: u32,
 }
@@ -63,9 +62,9 @@
             appends_per_second: 300,
             log_retention_s: 24 * 3_600,
             items_at_once: 256,
-            admission: Admission::Bounded,
+            admission: Admission::Credits,
             slots_for_online: 2,
-            burst_headroom_percent: 100,
+            lean_percent: 100,
             items_per_upstream: 4,
         }
     }
@@ -106,7 +105,7 @@
                 "stop_limit_ms",
                 Kind::millis(0, 3_600_000),
                 "30000",
-                "How long items in flight may take to end at a stop; what is left then is run again elsewhere.",
+                "How long items in flight may take to end at a stop; what is left then is treated as that of a lost host.",
             ),
             Field::default(
                 "lease_silence_ms",
@@ -139,7 +138,7 @@
             Field::default(
                 "admission",
                 Kind::Choice(&["credits", "bounded", "static"]),
-                "\"bounded\"",
+                "\"credits\"",
                 "What lets items into engines: credits of the admission controllers, a fixed number in each engine, or a fixed \
                  part of its slots (`static`), which never gives way.",
             ),
@@ -150,11 +149,15 @@
                 "Slots of each engine that batch never takes where `admission` is `static`. The same on all hosts.",
             ),
             Field::default(
-                "burst_headroom_percent",
-                Kind::count(0, 400),
+                "lean_percent",
+                Kind::Integer {
+                    min: 0,
+                    max: 400,
+                    unit: "%",
+                },
                 "100",
-                "Part of the largest online burst seen lately that stays free in each engine where `admission` is \
-                 `credits`, in per cent: less leans to batch throughput, more to the online tail. The same on all hosts.",
+                "Part of the largest burst of online requests seen lately that credits keep free in each engine: 50 \
+                 for batch throughput, 100 and more for the tail of online requests.",
             ),
             Field::default(
                 "items_per_upstream",
--- a/crates/tinbank-demo/src/entry.rs
+++ b/crates/tinbank-demo/src/entry.rs
@@ -1,4 +1,4 @@
-//! The entry hosts: on each an online and a batch process, on threads of their own.
+//! The entry hosts: on each an online, a batch and a fleet process, on threads of their own.
 
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -15,15 +15,15 @@
 use tinbank_standin::{Standin, service::Service};
 use tokio::time::Instant;
 
-use crate::{example::Example, platform::domain};
+use crate::{
+    example::{Example, Lean},
+    platform::domain,
+};
 
 /// Last byte of the address before the first host's.
 const FIRST_BYTE: u8 = 10;
 /// Most hosts that fit on 127.0.0.x.
 const MOST_HOSTS: u32 = 200;
-/// Items of one host in an engine at once. The batch process does not yet give way by credits in the demo, so what sits
-/// in an engine has to be little: nine hosts fill its slots with one each.
-const ITEMS_PER_UPSTREAM: u32 = 1;
 /// Time that all processes have to become ready.
 const START: Duration = Duration::from_secs(15);
 
@@ -61,15 +61,20 @@
     /// Slots that batch leaves alone, where admission is static.
     pub slots_for_online: u16,
     /// Part of a burst that stays free, where admission is by credits.
-    pub burst_headroom_percent: u16,
+    pub lean_percent: u16,
 }
 
-impl Default for Settings {
-    fn default() -> Self {
+impl Settings {
+    /// Credits, between throughput and tail as the example's users want it; see `docs/design/admission.md`.
+    pub fn of(example: &Example) -> Self {
+        let lean_percent = match example.deployment.lean {
+            Lean::Throughput => 50,
+            Lean::Tail => 100,
+        };
         Self {
-            admission: Admission::Bounded,
+            admission: Admission::Credits,
             slots_for_online: 0,
-            burst_headroom_percent: 100,
+            lean_percent,
         }
     }
 }
@@ -108,6 +113,7 @@
 pub struct Entry {
     online: Vec<tinbank_online::Server>,
     batch: Vec<tinbank_batch::Server>,
+    fleet: Vec<tinbank_fleet::Server>,
 }
 
 impl Entry {
@@ -124,6 +130,7 @@
         let mut entry = Self {
             online: Vec::new(),
             batch: Vec::new(),
+            fleet: Vec::new(),
         };
         let deployment = &example.deployment;
         let domains = u32::try_from(deployment.failure_domains.len()).unwrap_or(u32::MAX);
@@ -155,15 +162,20 @@
             .push(online.map_err(|error| refused(id::Role::Online, host, &error))?);
         let batch = tinbank_batch::Settings {
             common: self.common(host, example, addresses),
-            items_per_upstream: ITEMS_PER_UPSTREAM,
             admission: settings.admission,
             slots_for_online: settings.slots_for_online,
-            burst_headroom_percent: settings.burst_headroom_percent,
+            lean_percent: settings.lean_percent,
             ..tinbank_batch::Settings::default()
         };
         let batch = tinbank_batch::Server::start(batch).await;
         self.batch
             .push(batch.map_err(|error| refused(id::Role::Batch, host, &error))?);
+        let fleet = tinbank_fleet::Settings {
+            common: self.common(host, example, addresses),
+        };
+        let fleet = tinbank_fleet::Server::start(fleet).await;
+        self.fleet
+            .push(fleet.map_err(|error| refused(id::Role::Fleet, host, &error))?);
         Ok(())
     }
 
@@ -207,7 +219,14 @@
                 server.http_address(),
             )
         });
-        online.chain(batch).collect()
+        let fleet = self.fleet.iter().map(|server| {
+            member(
+                server.core().writer.process,
+                server.peer_address(),
+                server.http_address(),
+            )
+        });
+        online.chain(batch).chain(fleet).collect()
     }
 
     async fn ready(&self) -> Result<(), Error> {
@@ -223,12 +242,17 @@
                 .iter()
                 .filter(|server| !server.is_ready())
                 .count();
-            let unready = online + batch;
+            let fleet = self
+                .fleet
+                .iter()
+                .filter(|server| !server.core().ready.is_ready())
+                .count();
+            let unready = online + batch + fleet;
             if unready == 0 {
                 return Ok(());
             }
             if Instant::now() >= until {
-                let all = self.online.len() + self.batch.len();
+                let all = self.online.len() + self.batch.len() + self.fleet.len();
                 return Err(Error::Unready { unready, all });
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -256,7 +280,7 @@
             .collect()
     }
 
-    /// Loses a host: both its processes end at once. Returns where they were reached; empty if there is no such host.
+    /// Loses a host: all its processes end at once. Returns where they were reached; empty if there is no such host.
     pub fn kill(&mut self, host: id::Host) -> SmallVec<[SocketAddr; 2]> {
         let online = self
             .online
@@ -266,6 +290,10 @@
             .batch
             .iter()
             .position(|server| server.writer().process.host == host);
+        let fleet = self
+            .fleet
+            .iter()
+            .position(|server| server.core().writer.process.host == host);
         let mut lost = SmallVec::new();
         if let Some(online) = online {
             let server = self.online.remove(online);
@@ -277,25 +305,32 @@
             lost.push(server.http_address());
             server.kill();
         }
+        if let Some(fleet) = fleet {
+            self.fleet.remove(fleet).kill();
+        }
         lost
     }
 
     /// Loses so many in 100 datagrams between the processes.
     pub fn lose_datagrams(&self, percent: u8) {
-        let online = self.online.iter().map(tinbank_online::Server::endpoint);
-        let batch = self.batch.iter().map(tinbank_batch::Server::endpoint);
+        let online = self.online.iter().map(tinbank_online::Server::core);
+        let batch = self.batch.iter().map(tinbank_batch::Server::core);
+        let fleet = self.fleet.iter().map(tinbank_fleet::Server::core);
         online
             .chain(batch)
-            .for_each(|endpoint| endpoint.lose(percent));
+            .chain(fleet)
+            .for_each(|core| core.endpoint.lose(percent));
     }
 
     /// Stops all processes as planned.
     pub async fn stop(self) {
         let online = self.online.into_iter().map(tinbank_online::Server::stop);
         let batch = self.batch.into_iter().map(tinbank_batch::Server::stop);
+        let fleet = self.fleet.into_iter().map(tinbank_fleet::Server::stop);
         futures::join!(
             futures::future::join_all(online),
-            futures::future::join_all(batch)
+            futures::future::join_all(batch),
+            futures::future::join_all(fleet)
         );
     }
 }
--- a/crates/tinbank-demo/src/run.rs
+++ b/crates/tinbank-demo/src/run.rs
@@ -76,7 +76,7 @@
     progress.step("publishing template and customer through the log");
     publish::publish(addresses.log, &example).await?;
     progress.step("starting the entry hosts");
-    let entry = Entry::start(&example, &standin, addresses, Settings::default()).await?;
+    let entry = Entry::start(&example, &standin, addresses, Settings::of(&example)).await?;
     let traffic = Traffic {
         example: example.clone(),
         entry: &entry,
--- a/crates/tinbank-load/src/command/compare.rs
+++ b/crates/tinbank-load/src/command/compare.rs
@@ -3,7 +3,7 @@
 use std::{process::ExitCode, time::Duration};
 
 use argh::FromArgs;
-use tinbank_demo::{example::Example, traffic};
+use tinbank_demo::{entry::Settings, example::Example, traffic};
 
 use crate::compare::{self, Arm, Fault, Plan};
 
@@ -68,7 +68,7 @@
             Ok(example) => example,
             Err(error) => return failed(&error.to_string()),
         };
-        let arms = self.arms(compare::headroom_of(&example));
+        let arms = self.arms(Settings::of(&example).lean_percent);
         if arms.is_empty() {
             return failed("no arm begins so: they are online, naive, static and tinbank");
         }
@@ -99,7 +99,7 @@
     fn arms(&self, headroom: u16) -> Vec<Arm> {
         let arms = match self.lean {
             true => {
-                let credits = HEADROOMS.map(|headroom_percent| Arm::Tinbank { headroom_percent });
+                let credits = HEADROOMS.map(|lean_percent| Arm::Tinbank { lean_percent });
                 [Arm::Online].into_iter().chain(credits).collect()
             }
             false => vec![
@@ -107,7 +107,7 @@
                 Arm::Naive,
                 Arm::Static { kept: self.kept },
                 Arm::Tinbank {
-                    headroom_percent: self.headroom.unwrap_or(headroom),
+                    lean_percent: self.headroom.unwrap_or(headroom),
                 },
             ],
         };
--- a/crates/tinbank-load/src/compare/arm.rs
+++ b/crates/tinbank-load/src/compare/arm.rs
@@ -52,7 +52,7 @@
     /// Credits of the admission controllers.
     Tinbank {
         /// Part of the largest burst that is kept free.
-        headroom_percent: u16,
+        lean_percent: u16,
     },
 }
 
@@ -68,15 +68,15 @@
     }
 
     fn settings(self) -> Settings {
-        let (admission, slots_for_online, burst_headroom_percent) = match self {
+        let (admission, slots_for_online, lean_percent) = match self {
             Self::Online | Self::Naive => (Admission::Static, 0, 100),
             Self::Static { kept } => (Admission::Static, kept, 100),
-            Self::Tinbank { headroom_percent } => (Admission::Credits, 0, headroom_percent),
+            Self::Tinbank { lean_percent } => (Admission::Credits, 0, lean_percent),
         };
         Settings {
             admission,
             slots_for_online,
-            burst_headroom_percent,
+            lean_percent,
         }
     }
 }
@@ -87,7 +87,7 @@
             Self::Online => f.write_str("online alone"),
             Self::Naive => f.write_str("naive"),
             Self::Static { kept } => write!(f, "static, {kept} kept"),
-            Self::Tinbank { headroom_percent } => write!(f, "tinbank, {headroom_percent}%"),
+            Self::Tinbank { lean_percent } => write!(f, "tinbank, {lean_percent}%"),
         }
     }
 }
--- a/crates/tinbank-load/src/compare/mod.rs
+++ b/crates/tinbank-load/src/compare/mod.rs
@@ -9,11 +9,7 @@
 
 use std::time::Duration;
 
-use tinbank_demo::{
-    entry,
-    example::{Example, Lean},
-    publish,
-};
+use tinbank_demo::{entry, example::Example, publish};
 
 pub use accounts::Work;
 pub use arm::{Arm, Figures};
@@ -78,14 +74,6 @@
     Ok(report)
 }
 
-/// Headroom that an example's users want: see `docs/measurements.md` for the curve.
-pub fn headroom_of(example: &Example) -> u16 {
-    match example.deployment.lean {
-        Lean::Throughput => 50,
-        Lean::Tail => 100,
-    }
-}
-
 /// Runs on threads of its own, so that nothing of one arm is left for the next.
 fn on_runtime<T>(work: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
     let runtime = tokio::runtime::Runtime::new()?;
--- a/crates/tinbank-membership/src/state.rs
+++ b/crates/tinbank-membership/src/state.rs
@@ -30,7 +30,7 @@
 };
 
 /// Time between ticks: each sends one probe.
-pub const TICK: Duration = Duration::from_millis(500);
+pub const TICK: Duration = Duration::from_millis(600);
 /// A tick that comes this much late means that we were paused, not the others.
 const PAUSED: Duration = Duration::from_millis(1_500);
 /// Pieces of news of processes in one heartbeat.
@@ -418,6 +418,7 @@
             (None | Some(Health::Dead), Health::Alive) => Some(event::Kind::Joined),
             (_, Health::Suspect) => Some(event::Kind::Suspected),
             (_, Health::Dead) => Some(event::Kind::Died),
+            (_, Health::Leaving) => Some(event::Kind::PeerLeaving),
             _ => None,
         };
         if let Some(kind) = kind {
