--- a/crates/tinbank-batch/src/server.rs
+++ b/crates/tinbank-batch/src/server.rs
@@ -19,7 +19,7 @@
     control,
     intake::Limits,
     owner::answer::Credits,
-    runner::room::Room,
+    runner::{partition::Partition, room::Room},
     service::{Edges, Service},
     settings::{Admission, Settings},
 };
@@ -106,6 +106,11 @@
         self.core.drained().await;
     }
 
+    /// The common part of the process.
+    pub fn core(&self) -> &Arc<Core> {
+        &self.core
+    }
+
     /// Its time line.
     pub fn recorder(&self) -> &Recorder {
         &self.core.recorder
@@ -175,6 +180,12 @@
     let gate: Arc<dyn Gate> = match settings.admission {
         Admission::Credits => Arc::new(admission.clone()),
         Admission::Bounded => Arc::new(Room::new(settings.items_per_upstream)),
+        Admission::Static => Arc::new(Partition::new(
+            core.writer.process,
+            core.clone(),
+            core.hosts(),
+            settings.slots_for_online,
+        )),
     };
     let credits: Arc<dyn Credits> = Arc::new(admission.clone());
     Edges {
--- a/crates/tinbank-load/src/lib.rs
+++ b/crates/tinbank-load/src/lib.rs
@@ -3,4 +3,5 @@
 //! It prints figures and judges none; those that were seen stand in `docs/CAPACITY.md`, the design notes and commit bodies.
 
 pub mod command;
+pub mod compare;
 pub mod slopes;
