--- a/crates/tinbank-load/src/lib.rs
+++ b/crates/tinbank-load/src/lib.rs
@@ -2,5 +2,6 @@
 //!
 //! It prints figures and judges none: `docs/measurements.md` and `docs/CAPACITY.md` hold them.
 
+pub mod capacity;
 pub mod command;
 pub mod slopes;
--- a/crates/tinbank-load/src/slopes/configuration.rs
+++ b/crates/tinbank-load/src/slopes/configuration.rs
@@ -35,7 +35,9 @@
 pub(super) fn bytes(allocated: Allocated) -> Series {
     let points = points(|customers| {
         weight(allocated, || {
-            (state(customers), state(customers).snapshot())
+            let state = state(customers);
+            let snapshot = state.snapshot();
+            (state, snapshot)
         })
     });
     Series::new(
--- a/crates/tinbank-load/src/slopes/fit.rs
+++ b/crates/tinbank-load/src/slopes/fit.rs
@@ -1,11 +1,11 @@
 //! A line through measured points, by least squares.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::Point;
 
 /// A line and how well it fits.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Fit {
     /// Cost of one more.
     pub slope: f64,
--- a/crates/tinbank-load/src/slopes/mod.rs
+++ b/crates/tinbank-load/src/slopes/mod.rs
@@ -1,16 +1,26 @@
 //! Series of measurements at growing sizes, and the line through each.
 
 mod configuration;
+mod controller;
 mod fit;
+mod fleet;
+mod hosts;
+mod intake;
 mod ledger;
+mod limits;
+mod log;
+mod membership;
 mod peers;
+mod processes;
+mod ranks;
 mod routing;
+mod threads;
 mod timeline;
 
-use std::{fmt, time::Duration};
+use std::{borrow::Cow, fmt, time::Duration};
 
 use cpu_time::ThreadTime;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 pub use fit::Fit;
 
@@ -21,7 +31,7 @@
 const REPEATS: usize = 5;
 
 /// What is measured at one size.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Point {
     /// The size.
     pub x: f64,
@@ -30,14 +40,14 @@
 }
 
 /// Measurements of one thing at growing sizes.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Series {
     /// What was measured.
-    pub name: &'static str,
+    pub name: Cow<'static, str>,
     /// What grows.
-    pub x: &'static str,
+    pub x: Cow<'static, str>,
     /// What it costs, with its unit.
-    pub y: &'static str,
+    pub y: Cow<'static, str>,
     /// The raw figures.
     pub points: Vec<Point>,
     /// The line through them.
@@ -48,9 +58,9 @@
     fn new(name: &'static str, x: &'static str, y: &'static str, points: Vec<Point>) -> Self {
         let fit = Fit::through(&points);
         Self {
-            name,
-            x,
-            y,
+            name: name.into(),
+            x: x.into(),
+            y: y.into(),
             points,
             fit,
         }
@@ -80,7 +90,48 @@
 
 /// Measures all series whose name begins with `only`.
 pub fn measure(only: &str, allocated: Allocated) -> Vec<Series> {
-    let measurements: [(&str, &dyn Fn() -> Series); 12] = [
+    let measurements: &[(&str, &dyn Fn() -> Series)] = &[
+        ("membership bytes", &membership::bytes),
+        ("membership datagrams", &membership::datagrams),
+        ("membership time", &membership::time),
+        ("membership state bytes", &|| {
+            membership::state_bytes(allocated)
+        }),
+        ("ranks shards", &ranks::shards),
+        ("ranks engines", &ranks::engines),
+        ("admission tick", &controller::tick),
+        ("admission load", &controller::load),
+        ("admission wish", &controller::wish),
+        ("admission bytes", &|| controller::bytes(allocated)),
+        ("admission fleet bytes", &fleet::bytes),
+        ("admission fleet load bytes", &fleet::load_bytes),
+        ("admission fleet datagrams", &fleet::datagrams),
+        ("admission fleet time", &fleet::time),
+        ("limits request", &limits::request),
+        ("limits request with digests", &limits::request_with_digests),
+        ("limits bytes", &|| limits::bytes(allocated)),
+        ("limits digest bytes", &limits::digest_bytes),
+        ("limits digest state bytes", &|| {
+            limits::digest_state_bytes(allocated)
+        }),
+        ("log completions", &log::completions),
+        ("log completions today", &log::completions_today),
+        ("log wait", &log::wait),
+        ("log intake appends", &log::intake_appends),
+        ("log intake time", &log::intake_time),
+        ("log intake time today", &log::intake_time_today),
+        ("log intake bytes", &log::intake_bytes),
+        ("log completion bytes", &log::completion_bytes),
+        ("log carried bytes", &log::carried_bytes),
+        ("intake line", &intake::line),
+        ("intake byte", &intake::byte),
+        ("intake bytes", &|| intake::bytes(allocated)),
+        ("host list bytes", &hosts::list_bytes),
+        ("host list time", &hosts::list_time),
+        ("host list state bytes", &|| {
+            hosts::list_state_bytes(allocated)
+        }),
+        ("report bytes", &hosts::report_bytes),
         ("ledger fold items", &ledger::fold_items),
         ("ledger fold records", &ledger::fold_records),
         ("ledger pending bytes", &|| ledger::pending_bytes(allocated)),
@@ -92,7 +143,17 @@
         ("routing bytes", &|| routing::bytes(allocated)),
         ("peers seal", &peers::seal),
         ("peers open", &peers::open),
+        ("online request", &processes::online_request),
+        ("online control", &processes::online_control),
+        ("online latency", &processes::online_latency),
+        ("online rest", &processes::online_rest),
+        ("batch rest", &processes::batch_rest),
+        ("fleet rest", &processes::fleet_rest),
+        ("control rest", &processes::control_rest),
+        ("batch item", &processes::batch_item),
+        ("batch control", &processes::batch_control),
         ("timeline note", &timeline::note),
+        ("timeline bytes", &|| timeline::bytes(allocated)),
     ];
     measurements
         .iter()
--- a/crates/tinbank-load/src/slopes/timeline.rs
+++ b/crates/tinbank-load/src/slopes/timeline.rs
@@ -1,4 +1,4 @@
-//! The time line: time to note events.
+//! The time line: time to note events, and the bytes that they take.
 
 use tinbank_base::{
     event::{Kind, Subject},
@@ -6,7 +6,7 @@
 };
 use tinbank_timeline::Recorder;
 
-use super::{Series, micros, point, processor_time};
+use super::{Allocated, Series, micros, point, processor_time, weight};
 
 const SIZES: [usize; 4] = [2_000, 4_000, 8_000, 16_000];
 
@@ -25,20 +25,45 @@
     Series::new("timeline note", "event", "µs", points)
 }
 
+pub(super) fn bytes(allocated: Allocated) -> Series {
+    let points = SIZES
+        .iter()
+        .map(|events| {
+            let bytes = weight(allocated, || {
+                let recorder = Recorder::new(PROCESS, *events);
+                note_some(&recorder, *events);
+                recorder
+            });
+            point(*events, bytes)
+        })
+        .collect();
+    Series::new("timeline bytes", "event kept", "bytes", points)
+}
+
 fn recorder() -> Recorder {
-    let process = Process {
-        host: 1,
-        role: Role::Online,
-    };
-    Recorder::new(process, *SIZES.last().unwrap_or(&1))
+    Recorder::new(PROCESS, *SIZES.last().unwrap_or(&1))
 }
 
+/// Three kinds in turn: one with a text of its own, one with a number, one without.
 fn note_some(recorder: &Recorder, events: usize) {
     for request in 0..events {
         let subject = Subject {
             request: Some(request as u128),
             ..Subject::default()
         };
-        recorder.note(subject, Kind::FirstToken);
+        let kind = match request % 3 {
+            0 => Kind::Accepted {
+                customer: "moreton-basin".into(),
+                service: "logger-notes".into(),
+            },
+            1 => Kind::FirstToken,
+            _ => Kind::Answered { tokens: 427 },
+        };
+        recorder.note(subject, kind);
     }
 }
+
+const PROCESS: Process = Process {
+    host: 1,
+    role: Role::Online,
+};
