Ask for the host list by version, compressed, and as often in all however large the fleet is

Change: If-None-Match with the list's version, gzip, and a pace by the number of processes listed (0.5 s up to 36). What the list says first of a leaving upstream is passed on like any other sign, so that those who read later know at once.

--- a/crates/tinbank-base/src/platform/hosts.rs
+++ b/crates/tinbank-base/src/platform/hosts.rs
@@ -87,4 +87,11 @@
 pub trait Hosts: Send + Sync + fmt::Debug {
     /// Reads the whole list.
     async fn list(&self) -> Result<List, Error>;
+
+    /// Reads the list if its version is another one than `known`; `None` if it is not. An adapter whose platform can tell
+    /// that without sending the list does better than this: a list of 370 hosts has some 350 KB.
+    async fn changed(&self, known: Option<u64>) -> Result<Option<List>, Error> {
+        let list = self.list().await?;
+        Ok((known != Some(list.version)).then_some(list))
+    }
 }
--- a/crates/tinbank-load/src/capacity/batch.rs
+++ b/crates/tinbank-load/src/capacity/batch.rs
@@ -9,6 +9,8 @@
 /// Appends a second that the platform's log takes from the whole fleet.
 const APPENDS: f64 = 300.0;
 const GIGABYTE: f64 = 1e9;
+/// With half a day's items pending every shard has work.
+const SHARDS_WITH_WORK: f64 = 512.0;
 /// How long an upload may reasonably last.
 const INTAKE_SECONDS: f64 = 600.0;
 const TRAFFIC_PERCENT: f64 = 200.0;
@@ -211,68 +213,77 @@
 pub(super) fn log(figures: &Figures) -> Vec<Row> {
     let target = Size::TARGET;
     let today = Size::TODAY;
-    let completions = figures.at("log completions", 10_200.0);
-    let completions_today = figures.at("log completions today", today.items);
     let per_item = figures.at("log intake appends", target.largest_job) / target.largest_job;
     let intake = target.items * per_item;
     let intake_today = today.items * per_item;
+    let renewals = |size: &Size, seconds: f64| size.shards.min(SHARDS_WITH_WORK) / seconds;
+    let wait = figures.at("log wait", APPENDS - intake);
     let slope = |name| figures.slope(name);
     let bytes = slope("log intake bytes") + slope("log completion bytes");
     let carried = bytes + slope("log carried bytes");
     let day = |size: &Size, bytes: f64| size.items * DAY * bytes / GIGABYTE;
     vec![
-        row(
-            "completions and renewals",
-            "appends/s",
-            completions,
-            completions_today,
-            Limit::None,
-            "group commit a shard under the writer's share of the budget",
-            &["log completions", "log completions today"],
-        ),
         row(
             "intake, mean of the day",
             "appends/s",
             intake,
             intake_today,
             Limit::None,
-            "chunks of 256 items",
+            "chunks of 256 items, one head, one release a shard",
             &["log intake appends"],
         ),
         row(
-            "configuration",
+            "records that hold 512 leases, `lease_silence_ms` 6,000",
             "appends/s",
-            target.changes / DAY,
-            today.changes / DAY,
+            renewals(&target, 2.0),
+            renewals(&today, 2.0),
             Limit::None,
-            "a record a change",
+            "any record renews, so a shard whose items end often needs no more; a lease without work is given back",
             &[],
         ),
         row(
-            "**the fleet's appends in all**",
+            "**what the fleet has to append at least, `lease_silence_ms` 6,000**",
             "appends/s",
-            completions + intake + target.changes / DAY,
-            completions_today + intake_today + today.changes / DAY,
+            intake + renewals(&target, 2.0) + target.changes / DAY,
+            intake_today + renewals(&today, 2.0) + today.changes / DAY,
             Limit::Most(APPENDS),
-            "the sum of the lines above",
-            &["log completions", "log intake appends"],
+            "intake, a record a lease each third of the silence, configuration",
+            &["log intake appends"],
         ),
         row(
-            "appends for 1,000 items at the day's mean",
+            "**the same, `lease_silence_ms` 20,000**",
+            "appends/s",
+            intake + renewals(&target, 6.7) + target.changes / DAY,
+            intake_today + renewals(&today, 6.7) + today.changes / DAY,
+            Limit::Most(APPENDS),
+            "the setting that we advise at the target: takeover after 20 s",
+            &["log intake appends"],
+        ),
+        row(
+            "appends of completions and renewals, if items come without end",
+            "appends/s",
+            figures.at("log completions", 10_200.0),
+            figures.at("log completions today", today.items),
+            Limit::Most(APPENDS),
+            "the budget bounds it; what comes meanwhile shares the next append",
+            &["log completions", "log completions today"],
+        ),
+        row(
+            "the same for 1,000 items",
             "appends",
-            (completions + intake) / target.items * 1e3,
-            (completions_today + intake_today) / today.items * 1e3,
+            figures.at("log completions", 10_200.0) / 10_200.0 * 1e3,
+            figures.at("log completions today", today.items) / today.items * 1e3,
             Limit::None,
-            "",
-            &["log completions", "log intake appends"],
+            "group commit a shard: fewer an item as items come faster",
+            &["log completions", "log completions today"],
         ),
         row(
-            "a completion waits for its append",
+            "a completion waits till it lasts, beside intake",
             "ms",
-            figures.at("log wait", 10_200.0),
+            wait,
             f64::NAN,
             Limit::None,
-            "coalesced while the budget is used up",
+            "two appends of its shard, at an even share of the budget",
             &["log wait"],
         ),
         row(
--- a/crates/tinbank-load/src/capacity/control.rs
+++ b/crates/tinbank-load/src/capacity/control.rs
@@ -18,8 +18,11 @@
 const HTTP_HEADERS: f64 = 420.0;
 /// Processes of a host.
 const PROCESSES: f64 = 3.0;
-/// Readings of the host list a second in a process.
+/// Readings of the host list a second in a process of a small fleet, and the number of processes up to which it is small.
 const LIST_READS: f64 = 2.0;
+const FEW_PROCESSES: f64 = 36.0;
+/// Versions of the host list that one loss or return of a host makes: leaving and gone, or listed and live.
+const VERSIONS: f64 = 2.0;
 /// Reports asked a second by an online or a batch process.
 const REPORTS: f64 = 8.0;
 /// Events that a process keeps.
@@ -29,6 +32,16 @@
 const MICROS_PER_PERCENT: f64 = 10_000.0;
 const MEGABYTE: f64 = 1e6;
 
+/// Readings of the list a second in one process.
+fn list_reads(size: &Size) -> f64 {
+    LIST_READS / (size.members() / FEW_PROCESSES).max(1.0)
+}
+
+/// Changed lists that one process reads a second.
+fn list_changes(size: &Size) -> f64 {
+    (VERSIONS * size.member_changes / DAY).min(list_reads(size))
+}
+
 fn row(
     what: &'static str,
     unit: &'static str,
@@ -92,11 +105,15 @@
             "host list, three processes",
             "B/s",
             |size| {
-                PROCESSES * LIST_READS * (figures.at("host list bytes", size.hosts) + HTTP_HEADERS)
+                let asked = list_reads(size) * HTTP_HEADERS;
+                let sent =
+                    list_changes(size) * figures.at("host list compressed bytes", size.hosts);
+                PROCESSES * (asked + sent)
             },
             Limit::None,
-            "each process reads the whole list twice a second",
-            &["host list bytes"],
+            "asked for by version and sent, compressed, only when it has changed; the fleet reads it 72 times a second however \
+             large it is, and who reads that an upstream leaves tells the others",
+            &["host list compressed bytes"],
         ),
         row(
             "load reports, online and batch",
@@ -125,19 +142,29 @@
     let percent = |micros: f64| micros / MICROS_PER_PERCENT;
     let rows = vec![
         row(
-            "control threads at rest, three processes",
+            "control threads of online and batch at rest",
             "% of a core",
             |size| percent(figures.at("control rest", size.engines)),
             Limit::None,
             "ticks of 100 ms and 500 ms, polls of log, host list and reports",
             &["control rest"],
         ),
+        row(
+            "fleet process that holds no orders",
+            "% of a core",
+            |_| percent(figures.at("fleet rest", 0.0)),
+            Limit::None,
+            "the line at no engine: polls of log and host list",
+            &["fleet rest"],
+        ),
         row(
             "decoding the host list, three processes",
             "% of a core",
-            |size| percent(PROCESSES * LIST_READS * figures.at("host list time", size.hosts)),
+            |size| {
+                percent(PROCESSES * list_changes(size) * figures.at("host list time", size.hosts))
+            },
             Limit::None,
-            "each reading decodes the whole list",
+            "only a changed list is decoded",
             &["host list time"],
         ),
         row(
--- a/crates/tinbank-load/src/slopes/fleet.rs
+++ b/crates/tinbank-load/src/slopes/fleet.rs
@@ -180,7 +180,12 @@
 
 #[async_trait]
 impl Peers for Wire {
-    async fn ask(&self, to: SocketAddr, _: Request, _: Instant) -> Result<Vec<Response>, Error> {
+    async fn ask(
+        &self,
+        to: SocketAddr,
+        _request: Request,
+        _until: Instant,
+    ) -> Result<Vec<Response>, Error> {
         Err(Error::Connect(to))
     }
 
--- a/crates/tinbank-load/src/slopes/hosts.rs
+++ b/crates/tinbank-load/src/slopes/hosts.rs
@@ -1,7 +1,8 @@
 //! The host list and the load reports as they come over HTTP: bytes and time as the fleet grows.
 
-use std::net::SocketAddr;
+use std::{io::Write as _, net::SocketAddr};
 
+use flate2::{Compression, write::GzEncoder};
 use smallvec::smallvec;
 use tinbank_base::{
     id::{Process, Role},
@@ -29,6 +30,22 @@
     )
 }
 
+pub(super) fn list_compressed_bytes() -> Series {
+    let points = points(|hosts| {
+        let mut writer = GzEncoder::new(Vec::new(), Compression::fast());
+        let written = writer.write_all(&json(&list(hosts)));
+        written.expect("a vector takes all that is written");
+        let packed = writer.finish().expect("a vector takes all that is written");
+        packed.len() as f64
+    });
+    Series::new(
+        "host list compressed bytes",
+        "host with three processes and 1.62 engines",
+        "bytes of JSON, gzip at its fastest",
+        points,
+    )
+}
+
 pub(super) fn list_time() -> Series {
     let points = points(|hosts| {
         let json = json(&list(hosts));
--- a/crates/tinbank-load/src/slopes/log.rs
+++ b/crates/tinbank-load/src/slopes/log.rs
@@ -25,6 +25,11 @@
 
 /// Items a second of the whole fleet.
 const RATES: [u32; 4] = [1_250, 2_500, 5_100, 10_200];
+/// Appends a second that may be left to owners, after intake.
+const LEFT: [u32; 4] = [150, 200, 250, 300];
+const RATE: f64 = 10_200.0;
+/// Appends a second that the log takes from the fleet.
+const BUDGET: f64 = 300.0;
 /// Writers and shards of the target, and of today.
 const TARGET: Fleet = Fleet {
     writers: 370,
@@ -72,13 +77,17 @@
     )
 }
 
-/// How long a completion waits for its append.
+/// How long a completion waits for its append, by what the fleet's owners may append.
 pub(super) fn wait() -> Series {
-    owners(
+    let points = LEFT
+        .iter()
+        .map(|left| point(*left as usize, own(RATE, f64::from(*left), TARGET).wait_ms))
+        .collect();
+    Series::new(
         "log wait",
-        "ms till a completion lasts, mean, 370 writers, 512 shards",
-        TARGET,
-        |run| run.wait_ms,
+        "append a second left to the owners, 10,200 items a second, 370 writers, 512 shards",
+        "ms till a completion lasts, mean",
+        points,
     )
 }
 
@@ -155,7 +164,7 @@
 fn owners(name: &'static str, y: &'static str, fleet: Fleet, of: impl Fn(&Owned) -> f64) -> Series {
     let points = RATES
         .iter()
-        .map(|rate| point(*rate as usize, of(&own(f64::from(*rate), fleet))))
+        .map(|rate| point(*rate as usize, of(&own(f64::from(*rate), BUDGET, fleet))))
         .collect();
     Series::new(name, "item a second of the fleet", y, points)
 }
@@ -198,10 +207,12 @@
 }
 
 impl Drive {
-    fn new(fleet: Fleet) -> Self {
+    fn new(writers: usize, appends: f64) -> Self {
         let now = Instant::now();
+        let mut settings = Settings::default();
+        settings.budget.fleet_per_second = appends;
         Self {
-            group: Group::new(Settings::default(), fleet.writers, now),
+            group: Group::new(settings, writers, now),
             now,
             appends: 0,
             answers: Vec::new(),
@@ -247,15 +258,13 @@
     }
 }
 
-fn own(rate: f64, fleet: Fleet) -> Owned {
+fn own(rate: f64, budget: f64, fleet: Fleet) -> Owned {
     // At least one shard: with more shards than writers, as many as the share, rounded up.
     let shards = fleet.shards.div_ceil(fleet.writers);
     let owners = fleet.shards as f64 / shards as f64;
     let mine = rate / owners;
-    let mut drive = Drive::new(Fleet {
-        writers: owners.round() as usize,
-        ..fleet
-    });
+    let writers = owners.round() as usize;
+    let mut drive = Drive::new(writers, budget);
     let mut boxes = vec![Outbox::default(); shards];
     let (mut owed, mut next) = (0.0, 0);
     let (mut ended, mut waited) = (0_u64, Duration::ZERO);
@@ -314,7 +323,7 @@
 
 /// One process takes one job in and appends nothing else.
 fn take_in(items: usize, fleet: Fleet) -> Taken {
-    let mut drive = Drive::new(fleet);
+    let mut drive = Drive::new(fleet.writers, BUDGET);
     let begun = drive.now;
     let shards = fleet.shards as u16;
     let spread = placement::shards_for(items as id::Item, shards);
--- a/crates/tinbank-load/src/slopes/mod.rs
+++ b/crates/tinbank-load/src/slopes/mod.rs
@@ -127,6 +127,7 @@
         ("intake byte", &intake::byte),
         ("intake bytes", &|| intake::bytes(allocated)),
         ("host list bytes", &hosts::list_bytes),
+        ("host list compressed bytes", &hosts::list_compressed_bytes),
         ("host list time", &hosts::list_time),
         ("host list state bytes", &|| {
             hosts::list_state_bytes(allocated)
--- a/crates/tinbank-load/src/slopes/processes.rs
+++ b/crates/tinbank-load/src/slopes/processes.rs
@@ -23,7 +23,7 @@
 
 use super::{Series, micros, point, threads::Spent};
 
-const ENGINES: [u32; 3] = [4, 12, 24];
+const ENGINES: [u32; 4] = [4, 12, 60, 240];
 const IDLE: Duration = Duration::from_secs(6);
 const SETTLE: Duration = Duration::from_secs(2);
 const TOKENS: [u32; 4] = [4, 8, 16, 24];
@@ -45,11 +45,12 @@
     at_rest("batch rest", |rest| rest.batch)
 }
 
+/// The holder of orders, which alone asks every engine.
 pub(super) fn fleet_rest() -> Series {
     at_rest("fleet rest", |rest| rest.fleet)
 }
 
-/// Control threads of the three processes of a host only.
+/// Control threads of the online and the batch process only.
 pub(super) fn control_rest() -> Series {
     at_rest("control rest", |rest| rest.control)
 }
@@ -199,7 +200,7 @@
         online: all(online),
         batch: all(batch),
         fleet: all(fleet),
-        control: micros(online.control + batch.control + fleet.control) / IDLE.as_secs_f64(),
+        control: micros(online.control + batch.control) / IDLE.as_secs_f64(),
     }
 }
 
--- a/crates/tinbank-load/tests/capacity.rs
+++ b/crates/tinbank-load/tests/capacity.rs
@@ -25,11 +25,13 @@
 
     let tables = capacity::tables(&figures);
     let fresh = tables.iter().fold(page.clone(), |page, (name, table)| {
-        capacity::splice(&page, name, table).unwrap_or_else(|| panic!("the page has no part {name}"))
+        capacity::splice(&page, name, table)
+            .unwrap_or_else(|| panic!("the page has no part {name}"))
     });
 
     if env::var_os("TINBANK_WRITE_DOCS").is_some() {
-        return fs::write(Path::new(DOCS).join("CAPACITY.md"), &fresh).expect("the page is writable");
+        return fs::write(Path::new(DOCS).join("CAPACITY.md"), &fresh)
+            .expect("the page is writable");
     }
     assert_eq!(page, fresh, "run it once with TINBANK_WRITE_DOCS=1");
 }
@@ -48,15 +50,27 @@
 fn every_series_that_the_page_names_was_measured() {
     let page = read("CAPACITY.md");
     let figures = figures();
-    let measured: BTreeSet<&str> = figures.series().iter().map(|series| &*series.name).collect();
+    let measured: BTreeSet<&str> = figures
+        .series()
+        .iter()
+        .map(|series| &*series.name)
+        .collect();
     let series_column = |line: &str| line.split('|').nth(7).unwrap_or_default().to_owned();
-    let rows = page.lines().filter(|line| line.starts_with('|') && line.split('|').count() == 9);
+    let rows = page
+        .lines()
+        .filter(|line| line.starts_with('|') && line.split('|').count() == 9);
 
     let columns: Vec<_> = rows.map(series_column).collect();
-    let named: Vec<_> = columns.iter().flat_map(|column| column.split('`').skip(1).step_by(2)).collect();
+    let named: Vec<_> = columns
+        .iter()
+        .flat_map(|column| column.split('`').skip(1).step_by(2))
+        .collect();
 
     assert!(!named.is_empty());
-    let unknown: Vec<_> = named.into_iter().filter(|name| !measured.contains(name)).collect();
+    let unknown: Vec<_> = named
+        .into_iter()
+        .filter(|name| !measured.contains(name))
+        .collect();
     assert_eq!(unknown, Vec::<&str>::new());
 }
 
@@ -65,9 +79,17 @@
     for series in figures().series() {
         let fit = Fit::through(&series.points);
         let close = |a: f64, b: f64| (a - b).abs() <= 1e-6 * a.abs().max(b.abs()).max(1.0);
-        assert!(series.points.len() >= 3, "{} has too few sizes", series.name);
+        assert!(
+            series.points.len() >= 3,
+            "{} has too few sizes",
+            series.name
+        );
         assert!(close(fit.slope, series.fit.slope), "{}", series.name);
-        assert!(close(fit.intercept, series.fit.intercept), "{}", series.name);
+        assert!(
+            close(fit.intercept, series.fit.intercept),
+            "{}",
+            series.name
+        );
     }
 }
 
--- a/crates/tinbank-platform/tests/platform.rs
+++ b/crates/tinbank-platform/tests/platform.rs
@@ -68,6 +68,59 @@
     .await;
 }
 
+#[tokio::test]
+async fn a_list_that_has_not_changed_is_not_sent_again() {
+    let standin = start(settings()).await;
+    let hosts = hosts::Http::new(standin.hosts().expect("it is in the settings").address);
+    let first = hosts.changed(None).await.expect("it is up");
+    let version = first.as_ref().map(|list| list.version);
+
+    let same = hosts.changed(version).await;
+    let list = standin.list().expect("it is in the settings");
+    list.change_at_once(|list| list.upstreams.clear());
+    let later = hosts.changed(version).await.expect("it is up");
+
+    assert!(first.is_some());
+    assert_eq!(same, Ok(None));
+    let later = later.expect("it has changed");
+    assert!(Some(later.version) > version);
+    assert!(later.upstreams.is_empty());
+}
+
+#[tokio::test]
+async fn a_long_list_comes_compressed_and_whole() {
+    let standin = start(settings()).await;
+    let address = standin.hosts().expect("it is in the settings").address;
+    let hosts = hosts::Http::new(address);
+    let list = standin.list().expect("it is in the settings");
+    list.change_at_once(|list| {
+        let first = list.upstreams[0].clone();
+        list.upstreams = vec![first; 1_000];
+    });
+
+    let read = hosts.list().await.expect("it is up");
+
+    assert_eq!(read.upstreams.len(), 1_000);
+    let packed = encoding_of(address).await;
+    assert_eq!(packed.as_deref(), Some("gzip"));
+}
+
+/// How the platform packs the list for whoever takes it packed.
+async fn encoding_of(address: std::net::SocketAddr) -> Option<String> {
+    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+    let request =
+        "GET /v1/hosts HTTP/1.1\r\nhost: h\r\naccept-encoding: gzip\r\nconnection: close\r\n\r\n";
+    let mut stream = tokio::net::TcpStream::connect(address).await.ok()?;
+    stream.write_all(request.as_bytes()).await.ok()?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.ok()?;
+    let text = String::from_utf8_lossy(&answer).to_lowercase();
+    let mut lines = text.lines();
+    let encoding =
+        lines.find_map(|line| line.strip_prefix("content-encoding: ").map(str::to_owned));
+    encoding
+}
+
 #[tokio::test]
 async fn a_change_of_the_list_shows_only_after_its_lag() {
     let mut settings = settings();
--- a/crates/tinbank-routing/src/leaving.rs
+++ b/crates/tinbank-routing/src/leaving.rs
@@ -77,9 +77,21 @@
             };
             listed.insert(upstream.upstream, Listed { live, live_since });
         }
+        let seen_live_in = self.version.unwrap_or(0);
+        let left: SmallVec<[id::Upstream; 4]> = self
+            .listed
+            .iter()
+            .filter(|(_, before)| before.live)
+            .filter(|(upstream, _)| listed.get(*upstream).is_none_or(|now| !now.live))
+            .map(|(upstream, _)| *upstream)
+            .collect();
         self.version = Some(list.version);
         self.listed = listed;
         self.forget(now);
+        // In a large fleet peers read the list less often, so what it says first is passed on as well.
+        for upstream in left {
+            self.add(upstream, seen_live_in, now);
+        }
         true
     }
 
--- a/crates/tinbank-routing/src/table/mod.rs
+++ b/crates/tinbank-routing/src/table/mod.rs
@@ -86,6 +86,7 @@
         if !tracker.list(list, now) {
             return;
         }
+        let signed = !tracker.news(now).is_empty();
         let before = self.inner.entries.load();
         let mut entries = Entries::default();
         for listed in &list.upstreams {
@@ -101,6 +102,9 @@
             });
         }
         self.inner.entries.store(Arc::new(entries));
+        if signed {
+            self.inner.signed.notify_one();
+        }
     }
 
     /// Takes in that an upstream can't be reached for its report, so that no caller has to find out.
--- a/crates/tinbank-routing/tests/leaving.rs
+++ b/crates/tinbank-routing/tests/leaving.rs
@@ -61,6 +61,29 @@
     assert_eq!(tracker.news(now).as_slice(), [word]);
 }
 
+#[yare::parameterized(
+    leaving = { gone(6) },
+    no_longer_listed = { list(6, None) },
+)]
+fn what_the_list_says_first_is_passed_on_to_peers_that_have_not_read_it(list: List) {
+    let now = Instant::now();
+    let mut reader = tracker(5, now);
+    let mut peer = tracker(5, now);
+
+    reader.list(&list, now);
+    let news = reader.news(now);
+    let heard: Vec<_> = news.iter().map(|word| peer.hear(*word, now)).collect();
+
+    assert_eq!(heard, [true]);
+    assert!(peer.is_leaving(ENGINE, now));
+    // The list that has it live again ends the word at the reader and at the peer.
+    reader.list(&live(7), now);
+    peer.list(&list, now);
+    peer.list(&live(7), now);
+    assert!(!reader.is_leaving(ENGINE, now));
+    assert!(!peer.is_leaving(ENGINE, now));
+}
+
 #[test]
 fn a_lagging_list_does_not_bring_it_back() {
     let now = Instant::now();
--- a/crates/tinbank-standin/src/hosts.rs
+++ b/crates/tinbank-standin/src/hosts.rs
@@ -8,7 +8,7 @@
 };
 
 use dropshot::{ApiDescription, HttpError, RequestContext, endpoint};
-use http::StatusCode;
+use http::{StatusCode, header};
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 use tinbank_base::platform::hosts::{List, Member, State, Upstream};
@@ -155,6 +155,11 @@
     let hosts = request.context();
     let effect = async {
         let list = hosts.lock().show(Instant::now());
+        let tag = format!("\"{}\"", list.version);
+        let known = request.request.headers().get(header::IF_NONE_MATCH);
+        if known.is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+            return answer::bytes(StatusCode::NOT_MODIFIED, "");
+        }
         answer::json(StatusCode::OK, &list)
     };
     Ok(under(&hosts.inner.faults, effect).await)
--- a/crates/tinbank-standin/src/service/server.rs
+++ b/crates/tinbank-standin/src/service/server.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use dropshot::{
-    ApiDescription, ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder, ServerContext,
+    ApiDescription, CompressionConfig, ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder,
+    ServerContext,
 };
 use tokio::{sync::oneshot, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
@@ -103,6 +104,8 @@
         let config = ConfigDropshot {
             bind_address: address,
             default_request_body_max_bytes: MAX_BODY,
+            // Only for callers that ask for it, as the host list's do.
+            compression: CompressionConfig::Gzip,
             default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
             ..ConfigDropshot::default()
         };
