--- a/crates/tinbank-admission/src/controller.rs
+++ b/crates/tinbank-admission/src/controller.rs
@@ -19,33 +19,35 @@
 };
 
 /// How long a grant holds at its receiver.
-pub const HOLDS: Duration = Duration::from_millis(2_750);
+pub const HOLDS: Duration = Duration::from_millis(3_000);
 /// How long a word of the second controller holds.
 pub const CAP_HOLDS: Duration = Duration::from_millis(1_000);
 /// Time between renewals of a grant: three may be lost before it runs out, so that a tenth of the frames lost costs
 /// no batch.
-pub const RENEW: Duration = Duration::from_millis(600);
+pub const RENEW: Duration = Duration::from_millis(700);
 /// Time that a grant may be on its way; longer ones are the receiver's pause, which it notices itself.
 pub const ON_THE_WAY: Duration = Duration::from_millis(200);
 /// Time that a new controller learns before it grants: all grants of the one before have run out, and every online
 /// process has told its load.
-pub const LEARN: Duration = Duration::from_millis(3_200);
+pub const LEARN: Duration = Duration::from_millis(3_500);
 /// A load that is not told again within this time is gone with its process.
 pub const LOAD_HOLDS: Duration = Duration::from_secs(25);
 /// A wish that is not repeated within this time is gone; two repetitions may be lost.
-pub const WISH_HOLDS: Duration = Duration::from_secs(14);
+pub const WISH_HOLDS: Duration = Duration::from_secs(17);
 /// Times that a lowered grant is repeated, so that a lost frame delays it by one tick only.
 const REPEATS: u8 = 2;
 /// Time between moves of a credit for the sake of shares; a move cancels an item.
 const REBALANCE: Duration = Duration::from_secs(4);
+/// Part of the slots by which online load may rise without a word of the second controller, however small the headroom.
+const SMALL_RISE: u16 = 8;
 /// Part of the slots that is taken for a burst until one is seen.
 const GUESSED_BURST: u16 = 4;
 
 /// Parameters of admission control.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
-    /// Part of a learned burst that is kept free, in per cent: 100 keeps room for the largest rise seen lately, 0
-    /// keeps none. See `docs/design/admission.md` for the curve.
+    /// Part of a learned burst that is kept free, in per cent: 100 keeps room for the largest rise seen lately, 50
+    /// is for throughput. See `docs/design/admission.md` for the curve.
     pub lean: u16,
 }
 
@@ -264,7 +266,7 @@
                 seat.tell(load.upstream, &mut self.round, now, actions);
             }
             // The first one may be gone; as long as the burst fits into the headroom that costs nothing.
-            Rank::Second if rise > headroom => {
+            Rank::Second if rise > headroom.max(seat.slots.div_ceil(SMALL_RISE)) => {
                 seat.caution(load.upstream, budget.most, &mut self.round, actions);
             }
             Rank::First | Rank::Second | Rank::Other => {}
