--- a/crates/tinbank-batch/src/settings.rs
+++ b/crates/tinbank-batch/src/settings.rs
@@ -31,6 +31,8 @@
     pub items_at_once: usize,
     /// What lets items into engines.
     pub admission: Admission,
+    /// Slots of each engine that batch never takes, where `admission` is `static`.
+    pub slots_for_online: u16,
     /// Where batch stands between throughput and the tail of online requests, for `admission` `credits`.
     pub lean_percent: u16,
     /// Items of this process in one upstream at once, where `admission` is `bounded`, and in plain services.
@@ -45,6 +47,8 @@
     Credits,
     /// A fixed number in each engine.
     Bounded,
+    /// A fixed part of each engine's slots, divided among the batch processes; it never gives way.
+    Static,
 }
 
 impl Default for Settings {
@@ -59,12 +63,16 @@
             log_retention_s: 24 * 3_600,
             items_at_once: 256,
             admission: Admission::Credits,
+            slots_for_online: 2,
             lean_percent: 100,
             items_per_upstream: 4,
         }
     }
 }
 
+/// Reads at the tail come up to a second apart, so that less would take a quiet log for a failing one.
+const SHORTEST_STALE: Duration = Duration::from_millis(1_500);
+
 impl Settings {
     /// How leases are timed: all times follow from the silence.
     pub fn terms(&self) -> Terms {
@@ -75,6 +83,7 @@
             gap: silence / 3 + Duration::from_secs(1),
             renew: silence / 3,
             retry: silence / 3,
+            stale: (silence / 2).max(SHORTEST_STALE),
             ..Terms::default()
         }
     }
@@ -132,9 +141,16 @@
             ),
             Field::default(
                 "admission",
-                Kind::Choice(&["credits", "bounded"]),
+                Kind::Choice(&["credits", "bounded", "static"]),
                 "\"credits\"",
-                "What lets items into engines: credits of the admission controllers, or a fixed number in each engine.",
+                "What lets items into engines: credits of the admission controllers, a fixed number in each engine, or a fixed \
+                 part of its slots (`static`), which never gives way.",
+            ),
+            Field::default(
+                "slots_for_online",
+                Kind::count(0, 10_000),
+                "2",
+                "Slots of each engine that batch never takes where `admission` is `static`. The same on all hosts.",
             ),
             Field::default(
                 "lean_percent",
--- a/crates/tinbank-batch/tests/faults.rs
+++ b/crates/tinbank-batch/tests/faults.rs
@@ -4,12 +4,13 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use support::{APPEND_TIMEOUT, Host, SHARDS, World, eventually, lines};
+use support::{APPEND_TIMEOUT, Host, LAGGING, SHARDS, World, eventually, lines};
 use tinbank_base::{
     id,
     platform::log::Stream,
     record::{Envelope, work::Record},
 };
+use tinbank_ledger::lease::Lease;
 use tinbank_test_support::log::Fault;
 
 fn world_of(hosts: u32) -> (World, Vec<Host>) {
@@ -89,6 +90,73 @@
     );
 }
 
+#[tokio::test]
+async fn a_host_that_lags_does_not_answer_for_a_job_that_has_ended() {
+    let (world, hosts) = world_of(2);
+    let caller = hosts[0].session("key-moreton");
+    let id = caller.accepted(None, lines(0, 10)).await;
+    caller.until(&id, "completed").await;
+    eventually("all leases are given back", || async {
+        holders(&world).is_empty()
+    })
+    .await;
+    world.frozen.send_replace(true);
+
+    let mut counts = Vec::new();
+    for job in 1..5 {
+        // The keys fix the jobs' shards, so that some of them have the lagging host first in rank.
+        let key = format!("job-{job}");
+        let id = caller.accepted(Some(&key), lines(job * 100, 10)).await;
+        caller.until(&id, "completed").await;
+        counts.push(answered(&caller.results(&id).await).len());
+    }
+    world.frozen.send_replace(false);
+
+    assert_eq!(counts, [10; 4]);
+}
+
+#[tokio::test]
+async fn a_holder_whose_reads_hang_is_followed_by_another() {
+    let (world, hosts) = world_of(2);
+    let caller = hosts[0].session("key-moreton");
+    world.engines.hold();
+    // More chunks than a holder takes in hand, so that it can't end them without reading more.
+    let id = caller.accepted(Some("sweep"), lines(0, 4_096)).await;
+    eventually(
+        "both hosts hold leases and the engines are full",
+        || async {
+            let holders = holders(&world);
+            holders.contains(&1) && holders.contains(&2) && world.engines.starts() == 24
+        },
+    )
+    .await;
+
+    world.frozen.send_replace(true);
+    world.engines.go_on();
+    caller.until(&id, "completed").await;
+
+    assert_eq!(answered(&caller.results(&id).await).len(), 4_096);
+    assert!(!holders(&world).contains(&LAGGING));
+}
+
+/// The hosts that hold leases now, by a fold of their own.
+fn holders(world: &World) -> BTreeSet<id::Host> {
+    let holder = |shard| {
+        let mut lease = Lease::default();
+        for entry in world.log.entries(Stream::Work(shard)) {
+            let envelope: Envelope<Record> = Envelope::decode(&entry.payload).unwrap();
+            for record in &envelope.records {
+                if let Record::Lease(record) = record {
+                    lease.apply(entry.offset, envelope.writer, *record);
+                }
+            }
+            lease.heard(envelope.writer, entry.offset);
+        }
+        lease.holder.map(|holder| holder.writer.process.host)
+    };
+    (0..SHARDS).filter_map(holder).collect()
+}
+
 #[tokio::test]
 async fn batch_gives_way_and_resumes_where_it_was() {
     let (world, hosts) = world_of(1);
--- a/crates/tinbank-load/src/lib.rs
+++ b/crates/tinbank-load/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod capacity;
 pub mod command;
+pub mod compare;
 pub mod slopes;
