Completions wait up to 50 ms for others to share their append

Cause: with budget to spare an append went as soon as the one before had ended, so that a thousand items took 42.5 appends. At a few dozen items a second a shard an append still holds few of them, which matters to no budget. Not measured: carrying forward, and a log with latency.

--- a/crates/tinbank-batch/src/owner/appends.rs
+++ b/crates/tinbank-batch/src/owner/appends.rs
@@ -51,11 +51,12 @@
     }
 
     /// Appends completions and dispatches that have gathered.
-    pub(super) fn flush(&mut self, shard: id::Shard) {
+    pub(super) fn flush(&mut self, shard: id::Shard, now: Instant) {
         let Some(followed) = self.shards.get_mut(&shard) else {
             return;
         };
-        let completed = followed.outbox.take();
+        let more = followed.running && followed.hand.running() > 0;
+        let completed = followed.outbox.take(more, now);
         let dispatches = followed.dispatches.take();
         if let Some(batch) = completed {
             let records = batch.iter().cloned().map(work::Record::Completed).collect();
@@ -117,8 +118,9 @@
             }
             return;
         };
+        let now = Instant::now();
         if result.is_ok() {
-            followed.contender.observe_append(Instant::now());
+            followed.contender.observe_append(now);
         }
         match what {
             // Each is given again by its state machine until its effect is read.
@@ -132,7 +134,7 @@
             }
             What::Outbox(batch) => {
                 let failed = if result.is_ok() { Vec::new() } else { batch };
-                followed.outbox.done(failed);
+                followed.outbox.done(failed, now);
             }
             What::Dispatch(keys) => {
                 let may_stand = result.as_ref().is_err_and(writer::Error::may_stand);
--- a/crates/tinbank-batch/src/owner/control.rs
+++ b/crates/tinbank-batch/src/owner/control.rs
@@ -263,7 +263,7 @@
         if matches!(step, Step::Hold) && fresh {
             self.do_upkeep(shard);
         }
-        self.flush(shard);
+        self.flush(shard, now);
     }
 
     /// Tells the runner to give back what was stopped.
--- a/crates/tinbank-batch/src/owner/outbox.rs
+++ b/crates/tinbank-batch/src/owner/outbox.rs
@@ -1,6 +1,9 @@
 //! Completions on their way to the log: one append of a shard at a time, so that all that end meanwhile share the next.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use tinbank_base::{
     id,
@@ -9,6 +12,8 @@
 
 /// About how many bytes of completions go into one append.
 const APPEND_BYTES: usize = 256 << 10;
+/// How long a completion waits for others to share its append, while items of its shard are running.
+const COMPANY: Duration = Duration::from_millis(50);
 /// What a completion takes besides its answer, in bytes.
 const OVERHEAD: usize = 32;
 
@@ -17,12 +22,21 @@
 pub(super) struct Outbox {
     waiting: BTreeMap<(id::Job, id::Chunk), Vec<Completion>>,
     bytes: usize,
+    /// Since when the first of them waits.
+    since: Option<Instant>,
     /// Whether an append is under way.
     sending: bool,
 }
 
 impl Outbox {
-    pub(super) fn push(&mut self, job: id::Job, chunk: id::Chunk, completion: Completion) {
+    pub(super) fn push(
+        &mut self,
+        job: id::Job,
+        chunk: id::Chunk,
+        completion: Completion,
+        now: Instant,
+    ) {
+        self.since.get_or_insert(now);
         self.bytes += size(&completion);
         self.waiting
             .entry((job, chunk))
@@ -30,11 +44,17 @@
             .push(completion);
     }
 
-    /// What to append now, if anything, and if no append is under way.
-    pub(super) fn take(&mut self) -> Option<Vec<Completed>> {
+    /// What to append now, if anything, and if no append is under way. `more`: others may soon end and go along.
+    pub(super) fn take(&mut self, more: bool, now: Instant) -> Option<Vec<Completed>> {
         if self.sending || self.waiting.is_empty() {
             return None;
         }
+        let waited = self
+            .since
+            .is_none_or(|since| now.saturating_duration_since(since) >= COMPANY);
+        if more && !waited && self.bytes < APPEND_BYTES {
+            return None;
+        }
         let mut batch = Vec::new();
         let mut bytes = 0;
         while let Some(((job, chunk), mut completions)) = self.waiting.pop_first() {
@@ -57,22 +77,24 @@
             }
         }
         self.bytes = self.bytes.saturating_sub(bytes);
+        self.since = self.since.filter(|_| !self.waiting.is_empty());
         self.sending = true;
         Some(batch)
     }
 
     /// The append has ended; what is not known to stand in the log is appended again, since the first copy counts.
-    pub(super) fn done(&mut self, failed: Vec<Completed>) {
+    pub(super) fn done(&mut self, failed: Vec<Completed>, now: Instant) {
         self.sending = false;
         for completed in failed {
             for completion in completed.completions {
-                self.push(completed.job, completed.chunk, completion);
+                self.push(completed.job, completed.chunk, completion, now);
             }
         }
     }
 
     pub(super) fn drop_job(&mut self, job: id::Job) {
         self.waiting.retain(|(of, _), _| *of != job);
+        self.since = self.since.filter(|_| !self.waiting.is_empty());
         self.bytes = self.waiting.values().flatten().map(size).sum();
     }
 
--- a/crates/tinbank-batch/src/owner/reports.rs
+++ b/crates/tinbank-batch/src/owner/reports.rs
@@ -56,7 +56,8 @@
             answered: matches!(completion.outcome, work::Outcome::Answer(_)),
             attempts: completion.attempts,
         };
-        followed.outbox.push(key.job, key.chunk, completion);
+        let now = Instant::now();
+        followed.outbox.push(key.job, key.chunk, completion, now);
         let subject = Subject {
             shard: Some(key.shard),
             job: Some(key.job),
