Test what the time line tells of items that gave way or were tried again

An item that was preempted: routed, preempted, routed, resumed, completed; one whose answer was cut: retried in place of preempted. Each but the last names the attempt's request and upstream.

--- a/crates/tinbank-batch/tests/faults.rs
+++ b/crates/tinbank-batch/tests/faults.rs
@@ -181,6 +181,10 @@
 
     assert_eq!(answered(&caller.results(&id).await).len(), 10);
     assert_eq!(world.engines.read(|account| account.resumed.len()), 10);
+    assert_eq!(
+        hosts[0].story(4),
+        ["routed", "preempted", "routed", "resumed", "completed"]
+    );
     let item = caller.item(&id, "item-4").await;
     assert_eq!(
         item.text("/response/choices/0/message/content"),
--- a/crates/tinbank-batch/tests/session.rs
+++ b/crates/tinbank-batch/tests/session.rs
@@ -258,6 +258,10 @@
     let bad = caller.item(&id, "bad").await;
     assert_eq!(bad.text("/error/code"), "upstream_rejected");
     assert_eq!(caller.item(&id, "cut").await.json()["attempts"], 2);
+    assert_eq!(
+        hosts[0].story(52),
+        ["routed", "retried", "routed", "resumed", "completed"]
+    );
     assert_eq!(
         world
             .engines
--- a/crates/tinbank-batch/tests/support/mod.rs
+++ b/crates/tinbank-batch/tests/support/mod.rs
@@ -74,6 +74,7 @@
 pub struct Host {
     pub writer: Writer,
     pub address: SocketAddr,
+    recorder: Recorder,
     service: Option<Service>,
     runtime: Option<Runtime>,
     net: Net,
@@ -112,6 +113,7 @@
             traffic: runtime.handle().clone(),
         };
         let edges = self.edges(writer, handles);
+        let recorder = edges.recorder.clone();
         let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let service = Service::start(edges, Listen::plain(loopback)).unwrap();
         let address = service.http.local_addr();
@@ -120,6 +122,7 @@
         Host {
             writer,
             address,
+            recorder,
             service: Some(service),
             runtime: Some(runtime),
             net: self.net.clone(),
@@ -193,6 +196,25 @@
         Session::new(self.address, key)
     }
 
+    /// Events of the attempts at an item, and of its end, by name.
+    pub fn story(&self, item: id::Item) -> Vec<String> {
+        let query = tinbank_timeline::Query {
+            item: Some(item),
+            ..Default::default()
+        };
+        let events = self.recorder.page(&query).events.into_iter();
+        let events = events.filter(|event| event.subject.item.is_some());
+        events
+            .map(|event| {
+                let event = serde_json::to_value(&event).unwrap();
+                let name = event["event"].as_str().unwrap();
+                let sent = event["request"].is_string() && event["upstream"].is_number();
+                assert!(sent || name == "completed", "{event}");
+                name.to_owned()
+            })
+            .collect()
+    }
+
     /// Ends the host like a lost machine: nothing is released, nobody is told.
     pub fn kill(&mut self) {
         self.net.lose(self.writer);
