--- a/crates/tinbank-base/src/clock.rs
+++ b/crates/tinbank-base/src/clock.rs
@@ -74,10 +74,10 @@
     }
 }
 
-/// Microseconds since 1970; times before then count as 0.
+/// Microseconds since 1970; times before then count as 0, times after the largest number as that one.
 pub fn micros(time: SystemTime) -> u64 {
     let since = time.duration_since(UNIX_EPOCH).unwrap_or_default();
-    since.as_micros() as u64
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
 }
 
 /// A start number for a process: later starts have larger numbers.
--- a/crates/tinbank-batch/src/owner/follow.rs
+++ b/crates/tinbank-batch/src/owner/follow.rs
@@ -111,7 +111,7 @@
                 self.give_up_recovery(shard);
             }
             Event::Trimmed { first } => {
-                followed.recovery = Some(Recovery::new(first));
+                followed.recovery = Some(Recovery::new(shard, self.parts.shards, first));
                 followed.first = first;
                 followed.current = false;
             }
@@ -129,10 +129,13 @@
         };
         self.parts.recorder.observe(envelope.stamp);
         if let Some(recovery) = &mut followed.recovery {
-            match recovery.offer(envelope) {
+            match recovery.offer(offset, envelope) {
                 Ok(Some(fold)) => self.recovered(shard, fold),
                 Ok(None) => {}
-                Err(error) => log::warn!(shard, offset, error:%; "checkpoint passed over"),
+                Err(error) => {
+                    metrics::counter!("tinbank_batch_checkpoints_refused_total").increment(1);
+                    log::warn!(shard, offset, error:%; "checkpoint passed over");
+                }
             }
             return;
         }
--- a/crates/tinbank-configuration/src/fold/checkpoint.rs
+++ b/crates/tinbank-configuration/src/fold/checkpoint.rs
@@ -103,7 +103,9 @@
 
 impl Collector {
     /// Takes in the parts in an envelope; returns the state of a checkpoint that is now complete.
-    pub(super) fn take(&mut self, envelope: Envelope<Record>) -> Option<State> {
+    ///
+    /// A checkpoint that claims to hold entry `limit` or a later one is none: its state would keep changes out.
+    pub(super) fn take(&mut self, limit: id::Offset, envelope: Envelope<Record>) -> Option<State> {
         let mut complete = None;
         for record in envelope.records {
             let Record::Checkpoint {
@@ -116,7 +118,10 @@
             else {
                 continue;
             };
-            if part >= parts {
+            let late = objects.iter().any(|kept| kept.revision > through)
+                || recent.iter().any(|recent| recent.offset > through);
+            if part >= parts || through >= limit || late {
+                metrics::counter!("tinbank_configuration_checkpoints_refused_total").increment(1);
                 continue;
             }
             let name = Name {
@@ -189,7 +194,7 @@
                     part,
                     parts,
                     ..
-                } => {
+                } if part < parts && *through < entry.offset => {
                     let name = Name {
                         through: *through,
                         writer: envelope.writer,
@@ -197,6 +202,7 @@
                     };
                     self.part(name, *part, entry.offset, at);
                 }
+                Record::Checkpoint { .. } => {}
             }
         }
     }
--- a/crates/tinbank-configuration/src/fold/replay.rs
+++ b/crates/tinbank-configuration/src/fold/replay.rs
@@ -65,7 +65,7 @@
         let Ok(envelope) = Envelope::<Record>::decode(&entry.payload) else {
             return Vec::new();
         };
-        match gap.collector.take(envelope) {
+        match gap.collector.take(entry.offset, envelope) {
             Some(restored) => self.adopt(restored),
             None => Vec::new(),
         }
@@ -80,7 +80,8 @@
             match checkpoint::stand_in(entry) {
                 Some(envelope) => {
                     let made = envelope.stamp.time();
-                    let restored = collector.take(envelope);
+                    let limit = entry.offset.saturating_add(1);
+                    let restored = collector.take(limit, envelope);
                     if let Some(restored) = restored {
                         self.coverage.jumped(entry.offset, made);
                         judged.extend(self.adopt(restored));
--- a/crates/tinbank-configuration/src/fold/state.rs
+++ b/crates/tinbank-configuration/src/fold/state.rs
@@ -98,7 +98,7 @@
         if entry.offset != self.next {
             return Vec::new();
         }
-        self.next = entry.offset + 1;
+        self.next = entry.offset.saturating_add(1);
         self.window.advance(entry.offset);
         self.forget_deleted(entry.offset);
         let Ok(envelope) = Envelope::<Record>::decode(&entry.payload) else {
@@ -132,7 +132,7 @@
     /// The state that a checkpoint holds.
     pub(super) fn restore(through: id::Offset, kept: Vec<Kept>, recent: Vec<Recent>) -> Self {
         let mut state = Self {
-            next: through + 1,
+            next: through.saturating_add(1),
             window: recent.into_iter().collect(),
             ..Self::default()
         };
@@ -362,7 +362,7 @@
     /// Deleted objects are remembered only as long as changes are, to say who deleted them.
     fn forget_deleted(&mut self, offset: id::Offset) {
         while let Some(oldest) = self.deleted.first()
-            && oldest.revision + WINDOW <= offset
+            && oldest.revision.saturating_add(WINDOW) <= offset
         {
             self.objects.remove(&oldest.object);
             self.deleted.pop_first();
--- a/crates/tinbank-configuration/src/fold/window.rs
+++ b/crates/tinbank-configuration/src/fold/window.rs
@@ -25,7 +25,7 @@
     /// Forgets what lies too far before an offset.
     pub(super) fn advance(&mut self, offset: id::Offset) {
         while let Some(oldest) = self.recent.front()
-            && oldest.offset + WINDOW <= offset
+            && oldest.offset.saturating_add(WINDOW) <= offset
         {
             for change in &oldest.changes {
                 self.changes.remove(change);
--- a/crates/tinbank-ledger/benches/fold.rs
+++ b/crates/tinbank-ledger/benches/fold.rs
@@ -86,12 +86,14 @@
 }
 
 fn recover(payloads: &[Bytes]) -> Shard {
-    let mut recovery = Recovery::new(0);
+    let mut recovery = Recovery::new(0, SHARDS, 0);
     payloads
         .iter()
         .find_map(|payload| {
             let envelope = Envelope::decode(payload).expect("it was encoded here");
-            recovery.offer(&envelope).expect("it was written here")
+            recovery
+                .offer(id::Offset::MAX, &envelope)
+                .expect("it was written here")
         })
         .expect("the checkpoint is whole")
 }
--- a/crates/tinbank-ledger/src/chunk.rs
+++ b/crates/tinbank-ledger/src/chunk.rs
@@ -102,15 +102,29 @@
         results.map_or(self.offset, |result| result.min(self.offset))
     }
 
+    /// Whether a decoded value is one that [`Chunk::new`] and [`Chunk::end`] could have made.
+    pub(crate) fn sound(&self) -> bool {
+        let fits = self.progress.as_ref().is_none_or(|progress| {
+            let bits = progress.ended.len() * u64::BITS as usize;
+            let last = progress.ended.last();
+            let unused = bits.saturating_sub(usize::from(self.items));
+            progress.ended.len() == words(self.items)
+                && last.is_none_or(|last| last.leading_zeros() as usize >= unused)
+        });
+        if !fits || self.first.checked_add(self.items()).is_none() {
+            return false;
+        }
+        self.pending_items().count() == usize::from(self.pending)
+    }
+
     /// Ends an item; `true` the first time.
     pub(crate) fn end(&mut self, item: id::Item, offset: id::Offset) -> bool {
         if !self.holds(item) || self.ended(item) {
             return false;
         }
-        let words = usize::from(self.items).div_ceil(u64::BITS as usize);
         let progress = self.progress.get_or_insert_with(|| {
             Box::new(Progress {
-                ended: vec![0; words].into_boxed_slice(),
+                ended: vec![0; words(self.items)].into_boxed_slice(),
                 results: SmallVec::new(),
             })
         });
@@ -141,6 +155,11 @@
     }
 }
 
+/// Words of a bit for each item.
+fn words(items: u16) -> usize {
+    usize::from(items).div_ceil(u64::BITS as usize)
+}
+
 fn position(index: id::Item) -> (usize, u64) {
     let word = index / u64::BITS;
     (word as usize, 1 << (index % u64::BITS))
--- a/crates/tinbank-ledger/src/claim.rs
+++ b/crates/tinbank-ledger/src/claim.rs
@@ -57,6 +57,12 @@
         }
     }
 
+    /// Whether a decoded value is one that the fold could have made.
+    pub(crate) fn sound(&self) -> bool {
+        let open = self.entries.values().filter(|entry| entry.answer.is_none());
+        open.count() == self.open
+    }
+
     /// Whether any claim is open.
     pub fn live(&self) -> bool {
         self.open > 0
--- a/crates/tinbank-ledger/src/job.rs
+++ b/crates/tinbank-ledger/src/job.rs
@@ -169,8 +169,8 @@
             return false;
         }
         match completion.outcome {
-            work::Outcome::Answer(_) => self.answered += 1,
-            work::Outcome::Failed { .. } => self.failed += 1,
+            work::Outcome::Answer(_) => self.answered = self.answered.saturating_add(1),
+            work::Outcome::Failed { .. } => self.failed = self.failed.saturating_add(1),
         }
         self.advance();
         true
@@ -209,7 +209,27 @@
     }
 
     fn open(&self) -> id::Item {
-        self.items - self.answered - self.failed
+        // The count of items stops at its largest number.
+        let ended = self.answered.saturating_add(self.failed);
+        self.items.saturating_sub(ended)
+    }
+
+    /// Whether a decoded value is one that the fold could have made.
+    pub(crate) fn sound(&self) -> bool {
+        let sound = self.chunks.iter().all(Chunk::sound);
+        let waiting = self.waiting.iter().all(|waiting| waiting.chunk.sound());
+        let ascending = self.chunks.is_sorted_by(|a, b| a.chunk < b.chunk);
+        let counted = self
+            .chunks
+            .iter()
+            .fold(0, |sum: id::Item, chunk| sum.saturating_add(chunk.items()));
+        let ended = self.answered.checked_add(self.failed);
+        sound
+            && waiting
+            && ascending
+            && self.low <= self.chunks.len()
+            && counted == self.items
+            && ended.is_some_and(|ended| ended <= self.items)
     }
 
     fn insert(&mut self, chunk: Chunk) -> bool {
--- a/crates/tinbank-ledger/src/lease/contender.rs
+++ b/crates/tinbank-ledger/src/lease/contender.rs
@@ -172,7 +172,7 @@
             return Step::Wait;
         }
         let take = record::Lease::Take {
-            epoch: lease.epoch + 1,
+            epoch: lease.epoch.saturating_add(1),
             expected: lease.last,
         };
         self.append(lease, take, now).unwrap_or(Step::Wait)
--- a/crates/tinbank-ledger/src/lease/mod.rs
+++ b/crates/tinbank-ledger/src/lease/mod.rs
@@ -77,7 +77,7 @@
         epoch: id::Epoch,
         expected: Option<id::Offset>,
     ) -> Option<Change> {
-        if expected != self.last || epoch != self.epoch + 1 {
+        if expected != self.last || Some(epoch) != self.epoch.checked_add(1) {
             return None;
         }
         let holder = Holder { writer, epoch };
--- a/crates/tinbank-ledger/src/shard/fold.rs
+++ b/crates/tinbank-ledger/src/shard/fold.rs
@@ -18,7 +18,7 @@
         if offset < self.next {
             return changes;
         }
-        self.next = offset + 1;
+        self.next = offset.saturating_add(1);
         if !self.dedupe.admit(envelope.writer, envelope.sequence) {
             return changes;
         }
@@ -37,8 +37,8 @@
     /// Passes over a record that can't be decoded, so that it does not stop the stream.
     pub fn skip(&mut self, offset: id::Offset) {
         if offset >= self.next {
-            self.next = offset + 1;
-            self.skipped += 1;
+            self.next = offset.saturating_add(1);
+            self.skipped = self.skipped.saturating_add(1);
         }
     }
 
@@ -76,13 +76,17 @@
         }
     }
 
-    /// Notes complete checkpoints: parts in order, from one writer.
+    /// Notes complete checkpoints: parts in order, from one writer. A checkpoint stands behind what it holds: one that
+    /// claims more would keep all later ones from being written.
     pub(super) fn checkpoint_part(
         &mut self,
         offset: id::Offset,
         writer: Writer,
         part: &work::Checkpoint,
     ) {
+        if part.through >= offset {
+            return;
+        }
         if part.part == 0 {
             self.collecting = Some(Collecting {
                 writer,
--- a/crates/tinbank-ledger/src/shard/mod.rs
+++ b/crates/tinbank-ledger/src/shard/mod.rs
@@ -3,6 +3,7 @@
 //! Two processes that have folded the same records hold equal states, whatever they are and
 //! whenever they read. See `docs/design/ledger.md` for which record counts when two say different things.
 
+mod check;
 mod fold;
 mod forget;
 mod items;
--- a/crates/tinbank-ledger/tests/ledger/main.rs
+++ b/crates/tinbank-ledger/tests/ledger/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the fold of a work shard. `world` is a small log with hosts that crash, lag and write twice;
 //! `model` is the naive fold that they are checked against.
 
+mod arbitrary;
 mod claim_world;
 mod claims;
 mod fixture;
--- a/crates/tinbank-ledger/tests/ledger/recovery.rs
+++ b/crates/tinbank-ledger/tests/ledger/recovery.rs
@@ -14,18 +14,20 @@
 
 const CASES: u32 = 256;
 const MAX_BYTES: usize = 32;
+/// An offset behind all that the checkpoints here hold.
+const BEHIND: u64 = 100;
 
 #[test]
 fn a_state_comes_back_from_its_parts() {
     let shard = busy();
     let records = checkpoint::records(&shard, MAX_BYTES);
-    let mut recovery = Recovery::new(0);
+    let mut recovery = Recovery::new(0, SHARDS, 0);
 
     let found: Vec<_> = records
         .iter()
         .map(|record| {
             recovery
-                .offer(&one(record.clone()))
+                .offer(BEHIND, &one(record.clone()))
                 .expect("it is readable")
         })
         .collect();
@@ -38,24 +40,28 @@
 #[test]
 fn a_checkpoint_from_before_a_gap_is_not_used() {
     let shard = busy();
-    let mut recovery = Recovery::new(shard.next() + 1);
+    let mut recovery = Recovery::new(0, SHARDS, shard.next() + 1);
 
     let found = checkpoint::records(&shard, usize::MAX)
         .into_iter()
-        .find_map(|record| recovery.offer(&one(record)).expect("it is readable"));
+        .find_map(|record| {
+            recovery
+                .offer(BEHIND, &one(record))
+                .expect("it is readable")
+        });
 
     assert_eq!(found, None);
 }
 
 #[test]
 fn a_later_version_is_refused() {
-    let mut recovery = Recovery::new(0);
+    let mut recovery = Recovery::new(0, SHARDS, 0);
     let part = work::Checkpoint {
         version: checkpoint::VERSION + 1,
         ..part(Bytes::new())
     };
 
-    let found = recovery.offer(&one(Record::Checkpoint(part)));
+    let found = recovery.offer(BEHIND, &one(Record::Checkpoint(part)));
 
     assert_eq!(found, Err(Error::Version(checkpoint::VERSION + 1)));
 }
@@ -106,9 +112,9 @@
 
     #[test]
     fn foreign_contents_give_an_error_and_no_panic(state in prop::collection::vec(any::<u8>(), 0..200)) {
-        let mut recovery = Recovery::new(0);
+        let mut recovery = Recovery::new(0, SHARDS, 0);
 
-        let found = recovery.offer(&one(Record::Checkpoint(part(state.into()))));
+        let found = recovery.offer(BEHIND, &one(Record::Checkpoint(part(state.into()))));
 
         prop_assert!(found.is_err() || found.is_ok_and(|shard| shard.is_some()));
     }
--- a/crates/tinbank-ledger/tests/ledger/world.rs
+++ b/crates/tinbank-ledger/tests/ledger/world.rs
@@ -418,10 +418,13 @@
     if log.first == 0 {
         return Shard::new(shard, SHARDS);
     }
-    let mut recovery = Recovery::new(log.first as id::Offset);
-    log.envelopes[log.first..]
-        .iter()
-        .find_map(|envelope| recovery.offer(envelope).expect("checkpoints are readable"))
+    let mut recovery = Recovery::new(shard, SHARDS, log.first as id::Offset);
+    (log.first as id::Offset..)
+        .zip(&log.envelopes[log.first..])
+        .find_map(|(offset, envelope)| {
+            let found = recovery.offer(offset, envelope);
+            found.expect("checkpoints are readable")
+        })
         .expect("retention left a checkpoint")
 }
 
--- a/crates/tinbank-log/src/reader.rs
+++ b/crates/tinbank-log/src/reader.rs
@@ -210,10 +210,10 @@
 
     /// Holds a page to the log's promise: entries rise by one from where we read, and the tail never lies behind us.
     fn check(&self, page: Page) -> Result<Page, LogError> {
-        let expected = (self.next..).take(page.entries.len());
-        let in_order = page.entries.iter().map(|entry| entry.offset).eq(expected);
-        let next = self.next + page.entries.len() as u64;
-        if !in_order || page.next != next {
+        let next = self.next.checked_add(page.entries.len() as u64);
+        let offsets = page.entries.iter().map(|entry| entry.offset);
+        let in_order = next.is_some_and(|next| offsets.eq(self.next..next));
+        if !in_order || Some(page.next) != next {
             let message = format!("entries from offset {} on are out of order", self.next);
             return Err(LogError::Protocol(message));
         }
@@ -245,7 +245,13 @@
         match Envelope::decode(&entry.payload) {
             Ok(envelope) => Event::Record { entry, envelope },
             Err(error) => {
-                metrics::counter!("tinbank_log_entries_skipped_total").increment(1);
+                let reason = match error {
+                    record::Error::Empty => "empty",
+                    record::Error::Version(_) => "version",
+                    record::Error::Malformed(_) => "malformed",
+                };
+                metrics::counter!("tinbank_log_entries_skipped_total", "reason" => reason)
+                    .increment(1);
                 ::log::warn!(stream:% = self.stream, offset = entry.offset, error:%; "entry skipped");
                 Event::Skipped { entry, error }
             }
--- a/crates/tinbank-platform/src/upstream/stream.rs
+++ b/crates/tinbank-platform/src/upstream/stream.rs
@@ -111,7 +111,10 @@
         };
         if let Some(text) = choice.delta.content {
             let index = self.next;
-            self.next += 1;
+            let Some(next) = index.checked_add(1) else {
+                return self.fail(Kind::Cut("an answer has too many tokens".to_owned()));
+            };
+            self.next = next;
             self.parts.push_back(Ok(Part::Token { index, text }));
         }
         match choice.finish_reason {
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -85,6 +85,12 @@
         &[],
         "Batch items that a holder cancelled at the engine because their credits were withdrawn or ran out.",
     ),
+    counter(
+        "tinbank_batch_checkpoints_refused_total",
+        "records",
+        &[],
+        "Records of shards' checkpoints that were passed over: of a later version, of another shard, malformed.",
+    ),
     gauge(
         "tinbank_batch_items_in_hand",
         "items",
@@ -118,6 +124,12 @@
         &["verdict"],
         "Changes of the configuration that were judged, by verdict.",
     ),
+    counter(
+        "tinbank_configuration_checkpoints_refused_total",
+        "records",
+        &[],
+        "Records of the configuration's checkpoints that were passed over because their numbers can't be right.",
+    ),
     counter(
         "tinbank_configuration_from_peers_total",
         "offsets",
@@ -170,8 +182,8 @@
     counter(
         "tinbank_log_entries_skipped_total",
         "entries",
-        &[],
-        "Entries of the log that could not be decoded and were passed over.",
+        &["reason"],
+        "Entries of the log that were passed over: empty, of a later version, malformed.",
     ),
     counter(
         "tinbank_log_read_failures_total",
