--- a/crates/tinbank-fleet/src/control.rs
+++ b/crates/tinbank-fleet/src/control.rs
@@ -108,9 +108,8 @@
             }
             Event::Tail { .. } => self.holder.read_end(true, Instant::now()),
             Event::Outage { .. } => self.holder.read_end(false, Instant::now()),
-            // A lease's history before the oldest record kept no longer matters: the next take names the last one that
-            // a reader has, and a contender that misses it is refused and reads on.
-            Event::Trimmed { .. } | Event::Skipped { .. } => {}
+            Event::Trimmed { first } => self.holder.trimmed(first),
+            Event::Skipped { entry, .. } => self.holder.skip(entry.offset),
         }
     }
 
--- a/crates/tinbank-fleet/src/holder.rs
+++ b/crates/tinbank-fleet/src/holder.rs
@@ -1,4 +1,8 @@
 //! Our part in the lease of the order holder: the fold of the `fleet` stream and the term we may give orders under.
+//!
+//! The stream is trimmed and has no checkpoints, so which take counts may not depend on what came long before: a take
+//! counts if it stands right behind the last entry that its writer had read, of whatever kind. Its number is that of
+//! its place. All readers judge it alike, wherever they began. See `docs/design/fleet.md`.
 
 use std::time::{Duration, Instant};
 
@@ -6,13 +10,22 @@
     id,
     record::{Envelope, Writer, lease as record},
 };
-use tinbank_ledger::lease::{Change, Contender, Lease, Step, Terms, Want};
+use tinbank_ledger::lease::{self, Change, Contender, Lease, Step, Terms, Want};
 use tinbank_log::fold::Dedupe;
 
 use crate::plan;
 
 /// Part of the lease's silence after which the holder stops by itself.
 const STOP_AFTER_PART: u32 = 2;
+/// Stands for the holder that a trimmed stream may have: a tool never holds the lease. Its silence is counted like
+/// that of a holder that is known.
+const UNKNOWN: Writer = Writer {
+    process: id::Process {
+        host: id::Host::MAX,
+        role: id::Role::Tool,
+    },
+    incarnation: 0,
+};
 
 /// State of the lease as this process reads it.
 #[derive(Debug)]
@@ -20,6 +33,7 @@
     me: Writer,
     silence: Duration,
     lease: Lease,
+    /// Tells copies of our own envelopes: one that comes late proves nothing about a newer step. No take is judged by it.
     dedupe: Dedupe,
     contender: Contender,
     fence: Option<id::Fence>,
@@ -50,9 +64,7 @@
         offset: id::Offset,
         envelope: &Envelope<record::Lease>,
     ) -> Option<Change> {
-        if !self.dedupe.admit(envelope.writer, envelope.sequence) {
-            return None;
-        }
+        self.stand_at(offset);
         let mut change = None;
         for record in &envelope.records {
             change = self
@@ -60,8 +72,9 @@
                 .apply(offset, envelope.writer, *record)
                 .or(change);
         }
-        self.lease.heard(envelope.writer, offset);
-        if envelope.writer == self.me {
+        self.pass(offset);
+        let new = self.dedupe.admit(envelope.writer, envelope.sequence);
+        if new && envelope.writer == self.me {
             self.proven = self.outstanding.take().or(self.proven);
         }
         if let Some(Change::Taken(_)) = change {
@@ -70,6 +83,34 @@
         change
     }
 
+    /// Takes in an entry that can't be decoded, perhaps one of a later version: takes count behind it as well.
+    pub fn skip(&mut self, offset: id::Offset) {
+        self.pass(offset);
+    }
+
+    /// Takes in that the stream now begins at `first`, past what we have read. Somebody may hold the lease, and it is not us
+    /// any more: what we have not read may have been another's take.
+    pub fn trimmed(&mut self, first: id::Offset) {
+        self.stand_at(first);
+        self.lease.holder = Some(lease::Holder {
+            writer: UNKNOWN,
+            epoch: 0,
+        });
+        self.fence = None;
+        self.outstanding = None;
+        self.proven = None;
+    }
+
+    /// The next entry is the one at `offset`: a take there has to name the one before it.
+    fn stand_at(&mut self, offset: id::Offset) {
+        self.lease.last = offset.checked_sub(1);
+        self.lease.epoch = offset;
+    }
+
+    fn pass(&mut self, offset: id::Offset) {
+        self.stand_at(offset.saturating_add(1));
+    }
+
     /// Takes in the end of a read.
     pub fn read_end(&mut self, at_tail: bool, now: Instant) {
         self.contender.observe_tail(&self.lease, at_tail, now);
--- a/crates/tinbank-platform/src/client.rs
+++ b/crates/tinbank-platform/src/client.rs
@@ -20,6 +20,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time to wait that a service is believed.
+const LONGEST_RETRY: Duration = Duration::from_secs(3_600);
 /// Time to wait when a service says "later" without saying when.
 const DEFAULT_RETRY: Duration = Duration::from_secs(1);
 
@@ -109,7 +111,8 @@
     pub fn retry_at(&self) -> SystemTime {
         let millis = number(&self.headers, wire::RETRY_AFTER_MS).map(Duration::from_millis);
         let seconds = number(&self.headers, header::RETRY_AFTER.as_str()).map(Duration::from_secs);
-        SystemTime::now() + millis.or(seconds).unwrap_or(DEFAULT_RETRY)
+        let wait = millis.or(seconds).unwrap_or(DEFAULT_RETRY);
+        SystemTime::now() + wait.min(LONGEST_RETRY)
     }
 
     /// The body as text, cut short for messages.
