--- a/crates/tinbank-base/src/record/lease.rs
+++ b/crates/tinbank-base/src/record/lease.rs
@@ -7,8 +7,9 @@
 /// A step in the life of a lease. The holder is the envelope's writer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Lease {
-    /// Takes the lease. It counts only if `expected` is the offset of the last lease record that counted before it
+    /// Takes the lease. In a work shard it counts only if `expected` is the offset of the last lease record that counted before it
     /// in the stream (`None`: there was none). Any envelope of the holder counts as a renewal.
+    /// In the `fleet` stream it counts only if `expected` is the offset right before its own; see `docs/design/fleet.md`.
     Take {
         /// The term that begins.
         epoch: id::Epoch,
--- a/crates/tinbank-cli/tests/story.rs
+++ b/crates/tinbank-cli/tests/story.rs
@@ -3,6 +3,8 @@
 
 use serde_json::Value;
 use tinbank_cli::exit::Exit;
+use tinbank_server::metrics::catalog;
+use tinbank_test_support::scrape;
 
 mod world;
 use world::deployment::Deployment;
@@ -29,6 +31,25 @@
     drain(&mut deployment).await;
     read(&deployment, &job).await;
     look_back(&deployment).await;
+    scrape(&deployment).await;
+}
+
+/// After all that happened: no metric and no label outside the table, and none that names a customer or a request.
+async fn scrape(deployment: &Deployment) {
+    let host = &deployment.hosts[0];
+    for address in [host.online.http_address(), host.batch.http_address()] {
+        let text = scrape::page(address, "/metrics").await;
+        let text = text.expect("the server runs");
+
+        assert!(text.contains("tinbank_online_request_seconds"), "{text}");
+        assert_eq!(catalog::unlisted(&text), Vec::<&str>::new());
+        assert_eq!(catalog::unlisted_labels(&text), Vec::<String>::new());
+        assert!(
+            !text.contains("moreton-basin"),
+            "a customer is named: {text}"
+        );
+        assert!(!text.contains("logger-notes"), "a service is named: {text}");
+    }
 }
 
 async fn publish(deployment: &Deployment) {
--- a/crates/tinbank-fleet/tests/process.rs
+++ b/crates/tinbank-fleet/tests/process.rs
@@ -23,8 +23,10 @@
 use tinbank_fleet::{Server, Settings};
 use tinbank_log::{reader, writer};
 use tinbank_platform::{log, upstream};
+use tinbank_server::metrics::catalog;
 use tinbank_settings::common::Common;
 use tinbank_standin::{Standin, engine, hosts, log as log_standin, weights};
+use tinbank_test_support::scrape;
 use tokio::{sync::watch, time::sleep};
 
 /// A test that waits longer than this has failed; it is no measure of speed.
@@ -40,6 +42,12 @@
         .expect("it starts");
 
     wait_until_loaded(&platform).await;
+    let text = scrape::page(server.http_address(), "/metrics").await;
+    let text = text.expect("the server runs");
+    assert!(text.contains("tinbank_log_appends_total"), "{text}");
+    assert_eq!(catalog::unlisted(&text), Vec::<&str>::new());
+    assert_eq!(catalog::unlisted_labels(&text), Vec::<String>::new());
+    assert!(!text.contains("moreton"), "a customer is named: {text}");
     server.stop().await;
 }
 
--- a/crates/tinbank-peer/tests/requests.rs
+++ b/crates/tinbank-peer/tests/requests.rs
@@ -12,11 +12,12 @@
 };
 
 use async_trait::async_trait;
-use fixture::{endpoint, endpoint_at, loopback, writer};
+use fixture::{endpoint, endpoint_at, key, loopback, writer};
 use futures::{StreamExt, stream, stream::BoxStream};
 use tinbank_base::{
     frame::{
         credit::{self, Load},
+        datagram::{VERSION, seal},
         request::{Count, MAX_BYTES, Request, Response},
     },
     peer::{Answer, Error, Peers},
@@ -279,6 +280,46 @@
     assert!(matches!(read, Ok(0) | Err(_)), "{read:?}");
 }
 
+fn greeting_of_the_next_version() -> Vec<u8> {
+    let mut sealed = seal(&7_u128, &key(1));
+    sealed[0] = VERSION + 1;
+    framed(&sealed)
+}
+
+fn framed(sealed: &[u8]) -> Vec<u8> {
+    let length = sealed.len() as u32;
+    [&length.to_be_bytes(), sealed].concat()
+}
+
+/// What a foreign process may send, with and without the key. The connection is closed; others are served.
+#[yare::parameterized(
+    next_version = { greeting_of_the_next_version() },
+    empty_frame = { framed(&[]) },
+    no_mac = { framed(&[VERSION, 1, 0]) },
+    other_key = { framed(&seal(&7_u128, &key(2))) },
+    other_type = { framed(&seal(&"text", &key(1))) },
+    request_before_the_greeting = { framed(&seal(&request(1), &key(1))) },
+    greeting_and_then_nonsense = { [framed(&seal(&7_u128, &key(1))), vec![0; 40]].concat() },
+    greeting_and_then_a_huge_length = { [framed(&seal(&7_u128, &key(1))), vec![0xff; 4]].concat() },
+)]
+#[test_macro(tokio::test)]
+async fn foreign_bytes_close_their_connection_and_no_other(bytes: Vec<u8>) {
+    let (asker, answerer, fake) = pair().await;
+    let mut tcp = TcpStream::connect(answerer.address()).await.unwrap();
+
+    tcp.write_all(&bytes).await.unwrap();
+    // Ends when the answerer has closed the connection; a reset is one way to close it.
+    let _ = tcp.read_to_end(&mut Vec::new()).await;
+
+    assert_eq!(fake.asked.load(Ordering::SeqCst), 0);
+    assert!(
+        asker
+            .ask(answerer.address(), request(1), soon())
+            .await
+            .is_ok()
+    );
+}
+
 #[tokio::test]
 async fn datagrams_about_credits_reach_the_answerer() {
     let asker = endpoint(ASKER, &[1]).await;
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -283,6 +283,9 @@
 /// Endings that Prometheus text adds to the name of a histogram.
 const HISTOGRAM_ENDINGS: [&str; 3] = ["_bucket", "_sum", "_count"];
 
+/// Labels that Prometheus text adds to a histogram.
+const WRITTEN_LABELS: [&str; 2] = ["le", "quantile"];
+
 /// Tells the recorder what the metrics mean, for the `# HELP` lines.
 pub(super) fn describe() {
     for metric in METRICS {
@@ -313,6 +316,28 @@
     names.filter(|name| find(name).is_none()).collect()
 }
 
+/// Labels in Prometheus text that the table doesn't have, as `metric{label}`.
+pub fn unlisted_labels(exposition: &str) -> Vec<String> {
+    let samples = exposition.lines().filter(|line| !line.starts_with('#'));
+    let labelled = samples.filter_map(|line| line.split_once('{'));
+    let mut unlisted = Vec::new();
+    for (name, rest) in labelled {
+        let listed = find(name).map_or(&[] as &[&str], |metric| metric.labels);
+        // Values are ours and hold no quotes: what stands between them are the names.
+        let names = rest
+            .split('"')
+            .step_by(2)
+            .filter_map(|part| part.strip_suffix('='));
+        unlisted.extend(
+            names
+                .map(|label| label.trim_start_matches(','))
+                .filter(|label| !listed.contains(label) && !WRITTEN_LABELS.contains(label))
+                .map(|label| format!("{name}{{{label}}}")),
+        );
+    }
+    unlisted
+}
+
 /// The table in Markdown, for `docs/metrics.md`.
 pub fn table() -> String {
     let mut lines = vec![
--- a/crates/tinbank-server/tests/metrics.rs
+++ b/crates/tinbank-server/tests/metrics.rs
@@ -64,6 +64,32 @@
     assert_eq!(unlisted, ["stray_total"]);
 }
 
+#[test]
+fn unlisted_labels_are_found_in_prometheus_text() {
+    let text = "tinbank_online_request_seconds_bucket{le=\"1\"} 2\n\
+                tinbank_peer_asks_failed_total{phase=\"a\",reason=\"b\",customer=\"c\"} 1\n";
+
+    let unlisted = catalog::unlisted_labels(text);
+
+    assert_eq!(unlisted, ["tinbank_peer_asks_failed_total{customer}"]);
+}
+
+/// A label's values have to be few and fixed: none may name what comes with requests, jobs or customers.
+#[test]
+fn no_label_grows_with_the_traffic() {
+    const GROWING: [&str; 9] = [
+        "customer", "request", "job", "item", "key", "service", "shard", "upstream", "peer",
+    ];
+    for metric in METRICS {
+        let growing: Vec<_> = metric
+            .labels
+            .iter()
+            .filter(|label| GROWING.contains(label))
+            .collect();
+        assert!(growing.is_empty(), "{}: {growing:?}", metric.name);
+    }
+}
+
 /// All source files of all crates.
 fn sources() -> Vec<PathBuf> {
     let crates = entries(Path::new(CRATES));
--- a/crates/tinbank-test-support/src/lib.rs
+++ b/crates/tinbank-test-support/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod log;
 pub mod property;
+pub mod scrape;
