Batch: a claim runs still only if the log's tail says so

Change: before it says 'running', a host asks for the tail and reads up to there, as for a job that is unknown.

--- a/crates/tinbank-batch/src/owner/asks.rs
+++ b/crates/tinbank-batch/src/owner/asks.rs
@@ -1,7 +1,7 @@
 //! Questions of peers and of our own HTTP interface.
 
 use tinbank_base::{
-    frame::request::{Request, Response},
+    frame::request::{Claimed, Request, Response},
     id,
     outcome::{Code, Ran},
     platform::log::{self, Stream},
@@ -126,11 +126,15 @@
         else {
             return answer(reply, Response::Elsewhere(None));
         };
-        if let Some(claimed) = followed.fold.ask(&claim) {
-            return answer(reply, Response::Claimed(claimed));
+        let known = followed.fold.ask(&claim);
+        let then = Then::Claimed(claim.clone());
+        match known {
+            // "It still runs" is only true at the tail as it is now: its end may stand behind what was read here.
+            Some(Claimed::Running) => return self.ask_tail(shard, Wait { then, reply }),
+            Some(claimed) => return answer(reply, Response::Claimed(claimed)),
+            None => {}
         }
-        let record = work::Record::Claim(claim.clone());
-        let then = Then::Claimed(claim);
+        let record = work::Record::Claim(claim);
         self.append_for(shard, record, Wait { then, reply });
     }
 
--- a/crates/tinbank-batch/tests/claims.rs
+++ b/crates/tinbank-batch/tests/claims.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant, SystemTime};
 
-use support::{Host, SHARDS, World};
+use support::{Host, LAGGING, SHARDS, World};
 use tinbank_base::{
     frame::request::{Claimed, Request, Response},
     id,
@@ -81,3 +81,34 @@
         Response::Claimed(Claimed::OtherBody { first: [7; 32] })
     );
 }
+
+/// Found by the test above, one run in some: the host that was left had not read the settlement yet.
+#[tokio::test]
+async fn a_host_that_lags_does_not_say_that_a_settled_claim_still_runs() {
+    let world = World::new();
+    let hosts = [world.start(1), world.start(LAGGING)];
+    let (ahead, lagging) = hosts.split_at(1);
+    let first = claim(1, 7);
+    let settled = Settled {
+        key: first.key,
+        claimer: first.claimer,
+        request: first.request,
+        answer: Ok("done".into()),
+    };
+    ask(&world, ahead, Request::Claim(first)).await;
+    let known = ask(&world, lagging, Request::Claim(claim(2, 7))).await;
+    world.frozen.send_replace(true);
+    ask(&world, ahead, Request::Settle(settled)).await;
+
+    let thaw = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        world.frozen.send_replace(false);
+    };
+    let (again, ()) = tokio::join!(ask(&world, lagging, Request::Claim(claim(3, 7))), thaw);
+
+    assert_eq!(known, Response::Claimed(Claimed::Running));
+    assert_eq!(
+        again,
+        Response::Claimed(Claimed::Settled(Ok("done".into())))
+    );
+}
