--- a/crates/tinbank-demo/src/entry.rs
+++ b/crates/tinbank-demo/src/entry.rs
@@ -5,23 +5,25 @@
     time::Duration,
 };
 
+use smallvec::SmallVec;
 use tinbank_base::{
     id,
     platform::hosts::{Member, State},
 };
+use tinbank_batch::settings::Admission;
 use tinbank_settings::common::Common;
 use tinbank_standin::{Standin, service::Service};
 use tokio::time::Instant;
 
-use crate::{example::Example, platform::domain};
+use crate::{
+    example::{Example, Lean},
+    platform::domain,
+};
 
 /// Last byte of the address before the first host's.
 const FIRST_BYTE: u8 = 10;
 /// Most hosts that fit on 127.0.0.x.
 const MOST_HOSTS: u32 = 200;
-/// Items of one host in an engine at once. The batch process does not yet give way by credits in the demo, so what sits
-/// in an engine has to be little: nine hosts fill its slots with one each.
-const ITEMS_PER_UPSTREAM: u32 = 1;
 /// Time that all processes have to become ready.
 const START: Duration = Duration::from_secs(15);
 
@@ -51,6 +53,32 @@
     },
 }
 
+/// How batch items get into engines.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// What lets them in.
+    pub admission: Admission,
+    /// Slots that batch leaves alone, where admission is static.
+    pub slots_for_online: u16,
+    /// Part of a burst that stays free, where admission is by credits.
+    pub lean_percent: u16,
+}
+
+impl Settings {
+    /// Credits, between throughput and tail as the example's users want it; see `docs/design/admission.md`.
+    pub fn of(example: &Example) -> Self {
+        let lean_percent = match example.deployment.lean {
+            Lean::Throughput => 50,
+            Lean::Tail => 100,
+        };
+        Self {
+            admission: Admission::Credits,
+            slots_for_online: 0,
+            lean_percent,
+        }
+    }
+}
+
 /// Where the platform is.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -97,6 +125,7 @@
         example: &Example,
         standin: &Standin,
         addresses: Addresses,
+        settings: Settings,
     ) -> Result<Self, Error> {
         let mut entry = Self {
             online: Vec::new(),
@@ -107,7 +136,7 @@
         let domains = u32::try_from(deployment.failure_domains.len()).unwrap_or(u32::MAX);
         let hosts = deployment.hosts_per_domain.saturating_mul(domains);
         for host in 1..=hosts.clamp(1, MOST_HOSTS) {
-            entry.start_host(host, example, addresses).await?;
+            entry.start_host(host, example, addresses, settings).await?;
         }
         let members = entry.members(example);
         if let Some(list) = standin.list() {
@@ -122,6 +151,7 @@
         host: id::Host,
         example: &Example,
         addresses: Addresses,
+        settings: Settings,
     ) -> Result<(), Error> {
         let online = tinbank_online::Settings {
             common: self.common(host, example, addresses),
@@ -132,7 +162,9 @@
             .push(online.map_err(|error| refused(id::Role::Online, host, &error))?);
         let batch = tinbank_batch::Settings {
             common: self.common(host, example, addresses),
-            items_per_upstream: ITEMS_PER_UPSTREAM,
+            admission: settings.admission,
+            slots_for_online: settings.slots_for_online,
+            lean_percent: settings.lean_percent,
             ..tinbank_batch::Settings::default()
         };
         let batch = tinbank_batch::Server::start(batch).await;
@@ -248,6 +280,48 @@
             .collect()
     }
 
+    /// Loses a host: all its processes end at once. Returns where they were reached; empty if there is no such host.
+    pub fn kill(&mut self, host: id::Host) -> SmallVec<[SocketAddr; 2]> {
+        let online = self
+            .online
+            .iter()
+            .position(|server| server.writer().process.host == host);
+        let batch = self
+            .batch
+            .iter()
+            .position(|server| server.writer().process.host == host);
+        let fleet = self
+            .fleet
+            .iter()
+            .position(|server| server.core().writer.process.host == host);
+        let mut lost = SmallVec::new();
+        if let Some(online) = online {
+            let server = self.online.remove(online);
+            lost.push(server.http_address());
+            server.kill();
+        }
+        if let Some(batch) = batch {
+            let server = self.batch.remove(batch);
+            lost.push(server.http_address());
+            server.kill();
+        }
+        if let Some(fleet) = fleet {
+            self.fleet.remove(fleet).kill();
+        }
+        lost
+    }
+
+    /// Loses so many in 100 datagrams between the processes.
+    pub fn lose_datagrams(&self, percent: u8) {
+        let online = self.online.iter().map(tinbank_online::Server::core);
+        let batch = self.batch.iter().map(tinbank_batch::Server::core);
+        let fleet = self.fleet.iter().map(tinbank_fleet::Server::core);
+        online
+            .chain(batch)
+            .chain(fleet)
+            .for_each(|core| core.endpoint.lose(percent));
+    }
+
     /// Stops all processes as planned.
     pub async fn stop(self) {
         let online = self.online.into_iter().map(tinbank_online::Server::stop);
