An upstream that operators return gets work at once again

Cause: since the list's first sign of a leaving upstream is passed on, a drain by operators made a sign too. It is laid over the platform's list, whose version stays, so the return was no later list and the sign held for 60 s: with the other engine drained, requests were refused with no_upstream. Seen in tinbank-cli's a_drained_upstream_gets_no_new_work_until_it_is_returned, red 6 times of 6. Change: only a list of a newer version makes a sign. Test in tests/leaving.rs, red before. Conclusion: what operators drain needs no gossip, since every process reads it from the configuration.

--- a/crates/tinbank-routing/src/leaving.rs
+++ b/crates/tinbank-routing/src/leaving.rs
@@ -78,6 +78,7 @@
             listed.insert(upstream.upstream, Listed { live, live_since });
         }
         let seen_live_in = self.version.unwrap_or(0);
+        let newer = list.version > seen_live_in;
         let left: SmallVec<[id::Upstream; 4]> = self
             .listed
             .iter()
@@ -88,9 +89,12 @@
         self.version = Some(list.version);
         self.listed = listed;
         self.forget(now);
-        // In a large fleet peers read the list less often, so what it says first is passed on as well.
-        for upstream in left {
-            self.add(upstream, seen_live_in, now);
+        // In a large fleet peers read the list less often, so what it says first is passed on as well. What operators
+        // drain does not change its version: each process reads it from the configuration, and its return too.
+        if newer {
+            for upstream in left {
+                self.add(upstream, seen_live_in, now);
+            }
         }
         true
     }
--- a/crates/tinbank-routing/tests/leaving.rs
+++ b/crates/tinbank-routing/tests/leaving.rs
@@ -84,6 +84,22 @@
     assert!(!peer.is_leaving(ENGINE, now));
 }
 
+/// What operators drain and return is laid over the platform's list, whose version stays.
+#[test]
+fn what_operators_return_within_a_version_of_the_list_gets_work_at_once() {
+    let now = Instant::now();
+    let mut tracker = tracker(5, now);
+
+    tracker.list(&gone(5), now);
+    let drained = tracker.is_leaving(ENGINE, now);
+    let news = tracker.news(now);
+    tracker.list(&live(5), now);
+
+    assert!(drained);
+    assert!(news.is_empty(), "every process reads it itself: {news:?}");
+    assert!(!tracker.is_leaving(ENGINE, now));
+}
+
 #[test]
 fn a_lagging_list_does_not_bring_it_back() {
     let now = Instant::now();
