--- a/crates/tinbank-batch/tests/faults.rs
+++ b/crates/tinbank-batch/tests/faults.rs
@@ -4,12 +4,15 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use support::{APPEND_TIMEOUT, Host, SHARDS, World, eventually, lines};
+use support::{
+    APPEND_TIMEOUT, Host, LAGGING, SHARDS, World, engines::LARGE, eventually, line, lines,
+};
 use tinbank_base::{
     id,
     platform::log::Stream,
     record::{Envelope, work::Record},
 };
+use tinbank_ledger::lease::Lease;
 use tinbank_test_support::log::Fault;
 
 fn world_of(hosts: u32) -> (World, Vec<Host>) {
@@ -89,6 +92,73 @@
     );
 }
 
+#[tokio::test]
+async fn a_host_that_lags_does_not_answer_for_a_job_that_has_ended() {
+    let (world, hosts) = world_of(2);
+    let caller = hosts[0].session("key-moreton");
+    let id = caller.accepted(None, lines(0, 10)).await;
+    caller.until(&id, "completed").await;
+    eventually("all leases are given back", || async {
+        holders(&world).is_empty()
+    })
+    .await;
+    world.frozen.send_replace(true);
+
+    let mut counts = Vec::new();
+    for job in 1..5 {
+        // The keys fix the jobs' shards, so that some of them have the lagging host first in rank.
+        let key = format!("job-{job}");
+        let id = caller.accepted(Some(&key), lines(job * 100, 10)).await;
+        caller.until(&id, "completed").await;
+        counts.push(answered(&caller.results(&id).await).len());
+    }
+    world.frozen.send_replace(false);
+
+    assert_eq!(counts, [10; 4]);
+}
+
+#[tokio::test]
+async fn a_holder_whose_reads_hang_is_followed_by_another() {
+    let (world, hosts) = world_of(2);
+    let caller = hosts[0].session("key-moreton");
+    world.engines.hold();
+    // More chunks than a holder takes in hand, so that it can't end them without reading more.
+    let id = caller.accepted(Some("sweep"), lines(0, 4_096)).await;
+    eventually(
+        "both hosts hold leases and the engines are full",
+        || async {
+            let holders = holders(&world);
+            holders.contains(&1) && holders.contains(&2) && world.engines.starts() == 24
+        },
+    )
+    .await;
+
+    world.frozen.send_replace(true);
+    world.engines.go_on();
+    caller.until(&id, "completed").await;
+
+    assert_eq!(answered(&caller.results(&id).await).len(), 4_096);
+    assert!(!holders(&world).contains(&LAGGING));
+}
+
+/// The hosts that hold leases now, by a fold of their own.
+fn holders(world: &World) -> BTreeSet<id::Host> {
+    let holder = |shard| {
+        let mut lease = Lease::default();
+        for entry in world.log.entries(Stream::Work(shard)) {
+            let envelope: Envelope<Record> = Envelope::decode(&entry.payload).unwrap();
+            for record in &envelope.records {
+                if let Record::Lease(record) = record {
+                    lease.apply(entry.offset, envelope.writer, *record);
+                }
+            }
+            lease.heard(envelope.writer, entry.offset);
+        }
+        lease.holder.map(|holder| holder.writer.process.host)
+    };
+    (0..SHARDS).filter_map(holder).collect()
+}
+
 #[tokio::test]
 async fn batch_gives_way_and_resumes_where_it_was() {
     let (world, hosts) = world_of(1);
@@ -111,6 +181,10 @@
 
     assert_eq!(answered(&caller.results(&id).await).len(), 10);
     assert_eq!(world.engines.read(|account| account.resumed.len()), 10);
+    assert_eq!(
+        hosts[0].story(4),
+        ["routed", "preempted", "routed", "resumed", "completed"]
+    );
     let item = caller.item(&id, "item-4").await;
     assert_eq!(
         item.text("/response/choices/0/message/content"),
@@ -120,13 +194,26 @@
 
 #[tokio::test]
 async fn results_outlive_the_records_that_held_them() {
+    results_outlive_their_records(lines(0, 300), 300).await;
+}
+
+#[tokio::test]
+async fn results_too_large_for_one_record_outlive_the_records_that_held_them() {
+    let lines: String = (0..100)
+        .map(|item| line(&format!("item-{item}"), &format!("{LARGE} {item}")))
+        .collect();
+
+    results_outlive_their_records(lines, 100).await;
+}
+
+async fn results_outlive_their_records(lines: String, items: usize) {
     let world = World {
         retention: Duration::from_secs(2),
         ..World::new()
     };
     let mut first = world.start(1);
     let caller = first.session("key-moreton");
-    let id = caller.accepted(Some("sweep"), lines(0, 300)).await;
+    let id = caller.accepted(Some("sweep"), lines.clone()).await;
     caller.until(&id, "completed").await;
     let tails: Vec<id::Offset> = (0..SHARDS).map(|shard| tail(&world, shard)).collect();
 
@@ -141,16 +228,16 @@
     let second = world.start(2);
     let caller = second.session("key-moreton");
 
-    assert_eq!(caller.status(&id).await.json()["counts"]["answered"], 300);
-    assert_eq!(answered(&caller.results(&id).await).len(), 300);
+    assert_eq!(caller.status(&id).await.json()["counts"]["answered"], items);
+    assert_eq!(answered(&caller.results(&id).await).len(), items);
     assert_eq!(
         caller
-            .submit(Some("sweep"), lines(0, 300))
+            .submit(Some("sweep"), lines.clone())
             .await
             .text("/id"),
         id
     );
-    assert_eq!(world.engines.starts(), 300);
+    assert_eq!(world.engines.starts(), items);
 }
 
 fn tail(world: &World, shard: id::Shard) -> id::Offset {
--- a/crates/tinbank-batch/tests/support/mod.rs
+++ b/crates/tinbank-batch/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod engines;
 pub mod gate;
+pub mod lag;
 pub mod net;
 pub mod session;
 
@@ -33,7 +34,7 @@
     snapshot::{Customer, Shared, Snapshot},
 };
 use tinbank_ledger::lease::Terms;
-use tinbank_log::{group, writer};
+use tinbank_log::{budget, group, writer};
 use tinbank_server::{http::Listen, readiness::Flag, threads::Handles};
 use tinbank_test_support::log::Memory;
 use tinbank_timeline::Recorder;
@@ -45,6 +46,10 @@
 
 pub const SHARDS: id::Shard = 4;
 pub const SERVICE: &str = "notes";
+/// The host whose reads of the log can be held up.
+pub const LAGGING: id::Host = 2;
+/// Most pending items of the customer whose key is "key-limited".
+pub const PENDING_ITEMS: u32 = 100;
 pub const ORDERS: &str = "orders";
 /// How long hosts try an append before it has failed.
 pub const APPEND_TIMEOUT: Duration = Duration::from_secs(1);
@@ -57,14 +62,19 @@
     pub configuration: Shared,
     /// Lets items into engines.
     pub gate: gate::Valve,
+    /// Holds up what the host [`LAGGING`] reads.
+    pub frozen: watch::Sender<bool>,
     /// How long the hosts believe that the log keeps records.
     pub retention: Duration,
+    /// Appends a second that each host takes for its share.
+    pub appends_per_second: f64,
 }
 
 /// One host's batch process.
 pub struct Host {
     pub writer: Writer,
     pub address: SocketAddr,
+    recorder: Recorder,
     service: Option<Service>,
     runtime: Option<Runtime>,
     net: Net,
@@ -78,7 +88,9 @@
             net: Net::default(),
             configuration: Arc::new(ArcSwap::from_pointee(configuration())),
             gate: gate::Valve::default(),
+            frozen: watch::channel(false).0,
             retention: Duration::from_secs(3_600),
+            appends_per_second: budget::Settings::default().fleet_per_second,
         }
     }
 
@@ -101,6 +113,7 @@
             traffic: runtime.handle().clone(),
         };
         let edges = self.edges(writer, handles);
+        let recorder = edges.recorder.clone();
         let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let service = Service::start(edges, Listen::plain(loopback)).unwrap();
         let address = service.http.local_addr();
@@ -109,6 +122,7 @@
         Host {
             writer,
             address,
+            recorder,
             service: Some(service),
             runtime: Some(runtime),
             net: self.net.clone(),
@@ -140,13 +154,23 @@
             items_at_once: 64,
             plain_at_once: 8,
             limits: Limits::default(),
-            log: Arc::new(self.log.clone()),
+            log: Arc::new(lag::Lag {
+                log: self.log.clone(),
+                frozen: match me.process.host {
+                    LAGGING => self.frozen.subscribe(),
+                    _ => watch::channel(false).1,
+                },
+            }),
             upstreams: Arc::new(self.engines.clone()),
             writer: writer::Settings {
                 append_timeout: APPEND_TIMEOUT,
                 // As with the defaults, a try fits into the timeout whatever the backoff.
                 group: group::Settings {
                     backoff_longest: APPEND_TIMEOUT / 5,
+                    budget: budget::Settings {
+                        fleet_per_second: self.appends_per_second,
+                        ..budget::Settings::default()
+                    },
                     ..group::Settings::default()
                 },
                 ..writer::Settings::default()
@@ -172,6 +196,25 @@
         Session::new(self.address, key)
     }
 
+    /// Events of the attempts at an item, and of its end, by name.
+    pub fn story(&self, item: id::Item) -> Vec<String> {
+        let query = tinbank_timeline::Query {
+            item: Some(item),
+            ..Default::default()
+        };
+        let events = self.recorder.page(&query).events.into_iter();
+        let events = events.filter(|event| event.subject.item.is_some());
+        events
+            .map(|event| {
+                let event = serde_json::to_value(&event).unwrap();
+                let name = event["event"].as_str().unwrap();
+                let sent = event["request"].is_string() && event["upstream"].is_number();
+                assert!(sent || name == "completed", "{event}");
+                name.to_owned()
+            })
+            .collect()
+    }
+
     /// Ends the host like a lost machine: nothing is released, nobody is told.
     pub fn kill(&mut self) {
         self.net.lose(self.writer);
@@ -224,6 +267,7 @@
         retry: Duration::from_millis(300),
         idle: Duration::from_millis(500),
         hand_over: Duration::from_millis(500),
+        stale: Duration::from_millis(1_500),
     }
 }
 
@@ -231,6 +275,7 @@
     let customers = [
         customer("moreton", "key-moreton"),
         customer("oberland", "key-oberland"),
+        limited("limited", "key-limited"),
     ];
     let mut snapshot = Snapshot::default();
     for (key, customer) in customers {
@@ -259,6 +304,20 @@
     (key, Arc::new(customer))
 }
 
+/// A customer with a limit of [`PENDING_ITEMS`].
+fn limited(name: &str, key: &'static str) -> (&'static str, Arc<Customer>) {
+    let (key, customer) = customer(name, key);
+    let limits = CustomerLimits {
+        pending_items: Some(PENDING_ITEMS),
+        ..customer.limits
+    };
+    let customer = Customer {
+        limits,
+        ..(*customer).clone()
+    };
+    (key, Arc::new(customer))
+}
+
 fn served(kind: Kind, repeatable: bool) -> Served {
     Served {
         kind,
--- a/crates/tinbank-cli/tests/story.rs
+++ b/crates/tinbank-cli/tests/story.rs
@@ -3,6 +3,8 @@
 
 use serde_json::Value;
 use tinbank_cli::exit::Exit;
+use tinbank_server::metrics::catalog;
+use tinbank_test_support::scrape;
 
 mod world;
 use world::deployment::Deployment;
@@ -29,6 +31,25 @@
     drain(&mut deployment).await;
     read(&deployment, &job).await;
     look_back(&deployment).await;
+    scrape(&deployment).await;
+}
+
+/// After all that happened: no metric and no label outside the table, and none that names a customer or a request.
+async fn scrape(deployment: &Deployment) {
+    let host = &deployment.hosts[0];
+    for address in [host.online.http_address(), host.batch.http_address()] {
+        let text = scrape::page(address, "/metrics").await;
+        let text = text.expect("the server runs");
+
+        assert!(text.contains("tinbank_online_request_seconds"), "{text}");
+        assert_eq!(catalog::unlisted(&text), Vec::<&str>::new());
+        assert_eq!(catalog::unlisted_labels(&text), Vec::<String>::new());
+        assert!(
+            !text.contains("moreton-basin"),
+            "a customer is named: {text}"
+        );
+        assert!(!text.contains("logger-notes"), "a service is named: {text}");
+    }
 }
 
 async fn publish(deployment: &Deployment) {
@@ -52,18 +73,7 @@
         shown["revision"]
     );
 
-    let (ann, bob) = tokio::join!(world.run("ann", &line), world.run("bob", &line));
-
-    let (winner, loser) = match ann.exit {
-        Exit::Done => ("ann", bob),
-        _ => ("bob", ann),
-    };
-    assert_eq!(loser.exit, Exit::Overtaken, "{}", loser.err);
-    assert!(
-        loser.err.contains(&format!("overtaken by {winner}")),
-        "{}",
-        loser.err
-    );
+    world.race(&line).await;
 }
 
 async fn in_force_everywhere(deployment: &Deployment) {
@@ -161,16 +171,9 @@
 }
 
 async fn drain(deployment: &mut Deployment) {
-    let host = deployment.hosts.pop().expect("there are two");
-    let stop = async {
-        tokio::join!(host.online.drained(), host.batch.drained());
-        // What the programs do when they see it.
-        tokio::join!(host.online.stop(), host.batch.stop());
-    };
-    let world = &deployment.world;
-
-    let (drained, ()) = tokio::join!(world.run("ann", "drain host 2 --wait"), stop);
+    let drained = deployment.drain_second_host().await;
 
+    let world = &deployment.world;
     assert!(drained.done().contains("host 2: to be drained"));
     let last = world.run("ann", "drain host 1").await;
     assert_eq!(last.exit, Exit::Refused, "{}", last.err);
@@ -186,7 +189,7 @@
 
     let events = names(&timeline);
     assert_in_order(&events, &["committed", "accepted"]);
-    assert_in_order(&events, &["committed", "completed"]);
+    assert_in_order(&events, &["committed", "routed", "completed"]);
     assert_eq!(timeline["gaps"], serde_json::json!([]));
     let page = std::fs::read_to_string(page).expect("the page was written");
     assert_eq!(page.matches("<circle").count(), events.len());
--- a/crates/tinbank-ledger/tests/ledger/world.rs
+++ b/crates/tinbank-ledger/tests/ledger/world.rs
@@ -275,20 +275,28 @@
             return;
         }
         let through = fold.next() - 1;
-        let carried: Vec<_> = fold
+        let carried: Vec<Vec<_>> = fold
             .to_carry(fold.next())
             .filter_map(|carry| {
                 let body =
                     result::chunk_at(log.get(carry.chunk.place().offset)?, carry.chunk.place())?;
                 let results = envelopes(log, carry.chunk)?;
-                Some(result::carried(&carry, body, results, through))
+                // As for results that are too large for one record.
+                if carry.chunk.chunk % 2 == 1 {
+                    let moved = carry.chunk.results().iter().zip(results);
+                    let moved = moved.map(|(from, result)| result::moved(&carry, *from, result));
+                    let bodies = result::carried(&carry, body, [], through);
+                    return Some(moved.chain([bodies]).collect());
+                }
+                Some(vec![result::carried(&carry, body, results, through)])
             })
             .collect();
+        let carried = carried.into_iter().flatten();
         let parts: Vec<_> = checkpoint::records(fold, CHECKPOINT_BYTES)
             .into_iter()
             .take(parts)
             .collect();
-        for record in carried.into_iter().chain(parts) {
+        for record in carried.chain(parts) {
             self.append(host, shard, vec![record]);
         }
     }
@@ -418,10 +426,13 @@
     if log.first == 0 {
         return Shard::new(shard, SHARDS);
     }
-    let mut recovery = Recovery::new(log.first as id::Offset);
-    log.envelopes[log.first..]
-        .iter()
-        .find_map(|envelope| recovery.offer(envelope).expect("checkpoints are readable"))
+    let mut recovery = Recovery::new(shard, SHARDS, log.first as id::Offset);
+    (log.first as id::Offset..)
+        .zip(&log.envelopes[log.first..])
+        .find_map(|(offset, envelope)| {
+            let found = recovery.offer(offset, envelope);
+            found.expect("checkpoints are readable")
+        })
         .expect("retention left a checkpoint")
 }
 
--- a/crates/tinbank-platform/src/client.rs
+++ b/crates/tinbank-platform/src/client.rs
@@ -13,6 +13,7 @@
     client::legacy::{self, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
+use tinbank_base::cause::chain;
 
 use crate::wire;
 
@@ -20,6 +21,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time to wait that a service is believed.
+const LONGEST_RETRY: Duration = Duration::from_secs(3_600);
 /// Time to wait when a service says "later" without saying when.
 const DEFAULT_RETRY: Duration = Duration::from_secs(1);
 
@@ -109,7 +112,8 @@
     pub fn retry_at(&self) -> SystemTime {
         let millis = number(&self.headers, wire::RETRY_AFTER_MS).map(Duration::from_millis);
         let seconds = number(&self.headers, header::RETRY_AFTER.as_str()).map(Duration::from_secs);
-        SystemTime::now() + millis.or(seconds).unwrap_or(DEFAULT_RETRY)
+        let wait = millis.or(seconds).unwrap_or(DEFAULT_RETRY);
+        SystemTime::now() + wait.min(LONGEST_RETRY)
     }
 
     /// The body as text, cut short for messages.
@@ -152,14 +156,3 @@
 fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
-
-/// An error with its causes, since hyper's own text leaves them out.
-fn chain(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text.push_str(&format!(": {cause}"));
-        source = cause.source();
-    }
-    text
-}
