--- a/crates/tinbank-batch/src/owner/shard.rs
+++ b/crates/tinbank-batch/src/owner/shard.rs
@@ -20,7 +20,7 @@
 use super::{
     dispatches::Dispatches,
     hand::Hand,
-    input::{Then, Wait},
+    input::{Plan, PlanWait, Then, Wait},
     outbox::Outbox,
     upkeep::Upkeep,
 };
@@ -29,6 +29,9 @@
 /// How long a duty's append may stay without effect before it is appended again.
 const DUTY_RETRY: Duration = Duration::from_secs(2);
 
+/// Most chunks whose results one answer holds, so that it stays small.
+const CHUNKS_AT_ONCE: usize = 4;
+
 /// A followed shard.
 #[derive(Debug)]
 pub(super) struct Followed {
@@ -44,6 +47,8 @@
     pub(super) following: u64,
     /// Whether the fold has ever been at the tail: before, it may miss what long stands in the log.
     pub(super) current: bool,
+    /// Whether the log takes our appends while our reads have long not been at the tail.
+    pub(super) deaf: bool,
     /// Whether the log answers reads of the shard.
     pub(super) readable: bool,
     /// Whether new items may be started: we hold the lease and are not about to give it back.
@@ -53,6 +58,7 @@
     /// Offset of the first record that was left when the stream was found trimmed.
     pub(super) first: id::Offset,
     pub(super) waits: Vec<(id::Offset, Wait)>,
+    pub(super) plans: Vec<PlanWait>,
     pub(super) upkeep: Upkeep,
     reader: AbortHandle,
 }
@@ -83,11 +89,13 @@
             rank: None,
             following,
             current: false,
+            deaf: false,
             readable: true,
             running: false,
             recovery: None,
             first: 0,
             waits: Vec::new(),
+            plans: Vec::new(),
             upkeep: Upkeep::new(retention),
             reader,
         }
@@ -95,7 +103,13 @@
 
     /// What to do about the lease now.
     pub(super) fn step(&mut self, stopping: bool, now: Instant) -> Step {
-        let in_flight = self.hand.in_flight() + usize::from(!self.outbox.is_empty());
+        self.deaf = self.contender.is_deaf(now);
+        // What a deaf holder has appended will not be read back before it has let go.
+        let items = match self.deaf {
+            true => self.hand.running(),
+            false => self.hand.in_flight(),
+        };
+        let in_flight = items + usize::from(!self.outbox.is_empty());
         let want = Want {
             rank: self.rank,
             live: self.fold.live() || self.upkeep.due.is_some(),
@@ -106,6 +120,11 @@
         self.contender.step(&lease, want, now)
     }
 
+    /// Whether others' questions can be answered by the fold.
+    pub(super) fn answers(&self) -> bool {
+        self.current && !self.deaf
+    }
+
     /// Our term, if we hold the lease.
     pub(super) fn epoch(&self, me: Writer) -> Option<id::Epoch> {
         self.fold.lease().term(me)
@@ -186,6 +205,34 @@
         }
     }
 
+    /// Answers questions for results for which enough has been folded.
+    pub(super) fn answer_plans(&mut self) {
+        let next = self.fold.next();
+        for wait in std::mem::take(&mut self.plans) {
+            if wait.reply.is_closed() {
+                continue;
+            }
+            if wait.past > next {
+                self.plans.push(wait);
+                continue;
+            }
+            let plan = self.plan(wait.job, wait.from);
+            // Whoever asked may have gone away.
+            let _ = wait.reply.send(Some(plan));
+        }
+    }
+
+    fn plan(&self, job: id::Job, from: id::Chunk) -> Plan {
+        let Some(work) = self.fold.work(job) else {
+            return Plan::default();
+        };
+        let wanted = work.chunks().iter().filter(|chunk| chunk.chunk >= from);
+        Plan {
+            chunks: wanted.take(CHUNKS_AT_ONCE).cloned().collect(),
+            count: work.count(),
+        }
+    }
+
     /// The answer that the fold gives now.
     pub(super) fn respond(&self, then: &Then) -> Response {
         match then {
--- a/crates/tinbank-online/src/server.rs
+++ b/crates/tinbank-online/src/server.rs
@@ -92,6 +92,11 @@
         self.core.drained().await;
     }
 
+    /// The common part of the process.
+    pub fn core(&self) -> &Arc<Core> {
+        &self.core
+    }
+
     /// Its time line.
     pub fn recorder(&self) -> &Recorder {
         &self.core.recorder
