--- a/crates/tinbank-admission/tests/service.rs
+++ b/crates/tinbank-admission/tests/service.rs
@@ -11,6 +11,7 @@
 use tinbank_base::{
     frame::{
         credit::Message,
+        demand,
         heartbeat::{Health, Phase},
         request::{Request, Response},
     },
@@ -71,6 +72,8 @@
             service.told(writer(2, Role::Online), message);
         }
     }
+
+    fn tell_demand(&self, _to: SocketAddr, _message: demand::Message) {}
 }
 
 fn start(lean: u16) -> (Service, Teller) {
