--- a/crates/tinbank-load/src/capacity/online.rs
+++ b/crates/tinbank-load/src/capacity/online.rs
@@ -10,6 +10,11 @@
 /// Part of a core that one host has for its callers' traffic: we plan with two.
 const TRAFFIC_PERCENT: f64 = 200.0;
 
+/// Customers with demand at one host that are assumed at most.
+const BUSY_CUSTOMERS: f64 = 1_625.0;
+/// Bytes of a datagram between processes besides what it says, those of IP and UDP included.
+const FRAME_BYTES: f64 = 74.0;
+
 pub(super) fn rows(figures: &Figures) -> Vec<Row> {
     let row = |what, unit, of: &dyn Fn(&Size) -> f64, limit, mechanism, series| Row {
         what,
@@ -70,27 +75,26 @@
             "µs",
             &|size| figures.at("limits request", size.customers),
             Limit::None,
-            "an even part of the limit at each host; nothing is exchanged today",
+            "a bucket of the host's own; keepers are asked beside the request",
             &["limits request"],
         ),
         row(
-            "limits at a request, if every host heard every digest",
-            "µs",
-            &|size| figures.at("limits request with digests", size.hosts),
+            "limits, two looks a second at what keepers have to be asked",
+            "% of a core",
+            &|size| 2.0 * figures.at("limits look", BUSY_CUSTOMERS.min(size.customers)) / 10_000.0,
             Limit::None,
-            "the sum over hosts at each request: why digests to all are not the way at the target",
-            &["limits request with digests"],
+            "over the customers with demand here; 1,625 at most are assumed at once",
+            &["limits look"],
         ),
         row(
-            "digests to all hosts, once a second, of the customers seen here, if they were exchanged",
+            "limits, asks of one claim for each request",
             "B/s",
             &|size| {
-                let seen = (size.requests / size.hosts * 15.0).min(size.customers);
-                (size.hosts - 1.0) * (figures.slope("limits digest bytes") * seen + 28.0)
+                size.requests / size.hosts * (figures.at("limits ask bytes", 1.0) + FRAME_BYTES)
             },
-            Limit::Most(2_048.0),
-            "not exchanged today; one host a customer by rendezvous hash has to sum instead",
-            &["limits digest bytes"],
+            Limit::None,
+            "an upper bound: at the target most requests are the first in a long while and cost no ask; see docs/design/limits.md",
+            &["limits ask bytes"],
         ),
     ]
 }
--- a/crates/tinbank-load/src/slopes/fleet.rs
+++ b/crates/tinbank-load/src/slopes/fleet.rs
@@ -21,6 +21,7 @@
     frame::{
         Body, Datagram, credit,
         datagram::{Key, seal_for},
+        demand,
         heartbeat::{Health, Phase},
         request::{Request, Response},
     },
@@ -211,6 +212,8 @@
             service.told(self.own, message);
         }
     }
+
+    fn tell_demand(&self, _to: SocketAddr, _message: demand::Message) {}
 }
 
 #[derive(Debug)]
--- a/crates/tinbank-load/src/slopes/mod.rs
+++ b/crates/tinbank-load/src/slopes/mod.rs
@@ -108,12 +108,9 @@
         ("admission fleet datagrams", &fleet::datagrams),
         ("admission fleet time", &fleet::time),
         ("limits request", &limits::request),
-        ("limits request with digests", &limits::request_with_digests),
+        ("limits look", &limits::look),
         ("limits bytes", &|| limits::bytes(allocated)),
-        ("limits digest bytes", &limits::digest_bytes),
-        ("limits digest state bytes", &|| {
-            limits::digest_state_bytes(allocated)
-        }),
+        ("limits ask bytes", &limits::ask_bytes),
         ("log completions", &log::completions),
         ("log completions today", &log::completions_today),
         ("log wait", &log::wait),
