--- a/crates/tinbank-configuration/tests/check.rs
+++ b/crates/tinbank-configuration/tests/check.rs
@@ -175,3 +175,13 @@
     assert_eq!(template.services["a"].limits.requests_per_second, Some(7));
     assert_eq!(template.streams["s"].limits.online_at_once, Some(2));
 }
+
+#[test]
+fn the_limits_on_the_configuration_page_are_a_valid_template() {
+    let page = include_str!("../../../docs/configuration.md");
+    let section = page.split("## Limits in templates").nth(1).unwrap();
+    let body = section.split("```jsonc").nth(1).unwrap();
+    let body = body.split("```").next().unwrap();
+
+    assert!(check::template(body).is_ok(), "{:?}", check::template(body));
+}
--- a/crates/tinbank-load/src/capacity/control.rs
+++ b/crates/tinbank-load/src/capacity/control.rs
@@ -24,7 +24,7 @@
 /// Versions of the host list that one loss or return of a host makes: leaving and gone, or listed and live.
 const VERSIONS: f64 = 2.0;
 /// Reports asked a second by an online or a batch process.
-const REPORTS: f64 = 8.0;
+const REPORTS: f64 = 1.0;
 /// Events that a process keeps.
 const EVENTS: f64 = 16_384.0;
 /// Customers with requests at one process at a time, at most.
@@ -120,7 +120,7 @@
             "B/s",
             |_| 2.0 * REPORTS * (figures.at("report bytes", 1.0) + HTTP_HEADERS),
             Limit::None,
-            "two engines every 250 ms in turn, whatever their number",
+            "one engine a second in turn, whatever their number; a setting",
             &["report bytes"],
         ),
         row(
