--- a/crates/tinbank-load/src/capacity/control.rs
+++ b/crates/tinbank-load/src/capacity/control.rs
@@ -14,8 +14,8 @@
 const IN_FORCE_SECONDS: f64 = 8.0;
 /// Bytes of IP and UDP headers of a datagram.
 const HEADERS: f64 = 28.0;
-/// Bytes of the headers of an HTTP request and its answer, TCP and IP included: counted by hand from the adapters.
-pub(super) const HTTP_HEADERS: f64 = 420.0;
+/// Bytes of TCP and IP headers of a call: request, answer and an acknowledgement each, of 52 bytes.
+pub(super) const TCP_HEADERS: f64 = 4.0 * 52.0;
 /// Processes of a host.
 const PROCESSES: f64 = 3.0;
 /// Readings of the host list a second in a process of a small fleet, and the number of processes up to which it is small.
@@ -105,7 +105,8 @@
             "host list, three processes",
             "B/s",
             |size| {
-                let asked = list_reads(size) * HTTP_HEADERS;
+                let asked =
+                    list_reads(size) * (figures.slope("host list wire bytes") + TCP_HEADERS);
                 let sent =
                     list_changes(size) * figures.at("host list compressed bytes", size.hosts);
                 PROCESSES * (asked + sent)
@@ -113,15 +114,15 @@
             Limit::None,
             "asked for by version and sent, compressed, only when it has changed; the fleet reads it 72 times a second however \
              large it is, and who reads that an upstream leaves tells the others",
-            &["host list compressed bytes"],
+            &["host list wire bytes", "host list compressed bytes"],
         ),
         row(
             "load reports, online and batch",
             "B/s",
-            |_| 2.0 * REPORTS * (figures.at("report bytes", 1.0) + HTTP_HEADERS),
+            |_| 2.0 * REPORTS * (figures.slope("report wire bytes") + TCP_HEADERS),
             Limit::None,
             "two engines every 250 ms in turn, whatever their number",
-            &["report bytes"],
+            &["report wire bytes"],
         ),
         row(
             "configuration, three processes",
--- a/crates/tinbank-load/src/capacity/fleet.rs
+++ b/crates/tinbank-load/src/capacity/fleet.rs
@@ -1,7 +1,7 @@
 //! The holder of orders: one process of the fleet.
 
 use super::{
-    control::{HTTP_HEADERS, MICROS_PER_PERCENT, NODE_BYTES, NODE_PERCENT},
+    control::{MICROS_PER_PERCENT, NODE_BYTES, NODE_PERCENT, TCP_HEADERS},
     figures::Figures,
     row::{Limit, Row},
     size::Size,
@@ -12,7 +12,7 @@
 
 pub(super) fn rows(figures: &Figures) -> Vec<Row> {
     let asked = |size: &Size| size.engines / ASKED_EVERY;
-    let bytes = |size: &Size| asked(size) * (figures.at("report bytes", 1.0) + HTTP_HEADERS);
+    let bytes = |size: &Size| asked(size) * (figures.slope("report wire bytes") + TCP_HEADERS);
     let percent = |size: &Size| figures.at("fleet rest", size.engines) / MICROS_PER_PERCENT;
     vec![
         Row {
@@ -31,7 +31,7 @@
             today: bytes(&Size::TODAY),
             limit: Limit::Most(NODE_BYTES),
             mechanism: "every engine every 2 s, by the holder only",
-            series: &["report bytes"],
+            series: &["report wire bytes"],
         },
         Row {
             what: "processor time of the holder's process",
--- a/crates/tinbank-load/src/capacity/online.rs
+++ b/crates/tinbank-load/src/capacity/online.rs
@@ -7,6 +7,8 @@
 };
 
 const FIRST_TOKEN_MS: f64 = 1_400.0;
+/// The time between two tokens.
+const TOKEN_MICROS: f64 = 34_000.0;
 /// Part of a core that one host has for its callers' traffic: we plan with two.
 const TRAFFIC_PERCENT: f64 = 200.0;
 
@@ -49,6 +51,14 @@
             "traffic threads read snapshots; measured in the whole process, frames to the caller included",
             &["online request"],
         ),
+        row(
+            "processor time of a token",
+            "µs",
+            &|_| figures.slope("online request"),
+            Limit::Most(TOKEN_MICROS),
+            "passed on as it comes, checked for its request's id and its place",
+            &["online request"],
+        ),
         row(
             "added to the first token, 16 callers at once",
             "ms",
--- a/crates/tinbank-load/src/slopes/hosts.rs
+++ b/crates/tinbank-load/src/slopes/hosts.rs
@@ -1,4 +1,4 @@
-//! The host list and the load reports as they come over HTTP: bytes and time as the fleet grows.
+//! The host list as it comes over HTTP: bytes and time as the fleet grows.
 
 use std::{io::Write as _, net::SocketAddr};
 
@@ -6,11 +6,7 @@
 use smallvec::smallvec;
 use tinbank_base::{
     id::{Process, Role},
-    platform::{
-        hosts::{Kind, List, Member, State, Upstream},
-        upstream::Report,
-        weights::Artifact,
-    },
+    platform::hosts::{Kind, List, Member, State, Upstream},
 };
 
 use super::{Allocated, Point, Series, micros, point, processor_time, weight};
@@ -18,7 +14,6 @@
 /// Entry hosts, with three processes each; engines are as many as hosts times 600/370.
 const HOSTS: [u32; 4] = [12, 74, 185, 370];
 const ENGINES_PER_HOST: f64 = 600.0 / 370.0;
-const MODELS: [usize; 3] = [1, 2, 4];
 
 pub(super) fn list_bytes() -> Series {
     let points = points(|hosts| json(&list(hosts)).len() as f64);
@@ -74,19 +69,6 @@
     )
 }
 
-pub(super) fn report_bytes() -> Series {
-    let points = MODELS
-        .iter()
-        .map(|models| point(*models, json(&report(*models)).len() as f64))
-        .collect();
-    Series::new(
-        "report bytes",
-        "artifact loaded",
-        "bytes of JSON, without HTTP's headers",
-        points,
-    )
-}
-
 fn points(measure: impl Fn(u32) -> f64) -> Vec<Point> {
     HOSTS
         .iter()
@@ -136,22 +118,6 @@
     }
 }
 
-fn report(models: usize) -> Report {
-    let artifact = |model: usize| Artifact {
-        model: format!("model-{model:02}"),
-        version: "2026-11-30".into(),
-        adapter: None,
-    };
-    Report {
-        running: 41,
-        waiting: 3,
-        slots: 64,
-        loaded: (0..models).map(artifact).collect(),
-        leaving: false,
-        fence: 123_456,
-    }
-}
-
 fn address(number: u32, port: u16) -> SocketAddr {
     let [.., a, b] = number.to_be_bytes();
     SocketAddr::from(([10, 20, a, b], port))
--- a/crates/tinbank-load/src/slopes/mod.rs
+++ b/crates/tinbank-load/src/slopes/mod.rs
@@ -16,6 +16,7 @@
 mod routing;
 mod threads;
 mod timeline;
+mod wire;
 
 use std::{borrow::Cow, fmt, time::Duration};
 
@@ -132,7 +133,8 @@
         ("host list state bytes", &|| {
             hosts::list_state_bytes(allocated)
         }),
-        ("report bytes", &hosts::report_bytes),
+        ("host list wire bytes", &wire::unchanged_lists),
+        ("report wire bytes", &wire::reports),
         ("ledger fold items", &ledger::fold_items),
         ("ledger fold records", &ledger::fold_records),
         ("ledger pending bytes", &|| ledger::pending_bytes(allocated)),
--- a/crates/tinbank-load/src/slopes/processes.rs
+++ b/crates/tinbank-load/src/slopes/processes.rs
@@ -385,13 +385,13 @@
 }
 
 /// The platform's stand-ins, with a configuration published.
-struct World {
+pub(super) struct World {
     standin: Standin,
     addresses: Addresses,
 }
 
 impl World {
-    async fn start(engines: u32) -> Self {
+    pub(super) async fn start(engines: u32) -> Self {
         let example = example(engines);
         let standin = platform::start(&example).await.expect("stand-ins start");
         let addresses = Addresses::of(&standin).expect("all of the platform is there");
@@ -400,6 +400,20 @@
         Self { standin, addresses }
     }
 
+    /// Where the first engine is.
+    pub(super) fn engine(&self) -> SocketAddr {
+        self.standin.engines()[0].address
+    }
+
+    /// Where the host list is.
+    pub(super) fn hosts(&self) -> SocketAddr {
+        self.addresses.hosts
+    }
+
+    pub(super) async fn stop(self) {
+        self.standin.stop().await;
+    }
+
     fn common(&self) -> Common {
         Common {
             log: self.addresses.log,
