--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -85,6 +85,12 @@
         &[],
         "Batch items that a holder cancelled at the engine because their credits were withdrawn or ran out.",
     ),
+    counter(
+        "tinbank_batch_checkpoints_refused_total",
+        "records",
+        &[],
+        "Records of shards' checkpoints that were passed over: of a later version, of another shard, malformed.",
+    ),
     gauge(
         "tinbank_batch_items_in_hand",
         "items",
@@ -118,6 +124,12 @@
         &["verdict"],
         "Changes of the configuration that were judged, by verdict.",
     ),
+    counter(
+        "tinbank_configuration_checkpoints_refused_total",
+        "records",
+        &[],
+        "Records of the configuration's checkpoints that were passed over because their numbers can't be right.",
+    ),
     counter(
         "tinbank_configuration_from_peers_total",
         "offsets",
@@ -170,8 +182,8 @@
     counter(
         "tinbank_log_entries_skipped_total",
         "entries",
-        &[],
-        "Entries of the log that could not be decoded and were passed over.",
+        &["reason"],
+        "Entries of the log that were passed over: empty, of a later version, malformed.",
     ),
     counter(
         "tinbank_log_read_failures_total",
@@ -271,6 +283,9 @@
 /// Endings that Prometheus text adds to the name of a histogram.
 const HISTOGRAM_ENDINGS: [&str; 3] = ["_bucket", "_sum", "_count"];
 
+/// Labels that Prometheus text adds to a histogram.
+const WRITTEN_LABELS: [&str; 2] = ["le", "quantile"];
+
 /// Tells the recorder what the metrics mean, for the `# HELP` lines.
 pub(super) fn describe() {
     for metric in METRICS {
@@ -301,6 +316,28 @@
     names.filter(|name| find(name).is_none()).collect()
 }
 
+/// Labels in Prometheus text that the table doesn't have, as `metric{label}`.
+pub fn unlisted_labels(exposition: &str) -> Vec<String> {
+    let samples = exposition.lines().filter(|line| !line.starts_with('#'));
+    let labelled = samples.filter_map(|line| line.split_once('{'));
+    let mut unlisted = Vec::new();
+    for (name, rest) in labelled {
+        let listed = find(name).map_or(&[] as &[&str], |metric| metric.labels);
+        // Values are ours and hold no quotes: what stands between them are the names.
+        let names = rest
+            .split('"')
+            .step_by(2)
+            .filter_map(|part| part.strip_suffix('='));
+        unlisted.extend(
+            names
+                .map(|label| label.trim_start_matches(','))
+                .filter(|label| !listed.contains(label) && !WRITTEN_LABELS.contains(label))
+                .map(|label| format!("{name}{{{label}}}")),
+        );
+    }
+    unlisted
+}
+
 /// The table in Markdown, for `docs/metrics.md`.
 pub fn table() -> String {
     let mut lines = vec![
