--- a/crates/tinbank-load/src/slopes/mod.rs
+++ b/crates/tinbank-load/src/slopes/mod.rs
@@ -16,6 +16,7 @@
 mod routing;
 mod threads;
 mod timeline;
+mod wire;
 
 use std::{borrow::Cow, fmt, time::Duration};
 
@@ -108,12 +109,9 @@
         ("admission fleet datagrams", &fleet::datagrams),
         ("admission fleet time", &fleet::time),
         ("limits request", &limits::request),
-        ("limits request with digests", &limits::request_with_digests),
+        ("limits look", &limits::look),
         ("limits bytes", &|| limits::bytes(allocated)),
-        ("limits digest bytes", &limits::digest_bytes),
-        ("limits digest state bytes", &|| {
-            limits::digest_state_bytes(allocated)
-        }),
+        ("limits ask bytes", &limits::ask_bytes),
         ("log completions", &log::completions),
         ("log completions today", &log::completions_today),
         ("log wait", &log::wait),
@@ -132,7 +130,8 @@
         ("host list state bytes", &|| {
             hosts::list_state_bytes(allocated)
         }),
-        ("report bytes", &hosts::report_bytes),
+        ("host list wire bytes", &wire::unchanged_lists),
+        ("report wire bytes", &wire::reports),
         ("ledger fold items", &ledger::fold_items),
         ("ledger fold records", &ledger::fold_records),
         ("ledger pending bytes", &|| ledger::pending_bytes(allocated)),
--- a/crates/tinbank-proof/src/deployment.rs
+++ b/crates/tinbank-proof/src/deployment.rs
@@ -141,6 +141,7 @@
             common,
             shards: self.shape.shards,
             stop_grace_ms: STOP_GRACE_MS,
+            ..tinbank_online::Settings::default()
         };
         let server = tinbank_online::Server::start_on(settings, platform, handles.clone()).await;
         Process::new(server.expect("loopback has ports"), runtimes, handles)
