Admission: a rise counts as one burst within 0.4 s, not 1 s

Cause: 2 to 4 of an engine's 8 slots were kept free, since all online requests of a second counted as one burst.

--- a/crates/tinbank-admission/src/burst.rs
+++ b/crates/tinbank-admission/src/burst.rs
@@ -6,8 +6,9 @@
 };
 
 /// Time in which a rise counts as one burst: from the first request of it until withdrawn batch work has been
-/// cancelled at the engine, frames lost once included.
-const RISE_WITHIN: Duration = Duration::from_secs(1);
+/// cancelled at the engine. That takes two frames and a step of the engine, and 100 ms more if a frame is
+/// lost once; less would cost more frames than fit, see `docs/design/admission.md`.
+const RISE_WITHIN: Duration = Duration::from_millis(400);
 /// Time in which the memory of a burst fades to half.
 const HALF_LIFE: Duration = Duration::from_secs(60);
 
