--- a/crates/tinbank-peer/tests/requests.rs
+++ b/crates/tinbank-peer/tests/requests.rs
@@ -12,11 +12,14 @@
 };
 
 use async_trait::async_trait;
-use fixture::{endpoint, endpoint_at, loopback, writer};
+use fixture::{endpoint, endpoint_at, key, loopback, writer};
 use futures::{StreamExt, stream, stream::BoxStream};
 use tinbank_base::{
     frame::{
+        Body,
         credit::{self, Load},
+        datagram::{VERSION, seal},
+        demand::{self, Ask, Claim},
         request::{Count, MAX_BYTES, Request, Response},
     },
     peer::{Answer, Error, Peers},
@@ -35,7 +38,7 @@
 /// Answers `Config{from}` by `from` frames, and counts.
 struct Fake {
     asked: AtomicU32,
-    told: mpsc::UnboundedSender<(Writer, credit::Message)>,
+    told: mpsc::UnboundedSender<(Writer, Body)>,
 }
 
 /// What `Config{from}` asks the fake to do instead.
@@ -65,7 +68,11 @@
     }
 
     fn told(&self, from: Writer, message: credit::Message) {
-        self.told.send((from, message)).unwrap();
+        self.told.send((from, Body::Credit(message))).unwrap();
+    }
+
+    fn told_demand(&self, from: Writer, message: demand::Message) {
+        self.told.send((from, Body::Demand(message))).unwrap();
     }
 }
 
@@ -76,10 +83,7 @@
     })
 }
 
-fn fake() -> (
-    Arc<Fake>,
-    mpsc::UnboundedReceiver<(Writer, credit::Message)>,
-) {
+fn fake() -> (Arc<Fake>, mpsc::UnboundedReceiver<(Writer, Body)>) {
     let (told, heard) = mpsc::unbounded_channel();
     let asked = AtomicU32::new(0);
     (Arc::new(Fake { asked, told }), heard)
@@ -279,6 +283,46 @@
     assert!(matches!(read, Ok(0) | Err(_)), "{read:?}");
 }
 
+fn greeting_of_the_next_version() -> Vec<u8> {
+    let mut sealed = seal(&7_u128, &key(1));
+    sealed[0] = VERSION + 1;
+    framed(&sealed)
+}
+
+fn framed(sealed: &[u8]) -> Vec<u8> {
+    let length = sealed.len() as u32;
+    [&length.to_be_bytes(), sealed].concat()
+}
+
+/// What a foreign process may send, with and without the key. The connection is closed; others are served.
+#[yare::parameterized(
+    next_version = { greeting_of_the_next_version() },
+    empty_frame = { framed(&[]) },
+    no_mac = { framed(&[VERSION, 1, 0]) },
+    other_key = { framed(&seal(&7_u128, &key(2))) },
+    other_type = { framed(&seal(&"text", &key(1))) },
+    request_before_the_greeting = { framed(&seal(&request(1), &key(1))) },
+    greeting_and_then_nonsense = { [framed(&seal(&7_u128, &key(1))), vec![0; 40]].concat() },
+    greeting_and_then_a_huge_length = { [framed(&seal(&7_u128, &key(1))), vec![0xff; 4]].concat() },
+)]
+#[test_macro(tokio::test)]
+async fn foreign_bytes_close_their_connection_and_no_other(bytes: Vec<u8>) {
+    let (asker, answerer, fake) = pair().await;
+    let mut tcp = TcpStream::connect(answerer.address()).await.unwrap();
+
+    tcp.write_all(&bytes).await.unwrap();
+    // Ends when the answerer has closed the connection; a reset is one way to close it.
+    let _ = tcp.read_to_end(&mut Vec::new()).await;
+
+    assert_eq!(fake.asked.load(Ordering::SeqCst), 0);
+    assert!(
+        asker
+            .ask(answerer.address(), request(1), soon())
+            .await
+            .is_ok()
+    );
+}
+
 #[tokio::test]
 async fn datagrams_about_credits_reach_the_answerer() {
     let asker = endpoint(ASKER, &[1]).await;
@@ -293,5 +337,34 @@
 
     asker.tell(answerer.address(), message.clone());
 
-    assert_eq!(told.recv().await, Some((writer(ASKER), message)));
+    assert_eq!(
+        told.recv().await,
+        Some((writer(ASKER), Body::Credit(message)))
+    );
+}
+
+#[tokio::test]
+async fn datagrams_about_limits_reach_the_answerer() {
+    let asker = endpoint(ASKER, &[1]).await;
+    let answerer = endpoint(ANSWERER, &[1]).await;
+    let (fake, mut told) = fake();
+    answerer.serve(fake);
+    let claim = Claim {
+        limit: u64::MAX - 3,
+        most: 100,
+        demand_millis: 12_500,
+        held_millis: 0,
+    };
+    let ask = Ask {
+        round: 7,
+        claims: [claim].into_iter().collect(),
+    };
+    let message = demand::Message::Ask(ask);
+
+    asker.tell_demand(answerer.address(), message.clone());
+
+    assert_eq!(
+        told.recv().await,
+        Some((writer(ASKER), Body::Demand(message)))
+    );
 }
