A quiet customer's first requests at once are let in up to an even part of its limit

Cause: since limits are granted by keepers, a host that had not heard of a customer lately let in one request and refused the rest with 429 till the keeper had answered, however far under the limit the customer was. Ruled out: the keeper's speed (its grant comes in a round trip, but the bucket began with one). Change: a bucket holds at least what an even part of the limit brings in a second. Test changed: a_refusal_names_whose_limit_was_reached took the second request of a lone host to be over a limit of 100, which was the fault; it now uses up the limit first. A new test holds the rule.

--- a/crates/tinbank-routing/src/limit/account.rs
+++ b/crates/tinbank-routing/src/limit/account.rs
@@ -71,7 +71,7 @@
     /// The demand that is worth an ask: none as long as the next request is let in anyhow.
     pub(super) fn wanted(&self, which: Which, hosts: usize, now: Instant) -> f64 {
         let is_served = which == Which::Requests
-            && least(&self.limits, hosts) > 1.0
+            && is_small(&self.limits, hosts)
             && self.requests.holds(1.0)
             && self.claims[which as usize].held(now) <= 0.0;
         if is_served {
@@ -171,12 +171,22 @@
     }
 }
 
-/// Requests that a host may always let in after a quiet time. With a limit below the number of hosts most requests are
-/// the first in a long while at their host: two are let in, and the keeper is asked only after the second.
+/// Requests that a host may always let in after a quiet time: what an even part of the limit brings in a second, so that a
+/// customer far under its limit is not refused while the keeper is asked. With a limit below the number of hosts most
+/// requests are the first in a long while at their host: two are let in, and the keeper is asked only after the second.
 fn least(limits: &Online, hosts: usize) -> f64 {
-    let is_small = |limit: u32| share::even(limit.into(), hosts) < 1.0;
-    match limits.requests_per_second.is_some_and(is_small) {
-        true => 2.0,
-        false => 1.0,
+    if is_small(limits, hosts) {
+        return 2.0;
     }
+    let even = limits
+        .requests_per_second
+        .map_or(1.0, |limit| share::even(limit.into(), hosts));
+    (even * BURST.as_secs_f64()).max(1.0)
+}
+
+/// Whether the limit is below one request a second and host.
+fn is_small(limits: &Online, hosts: usize) -> bool {
+    limits
+        .requests_per_second
+        .is_some_and(|limit| share::even(limit.into(), hosts) < 1.0)
 }
--- a/crates/tinbank-routing/tests/limits/main.rs
+++ b/crates/tinbank-routing/tests/limits/main.rs
@@ -367,6 +367,21 @@
     assert!(others_let_in >= 240, "{others_let_in}");
 }
 
+#[test]
+fn a_quiet_customers_first_requests_at_once_are_let_in_up_to_an_even_part() {
+    const HOSTS: u32 = 4;
+    let now = Instant::now();
+    let customer = scope("customer", LIMIT);
+    let mut limiter = Limiter::new(1, now);
+    limiter.set_hosts((1..=HOSTS).collect(), now);
+
+    let let_in = (0..LIMIT)
+        .filter(|_| limiter.begin(&[customer], now).is_ok())
+        .count();
+
+    assert_eq!(let_in, (LIMIT / HOSTS) as usize);
+}
+
 #[test]
 fn a_refusal_names_whose_limit_was_reached() {
     let now = Instant::now();
@@ -378,13 +393,16 @@
     let service = Scope::new("customer", Subject::Service("notes"), limits);
     let mut limiter = alone(now);
     limiter.begin(&[customer, service], now).unwrap();
+    for _ in 1..LIMIT {
+        limiter.begin(&[customer], now).unwrap();
+    }
 
     let first = limiter.begin(&[customer, service], now).unwrap_err();
     let later = limiter
         .begin(&[customer, service], first.retry_at)
         .unwrap_err();
 
-    // A new account begins with one request; after that only the service's limit is in the way.
+    // A new account begins with an even part of a second; after that only the service's limit is in the way.
     assert_eq!(
         (first.scope, first.which),
         (Kind::Customer, Which::Requests)
