--- a/crates/tinbank-routing/src/limit/account.rs
+++ b/crates/tinbank-routing/src/limit/account.rs
@@ -112,9 +112,7 @@
 
     pub(super) fn check(&mut self, hosts: usize, now: Instant) -> Result<(), (Which, Instant)> {
         self.fill(hosts, now);
-        let at_once = self.share(Which::AtOnce, hosts, now);
-        // Each host lets one in, or a limit below the number of hosts would let nobody in.
-        let at_once = at_once.map(|share| (share.floor() as u32).max(1));
+        let at_once = self.at_once(hosts, now);
         if at_once.is_some_and(|most| self.running >= most) {
             self.crowded.add(1.0, now);
             return Err((Which::AtOnce, now + AT_ONCE_WAIT));
@@ -141,6 +139,20 @@
         Ok(())
     }
 
+    /// How many may run at once here. Till the keeper has answered that is an even part, so that a quiet customer's first
+    /// requests are not refused; each host lets one in, or a limit below the number of hosts would let nobody in.
+    fn at_once(&self, hosts: usize, now: Instant) -> Option<u32> {
+        let most = Which::AtOnce.of(&self.limits)?;
+        let claim = &self.claims[Which::AtOnce as usize];
+        let share = claim.share(most.into(), hosts, now);
+        let is_granted = claim.held(now) > 0.0;
+        let share = match is_granted {
+            true => share,
+            false => share.max(share::even(most.into(), hosts)),
+        };
+        Some((share.floor() as u32).max(1))
+    }
+
     pub(super) fn begin(&mut self, now: Instant) {
         self.requests.take(1.0);
         self.accepted.add(1.0, now);
--- a/crates/tinbank-routing/tests/limits/main.rs
+++ b/crates/tinbank-routing/tests/limits/main.rs
@@ -382,6 +382,25 @@
     assert_eq!(let_in, (LIMIT / HOSTS) as usize);
 }
 
+#[test]
+fn a_quiet_customer_may_have_an_even_part_at_once_before_the_keeper_answers() {
+    const HOSTS: u32 = 4;
+    let now = Instant::now();
+    let limits = Online {
+        online_at_once: Some(LIMIT),
+        ..Online::default()
+    };
+    let customer = Scope::new("customer", Subject::Customer, limits);
+    let mut limiter = Limiter::new(1, now);
+    limiter.set_hosts((1..=HOSTS).collect(), now);
+
+    let let_in = (0..LIMIT)
+        .filter(|_| limiter.begin(&[customer], now).is_ok())
+        .count();
+
+    assert_eq!(let_in, (LIMIT / HOSTS) as usize);
+}
+
 #[test]
 fn a_refusal_names_whose_limit_was_reached() {
     let now = Instant::now();
