--- a/crates/tinbank-fleet/src/control.rs
+++ b/crates/tinbank-fleet/src/control.rs
@@ -17,6 +17,7 @@
     },
     record::lease as record,
 };
+use tinbank_configuration::Snapshot;
 use tinbank_ledger::lease::{Change, Step, Terms, Want};
 use tinbank_log::{
     reader::{self, Event, Reader},
@@ -31,7 +32,7 @@
 
 use crate::{
     holder::Holder,
-    plan::{Action, Plan, Term},
+    plan::{Action, Plan},
     reports::Reports,
     wanted::Wanted,
 };
@@ -65,6 +66,9 @@
     holder: Holder,
     reports: Reports,
     plan: Plan,
+    wanted: Wanted,
+    /// The configuration that `wanted` was collected from.
+    snapshot: Arc<Snapshot>,
     reports_at: Option<Instant>,
     phase: watch::Sender<Phase>,
 }
@@ -83,6 +87,8 @@
             writer,
             reports: Reports::default(),
             plan: Plan::default(),
+            wanted: Wanted::default(),
+            snapshot: Arc::default(),
             reports_at: None,
             phase,
         }
@@ -121,15 +127,24 @@
             return;
         };
         self.ask_reports(&list).await;
-        let snapshot = self.core.configuration.load_full();
-        let wanted = Wanted::from_snapshot(&snapshot);
+        self.collect_wanted();
         let engines = self.reports.engines(&list);
-        let actions = self.plan.step(&wanted, &engines, term, Instant::now());
+        let actions = self.plan.step(&self.wanted, &engines, term, Instant::now());
         for action in actions {
             self.act(action, &list).await;
         }
     }
 
+    /// Looks through the services of all customers only when the configuration has changed.
+    fn collect_wanted(&mut self) {
+        let snapshot = self.core.configuration.load_full();
+        if Arc::ptr_eq(&snapshot, &self.snapshot) {
+            return;
+        }
+        self.wanted = Wanted::from_snapshot(&snapshot);
+        self.snapshot = snapshot;
+    }
+
     fn lease_step(&mut self) {
         let phase = *self.phase.borrow();
         let want = Want {
@@ -265,11 +280,6 @@
             kind,
         );
     }
-
-    /// The term under which orders may be given now.
-    pub fn term(&self) -> Option<Term> {
-        self.holder.term()
-    }
 }
 
 fn retry_at(error: &WeightsError) -> Instant {
