Start, end and answer alike in the three server processes

Cause: online, batch and fleet each wrote out the start on the control thread, the closing of the HTTP server with its warning, and (online, fleet) the answer that only gives the configuration. Change: tinbank_process::on_control, answer::configuration_only and http::Server::end serve all. Behaviour is the same, but for the batch process's warning at a failed close, which now has its event name too.

--- a/crates/tinbank-batch/src/server.rs
+++ b/crates/tinbank-batch/src/server.rs
@@ -9,7 +9,7 @@
 use tinbank_admission::{Gate, Service as AdmissionService};
 use tinbank_base::{id, record::Writer};
 use tinbank_log::{budget, group, writer};
-use tinbank_process::{Core, Error, Platform, Runtimes};
+use tinbank_process::{Core, Error, Platform, Runtimes, on_control};
 use tinbank_routing::Table;
 use tinbank_server::{http::Listen, threads::Handles};
 use tinbank_timeline::Recorder;
@@ -58,8 +58,7 @@
     /// # Errors
     /// Those of [`Server::start`].
     pub async fn start_with(settings: Settings, platform: Platform) -> Result<Self, Error> {
-        let (runtimes, handles) = Runtimes::start(settings.common.traffic_threads)
-            .map_err(|error| Error::Run(error.to_string()))?;
+        let (runtimes, handles) = Runtimes::start(settings.common.traffic_threads)?;
         let mut server = Self::start_on(settings, platform, handles).await?;
         server.runtimes = runtimes;
         Ok(server)
@@ -74,11 +73,7 @@
         platform: Platform,
         handles: Handles,
     ) -> Result<Self, Error> {
-        let control = handles.control.clone();
-        let started = control.spawn(start(settings, platform, handles));
-        started
-            .await
-            .map_err(|error| Error::Run(error.to_string()))?
+        on_control(handles, |handles| start(settings, platform, handles)).await
     }
 
     /// Where callers and operators reach the process.
--- a/crates/tinbank-batch/src/service.rs
+++ b/crates/tinbank-batch/src/service.rs
@@ -189,9 +189,7 @@
 
     /// Closes the HTTP server once all open requests have their answers, and ends the control task.
     pub async fn close(self) {
-        if let Err(reason) = self.http.close().await {
-            log::warn!(reason = reason.as_str(); "the HTTP server ended badly");
-        }
+        self.http.end().await;
         self.control.abort();
     }
 }
--- a/crates/tinbank-fleet/src/server.rs
+++ b/crates/tinbank-fleet/src/server.rs
@@ -11,14 +11,13 @@
         request::{Request, Response},
     },
     id,
-    outcome::{Code, Ran},
     peer::Answer,
     record::Writer,
 };
 use tinbank_configuration::follower::Follower;
 use tinbank_ledger::lease::Terms;
 use tinbank_log::writer;
-use tinbank_process::{Core, Error, Platform, Runtimes};
+use tinbank_process::{Core, Error, Platform, Runtimes, answer, on_control};
 use tinbank_server::{http, operator, threads::Handles};
 use tokio::sync::watch;
 
@@ -42,8 +41,7 @@
     /// # Errors
     /// An address is taken, or the system gives no threads.
     pub async fn start(settings: Settings) -> Result<Self, Error> {
-        let (runtimes, handles) = Runtimes::start(settings.common.traffic_threads)
-            .map_err(|error| Error::Run(error.to_string()))?;
+        let (runtimes, handles) = Runtimes::start(settings.common.traffic_threads)?;
         let platform = Platform::new(&settings.common);
         let server = Self::start_on(settings, platform, handles).await?;
         Ok(Self { runtimes, ..server })
@@ -58,11 +56,7 @@
         platform: Platform,
         handles: Handles,
     ) -> Result<Self, Error> {
-        let control = handles.control.clone();
-        let started = control.spawn(start(settings, platform, handles));
-        started
-            .await
-            .map_err(|error| Error::Run(error.to_string()))?
+        on_control(handles, |handles| start(settings, platform, handles)).await
     }
 
     /// Where operators reach the process.
@@ -92,9 +86,7 @@
         {
             log::warn!(event = "lease_kept"; "the lease could not be given back and has to lapse");
         }
-        if let Err(reason) = self.http.close().await {
-            log::warn!(event = "http_close_failed", reason = reason.as_str(); "the HTTP server ended badly");
-        }
+        self.http.end().await;
         self.core.end_leaving().await;
         self.runtimes.end();
     }
@@ -156,14 +148,8 @@
 #[async_trait]
 impl Answer for Answerer {
     async fn answer(&self, _from: Writer, request: Request) -> BoxStream<'static, Response> {
-        let frames = match request {
-            Request::Config { from } => self.follower.serve(from).await,
-            _ => vec![Response::Failed {
-                code: Code::BadRequest,
-                ran: Ran::No,
-                message: "a fleet process answers only for the configuration".to_owned(),
-            }],
-        };
+        let refusal = "a fleet process answers only for the configuration";
+        let frames = answer::configuration_only(&self.follower, request, refusal).await;
         stream::iter(frames).boxed()
     }
 
--- a/crates/tinbank-online/src/control/peers.rs
+++ b/crates/tinbank-online/src/control/peers.rs
@@ -9,11 +9,11 @@
         credit, demand,
         request::{Request, Response},
     },
-    outcome::{Code, Ran},
     peer::Answer,
     record::Writer,
 };
 use tinbank_configuration::follower::Follower;
+use tinbank_process::answer;
 
 use super::limits;
 use crate::context::Context;
@@ -28,14 +28,8 @@
 #[async_trait]
 impl Answer for Answerer {
     async fn answer(&self, _from: Writer, request: Request) -> BoxStream<'static, Response> {
-        let frames = match request {
-            Request::Config { from } => self.follower.serve(from).await,
-            _ => vec![Response::Failed {
-                code: Code::BadRequest,
-                ran: Ran::No,
-                message: "an online process answers only for the configuration".to_owned(),
-            }],
-        };
+        let refusal = "an online process answers only for the configuration";
+        let frames = answer::configuration_only(&self.follower, request, refusal).await;
         stream::iter(frames).boxed()
     }
 
--- a/crates/tinbank-online/src/server.rs
+++ b/crates/tinbank-online/src/server.rs
@@ -8,7 +8,7 @@
 
 use tinbank_admission::Teller;
 use tinbank_base::{id, record::Writer};
-use tinbank_process::{Core, Runtimes};
+use tinbank_process::{Core, Runtimes, on_control};
 use tinbank_routing::{Table, retry::Budget};
 use tinbank_server::{http, threads::Handles};
 use tinbank_settings::common::Common;
@@ -44,8 +44,7 @@
     /// # Errors
     /// Those of [`Server::start`].
     pub async fn start_with(settings: Settings, platform: Platform) -> Result<Self, Error> {
-        let (runtimes, handles) = Runtimes::start(settings.common.traffic_threads)
-            .map_err(|error| Error::Run(error.to_string()))?;
+        let (runtimes, handles) = Runtimes::start(settings.common.traffic_threads)?;
         let mut server = Self::start_on(settings, platform, handles).await?;
         server.runtimes = runtimes;
         Ok(server)
@@ -60,11 +59,7 @@
         platform: Platform,
         handles: Handles,
     ) -> Result<Self, Error> {
-        let control = handles.control.clone();
-        let started = control.spawn(start(settings, platform, handles));
-        started
-            .await
-            .map_err(|error| Error::Run(error.to_string()))?
+        on_control(handles, |handles| start(settings, platform, handles)).await
     }
 
     /// Where callers and operators reach the process.
@@ -112,9 +107,7 @@
     pub async fn stop(self) {
         self.core.begin_leaving();
         tokio::time::sleep(self.stop_grace).await;
-        if let Err(reason) = self.http.close().await {
-            log::warn!(event = "http_close_failed", reason = reason.as_str(); "the HTTP server ended badly");
-        }
+        self.http.end().await;
         self.ctx.tasks.close();
         self.ctx.tasks.wait().await;
         self.core.end_leaving().await;
--- a/crates/tinbank-process/src/lib.rs
+++ b/crates/tinbank-process/src/lib.rs
@@ -3,6 +3,7 @@
 //! A process starts its [`Core`] on the control thread, listens, joins its peers, and adds its own duty. See
 //! `docs/architecture.md`.
 
+pub mod answer;
 mod core;
 pub mod drain;
 pub mod hosts;
@@ -14,5 +15,5 @@
 pub use self::{
     core::{Core, Error},
     platform::Platform,
-    runtimes::Runtimes,
+    runtimes::{Runtimes, on_control},
 };
--- a/crates/tinbank-process/src/runtimes.rs
+++ b/crates/tinbank-process/src/runtimes.rs
@@ -1,10 +1,12 @@
 //! Runtimes of a process that runs inside another program, as in tests and demonstrations.
 
-use std::io;
+use std::future::Future;
 
 use tinbank_server::threads::Handles;
 use tokio::runtime::{Builder, Runtime};
 
+use crate::Error;
+
 /// A control thread and traffic threads of a process's own, so that it can be ended like a lost host.
 #[derive(Debug, Default)]
 pub struct Runtimes(Vec<Runtime>);
@@ -14,7 +16,7 @@
     ///
     /// # Errors
     /// The system gives no threads.
-    pub fn start(traffic_threads: usize) -> io::Result<(Self, Handles)> {
+    pub fn start(traffic_threads: usize) -> Result<(Self, Handles), Error> {
         let traffic = runtime(traffic_threads, "traffic")?;
         let control = runtime(1, "control")?;
         let handles = Handles {
@@ -43,10 +45,30 @@
     }
 }
 
-fn runtime(threads: usize, name: &'static str) -> io::Result<Runtime> {
+/// Starts a process on its control thread, wherever it is asked for.
+///
+/// # Errors
+/// Those of `start`, or that the control thread has ended.
+pub async fn on_control<T, F>(
+    handles: Handles,
+    start: impl FnOnce(Handles) -> F,
+) -> Result<T, Error>
+where
+    T: Send + 'static,
+    F: Future<Output = Result<T, Error>> + Send + 'static,
+{
+    let control = handles.control.clone();
+    let started = control.spawn(start(handles));
+    started
+        .await
+        .map_err(|error| Error::Run(error.to_string()))?
+}
+
+fn runtime(threads: usize, name: &'static str) -> Result<Runtime, Error> {
     Builder::new_multi_thread()
         .worker_threads(threads)
         .thread_name(name)
         .enable_all()
         .build()
+        .map_err(|error| Error::Run(error.to_string()))
 }
--- a/crates/tinbank-server/src/http.rs
+++ b/crates/tinbank-server/src/http.rs
@@ -103,6 +103,13 @@
     pub async fn close(self) -> Result<(), String> {
         self.inner.close().await
     }
+
+    /// Closes the server as [`Server::close`] does, at a planned stop that goes on whatever comes of it.
+    pub async fn end(self) {
+        if let Err(reason) = self.close().await {
+            log::warn!(event = "http_close_failed", reason = reason.as_str(); "the HTTP server ended badly");
+        }
+    }
 }
 
 fn refused(listen: &Listen, error: &dropshot::BuildError) -> Error {
