--- /dev/null
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -0,0 +1,259 @@
+//! The allocator: decides which upstream a request may start at.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use smallvec::SmallVec;
+use tinbank_base::id;
+
+use crate::{
+    frame::{Answer, Ask, Frame, Grant, Holdings, Release},
+    grants::{self, Grants},
+    health::Health,
+    lease::{self, Class},
+};
+
+/// How often a host tells its holdings. It is also the heartbeat between hosts.
+pub const HEARTBEAT: Duration = Duration::from_secs(1);
+/// A lease that its holder has not named for this long is over: three heartbeats and a half.
+const LEASE_TIME: Duration = Duration::from_millis(3_500);
+/// For how long an allocator that knew of nobody grants nothing to batch: until every host has told its holdings.
+const LEARNING_TIME: Duration = Duration::from_millis(1_500);
+/// Slots of an upstream that stay free of batch, so that an online request seldom has to reclaim one.
+const HEADROOM: usize = 1;
+
+/// An upstream that may be dealt out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Upstream {
+    /// Its name.
+    pub instance: id::Instance,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Service it runs.
+    pub service: id::Service,
+    /// How many requests it works on at once.
+    pub slots: usize,
+}
+
+/// A datagram to send.
+pub type Outgoing = SmallVec<[(SocketAddr, Frame); 2]>;
+
+/// What the allocator believes after a datagram, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Two hosts had trouble with an upstream; it gets no request for a while.
+    Ejected(id::Instance),
+    /// The allocator had heard of nobody for a while, and learns before it grants to batch.
+    Learning,
+}
+
+/// The state of an allocator. It serves whoever asks, so two at once are harmless: each host asks one.
+#[derive(Debug)]
+pub struct Allocator {
+    upstreams: Vec<Entry>,
+    heard_at: Option<Instant>,
+    learning_until: Option<Instant>,
+    turn: u64,
+}
+
+#[derive(Debug)]
+struct Entry {
+    upstream: Upstream,
+    grants: Grants,
+    health: Health,
+}
+
+impl Allocator {
+    /// An allocator that knows of nothing. `seed` makes the order among equals differ between hosts.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            upstreams: Vec::new(),
+            heard_at: None,
+            learning_until: None,
+            turn: seed,
+        }
+    }
+
+    /// Takes in the upstreams of the failure domain that take requests.
+    pub fn list(&mut self, upstreams: Vec<Upstream>) {
+        let mut before: HashMap<id::Instance, Entry> = self
+            .upstreams
+            .drain(..)
+            .map(|entry| (entry.upstream.instance.clone(), entry))
+            .collect();
+        let entries = upstreams.into_iter().map(|upstream| {
+            let known = before.remove(&upstream.instance);
+            let (grants, health) = known.map(|it| (it.grants, it.health)).unwrap_or_default();
+            Entry {
+                upstream,
+                grants,
+                health,
+            }
+        });
+        self.upstreams = entries.collect();
+    }
+
+    /// Takes in a datagram.
+    pub fn receive(
+        &mut self,
+        from: SocketAddr,
+        frame: Frame,
+        now: Instant,
+    ) -> (Outgoing, Option<Change>) {
+        match frame {
+            Frame::Ask(ask) => {
+                let change = self.wake(now);
+                (self.ask(from, &ask, now), change)
+            }
+            Frame::Release(release) => (Outgoing::new(), self.release(from, &release, now)),
+            Frame::Holdings(holdings) => {
+                let change = self.wake(now);
+                self.holdings(from, &holdings, now);
+                (Outgoing::from_iter([(from, Frame::Alive)]), change)
+            }
+            Frame::Answer(_) | Frame::Reclaim(_) | Frame::Alive => (Outgoing::new(), None),
+        }
+    }
+
+    /// Forgets all leases, as after a pause of the process: what it believes is as old as the pause.
+    pub fn forget(&mut self, now: Instant) {
+        for entry in &mut self.upstreams {
+            entry.grants = Grants::default();
+        }
+        self.learning_until = Some(now + LEARNING_TIME);
+    }
+
+    /// Starts learning if nobody has told anything for longer than a lease holds.
+    fn wake(&mut self, now: Instant) -> Option<Change> {
+        let idle = self.heard_at.is_none_or(|at| now > at + LEASE_TIME);
+        self.heard_at = Some(now);
+        if !idle {
+            return None;
+        }
+        self.learning_until = Some(now + LEARNING_TIME);
+        Some(Change::Learning)
+    }
+
+    fn ask(&mut self, from: SocketAddr, ask: &Ask, now: Instant) -> Outgoing {
+        for entry in &mut self.upstreams {
+            entry.grants.expire(now);
+        }
+        let mut out = Outgoing::new();
+        let chosen = match ask.class {
+            Class::Online => self.online(ask, now, &mut out),
+            Class::Batch => self.batch(ask, now),
+        };
+        let grant = chosen.map(|index| {
+            let entry = &mut self.upstreams[index];
+            entry.grants.add(grants::Grant {
+                holder: from,
+                lease: ask.lease,
+                class: ask.class,
+                until: now + LEASE_TIME,
+            });
+            Grant {
+                upstream: entry.upstream.instance.clone(),
+                address: entry.upstream.address,
+            }
+        });
+        let answer = Answer {
+            lease: ask.lease,
+            grant,
+        };
+        out.push((from, Frame::Answer(answer)));
+        out
+    }
+
+    /// A free slot, else one reclaimed from batch, else, if forced, the least loaded upstream.
+    fn online(&mut self, ask: &Ask, now: Instant, out: &mut Outgoing) -> Option<usize> {
+        let least = self.least(ask, now)?;
+        let entry = &self.upstreams[least];
+        if entry.grants.len() < entry.upstream.slots {
+            return Some(least);
+        }
+        if let Some(index) = self.reclaimable(ask, now) {
+            if let Some(grant) = self.upstreams[index].grants.reclaim() {
+                out.push((grant.holder, Frame::Reclaim(grant.lease)));
+            }
+            return Some(index);
+        }
+        ask.force.then_some(least)
+    }
+
+    /// A slot if the headroom for online requests stays free beside it.
+    fn batch(&mut self, ask: &Ask, now: Instant) -> Option<usize> {
+        if self.learning_until.is_some_and(|until| now < until) {
+            return None;
+        }
+        let least = self.least(ask, now)?;
+        let entry = &self.upstreams[least];
+        (entry.grants.len() + HEADROOM < entry.upstream.slots).then_some(least)
+    }
+
+    /// The upstream with the fewest leases; among equals another one at each turn.
+    fn least(&mut self, ask: &Ask, now: Instant) -> Option<usize> {
+        self.turn = self.turn.wrapping_add(1);
+        let count = self.upstreams.len();
+        let start = self.turn as usize % count.max(1);
+        (0..count)
+            .map(|step| (start + step) % count)
+            .filter(|index| self.upstreams[*index].takes(ask, now))
+            .min_by_key(|index| self.upstreams[*index].grants.len())
+    }
+
+    /// The upstream with the fewest online requests among those that run batch.
+    fn reclaimable(&self, ask: &Ask, now: Instant) -> Option<usize> {
+        (0..self.upstreams.len())
+            .filter(|index| self.upstreams[*index].takes(ask, now))
+            .filter(|index| {
+                let grants = &self.upstreams[*index].grants;
+                grants.online() < grants.len()
+            })
+            .min_by_key(|index| self.upstreams[*index].grants.online())
+    }
+
+    fn release(&mut self, from: SocketAddr, release: &Release, now: Instant) -> Option<Change> {
+        let entry = self
+            .upstreams
+            .iter_mut()
+            .find(|entry| entry.upstream.instance == release.upstream)?;
+        entry.grants.remove(from, release.lease);
+        let ejected = entry.health.note(from, release.outcome, now);
+        ejected.then(|| Change::Ejected(release.upstream.clone()))
+    }
+
+    fn holdings(&mut self, from: SocketAddr, holdings: &Holdings, now: Instant) {
+        for entry in &mut self.upstreams {
+            entry.grants.keep(from, holdings.next, &holdings.held);
+        }
+        for held in &holdings.held {
+            self.renew(from, held, now);
+        }
+    }
+
+    fn renew(&mut self, from: SocketAddr, held: &lease::Held, now: Instant) {
+        let entry = self
+            .upstreams
+            .iter_mut()
+            .find(|entry| entry.upstream.instance == held.upstream);
+        // A lease at an upstream that is no longer listed needs no account: nothing is granted there.
+        let Some(entry) = entry else { return };
+        entry.grants.add(grants::Grant {
+            holder: from,
+            lease: held.lease,
+            class: held.class,
+            until: now + LEASE_TIME,
+        });
+    }
+}
+
+impl Entry {
+    fn takes(&self, ask: &Ask, now: Instant) -> bool {
+        self.upstream.service == ask.service
+            && !ask.exclude.contains(&self.upstream.instance)
+            && !self.health.ejected(now)
+    }
+}
--- /dev/null
+++ b/crates/tinbank-allocator/src/directory.rs
@@ -0,0 +1,116 @@
+//! Which host is the allocator of a failure domain, as one host sees it.
+
+use std::{
+    collections::HashMap,
+    hash::{Hash, Hasher},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use siphasher::sip::SipHasher13;
+use smallvec::SmallVec;
+use tinbank_base::id;
+
+/// For how long a host is passed over after its first missing answer. Doubled with each further one.
+/// Source: two heartbeats, so that one lost datagram does not move the allocator for long.
+const FIRST_SILENCE: Duration = Duration::from_secs(2);
+/// Longest time for which a silent host is passed over before it is tried again.
+const LONGEST_SILENCE: Duration = Duration::from_secs(16);
+
+/// A host that may be an allocator.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Where it takes datagrams.
+    pub address: SocketAddr,
+    /// Failure domain it runs in, whose upstreams it deals out.
+    pub failure_domain: id::FailureDomain,
+}
+
+/// The hosts known, and which of them are silent.
+#[derive(Debug, Default)]
+pub struct Directory {
+    peers: Vec<Peer>,
+    silent: HashMap<SocketAddr, Silence>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    until: Instant,
+    strikes: u32,
+}
+
+impl Directory {
+    /// Takes in the list of hosts.
+    pub fn list(&mut self, peers: Vec<Peer>) {
+        self.silent
+            .retain(|address, _| peers.iter().any(|peer| peer.address == *address));
+        self.peers = peers;
+    }
+
+    /// Failure domains in which there are hosts, in the order in which a host of `own` asks them.
+    pub fn failure_domains(&self, own: &str, turn: u64) -> SmallVec<[id::FailureDomain; 4]> {
+        let mut others: SmallVec<[id::FailureDomain; 4]> = SmallVec::new();
+        for peer in &self.peers {
+            if peer.failure_domain != own && !others.contains(&peer.failure_domain) {
+                others.push(peer.failure_domain.clone());
+            }
+        }
+        others.sort();
+        if !others.is_empty() {
+            let shift = (turn % others.len() as u64) as usize;
+            others.rotate_left(shift);
+        }
+        others.insert(0, own.to_owned());
+        others
+    }
+
+    /// The allocator of a failure domain: the first by rendezvous hash that is not silent.
+    pub fn allocator(&self, failure_domain: &str, now: Instant) -> Option<SocketAddr> {
+        self.peers
+            .iter()
+            .filter(|peer| peer.failure_domain == failure_domain)
+            .filter(|peer| !self.is_silent(peer.address, now))
+            .max_by_key(|peer| rank(peer))
+            .map(|peer| peer.address)
+    }
+
+    /// Takes in that a host has sent a datagram. True if it had been silent.
+    pub fn heard(&mut self, address: SocketAddr) -> bool {
+        self.silent.remove(&address).is_some()
+    }
+
+    /// Takes in that an answer of a host is missing. True if it was not silent before.
+    pub fn missed(&mut self, address: SocketAddr, now: Instant) -> bool {
+        let fresh = !self.is_silent(address, now);
+        let entry = self.silent.entry(address).or_insert(Silence {
+            until: now,
+            strikes: 0,
+        });
+        if fresh {
+            let wait = FIRST_SILENCE * 2u32.saturating_pow(entry.strikes);
+            entry.until = now + wait.min(LONGEST_SILENCE);
+            entry.strikes += 1;
+        }
+        fresh
+    }
+
+    /// Hosts that were passed over and whose time is up; they are asked for a heartbeat before they count again.
+    pub fn due(&self, now: Instant) -> SmallVec<[SocketAddr; 4]> {
+        let due = self.silent.iter().filter(|(_, it)| it.until <= now);
+        due.map(|(address, _)| *address).collect()
+    }
+
+    fn is_silent(&self, address: SocketAddr, now: Instant) -> bool {
+        self.silent
+            .get(&address)
+            .is_some_and(|silence| now < silence.until)
+    }
+}
+
+/// Weight of a host in its failure domain; the highest one is the allocator.
+fn rank(peer: &Peer) -> u64 {
+    let mut hasher = SipHasher13::new();
+    peer.address.hash(&mut hasher);
+    peer.failure_domain.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -0,0 +1,116 @@
+//! Datagrams between the hosts that ask for slots and the allocators that grant them.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use tinbank_base::id;
+
+use crate::lease;
+
+/// First byte of each datagram; a host ignores datagrams of another version.
+const VERSION: u8 = 1;
+/// Largest datagram in bytes, so that none is split on a link of 1,500 bytes.
+pub const MAX_BYTES: usize = 1400;
+
+/// A datagram that can't be understood.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The first byte names another version.
+    #[error("datagram of version {found:?}, this host speaks {VERSION}")]
+    Version {
+        /// Version found, if there is any byte.
+        found: Option<u8>,
+    },
+    /// The rest is no frame.
+    #[error("datagram is no frame: {0}")]
+    Malformed(#[from] postcard::Error),
+}
+
+/// A message between hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// A host asks for a slot.
+    Ask(Ask),
+    /// The allocator's answer.
+    Answer(Answer),
+    /// A host gives a slot back.
+    Release(Release),
+    /// The allocator takes a slot back from a batch item.
+    Reclaim(lease::Id),
+    /// What a host holds in the allocator's failure domain; also the host's heartbeat.
+    Holdings(Holdings),
+    /// The allocator has heard the holdings; also its heartbeat.
+    Alive,
+}
+
+/// A request for one slot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Number that the asking host gives the lease.
+    pub lease: lease::Id,
+    /// What the slot is for.
+    pub class: lease::Class,
+    /// Service whose upstreams can run the request.
+    pub service: id::Service,
+    /// Upstreams that this request must not get.
+    pub exclude: SmallVec<[id::Instance; 4]>,
+    /// Grant the least loaded upstream even if all its slots are in use.
+    pub force: bool,
+}
+
+/// An answer to an [`Ask`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The lease asked for.
+    pub lease: lease::Id,
+    /// The upstream, or nothing if the failure domain has no slot for it.
+    pub grant: Option<Grant>,
+}
+
+/// An upstream at which the asking host may start one request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The upstream.
+    pub upstream: id::Instance,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// The end of a lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Release {
+    /// The lease that ends.
+    pub lease: lease::Id,
+    /// The upstream it was for.
+    pub upstream: id::Instance,
+    /// How the request ended, which tells about the upstream's health.
+    pub outcome: lease::Outcome,
+}
+
+/// All leases that a host holds in one failure domain.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holdings {
+    /// Leases from this number on were not asked for yet when the list was made.
+    pub next: lease::Id,
+    /// The leases.
+    pub held: Vec<lease::Held>,
+}
+
+impl Frame {
+    /// The datagram of a frame.
+    pub fn encode(&self) -> Result<Vec<u8>, Error> {
+        let head = Vec::from([VERSION]);
+        Ok(postcard::to_extend(self, head)?)
+    }
+
+    /// The frame of a datagram.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        match bytes.split_first() {
+            Some((&VERSION, rest)) => Ok(postcard::from_bytes(rest)?),
+            other => Err(Error::Version {
+                found: other.map(|(version, _)| *version),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tinbank-allocator/src/grants.rs
@@ -0,0 +1,66 @@
+//! The leases in force at one upstream.
+
+use std::{net::SocketAddr, time::Instant};
+
+use crate::lease::{self, Class};
+
+/// A lease in force.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Grant {
+    pub holder: SocketAddr,
+    pub lease: lease::Id,
+    pub class: Class,
+    pub until: Instant,
+}
+
+/// All leases at one upstream.
+#[derive(Debug, Default)]
+pub(crate) struct Grants(Vec<Grant>);
+
+impl Grants {
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn online(&self) -> usize {
+        self.0
+            .iter()
+            .filter(|grant| grant.class == Class::Online)
+            .count()
+    }
+
+    pub fn add(&mut self, grant: Grant) {
+        self.remove(grant.holder, grant.lease);
+        self.0.push(grant);
+    }
+
+    /// True if there was such a lease.
+    pub fn remove(&mut self, holder: SocketAddr, lease: lease::Id) -> bool {
+        let before = self.0.len();
+        self.0
+            .retain(|grant| grant.holder != holder || grant.lease != lease);
+        before != self.0.len()
+    }
+
+    /// The batch lease granted last: it has the least to lose.
+    pub fn reclaim(&mut self) -> Option<Grant> {
+        let last = self
+            .0
+            .iter()
+            .rposition(|grant| grant.class == Class::Batch)?;
+        Some(self.0.remove(last))
+    }
+
+    pub fn expire(&mut self, now: Instant) {
+        self.0.retain(|grant| now < grant.until);
+    }
+
+    /// Drops a holder's leases that its list, made before lease `next`, does not name any more.
+    pub fn keep(&mut self, holder: SocketAddr, next: lease::Id, held: &[lease::Held]) {
+        self.0.retain(|grant| {
+            grant.holder != holder
+                || grant.lease >= next
+                || held.iter().any(|held| held.lease == grant.lease)
+        });
+    }
+}
--- /dev/null
+++ b/crates/tinbank-allocator/src/health.rs
@@ -0,0 +1,66 @@
+//! What the outcomes of requests say about one upstream.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use smallvec::SmallVec;
+
+use crate::lease::Outcome;
+
+/// Two hosts have to report trouble within this time, so that one bad host or link ejects nobody for all.
+const AGREEMENT: Duration = Duration::from_secs(2);
+/// First time for which an upstream gets no request. Doubled with each further ejection.
+const FIRST_EJECTION: Duration = Duration::from_secs(1);
+/// Longest time without a request, after which one is tried again.
+const LONGEST_EJECTION: Duration = Duration::from_secs(8);
+
+/// Recent trouble at an upstream.
+#[derive(Debug, Default)]
+pub(crate) struct Health {
+    reports: SmallVec<[Report; 4]>,
+    ejected_until: Option<Instant>,
+    ejections: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    by: SocketAddr,
+    at: Instant,
+}
+
+impl Health {
+    /// Takes in how a request of a host ended. True if the upstream is ejected by it.
+    pub fn note(&mut self, by: SocketAddr, outcome: Outcome, now: Instant) -> bool {
+        match outcome {
+            Outcome::Unused => false,
+            Outcome::Served => {
+                self.reports.retain(|report| report.by != by);
+                if !self.ejected(now) {
+                    self.ejections = 0;
+                }
+                false
+            }
+            Outcome::Refused | Outcome::Failed | Outcome::Silent => self.trouble(by, now),
+        }
+    }
+
+    pub fn ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    fn trouble(&mut self, by: SocketAddr, now: Instant) -> bool {
+        self.reports
+            .retain(|report| report.by != by && now < report.at + AGREEMENT);
+        self.reports.push(Report { by, at: now });
+        if self.reports.len() < 2 || self.ejected(now) {
+            return false;
+        }
+        let time = FIRST_EJECTION * 2u32.saturating_pow(self.ejections);
+        self.ejected_until = Some(now + time.min(LONGEST_EJECTION));
+        self.ejections += 1;
+        self.reports.clear();
+        true
+    }
+}
--- /dev/null
+++ b/crates/tinbank-allocator/src/lib.rs
@@ -0,0 +1,15 @@
+//! Deals the slots of upstreams out to hosts, online requests before batch items.
+//!
+//! Upstreams know no priorities, so what waits inside one delays every request behind it. Therefore one host of each
+//! failure domain, the allocator, says who may start a request at which upstream. All of it is soft state: a lost or
+//! doubled allocator costs speed, never correctness. See `docs/design/users-platform.md`.
+
+pub mod allocator;
+pub mod directory;
+pub mod frame;
+mod grants;
+mod health;
+pub mod lease;
+
+pub use allocator::Allocator;
+pub use directory::Directory;
--- a/crates/tinbank-base/src/id.rs
+++ b/crates/tinbank-base/src/id.rs
@@ -1,7 +1,7 @@
 //! Identifiers. They are aliases, so that a signature says what a number means while the
 //! number keeps the standard traits and the shortest encoding on the wire.
 
-use std::fmt;
+use std::{fmt, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -9,6 +9,8 @@
 pub type Host = u32;
 /// Number of an upstream (an engine or a plain service instance), from the platform's host list.
 pub type Upstream = u32;
+/// Name that an upstream gives itself at each of its starts, where the platform names upstreams by text.
+pub type Instance = Arc<str>;
 /// Name of a failure domain, as the platform writes it.
 pub type FailureDomain = String;
 /// Name of a customer in the configuration.
--- /dev/null
+++ b/crates/tinbank-entry/src/main.rs
@@ -0,0 +1,11 @@
+//! `tinbank-entry`: the program of an entry host. It runs online and batch in one process.
+
+mod command;
+mod logs;
+mod settings;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    command::run()
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/batch/follower.rs
@@ -0,0 +1,136 @@
+//! Reads the log of jobs and folds it.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant, SystemTime},
+};
+
+use tinbank_jobs::{
+    fold::Change,
+    fragment::{Joiner, Whole},
+    record::Record,
+};
+use tokio::time;
+
+use super::JOBS;
+use crate::{
+    border::store::{Error, Offset, Page},
+    node::Node,
+};
+
+/// How long a read waits for a record. Source: a page without news may be this old, and the users' bound is 1 s.
+const WAIT_MS: u64 = 400;
+/// Time that the answer to a read may take beyond its wait.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Pause between two reads that found records, so that several are read together.
+const REST: Duration = Duration::from_millis(60);
+/// Pause after a read that failed.
+const RETRY: Duration = Duration::from_millis(100);
+/// Time beyond that for which a job is readable after which it is dropped: clocks of hosts differ.
+const KEPT_MARGIN: Duration = Duration::from_secs(30);
+/// How often jobs that are over are dropped.
+const PRUNE: Duration = Duration::from_secs(5);
+
+/// Follows the log for as long as the process runs.
+pub(super) async fn follow(node: Rc<Node>) {
+    let mut joiner = Joiner::default();
+    let mut failing = false;
+    let mut pruned_at = Instant::now();
+    loop {
+        let from = node.batch.next.get();
+        let until = Instant::now() + Duration::from_millis(WAIT_MS) + ANSWER_TIMEOUT;
+        match node.store.read(JOBS, from, WAIT_MS, until).await {
+            Ok(page) => {
+                if std::mem::take(&mut failing) {
+                    log::info!(offset = from; "log of jobs regained");
+                }
+                let news = !page.records.is_empty();
+                take_in(&node, &mut joiner, from, page);
+                if news && node.batch.known.get() {
+                    time::sleep(REST).await;
+                }
+            }
+            Err(Error::Trimmed { first }) => {
+                log::warn!(offset = from, first; "records of jobs are gone, going on behind them");
+                joiner.reset();
+                node.batch.next.set(first);
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut failing, true) {
+                    log::warn!(offset = from, error:%; "log of jobs lost");
+                }
+                time::sleep(RETRY).await;
+            }
+        }
+        if pruned_at.elapsed() > PRUNE {
+            pruned_at = Instant::now();
+            let kept = node.settings.job_readable + KEPT_MARGIN;
+            let mut table = node.batch.table.borrow_mut();
+            table.prune(kept, SystemTime::now());
+        }
+    }
+}
+
+/// Waits until the table holds all that the log held when this was called. False if that takes too long.
+pub(super) async fn catch_up(node: &Node, until: Instant) -> bool {
+    let from = node.batch.next.get();
+    let Ok(page) = node.store.read(JOBS, from, 0, until).await else {
+        return false;
+    };
+    let waited = time::timeout_at(until.into(), async {
+        while node.batch.next.get() < page.end {
+            node.batch.changed.notified().await;
+        }
+    });
+    waited.await.is_ok()
+}
+
+fn take_in(node: &Node, joiner: &mut Joiner, from: Offset, page: Page) {
+    let batch = &node.batch;
+    let mut offset = from;
+    for piece in &page.records {
+        if let Some(whole) = joiner.push(offset, piece) {
+            apply(node, whole);
+        }
+        offset += 1;
+    }
+    batch.next.set(offset);
+    if offset >= page.end {
+        batch.fresh_at.set(Some(Instant::now()));
+        if !batch.known.replace(true) {
+            log::info!(offset, jobs = batch.table.borrow().len(); "log of jobs read to its end");
+        }
+    }
+    batch.changed.notify_waiters();
+}
+
+fn apply(node: &Node, whole: Whole) {
+    let record = match Record::decode(&whole.bytes) {
+        Ok(record) => record,
+        Err(error) => {
+            log::error!(offset = whole.offset, error:%; "record of jobs skipped");
+            return;
+        }
+    };
+    let change = node.batch.table.borrow_mut().apply(whole.offset, record);
+    match change {
+        Change::Submitted { call, job, verdict } => {
+            log::info!(job:%, offset = whole.offset, verdict:?; "job submitted");
+            let waiting = node.batch.verdicts.borrow_mut().remove(&call);
+            if let Some(waiting) = waiting
+                && waiting.send(verdict).is_err()
+            {
+                log::debug!(job:%; "nobody waits for the verdict any more");
+            }
+        }
+        Change::Finished { job, index } => {
+            log::info!(job:%, item = index, offset = whole.offset; "item finished");
+            node.batch.runner.finished(&job, index);
+        }
+        Change::Ended { job } => {
+            log::info!(job:%, offset = whole.offset; "job ended by its caller");
+            node.batch.runner.ended(&job);
+        }
+        Change::Dropped => log::info!(offset = whole.offset; "record of jobs dropped"),
+    }
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/batch/intake.rs
@@ -0,0 +1,180 @@
+//! Takes in jobs, and the ends of jobs.
+
+use std::time::{Duration, Instant, SystemTime};
+
+use tinbank_jobs::{
+    fold::Verdict,
+    fragment,
+    record::{JobId, Record, Submission},
+};
+use tinbank_relay::route::Route;
+use tokio::{sync::oneshot, time};
+
+use super::{JOBS, follower};
+use crate::{
+    border::{
+        ingress::{Reply, Request},
+        store::Error,
+    },
+    identity,
+    node::Node,
+    relay::RETRY_AFTER,
+};
+
+/// How long one append may take before it is sent again. The fold drops what is written twice.
+const APPEND_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Pause before an append is sent again.
+const RETRY: Duration = Duration::from_millis(80);
+/// How long the end of a job is tried for.
+const END_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How long a host may take to read the log to its end before it says that it can't tell.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// What came of writing a record.
+enum Written {
+    /// The log has it.
+    Yes,
+    /// The log surely doesn't have it and never will.
+    No,
+    /// The log may have it.
+    Perhaps,
+}
+
+/// Takes in a job. The answer says that it is accepted only if the log says so.
+pub(crate) async fn submit(
+    node: &Node,
+    route: &Route,
+    call: &Request,
+    body: &[u8],
+    deadline: Instant,
+) -> Reply {
+    if node.batch.table.borrow().job(&call.id).is_some() {
+        log::info!(job:% = call.id; "job known, accepted again");
+        return Reply::Accepted;
+    }
+    let items = match node.ingress.items(body) {
+        Ok(items) => items,
+        Err(malformed) => return Reply::Malformed(malformed),
+    };
+    if !node.batch.is_known() {
+        return refuse(call, "log of jobs not read yet");
+    }
+    let number = identity::number();
+    let submission = Submission {
+        job: call.id.clone(),
+        call: number,
+        host: call.host.clone(),
+        route: route.name.clone(),
+        quota: route.batch.quota,
+        max_attempts: route.max_attempts,
+        submitted_at: SystemTime::now(),
+        retention: route.batch.retention,
+        target: route.batch.target,
+        items,
+    };
+    let record = Record::Submitted(submission);
+    let (verdict, decided) = oneshot::channel();
+    node.batch.verdicts.borrow_mut().insert(number, verdict);
+    let reply = decide(node, call, &record, decided, deadline).await;
+    node.batch.verdicts.borrow_mut().remove(&number);
+    log::info!(job:% = call.id, route:% = route.name, reply:?; "submission answered");
+    reply
+}
+
+async fn decide(
+    node: &Node,
+    call: &Request,
+    record: &Record,
+    mut decided: oneshot::Receiver<Verdict>,
+    deadline: Instant,
+) -> Reply {
+    let written = tokio::select! {
+        // The verdict may come first: then the answer to the append was lost, or is late.
+        verdict = &mut decided => return verdict.map_or(Reply::Failed, judge),
+        written = write(node, record, deadline) => written,
+    };
+    match written {
+        Written::No => return refuse(call, "store not reached"),
+        Written::Perhaps => return Reply::TimedOut,
+        Written::Yes => {}
+    }
+    match time::timeout_at(deadline.into(), decided).await {
+        Ok(Ok(verdict)) => judge(verdict),
+        _ => Reply::TimedOut,
+    }
+}
+
+fn judge(verdict: Verdict) -> Reply {
+    match verdict {
+        Verdict::Accepted | Verdict::Known => Reply::Accepted,
+        Verdict::OverQuota { .. } => Reply::OverQuota {
+            retry_after: RETRY_AFTER,
+        },
+    }
+}
+
+fn refuse(call: &Request, why: &'static str) -> Reply {
+    log::info!(job:% = call.id, why; "job refused, nothing of it runs");
+    Reply::NotRun {
+        retry_after: RETRY_AFTER,
+    }
+}
+
+/// Writes a record, again and again until the log has it or the time is up.
+async fn write(node: &Node, record: &Record, deadline: Instant) -> Written {
+    let bytes = match record.encode() {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::error!(error:%; "record can't be encoded");
+            return Written::No;
+        }
+    };
+    let pieces = fragment::split(&bytes, node.settings.store.record_bytes);
+    let mut perhaps = false;
+    loop {
+        let until = (Instant::now() + APPEND_TIMEOUT).min(deadline);
+        match node.store.append(JOBS, &pieces, until).await {
+            Ok(_) => return Written::Yes,
+            Err(Error::NoEffect(why)) if !perhaps => {
+                log::info!(why; "append had no effect");
+                return Written::No;
+            }
+            Err(error) => {
+                log::info!(error:%; "append not answered, sent again");
+                perhaps = true;
+            }
+        }
+        if Instant::now() + RETRY >= deadline {
+            return Written::Perhaps;
+        }
+        time::sleep(RETRY).await;
+    }
+}
+
+/// Ends a job: nothing of it runs from a moment later on.
+pub(crate) async fn end(node: &Node, job: JobId) -> Reply {
+    let deadline = Instant::now() + END_TIMEOUT;
+    let ended = |node: &Node| {
+        let table = node.batch.table.borrow();
+        table.job(&job).map(|job| job.ended)
+    };
+    if ended(node).is_none() {
+        let until = Instant::now() + CATCH_UP_TIMEOUT;
+        if !follower::catch_up(node, until).await {
+            return Reply::Unsure;
+        }
+    }
+    match ended(node) {
+        None => return Reply::NotFound,
+        Some(true) => return Reply::Ended,
+        Some(false) => {}
+    }
+    match write(node, &Record::Ended(job.clone()), deadline).await {
+        Written::Yes => {
+            node.batch.runner.ended(&job);
+            Reply::Ended
+        }
+        Written::No => Reply::Unsure,
+        Written::Perhaps => Reply::TimedOut,
+    }
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/batch/mod.rs
@@ -0,0 +1,100 @@
+//! Batch jobs: taken in, run, and read, all by way of the log.
+
+mod follower;
+pub(crate) mod intake;
+mod item;
+mod owner;
+pub(crate) mod results;
+mod runner;
+mod writer;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use tinbank_jobs::{Table, fold::Verdict, record::JobId};
+use tokio::sync::{Notify, oneshot};
+
+use crate::{
+    border::store::{Offset, Place, Topic},
+    node::Node,
+};
+
+/// Where the records of jobs are.
+const JOBS: Place = Place {
+    topic: Topic::Jobs,
+    partition: 0,
+};
+
+/// The process's part in batch jobs.
+pub(crate) struct Batch {
+    table: RefCell<Table>,
+    /// Offset behind the last record taken in.
+    next: Cell<Offset>,
+    /// When the table was known to hold all that the log held.
+    fresh_at: Cell<Option<Instant>>,
+    known: Cell<bool>,
+    changed: Notify,
+    verdicts: RefCell<HashMap<u64, oneshot::Sender<Verdict>>>,
+    owner: owner::Owner,
+    runner: runner::Runner,
+    writer: writer::Writer,
+}
+
+impl Batch {
+    pub fn new() -> Self {
+        Self {
+            table: RefCell::default(),
+            next: Cell::new(0),
+            fresh_at: Cell::new(None),
+            known: Cell::new(false),
+            changed: Notify::new(),
+            verdicts: RefCell::default(),
+            owner: owner::Owner::default(),
+            runner: runner::Runner::default(),
+            writer: writer::Writer::default(),
+        }
+    }
+
+    /// True once the log was read to its end.
+    pub fn is_known(&self) -> bool {
+        self.known.get()
+    }
+
+    /// Forgets how fresh the table is and what it owns, after a pause of the process.
+    pub fn distrust(&self) {
+        self.fresh_at.set(None);
+        self.owner.distrust();
+    }
+
+    /// True if the table held all that the log held at most `age` ago.
+    fn is_fresh(&self, age: Duration) -> bool {
+        let fresh_at = self.fresh_at.get();
+        fresh_at.is_some_and(|at| at.elapsed() < age)
+    }
+}
+
+/// Starts everything that runs for as long as the process does.
+pub(crate) fn start(node: &Rc<Node>) {
+    tokio::task::spawn_local(follower::follow(Rc::clone(node)));
+    tokio::task::spawn_local(owner::stay(Rc::clone(node)));
+    tokio::task::spawn_local(runner::run(Rc::clone(node)));
+    tokio::task::spawn_local(writer::write(Rc::clone(node)));
+}
+
+/// Gives back what the process owns, so that other hosts go on with it at once.
+pub(crate) async fn leave(node: &Rc<Node>) {
+    runner::drained(node).await;
+    owner::leave(node).await;
+}
+
+/// The number that decides which partition a job belongs to.
+fn partition(job: &JobId, partitions: u32) -> u32 {
+    use std::hash::{Hash, Hasher};
+    let mut hasher = siphasher::sip::SipHasher13::new();
+    job.hash(&mut hasher);
+    (hasher.finish() % u64::from(partitions.max(1))) as u32
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/batch/owner.rs
@@ -0,0 +1,129 @@
+//! Which jobs this process runs: those of the partitions that it holds in a group at the store.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use tokio::time;
+
+use crate::{
+    border::store::{Assignment, Membership, Place, Topic},
+    node::Node,
+};
+
+/// How long a member may stay silent, where the store allows so little.
+const TTL: Duration = Duration::from_secs(2);
+/// How often the process says that it is there, in parts of the ttl.
+const JOINS_PER_TTL: u32 = 4;
+/// How long a call may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Pause before the topic's first record is tried again.
+const RETRY: Duration = Duration::from_millis(400);
+
+/// The process's membership in the group.
+#[derive(Default)]
+pub(super) struct Owner {
+    assignment: RefCell<Assignment>,
+    renewed_at: Cell<Option<Instant>>,
+    left: Cell<bool>,
+}
+
+impl Owner {
+    /// True if the process may start items of a partition. Without an answer of the store for a while it may not:
+    /// others have taken over by then.
+    pub fn holds(&self, partition: u32, ttl: Duration) -> bool {
+        let renewed = self.renewed_at.get();
+        renewed.is_some_and(|at| at.elapsed() < ttl + CALL_TIMEOUT)
+            && self.assignment.borrow().partitions.contains(&partition)
+    }
+
+    /// Forgets when the membership was renewed.
+    pub fn distrust(&self) {
+        self.renewed_at.set(None);
+    }
+}
+
+/// The time for which a member may stay silent.
+pub(super) fn ttl(node: &Node) -> Duration {
+    TTL.max(node.settings.store.least_member_ttl)
+}
+
+/// Stays in the group for as long as the process runs.
+pub(super) async fn stay(node: Rc<Node>) {
+    create(&node).await;
+    let mut failing = false;
+    while !node.batch.owner.left.get() {
+        match join(&node).await {
+            Ok(()) => {
+                if std::mem::take(&mut failing) {
+                    log::info!("group at the store regained");
+                }
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut failing, true) {
+                    log::warn!(error:%; "group at the store lost");
+                }
+            }
+        }
+        time::sleep(ttl(&node) / JOINS_PER_TTL).await;
+    }
+}
+
+/// Leaves the group, so that others get the partitions at once.
+pub(super) async fn leave(node: &Node) {
+    node.batch.owner.left.set(true);
+    node.batch.owner.distrust();
+    let membership = membership(node);
+    let until = Instant::now() + CALL_TIMEOUT;
+    match node.store.leave(&membership, until).await {
+        Ok(()) => log::info!("group at the store left"),
+        Err(error) => log::warn!(error:%; "group at the store not left, its members will notice"),
+    }
+}
+
+/// Writes a first record, because a topic comes to be with its first record.
+async fn create(node: &Node) {
+    let place = Place {
+        topic: Topic::Owners,
+        partition: 0,
+    };
+    loop {
+        let until = Instant::now() + CALL_TIMEOUT;
+        let record = Bytes::from_static(b"created");
+        match node.store.append(place, &[record], until).await {
+            Ok(_) => return,
+            Err(error) => log::info!(error:%; "topic of the group not created yet"),
+        }
+        time::sleep(RETRY).await;
+    }
+}
+
+async fn join(node: &Node) -> Result<(), crate::border::store::Error> {
+    let membership = membership(node);
+    let asked_at = Instant::now();
+    let until = asked_at + CALL_TIMEOUT;
+    let assignment = node.store.join(&membership, until).await?;
+    let owner = &node.batch.owner;
+    let before = owner.assignment.replace(assignment.clone());
+    owner.renewed_at.set(Some(asked_at));
+    if before.partitions != assignment.partitions {
+        log::info!(
+            generation = assignment.generation,
+            partitions:? = assignment.partitions;
+            "partitions of the group"
+        );
+    }
+    Ok(())
+}
+
+fn membership(node: &Node) -> Membership {
+    Membership {
+        member: node.settings.host.clone(),
+        topic: Topic::Owners,
+        generation: node.batch.owner.assignment.borrow().generation,
+        ttl_ms: ttl(node).as_millis() as u64,
+    }
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/border/engine.rs
@@ -0,0 +1,68 @@
+//! Requests to upstreams, and what their answers say.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use http_body_util::Full;
+use tinbank_jobs::record::Item;
+use tinbank_relay::event;
+
+/// A request as it came; each attempt sends it on.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Name of the request, which an upstream repeats in its answer.
+    pub id: String,
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// Headers, without those of one connection only.
+    pub headers: HeaderMap,
+    /// Its whole body.
+    pub body: Bytes,
+}
+
+/// What is particular to one attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt<'a> {
+    /// The upstream that it is meant for; any other one refuses it.
+    pub instance: &'a str,
+    /// How long the upstream may work on it.
+    pub time_left: Duration,
+    /// Last event already had; the upstream goes on behind it.
+    pub resume_after: Option<event::Id>,
+}
+
+/// What the head of an answer says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The upstream did not run the request.
+    NotRun,
+    /// The upstream at this address is another one, and did not run the request.
+    OtherInstance,
+    /// The answer belongs to another request.
+    OtherRequest,
+    /// The upstream refused the request, but does not say that it did not run it, or its answer is not its own.
+    Unclear,
+    /// The answer to the request.
+    Answer,
+    /// The upstream ran the request and failed.
+    Failed,
+    /// The upstream says that the request can never be done.
+    Impossible,
+}
+
+/// Encodes requests and reads answers.
+pub trait Engine {
+    /// The request of a caller, by its head and body.
+    fn relayed(&self, id: &str, head: &http::request::Parts, body: Bytes) -> Request;
+    /// The request of a batch item. The host name is that of its job.
+    fn item(&self, host: &str, item: &Item) -> Request;
+    /// The bytes of an attempt.
+    fn encode(&self, request: &Request, attempt: Attempt<'_>) -> http::Request<Full<Bytes>>;
+    /// What the head of an answer says.
+    fn judge(&self, request: &Request, head: &http::response::Parts) -> Verdict;
+    /// The head for the caller, from that of the upstream.
+    fn pass_on(&self, head: http::response::Parts) -> http::response::Builder;
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/border/ingress.rs
@@ -0,0 +1,133 @@
+//! Calls of callers, and the answers to them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use tinbank_jobs::record::{Index, Item, ItemId, JobId, Outcome};
+use tinbank_relay::event;
+
+use super::Body;
+
+/// What a caller asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// A request for a route: relayed to an upstream, or a batch job.
+    Request(Request),
+    /// Results of a job.
+    Results {
+        /// The job.
+        job: JobId,
+        /// Position of the first result asked for.
+        from: usize,
+        /// How long the answer may wait for a result.
+        wait: Duration,
+    },
+    /// The body of an item without a result.
+    Body {
+        /// The job.
+        job: JobId,
+        /// The item.
+        item: ItemId,
+    },
+    /// The end of a job.
+    End {
+        /// The job.
+        job: JobId,
+    },
+}
+
+/// A request for a route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Name that the caller gave this attempt.
+    pub id: String,
+    /// Host name it carries.
+    pub host: String,
+    /// Path without query.
+    pub path: String,
+    /// How long the caller waits.
+    pub time_left: Option<Duration>,
+    /// Last event that the caller has of the stream it continues.
+    pub resume_after: Option<event::Id>,
+}
+
+/// A call that can't be understood.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{place}: {problem}")]
+pub struct Malformed {
+    /// Header, parameter or part of the body.
+    pub place: String,
+    /// What is wrong with it, and what is expected.
+    pub problem: String,
+}
+
+/// A result at its position.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// The item.
+    pub item: ItemId,
+    /// What came of it.
+    pub result: Outcome,
+}
+
+/// Results of a job from a position on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Page {
+    /// Items of the job.
+    pub total: Index,
+    /// Position behind the last result of the page.
+    pub next: usize,
+    /// The results.
+    pub results: Vec<Listed>,
+}
+
+/// An answer of the system's own.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// The job is the system's to keep.
+    Accepted,
+    /// The job does not fit the quota; nothing of it runs.
+    OverQuota {
+        /// When to ask again.
+        retry_after: Duration,
+    },
+    /// The request has not run and never will.
+    NotRun {
+        /// When to ask again.
+        retry_after: Duration,
+    },
+    /// This host can't tell now; another may.
+    Unsure,
+    /// The request failed; it may have run.
+    Failed,
+    /// The time is up; the request may have run.
+    TimedOut,
+    /// No route takes the request.
+    NoRoute,
+    /// There is no such job or item.
+    NotFound,
+    /// The request is larger than the configuration allows.
+    TooLarge,
+    /// The call can't be understood.
+    Malformed(Malformed),
+    /// Results.
+    Results(Page),
+    /// The body of an item.
+    Body(Bytes),
+    /// The job is ended.
+    Ended,
+    /// The process can take requests.
+    Ready,
+    /// The process takes no requests now.
+    NotReady,
+}
+
+/// Decodes calls and encodes answers.
+pub trait Ingress {
+    /// What a request asks for, by its head.
+    fn decode(&self, head: &http::request::Parts) -> Result<Call, Malformed>;
+    /// The items of a job, from the body of its submission.
+    fn items(&self, body: &[u8]) -> Result<Vec<Item>, Malformed>;
+    /// The answer that says so.
+    fn encode(&self, reply: Reply) -> http::Response<Body>;
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/border/store.rs
@@ -0,0 +1,152 @@
+//! The platform's store: logs with partitions, groups, and what operators and upstreams write there.
+
+use std::time::Instant;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use tinbank_allocator::directory::Peer;
+use tinbank_relay::{route::Config, upstream::Upstream};
+
+/// Position of a record in a partition.
+pub type Offset = u64;
+/// Number of a partition in a topic.
+pub type Partition = u32;
+
+/// Why a call at the store has no answer to give.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The call had no effect: it did not reach the store, or the store said so.
+    #[error("no effect: {0}")]
+    NoEffect(String),
+    /// The call may have had its effect, or may have it within seconds.
+    #[error("effect unknown: {0}")]
+    Unknown(String),
+    /// The records asked for are gone; the oldest one kept is `first`.
+    #[error("records before offset {first} are gone")]
+    Trimmed {
+        /// Oldest offset kept.
+        first: Offset,
+    },
+    /// The store answered with something that its protocol does not know.
+    #[error("unexpected answer: {0}")]
+    Protocol(String),
+}
+
+/// Topics that the system keeps for itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Topic {
+    /// Records of batch jobs, all in partition 0.
+    Jobs,
+    /// Holds no records that count; its partitions say who runs which jobs.
+    Owners,
+}
+
+/// A partition of a topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The topic.
+    pub topic: Topic,
+    /// The partition.
+    pub partition: Partition,
+}
+
+/// A stretch of a partition.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// Offset behind the last record of the partition.
+    pub end: Offset,
+    /// The records from the offset asked for.
+    pub records: Vec<Bytes>,
+}
+
+/// What a member of a group holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Assignment {
+    /// Rises with every change of the group.
+    pub generation: u64,
+    /// Partitions of the topic that the member holds.
+    pub partitions: Vec<Partition>,
+}
+
+/// A member of a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Membership {
+    /// Name of the member.
+    pub member: String,
+    /// Topic whose partitions are dealt out.
+    pub topic: Topic,
+    /// Generation that the member heard last; 0 at first.
+    pub generation: u64,
+    /// How long the member may stay silent, in milliseconds.
+    pub ttl_ms: u64,
+}
+
+/// What an operator or an upstream wrote since a position, decoded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Written {
+    /// The configuration in force.
+    Config(Config),
+    /// An upstream is listed.
+    Upstream(Upstream),
+    /// An upstream is gone.
+    Gone(tinbank_base::id::Instance),
+    /// A host of the system is registered.
+    Host(Peer),
+    /// A host of the system has signed off, by the key it was registered under.
+    HostGone(String),
+    /// Something that the system has no use for.
+    Other,
+}
+
+/// A list that the platform keeps the newest entries of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum List {
+    /// The operator's configuration.
+    Config,
+    /// The upstreams.
+    Upstreams,
+    /// The hosts of the system.
+    Hosts,
+}
+
+/// Entries of a list, and the position from which to read on.
+#[derive(Clone, Debug, Default)]
+pub struct Entries {
+    /// The entries, oldest first.
+    pub entries: Vec<Written>,
+    /// Position behind them.
+    pub end: Offset,
+}
+
+/// The platform's store. Every call ends by `until`.
+#[async_trait(?Send)]
+pub trait Store {
+    /// Appends records to a partition, all or none. Answers the offset of the first.
+    async fn append(&self, at: Place, records: &[Bytes], until: Instant) -> Result<Offset, Error>;
+    /// Reads records from an offset on, and waits up to `wait_ms` for the first.
+    async fn read(
+        &self,
+        at: Place,
+        from: Offset,
+        wait_ms: u64,
+        until: Instant,
+    ) -> Result<Page, Error>;
+    /// The newest entries of a list.
+    async fn newest(&self, list: List, until: Instant) -> Result<Entries, Error>;
+    /// What was written to a list since a position; waits up to `wait_ms` for it.
+    async fn since(
+        &self,
+        list: List,
+        from: Offset,
+        wait_ms: u64,
+        until: Instant,
+    ) -> Result<Entries, Error>;
+    /// Registers a host of the system.
+    async fn register(&self, host: &Peer, until: Instant) -> Result<(), Error>;
+    /// Takes a host of the system off the list.
+    async fn unregister(&self, host: &Peer, until: Instant) -> Result<(), Error>;
+    /// Joins a group, or stays in it.
+    async fn join(&self, membership: &Membership, until: Instant) -> Result<Assignment, Error>;
+    /// Leaves a group, so that others get the member's partitions at once.
+    async fn leave(&self, membership: &Membership, until: Instant) -> Result<(), Error>;
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/lib.rs
@@ -0,0 +1,20 @@
+//! The entry program: relays online requests and runs batch items on one fleet of upstreams.
+//!
+//! One process does both duties on one control thread, with one view of the configuration, the upstreams and the other
+//! hosts. What the platform looks like is behind the traits in [`border`]. See `docs/design/users-platform.md`.
+
+pub mod batch;
+pub mod border;
+mod clock;
+pub mod exchange;
+mod identity;
+mod node;
+mod relay;
+mod run;
+mod serve;
+pub mod settings;
+mod sharing;
+mod stop;
+mod view;
+
+pub use run::{Error, Platform, run};
--- /dev/null
+++ b/crates/tinbank-gateway/src/relay/attempt.rs
@@ -0,0 +1,113 @@
+//! One attempt at an upstream, for online requests and batch items alike.
+
+use std::time::{Duration, Instant};
+
+use http::response::Parts;
+use hyper::body::Incoming;
+use tinbank_allocator::lease::Outcome;
+use tinbank_relay::event;
+
+use crate::{
+    border::engine::{Attempt, Request, Verdict},
+    exchange::{self, Error, Guard, Until},
+    node::Node,
+    sharing::Lease,
+};
+
+/// How long a new connection to an upstream may take. Source: far above a round trip between failure domains, far below
+/// a target latency; the request was not sent by then, so it goes elsewhere.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// An attempt without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Trouble {
+    /// It provably did not run.
+    NotRun,
+    /// The connection was lost; it may have run.
+    Lost,
+    /// There was no answer in time; it may have run.
+    Silent,
+}
+
+/// An answer that has begun.
+pub(crate) struct Opened {
+    pub lease: Lease,
+    pub head: Parts,
+    pub body: Incoming,
+    pub guard: Guard,
+    pub verdict: Verdict,
+}
+
+/// Sends a request to the upstream of a lease. The upstream works on it until `deadline`; its answer has to begin by
+/// `until`.
+pub(crate) async fn send(
+    node: &Node,
+    lease: Lease,
+    request: &Request,
+    resume_after: Option<event::Id>,
+    deadline: Instant,
+    until: Instant,
+) -> Result<Opened, Trouble> {
+    let now = Instant::now();
+    let attempt = Attempt {
+        instance: &lease.upstream,
+        time_left: deadline.saturating_duration_since(now),
+        resume_after,
+    };
+    let sent = exchange::send(
+        lease.address,
+        node.engine.encode(request, attempt),
+        Until {
+            connected: now + CONNECT_TIMEOUT,
+            answered: until,
+        },
+    );
+    let (answer, guard) = match sent.await {
+        Ok(answered) => answered,
+        Err(error) => return Err(failed(request, &lease, error)),
+    };
+    let (head, body) = answer.into_parts();
+    let verdict = node.engine.judge(request, &head);
+    let status = head.status.as_u16();
+    match verdict {
+        Verdict::NotRun => {
+            log::info!(request:% = request.id, upstream:% = lease.upstream, status; "upstream refused, not run");
+            lease.end(Outcome::Refused);
+            Err(Trouble::NotRun)
+        }
+        Verdict::OtherInstance => {
+            log::info!(request:% = request.id, upstream:% = lease.upstream, status; "another upstream has the address");
+            node.view.leave(&lease.upstream);
+            lease.end(Outcome::Refused);
+            Err(Trouble::NotRun)
+        }
+        Verdict::OtherRequest => {
+            log::warn!(request:% = request.id, upstream:% = lease.upstream, status; "answer to another request dropped");
+            lease.end(Outcome::Failed);
+            Err(Trouble::Lost)
+        }
+        Verdict::Unclear => {
+            log::info!(request:% = request.id, upstream:% = lease.upstream, status; "refusal that does not say whether it ran");
+            lease.end(Outcome::Failed);
+            Err(Trouble::Lost)
+        }
+        Verdict::Answer | Verdict::Failed | Verdict::Impossible => Ok(Opened {
+            lease,
+            head,
+            body,
+            guard,
+            verdict,
+        }),
+    }
+}
+
+fn failed(request: &Request, lease: &Lease, error: Error) -> Trouble {
+    log::info!(request:% = request.id, upstream:% = lease.upstream, error:%; "attempt without an answer");
+    let (trouble, outcome) = match error {
+        Error::NotSent(_) => (Trouble::NotRun, Outcome::Silent),
+        Error::Lost(_) => (Trouble::Lost, Outcome::Failed),
+        Error::Silent => (Trouble::Silent, Outcome::Silent),
+    };
+    lease.end(outcome);
+    trouble
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/relay/body.rs
@@ -0,0 +1,104 @@
+//! Bodies of answers that hold on to something until they end.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+    time::Instant,
+};
+
+use bytes::Bytes;
+use http_body::{Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tinbank_allocator::lease::Outcome;
+use tokio::time::{self, Sleep};
+
+use crate::{
+    border::{Aborted, Body},
+    exchange::Guard,
+    sharing::Lease,
+    stop::Work,
+};
+
+/// A body that keeps a value until it is dropped.
+struct Held<T> {
+    body: Body,
+    _value: T,
+}
+
+impl<T: Unpin> http_body::Body for Held<T> {
+    type Data = Bytes;
+    type Error = Aborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
+        self.body.as_mut().poll_frame(context)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+}
+
+/// A body that counts as work in progress until it ends.
+pub(crate) fn hold(body: Body, work: Work) -> Body {
+    Box::pin(Held { body, _value: work })
+}
+
+/// The body of an upstream's answer, passed on as it comes.
+pub(crate) fn relayed(body: Incoming, lease: Lease, guard: Guard, deadline: Instant) -> Body {
+    let body = body.map_err(|_| Aborted("the upstream broke it off"));
+    let timed = Timed {
+        body: Box::pin(body),
+        lease,
+        deadline: Box::pin(time::sleep_until(deadline.into())),
+        _guard: guard,
+    };
+    Box::pin(timed)
+}
+
+/// A body that is given up at a deadline.
+struct Timed {
+    body: Body,
+    lease: Lease,
+    deadline: Pin<Box<Sleep>>,
+    _guard: Guard,
+}
+
+impl http_body::Body for Timed {
+    type Data = Bytes;
+    type Error = Aborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
+        let polled = self.body.as_mut().poll_frame(context);
+        match &polled {
+            Poll::Ready(None) => self.lease.end(Outcome::Served),
+            Poll::Ready(Some(Err(_))) => self.lease.end(Outcome::Failed),
+            Poll::Ready(Some(Ok(_))) => {}
+            Poll::Pending => {
+                if self.deadline.as_mut().poll(context).is_ready() {
+                    let aborted = Aborted("its time is up");
+                    return Poll::Ready(Some(Err(aborted)));
+                }
+            }
+        }
+        polled
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -0,0 +1,254 @@
+//! Relays a caller's request to an upstream, and its answer back.
+
+pub(crate) mod attempt;
+mod body;
+mod stream;
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Response, request::Parts};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tinbank_allocator::lease::{Class, Outcome};
+use tinbank_relay::{
+    attempt::{Attempts, Failure, Next},
+    route::{Kind, Route},
+};
+use tokio::time;
+
+pub(crate) use self::body::hold;
+use self::{
+    attempt::{Opened, Trouble},
+    stream::Stream,
+};
+use crate::{
+    batch,
+    border::{
+        Body, engine,
+        engine::Verdict,
+        ingress::{self, Reply},
+    },
+    node::Node,
+    sharing::Wanted,
+};
+
+/// When a caller is told to ask again after a refusal. Source: the time in which a freed slot or a new list is likely.
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Longest time for which a request without a time limit of its own is held.
+const LONGEST_TIME: Duration = Duration::from_secs(60);
+/// Attempts that did not run, after which a request is refused.
+const MAX_REFUSALS: usize = 6;
+/// Part of a route's target latency after which an idempotent request without any answer is tried elsewhere.
+const PATIENCE_PART: u32 = 2;
+/// Shortest time after which such a request is tried elsewhere, where the route names no target.
+const LEAST_PATIENCE: Duration = Duration::from_millis(150);
+
+/// A request on its way.
+struct Relay {
+    node: Rc<Node>,
+    route: Rc<Route>,
+    request: engine::Request,
+    attempts: Attempts,
+    deadline: Instant,
+}
+
+/// Answers a request for a route.
+pub(crate) async fn request(
+    node: &Rc<Node>,
+    call: ingress::Request,
+    head: Parts,
+    body: Incoming,
+) -> Response<Body> {
+    let received = Instant::now();
+    let Some(config) = node.view.config() else {
+        return refuse(node, &call.id, "no configuration known yet");
+    };
+    let Some(route) = config.route(&call.host, &call.path).cloned() else {
+        return no_route(node, &call, config.version, received);
+    };
+    let time = call.time_left.unwrap_or(LONGEST_TIME);
+    let deadline = received + time.min(route.timeout);
+    let body = match read(body, config.limits.body_bytes, deadline).await {
+        Ok(body) => body,
+        Err(reply) => return node.ingress.encode(reply),
+    };
+    if route.kind == Kind::Batch {
+        let reply = batch::intake::submit(node, &route, &call, &body, deadline).await;
+        return node.ingress.encode(reply);
+    }
+    let relay = Relay {
+        node: Rc::clone(node),
+        request: node.engine.relayed(&call.id, &head, body),
+        attempts: Attempts::new(route.kind, route.max_attempts),
+        route,
+        deadline,
+    };
+    relay.run(call.resume_after).await
+}
+
+fn no_route(node: &Node, call: &ingress::Request, version: u64, now: Instant) -> Response<Body> {
+    if !node.view.is_config_fresh(now) {
+        return refuse(node, &call.id, "no route in a configuration that may be old");
+    }
+    log::info!(request:% = call.id, host:% = call.host, path:% = call.path, version; "no route");
+    node.ingress.encode(Reply::NoRoute)
+}
+
+fn refuse(node: &Node, id: &str, why: &'static str) -> Response<Body> {
+    log::info!(request:% = id, why; "refused, not run");
+    node.ingress.encode(Reply::NotRun {
+        retry_after: RETRY_AFTER,
+    })
+}
+
+async fn read(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Reply> {
+    let read = Limited::new(body, limit).collect();
+    match time::timeout_at(deadline.into(), read).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reply::TooLarge),
+        Ok(Err(_)) => Err(Reply::NotRun {
+            retry_after: RETRY_AFTER,
+        }),
+        Err(_) => Err(Reply::NotRun {
+            retry_after: RETRY_AFTER,
+        }),
+    }
+}
+
+impl Relay {
+    async fn run(mut self, resume_after: Option<u64>) -> Response<Body> {
+        loop {
+            let opened = match self.open(resume_after).await {
+                Ok(opened) => opened,
+                Err(next) => return self.give_up(next),
+            };
+            match opened.verdict {
+                Verdict::Failed | Verdict::Impossible if self.is_worth_another(&opened) => {
+                    opened.lease.end(Outcome::Failed);
+                }
+                _ => return self.answer(opened, resume_after),
+            }
+        }
+    }
+
+    /// An answer that an upstream began, or what to tell the caller.
+    async fn open(&mut self, resume_after: Option<u64>) -> Result<Opened, Next> {
+        let mut refusals = 0;
+        loop {
+            let Some(opened) = self.attempt(resume_after).await? else {
+                refusals += 1;
+                match self.attempts.next() {
+                    Next::Again if refusals < MAX_REFUSALS => continue,
+                    Next::Again => return Err(self.attempts.give_up()),
+                    next => return Err(next),
+                }
+            };
+            return Ok(opened);
+        }
+    }
+
+    /// One attempt. Nothing if it gave no answer, which is noted.
+    async fn attempt(&mut self, resume_after: Option<u64>) -> Result<Option<Opened>, Next> {
+        if Instant::now() >= self.deadline {
+            return Err(self.attempts.give_up());
+        }
+        let Some(service) = self.route.service(self.node.draw()).cloned() else {
+            return Err(self.attempts.give_up());
+        };
+        let wanted = Wanted {
+            class: Class::Online,
+            service: &service,
+            exclude: self.attempts.tried(),
+        };
+        let Some(lease) = self.node.sharing.lease(&self.node, &wanted).await else {
+            return Err(self.attempts.give_up());
+        };
+        let upstream = lease.upstream.clone();
+        let until = self.answer_until();
+        let sent = attempt::send(
+            &self.node,
+            lease,
+            &self.request,
+            resume_after,
+            self.deadline,
+            until,
+        );
+        match sent.await {
+            Ok(opened) => Ok(Some(opened)),
+            Err(trouble) => {
+                self.note(&upstream, trouble);
+                Ok(None)
+            }
+        }
+    }
+
+    /// Until when this attempt may stay without an answer. Only a request that may run again is given up for silence.
+    fn answer_until(&self) -> Instant {
+        let another = self.route.kind.is_idempotent()
+            && !self.attempts.may_have_run()
+            && self.route.max_attempts > 1;
+        if !another {
+            return self.deadline;
+        }
+        let patience = (self.route.target_latency / PATIENCE_PART).max(LEAST_PATIENCE);
+        (Instant::now() + patience).min(self.deadline)
+    }
+
+    fn note(&mut self, upstream: &tinbank_base::id::Instance, trouble: Trouble) {
+        let failure = match trouble {
+            Trouble::NotRun => Failure::NotRun,
+            Trouble::Lost | Trouble::Silent => Failure::Unknown,
+        };
+        self.attempts.note(upstream.clone(), failure);
+    }
+
+    /// Notes an upstream's own failure. True if the request may be sent to another one.
+    fn is_worth_another(&mut self, opened: &Opened) -> bool {
+        if opened.verdict == Verdict::Impossible {
+            return false;
+        }
+        self.attempts
+            .note(opened.lease.upstream.clone(), Failure::Unknown);
+        self.attempts.next() == Next::Again
+    }
+
+    fn answer(self, opened: Opened, resume_after: Option<u64>) -> Response<Body> {
+        let Opened {
+            lease,
+            head,
+            body,
+            guard,
+            verdict,
+        } = opened;
+        let passed = self.node.engine.pass_on(head);
+        let is_stream =
+            verdict == Verdict::Answer && matches!(self.route.kind, Kind::Stream { .. });
+        let body: Body = match is_stream {
+            true => Stream::new(self, lease, guard, body, resume_after).into_body(),
+            false => body::relayed(body, lease, guard, self.deadline),
+        };
+        // The parts come from a valid head, so the builder has nothing to object to.
+        passed.body(body).unwrap_or_else(|error| {
+            log::error!(error:%; "head of an answer can't be passed on");
+            Response::new(crate::border::whole(Bytes::new()))
+        })
+    }
+
+    fn give_up(&self, next: Next) -> Response<Body> {
+        let id = &self.request.id;
+        let tried = self.attempts.tried().len();
+        let reply = match next {
+            Next::Refuse | Next::Again => Reply::NotRun {
+                retry_after: RETRY_AFTER,
+            },
+            Next::Fail if Instant::now() >= self.deadline => Reply::TimedOut,
+            Next::Fail => Reply::Failed,
+        };
+        log::info!(request:% = id, route:% = self.route.name, tried, reply:?; "no answer");
+        self.node.ingress.encode(reply)
+    }
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/relay/stream.rs
@@ -0,0 +1,226 @@
+//! The events of an upstream on their way to a caller, resumed at another upstream if need be.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Incoming;
+use tinbank_allocator::lease::Outcome;
+use tinbank_relay::{
+    attempt::{Failure, Next},
+    event::{self, Event, Splitter},
+    route::Kind,
+};
+use tokio::time;
+
+use super::Relay;
+use crate::{
+    border::{Aborted, Body, engine::Verdict},
+    exchange::Guard,
+    sharing::Lease,
+};
+
+/// Missing events after which an upstream counts as silent.
+const MISSING_EVENTS: u32 = 6;
+/// Shortest silence that ends a resumable stream. Source: with a new connection and a first event it leaves a stream
+/// within the pause of 200 ms that the users allow.
+const LEAST_SILENCE: Duration = Duration::from_millis(110);
+/// Weight of the newest gap in the smoothed gap, one part in so many.
+const SMOOTHING: u32 = 8;
+
+/// A stream on its way.
+pub(super) struct Stream {
+    relay: Relay,
+    source: Option<Source>,
+    splitter: Splitter,
+    ready: VecDeque<Event>,
+    last: Option<event::Id>,
+    gap: Duration,
+    heard_at: Instant,
+}
+
+/// The upstream that a stream comes from.
+struct Source {
+    lease: Lease,
+    body: Incoming,
+    _guard: Guard,
+}
+
+/// What came from the upstream.
+enum Heard {
+    Piece(Bytes),
+    End,
+    Broken(&'static str, Outcome),
+    OutOfTime,
+}
+
+impl Stream {
+    pub fn new(
+        relay: Relay,
+        lease: Lease,
+        guard: Guard,
+        body: Incoming,
+        resume_after: Option<event::Id>,
+    ) -> Self {
+        let source = Source {
+            lease,
+            body,
+            _guard: guard,
+        };
+        Self {
+            relay,
+            source: Some(source),
+            splitter: Splitter::default(),
+            ready: VecDeque::new(),
+            last: resume_after,
+            gap: LEAST_SILENCE / MISSING_EVENTS,
+            heard_at: Instant::now(),
+        }
+    }
+
+    pub fn into_body(self) -> Body {
+        let frames = futures_util::stream::unfold(self, |mut stream| async move {
+            let next = stream.next().await?;
+            Some((next.map(Frame::data), stream))
+        });
+        Box::pin(StreamBody::new(frames))
+    }
+
+    /// The next bytes for the caller: whole events only, so that another upstream can go on behind them.
+    async fn next(&mut self) -> Option<Result<Bytes, Aborted>> {
+        loop {
+            if let Some(event) = self.ready.pop_front() {
+                return Some(Ok(event.bytes));
+            }
+            let silent_at = self.silent_at();
+            let source = self.source.as_mut()?;
+            let broken = match hear(source, silent_at, self.relay.deadline).await {
+                Heard::Piece(piece) => match self.take(&piece) {
+                    Ok(()) => continue,
+                    Err(why) => (why, Outcome::Failed),
+                },
+                Heard::End if self.splitter.is_partial() => {
+                    ("stopped within an event", Outcome::Failed)
+                }
+                Heard::End => {
+                    self.end(Outcome::Served);
+                    return None;
+                }
+                Heard::Broken(why, outcome) => (why, outcome),
+                Heard::OutOfTime => {
+                    self.end(Outcome::Unused);
+                    return Some(Err(self.abort("its time is up")));
+                }
+            };
+            let (why, outcome) = broken;
+            if let Err(aborted) = self.resume(why, outcome).await {
+                return Some(Err(aborted));
+            }
+        }
+    }
+
+    fn take(&mut self, piece: &[u8]) -> Result<(), &'static str> {
+        self.splitter
+            .push(piece)
+            .map_err(|_| "sent an event that is too large")?;
+        while let Some(event) = self.splitter.next_event() {
+            self.measure();
+            if let Some(id) = event.id {
+                let expected = self.last.map_or(id, |last| last + 1);
+                if id != expected {
+                    return Err("sent events out of order");
+                }
+                self.last = Some(id);
+            }
+            self.ready.push_back(event);
+        }
+        Ok(())
+    }
+
+    fn measure(&mut self) {
+        let now = Instant::now();
+        let gap = now.saturating_duration_since(self.heard_at);
+        self.heard_at = now;
+        self.gap = (self.gap * (SMOOTHING - 1) + gap) / SMOOTHING;
+    }
+
+    /// From when on the upstream counts as silent; never, where nobody else may go on.
+    fn silent_at(&self) -> Option<Instant> {
+        if !self.is_resumable() {
+            return None;
+        }
+        Some(self.heard_at + (self.gap * MISSING_EVENTS).max(LEAST_SILENCE))
+    }
+
+    fn is_resumable(&self) -> bool {
+        let relay = &self.relay;
+        matches!(relay.route.kind, Kind::Stream { resumable: true })
+            && relay.attempts.could_run_again()
+    }
+
+    /// Goes on at another upstream. The old one is left first, so that no two work on the request.
+    async fn resume(&mut self, why: &'static str, outcome: Outcome) -> Result<(), Aborted> {
+        let resumable = self.is_resumable();
+        let from = self.source.as_ref().map(|it| it.lease.upstream.clone());
+        self.end(outcome);
+        let id = &self.relay.request.id;
+        log::info!(request:% = id, upstream:? = from, after:? = self.last, why, resumable; "stream broken");
+        if !resumable {
+            return Err(self.abort(why));
+        }
+        if let Some(upstream) = from {
+            self.relay.attempts.note(upstream, Failure::Unknown);
+        }
+        self.splitter = Splitter::default();
+        loop {
+            let opened = match self.relay.attempt(self.last).await {
+                Ok(Some(opened)) => opened,
+                Ok(None) if self.relay.attempts.next() == Next::Again => continue,
+                Ok(None) | Err(_) => return Err(self.abort(why)),
+            };
+            if opened.verdict != Verdict::Answer {
+                opened.lease.end(Outcome::Failed);
+                return Err(self.abort("the next upstream failed"));
+            }
+            log::info!(request:% = self.relay.request.id, upstream:% = opened.lease.upstream, after:? = self.last; "stream resumed");
+            self.heard_at = Instant::now();
+            self.source = Some(Source {
+                lease: opened.lease,
+                body: opened.body,
+                _guard: opened.guard,
+            });
+            return Ok(());
+        }
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        if let Some(source) = self.source.take() {
+            source.lease.end(outcome);
+        }
+    }
+
+    fn abort(&self, why: &'static str) -> Aborted {
+        log::info!(request:% = self.relay.request.id, after:? = self.last, why; "stream given up");
+        Aborted(why)
+    }
+}
+
+async fn hear(source: &mut Source, silent_at: Option<Instant>, deadline: Instant) -> Heard {
+    let until = silent_at.map_or(deadline, |at| at.min(deadline));
+    loop {
+        let frame = match time::timeout_at(until.into(), source.body.frame()).await {
+            Err(_) if Instant::now() >= deadline => return Heard::OutOfTime,
+            Err(_) => return Heard::Broken("fell silent", Outcome::Silent),
+            Ok(None) => return Heard::End,
+            Ok(Some(Err(_))) => return Heard::Broken("broke off", Outcome::Failed),
+            Ok(Some(Ok(frame))) => frame,
+        };
+        if let Ok(piece) = frame.into_data() {
+            return Heard::Piece(piece);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/run.rs
@@ -0,0 +1,174 @@
+//! Starts the process and runs it until it is told to stop.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use tinbank_allocator::directory::Peer;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{self, SignalKind},
+    task::{self, LocalSet},
+    time::{self, MissedTickBehavior},
+};
+
+use crate::{
+    batch,
+    border::{
+        engine::Engine,
+        ingress::Ingress,
+        store::{List, Store},
+    },
+    clock::{Clock, TICK},
+    identity,
+    node::Node,
+    serve,
+    settings::Settings,
+    sharing::{self, Sharing},
+    stop, view,
+};
+
+/// How long a call to register the host may take.
+const REGISTER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause before the host is registered again.
+const REGISTER_RETRY: Duration = Duration::from_millis(400);
+
+/// The process can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An address can't be listened at.
+    #[error("can't listen at {address} for {what}: {source}")]
+    Listen {
+        /// What the address is for.
+        what: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A signal can't be waited for.
+    #[error("can't wait for signals: {0}")]
+    Signal(#[source] std::io::Error),
+}
+
+/// The platform as the process sees it.
+pub struct Platform {
+    /// Its store.
+    pub store: Rc<dyn Store>,
+    /// Calls of callers.
+    pub ingress: Rc<dyn Ingress>,
+    /// Requests to upstreams.
+    pub engine: Rc<dyn Engine>,
+}
+
+/// Runs the process until it has stopped.
+pub async fn run(settings: Settings, platform: Platform) -> Result<(), Error> {
+    LocalSet::new().run_until(serve(settings, platform)).await
+}
+
+async fn serve(settings: Settings, platform: Platform) -> Result<(), Error> {
+    let mut terminate = unix::signal(SignalKind::terminate()).map_err(Error::Signal)?;
+    let mut reload = unix::signal(SignalKind::hangup()).map_err(Error::Signal)?;
+    let listen = settings.listen;
+    let callers = bind("callers", listen.callers).await?;
+    let readiness = bind("readiness checks", listen.readiness).await?;
+    let own = Peer {
+        address: listen.peers,
+        failure_domain: settings.failure_domain.clone(),
+    };
+    let sharing = Sharing::bind(own, identity::number()).await;
+    let sharing = sharing.map_err(|source| Error::Listen {
+        what: "datagrams of other hosts",
+        address: listen.peers,
+        source,
+    })?;
+    log::info!(host:% = settings.host, callers:% = listen.callers; "started");
+    let Platform {
+        store,
+        ingress,
+        engine,
+    } = platform;
+    let node = Node::new(settings, store, ingress, engine, Rc::new(sharing));
+    let node = Rc::new(node);
+    start(&node, callers, readiness);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => log::info!("reload asked; the settings of a running process stay as they are"),
+        }
+    }
+    let left = task::spawn_local({
+        let node = Rc::clone(&node);
+        let work = stop::work(&node);
+        async move {
+            let _work = work;
+            batch::leave(&node).await;
+            unregister(&node).await;
+        }
+    });
+    stop::stop(Rc::clone(&node)).await;
+    left.abort();
+    Ok(())
+}
+
+async fn bind(what: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| Error::Listen {
+        what,
+        address,
+        source,
+    })
+}
+
+fn start(node: &Rc<Node>, callers: TcpListener, readiness: TcpListener) {
+    node.sharing.peers(Vec::new());
+    task::spawn_local(serve::callers(Rc::clone(node), callers));
+    task::spawn_local(serve::readiness(Rc::clone(node), readiness));
+    task::spawn_local(sharing::receive(Rc::clone(&node.sharing)));
+    task::spawn_local(sharing::heartbeat(Rc::clone(&node.sharing)));
+    for list in [List::Config, List::Upstreams, List::Hosts] {
+        task::spawn_local(view::follow(Rc::clone(node), list));
+    }
+    batch::start(node);
+    task::spawn_local(register(Rc::clone(node)));
+    task::spawn_local(watch(Rc::clone(node)));
+}
+
+/// Registers the host, so that others ask it for slots.
+async fn register(node: Rc<Node>) {
+    loop {
+        let until = Instant::now() + REGISTER_TIMEOUT;
+        match node.store.register(node.sharing.own(), until).await {
+            Ok(()) => return,
+            Err(error) => log::info!(error:%; "host not registered yet"),
+        }
+        time::sleep(REGISTER_RETRY).await;
+    }
+}
+
+async fn unregister(node: &Node) {
+    let until = Instant::now() + REGISTER_TIMEOUT;
+    match node.store.unregister(node.sharing.own(), until).await {
+        Ok(()) => log::info!("host unregistered"),
+        Err(error) => log::warn!(error:%; "host not unregistered, others will find it silent"),
+    }
+}
+
+/// Notices pauses of the process, after which it trusts nothing that it knew before.
+async fn watch(node: Rc<Node>) {
+    let mut clock = Clock::new(Instant::now());
+    let mut ticks = time::interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let now = Instant::now();
+        if let Some(pause) = clock.tick(now) {
+            log::warn!(pause_ms = pause.as_millis() as u64; "process was paused, reading everything again");
+            node.view.distrust();
+            node.batch.distrust();
+            node.sharing.forget(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/serve.rs
@@ -0,0 +1,136 @@
+//! Accepts connections of callers and of the balancer's readiness checks.
+
+use std::{convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+
+use http::{HeaderValue, Request, Response, header};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task, time,
+};
+
+use crate::{
+    batch,
+    border::{
+        Body,
+        ingress::{Call, Reply},
+    },
+    exchange,
+    node::Node,
+    relay,
+};
+
+/// Pause after a failed accept, which is a lack of descriptors mostly.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+/// How often a connection looks whether the process closes idle connections.
+const CLOSING_LOOK: Duration = Duration::from_millis(500);
+/// Head timeout before the configuration is known. Source: the usual setting of the users' deployments.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Largest head before the configuration is known, in bytes; the least that the library takes.
+const HEAD_BYTES: usize = 16 << 10;
+
+/// Serves callers for as long as the process runs.
+pub(crate) async fn callers(node: Rc<Node>, listener: TcpListener) {
+    accept(listener, |stream, peer| {
+        task::spawn_local(connection(Rc::clone(&node), stream, peer));
+    })
+    .await;
+}
+
+/// Answers readiness checks for as long as the process runs.
+pub(crate) async fn readiness(node: Rc<Node>, listener: TcpListener) {
+    accept(listener, |stream, _| {
+        let node = Rc::clone(&node);
+        task::spawn_local(async move {
+            let service = service_fn(|_| {
+                let reply = match node.is_ready() {
+                    true => Reply::Ready,
+                    false => Reply::NotReady,
+                };
+                let answer = node.ingress.encode(reply);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let served = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                log::debug!(error:%; "readiness connection ended");
+            }
+        });
+    })
+    .await;
+}
+
+async fn accept(listener: TcpListener, mut serve: impl FnMut(TcpStream, SocketAddr)) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                exchange::tune(&stream);
+                serve(stream, peer);
+            }
+            Err(error) => {
+                log::warn!(error:%; "connection not accepted");
+                time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn connection(node: Rc<Node>, stream: TcpStream, peer: SocketAddr) {
+    let limits = node.view.config().map(|config| config.limits);
+    let head_bytes = limits.map_or(HEAD_BYTES, |it| it.head_bytes.max(HEAD_BYTES));
+    let head_timeout = limits.map_or(HEAD_TIMEOUT, |it| it.head_timeout.max(it.idle_timeout));
+    let service = service_fn(|request| serve(Rc::clone(&node), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(head_timeout)
+        .max_buf_size(head_bytes)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = closing(&node) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(peer:%, error:%; "caller's connection ended");
+    }
+}
+
+async fn closing(node: &Node) {
+    node.stop.asked().await;
+    while !node.stop.is_closing() {
+        time::sleep(CLOSING_LOOK).await;
+    }
+}
+
+async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+    let work = crate::stop::work(&node);
+    let mut answer = answer(&node, request).await;
+    if node.stop.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(answer.map(|body| relay::hold(body, work)))
+}
+
+async fn answer(node: &Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let call = match node.ingress.decode(&head) {
+        Ok(call) => call,
+        Err(malformed) => {
+            log::info!(error:% = malformed; "call malformed");
+            return node.ingress.encode(Reply::Malformed(malformed));
+        }
+    };
+    let reply = match call {
+        Call::Request(call) => return relay::request(node, call, head, body).await,
+        Call::Results { job, from, wait } => batch::results::page(node, &job, from, wait).await,
+        Call::Body { job, item } => batch::results::body(node, &job, &item).await,
+        Call::End { job } => batch::intake::end(node, job).await,
+    };
+    node.ingress.encode(reply)
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/settings.rs
@@ -0,0 +1,61 @@
+//! What a process is told about itself when it starts.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::Deserialize;
+use serde_with::{DurationMilliSeconds, DurationSeconds, serde_as};
+use tinbank_base::id;
+
+/// Settings of the entry program.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the host, for logs and as the member name in the platform's groups.
+    pub host: String,
+    /// Failure domain that the host is in.
+    pub failure_domain: id::FailureDomain,
+    /// Addresses to listen at.
+    pub listen: Listen,
+    /// The platform's store.
+    pub store: Store,
+    /// After a request to stop, the time until the process is killed, in seconds.
+    #[serde_as(as = "DurationSeconds<f64>")]
+    #[serde(rename = "grace_s")]
+    pub grace: Duration,
+    /// For how long a job is readable after its submission, in seconds.
+    #[serde_as(as = "DurationSeconds<f64>")]
+    #[serde(rename = "job_readable_s")]
+    pub job_readable: Duration,
+}
+
+/// Addresses to listen at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Callers' requests, online and batch.
+    pub callers: SocketAddr,
+    /// Readiness checks.
+    pub readiness: SocketAddr,
+    /// Datagrams of other hosts.
+    pub peers: SocketAddr,
+}
+
+/// The platform's store.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Partitions of each topic.
+    pub partitions: u32,
+    /// Largest record in bytes.
+    pub record_bytes: usize,
+    /// Largest append in bytes.
+    pub call_bytes: usize,
+    /// Shortest time after which a silent member of a group loses its partitions, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "least_member_ttl_ms")]
+    pub least_member_ttl: Duration,
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/stop.rs
@@ -0,0 +1,80 @@
+//! A planned stop: no request is cut off.
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use tokio::{sync::Notify, time};
+
+use crate::node::Node;
+
+/// For how long connections are still accepted after a request to stop: until the balancer has asked for readiness
+/// twice, a second apart, and has had its answers.
+const BALANCER: Duration = Duration::from_millis(3_200);
+/// Time before the process is killed at which it ends by itself.
+const MARGIN: Duration = Duration::from_millis(400);
+/// How often the process looks whether its work is done.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Whether the process is to stop, and what it still does.
+#[derive(Default)]
+pub(crate) struct Stop {
+    asked_at: Cell<Option<Instant>>,
+    closing: Cell<bool>,
+    asked: Notify,
+    busy: Cell<usize>,
+}
+
+/// Work that a stop waits for. It ends when it is dropped.
+pub(crate) struct Work(Rc<Node>);
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        let busy = &self.0.stop.busy;
+        busy.set(busy.get() - 1);
+    }
+}
+
+impl Stop {
+    /// True from the request to stop on.
+    pub fn is_stopping(&self) -> bool {
+        self.asked_at.get().is_some()
+    }
+
+    /// True once idle connections may be closed.
+    pub fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    /// Waits for the request to stop.
+    pub async fn asked(&self) {
+        while !self.is_stopping() {
+            self.asked.notified().await;
+        }
+    }
+}
+
+/// Marks work that a stop waits for.
+pub(crate) fn work(node: &Rc<Node>) -> Work {
+    let busy = &node.stop.busy;
+    busy.set(busy.get() + 1);
+    Work(Rc::clone(node))
+}
+
+/// Stops the process: it takes requests until the balancer knows, finishes them, and returns.
+pub(crate) async fn stop(node: Rc<Node>) {
+    let now = Instant::now();
+    let kill_at = now + node.settings.grace;
+    node.stop.asked_at.set(Some(now));
+    node.stop.asked.notify_waiters();
+    log::info!(busy = node.stop.busy.get(); "stop asked, not ready from now on");
+    let end = kill_at - MARGIN;
+    time::sleep_until((now + BALANCER).min(end).into()).await;
+    node.stop.closing.set(true);
+    while node.stop.busy.get() > 0 && Instant::now() < end {
+        time::sleep(LOOK).await;
+    }
+    log::info!(busy = node.stop.busy.get(); "stopped");
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/view.rs
@@ -0,0 +1,208 @@
+//! What the process knows of the configuration, the upstreams and the other hosts, and how it follows them.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use tinbank_allocator::{allocator, directory::Peer};
+use tinbank_base::id;
+use tinbank_relay::{route::Config, upstream::Upstream};
+use tokio::{sync::Notify, time};
+
+use crate::{
+    border::store::{Entries, Error, List, Offset, Written},
+    node::Node,
+};
+
+/// How long a read waits for news at the store.
+const WAIT: Duration = Duration::from_millis(1_000);
+/// Time that the answer to a read may take beyond its wait.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause between two reads that found news, so that heartbeats of many upstreams are read together.
+const REST: Duration = Duration::from_millis(150);
+/// Pause after a read that failed.
+const RETRY: Duration = Duration::from_millis(150);
+/// A list read this long ago may lack what others know.
+const STALE: Duration = Duration::from_millis(1_800);
+
+/// What the process knows.
+#[derive(Default)]
+pub(crate) struct View {
+    config: RefCell<Option<Rc<Config>>>,
+    config_read_at: Cell<Option<Instant>>,
+    upstreams: RefCell<HashMap<id::Instance, Upstream>>,
+    upstreams_read_at: Cell<Option<Instant>>,
+    peers: RefCell<HashMap<String, Peer>>,
+    refreshed: Notify,
+}
+
+impl View {
+    /// The configuration in force.
+    pub fn config(&self) -> Option<Rc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// True if the configuration was read a moment ago.
+    pub fn is_config_fresh(&self, now: Instant) -> bool {
+        let read_at = self.config_read_at.get();
+        read_at.is_some_and(|at| now.saturating_duration_since(at) < STALE)
+    }
+
+    /// True once the configuration and the upstreams were read.
+    pub fn is_known(&self) -> bool {
+        self.config.borrow().is_some() && self.upstreams_read_at.get().is_some()
+    }
+
+    /// Forgets when it read, after a pause of the process, so that nothing older than the pause is acted on.
+    pub fn distrust(&self) {
+        self.config_read_at.set(None);
+        self.refreshed.notify_waiters();
+    }
+
+    /// The upstreams of a service that take requests.
+    pub fn upstreams(&self, service: &str) -> Vec<Upstream> {
+        let all = self.upstreams.borrow();
+        let fit = all
+            .values()
+            .filter(|it| !it.leaving && it.service == service);
+        fit.cloned().collect()
+    }
+
+    /// An upstream said itself that it is leaving or gone.
+    pub fn leave(&self, instance: &id::Instance) {
+        if let Some(upstream) = self.upstreams.borrow_mut().get_mut(instance) {
+            upstream.leaving = true;
+        }
+    }
+
+    fn dealt(&self, failure_domain: &str) -> Vec<allocator::Upstream> {
+        let all = self.upstreams.borrow();
+        let mut dealt: Vec<_> = all
+            .values()
+            .filter(|it| !it.leaving && it.failure_domain == failure_domain)
+            .map(|it| allocator::Upstream {
+                instance: it.instance.clone(),
+                address: it.address,
+                service: it.service.clone(),
+                slots: it.slots,
+            })
+            .collect();
+        dealt.sort_by(|a, b| a.instance.cmp(&b.instance));
+        dealt
+    }
+}
+
+/// Follows a list for as long as the process runs.
+pub(crate) async fn follow(node: Rc<Node>, list: List) {
+    let mut position = None;
+    let mut failing = false;
+    loop {
+        let read = read(&node, list, position).await;
+        match read {
+            Ok((entries, whole)) => {
+                if std::mem::take(&mut failing) {
+                    log::info!(list:?; "store list regained");
+                }
+                position = Some(entries.end);
+                let news = !entries.entries.is_empty();
+                take_in(&node, list, entries, whole);
+                if news {
+                    time::sleep(REST).await;
+                }
+            }
+            Err(error) => {
+                if matches!(error, Error::Trimmed { .. }) {
+                    position = None;
+                }
+                if !std::mem::replace(&mut failing, true) {
+                    log::warn!(list:?, error:%; "store list lost, going on with what is known");
+                }
+                time::sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+/// The entries since a position, or all of them. True if all.
+async fn read(
+    node: &Node,
+    list: List,
+    position: Option<Offset>,
+) -> Result<(Entries, bool), Error> {
+    let Some(from) = position else {
+        let until = Instant::now() + ANSWER_TIMEOUT;
+        return Ok((node.store.newest(list, until).await?, true));
+    };
+    let until = Instant::now() + WAIT + ANSWER_TIMEOUT;
+    let wait_ms = WAIT.as_millis() as u64;
+    Ok((node.store.since(list, from, wait_ms, until).await?, false))
+}
+
+fn take_in(node: &Node, list: List, entries: Entries, whole: bool) {
+    let now = Instant::now();
+    let view = &node.view;
+    if whole && list == List::Upstreams {
+        view.upstreams.borrow_mut().clear();
+    }
+    if whole && list == List::Hosts {
+        view.peers.borrow_mut().clear();
+    }
+    for written in entries.entries {
+        take_one(view, written);
+    }
+    match list {
+        List::Config => view.config_read_at.set(Some(now)),
+        List::Upstreams => {
+            view.upstreams_read_at.set(Some(now));
+            node.sharing.list(view.dealt(&node.settings.failure_domain));
+        }
+        List::Hosts => {
+            let peers = view.peers.borrow().values().cloned().collect();
+            node.sharing.peers(peers);
+        }
+    }
+    view.refreshed.notify_waiters();
+}
+
+fn take_one(view: &View, written: Written) {
+    match written {
+        Written::Config(config) => {
+            let before = view.config.borrow().as_ref().map(|it| it.version);
+            if before.is_some_and(|before| before >= config.version) {
+                return;
+            }
+            log::info!(version = config.version, before:?; "configuration in force");
+            *view.config.borrow_mut() = Some(Rc::new(config));
+        }
+        Written::Upstream(upstream) => {
+            let mut all = view.upstreams.borrow_mut();
+            let before = all.get(&upstream.instance);
+            if before.is_none_or(|before| before.leaving != upstream.leaving) {
+                log::info!(
+                    upstream:% = upstream.instance,
+                    address:% = upstream.address,
+                    leaving = upstream.leaving;
+                    "upstream listed"
+                );
+            }
+            all.insert(upstream.instance.clone(), upstream);
+        }
+        Written::Gone(instance) => {
+            if view.upstreams.borrow_mut().remove(&instance).is_some() {
+                log::info!(upstream:% = instance; "upstream gone");
+            }
+        }
+        Written::Host(peer) => {
+            view.peers
+                .borrow_mut()
+                .insert(peer.address.to_string(), peer);
+        }
+        Written::HostGone(key) => {
+            view.peers.borrow_mut().remove(&key);
+        }
+        Written::Other => {}
+    }
+}
--- /dev/null
+++ b/crates/tinbank-jobs/src/record.rs
@@ -0,0 +1,148 @@
+//! The records of batch jobs in the log.
+
+use std::time::{Duration, SystemTime};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, TimestampMilliSeconds, serde_as};
+
+/// Name that the caller gave a job.
+pub type JobId = String;
+/// Name that the caller gave an item.
+pub type ItemId = String;
+/// Index of an item in its job, in the order in which the caller sent them.
+pub type Index = u32;
+
+/// First byte of each record; a record of another version is skipped with a line in the log.
+const VERSION: u8 = 1;
+
+/// A record that can't be read.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The first byte names another version.
+    #[error("record of version {found:?}, this host reads {VERSION}")]
+    Version {
+        /// Version found, if there is any byte.
+        found: Option<u8>,
+    },
+    /// The rest is no record.
+    #[error("record can't be decoded: {0}")]
+    Malformed(#[from] postcard::Error),
+}
+
+/// One record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// A job is submitted. It counts if it is the first of its name and fits the quota at its place in the log.
+    Submitted(Submission),
+    /// An item has its result. The first one counts.
+    Finished(Finish),
+    /// The caller ends a job: nothing of it runs any more.
+    Ended(JobId),
+}
+
+/// A whole job, so that one append accepts all of it or nothing.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Submission {
+    /// Name of the job.
+    pub job: JobId,
+    /// Identifies the submit call, so that its host recognises its own record.
+    pub call: u64,
+    /// Host name that the job was submitted under; routes are chosen by it.
+    pub host: String,
+    /// Name of the route whose quota the job counts against.
+    pub route: String,
+    /// Most tokens that may wait on the route; nothing means no limit.
+    pub quota: Option<u64>,
+    /// Failures after which an item is given up.
+    pub max_attempts: u32,
+    /// When the job was submitted, by the clock of the host that took it.
+    #[serde_as(as = "TimestampMilliSeconds<i64>")]
+    pub submitted_at: SystemTime,
+    /// For how long items are tried.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub retention: Duration,
+    /// How long after its submission every result is due.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub target: Duration,
+    /// The items.
+    pub items: Vec<Item>,
+}
+
+/// An item, passed on as it came.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// Name of the item.
+    pub id: ItemId,
+    /// Path that it is sent to.
+    pub path: String,
+    /// Headers that it is sent with.
+    pub headers: Vec<Header>,
+    /// Its body.
+    pub body: Bytes,
+    /// Tokens of the prompt and the most that come out, added up.
+    pub tokens: u64,
+}
+
+/// A header of an item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Header {
+    /// Name of the header.
+    pub name: String,
+    /// Its value.
+    pub value: String,
+}
+
+/// The result of an item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finish {
+    /// Job of the item.
+    pub job: JobId,
+    /// Offset of the job's submission, so that a late record of an earlier job of the same name is dropped.
+    pub submission: u64,
+    /// The item.
+    pub index: Index,
+    /// What came of it.
+    pub result: Outcome,
+}
+
+/// What came of an item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The data of all events, in order, separated by line feeds.
+    Completed(Bytes),
+    /// The item is given up, for the reason given.
+    Abandoned(Reason),
+}
+
+/// Why an item is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reason {
+    /// An upstream says that it can never be done.
+    Impossible,
+    /// It failed as often as its route allows.
+    Attempts,
+    /// It waited for as long as its route allows.
+    Expired,
+    /// Its route was removed from the configuration.
+    RouteRemoved,
+}
+
+impl Record {
+    /// The bytes of a record.
+    pub fn encode(&self) -> Result<Bytes, Error> {
+        let head = Vec::from([VERSION]);
+        Ok(Bytes::from(postcard::to_extend(self, head)?))
+    }
+
+    /// The record of some bytes.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        match bytes.split_first() {
+            Some((&VERSION, rest)) => Ok(postcard::from_bytes(rest)?),
+            other => Err(Error::Version {
+                found: other.map(|(version, _)| *version),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tinbank-relay/src/lib.rs
@@ -0,0 +1,8 @@
+//! Routes, event streams and the rules by which a request is sent again.
+//!
+//! All of it is pure; `tinbank-gateway` does the I/O. See `docs/design/users-platform.md`.
+
+pub mod attempt;
+pub mod event;
+pub mod route;
+pub mod upstream;
--- /dev/null
+++ b/crates/tinbank-relay/src/upstream.rs
@@ -0,0 +1,22 @@
+//! Upstreams as the platform lists them.
+
+use std::net::SocketAddr;
+
+use tinbank_base::id;
+
+/// One start of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Upstream {
+    /// Name of this start.
+    pub instance: id::Instance,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Service it runs.
+    pub service: id::Service,
+    /// Failure domain it runs in.
+    pub failure_domain: id::FailureDomain,
+    /// How many requests it works on at once.
+    pub slots: usize,
+    /// It is about to end, and takes no new requests.
+    pub leaving: bool,
+}
