--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -13,7 +13,7 @@
     frame::{Answer, Ask, Frame, Grant, Holdings, Release},
     grants::{self, Grants},
     health::Health,
-    lease::{self, Class},
+    lease::{self, Class, Outcome},
 };
 
 /// How often a host tells its holdings. It is also the heartbeat between hosts.
@@ -46,6 +46,8 @@
 pub enum Change {
     /// Two hosts had trouble with an upstream; it gets no request for a while.
     Ejected(id::Instance),
+    /// A host has heard that the upstream leaves.
+    Left(id::Instance),
     /// The allocator had heard of nobody for a while, and learns before it grants to batch.
     Learning,
 }
@@ -216,6 +218,9 @@
     }
 
     fn release(&mut self, from: SocketAddr, release: &Release, now: Instant) -> Option<Change> {
+        if release.outcome == Outcome::Leaving {
+            return self.leave(&release.upstream);
+        }
         let entry = self
             .upstreams
             .iter_mut()
@@ -225,6 +230,15 @@
         ejected.then(|| Change::Ejected(release.upstream.clone()))
     }
 
+    /// Deals an upstream out no more, because a host has heard that it leaves. A host's list may be cut off from the
+    /// platform while its peers still follow theirs.
+    fn leave(&mut self, upstream: &id::Instance) -> Option<Change> {
+        let before = self.upstreams.len();
+        self.upstreams
+            .retain(|entry| entry.upstream.instance != *upstream);
+        (self.upstreams.len() < before).then(|| Change::Left(upstream.clone()))
+    }
+
     fn holdings(&mut self, from: SocketAddr, holdings: &Holdings, now: Instant) {
         for entry in &mut self.upstreams {
             entry.grants.keep(from, holdings.next, &holdings.held);
--- a/crates/tinbank-allocator/src/health.rs
+++ b/crates/tinbank-allocator/src/health.rs
@@ -34,7 +34,7 @@
     /// Takes in how a request of a host ended. True if the upstream is ejected by it.
     pub fn note(&mut self, by: SocketAddr, outcome: Outcome, now: Instant) -> bool {
         match outcome {
-            Outcome::Unused => false,
+            Outcome::Unused | Outcome::Leaving => false,
             Outcome::Served => {
                 self.reports.retain(|report| report.by != by);
                 if !self.ejected(now) {
--- a/crates/tinbank-allocator/src/lease.rs
+++ b/crates/tinbank-allocator/src/lease.rs
@@ -39,4 +39,6 @@
     Failed,
     /// The upstream could not be reached, or fell silent.
     Silent,
+    /// The upstream is leaving or gone, by a newer list than the allocator has.
+    Leaving,
 }
--- a/crates/tinbank-entry/src/command.rs
+++ b/crates/tinbank-entry/src/command.rs
@@ -38,7 +38,7 @@
         println!("{}: settings are valid", arguments.settings.display());
         return ExitCode::from(STOPPED);
     }
-    logs::start();
+    let _flush = logs::start();
     let platform = tinbank_adapter::platform(&settings.store);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/tinbank-entry/src/logs.rs
+++ b/crates/tinbank-entry/src/logs.rs
@@ -1,13 +1,20 @@
-//! Logs: one logfmt line an event, on standard output.
+//! Logs: one line of key=value pairs an event, on standard output, bounded and never blocking.
 
-use logforth::{append, bridge::log::LogBridge, core, layout::LogfmtLayout};
+mod line;
+mod output;
+mod rate;
 
-/// Starts logging.
-pub fn start() {
-    let stdout = append::Stdout::default().with_layout(LogfmtLayout::default());
-    let logger = core::builder().dispatch(|dispatch| dispatch.append(stdout));
+use logforth::{bridge::log::LogBridge, core};
+
+pub use output::Flush;
+
+/// Starts logging. Safe to call again: the first call counts. What it returns writes out what waits when it is dropped.
+pub fn start() -> Flush {
+    let (output, flush) = output::open(std::io::stdout());
+    let logger = core::builder().dispatch(|dispatch| dispatch.append(output));
     let bridge = LogBridge::new(logger.build());
     if log::set_boxed_logger(Box::new(bridge)).is_ok() {
         log::set_max_level(log::LevelFilter::Info);
     }
+    flush
 }
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -92,7 +92,11 @@
 
 fn no_route(node: &Node, call: &ingress::Request, version: u64, now: Instant) -> Response<Body> {
     if !node.view.is_config_fresh(now) {
-        return refuse(node, &call.id, "no route in a configuration that may be old");
+        return refuse(
+            node,
+            &call.id,
+            "no route in a configuration that may be old",
+        );
     }
     log::info!(request:% = call.id, host:% = call.host, path:% = call.path, version; "no route");
     node.ingress.encode(Reply::NoRoute)
--- a/crates/tinbank-gateway/src/serve.rs
+++ b/crates/tinbank-gateway/src/serve.rs
@@ -23,19 +23,21 @@
 
 /// Pause after a failed accept, which is a lack of descriptors mostly.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
-/// How often a connection looks whether the process closes idle connections.
-const CLOSING_LOOK: Duration = Duration::from_millis(500);
 /// Head timeout before the configuration is known. Source: the usual setting of the users' deployments.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
 /// Largest head before the configuration is known, in bytes; the least that the library takes.
 const HEAD_BYTES: usize = 16 << 10;
 
-/// Serves callers for as long as the process runs.
+/// Serves callers until the process takes no new requests.
 pub(crate) async fn callers(node: Rc<Node>, listener: TcpListener) {
-    accept(listener, |stream, peer| {
+    let accepted = accept(listener, |stream, peer| {
         task::spawn_local(connection(Rc::clone(&node), stream, peer));
-    })
-    .await;
+    });
+    // With the listener gone, a caller that comes late is turned away before it has sent anything.
+    tokio::select! {
+        () = accepted => {}
+        () = node.stop.closing() => {}
+    }
 }
 
 /// Answers readiness checks for as long as the process runs.
@@ -90,7 +92,7 @@
     let mut connection = pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = closing(&node) => {
+        () = node.stop.closing() => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -100,13 +102,6 @@
     }
 }
 
-async fn closing(node: &Node) {
-    node.stop.asked().await;
-    while !node.stop.is_closing() {
-        time::sleep(CLOSING_LOOK).await;
-    }
-}
-
 async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
     let work = crate::stop::work(&node);
     let mut answer = answer(&node, request).await;
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -27,6 +27,8 @@
 
 /// How long an allocator may take to answer. Source: measured, see `docs/design/users-platform.md`.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
+/// Grants of leaving upstreams after which a failure domain counts as having none.
+const MAX_LEAVING: usize = 4;
 /// For how long a host avoids an upstream that it had trouble with itself.
 const AVOID: Duration = Duration::from_millis(1_500);
 
@@ -148,7 +150,7 @@
         let own = &self.own.failure_domain;
         let domains = self.state.borrow().directory.failure_domains(own, turn);
         for domain in &domains {
-            if let Some(lease) = self.ask(wanted, domain, false).await {
+            if let Some(lease) = self.ask(node, wanted, domain, false).await {
                 return Some(lease);
             }
         }
@@ -156,14 +158,38 @@
             return None;
         }
         for domain in &domains {
-            if let Some(lease) = self.ask(wanted, domain, true).await {
+            if let Some(lease) = self.ask(node, wanted, domain, true).await {
                 return Some(lease);
             }
         }
         self.choose(node, wanted)
     }
 
-    async fn ask(self: &Rc<Self>, wanted: &Wanted<'_>, domain: &str, force: bool) -> Option<Lease> {
+    /// Asks the allocator of a failure domain until it grants an upstream that does not leave, or none.
+    async fn ask(
+        self: &Rc<Self>,
+        node: &Node,
+        wanted: &Wanted<'_>,
+        domain: &str,
+        force: bool,
+    ) -> Option<Lease> {
+        for _ in 0..MAX_LEAVING {
+            let lease = self.ask_once(wanted, domain, force).await?;
+            if !node.view.is_leaving(&lease.upstream) {
+                return Some(lease);
+            }
+            log::info!(upstream:% = lease.upstream; "grant of a leaving upstream given back");
+            lease.end(Outcome::Leaving);
+        }
+        None
+    }
+
+    async fn ask_once(
+        self: &Rc<Self>,
+        wanted: &Wanted<'_>,
+        domain: &str,
+        force: bool,
+    ) -> Option<Lease> {
         let now = Instant::now();
         let allocator = self.state.borrow().directory.allocator(domain, now)?;
         let lease = self.next_lease();
@@ -257,7 +283,7 @@
             Outcome::Served => {
                 state.avoided.remove(&lease.upstream);
             }
-            Outcome::Unused => {}
+            Outcome::Unused | Outcome::Leaving => {}
         }
         drop(state);
         let Some(allocator) = lease.allocator else {
@@ -402,6 +428,9 @@
         Some(Change::Ejected(upstream)) => {
             log::warn!(upstream:%; "upstream ejected, two hosts had trouble with it");
         }
+        Some(Change::Left(upstream)) => {
+            log::info!(upstream:%; "upstream leaves, by a newer list of another host");
+        }
         Some(Change::Learning) => {
             log::info!("allocator learns the leases of others before it grants to batch");
         }
--- a/crates/tinbank-gateway/src/stop.rs
+++ b/crates/tinbank-gateway/src/stop.rs
@@ -23,7 +23,7 @@
 pub(crate) struct Stop {
     asked_at: Cell<Option<Instant>>,
     closing: Cell<bool>,
-    asked: Notify,
+    changed: Notify,
     busy: Cell<usize>,
 }
 
@@ -43,15 +43,10 @@
         self.asked_at.get().is_some()
     }
 
-    /// True once idle connections may be closed.
-    pub fn is_closing(&self) -> bool {
-        self.closing.get()
-    }
-
-    /// Waits for the request to stop.
-    pub async fn asked(&self) {
-        while !self.is_stopping() {
-            self.asked.notified().await;
+    /// Waits until no new requests are taken any more, and idle connections may be closed.
+    pub async fn closing(&self) {
+        while !self.closing.get() {
+            self.changed.notified().await;
         }
     }
 }
@@ -68,11 +63,12 @@
     let now = Instant::now();
     let kill_at = now + node.settings.grace;
     node.stop.asked_at.set(Some(now));
-    node.stop.asked.notify_waiters();
     log::info!(busy = node.stop.busy.get(); "stop asked, not ready from now on");
     let end = kill_at - MARGIN;
     time::sleep_until((now + BALANCER).min(end).into()).await;
     node.stop.closing.set(true);
+    node.stop.changed.notify_waiters();
+    log::info!(busy = node.stop.busy.get(); "no new requests are taken");
     while node.stop.busy.get() > 0 && Instant::now() < end {
         time::sleep(LOOK).await;
     }
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -35,6 +35,8 @@
     config_read_at: Cell<Option<Instant>>,
     upstreams: RefCell<HashMap<id::Instance, Upstream>>,
     upstreams_read_at: Cell<Option<Instant>>,
+    /// Upstreams that were listed and are gone. Names are never given twice.
+    gone: RefCell<HashSet<id::Instance>>,
     peers: RefCell<HashMap<String, Peer>>,
     refreshed: Notify,
 }
@@ -71,6 +73,15 @@
         fit.cloned().collect()
     }
 
+    /// True if the upstream is known to leave, or to be gone. One that is not listed yet may be new.
+    pub fn is_leaving(&self, instance: &id::Instance) -> bool {
+        let all = self.upstreams.borrow();
+        match all.get(instance) {
+            Some(upstream) => upstream.leaving,
+            None => self.gone.borrow().contains(instance),
+        }
+    }
+
     /// An upstream said itself that it is leaving or gone.
     pub fn leave(&self, instance: &id::Instance) {
         if let Some(upstream) = self.upstreams.borrow_mut().get_mut(instance) {
@@ -127,11 +138,7 @@
 }
 
 /// The entries since a position, or all of them. True if all.
-async fn read(
-    node: &Node,
-    list: List,
-    position: Option<Offset>,
-) -> Result<(Entries, bool), Error> {
+async fn read(node: &Node, list: List, position: Option<Offset>) -> Result<(Entries, bool), Error> {
     let Some(from) = position else {
         let until = Instant::now() + ANSWER_TIMEOUT;
         return Ok((node.store.newest(list, until).await?, true));
@@ -145,7 +152,8 @@
     let now = Instant::now();
     let view = &node.view;
     if whole && list == List::Upstreams {
-        view.upstreams.borrow_mut().clear();
+        let before = std::mem::take(&mut *view.upstreams.borrow_mut());
+        view.gone.borrow_mut().extend(before.into_keys());
     }
     if whole && list == List::Hosts {
         view.peers.borrow_mut().clear();
@@ -188,12 +196,14 @@
                     "upstream listed"
                 );
             }
+            view.gone.borrow_mut().remove(&upstream.instance);
             all.insert(upstream.instance.clone(), upstream);
         }
         Written::Gone(instance) => {
             if view.upstreams.borrow_mut().remove(&instance).is_some() {
                 log::info!(upstream:% = instance; "upstream gone");
             }
+            view.gone.borrow_mut().insert(instance);
         }
         Written::Host(peer) => {
             view.peers
--- a/crates/tinbank-relay/src/attempt.rs
+++ b/crates/tinbank-relay/src/attempt.rs
@@ -1,7 +1,7 @@
 //! What becomes of a request after an attempt at an upstream.
 
-use tinbank_base::id;
 use smallvec::SmallVec;
+use tinbank_base::id;
 
 use crate::route::Kind;
 
