Items checkpoint their text, so that another host goes on from there; the item due last gives way

Ruled out: lack of slots as such (items due later ran beside them). Change: a run appends a piece each 1.5 s and when it gives way; a piece counts only if its run goes on where the text stands. Batch leases carry when they are due.

--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -146,7 +146,7 @@
         let mut out = Outgoing::new();
         let chosen = match ask.class {
             Class::Online => self.online(ask, now, &mut out),
-            Class::Batch => self.batch(ask, now),
+            Class::Batch { .. } => self.batch(ask, now),
         };
         let grant = chosen.map(|index| {
             let entry = &mut self.upstreams[index];
@@ -206,15 +206,13 @@
             .min_by_key(|index| self.upstreams[*index].grants.len())
     }
 
-    /// The upstream with the fewest online requests among those that run batch.
+    /// The upstream that runs the batch item that is due last.
     fn reclaimable(&self, ask: &Ask, now: Instant) -> Option<usize> {
         (0..self.upstreams.len())
             .filter(|index| self.upstreams[*index].takes(ask, now))
-            .filter(|index| {
-                let grants = &self.upstreams[*index].grants;
-                grants.online() < grants.len()
-            })
-            .min_by_key(|index| self.upstreams[*index].grants.online())
+            .filter_map(|index| Some((index, self.upstreams[index].grants.last_due_ms()?)))
+            .max_by_key(|(_, due_ms)| *due_ms)
+            .map(|(index, _)| index)
     }
 
     fn release(&mut self, from: SocketAddr, release: &Release, now: Instant) -> Option<Change> {
--- a/crates/tinbank-allocator/src/grants.rs
+++ b/crates/tinbank-allocator/src/grants.rs
@@ -13,6 +13,15 @@
     pub until: Instant,
 }
 
+impl Grant {
+    fn due_ms(&self) -> Option<u64> {
+        match self.class {
+            Class::Online => None,
+            Class::Batch { due_ms } => Some(due_ms),
+        }
+    }
+}
+
 /// All leases at one upstream.
 #[derive(Debug, Default)]
 pub(crate) struct Grants(Vec<Grant>);
@@ -22,13 +31,6 @@
         self.0.len()
     }
 
-    pub fn online(&self) -> usize {
-        self.0
-            .iter()
-            .filter(|grant| grant.class == Class::Online)
-            .count()
-    }
-
     pub fn add(&mut self, grant: Grant) {
         self.remove(grant.holder, grant.lease);
         self.0.push(grant);
@@ -42,15 +44,22 @@
         before != self.0.len()
     }
 
-    /// The batch lease granted last: it has the least to lose.
+    /// Takes back the batch lease that is due last.
     pub fn reclaim(&mut self) -> Option<Grant> {
-        let last = self
+        let (last, _) = self
             .0
             .iter()
-            .rposition(|grant| grant.class == Class::Batch)?;
+            .enumerate()
+            .filter_map(|(index, grant)| Some((index, grant.due_ms()?)))
+            .max_by_key(|(_, due_ms)| *due_ms)?;
         Some(self.0.remove(last))
     }
 
+    /// When the batch lease that is due last is due.
+    pub fn last_due_ms(&self) -> Option<u64> {
+        self.0.iter().filter_map(Grant::due_ms).max()
+    }
+
     pub fn expire(&mut self, now: Instant) {
         self.0.retain(|grant| now < grant.until);
     }
--- a/crates/tinbank-allocator/src/lease.rs
+++ b/crates/tinbank-allocator/src/lease.rs
@@ -12,7 +12,17 @@
     /// A caller waits for the answer.
     Online,
     /// A batch item; it gives way to online requests.
-    Batch,
+    Batch {
+        /// When it is due, in milliseconds since 1970: the one due last gives way first.
+        due_ms: u64,
+    },
+}
+
+impl Class {
+    /// True for batch items.
+    pub fn is_batch(self) -> bool {
+        matches!(self, Self::Batch { .. })
+    }
 }
 
 /// A lease as its holder tells it.
--- a/crates/tinbank-gateway/src/batch/follower.rs
+++ b/crates/tinbank-gateway/src/batch/follower.rs
@@ -124,8 +124,14 @@
             }
         }
         Change::Finished { job, index } => {
-            log::info!(job:%, item = index, offset = whole.offset; "item finished");
-            node.batch.runner.finished(&job, index);
+            if node.batch.runner.finished(&job, index) {
+                log::info!(job:%, item = index, offset = whole.offset; "item finished");
+            }
+        }
+        Change::Advanced { job, index, run } => node.batch.runner.advanced(&job, index, run),
+        Change::Refused { job, index, run } => {
+            log::info!(job:%, item = index, offset = whole.offset, run; "run of an item refused, another one is further");
+            node.batch.runner.refused(&job, index, run);
         }
         Change::Ended { job } => {
             log::info!(job:%, offset = whole.offset; "job ended by its caller");
--- a/crates/tinbank-gateway/src/batch/item.rs
+++ b/crates/tinbank-gateway/src/batch/item.rs
@@ -1,11 +1,15 @@
 //! One run of an item at an upstream.
 
-use std::time::{Duration, Instant};
+use std::{
+    cell::RefCell,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use tinbank_allocator::lease::Outcome;
-use tinbank_base::id;
+use tinbank_jobs::record::{Piece, RunId};
 use tinbank_relay::event::{self, Event, Splitter};
 use tokio::time;
 
@@ -24,16 +28,19 @@
 /// Longest pause between events of an item.
 const SILENCE: Duration = Duration::from_millis(1_000);
 
-/// What an item has so far.
-#[derive(Debug, Default)]
+/// What a run has so far.
+#[derive(Debug)]
 pub(super) struct Progress {
-    /// Last event had; 0 before the first.
+    /// The run.
+    run: RunId,
+    /// Event behind which the run was asked to go on; 0 for a run from the start.
+    started_after: event::Id,
+    /// Last event had.
     pub last: event::Id,
-    data: Vec<String>,
-    /// Answers that say that the item failed.
-    pub failures: u32,
-    /// Upstreams that gave them.
-    pub failed_at: Vec<id::Instance>,
+    /// Last event that is on its way to the log.
+    written: event::Id,
+    /// Data of the events behind it, each with a line feed behind it.
+    data: String,
 }
 
 /// How a run ended.
@@ -54,9 +61,33 @@
 }
 
 impl Progress {
-    /// The data of all events.
-    pub fn text(&self) -> Bytes {
-        Bytes::from(self.data.join("\n"))
+    /// A run that goes on behind an event.
+    pub fn new(run: RunId, started_after: event::Id) -> Self {
+        Self {
+            run,
+            started_after,
+            last: started_after,
+            written: started_after,
+            data: String::new(),
+        }
+    }
+
+    /// True if there are events that are not on their way to the log.
+    pub fn has_news(&self) -> bool {
+        self.last > self.written
+    }
+
+    /// The events that are not on their way to the log yet.
+    pub fn piece(&mut self) -> Piece {
+        let piece = Piece {
+            run: self.run,
+            started_after: self.started_after,
+            after: self.written,
+            last: self.last,
+            data: Bytes::from(std::mem::take(&mut self.data)),
+        };
+        self.written = self.last;
+        piece
     }
 
     /// Takes in an event. False if it is not the next one.
@@ -65,7 +96,10 @@
             return false;
         }
         self.last += 1;
-        self.data.extend(event.data());
+        if let Some(data) = event.data() {
+            self.data.push_str(&data);
+            self.data.push('\n');
+        }
         true
     }
 }
@@ -75,10 +109,11 @@
     node: &Node,
     lease: Lease,
     request: &Request,
-    progress: &mut Progress,
+    progress: &RefCell<Progress>,
 ) -> Ended {
     let now = Instant::now();
-    let resume_after = (progress.last > 0).then_some(progress.last);
+    let last = progress.borrow().last;
+    let resume_after = (last > 0).then_some(last);
     let sent = attempt::send(
         node,
         lease,
@@ -98,8 +133,6 @@
         }
         _ => {
             opened.lease.end(Outcome::Failed);
-            progress.failures += 1;
-            progress.failed_at.push(opened.lease.upstream.clone());
             return Ended::Failed;
         }
     }
@@ -117,7 +150,7 @@
     ended
 }
 
-async fn read(mut body: hyper::body::Incoming, progress: &mut Progress) -> (Ended, Outcome) {
+async fn read(mut body: Incoming, progress: &RefCell<Progress>) -> (Ended, Outcome) {
     let mut splitter = Splitter::default();
     loop {
         let frame = match time::timeout(SILENCE, body.frame()).await {
@@ -134,7 +167,7 @@
             return (Ended::Broken, Outcome::Failed);
         }
         while let Some(event) = splitter.next_event() {
-            if !progress.take(&event) {
+            if !progress.borrow_mut().take(&event) {
                 return (Ended::Broken, Outcome::Failed);
             }
         }
--- a/crates/tinbank-gateway/src/batch/results.rs
+++ b/crates/tinbank-gateway/src/batch/results.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use tinbank_jobs::{job::Job, record::Outcome};
+use tinbank_jobs::job::{Final, Job};
 use tokio::time;
 
 use super::follower;
@@ -107,9 +107,9 @@
     })
 }
 
-fn text_bytes(result: &Outcome) -> usize {
+fn text_bytes(result: &Final) -> usize {
     match result {
-        Outcome::Completed(text) => text.len(),
-        Outcome::Abandoned(_) => 0,
+        Final::Completed(text) => text.len(),
+        Final::Abandoned(_) => 0,
     }
 }
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -1,21 +1,24 @@
 //! Runs the items of the jobs that this process owns, while upstreams have slots to spare.
 
+mod next;
+
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
-    time::{Duration, Instant, SystemTime},
+    time::{Duration, Instant},
 };
 
 use tinbank_allocator::lease::Class;
-use tinbank_jobs::record::{Finish, Index, JobId, Outcome, Reason, Record};
+use tinbank_base::id;
+use tinbank_jobs::record::{Advance, Finish, Index, JobId, Outcome, Reason, Record, RunId};
 use tokio::{sync::Notify, task, time};
 
-use super::{
-    item::{self, Ended, Progress},
-    owner, partition,
-};
+use self::next::Candidate;
+use super::item::{self, Ended, Progress};
 use crate::{
+    border::engine::Request,
+    identity,
     node::Node,
     sharing::{Lease, Wanted},
 };
@@ -24,23 +27,27 @@
 const PAUSE: Duration = Duration::from_millis(40);
 /// Pause before an item that failed runs again.
 const RETRY: Duration = Duration::from_millis(100);
-/// Clocks of hosts may differ by this much; an item is given up only once it is surely time.
-const CLOCK_MARGIN: Duration = Duration::from_secs(5);
-/// For how long a route must have been gone before its items are given up.
-const ROUTE_GONE: Duration = Duration::from_secs(4);
-/// Time before the process is killed that is left for what must still be written.
+/// Pause before an item is run that another host has just got further with.
+const OTHER_RUN: Duration = Duration::from_secs(2);
+/// How often a run writes how far it has got. Source: what a lost host costs at most, against one record more.
+const CHECKPOINT: Duration = Duration::from_millis(1_500);
+/// Time that is left for writing what runs have so far, before a stopping process is killed.
 const STOP_MARGIN: Duration = Duration::from_millis(1_500);
+/// Numbers of runs that one process can give.
+const RUNS: u64 = 1 << 32;
 
 /// One item of one job.
 type Key = (JobId, Index);
 
 /// The items that this process runs.
-#[derive(Default)]
 pub(super) struct Runner {
     running: RefCell<HashMap<Key, Rc<Run>>>,
-    /// What items that gave way have so far, and from when on they may run again.
+    /// Items that ran here and may run again from some time on.
     paused: RefCell<HashMap<Key, Paused>>,
+    /// Since when the route of a job is gone.
     routes_gone: RefCell<HashMap<JobId, Instant>>,
+    first_run: RunId,
+    next_run: Cell<RunId>,
 }
 
 /// An item that runs, or whose result is on its way to the log.
@@ -48,27 +55,55 @@
     stop: Notify,
 }
 
+/// What is remembered of an item between its runs.
+#[derive(Clone, Default)]
 struct Paused {
-    progress: Progress,
-    until: Instant,
+    /// Last event that is in the log or on its way there.
+    last: u64,
+    until: Option<Instant>,
+    /// Answers that say that the item failed.
+    failures: u32,
+    /// Upstreams that gave them.
+    failed_at: Vec<id::Instance>,
 }
 
-/// An item that may run now.
-struct Candidate {
-    key: Key,
-    submission: u64,
-    service: String,
-    avoid: Vec<tinbank_base::id::Instance>,
+impl Default for Runner {
+    fn default() -> Self {
+        let first_run = identity::number() / RUNS * RUNS;
+        Self {
+            running: RefCell::default(),
+            paused: RefCell::default(),
+            routes_gone: RefCell::default(),
+            first_run,
+            next_run: Cell::new(first_run + 1),
+        }
+    }
 }
 
 impl Runner {
-    /// The log has the result of an item.
-    pub fn finished(&self, job: &JobId, index: Index) {
+    /// The log has the result of an item. True if it ran here.
+    pub fn finished(&self, job: &JobId, index: Index) -> bool {
         let key = (job.clone(), index);
-        if let Some(run) = self.running.borrow_mut().remove(&key) {
+        self.paused.borrow_mut().remove(&key);
+        let run = self.running.borrow_mut().remove(&key);
+        if let Some(run) = &run {
             run.stop.notify_one();
         }
-        self.paused.borrow_mut().remove(&key);
+        run.is_some()
+    }
+
+    /// The log has a further piece of an item. A run of another process is ahead of one here.
+    pub fn advanced(&self, job: &JobId, index: Index, run: RunId) {
+        if !self.is_own(run) {
+            self.drop_run(job, index, OTHER_RUN);
+        }
+    }
+
+    /// The log has no use for a run.
+    pub fn refused(&self, job: &JobId, index: Index, run: RunId) {
+        if self.is_own(run) {
+            self.drop_run(job, index, RETRY);
+        }
     }
 
     /// A job is ended; its items stop at once.
@@ -79,17 +114,42 @@
         }
         self.paused.borrow_mut().retain(|key, _| key.0 != *job);
     }
+
+    fn drop_run(&self, job: &JobId, index: Index, wait: Duration) {
+        let key = (job.clone(), index);
+        let run = self.running.borrow_mut().remove(&key);
+        if let Some(run) = run {
+            run.stop.notify_one();
+        }
+        let paused = Paused {
+            until: Some(Instant::now() + wait),
+            ..Paused::default()
+        };
+        self.paused.borrow_mut().insert(key, paused);
+    }
+
+    fn is_own(&self, run: RunId) -> bool {
+        run / RUNS * RUNS == self.first_run
+    }
+
+    fn new_run(&self) -> RunId {
+        let run = self.next_run.get();
+        self.next_run.set(run + 1);
+        run
+    }
 }
 
 /// Runs items for as long as the process runs.
 pub(super) async fn run(node: Rc<Node>) {
     loop {
-        let Some(candidate) = next(&node) else {
+        let Some(candidate) = next::next(&node) else {
             time::sleep(PAUSE).await;
             continue;
         };
         let wanted = Wanted {
-            class: Class::Batch,
+            class: Class::Batch {
+                due_ms: candidate.due_ms,
+            },
             service: &candidate.service,
             exclude: &candidate.avoid,
         };
@@ -101,94 +161,26 @@
     }
 }
 
-/// Waits until no item runs, or until the time is up.
+/// Stops all items and waits until the log has what they have so far, or until the time is up.
 pub(super) async fn drained(node: &Node) {
+    let runner = &node.batch.runner;
+    for run in runner.running.borrow().values() {
+        run.stop.notify_one();
+    }
     let until = Instant::now() + node.settings.grace.saturating_sub(STOP_MARGIN);
-    while Instant::now() < until && !node.batch.runner.running.borrow().is_empty() {
+    while Instant::now() < until {
         time::sleep(PAUSE).await;
-    }
-}
-
-/// The item that is due first among those that this process owns and that may run now.
-fn next(node: &Node) -> Option<Candidate> {
-    if node.stop.is_stopping() || !node.batch.is_known() {
-        return None;
-    }
-    let config = node.view.config()?;
-    let now = Instant::now();
-    let ttl = owner::ttl(node);
-    let runner = &node.batch.runner;
-    let table = node.batch.table.borrow();
-    let mut open: Vec<_> = table
-        .open()
-        .filter(|job| {
-            let partition = partition(&job.id, node.settings.store.partitions);
-            node.batch.owner.holds(partition, ttl)
-        })
-        .collect();
-    open.sort_by_key(|job| (job.due_at, job.submission));
-    for job in open {
-        let expired = SystemTime::now() > job.expires_at + CLOCK_MARGIN;
-        for (index, item) in job.pending() {
-            let key = (job.id.clone(), index);
-            if runner.running.borrow().contains_key(&key) {
-                continue;
-            }
-            if expired {
-                give_up(node, key, job.submission, Reason::Expired);
-                continue;
-            }
-            let Some(route) = config.route(&job.host, &item.path) else {
-                if route_gone(node, &job.id, now) {
-                    give_up(node, key, job.submission, Reason::RouteRemoved);
-                }
-                continue;
-            };
-            runner.routes_gone.borrow_mut().remove(&job.id);
-            let paused = runner.paused.borrow();
-            let paused = paused.get(&key);
-            if paused.is_some_and(|it| now < it.until) {
-                continue;
-            }
-            let avoid = paused.map(|it| it.progress.failed_at.clone());
-            return Some(Candidate {
-                key,
-                submission: job.submission,
-                service: route.service(node.draw())?.clone(),
-                avoid: avoid.unwrap_or_default(),
-            });
+        if runner.running.borrow().is_empty() && node.batch.writer.is_idle() {
+            return;
         }
     }
-    None
-}
-
-fn route_gone(node: &Node, job: &JobId, now: Instant) -> bool {
-    if !node.view.is_config_fresh(now) {
-        return false;
-    }
-    let mut gone = node.batch.runner.routes_gone.borrow_mut();
-    let since = gone.entry(job.clone()).or_insert(now);
-    now.saturating_duration_since(*since) > ROUTE_GONE
-}
-
-fn give_up(node: &Node, key: Key, submission: u64, reason: Reason) {
-    log::info!(job:% = key.0, item = key.1, reason:?; "item given up");
-    let run = Rc::new(Run {
-        stop: Notify::new(),
-    });
-    node.batch
-        .runner
-        .running
-        .borrow_mut()
-        .insert(key.clone(), run);
-    finish(node, key, submission, Outcome::Abandoned(reason));
 }
 
 fn start(node: &Rc<Node>, candidate: Candidate, lease: Lease) {
-    let runner = &node.batch.runner;
     let Candidate {
         key, submission, ..
     } = candidate;
+    let runner = &node.batch.runner;
     let table = node.batch.table.borrow();
     let job = table.job(&key.0);
     let Some(job) = job.filter(|job| job.submission == submission) else {
@@ -199,9 +191,11 @@
     };
     let request = node.engine.item(&job.host, item);
     let max_attempts = job.max_attempts;
+    let in_log = job.progress(key.1).last;
     drop(table);
     let paused = runner.paused.borrow_mut().remove(&key);
-    let mut progress = paused.map(|it| it.progress).unwrap_or_default();
+    let mut paused = paused.unwrap_or_default();
+    paused.last = paused.last.max(in_log);
     let run = Rc::new(Run {
         stop: Notify::new(),
     });
@@ -209,50 +203,135 @@
         .running
         .borrow_mut()
         .insert(key.clone(), Rc::clone(&run));
-    let node = Rc::clone(node);
-    task::spawn_local(async move {
+    let task = Task {
+        node: Rc::clone(node),
+        key,
+        submission,
+        max_attempts,
+        paused,
+        run,
+    };
+    task::spawn_local(task.run(lease, request));
+}
+
+/// One run of an item, from its slot to its record.
+struct Task {
+    node: Rc<Node>,
+    key: Key,
+    submission: u64,
+    max_attempts: u32,
+    paused: Paused,
+    run: Rc<Run>,
+}
+
+impl Task {
+    async fn run(mut self, lease: Lease, request: Request) {
+        let upstream = lease.upstream.clone();
+        let number = self.node.batch.runner.new_run();
+        let progress = RefCell::new(Progress::new(number, self.paused.last));
         let ended = tokio::select! {
-            ended = item::run(&node, lease, &request, &mut progress) => ended,
-            () = run.stop.notified() => Ended::Stopped,
+            ended = item::run(&self.node, lease, &request, &progress) => ended,
+            () = self.run.stop.notified() => Ended::Stopped,
+            () = self.checkpoints(&progress) => Ended::Stopped,
         };
-        log::info!(job:% = key.0, item = key.1, after = progress.last, ended:?; "item left its upstream");
-        let outcome = match ended {
-            Ended::Completed => Outcome::Completed(progress.text()),
-            Ended::Impossible => Outcome::Abandoned(Reason::Impossible),
-            Ended::Failed if progress.failures >= max_attempts => {
-                Outcome::Abandoned(Reason::Attempts)
-            }
-            Ended::Stopped => {
-                node.batch.runner.running.borrow_mut().remove(&key);
-                return;
+        let mut progress = progress.into_inner();
+        let last = progress.last;
+        log::info!(job:% = self.key.0, item = self.key.1, upstream:%, run = number, last, ended:?; "item left its upstream");
+        match ended {
+            Ended::Completed => return self.finish(Outcome::Completed(progress.piece())),
+            Ended::Impossible => return self.finish(Outcome::Abandoned(Reason::Impossible)),
+            Ended::Failed => {
+                self.paused.failures += 1;
+                self.paused.failed_at.push(upstream);
+                if self.paused.failures >= self.max_attempts {
+                    return self.finish(Outcome::Abandoned(Reason::Attempts));
+                }
             }
-            Ended::Failed | Ended::Broken => return pause(&node, key, progress, RETRY),
-            Ended::Reclaimed => return pause(&node, key, progress, Duration::ZERO),
+            Ended::Broken | Ended::Reclaimed | Ended::Stopped => {}
+        }
+        if !self.is_current() {
+            return;
+        }
+        if progress.has_news() {
+            self.write(Record::Advanced(self.advance(&mut progress)));
+        }
+        self.paused.last = last;
+        let wait = match ended {
+            Ended::Failed | Ended::Broken => RETRY,
+            _ => Duration::ZERO,
         };
-        finish(&node, key, submission, outcome);
-    });
+        self.paused.until = Some(Instant::now() + wait);
+        let runner = &self.node.batch.runner;
+        runner.running.borrow_mut().remove(&self.key);
+        runner.paused.borrow_mut().insert(self.key, self.paused);
+    }
+
+    /// Writes how far the run has got, again and again.
+    async fn checkpoints(&self, progress: &RefCell<Progress>) {
+        let mut ticks = time::interval(CHECKPOINT);
+        ticks.tick().await;
+        loop {
+            ticks.tick().await;
+            if progress.borrow().has_news() {
+                let advance = self.advance(&mut progress.borrow_mut());
+                self.write(Record::Advanced(advance));
+            }
+        }
+    }
+
+    /// True unless the log has the item's result, or another run is ahead of this one.
+    fn is_current(&self) -> bool {
+        let running = self.node.batch.runner.running.borrow();
+        let run = running.get(&self.key);
+        run.is_some_and(|run| Rc::ptr_eq(run, &self.run))
+    }
+
+    fn advance(&self, progress: &mut Progress) -> Advance {
+        Advance {
+            job: self.key.0.clone(),
+            submission: self.submission,
+            index: self.key.1,
+            piece: progress.piece(),
+        }
+    }
+
+    /// Writes the result. The item counts as running until the log has it, so that it does not run again meanwhile.
+    fn finish(&self, result: Outcome) {
+        if self.is_current() {
+            self.write(finished(&self.key, self.submission, result));
+        }
+    }
+
+    fn write(&self, record: Record) {
+        write(&self.node, &self.key, &record);
+    }
 }
 
-fn pause(node: &Node, key: Key, progress: Progress, wait: Duration) {
-    let runner = &node.batch.runner;
-    runner.running.borrow_mut().remove(&key);
-    let until = Instant::now() + wait;
-    let paused = Paused { progress, until };
-    runner.paused.borrow_mut().insert(key, paused);
+/// Gives an item up that does not run.
+fn give_up(node: &Node, key: Key, submission: u64, reason: Reason) {
+    log::info!(job:% = key.0, item = key.1, reason:?; "item given up");
+    let run = Rc::new(Run {
+        stop: Notify::new(),
+    });
+    let record = finished(&key, submission, Outcome::Abandoned(reason));
+    write(node, &key, &record);
+    node.batch.runner.running.borrow_mut().insert(key, run);
 }
 
-/// Writes a result. The item counts as running until the log has it, so that it does not run again meanwhile.
-fn finish(node: &Node, key: Key, submission: u64, result: Outcome) {
-    let record = Record::Finished(Finish {
+fn finished(key: &Key, submission: u64, result: Outcome) -> Record {
+    Record::Finished(Finish {
         job: key.0.clone(),
         submission,
         index: key.1,
         result,
-    });
+    })
+}
+
+fn write(node: &Node, key: &Key, record: &Record) {
     match record.encode() {
         Ok(record) => node.batch.writer.add(record),
         Err(error) => {
-            log::error!(job:% = key.0, item = key.1, error:%; "result can't be encoded");
+            log::error!(job:% = key.0, item = key.1, error:%; "record of an item can't be encoded");
         }
     }
 }
--- /dev/null
+++ b/crates/tinbank-gateway/src/batch/runner/next.rs
@@ -0,0 +1,98 @@
+//! Which item runs next.
+
+use std::time::{Duration, Instant, SystemTime};
+
+use tinbank_base::id;
+use tinbank_jobs::{job::Job, record::Reason};
+use tinbank_relay::route::Config;
+
+use super::{Key, give_up};
+use crate::{
+    batch::{owner, partition},
+    node::Node,
+};
+
+/// Clocks of hosts may differ by this much; an item is given up only once it is surely time.
+const CLOCK_MARGIN: Duration = Duration::from_secs(5);
+/// For how long a route must have been gone before its items are given up.
+const ROUTE_GONE: Duration = Duration::from_secs(4);
+
+/// An item that may run now.
+pub(super) struct Candidate {
+    pub key: Key,
+    pub submission: u64,
+    /// When it is due, in milliseconds since 1970.
+    pub due_ms: u64,
+    pub service: id::Service,
+    /// Upstreams at which it has failed.
+    pub avoid: Vec<id::Instance>,
+}
+
+/// The item that is due first among those that this process owns and that may run now.
+pub(super) fn next(node: &Node) -> Option<Candidate> {
+    if node.stop.is_stopping() || !node.batch.is_known() {
+        return None;
+    }
+    let config = node.view.config()?;
+    let ttl = owner::ttl(node);
+    let partitions = node.settings.store.partitions;
+    let table = node.batch.table.borrow();
+    let owned = table.open().filter(|job| {
+        let partition = partition(&job.id, partitions);
+        node.batch.owner.holds(partition, ttl)
+    });
+    let mut owned: Vec<&Job> = owned.collect();
+    owned.sort_by_key(|job| (job.due_at, job.submission));
+    owned
+        .into_iter()
+        .find_map(|job| next_of(node, &config, job))
+}
+
+fn next_of(node: &Node, config: &Config, job: &Job) -> Option<Candidate> {
+    let runner = &node.batch.runner;
+    let expired = SystemTime::now() > job.expires_at + CLOCK_MARGIN;
+    for (index, item) in job.pending() {
+        let key = (job.id.clone(), index);
+        if runner.running.borrow().contains_key(&key) {
+            continue;
+        }
+        if expired {
+            give_up(node, key, job.submission, Reason::Expired);
+            continue;
+        }
+        let Some(route) = config.route(&job.host, &item.path) else {
+            if is_route_gone(node, job) {
+                give_up(node, key, job.submission, Reason::RouteRemoved);
+            }
+            continue;
+        };
+        runner.routes_gone.borrow_mut().remove(&job.id);
+        let paused = runner.paused.borrow();
+        let paused = paused.get(&key);
+        let until = paused.and_then(|paused| paused.until);
+        if until.is_some_and(|until| Instant::now() < until) {
+            continue;
+        }
+        let avoid = paused.map(|paused| paused.failed_at.clone());
+        let due = job.due_at.duration_since(SystemTime::UNIX_EPOCH);
+        return Some(Candidate {
+            key,
+            submission: job.submission,
+            due_ms: due.map_or(0, |due| due.as_millis() as u64),
+            service: route.service(node.draw())?.clone(),
+            avoid: avoid.unwrap_or_default(),
+        });
+    }
+    None
+}
+
+/// True once the route of a job has been gone for a while, in a configuration that is read all the time.
+fn is_route_gone(node: &Node, job: &Job) -> bool {
+    let now = Instant::now();
+    if !node.view.is_config_fresh(now) {
+        return false;
+    }
+    let mut gone = node.batch.runner.routes_gone.borrow_mut();
+    let since = gone.entry(job.id.clone()).or_insert(now);
+    now.saturating_duration_since(*since) > ROUTE_GONE
+}
--- a/crates/tinbank-gateway/src/batch/writer.rs
+++ b/crates/tinbank-gateway/src/batch/writer.rs
@@ -1,7 +1,7 @@
 //! Writes results to the log, those that wait together in one append.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::VecDeque,
     rc::Rc,
     time::{Duration, Instant},
@@ -25,6 +25,7 @@
 #[derive(Default)]
 pub(super) struct Writer {
     queue: RefCell<VecDeque<Bytes>>,
+    writing: Cell<bool>,
     added: Notify,
 }
 
@@ -34,6 +35,11 @@
         self.queue.borrow_mut().push_back(record);
         self.added.notify_one();
     }
+
+    /// True if the log has all records.
+    pub fn is_idle(&self) -> bool {
+        !self.writing.get() && self.queue.borrow().is_empty()
+    }
 }
 
 /// Writes for as long as the process runs.
@@ -44,6 +50,7 @@
             node.batch.writer.added.notified().await;
             continue;
         }
+        node.batch.writer.writing.set(true);
         let mut failing = false;
         loop {
             let until = Instant::now() + APPEND_TIMEOUT;
@@ -57,6 +64,7 @@
             }
             time::sleep(RETRY).await;
         }
+        node.batch.writer.writing.set(false);
     }
 }
 
--- a/crates/tinbank-gateway/src/border/ingress.rs
+++ b/crates/tinbank-gateway/src/border/ingress.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tinbank_jobs::record::{Index, Item, ItemId, JobId, Outcome};
+use tinbank_jobs::{
+    job::Final,
+    record::{Index, Item, ItemId, JobId},
+};
 use tinbank_relay::event;
 
 use super::Body;
@@ -67,7 +70,7 @@
     /// The item.
     pub item: ItemId,
     /// What came of it.
-    pub result: Outcome,
+    pub result: Final,
 }
 
 /// Results of a job from a position on.
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -154,7 +154,7 @@
                 return Some(lease);
             }
         }
-        if wanted.class == Class::Batch {
+        if wanted.class.is_batch() {
             return None;
         }
         for domain in &domains {
--- a/crates/tinbank-jobs/src/fold.rs
+++ b/crates/tinbank-jobs/src/fold.rs
@@ -1,6 +1,6 @@
 //! What a record changes.
 
-use crate::record::{Index, JobId};
+use crate::record::{Index, JobId, RunId};
 
 /// What a record did to the table, for those who wait for it and for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,6 +21,24 @@
         /// The item.
         index: Index,
     },
+    /// An item's text has grown.
+    Advanced {
+        /// The job.
+        job: JobId,
+        /// The item.
+        index: Index,
+        /// The run that the text is from now on.
+        run: RunId,
+    },
+    /// A run does not go on where the item's text stands; what it has is of no use.
+    Refused {
+        /// The job.
+        job: JobId,
+        /// The item.
+        index: Index,
+        /// The run.
+        run: RunId,
+    },
     /// A job was ended.
     Ended {
         /// The job.
--- a/crates/tinbank-jobs/src/job.rs
+++ b/crates/tinbank-jobs/src/job.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, SystemTime};
 
-use crate::record::{Index, Item, JobId, Outcome, Submission};
+use bytes::{Bytes, BytesMut};
+
+use crate::record::{Index, Item, JobId, Outcome, Piece, Reason, RunId, Submission};
 
 /// A job.
 #[derive(Clone, Debug)]
@@ -33,7 +35,38 @@
 #[derive(Clone, Debug)]
 struct Entry {
     item: Item,
-    result: Option<Outcome>,
+    progress: Progress,
+    text: BytesMut,
+    result: Option<Final>,
+}
+
+/// The result of an item, whole.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Final {
+    /// The data of all events, in order, separated by line feeds.
+    Completed(Bytes),
+    /// The item is given up, for the reason given.
+    Abandoned(Reason),
+}
+
+/// How far an item's text has got.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// Last event of the text; 0 before the first.
+    pub last: u64,
+    /// The run that it is from; 0 before the first.
+    pub run: RunId,
+}
+
+/// What became of a piece or a result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// It counts.
+    Taken,
+    /// It counted before, or comes too late.
+    Known,
+    /// Its run does not go on where the text stands.
+    Refused,
 }
 
 /// One result at its position.
@@ -42,7 +75,7 @@
     /// Name of the item.
     pub item: &'a str,
     /// What came of it.
-    pub result: &'a Outcome,
+    pub result: &'a Final,
 }
 
 impl Job {
@@ -58,7 +91,7 @@
             due_at: it.submitted_at + it.target,
             expires_at: it.submitted_at + it.retention,
             ended: false,
-            entries: entries.map(|item| Entry { item, result: None }).collect(),
+            entries: entries.map(Entry::new).collect(),
             listed: Vec::new(),
         }
     }
@@ -97,6 +130,12 @@
             .map(|(index, entry)| (index, &entry.item))
     }
 
+    /// How far an item's text has got in the log.
+    pub fn progress(&self, index: Index) -> Progress {
+        let entry = self.entries.get(index as usize);
+        entry.map(|entry| entry.progress).unwrap_or_default()
+    }
+
     /// An item that has no result yet and may still run.
     pub fn runnable(&self, index: Index) -> Option<&Item> {
         let entry = self.entries.get(index as usize)?;
@@ -129,29 +168,86 @@
         !self.is_open() && self.submitted_at + kept < now
     }
 
-    /// Takes in a result. True if it is the item's first one.
-    pub(crate) fn finish(&mut self, index: Index, result: Outcome) -> bool {
-        if self.ended {
-            return false;
+    /// Takes in a further piece of an item's text.
+    pub(crate) fn advance(&mut self, index: Index, piece: Piece) -> Step {
+        match self.pending_entry(index) {
+            Some(entry) => entry.add(piece),
+            None => Step::Known,
         }
-        let Some(entry) = self.entries.get_mut(index as usize) else {
-            return false;
+    }
+
+    /// Takes in a result. The first one counts.
+    pub(crate) fn finish(&mut self, index: Index, result: Outcome) -> Step {
+        let Some(entry) = self.pending_entry(index) else {
+            return Step::Known;
+        };
+        let result = match result {
+            Outcome::Abandoned(reason) => Final::Abandoned(reason),
+            Outcome::Completed(piece) => {
+                if entry.add(piece) == Step::Refused {
+                    return Step::Refused;
+                }
+                Final::Completed(entry.whole_text())
+            }
         };
-        if entry.result.is_some() {
-            return false;
-        }
         entry.result = Some(result);
-        entry.item.body = Default::default();
-        entry.item.headers = Vec::new();
+        entry.forget();
         self.listed.push(index);
-        true
+        Step::Taken
+    }
+
+    fn pending_entry(&mut self, index: Index) -> Option<&mut Entry> {
+        if self.ended {
+            return None;
+        }
+        let entry = self.entries.get_mut(index as usize)?;
+        entry.result.is_none().then_some(entry)
     }
 
     pub(crate) fn end(&mut self) {
         self.ended = true;
-        for entry in &mut self.entries {
-            entry.item.body = Default::default();
-            entry.item.headers = Vec::new();
+        self.entries.iter_mut().for_each(Entry::forget);
+    }
+}
+
+impl Entry {
+    fn new(item: Item) -> Self {
+        Self {
+            item,
+            progress: Progress::default(),
+            text: BytesMut::new(),
+            result: None,
         }
     }
+
+    fn add(&mut self, piece: Piece) -> Step {
+        let Progress { last, run } = self.progress;
+        if piece.run == run && piece.last <= last && piece.after < piece.last {
+            return Step::Known;
+        }
+        let goes_on = piece.run == run || piece.started_after == last;
+        if piece.after != last || !goes_on {
+            return Step::Refused;
+        }
+        self.text.extend_from_slice(&piece.data);
+        self.progress = Progress {
+            last: piece.last,
+            run: piece.run,
+        };
+        Step::Taken
+    }
+
+    /// The text without the line feed behind its last event.
+    fn whole_text(&mut self) -> Bytes {
+        let text = std::mem::take(&mut self.text);
+        let length = text.len() - usize::from(text.ends_with(b"\n"));
+        Bytes::copy_from_slice(&text[..length])
+    }
+
+    /// Drops what only a further run would need.
+    fn forget(&mut self) {
+        self.item.body = Bytes::new();
+        self.item.headers = Vec::new();
+        self.text = BytesMut::new();
+    }
 }
--- a/crates/tinbank-jobs/src/record.rs
+++ b/crates/tinbank-jobs/src/record.rs
@@ -13,6 +13,9 @@
 /// Index of an item in its job, in the order in which the caller sent them.
 pub type Index = u32;
 
+/// One run of an item at an upstream, by a number that no other run has.
+pub type RunId = u64;
+
 /// First byte of each record; a record of another version is skipped with a line in the log.
 const VERSION: u8 = 1;
 
@@ -39,6 +42,8 @@
     Finished(Finish),
     /// The caller ends a job: nothing of it runs any more.
     Ended(JobId),
+    /// A run of an item has got further, so that another host can go on from there.
+    Advanced(Advance),
 }
 
 /// A whole job, so that one append accepts all of it or nothing.
@@ -107,11 +112,42 @@
     pub result: Outcome,
 }
 
+/// A further piece of an item's text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Advance {
+    /// Job of the item.
+    pub job: JobId,
+    /// Offset of the job's submission.
+    pub submission: u64,
+    /// The item.
+    pub index: Index,
+    /// The piece.
+    pub piece: Piece,
+}
+
+/// A stretch of an item's text, from one run at an upstream.
+///
+/// Runs of one item may give different texts, so a piece counts only if its run goes on where the text stands: it is
+/// the run of the last piece, or it was asked to go on there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Piece {
+    /// The run.
+    pub run: RunId,
+    /// Event behind which the run was asked to go on; 0 for a run from the start.
+    pub started_after: u64,
+    /// Event before the first of the piece.
+    pub after: u64,
+    /// Last event of the piece.
+    pub last: u64,
+    /// The data of the events, each with a line feed behind it.
+    pub data: Bytes,
+}
+
 /// What came of an item.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
-    /// The data of all events, in order, separated by line feeds.
-    Completed(Bytes),
+    /// It is done; this is the last piece of its text.
+    Completed(Piece),
     /// The item is given up, for the reason given.
     Abandoned(Reason),
 }
--- a/crates/tinbank-jobs/src/table.rs
+++ b/crates/tinbank-jobs/src/table.rs
@@ -7,8 +7,8 @@
 
 use crate::{
     fold::{Change, Verdict},
-    job::Job,
-    record::{Finish, JobId, Record, Submission},
+    job::{Job, Step},
+    record::{Advance, Finish, JobId, Outcome, Record, Submission},
 };
 
 /// The jobs of all routes.
@@ -24,6 +24,7 @@
             Record::Submitted(submission) => self.submit(offset, submission),
             Record::Finished(finish) => self.finish(finish),
             Record::Ended(job) => self.end(job),
+            Record::Advanced(advance) => self.advance(advance),
         }
     }
 
@@ -83,20 +84,55 @@
         }
     }
 
+    fn advance(&mut self, advance: Advance) -> Change {
+        let Some(job) = self.live(&advance.job, advance.submission) else {
+            return Change::Dropped;
+        };
+        let run = advance.piece.run;
+        let index = advance.index;
+        match job.advance(index, advance.piece) {
+            Step::Taken => Change::Advanced {
+                job: advance.job,
+                index,
+                run,
+            },
+            Step::Known => Change::Dropped,
+            Step::Refused => Change::Refused {
+                job: advance.job,
+                index,
+                run,
+            },
+        }
+    }
+
     fn finish(&mut self, finish: Finish) -> Change {
-        let job = self.jobs.get_mut(&finish.job);
-        let Some(job) = job.filter(|job| job.submission == finish.submission) else {
+        let Some(job) = self.live(&finish.job, finish.submission) else {
             return Change::Dropped;
         };
-        match job.finish(finish.index, finish.result) {
-            true => Change::Finished {
+        let index = finish.index;
+        let run = match &finish.result {
+            Outcome::Completed(piece) => piece.run,
+            Outcome::Abandoned(_) => 0,
+        };
+        match job.finish(index, finish.result) {
+            Step::Taken => Change::Finished {
+                job: finish.job,
+                index,
+            },
+            Step::Known => Change::Dropped,
+            Step::Refused => Change::Refused {
                 job: finish.job,
-                index: finish.index,
+                index,
+                run,
             },
-            false => Change::Dropped,
         }
     }
 
+    fn live(&mut self, job: &str, submission: u64) -> Option<&mut Job> {
+        let job = self.jobs.get_mut(job);
+        job.filter(|job| job.submission == submission)
+    }
+
     fn end(&mut self, id: JobId) -> Change {
         match self.jobs.get_mut(&id) {
             Some(job) if !job.ended => {
