--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -10,10 +10,11 @@
 use tinbank_base::id;
 
 use crate::{
-    frame::{Answer, Ask, Frame, Grant, Holdings, Release},
+    frame::{Answer, Ask, Frame, Grant, Holdings, Queue, Release},
     grants::{self, Grants},
     health::Health,
     lease::{self, Class, Outcome},
+    pace::Pace,
 };
 
 /// How often a host tells its holdings. It is also the heartbeat between hosts.
@@ -59,6 +60,8 @@
     heard_at: Option<Instant>,
     learning_until: Option<Instant>,
     turn: u64,
+    /// How long online requests take.
+    pace: Pace,
 }
 
 #[derive(Debug)]
@@ -76,6 +79,7 @@
             heard_at: None,
             learning_until: None,
             turn: seed,
+            pace: Pace::default(),
         }
     }
 
@@ -155,6 +159,7 @@
                 lease: ask.lease,
                 class: ask.class,
                 until: now + LEASE_TIME,
+                granted_at: (!ask.class.is_batch()).then_some(now),
             });
             Grant {
                 upstream: entry.upstream.instance.clone(),
@@ -182,7 +187,24 @@
             }
             return Some(index);
         }
-        ask.force.then_some(least)
+        self.may_queue(ask, least).then_some(least)
+    }
+
+    /// True if a request may wait inside an upstream whose slots are all in use. One of them comes free in each
+    /// `slots`th part of the time that a request takes.
+    fn may_queue(&self, ask: &Ask, index: usize) -> bool {
+        let entry = &self.upstreams[index];
+        let queued = entry.grants.len() + 1 - entry.upstream.slots.min(entry.grants.len());
+        match ask.queue {
+            Queue::No => false,
+            Queue::Any => true,
+            Queue::Within(patience_ms) => {
+                let patience = Duration::from_millis(u64::from(patience_ms));
+                let wait =
+                    self.pace.duration() * queued as u32 / entry.upstream.slots.max(1) as u32;
+                wait <= patience
+            }
+        }
     }
 
     /// A slot if the headroom for online requests stays free beside it.
@@ -223,7 +245,11 @@
             .upstreams
             .iter_mut()
             .find(|entry| entry.upstream.instance == release.upstream)?;
-        entry.grants.remove(from, release.lease);
+        let removed = entry.grants.remove(from, release.lease);
+        let granted_at = removed.and_then(|grant| grant.granted_at);
+        if let (Some(at), Outcome::Served) = (granted_at, release.outcome) {
+            self.pace.note(now.saturating_duration_since(at));
+        }
         let ejected = entry.health.note(from, release.outcome, now);
         ejected.then(|| Change::Ejected(release.upstream.clone()))
     }
@@ -258,6 +284,7 @@
             lease: held.lease,
             class: held.class,
             until: now + LEASE_TIME,
+            granted_at: None,
         });
     }
 }
--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -55,8 +55,19 @@
     pub service: id::Service,
     /// Upstreams that this request must not get.
     pub exclude: SmallVec<[id::Instance; 4]>,
-    /// Grant the least loaded upstream even if all its slots are in use.
-    pub force: bool,
+    /// What to do if all slots are in use.
+    pub queue: Queue,
+}
+
+/// Whether a request may be sent to an upstream whose slots are all in use, to wait inside it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Queue {
+    /// It may not.
+    No,
+    /// It may, if it is likely to begin within this time, in milliseconds.
+    Within(u32),
+    /// It may.
+    Any,
 }
 
 /// An answer to an [`Ask`].
--- a/crates/tinbank-allocator/src/grants.rs
+++ b/crates/tinbank-allocator/src/grants.rs
@@ -11,6 +11,8 @@
     pub lease: lease::Id,
     pub class: Class,
     pub until: Instant,
+    /// When an online lease was granted here, to measure how long it takes.
+    pub granted_at: Option<Instant>,
 }
 
 impl Grant {
@@ -31,17 +33,21 @@
         self.0.len()
     }
 
+    /// Adds a lease, or renews it.
     pub fn add(&mut self, grant: Grant) {
-        self.remove(grant.holder, grant.lease);
-        self.0.push(grant);
+        let known = self.remove(grant.holder, grant.lease);
+        let granted_at = known.and_then(|known| known.granted_at);
+        self.0.push(Grant {
+            granted_at: granted_at.or(grant.granted_at),
+            ..grant
+        });
     }
 
-    /// True if there was such a lease.
-    pub fn remove(&mut self, holder: SocketAddr, lease: lease::Id) -> bool {
-        let before = self.0.len();
-        self.0
-            .retain(|grant| grant.holder != holder || grant.lease != lease);
-        before != self.0.len()
+    /// Removes a lease, if there is one.
+    pub fn remove(&mut self, holder: SocketAddr, lease: lease::Id) -> Option<Grant> {
+        let same = |grant: &Grant| grant.holder == holder && grant.lease == lease;
+        let index = self.0.iter().position(same)?;
+        Some(self.0.swap_remove(index))
     }
 
     /// Takes back the batch lease that is due last.
--- a/crates/tinbank-allocator/src/lib.rs
+++ b/crates/tinbank-allocator/src/lib.rs
@@ -10,6 +10,7 @@
 mod grants;
 mod health;
 pub mod lease;
+mod pace;
 
 pub use allocator::Allocator;
 pub use directory::Directory;
--- /dev/null
+++ b/crates/tinbank-allocator/src/pace.rs
@@ -0,0 +1,27 @@
+//! How long online requests take, smoothed.
+
+use std::time::Duration;
+
+/// What is assumed before the first request has ended: nobody is turned away on a guess.
+const UNKNOWN: Duration = Duration::ZERO;
+/// Weight of the newest request, one part in so many: a change shows within a second or two of the users' traffic.
+const SMOOTHING: u32 = 16;
+
+/// The smoothed time that an online request holds its slot.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Pace(Option<Duration>);
+
+impl Pace {
+    /// Takes in a request that was served.
+    pub fn note(&mut self, took: Duration) {
+        self.0 = Some(match self.0 {
+            None => took,
+            Some(before) => (before * (SMOOTHING - 1) + took) / SMOOTHING,
+        });
+    }
+
+    /// The smoothed time.
+    pub fn duration(self) -> Duration {
+        self.0.unwrap_or(UNKNOWN)
+    }
+}
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use tinbank_allocator::lease::Class;
+use tinbank_allocator::{frame::Queue, lease::Class};
 use tinbank_base::id;
 use tinbank_jobs::record::{Advance, Finish, Index, JobId, Outcome, Reason, Record, RunId};
 use tokio::{sync::Notify, task, time};
@@ -20,7 +20,7 @@
     border::engine::Request,
     identity,
     node::Node,
-    sharing::{Lease, Wanted},
+    sharing::{Asked, Lease, Wanted},
 };
 
 /// Pause when there is nothing to run, or no slot for it. Source: the time in which a slot is likely to come free.
@@ -152,8 +152,9 @@
             },
             service: &candidate.service,
             exclude: &candidate.avoid,
+            queue: Queue::No,
         };
-        let Some(lease) = node.sharing.lease(&node, &wanted).await else {
+        let Asked::Granted(lease) = node.sharing.lease(&node, &wanted).await else {
             time::sleep(PAUSE).await;
             continue;
         };
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -13,7 +13,10 @@
 use http::{Response, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tinbank_allocator::lease::{Class, Outcome};
+use tinbank_allocator::{
+    frame::Queue,
+    lease::{Class, Outcome},
+};
 use tinbank_relay::{
     attempt::{Attempts, Failure, Next},
     route::{Kind, Route},
@@ -33,11 +36,18 @@
         ingress::{self, Reply},
     },
     node::Node,
-    sharing::Wanted,
+    sharing::{Asked, Wanted},
 };
 
 /// When a caller is told to ask again after a refusal. Source: the time in which a freed slot or a new list is likely.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(300);
+/// When a caller is told to ask again while all slots are in use: several times what a request takes.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Part of a route's target latency that a request may be expected to wait inside an upstream, in percent; the rest is
+/// for its first event.
+const QUEUE_PERCENT: u32 = 65;
+/// A request with less than all but one part in so many of its route's time left was turned away before.
+const FIRST_TRY_PART: u32 = 20;
 /// Longest time for which a request without a time limit of its own is held.
 const LONGEST_TIME: Duration = Duration::from_secs(60);
 /// Attempts that did not run, after which a request is refused.
@@ -53,7 +63,12 @@
     route: Rc<Route>,
     request: engine::Request,
     attempts: Attempts,
+    received: Instant,
     deadline: Instant,
+    /// The caller has had a part of the answer.
+    has_begun: bool,
+    /// All slots were in use.
+    overloaded: bool,
 }
 
 /// Answers a request for a route.
@@ -85,7 +100,10 @@
         request: node.engine.relayed(&call.id, &head, body),
         attempts: Attempts::new(route.kind, route.max_attempts),
         route,
+        received,
         deadline,
+        has_begun: call.resume_after.is_some(),
+        overloaded: false,
     };
     relay.run(call.resume_after).await
 }
@@ -167,9 +185,15 @@
             class: Class::Online,
             service: &service,
             exclude: self.attempts.tried(),
+            queue: self.queue(),
         };
-        let Some(lease) = self.node.sharing.lease(&self.node, &wanted).await else {
-            return Err(self.attempts.give_up());
+        let lease = match self.node.sharing.lease(&self.node, &wanted).await {
+            Asked::Granted(lease) => lease,
+            Asked::Full => {
+                self.overloaded = true;
+                return Err(self.attempts.give_up());
+            }
+            Asked::Nobody => return Err(self.attempts.give_up()),
         };
         let upstream = lease.upstream.clone();
         let until = self.answer_until();
@@ -190,6 +214,18 @@
         }
     }
 
+    /// Whether this request may wait inside an upstream. At first it may as long as it is likely to be in time; a
+    /// caller that was turned away, or whose request has begun already, is not turned away again.
+    fn queue(&self) -> Queue {
+        let fresh = self.deadline.saturating_duration_since(self.received);
+        let is_first = fresh * FIRST_TRY_PART >= self.route.timeout * (FIRST_TRY_PART - 1);
+        if !is_first || self.has_begun || self.attempts.may_have_run() {
+            return Queue::Any;
+        }
+        let patience = self.route.target_latency * QUEUE_PERCENT / 100;
+        Queue::Within(patience.as_millis() as u32)
+    }
+
     /// Until when this attempt may stay without an answer. Only a request that may run again is given up for silence.
     fn answer_until(&self) -> Instant {
         let another = self.route.kind.is_idempotent()
@@ -246,6 +282,9 @@
         let id = &self.request.id;
         let tried = self.attempts.tried().len();
         let reply = match next {
+            Next::Refuse | Next::Again if self.overloaded => Reply::NotRun {
+                retry_after: OVERLOAD_RETRY_AFTER,
+            },
             Next::Refuse | Next::Again => Reply::NotRun {
                 retry_after: RETRY_AFTER,
             },
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -13,7 +13,7 @@
     Allocator, Directory,
     allocator::{Change, HEARTBEAT, Outgoing, Upstream},
     directory::Peer,
-    frame::{Answer, Ask, Frame, Grant, Holdings, MAX_BYTES, Release},
+    frame::{Answer, Ask, Frame, Grant, Holdings, MAX_BYTES, Queue, Release},
     lease::{self, Class, Held, Outcome},
 };
 use tinbank_base::id;
@@ -64,6 +64,25 @@
     pub service: &'a str,
     /// Upstreams that the request must not get.
     pub exclude: &'a [id::Instance],
+    /// Whether an online request may wait inside an upstream.
+    pub queue: Queue,
+}
+
+/// What came of asking for a slot.
+pub(crate) enum Asked {
+    /// There is one.
+    Granted(Lease),
+    /// All slots are in use, and the request may not wait.
+    Full,
+    /// No upstream of the service is known.
+    Nobody,
+}
+
+/// What came of asking one allocator.
+enum Answered {
+    Granted(Lease),
+    Denied,
+    Silent,
 }
 
 /// The right to have one request at one upstream. It ends when it is dropped.
@@ -143,26 +162,36 @@
         state.unheard.clear();
     }
 
-    /// Asks the own failure domain, then the others, for a slot. An online request gets the least loaded upstream of
-    /// the own failure domain where none is free, and one of its own choice where no allocator answers.
-    pub async fn lease(self: &Rc<Self>, node: &Node, wanted: &Wanted<'_>) -> Option<Lease> {
+    /// Asks the own failure domain, then the others, for a slot. An online request may then wait inside the least
+    /// loaded upstream, and gets one of this host's own choice where no allocator answers.
+    pub async fn lease(self: &Rc<Self>, node: &Node, wanted: &Wanted<'_>) -> Asked {
         let turn = self.next.get();
         let own = &self.own.failure_domain;
         let domains = self.state.borrow().directory.failure_domains(own, turn);
-        for domain in &domains {
-            if let Some(lease) = self.ask(node, wanted, domain, false).await {
-                return Some(lease);
+        let queues: &[Queue] = match wanted.class.is_batch() {
+            true => &[Queue::No],
+            false => &[Queue::No, wanted.queue],
+        };
+        let mut denied = false;
+        for queue in queues {
+            for domain in &domains {
+                match self.ask(node, wanted, domain, *queue).await {
+                    Answered::Granted(lease) => return Asked::Granted(lease),
+                    Answered::Denied => denied = true,
+                    Answered::Silent => {}
+                }
             }
         }
         if wanted.class.is_batch() {
-            return None;
+            return Asked::Full;
         }
-        for domain in &domains {
-            if let Some(lease) = self.ask(node, wanted, domain, true).await {
-                return Some(lease);
-            }
+        if denied && node.view.has_upstream(wanted.service) && wanted.queue != Queue::Any {
+            return Asked::Full;
+        }
+        match self.choose(node, wanted) {
+            Some(lease) => Asked::Granted(lease),
+            None => Asked::Nobody,
         }
-        self.choose(node, wanted)
     }
 
     /// Asks the allocator of a failure domain until it grants an upstream that does not leave, or none.
@@ -171,27 +200,32 @@
         node: &Node,
         wanted: &Wanted<'_>,
         domain: &str,
-        force: bool,
-    ) -> Option<Lease> {
+        queue: Queue,
+    ) -> Answered {
         for _ in 0..MAX_LEAVING {
-            let lease = self.ask_once(wanted, domain, force).await?;
+            let lease = match self.ask_once(wanted, domain, queue).await {
+                Answered::Granted(lease) => lease,
+                other => return other,
+            };
             if !node.view.is_leaving(&lease.upstream) {
-                return Some(lease);
+                return Answered::Granted(lease);
             }
             log::info!(upstream:% = lease.upstream; "grant of a leaving upstream given back");
             lease.end(Outcome::Leaving);
         }
-        None
+        Answered::Denied
     }
 
     async fn ask_once(
         self: &Rc<Self>,
         wanted: &Wanted<'_>,
         domain: &str,
-        force: bool,
-    ) -> Option<Lease> {
+        queue: Queue,
+    ) -> Answered {
         let now = Instant::now();
-        let allocator = self.state.borrow().directory.allocator(domain, now)?;
+        let Some(allocator) = self.state.borrow().directory.allocator(domain, now) else {
+            return Answered::Silent;
+        };
         let lease = self.next_lease();
         let mut exclude: SmallVec<[id::Instance; 4]> = wanted.exclude.iter().cloned().collect();
         exclude.extend(self.avoided(now));
@@ -200,18 +234,22 @@
             class: wanted.class,
             service: wanted.service.to_owned(),
             exclude,
-            force,
+            queue,
         };
         let (answer, answered) = oneshot::channel();
         self.state.borrow_mut().asks.insert(lease, answer);
         self.send(allocator, &Frame::Ask(ask));
-        let grant = time::timeout(ANSWER_TIMEOUT, answered).await;
+        let answer = time::timeout(ANSWER_TIMEOUT, answered).await;
         self.state.borrow_mut().asks.remove(&lease);
-        match grant {
-            Ok(Ok(grant)) => Some(self.hold(lease, wanted.class, domain, Some(allocator), grant?)),
+        match answer {
+            Ok(Ok(Some(grant))) => {
+                let lease = self.hold(lease, wanted.class, domain, Some(allocator), grant);
+                Answered::Granted(lease)
+            }
+            Ok(Ok(None)) => Answered::Denied,
             _ => {
                 self.missed(allocator, "no answer to an ask");
-                None
+                Answered::Silent
             }
         }
     }
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -73,6 +73,12 @@
         fit.cloned().collect()
     }
 
+    /// True if an upstream of a service takes requests.
+    pub fn has_upstream(&self, service: &str) -> bool {
+        let all = self.upstreams.borrow();
+        all.values().any(|it| !it.leaving && it.service == service)
+    }
+
     /// True if the upstream is known to leave, or to be gone. One that is not listed yet may be new.
     pub fn is_leaving(&self, instance: &id::Instance) -> bool {
         let all = self.upstreams.borrow();
