--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -13,7 +13,7 @@
     frame::{Answer, Ask, Frame, Grant, Holdings, Queue, Release},
     grants::{self, Grants},
     health::Health,
-    lease::{self, Class, Outcome},
+    lease::{self, Class, Due, Outcome},
     pace::Pace,
 };
 
@@ -150,7 +150,7 @@
         let mut out = Outgoing::new();
         let chosen = match ask.class {
             Class::Online => self.online(ask, now, &mut out),
-            Class::Batch { .. } => self.batch(ask, now),
+            Class::Batch(due) => self.batch(ask, due, now, &mut out),
         };
         let grant = chosen.map(|index| {
             let entry = &mut self.upstreams[index];
@@ -181,10 +181,8 @@
         if entry.grants.len() < entry.upstream.slots {
             return Some(least);
         }
-        if let Some(index) = self.reclaimable(ask, now) {
-            if let Some(grant) = self.upstreams[index].grants.reclaim() {
-                out.push((grant.holder, Frame::Reclaim(grant.lease)));
-            }
+        if let Some((index, _)) = self.reclaimable(ask, now) {
+            self.reclaim(index, out);
             return Some(index);
         }
         self.may_queue(ask, least).then_some(least)
@@ -207,14 +205,29 @@
         }
     }
 
-    /// A slot if the headroom for online requests stays free beside it.
-    fn batch(&mut self, ask: &Ask, now: Instant) -> Option<usize> {
+    /// A slot if the headroom for online requests stays free beside it. An item that can still be in time takes the
+    /// slot of one that can't.
+    fn batch(&mut self, ask: &Ask, due: Due, now: Instant, out: &mut Outgoing) -> Option<usize> {
         if self.learning_until.is_some_and(|until| now < until) {
             return None;
         }
         let least = self.least(ask, now)?;
         let entry = &self.upstreams[least];
-        (entry.grants.len() + HEADROOM < entry.upstream.slots).then_some(least)
+        if entry.grants.len() + HEADROOM < entry.upstream.slots {
+            return Some(least);
+        }
+        let (index, last) = self.reclaimable(ask, now)?;
+        if due.late || !last.late {
+            return None;
+        }
+        self.reclaim(index, out);
+        Some(index)
+    }
+
+    fn reclaim(&mut self, index: usize, out: &mut Outgoing) {
+        if let Some(grant) = self.upstreams[index].grants.reclaim() {
+            out.push((grant.holder, Frame::Reclaim(grant.lease)));
+        }
     }
 
     /// The upstream with the fewest leases; among equals another one at each turn.
@@ -228,13 +241,12 @@
             .min_by_key(|index| self.upstreams[*index].grants.len())
     }
 
-    /// The upstream that runs the batch item that is due last.
-    fn reclaimable(&self, ask: &Ask, now: Instant) -> Option<usize> {
+    /// The upstream that runs the batch item that is due last, and when that is.
+    fn reclaimable(&self, ask: &Ask, now: Instant) -> Option<(usize, Due)> {
         (0..self.upstreams.len())
             .filter(|index| self.upstreams[*index].takes(ask, now))
-            .filter_map(|index| Some((index, self.upstreams[index].grants.last_due_ms()?)))
-            .max_by_key(|(_, due_ms)| *due_ms)
-            .map(|(index, _)| index)
+            .filter_map(|index| Some((index, self.upstreams[index].grants.last_due()?)))
+            .max_by_key(|(_, due)| *due)
     }
 
     fn release(&mut self, from: SocketAddr, release: &Release, now: Instant) -> Option<Change> {
--- a/crates/tinbank-allocator/src/grants.rs
+++ b/crates/tinbank-allocator/src/grants.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Instant};
 
-use crate::lease::{self, Class};
+use crate::lease::{self, Class, Due};
 
 /// A lease in force.
 #[derive(Clone, Copy, Debug)]
@@ -16,10 +16,10 @@
 }
 
 impl Grant {
-    fn due_ms(&self) -> Option<u64> {
+    fn due(&self) -> Option<Due> {
         match self.class {
             Class::Online => None,
-            Class::Batch { due_ms } => Some(due_ms),
+            Class::Batch(due) => Some(due),
         }
     }
 }
@@ -56,14 +56,14 @@
             .0
             .iter()
             .enumerate()
-            .filter_map(|(index, grant)| Some((index, grant.due_ms()?)))
-            .max_by_key(|(_, due_ms)| *due_ms)?;
+            .filter_map(|(index, grant)| Some((index, grant.due()?)))
+            .max_by_key(|(_, due)| *due)?;
         Some(self.0.remove(last))
     }
 
     /// When the batch lease that is due last is due.
-    pub fn last_due_ms(&self) -> Option<u64> {
-        self.0.iter().filter_map(Grant::due_ms).max()
+    pub fn last_due(&self) -> Option<Due> {
+        self.0.iter().filter_map(Grant::due).max()
     }
 
     pub fn expire(&mut self, now: Instant) {
--- a/crates/tinbank-allocator/src/lease.rs
+++ b/crates/tinbank-allocator/src/lease.rs
@@ -6,22 +6,28 @@
 /// Number of a lease, given by the host that asks for it and rising with each ask.
 pub type Id = u64;
 
+/// When a batch item is due. The greatest one gives way first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Due {
+    /// It can't be done by then any more, so it gives way to all that can.
+    pub late: bool,
+    /// Milliseconds since 1970.
+    pub at_ms: u64,
+}
+
 /// What a slot is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Class {
     /// A caller waits for the answer.
     Online,
     /// A batch item; it gives way to online requests.
-    Batch {
-        /// When it is due, in milliseconds since 1970: the one due last gives way first.
-        due_ms: u64,
-    },
+    Batch(Due),
 }
 
 impl Class {
     /// True for batch items.
     pub fn is_batch(self) -> bool {
-        matches!(self, Self::Batch { .. })
+        matches!(self, Self::Batch(_))
     }
 }
 
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -1,6 +1,7 @@
 //! Runs the items of the jobs that this process owns, while upstreams have slots to spare.
 
 mod next;
+mod pace;
 
 use std::{
     cell::{Cell, RefCell},
@@ -46,6 +47,7 @@
     paused: RefCell<HashMap<Key, Paused>>,
     /// Since when the route of a job is gone.
     routes_gone: RefCell<HashMap<JobId, Instant>>,
+    pace: RefCell<pace::Pace>,
     first_run: RunId,
     next_run: Cell<RunId>,
 }
@@ -74,6 +76,7 @@
             running: RefCell::default(),
             paused: RefCell::default(),
             routes_gone: RefCell::default(),
+            pace: RefCell::default(),
             first_run,
             next_run: Cell::new(first_run + 1),
         }
@@ -147,9 +150,7 @@
             continue;
         };
         let wanted = Wanted {
-            class: Class::Batch {
-                due_ms: candidate.due_ms,
-            },
+            class: Class::Batch(candidate.due),
             service: &candidate.service,
             exclude: &candidate.avoid,
             queue: Queue::No,
@@ -229,7 +230,10 @@
     async fn run(mut self, lease: Lease, request: Request) {
         let upstream = lease.upstream.clone();
         let number = self.node.batch.runner.new_run();
-        let progress = RefCell::new(Progress::new(number, self.paused.last));
+        let after = self.paused.last;
+        log::info!(job:% = self.key.0, item = self.key.1, upstream:%, run = number, after; "item sent to an upstream");
+        let started_at = Instant::now();
+        let progress = RefCell::new(Progress::new(number, after));
         let ended = tokio::select! {
             ended = item::run(&self.node, lease, &request, &progress) => ended,
             () = self.run.stop.notified() => Ended::Stopped,
@@ -237,6 +241,12 @@
         };
         let mut progress = progress.into_inner();
         let last = progress.last;
+        let mut pace = self.node.batch.runner.pace.borrow_mut();
+        pace.note(last - after, started_at.elapsed());
+        if ended == Ended::Completed {
+            pace.completed(last);
+        }
+        drop(pace);
         log::info!(job:% = self.key.0, item = self.key.1, upstream:%, run = number, last, ended:?; "item left its upstream");
         match ended {
             Ended::Completed => return self.finish(Outcome::Completed(progress.piece())),
--- a/crates/tinbank-gateway/src/batch/runner/next.rs
+++ b/crates/tinbank-gateway/src/batch/runner/next.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant, SystemTime};
 
+use tinbank_allocator::lease::Due;
 use tinbank_base::id;
 use tinbank_jobs::{job::Job, record::Reason};
 use tinbank_relay::route::Config;
@@ -21,14 +22,14 @@
 pub(super) struct Candidate {
     pub key: Key,
     pub submission: u64,
-    /// When it is due, in milliseconds since 1970.
-    pub due_ms: u64,
+    pub due: Due,
     pub service: id::Service,
     /// Upstreams at which it has failed.
     pub avoid: Vec<id::Instance>,
 }
 
-/// The item that is due first among those that this process owns and that may run now.
+/// The item that is due first among those that this process owns and that may run now. Those that can't be in time any
+/// more come behind all others, for a late result is worth little, and the time it takes makes others late as well.
 pub(super) fn next(node: &Node) -> Option<Candidate> {
     if node.stop.is_stopping() || !node.batch.is_known() {
         return None;
@@ -41,16 +42,24 @@
         let partition = partition(&job.id, partitions);
         node.batch.owner.holds(partition, ttl)
     });
-    let mut owned: Vec<&Job> = owned.collect();
-    owned.sort_by_key(|job| (job.due_at, job.submission));
-    owned
-        .into_iter()
-        .find_map(|job| next_of(node, &config, job))
+    let mut first = None;
+    for job in owned {
+        if let Some(candidate) = next_of(node, &config, job)
+            && first
+                .as_ref()
+                .is_none_or(|first: &Candidate| candidate.due < first.due)
+        {
+            first = Some(candidate);
+        }
+    }
+    first
 }
 
+/// The item of a job that runs next.
 fn next_of(node: &Node, config: &Config, job: &Job) -> Option<Candidate> {
     let runner = &node.batch.runner;
     let expired = SystemTime::now() > job.expires_at + CLOCK_MARGIN;
+    let mut first: Option<Candidate> = None;
     for (index, item) in job.pending() {
         let key = (job.id.clone(), index);
         if runner.running.borrow().contains_key(&key) {
@@ -73,17 +82,35 @@
         if until.is_some_and(|until| Instant::now() < until) {
             continue;
         }
+        let last = paused.map_or(0, |paused| paused.last);
+        let due = due(node, job, last.max(job.progress(index).last));
+        if first.as_ref().is_some_and(|first| first.due <= due) {
+            continue;
+        }
         let avoid = paused.map(|paused| paused.failed_at.clone());
-        let due = job.due_at.duration_since(SystemTime::UNIX_EPOCH);
-        return Some(Candidate {
+        first = Some(Candidate {
             key,
             submission: job.submission,
-            due_ms: due.map_or(0, |due| due.as_millis() as u64),
+            due,
             service: route.service(node.draw())?.clone(),
             avoid: avoid.unwrap_or_default(),
         });
+        if !due.late {
+            break;
+        }
+    }
+    first
+}
+
+/// When an item is due that has `last` events, and whether it can be done by then.
+fn due(node: &Node, job: &Job, last: u64) -> Due {
+    let rest = node.batch.runner.pace.borrow().rest(last);
+    let done_at = SystemTime::now() + rest.unwrap_or_default();
+    let due_at = job.due_at.duration_since(SystemTime::UNIX_EPOCH);
+    Due {
+        late: done_at > job.due_at,
+        at_ms: due_at.map_or(0, |due| due.as_millis() as u64),
     }
-    None
 }
 
 /// True once the route of a job has been gone for a while, in a configuration that is read all the time.
