--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -10,8 +10,8 @@
 
 /// First byte of each datagram; a host ignores datagrams of another version.
 const VERSION: u8 = 1;
-/// Largest datagram in bytes, so that none is split on a link of 1,500 bytes.
-pub const MAX_BYTES: usize = 1400;
+/// Largest datagram in bytes. Source: the holdings of a host with 200 requests at upstreams; most fit in one packet.
+pub const MAX_BYTES: usize = 8 << 10;
 
 /// A datagram that can't be understood.
 #[derive(Debug, thiserror::Error)]
--- /dev/null
+++ b/crates/tinbank-allocator/tests/allocator.rs
@@ -0,0 +1,236 @@
+//! What an allocator grants, and what it takes back.
+
+mod world;
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use tinbank_allocator::{
+    Allocator,
+    allocator::Change,
+    frame::{Frame, Queue, Release},
+    lease::{Class, Due, Held, Outcome},
+};
+use tinbank_test_support::property;
+use world::{Desk, HOSTS, LEARNED, SLOTS, batch, host, late, upstream};
+
+#[test]
+fn an_online_request_gets_the_least_loaded_upstream() {
+    let mut desk = Desk::learned(2);
+    let first = desk.ask(0, Class::Online, Queue::No).unwrap();
+
+    let second = desk.ask(1, Class::Online, Queue::No).unwrap();
+
+    assert_ne!(first, second);
+}
+
+#[test]
+fn batch_leaves_a_slot_free_of_each_upstream() {
+    let mut desk = Desk::learned(2);
+
+    let granted = (0..20).filter_map(|_| desk.ask(0, batch(1), Queue::No));
+
+    assert_eq!(granted.count(), 2 * (SLOTS - 1));
+}
+
+#[test]
+fn an_online_request_takes_the_slot_of_the_item_that_is_due_last() {
+    let mut desk = Desk::learned(1);
+    desk.ask(0, batch(50), Queue::No).unwrap();
+    let latest = desk.next;
+    desk.ask(0, batch(90), Queue::No).unwrap();
+    desk.ask(0, batch(70), Queue::No).unwrap();
+    desk.ask(1, Class::Online, Queue::No).unwrap();
+
+    desk.ask(1, Class::Online, Queue::No).unwrap();
+
+    assert_eq!(desk.reclaimed, [(host(0), latest)]);
+}
+
+#[test]
+fn an_item_in_time_takes_the_slot_of_one_that_is_late() {
+    let mut desk = Desk::learned(1);
+    desk.ask(0, late(5), Queue::No).unwrap();
+    let latest = desk.next;
+    desk.ask(0, late(7), Queue::No).unwrap();
+    desk.ask(0, batch(9), Queue::No).unwrap();
+
+    let granted = desk.ask(1, batch(10), Queue::No);
+    let refused = desk.ask(1, late(1), Queue::No);
+
+    assert!(granted.is_some());
+    assert!(refused.is_none());
+    assert_eq!(desk.reclaimed, [(host(0), latest)]);
+}
+
+#[test]
+fn a_full_upstream_takes_a_request_only_if_it_is_likely_to_begin_in_time() {
+    let mut desk = Desk::learned(1);
+    let held = desk.ask_held(0, Class::Online);
+    desk.now += Duration::from_millis(800);
+    desk.release(0, held, Outcome::Served);
+    for _ in 0..SLOTS {
+        desk.ask(0, Class::Online, Queue::No).unwrap();
+    }
+
+    // A slot comes free each 200 ms: four of them, for 800 ms each.
+    let none = desk.ask(0, Class::Online, Queue::No);
+    let first = desk.ask(0, Class::Online, Queue::Within(210));
+    let second = desk.ask(0, Class::Online, Queue::Within(210));
+    let any = desk.ask(0, Class::Online, Queue::Any);
+
+    assert!(none.is_none());
+    assert!(first.is_some());
+    assert!(second.is_none());
+    assert!(any.is_some());
+}
+
+/// Seen on the bench (DRAIN): the allocator was cut off from the platform and dealt out an upstream that leaves.
+#[test]
+fn an_upstream_that_a_host_knows_to_leave_is_dealt_out_no_more() {
+    let mut desk = Desk::learned(1);
+    let held = desk.ask_held(0, Class::Online);
+
+    let change = desk.release(0, held, Outcome::Leaving);
+    let next = desk.ask(1, Class::Online, Queue::Any);
+
+    assert_eq!(change, Some(Change::Left(upstream(0).instance)));
+    assert_eq!(next, None);
+}
+
+#[test]
+fn two_hosts_in_trouble_eject_an_upstream_and_one_does_not() {
+    let mut desk = Desk::learned(1);
+    for _ in 0..3 {
+        let held = desk.ask_held(0, Class::Online);
+        desk.release(0, held, Outcome::Silent);
+    }
+    let by_one = desk.ask_held(1, Class::Online);
+
+    let change = desk.release(1, by_one, Outcome::Failed);
+    let meanwhile = desk.ask(2, Class::Online, Queue::Any);
+    desk.now += Duration::from_secs(2);
+    let later = desk.ask(2, Class::Online, Queue::Any);
+
+    assert_eq!(change, Some(Change::Ejected(upstream(0).instance)));
+    assert_eq!(meanwhile, None);
+    assert!(later.is_some());
+}
+
+#[test]
+fn an_allocator_that_takes_over_learns_before_it_grants_to_batch() {
+    let mut desk = Desk::learned(1);
+    desk.now += Duration::from_secs(60);
+
+    let at_once = desk.ask(0, batch(1), Queue::No);
+    let online = desk.ask(0, Class::Online, Queue::No);
+    let held = (0..3).map(|lease| Held {
+        lease,
+        upstream: upstream(0).instance,
+        class: Class::Online,
+    });
+    desk.holdings(1, 10, held.collect());
+    desk.now += LEARNED;
+    desk.holdings(1, 10, Vec::new());
+    let learned = desk.ask(0, batch(1), Queue::No);
+
+    assert!(at_once.is_none());
+    assert!(online.is_some());
+    assert!(learned.is_some());
+}
+
+#[test]
+fn holdings_end_what_their_host_does_not_hold_and_keep_what_it_asked_for_since() {
+    let mut desk = Desk::learned(1);
+    let lost = desk.ask_held(0, Class::Online);
+    let asked_since = desk.ask_held(0, Class::Online);
+
+    desk.holdings(0, asked_since, Vec::new());
+
+    let free = (0..SLOTS).filter_map(|_| desk.ask(1, Class::Online, Queue::No));
+    assert_eq!(free.count(), SLOTS - 1);
+    assert_ne!(lost, asked_since);
+}
+
+#[test]
+fn a_lease_ends_when_its_host_is_silent() {
+    let mut desk = Desk::learned(1);
+    for _ in 0..SLOTS {
+        desk.ask(0, Class::Online, Queue::No).unwrap();
+    }
+    let before = desk.ask(1, Class::Online, Queue::No);
+
+    desk.now += Duration::from_secs(4);
+
+    assert!(before.is_none());
+    assert!(desk.ask(1, Class::Online, Queue::No).is_some());
+}
+
+#[test]
+fn a_second_allocator_that_knows_nothing_harms_nobody() {
+    let now = Instant::now();
+    let mut other = Allocator::new(9);
+    other.list(vec![upstream(0)]);
+    let release = Release {
+        lease: 4,
+        upstream: upstream(0).instance,
+        outcome: Outcome::Served,
+    };
+
+    let (out, change) = other.receive(host(0), Frame::Release(release), now);
+
+    assert!(out.is_empty());
+    assert_eq!(change, None);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask { host: u8, class: Class },
+    Release { pick: usize },
+    Tell { host: u8 },
+    Wait { millis: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let class = prop_oneof![
+        Just(Class::Online),
+        (0..50u64, any::<bool>()).prop_map(|(at_ms, late)| Class::Batch(Due { late, at_ms })),
+    ];
+    prop_oneof![
+        4 => (0..HOSTS, class).prop_map(|(host, class)| Step::Ask { host, class }),
+        3 => any::<usize>().prop_map(|pick| Step::Release { pick }),
+        1 => (0..HOSTS).prop_map(|host| Step::Tell { host }),
+        1 => (0..900u64).prop_map(|millis| Step::Wait { millis }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(property::config(400))]
+
+    /// Against a version that knows all leases at once: while hosts tell their holdings in time, the allocator grants
+    /// no slot twice, and finds one for an online request whenever the other version sees one that batch can give.
+    #[test]
+    fn grants_are_those_of_a_version_that_knows_all(steps in prop::collection::vec(step(), 1..120)) {
+        let mut desk = Desk::learned(3);
+        for step in steps {
+            match step {
+                Step::Ask { host, class } => {
+                    let free = desk.slots_for(class);
+                    let granted = desk.ask(host, class, Queue::No).is_some();
+                    if class == Class::Online {
+                        prop_assert_eq!(granted, free > 0);
+                    } else if granted {
+                        prop_assert!(free > 0);
+                    }
+                }
+                Step::Release { pick } => desk.release_any(pick),
+                Step::Tell { host } => desk.tell(host),
+                Step::Wait { millis } => {
+                    desk.now += Duration::from_millis(millis);
+                    (0..HOSTS).for_each(|host| desk.tell(host));
+                }
+            }
+            prop_assert!(desk.most_held() <= SLOTS);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tinbank-allocator/tests/directory.rs
@@ -0,0 +1,106 @@
+//! Which host is asked.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use tinbank_allocator::{Directory, directory::Peer};
+
+fn peer(index: u8, failure_domain: &str) -> Peer {
+    Peer {
+        address: SocketAddr::from(([10, 0, 0, index], 7000)),
+        failure_domain: failure_domain.to_owned(),
+    }
+}
+
+fn directory() -> Directory {
+    let mut directory = Directory::default();
+    directory.list(vec![
+        peer(1, "north"),
+        peer(2, "north"),
+        peer(3, "north"),
+        peer(4, "south"),
+        peer(5, "west"),
+    ]);
+    directory
+}
+
+#[test]
+fn all_hosts_ask_the_same_one() {
+    let now = Instant::now();
+    let mut other = Directory::default();
+    other.list(vec![peer(3, "north"), peer(1, "north"), peer(2, "north")]);
+
+    let asked = directory().allocator("north", now);
+
+    assert!(asked.is_some());
+    assert_eq!(asked, other.allocator("north", now));
+}
+
+#[test]
+fn a_silent_host_is_passed_over_and_asked_again_later() {
+    let now = Instant::now();
+    let mut directory = directory();
+    let first = directory.allocator("north", now).unwrap();
+
+    let moved = directory.missed(first, now);
+    let moved_again = directory.missed(first, now);
+    let second = directory.allocator("north", now).unwrap();
+    let later = now + Duration::from_secs(2);
+
+    assert!(moved);
+    assert!(!moved_again);
+    assert_ne!(first, second);
+    assert!(directory.due(now).is_empty());
+    assert_eq!(directory.due(later).as_slice(), [first]);
+}
+
+#[test]
+fn a_host_that_is_heard_counts_at_once() {
+    let now = Instant::now();
+    let mut directory = directory();
+    let first = directory.allocator("north", now).unwrap();
+    directory.missed(first, now);
+
+    let was_silent = directory.heard(first);
+
+    assert!(was_silent);
+    assert_eq!(directory.allocator("north", now), Some(first));
+}
+
+#[test]
+fn each_silence_is_passed_over_for_longer() {
+    let mut now = Instant::now();
+    let mut directory = directory();
+    let first = directory.allocator("north", now).unwrap();
+    directory.missed(first, now);
+    now += Duration::from_secs(2);
+
+    directory.missed(first, now);
+
+    assert!(directory.due(now + Duration::from_secs(3)).is_empty());
+    assert_eq!(directory.due(now + Duration::from_secs(4)).len(), 1);
+}
+
+#[test]
+fn the_own_failure_domain_comes_first_and_the_others_in_turn() {
+    let directory = directory();
+
+    let one = directory.failure_domains("north", 0);
+    let other = directory.failure_domains("north", 1);
+
+    assert_eq!(one.as_slice(), ["north", "south", "west"]);
+    assert_eq!(other.as_slice(), ["north", "west", "south"]);
+}
+
+#[test]
+fn a_failure_domain_without_a_host_that_answers_has_no_allocator() {
+    let now = Instant::now();
+    let mut directory = directory();
+    directory.missed(peer(4, "south").address, now);
+
+    let asked = directory.allocator("south", now);
+
+    assert_eq!(asked, None);
+}
--- /dev/null
+++ b/crates/tinbank-allocator/tests/frame.rs
@@ -0,0 +1,59 @@
+//! Datagrams.
+
+use proptest::prelude::*;
+use tinbank_allocator::{
+    frame::{Ask, Error, Frame, Holdings, MAX_BYTES, Queue},
+    lease::{Class, Held},
+};
+use tinbank_test_support::property;
+
+fn ask() -> Frame {
+    Frame::Ask(Ask {
+        lease: 7,
+        class: Class::Online,
+        service: "notes".to_owned(),
+        exclude: ["u1".into()].into_iter().collect(),
+        queue: Queue::Within(195),
+    })
+}
+
+#[test]
+fn a_frame_comes_back_as_it_was() {
+    let bytes = ask().encode().unwrap();
+
+    assert_eq!(Frame::decode(&bytes).unwrap(), ask());
+}
+
+#[test]
+fn a_frame_of_another_version_is_told_as_such() {
+    let mut bytes = ask().encode().unwrap();
+    bytes[0] = 200;
+
+    let error = Frame::decode(&bytes).unwrap_err();
+
+    assert!(matches!(error, Error::Version { found: Some(200) }));
+}
+
+#[test]
+fn the_leases_of_a_busy_host_fit_in_a_datagram() {
+    let held = (0..200u64).map(|lease| Held {
+        lease: u64::MAX - lease,
+        upstream: "i-7f3a91c2ff".into(),
+        class: Class::Online,
+    });
+    let frame = Frame::Holdings(Holdings {
+        next: u64::MAX,
+        held: held.collect(),
+    });
+
+    assert!(frame.encode().unwrap().len() < MAX_BYTES);
+}
+
+proptest! {
+    #![proptest_config(property::config(500))]
+
+    #[test]
+    fn no_datagram_makes_a_host_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = Frame::decode(&bytes);
+    }
+}
--- /dev/null
+++ b/crates/tinbank-allocator/tests/world/mod.rs
@@ -0,0 +1,177 @@
+//! An allocator, the hosts that ask it, and a version that knows all leases at once.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use tinbank_allocator::{
+    Allocator,
+    allocator::{Change, Upstream},
+    frame::{Ask, Frame, Holdings, Queue, Release},
+    lease::{Class, Due, Held, Id, Outcome},
+};
+use tinbank_base::id;
+
+/// Slots of each upstream.
+pub const SLOTS: usize = 4;
+/// Hosts that ask.
+pub const HOSTS: u8 = 3;
+/// Time after which an allocator has learned what others hold.
+pub const LEARNED: Duration = Duration::from_millis(1_600);
+
+/// An allocator and what it has granted.
+pub struct Desk {
+    pub allocator: Allocator,
+    pub now: Instant,
+    pub next: Id,
+    pub reclaimed: Vec<(SocketAddr, Id)>,
+    held: HashMap<(SocketAddr, Id), (id::Instance, Class)>,
+    upstreams: usize,
+}
+
+/// A batch item that is due then.
+pub fn batch(at_ms: u64) -> Class {
+    Class::Batch(Due { late: false, at_ms })
+}
+
+/// A batch item that can't be in time.
+pub fn late(at_ms: u64) -> Class {
+    Class::Batch(Due { late: true, at_ms })
+}
+
+pub fn host(index: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, index + 1], 7000))
+}
+
+pub fn upstream(index: u8) -> Upstream {
+    Upstream {
+        instance: format!("u{index}").into(),
+        address: SocketAddr::from(([10, 0, 1, index], 8000)),
+        service: "notes".to_owned(),
+        slots: SLOTS,
+    }
+}
+
+impl Desk {
+    /// An allocator that has heard of all hosts for long enough.
+    pub fn learned(upstreams: u8) -> Self {
+        let mut desk = Self {
+            allocator: Allocator::new(1),
+            now: Instant::now(),
+            next: 0,
+            reclaimed: Vec::new(),
+            held: HashMap::new(),
+            upstreams: upstreams.into(),
+        };
+        desk.allocator.list((0..upstreams).map(upstream).collect());
+        desk.tell(0);
+        desk.now += LEARNED;
+        (0..HOSTS).for_each(|host| desk.tell(host));
+        desk
+    }
+
+    /// Asks for a slot.
+    pub fn ask(&mut self, by: u8, class: Class, queue: Queue) -> Option<id::Instance> {
+        let lease = self.next;
+        self.next += 1;
+        let ask = Ask {
+            lease,
+            class,
+            service: "notes".to_owned(),
+            exclude: Default::default(),
+            queue,
+        };
+        let (out, _) = self.allocator.receive(host(by), Frame::Ask(ask), self.now);
+        let mut granted = None;
+        for (to, frame) in out {
+            match frame {
+                Frame::Reclaim(lease) => {
+                    self.held.remove(&(to, lease));
+                    self.reclaimed.push((to, lease));
+                }
+                Frame::Answer(answer) => granted = answer.grant,
+                other => panic!("unexpected {other:?}"),
+            }
+        }
+        let upstream = granted?.upstream;
+        let held = (upstream.clone(), class);
+        self.held.insert((host(by), lease), held);
+        Some(upstream)
+    }
+
+    /// Asks for a slot that there is, and gives the number of the lease.
+    pub fn ask_held(&mut self, by: u8, class: Class) -> Id {
+        let lease = self.next;
+        assert!(self.ask(by, class, Queue::Any).is_some());
+        lease
+    }
+
+    pub fn release(&mut self, by: u8, lease: Id, outcome: Outcome) -> Option<Change> {
+        let (upstream, _) = self.held.remove(&(host(by), lease)).expect("a lease");
+        let release = Release {
+            lease,
+            upstream,
+            outcome,
+        };
+        let (_, change) = self
+            .allocator
+            .receive(host(by), Frame::Release(release), self.now);
+        change
+    }
+
+    /// Releases one of the leases, if there is any.
+    pub fn release_any(&mut self, pick: usize) {
+        let mut keys: Vec<_> = self.held.keys().copied().collect();
+        keys.sort();
+        let Some((by, lease)) = keys.get(pick % keys.len().max(1)).copied() else {
+            return;
+        };
+        let index = (0..HOSTS).find(|index| host(*index) == by).expect("a host");
+        self.release(index, lease, Outcome::Served);
+    }
+
+    /// A host tells what it holds.
+    pub fn tell(&mut self, by: u8) {
+        let mine = self.held.iter().filter(|((at, _), _)| *at == host(by));
+        let held = mine.map(|((_, lease), (upstream, class))| Held {
+            lease: *lease,
+            upstream: upstream.clone(),
+            class: *class,
+        });
+        let held = held.collect();
+        self.holdings(by, self.next, held);
+    }
+
+    pub fn holdings(&mut self, by: u8, next: Id, held: Vec<Held>) {
+        let frame = Frame::Holdings(Holdings { next, held });
+        self.allocator.receive(host(by), frame, self.now);
+    }
+
+    /// Slots that a version that knows all leases would give to a request of a class.
+    pub fn slots_for(&self, class: Class) -> usize {
+        let all = self.upstreams * SLOTS;
+        match class {
+            Class::Online => {
+                let online = self.held.values().filter(|(_, class)| !class.is_batch());
+                all - online.count()
+            }
+            Class::Batch(due) => {
+                let late = self.held.values().filter(
+                    |(_, class)| matches!(class, Class::Batch(held) if held.late && !due.late),
+                );
+                all - self.held.len() + late.count()
+            }
+        }
+    }
+
+    /// Leases at the upstream that has most.
+    pub fn most_held(&self) -> usize {
+        let mut counts: HashMap<&id::Instance, usize> = HashMap::new();
+        for (upstream, _) in self.held.values() {
+            *counts.entry(upstream).or_default() += 1;
+        }
+        counts.into_values().max().unwrap_or(0)
+    }
+}
--- a/crates/tinbank-gateway/src/batch/intake.rs
+++ b/crates/tinbank-gateway/src/batch/intake.rs
@@ -136,7 +136,7 @@
         match node.store.append(JOBS, &pieces, until).await {
             Ok(_) => return Written::Yes,
             Err(Error::NoEffect(why)) if !perhaps => {
-                log::info!(why; "append had no effect");
+                log::info!(why:%; "append had no effect");
                 return Written::No;
             }
             Err(error) => {
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -478,7 +478,7 @@
 
 /// Receives datagrams for as long as the process runs.
 pub(crate) async fn receive(sharing: Rc<Sharing>) {
-    let mut buffer = [0; MAX_BYTES * 2];
+    let mut buffer = vec![0; MAX_BYTES];
     loop {
         let (length, from) = match sharing.socket.recv_from(&mut buffer).await {
             Ok(received) => received,
--- /dev/null
+++ b/crates/tinbank-relay/tests/route.rs
@@ -0,0 +1,74 @@
+//! Which route a request takes, and which service.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use tinbank_relay::route::{Batch, Config, Kind, Limits, Route, Share};
+use yare::parameterized;
+
+fn route(name: &str, host: &str, prefix: &str) -> Rc<Route> {
+    Rc::new(Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Once,
+        services: [("a", 90), ("b", 10)]
+            .map(|(service, weight)| Share {
+                service: service.to_owned(),
+                weight,
+            })
+            .into_iter()
+            .collect(),
+        timeout: Duration::from_secs(5),
+        target_latency: Duration::from_millis(300),
+        max_attempts: 1,
+        event_gap: None,
+        batch: Batch::default(),
+    })
+}
+
+fn config() -> Config {
+    Config {
+        version: 1,
+        routes: vec![
+            route("short", "one.example", "/p/"),
+            route("long", "one.example", "/p/q/"),
+            route("other", "two.example", "/"),
+        ],
+        limits: Limits {
+            head_bytes: 1,
+            body_bytes: 1,
+            head_timeout: Duration::ZERO,
+            idle_timeout: Duration::ZERO,
+        },
+    }
+}
+
+#[parameterized(
+    the_only_one = { "one.example", "/p/x", Some("short") },
+    the_longest = { "one.example", "/p/q/x", Some("long") },
+    prefix_ends_with_a_slash = { "one.example", "/p/qx", Some("short") },
+    other_host = { "two.example", "/p/q/x", Some("other") },
+    no_host = { "three.example", "/p/x", None },
+    no_prefix = { "one.example", "/x", None },
+)]
+fn a_request_takes_the_longest_prefix_of_its_host(host: &str, path: &str, name: Option<&str>) {
+    let config = config();
+
+    let route = config.route(host, path);
+
+    assert_eq!(route.map(|route| route.name.as_str()), name);
+}
+
+#[test]
+fn services_are_drawn_by_their_weights() {
+    let route = route("r", "h", "/");
+    let mut counts = BTreeMap::new();
+
+    for draw in 0..1000 {
+        let service = route.service(draw).cloned().unwrap();
+        *counts.entry(service).or_insert(0) += 1;
+    }
+
+    assert_eq!(counts["a"], 900);
+    assert_eq!(counts["b"], 100);
+}
