--- a/crates/tinbank-entry/src/command.rs
+++ b/crates/tinbank-entry/src/command.rs
@@ -4,7 +4,7 @@
 
 use argh::FromArgs;
 
-use crate::{logs, settings};
+use crate::{logs, settings, signals};
 
 /// Exit code of a process that was told to stop.
 const STOPPED: u8 = 0;
@@ -44,9 +44,11 @@
         .enable_all()
         .build();
     let ended = match runtime {
-        Ok(runtime) => runtime
-            .block_on(tinbank_gateway::run(settings, platform))
-            .map_err(|error| error.to_string()),
+        Ok(runtime) => runtime.block_on(async {
+            let stop = signals::stop().map_err(|error| error.to_string())?;
+            let ended = tinbank_gateway::run(settings, platform, stop).await;
+            ended.map_err(|error| error.to_string())
+        }),
         Err(error) => Err(format!("can't start the runtime: {error}")),
     };
     match ended {
--- a/crates/tinbank-entry/src/main.rs
+++ b/crates/tinbank-entry/src/main.rs
@@ -3,6 +3,7 @@
 mod command;
 mod logs;
 mod settings;
+mod signals;
 
 use std::process::ExitCode;
 
--- a/crates/tinbank-gateway/src/batch/follower.rs
+++ b/crates/tinbank-gateway/src/batch/follower.rs
@@ -77,8 +77,13 @@
     let Ok(page) = node.store.read(JOBS, from, 0, until).await else {
         return false;
     };
+    reached(node, page.end, until).await
+}
+
+/// Waits until the table holds all records before an offset. False if that takes too long.
+pub(super) async fn reached(node: &Node, end: Offset, until: Instant) -> bool {
     let waited = time::timeout_at(until.into(), async {
-        while node.batch.next.get() < page.end {
+        while node.batch.next.get() < end {
             node.batch.changed.notified().await;
         }
     });
--- a/crates/tinbank-gateway/src/batch/intake.rs
+++ b/crates/tinbank-gateway/src/batch/intake.rs
@@ -14,7 +14,7 @@
 use crate::{
     border::{
         ingress::{Reply, Request},
-        store::Error,
+        store::{Error, Offset},
     },
     identity,
     node::Node,
@@ -32,8 +32,8 @@
 
 /// What came of writing a record.
 enum Written {
-    /// The log has it.
-    Yes,
+    /// The log has it, at this offset at the latest.
+    At(Offset),
     /// The log surely doesn't have it and never will.
     No,
     /// The log may have it.
@@ -96,7 +96,7 @@
     match written {
         Written::No => return refuse(call, "store not reached"),
         Written::Perhaps => return Reply::TimedOut,
-        Written::Yes => {}
+        Written::At(_) => {}
     }
     match time::timeout_at(deadline.into(), decided).await {
         Ok(Ok(verdict)) => judge(verdict),
@@ -134,7 +134,7 @@
     loop {
         let until = (Instant::now() + APPEND_TIMEOUT).min(deadline);
         match node.store.append(JOBS, &pieces, until).await {
-            Ok(_) => return Written::Yes,
+            Ok(offset) => return Written::At(offset),
             Err(Error::NoEffect(why)) if !perhaps => {
                 log::info!(why:%; "append had no effect");
                 return Written::No;
@@ -170,9 +170,12 @@
         Some(false) => {}
     }
     match write(node, &Record::Ended(job.clone()), deadline).await {
-        Written::Yes => {
-            node.batch.runner.ended(&job);
-            Reply::Ended
+        Written::At(offset) => {
+            // This host answers for the end from now on, so it has to know it itself.
+            match follower::reached(node, offset + 1, deadline).await {
+                true => Reply::Ended,
+                false => Reply::TimedOut,
+            }
         }
         Written::No => Reply::Unsure,
         Written::Perhaps => Reply::TimedOut,
--- a/crates/tinbank-gateway/src/batch/runner/next.rs
+++ b/crates/tinbank-gateway/src/batch/runner/next.rs
@@ -87,13 +87,19 @@
         if first.as_ref().is_some_and(|first| first.due <= due) {
             continue;
         }
-        let avoid = paused.map(|paused| paused.failed_at.clone());
+        let service = route.service(node.draw())?.clone();
+        let failed_at = paused.map(|paused| paused.failed_at.clone());
+        let mut avoid = failed_at.unwrap_or_default();
+        // Where it has failed at all of them, one of them has to try again until its attempts are used up.
+        if !node.view.has_upstream_beside(&service, &avoid) {
+            avoid.clear();
+        }
         first = Some(Candidate {
             key,
             submission: job.submission,
             due,
-            service: route.service(node.draw())?.clone(),
-            avoid: avoid.unwrap_or_default(),
+            service,
+            avoid,
         });
         if !due.late {
             break;
--- a/crates/tinbank-gateway/src/run.rs
+++ b/crates/tinbank-gateway/src/run.rs
@@ -9,7 +9,6 @@
 use tinbank_allocator::directory::Peer;
 use tokio::{
     net::TcpListener,
-    signal::unix::{self, SignalKind},
     task::{self, LocalSet},
     time::{self, MissedTickBehavior},
 };
@@ -27,7 +26,7 @@
     serve,
     settings::Settings,
     sharing::{self, Sharing},
-    stop, view,
+    view,
 };
 
 /// How long a call to register the host may take.
@@ -48,9 +47,6 @@
         /// Why.
         source: std::io::Error,
     },
-    /// A signal can't be waited for.
-    #[error("can't wait for signals: {0}")]
-    Signal(#[source] std::io::Error),
 }
 
 /// The platform as the process sees it.
@@ -63,14 +59,21 @@
     pub engine: Rc<dyn Engine>,
 }
 
-/// Runs the process until it has stopped.
-pub async fn run(settings: Settings, platform: Platform) -> Result<(), Error> {
-    LocalSet::new().run_until(serve(settings, platform)).await
+/// Runs the process from now until `stop` is ready and its work is done.
+pub async fn run(
+    settings: Settings,
+    platform: Platform,
+    stop: impl Future<Output = ()>,
+) -> Result<(), Error> {
+    let tasks = LocalSet::new();
+    tasks.run_until(serve(settings, platform, stop)).await
 }
 
-async fn serve(settings: Settings, platform: Platform) -> Result<(), Error> {
-    let mut terminate = unix::signal(SignalKind::terminate()).map_err(Error::Signal)?;
-    let mut reload = unix::signal(SignalKind::hangup()).map_err(Error::Signal)?;
+async fn serve(
+    settings: Settings,
+    platform: Platform,
+    stop: impl Future<Output = ()>,
+) -> Result<(), Error> {
     let listen = settings.listen;
     let callers = bind("callers", listen.callers).await?;
     let readiness = bind("readiness checks", listen.readiness).await?;
@@ -93,22 +96,17 @@
     let node = Node::new(settings, store, ingress, engine, Rc::new(sharing));
     let node = Rc::new(node);
     start(&node, callers, readiness);
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = reload.recv() => log::info!("reload asked; the settings of a running process stay as they are"),
-        }
-    }
+    stop.await;
     let left = task::spawn_local({
         let node = Rc::clone(&node);
-        let work = stop::work(&node);
+        let work = crate::stop::work(&node);
         async move {
             let _work = work;
             batch::leave(&node).await;
             unregister(&node).await;
         }
     });
-    stop::stop(Rc::clone(&node)).await;
+    crate::stop::stop(Rc::clone(&node)).await;
     left.abort();
     Ok(())
 }
--- a/crates/tinbank-gateway/src/settings.rs
+++ b/crates/tinbank-gateway/src/settings.rs
@@ -23,6 +23,11 @@
     #[serde_as(as = "DurationSeconds<f64>")]
     #[serde(rename = "grace_s")]
     pub grace: Duration,
+    /// After a request to stop, the time for which new requests are still taken, because the balancer has not noticed
+    /// yet, in seconds. Source: two readiness checks of the balancer, a second apart, and their answers.
+    #[serde_as(as = "DurationSeconds<f64>")]
+    #[serde(rename = "balancer_s")]
+    pub balancer: Duration,
     /// For how long a job is readable after its submission, in seconds.
     #[serde_as(as = "DurationSeconds<f64>")]
     #[serde(rename = "job_readable_s")]
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -185,7 +185,8 @@
         if wanted.class.is_batch() {
             return Asked::Full;
         }
-        if denied && node.view.has_upstream(wanted.service) && wanted.queue != Queue::Any {
+        let is_known = node.view.has_upstream_beside(wanted.service, &[]);
+        if denied && is_known && wanted.queue != Queue::Any {
             return Asked::Full;
         }
         match self.choose(node, wanted) {
--- a/crates/tinbank-gateway/src/stop.rs
+++ b/crates/tinbank-gateway/src/stop.rs
@@ -10,9 +10,6 @@
 
 use crate::node::Node;
 
-/// For how long connections are still accepted after a request to stop: until the balancer has asked for readiness
-/// twice, a second apart, and has had its answers.
-const BALANCER: Duration = Duration::from_millis(3_200);
 /// Time before the process is killed at which it ends by itself.
 const MARGIN: Duration = Duration::from_millis(400);
 /// How often the process looks whether its work is done.
@@ -65,7 +62,8 @@
     node.stop.asked_at.set(Some(now));
     log::info!(busy = node.stop.busy.get(); "stop asked, not ready from now on");
     let end = kill_at - MARGIN;
-    time::sleep_until((now + BALANCER).min(end).into()).await;
+    let balanced = now + node.settings.balancer;
+    time::sleep_until(balanced.min(end).into()).await;
     node.stop.closing.set(true);
     node.stop.changed.notify_waiters();
     log::info!(busy = node.stop.busy.get(); "no new requests are taken");
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -73,10 +73,13 @@
         fit.cloned().collect()
     }
 
-    /// True if an upstream of a service takes requests.
-    pub fn has_upstream(&self, service: &str) -> bool {
+    /// True if an upstream of a service takes requests beside those given.
+    pub fn has_upstream_beside(&self, service: &str, others: &[id::Instance]) -> bool {
         let all = self.upstreams.borrow();
-        all.values().any(|it| !it.leaving && it.service == service)
+        let mut fit = all
+            .values()
+            .filter(|it| !it.leaving && it.service == service);
+        fit.any(|it| !others.contains(&it.instance))
     }
 
     /// True if the upstream is known to leave, or to be gone. One that is not listed yet may be new.
