--- a/crates/tinbank-gateway/src/batch/follower.rs
+++ b/crates/tinbank-gateway/src/batch/follower.rs
@@ -8,13 +8,14 @@
 use tinbank_jobs::{
     fold::Change,
     fragment::{Joiner, Whole},
+    job::Job,
     record::Record,
 };
 use tokio::time;
 
-use super::JOBS;
+use super::{JOBS, owner, partition};
 use crate::{
-    border::store::{Error, Offset, Page},
+    border::store::{Error, Offset, Page, Range},
     node::Node,
 };
 
@@ -22,8 +23,10 @@
 const WAIT_MS: u64 = 400;
 /// Time that the answer to a read may take beyond its wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Most bytes that are read at once: some thousand records, while a host needs little memory.
+const PAGE_BYTES: usize = 256 << 10;
 /// Pause between two reads that found records, so that several are read together.
-const REST: Duration = Duration::from_millis(60);
+const REST: Duration = Duration::from_millis(80);
 /// Pause after a read that failed.
 const RETRY: Duration = Duration::from_millis(100);
 /// Time beyond that for which a job is readable after which it is dropped: clocks of hosts differ.
@@ -39,14 +42,20 @@
     loop {
         let from = node.batch.next.get();
         let until = Instant::now() + Duration::from_millis(WAIT_MS) + ANSWER_TIMEOUT;
-        match node.store.read(JOBS, from, WAIT_MS, until).await {
+        let range = Range {
+            from,
+            bytes: PAGE_BYTES,
+            wait_ms: WAIT_MS,
+        };
+        match node.store.read(JOBS, range, until).await {
             Ok(page) => {
                 if std::mem::take(&mut failing) {
                     log::info!(offset = from; "log of jobs regained");
                 }
                 let news = !page.records.is_empty();
+                let end = page.end;
                 take_in(&node, &mut joiner, from, page);
-                if news && node.batch.known.get() {
+                if news && node.batch.next.get() >= end {
                     time::sleep(REST).await;
                 }
             }
@@ -67,6 +76,12 @@
             let kept = node.settings.job_readable + KEPT_MARGIN;
             let mut table = node.batch.table.borrow_mut();
             table.prune(kept, SystemTime::now());
+            let ttl = owner::ttl(&node);
+            let partitions = node.settings.store.partitions;
+            node.batch.contents.retain(|id| {
+                let is_open = table.job(id).is_some_and(Job::is_open);
+                is_open && node.batch.owner.holds(partition(id, partitions), ttl)
+            });
         }
     }
 }
@@ -74,8 +89,17 @@
 /// Waits until the table holds all that the log held when this was called. False if that takes too long.
 pub(super) async fn catch_up(node: &Node, until: Instant) -> bool {
     let from = node.batch.next.get();
-    let Ok(page) = node.store.read(JOBS, from, 0, until).await else {
-        return false;
+    let range = Range {
+        from,
+        bytes: 1,
+        wait_ms: 0,
+    };
+    let page = match node.store.read(JOBS, range, until).await {
+        Ok(page) => page,
+        Err(error) => {
+            log::info!(error:%; "end of the log of jobs not read");
+            return false;
+        }
     };
     reached(node, page.end, until).await
 }
--- a/crates/tinbank-gateway/src/batch/intake.rs
+++ b/crates/tinbank-gateway/src/batch/intake.rs
@@ -5,12 +5,12 @@
 use tinbank_jobs::{
     fold::Verdict,
     fragment,
-    record::{JobId, Record, Submission},
+    record::{Contents, JobId, Record, Stored, Submission},
 };
 use tinbank_relay::route::Route;
 use tokio::{sync::oneshot, time};
 
-use super::{JOBS, follower};
+use super::{JOBS, follower, large};
 use crate::{
     border::{
         ingress::{Reply, Request},
@@ -23,6 +23,13 @@
 
 /// How long one append may take before it is sent again. The fold drops what is written twice.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// How long the tries to write the contents of a job may take. An answer that is lost never comes, so the first try is
+/// short against the usual target for accepting a job; an answer of a slow store is waited for by the later ones.
+const CONTENTS_TIMEOUTS: [Duration; 3] = [
+    Duration::from_millis(150),
+    Duration::from_millis(300),
+    Duration::from_millis(600),
+];
 /// Pause before an append is sent again.
 const RETRY: Duration = Duration::from_millis(80);
 /// How long the end of a job is tried for.
@@ -70,9 +77,15 @@
         submitted_at: SystemTime::now(),
         retention: route.batch.retention,
         target: route.batch.target,
-        items,
+        items: items.iter().map(|it| it.item.clone()).collect(),
+        contents: Stored::default(),
     };
-    let record = Record::Submitted(submission);
+    let contents = Contents(items.into_iter().map(|it| it.content).collect());
+    let mut record = Record::Submitted(submission);
+    match write_contents(node, &contents, deadline).await {
+        Some(stored) => record.set_text(stored),
+        None => return refuse(call, "contents not written"),
+    }
     let (verdict, decided) = oneshot::channel();
     node.batch.verdicts.borrow_mut().insert(number, verdict);
     let reply = decide(node, call, &record, decided, deadline).await;
@@ -81,6 +94,30 @@
     reply
 }
 
+/// Writes the contents of a job. Without them there is no record of the job, so nothing of it runs.
+async fn write_contents(node: &Node, contents: &Contents, deadline: Instant) -> Option<Stored> {
+    let bytes = match contents.encode() {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::error!(error:%; "contents of a job can't be encoded");
+            return None;
+        }
+    };
+    for timeout in CONTENTS_TIMEOUTS {
+        let until = (Instant::now() + timeout).min(deadline);
+        match large::write(node, std::slice::from_ref(&bytes), until).await {
+            Ok(stored) => return stored.first().copied(),
+            // Nothing of the job runs yet, so a second copy of its contents is harmless.
+            Err(Error::Unknown(why)) => log::info!(why:%; "contents of a job not acknowledged"),
+            Err(error) => {
+                log::info!(error:%; "contents of a job not written");
+                return None;
+            }
+        }
+    }
+    None
+}
+
 async fn decide(
     node: &Node,
     call: &Request,
--- a/crates/tinbank-gateway/src/batch/item.rs
+++ b/crates/tinbank-gateway/src/batch/item.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tinbank_allocator::lease::Outcome;
-use tinbank_jobs::record::{Piece, RunId};
+use tinbank_jobs::record::{Piece, RunId, Stored};
 use tinbank_relay::event::{self, Event, Splitter};
 use tokio::time;
 
@@ -77,17 +77,17 @@
         self.last > self.written
     }
 
-    /// The events that are not on their way to the log yet.
-    pub fn piece(&mut self) -> Piece {
+    /// The events that are not on their way to the log yet, and their data. Where that stands is not known yet.
+    pub fn piece(&mut self) -> (Piece, Bytes) {
         let piece = Piece {
             run: self.run,
             started_after: self.started_after,
             after: self.written,
             last: self.last,
-            data: Bytes::from(std::mem::take(&mut self.data)),
+            text: Stored::default(),
         };
         self.written = self.last;
-        piece
+        (piece, Bytes::from(std::mem::take(&mut self.data)))
     }
 
     /// Takes in an event. False if it is not the next one.
--- a/crates/tinbank-gateway/src/batch/mod.rs
+++ b/crates/tinbank-gateway/src/batch/mod.rs
@@ -1,8 +1,10 @@
 //! Batch jobs: taken in, run, and read, all by way of the log.
 
+mod contents;
 mod follower;
 pub(crate) mod intake;
 mod item;
+mod large;
 mod owner;
 pub(crate) mod results;
 mod runner;
@@ -42,6 +44,8 @@
     owner: owner::Owner,
     runner: runner::Runner,
     writer: writer::Writer,
+    contents: contents::Contents,
+    large: large::Large,
 }
 
 impl Batch {
@@ -56,6 +60,8 @@
             owner: owner::Owner::default(),
             runner: runner::Runner::default(),
             writer: writer::Writer::default(),
+            contents: contents::Contents::default(),
+            large: large::Large::default(),
         }
     }
 
--- a/crates/tinbank-gateway/src/batch/results.rs
+++ b/crates/tinbank-gateway/src/batch/results.rs
@@ -1,16 +1,20 @@
 //! Reads results and the bodies of waiting items.
 
-use std::{
-    cmp::Ordering,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
-use tinbank_jobs::job::{Final, Job};
+use bytes::{Bytes, BytesMut};
+use tinbank_jobs::{
+    job::{Final, Job},
+    record::Stored,
+};
 use tokio::time;
 
-use super::follower;
+use super::{contents, follower, large};
 use crate::{
-    border::ingress::{Listed, Page, Reply},
+    border::{
+        ingress::{Listed, Page, Reply, Text},
+        store::Error,
+    },
     node::Node,
 };
 
@@ -23,6 +27,13 @@
 /// How long a host may take to read the log to its end before it says that it can't tell.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Where the results of a page stand.
+struct Outline {
+    total: u32,
+    next: usize,
+    results: Vec<(String, Final)>,
+}
+
 /// Results of a job from a position on.
 pub(crate) async fn page(node: &Node, job: &str, from: usize, wait: Duration) -> Reply {
     let until = Instant::now() + wait;
@@ -37,10 +48,10 @@
     }
     loop {
         let changed = node.batch.changed.notified();
-        if let Some(page) = read(node, job, from)
-            && (!page.results.is_empty() || page.next == page.total as usize)
+        if let Some(outline) = outline(node, job, from)
+            && (!outline.results.is_empty() || outline.next == outline.total as usize)
         {
-            return Reply::Results(page);
+            return fill(node, job, outline).await;
         }
         if time::timeout_at(until.into(), changed).await.is_err() {
             break;
@@ -49,7 +60,53 @@
     if !node.batch.is_fresh(FRESH) {
         return unsure(job, "log read too long ago");
     }
-    read(node, job, from).map_or(Reply::NotFound, Reply::Results)
+    match outline(node, job, from) {
+        Some(outline) => fill(node, job, outline).await,
+        None => not_found(job),
+    }
+}
+
+/// Reads the texts of a page. Those behind one that can't be read now are left for the next call.
+async fn fill(node: &Node, job: &str, outline: Outline) -> Reply {
+    let from = outline.next - outline.results.len();
+    let mut results = Vec::with_capacity(outline.results.len());
+    for (item, result) in &outline.results {
+        let result = match result {
+            Final::Abandoned(reason) => Text::Abandoned(*reason),
+            Final::Completed(pieces) => match text(node, pieces).await {
+                Ok(text) => Text::Completed(text),
+                Err(error) => {
+                    log::warn!(job, item:%, error:%; "text of a result not read");
+                    break;
+                }
+            },
+        };
+        results.push(Listed {
+            item: item.clone(),
+            result,
+        });
+    }
+    if results.is_empty() && !outline.results.is_empty() {
+        return unsure(job, "texts not read");
+    }
+    Reply::Results(Page {
+        total: outline.total,
+        next: from + results.len(),
+        results,
+    })
+}
+
+/// A text from its pieces, without the line feed behind its last event.
+async fn text(node: &Node, pieces: &[Stored]) -> Result<Bytes, Error> {
+    let size = pieces.iter().map(|piece| piece.bytes as usize).sum();
+    let mut text = BytesMut::with_capacity(size);
+    for piece in pieces {
+        text.extend_from_slice(&large::read(node, *piece).await?);
+    }
+    if text.ends_with(b"\n") {
+        text.truncate(text.len() - 1);
+    }
+    Ok(text.freeze())
 }
 
 /// The body of an item that has no result yet.
@@ -57,7 +114,7 @@
     let known = |node: &Node| {
         let table = node.batch.table.borrow();
         let job = table.job(job)?;
-        Some(job.waiting(item).map(|item| item.body.clone()))
+        Some((job.waiting(item), job.contents))
     };
     if known(node).is_none() {
         let until = Instant::now() + CATCH_UP_TIMEOUT;
@@ -65,9 +122,15 @@
             return unsure(job, "log not read to its end");
         }
     }
-    match known(node) {
-        Some(Some(body)) => Reply::Body(body),
-        Some(None) | None => not_found(job),
+    let Some((Some(index), stored)) = known(node) else {
+        return not_found(job);
+    };
+    let Some(contents) = contents::read(node, stored).await else {
+        return unsure(job, "contents not read");
+    };
+    match contents.0.into_iter().nth(index as usize) {
+        Some(content) => Reply::Body(content.body),
+        None => not_found(job),
     }
 }
 
@@ -85,22 +148,19 @@
     node.batch.table.borrow().job(job).map(Job::listed)
 }
 
-fn read(node: &Node, job: &str, from: usize) -> Option<Page> {
+fn outline(node: &Node, job: &str, from: usize) -> Option<Outline> {
     let table = node.batch.table.borrow();
     let job = table.job(job)?;
     let mut bytes = 0;
     let mut results = Vec::new();
     for listed in job.results(from) {
         bytes += RESULT_BYTES + text_bytes(listed.result);
-        if bytes.cmp(&PAGE_BYTES) == Ordering::Greater && !results.is_empty() {
+        if bytes > PAGE_BYTES && !results.is_empty() {
             break;
         }
-        results.push(Listed {
-            item: listed.item.to_owned(),
-            result: listed.result.clone(),
-        });
+        results.push((listed.item.to_owned(), listed.result.clone()));
     }
-    Some(Page {
+    Some(Outline {
         total: job.total() as u32,
         next: from + results.len(),
         results,
@@ -109,7 +169,7 @@
 
 fn text_bytes(result: &Final) -> usize {
     match result {
-        Final::Completed(text) => text.len(),
+        Final::Completed(pieces) => pieces.iter().map(|piece| piece.bytes as usize).sum(),
         Final::Abandoned(_) => 0,
     }
 }
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use tinbank_allocator::{frame::Queue, lease::Class};
 use tinbank_base::id;
 use tinbank_jobs::record::{Advance, Finish, Index, JobId, Outcome, Reason, Record, RunId};
@@ -18,7 +19,7 @@
 use self::next::Candidate;
 use super::item::{self, Ended, Progress};
 use crate::{
-    border::engine::Request,
+    border::engine::{self, Request},
     identity,
     node::Node,
     sharing::{Asked, Lease, Wanted},
@@ -116,6 +117,7 @@
             run.stop.notify_one();
         }
         self.paused.borrow_mut().retain(|key, _| key.0 != *job);
+        self.routes_gone.borrow_mut().remove(job);
     }
 
     fn drop_run(&self, job: &JobId, index: Index, wait: Duration) {
@@ -191,7 +193,15 @@
     let Some(item) = job.runnable(key.1) else {
         return;
     };
-    let request = node.engine.item(&job.host, item);
+    let Some(content) = node.batch.contents.of_item(&key.0, key.1) else {
+        return;
+    };
+    let request = node.engine.item(engine::Item {
+        host: &job.host,
+        id: &item.id,
+        path: &item.path,
+        content: &content,
+    });
     let max_attempts = job.max_attempts;
     let in_log = job.progress(key.1).last;
     drop(table);
@@ -249,13 +259,16 @@
         drop(pace);
         log::info!(job:% = self.key.0, item = self.key.1, upstream:%, run = number, last, ended:?; "item left its upstream");
         match ended {
-            Ended::Completed => return self.finish(Outcome::Completed(progress.piece())),
-            Ended::Impossible => return self.finish(Outcome::Abandoned(Reason::Impossible)),
+            Ended::Completed => {
+                let (piece, data) = progress.piece();
+                return self.finish(Outcome::Completed(piece), data);
+            }
+            Ended::Impossible => return self.abandon(Reason::Impossible),
             Ended::Failed => {
                 self.paused.failures += 1;
                 self.paused.failed_at.push(upstream);
                 if self.paused.failures >= self.max_attempts {
-                    return self.finish(Outcome::Abandoned(Reason::Attempts));
+                    return self.abandon(Reason::Attempts);
                 }
             }
             Ended::Broken | Ended::Reclaimed | Ended::Stopped => {}
@@ -264,7 +277,7 @@
             return;
         }
         if progress.has_news() {
-            self.write(Record::Advanced(self.advance(&mut progress)));
+            self.advance(&mut progress);
         }
         self.paused.last = last;
         let wait = match ended {
@@ -284,8 +297,7 @@
         loop {
             ticks.tick().await;
             if progress.borrow().has_news() {
-                let advance = self.advance(&mut progress.borrow_mut());
-                self.write(Record::Advanced(advance));
+                self.advance(&mut progress.borrow_mut());
             }
         }
     }
@@ -297,25 +309,29 @@
         run.is_some_and(|run| Rc::ptr_eq(run, &self.run))
     }
 
-    fn advance(&self, progress: &mut Progress) -> Advance {
-        Advance {
+    /// Writes how far the run has got.
+    fn advance(&self, progress: &mut Progress) {
+        let (piece, data) = progress.piece();
+        let record = Record::Advanced(Advance {
             job: self.key.0.clone(),
             submission: self.submission,
             index: self.key.1,
-            piece: progress.piece(),
-        }
+            piece,
+        });
+        self.node.batch.writer.add(record, data);
+    }
+
+    fn abandon(&self, reason: Reason) {
+        self.finish(Outcome::Abandoned(reason), Bytes::new());
     }
 
     /// Writes the result. The item counts as running until the log has it, so that it does not run again meanwhile.
-    fn finish(&self, result: Outcome) {
+    fn finish(&self, result: Outcome, data: Bytes) {
         if self.is_current() {
-            self.write(finished(&self.key, self.submission, result));
+            let record = finished(&self.key, self.submission, result);
+            self.node.batch.writer.add(record, data);
         }
     }
-
-    fn write(&self, record: Record) {
-        write(&self.node, &self.key, &record);
-    }
 }
 
 /// Gives an item up that does not run.
@@ -325,7 +341,7 @@
         stop: Notify::new(),
     });
     let record = finished(&key, submission, Outcome::Abandoned(reason));
-    write(node, &key, &record);
+    node.batch.writer.add(record, Bytes::new());
     node.batch.runner.running.borrow_mut().insert(key, run);
 }
 
@@ -337,12 +353,3 @@
         result,
     })
 }
-
-fn write(node: &Node, key: &Key, record: &Record) {
-    match record.encode() {
-        Ok(record) => node.batch.writer.add(record),
-        Err(error) => {
-            log::error!(job:% = key.0, item = key.1, error:%; "record of an item can't be encoded");
-        }
-    }
-}
--- a/crates/tinbank-gateway/src/batch/runner/next.rs
+++ b/crates/tinbank-gateway/src/batch/runner/next.rs
@@ -1,6 +1,9 @@
 //! Which item runs next.
 
-use std::time::{Duration, Instant, SystemTime};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant, SystemTime},
+};
 
 use tinbank_allocator::lease::Due;
 use tinbank_base::id;
@@ -9,7 +12,7 @@
 
 use super::{Key, give_up};
 use crate::{
-    batch::{owner, partition},
+    batch::{contents, owner, partition},
     node::Node,
 };
 
@@ -30,7 +33,7 @@
 
 /// The item that is due first among those that this process owns and that may run now. Those that can't be in time any
 /// more come behind all others, for a late result is worth little, and the time it takes makes others late as well.
-pub(super) fn next(node: &Node) -> Option<Candidate> {
+pub(super) fn next(node: &Rc<Node>) -> Option<Candidate> {
     if node.stop.is_stopping() || !node.batch.is_known() {
         return None;
     }
@@ -56,7 +59,7 @@
 }
 
 /// The item of a job that runs next.
-fn next_of(node: &Node, config: &Config, job: &Job) -> Option<Candidate> {
+fn next_of(node: &Rc<Node>, config: &Config, job: &Job) -> Option<Candidate> {
     let runner = &node.batch.runner;
     let expired = SystemTime::now() > job.expires_at + CLOCK_MARGIN;
     let mut first: Option<Candidate> = None;
@@ -69,6 +72,10 @@
             give_up(node, key, job.submission, Reason::Expired);
             continue;
         }
+        if !node.batch.contents.has(&job.id) {
+            contents::fetch(node, job);
+            return None;
+        }
         let Some(route) = config.route(&job.host, &item.path) else {
             if is_route_gone(node, job) {
                 give_up(node, key, job.submission, Reason::RouteRemoved);
--- a/crates/tinbank-gateway/src/border/engine.rs
+++ b/crates/tinbank-gateway/src/border/engine.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use http_body_util::Full;
-use tinbank_jobs::record::Item;
+use tinbank_jobs::record::Content;
 use tinbank_relay::event;
 
 /// A request as it came; each attempt sends it on.
@@ -23,6 +23,19 @@
     pub body: Bytes,
 }
 
+/// A batch item to send.
+#[derive(Clone, Copy, Debug)]
+pub struct Item<'a> {
+    /// Host name that its job was submitted under.
+    pub host: &'a str,
+    /// Name of the item.
+    pub id: &'a str,
+    /// Path that it is sent to.
+    pub path: &'a str,
+    /// What it is sent with.
+    pub content: &'a Content,
+}
+
 /// What is particular to one attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct Attempt<'a> {
@@ -57,8 +70,8 @@
 pub trait Engine {
     /// The request of a caller, by its head and body.
     fn relayed(&self, id: &str, head: &http::request::Parts, body: Bytes) -> Request;
-    /// The request of a batch item. The host name is that of its job.
-    fn item(&self, host: &str, item: &Item) -> Request;
+    /// The request of a batch item.
+    fn item(&self, item: Item<'_>) -> Request;
     /// The bytes of an attempt.
     fn encode(&self, request: &Request, attempt: Attempt<'_>) -> http::Request<Full<Bytes>>;
     /// What the head of an answer says.
--- a/crates/tinbank-gateway/src/border/ingress.rs
+++ b/crates/tinbank-gateway/src/border/ingress.rs
@@ -3,10 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tinbank_jobs::{
-    job::Final,
-    record::{Index, Item, ItemId, JobId},
-};
+use tinbank_jobs::record::{self, Content, Index, ItemId, JobId, Reason};
 use tinbank_relay::event;
 
 use super::Body;
@@ -64,13 +61,31 @@
     pub problem: String,
 }
 
+/// An item as a caller submits it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// What every host knows of it.
+    pub item: record::Item,
+    /// What it is sent with.
+    pub content: Content,
+}
+
+/// The result of an item for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Text {
+    /// The data of all events, in order, separated by line feeds.
+    Completed(Bytes),
+    /// The item is given up.
+    Abandoned(Reason),
+}
+
 /// A result at its position.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
     /// The item.
     pub item: ItemId,
     /// What came of it.
-    pub result: Final,
+    pub result: Text,
 }
 
 /// Results of a job from a position on.
--- a/crates/tinbank-gateway/src/border/store.rs
+++ b/crates/tinbank-gateway/src/border/store.rs
@@ -37,6 +37,8 @@
 pub enum Topic {
     /// Records of batch jobs, all in partition 0.
     Jobs,
+    /// Contents and texts of items, which hosts read only when they need them.
+    Contents,
     /// Holds no records that count; its partitions say who runs which jobs.
     Owners,
 }
@@ -50,6 +52,17 @@
     pub partition: Partition,
 }
 
+/// Which records are read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Range {
+    /// Offset of the first one.
+    pub from: Offset,
+    /// About so many bytes at the most; one record at least, if there is any.
+    pub bytes: usize,
+    /// How long the call may wait for the first one, in milliseconds.
+    pub wait_ms: u64,
+}
+
 /// A stretch of a partition.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
@@ -123,14 +136,8 @@
 pub trait Store {
     /// Appends records to a partition, all or none. Answers the offset of the first.
     async fn append(&self, at: Place, records: &[Bytes], until: Instant) -> Result<Offset, Error>;
-    /// Reads records from an offset on, and waits up to `wait_ms` for the first.
-    async fn read(
-        &self,
-        at: Place,
-        from: Offset,
-        wait_ms: u64,
-        until: Instant,
-    ) -> Result<Page, Error>;
+    /// Reads records from an offset on, and waits for the first as long as the range says.
+    async fn read(&self, at: Place, range: Range, until: Instant) -> Result<Page, Error>;
     /// The newest entries of a list.
     async fn newest(&self, list: List, until: Instant) -> Result<Entries, Error>;
     /// What was written to a list since a position; waits up to `wait_ms` for it.
--- a/crates/tinbank-jobs/src/job.rs
+++ b/crates/tinbank-jobs/src/job.rs
@@ -2,9 +2,7 @@
 
 use std::time::{Duration, SystemTime};
 
-use bytes::{Bytes, BytesMut};
-
-use crate::record::{Index, Item, JobId, Outcome, Piece, Reason, RunId, Submission};
+use crate::record::{Index, Item, JobId, Outcome, Piece, Reason, RunId, Stored, Submission};
 
 /// A job.
 #[derive(Clone, Debug)]
@@ -27,6 +25,8 @@
     pub expires_at: SystemTime,
     /// The caller has ended it.
     pub ended: bool,
+    /// Where the contents of its items stand.
+    pub contents: Stored,
     entries: Vec<Entry>,
     listed: Vec<Index>,
 }
@@ -36,15 +36,15 @@
 struct Entry {
     item: Item,
     progress: Progress,
-    text: BytesMut,
+    text: Vec<Stored>,
     result: Option<Final>,
 }
 
 /// The result of an item, whole.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Final {
-    /// The data of all events, in order, separated by line feeds.
-    Completed(Bytes),
+    /// Where the data of all events stands, in order, each with a line feed behind it.
+    Completed(Vec<Stored>),
     /// The item is given up, for the reason given.
     Abandoned(Reason),
 }
@@ -91,6 +91,7 @@
             due_at: it.submitted_at + it.target,
             expires_at: it.submitted_at + it.retention,
             ended: false,
+            contents: it.contents,
             entries: entries.map(Entry::new).collect(),
             listed: Vec::new(),
         }
@@ -142,10 +143,11 @@
         (!self.ended && entry.result.is_none()).then_some(&entry.item)
     }
 
-    /// An item of a job that was not ended, by its name, as long as it has no result.
-    pub fn waiting(&self, item: &str) -> Option<&Item> {
-        let entry = self.entries.iter().find(|entry| entry.item.id == item)?;
-        (!self.ended && entry.result.is_none()).then_some(&entry.item)
+    /// The index of an item of a job that was not ended, by its name, as long as it has no result.
+    pub fn waiting(&self, item: &str) -> Option<Index> {
+        let mut pending = self.pending();
+        let (index, _) = pending.find(|(_, pending)| pending.id == item)?;
+        (!self.ended).then_some(index)
     }
 
     /// True if the item has a result.
@@ -187,11 +189,11 @@
                 if entry.add(piece) == Step::Refused {
                     return Step::Refused;
                 }
-                Final::Completed(entry.whole_text())
+                Final::Completed(std::mem::take(&mut entry.text))
             }
         };
         entry.result = Some(result);
-        entry.forget();
+        entry.text = Vec::new();
         self.listed.push(index);
         Step::Taken
     }
@@ -206,7 +208,6 @@
 
     pub(crate) fn end(&mut self) {
         self.ended = true;
-        self.entries.iter_mut().for_each(Entry::forget);
     }
 }
 
@@ -215,7 +216,7 @@
         Self {
             item,
             progress: Progress::default(),
-            text: BytesMut::new(),
+            text: Vec::new(),
             result: None,
         }
     }
@@ -229,25 +230,11 @@
         if piece.after != last || !goes_on {
             return Step::Refused;
         }
-        self.text.extend_from_slice(&piece.data);
+        self.text.push(piece.text);
         self.progress = Progress {
             last: piece.last,
             run: piece.run,
         };
         Step::Taken
     }
-
-    /// The text without the line feed behind its last event.
-    fn whole_text(&mut self) -> Bytes {
-        let text = std::mem::take(&mut self.text);
-        let length = text.len() - usize::from(text.ends_with(b"\n"));
-        Bytes::copy_from_slice(&text[..length])
-    }
-
-    /// Drops what only a further run would need.
-    fn forget(&mut self) {
-        self.item.body = Bytes::new();
-        self.item.headers = Vec::new();
-        self.text = BytesMut::new();
-    }
 }
--- a/crates/tinbank-jobs/src/record.rs
+++ b/crates/tinbank-jobs/src/record.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_with::{DurationMilliSeconds, TimestampMilliSeconds, serde_as};
 
 /// Name that the caller gave a job.
@@ -73,21 +73,45 @@
     pub target: Duration,
     /// The items.
     pub items: Vec<Item>,
+    /// Their contents.
+    pub contents: Stored,
 }
 
-/// An item, passed on as it came.
+/// What every host knows of an item.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
     /// Name of the item.
     pub id: ItemId,
     /// Path that it is sent to.
     pub path: String,
-    /// Headers that it is sent with.
+    /// Tokens of the prompt and the most that come out, added up.
+    pub tokens: u64,
+}
+
+/// What an item is sent with, as it came. Only the host that runs it reads it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Content {
+    /// Headers of the item.
     pub headers: Vec<Header>,
     /// Its body.
     pub body: Bytes,
-    /// Tokens of the prompt and the most that come out, added up.
-    pub tokens: u64,
+}
+
+/// The contents of all items of a job, in their order; a record of its own beside the job's.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contents(pub Vec<Content>);
+
+/// Where something large stands, which hosts read only when they need it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Stored {
+    /// Partition of the topic of large records.
+    pub partition: u32,
+    /// Offset of its first record.
+    pub offset: u64,
+    /// Number of records, which stand next to each other.
+    pub records: u32,
+    /// Bytes in all.
+    pub bytes: u32,
 }
 
 /// A header of an item.
@@ -140,7 +164,7 @@
     /// Last event of the piece.
     pub last: u64,
     /// The data of the events, each with a line feed behind it.
-    pub data: Bytes,
+    pub text: Stored,
 }
 
 /// What came of an item.
@@ -165,20 +189,54 @@
     RouteRemoved,
 }
 
+impl Contents {
+    /// The bytes of the record.
+    pub fn encode(&self) -> Result<Bytes, Error> {
+        encode(self)
+    }
+
+    /// The contents of some bytes.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        decode(bytes)
+    }
+}
+
 impl Record {
     /// The bytes of a record.
     pub fn encode(&self) -> Result<Bytes, Error> {
-        let head = Vec::from([VERSION]);
-        Ok(Bytes::from(postcard::to_extend(self, head)?))
+        encode(self)
     }
 
     /// The record of some bytes.
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
-        match bytes.split_first() {
-            Some((&VERSION, rest)) => Ok(postcard::from_bytes(rest)?),
-            other => Err(Error::Version {
-                found: other.map(|(version, _)| *version),
-            }),
+        decode(bytes)
+    }
+
+    /// Says where the text stands that the record tells of, if it tells of any.
+    pub fn set_text(&mut self, text: Stored) {
+        match self {
+            Self::Advanced(advance) => advance.piece.text = text,
+            Self::Finished(finish) => {
+                if let Outcome::Completed(piece) = &mut finish.result {
+                    piece.text = text;
+                }
+            }
+            Self::Submitted(submission) => submission.contents = text,
+            Self::Ended(_) => {}
         }
     }
 }
+
+fn encode(value: &impl Serialize) -> Result<Bytes, Error> {
+    let head = Vec::from([VERSION]);
+    Ok(Bytes::from(postcard::to_extend(value, head)?))
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+    match bytes.split_first() {
+        Some((&VERSION, rest)) => Ok(postcard::from_bytes(rest)?),
+        other => Err(Error::Version {
+            found: other.map(|(version, _)| *version),
+        }),
+    }
+}
