--- a/crates/tinbank-entry/src/command.rs
+++ b/crates/tinbank-entry/src/command.rs
@@ -4,7 +4,7 @@
 
 use argh::FromArgs;
 
-use crate::{logs, settings, signals};
+use crate::{logs, metrics, settings, signals};
 
 /// Exit code of a process that was told to stop.
 const STOPPED: u8 = 0;
@@ -39,6 +39,7 @@
         return ExitCode::from(STOPPED);
     }
     let _flush = logs::start();
+    let metrics = metrics::start();
     let platform = tinbank_adapter::platform(&settings.store);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -46,7 +47,7 @@
     let ended = match runtime {
         Ok(runtime) => runtime.block_on(async {
             let stop = signals::stop().map_err(|error| error.to_string())?;
-            let ended = tinbank_gateway::run(settings, platform, stop).await;
+            let ended = tinbank_gateway::run(settings, platform, metrics, stop).await;
             ended.map_err(|error| error.to_string())
         }),
         Err(error) => Err(format!("can't start the runtime: {error}")),
--- a/crates/tinbank-entry/src/main.rs
+++ b/crates/tinbank-entry/src/main.rs
@@ -2,6 +2,7 @@
 
 mod command;
 mod logs;
+mod metrics;
 mod settings;
 mod signals;
 
--- a/crates/tinbank-gateway/src/batch/follower.rs
+++ b/crates/tinbank-gateway/src/batch/follower.rs
@@ -16,6 +16,7 @@
 use super::{JOBS, owner, partition};
 use crate::{
     border::store::{Error, Offset, Page, Range},
+    measure,
     node::Node,
 };
 
@@ -50,6 +51,7 @@
         match node.store.read(JOBS, range, until).await {
             Ok(page) => {
                 if std::mem::take(&mut failing) {
+                    measure::store("jobs", true);
                     log::info!(offset = from; "log of jobs regained");
                 }
                 let news = !page.records.is_empty();
@@ -66,6 +68,7 @@
             }
             Err(error) => {
                 if !std::mem::replace(&mut failing, true) {
+                    measure::store("jobs", false);
                     log::warn!(offset = from, error:%; "log of jobs lost");
                 }
                 time::sleep(RETRY).await;
--- a/crates/tinbank-gateway/src/batch/item.rs
+++ b/crates/tinbank-gateway/src/batch/item.rs
@@ -60,6 +60,20 @@
     Stopped,
 }
 
+impl Ended {
+    /// The name for metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Completed => "completed",
+            Self::Impossible => "impossible",
+            Self::Failed => "failed",
+            Self::Broken => "broken",
+            Self::Reclaimed => "reclaimed",
+            Self::Stopped => "stopped",
+        }
+    }
+}
+
 impl Progress {
     /// A run that goes on behind an event.
     pub fn new(run: RunId, started_after: event::Id) -> Self {
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -20,7 +20,7 @@
 use super::item::{self, Ended, Progress};
 use crate::{
     border::engine::{self, Request},
-    identity,
+    identity, measure,
     node::Node,
     sharing::{Asked, Lease, Wanted},
 };
@@ -258,6 +258,7 @@
         }
         drop(pace);
         log::info!(job:% = self.key.0, item = self.key.1, upstream:%, run = number, last, ended:?; "item left its upstream");
+        measure::item_left(ended.name());
         match ended {
             Ended::Completed => {
                 let (piece, data) = progress.piece();
--- a/crates/tinbank-gateway/src/lib.rs
+++ b/crates/tinbank-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod clock;
 pub mod exchange;
 mod identity;
+mod measure;
 mod node;
 mod relay;
 mod run;
@@ -17,4 +18,4 @@
 mod stop;
 mod view;
 
-pub use run::{Error, Platform, run};
+pub use run::{Error, Metrics, Platform, run};
--- /dev/null
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -0,0 +1,68 @@
+//! Counters and histograms. `docs/OPERATIONS.md` says what each of them means; labels take few values.
+
+use std::time::Duration;
+
+use tinbank_allocator::lease::Class;
+
+use crate::{border::ingress::Reply, sharing::Answer};
+
+/// A request for a route was answered by the system itself, without an upstream's answer.
+pub(crate) fn replied(reply: &Reply) {
+    let reply = match reply {
+        Reply::Accepted => "accepted",
+        Reply::OverQuota { .. } => "over_quota",
+        Reply::NotRun { .. } => "not_run",
+        Reply::Unsure => "unsure",
+        Reply::Failed => "failed",
+        Reply::TimedOut => "timed_out",
+        Reply::NoRoute => "no_route",
+        Reply::NotFound => "not_found",
+        Reply::TooLarge => "too_large",
+        Reply::Malformed(_) => "malformed",
+        Reply::Results(_) => "results",
+        Reply::Body(_) => "body",
+        Reply::Ended => "ended",
+        Reply::Ready | Reply::NotReady => return,
+    };
+    metrics::counter!("tinbank_entry_replies_total", "reply" => reply).increment(1);
+}
+
+/// The head of an upstream's answer is on its way to the caller.
+pub(crate) fn began(waited: Duration) {
+    metrics::histogram!("tinbank_entry_first_answer_seconds").record(waited);
+}
+
+/// A stream was broken, and goes on elsewhere or not.
+pub(crate) fn broke(resumable: bool) {
+    let resumable = if resumable { "yes" } else { "no" };
+    metrics::counter!("tinbank_entry_broken_streams_total", "resumable" => resumable).increment(1);
+}
+
+/// An attempt at an upstream gave no answer.
+pub(crate) fn attempt_failed(why: &'static str) {
+    metrics::counter!("tinbank_entry_failed_attempts_total", "why" => why).increment(1);
+}
+
+/// An allocator was asked for a slot.
+pub(crate) fn asked(class: Class, answer: Answer, took: Duration) {
+    let class = if class.is_batch() { "batch" } else { "online" };
+    let answer = match answer {
+        Answer::Granted => "granted",
+        Answer::Denied => "denied",
+        Answer::Silent => "silent",
+    };
+    metrics::counter!("tinbank_entry_asks_total", "class" => class, "answer" => answer)
+        .increment(1);
+    metrics::histogram!("tinbank_entry_ask_seconds").record(took);
+}
+
+/// A batch item left its upstream.
+pub(crate) fn item_left(ended: &'static str) {
+    metrics::counter!("tinbank_entry_item_runs_total", "ended" => ended).increment(1);
+}
+
+/// A list or log at the store was lost, or regained.
+pub(crate) fn store(what: &'static str, reached: bool) {
+    let value = if reached { 1.0 } else { 0.0 };
+    metrics::gauge!("tinbank_entry_store_reached", "what" => what).set(value);
+}
--- a/crates/tinbank-gateway/src/relay/attempt.rs
+++ b/crates/tinbank-gateway/src/relay/attempt.rs
@@ -10,6 +10,7 @@
 use crate::{
     border::engine::{Attempt, Request, Verdict},
     exchange::{self, Error, Guard, Until},
+    measure,
     node::Node,
     sharing::Lease,
 };
@@ -69,6 +70,13 @@
     let (head, body) = answer.into_parts();
     let verdict = node.engine.judge(request, &head);
     let status = head.status.as_u16();
+    match verdict {
+        Verdict::NotRun => measure::attempt_failed("refused"),
+        Verdict::OtherInstance => measure::attempt_failed("other_instance"),
+        Verdict::OtherRequest => measure::attempt_failed("other_request"),
+        Verdict::Unclear => measure::attempt_failed("unclear"),
+        Verdict::Answer | Verdict::Failed | Verdict::Impossible => {}
+    }
     match verdict {
         Verdict::NotRun => {
             log::info!(request:% = request.id, upstream:% = lease.upstream, status; "upstream refused, not run");
@@ -103,6 +111,11 @@
 
 fn failed(request: &Request, lease: &Lease, error: Error) -> Trouble {
     log::info!(request:% = request.id, upstream:% = lease.upstream, error:%; "attempt without an answer");
+    measure::attempt_failed(match error {
+        Error::NotSent(_) => "not_sent",
+        Error::Lost(_) => "lost",
+        Error::Silent => "silent",
+    });
     let (trouble, outcome) = match error {
         Error::NotSent(_) => (Trouble::NotRun, Outcome::Silent),
         Error::Lost(_) => (Trouble::Lost, Outcome::Failed),
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -35,6 +35,7 @@
         engine::Verdict,
         ingress::{self, Reply},
     },
+    measure,
     node::Node,
     sharing::{Asked, Wanted},
 };
@@ -89,11 +90,11 @@
     let deadline = received + time.min(route.timeout);
     let body = match read(body, config.limits.body_bytes, deadline).await {
         Ok(body) => body,
-        Err(reply) => return node.ingress.encode(reply),
+        Err(reply) => return reply_with(node, reply),
     };
     if route.kind == Kind::Batch {
         let reply = batch::intake::submit(node, &route, &call, &body, deadline).await;
-        return node.ingress.encode(reply);
+        return reply_with(node, reply);
     }
     let relay = Relay {
         node: Rc::clone(node),
@@ -117,14 +118,20 @@
         );
     }
     log::info!(request:% = call.id, host:% = call.host, path:% = call.path, version; "no route");
-    node.ingress.encode(Reply::NoRoute)
+    reply_with(node, Reply::NoRoute)
 }
 
 fn refuse(node: &Node, id: &str, why: &'static str) -> Response<Body> {
     log::info!(request:% = id, why; "refused, not run");
-    node.ingress.encode(Reply::NotRun {
+    let reply = Reply::NotRun {
         retry_after: RETRY_AFTER,
-    })
+    };
+    reply_with(node, reply)
+}
+
+fn reply_with(node: &Node, reply: Reply) -> Response<Body> {
+    measure::replied(&reply);
+    node.ingress.encode(reply)
 }
 
 async fn read(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Reply> {
@@ -264,6 +271,7 @@
             guard,
             verdict,
         } = opened;
+        measure::began(self.received.elapsed());
         let passed = self.node.engine.pass_on(head);
         let is_stream =
             verdict == Verdict::Answer && matches!(self.route.kind, Kind::Stream { .. });
@@ -292,6 +300,6 @@
             Next::Fail => Reply::Failed,
         };
         log::info!(request:% = id, route:% = self.route.name, tried, reply:?; "no answer");
-        self.node.ingress.encode(reply)
+        reply_with(&self.node, reply)
     }
 }
--- a/crates/tinbank-gateway/src/relay/stream.rs
+++ b/crates/tinbank-gateway/src/relay/stream.rs
@@ -21,6 +21,7 @@
 use crate::{
     border::{Aborted, Body, engine::Verdict},
     exchange::Guard,
+    measure,
     sharing::Lease,
 };
 
@@ -167,6 +168,7 @@
         let resumable = self.is_resumable();
         let from = self.source.as_ref().map(|it| it.lease.upstream.clone());
         self.end(outcome);
+        measure::broke(resumable);
         let id = &self.relay.request.id;
         log::info!(request:% = id, upstream:? = from, after:? = self.last, why, resumable; "stream broken");
         if !resumable {
--- a/crates/tinbank-gateway/src/run.rs
+++ b/crates/tinbank-gateway/src/run.rs
@@ -59,24 +59,35 @@
     pub engine: Rc<dyn Engine>,
 }
 
+/// Renders the metrics of the process.
+pub type Metrics = Rc<dyn Fn() -> String>;
+
 /// Runs the process from now until `stop` is ready and its work is done.
 pub async fn run(
     settings: Settings,
     platform: Platform,
+    metrics: Metrics,
     stop: impl Future<Output = ()>,
 ) -> Result<(), Error> {
     let tasks = LocalSet::new();
-    tasks.run_until(serve(settings, platform, stop)).await
+    tasks
+        .run_until(serve(settings, platform, metrics, stop))
+        .await
 }
 
 async fn serve(
     settings: Settings,
     platform: Platform,
+    metrics: Metrics,
     stop: impl Future<Output = ()>,
 ) -> Result<(), Error> {
     let listen = settings.listen;
     let callers = bind("callers", listen.callers).await?;
     let readiness = bind("readiness checks", listen.readiness).await?;
+    if let Some(address) = listen.metrics {
+        let listener = bind("metrics", address).await?;
+        task::spawn_local(serve::text(listener, metrics));
+    }
     let own = Peer {
         address: listen.peers,
         failure_domain: settings.failure_domain.clone(),
--- a/crates/tinbank-gateway/src/serve.rs
+++ b/crates/tinbank-gateway/src/serve.rs
@@ -15,8 +15,9 @@
     border::{
         Body,
         ingress::{Call, Reply},
+        whole,
     },
-    exchange,
+    exchange, measure,
     node::Node,
     relay,
 };
@@ -40,6 +41,26 @@
     }
 }
 
+/// Answers with what a function gives for as long as the process runs, whatever is asked.
+pub(crate) async fn text(listener: TcpListener, render: Rc<dyn Fn() -> String>) {
+    accept(listener, |stream, _| {
+        let render = Rc::clone(&render);
+        task::spawn_local(async move {
+            let service = service_fn(|_| {
+                let answer = Response::new(whole(render()));
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let served = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                log::debug!(error:%; "connection for metrics ended");
+            }
+        });
+    })
+    .await;
+}
+
 /// Answers readiness checks for as long as the process runs.
 pub(crate) async fn readiness(node: Rc<Node>, listener: TcpListener) {
     accept(listener, |stream, _| {
@@ -127,5 +148,6 @@
         Call::Body { job, item } => batch::results::body(node, &job, &item).await,
         Call::End { job } => batch::intake::end(node, job).await,
     };
+    measure::replied(&reply);
     node.ingress.encode(reply)
 }
--- a/crates/tinbank-gateway/src/settings.rs
+++ b/crates/tinbank-gateway/src/settings.rs
@@ -44,6 +44,9 @@
     pub readiness: SocketAddr,
     /// Datagrams of other hosts.
     pub peers: SocketAddr,
+    /// Metrics, in the Prometheus text form; not served without it.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
 }
 
 /// The platform's store.
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -13,7 +13,7 @@
     Allocator, Directory,
     allocator::{Change, HEARTBEAT, Outgoing, Upstream},
     directory::Peer,
-    frame::{Answer, Ask, Frame, Grant, Holdings, MAX_BYTES, Queue, Release},
+    frame::{self, Ask, Frame, Grant, Holdings, MAX_BYTES, Queue, Release},
     lease::{self, Class, Held, Outcome},
 };
 use tinbank_base::id;
@@ -23,7 +23,7 @@
     time,
 };
 
-use crate::node::Node;
+use crate::{measure, node::Node};
 
 /// How long an allocator may take to answer. Source: measured, see `docs/design/users-platform.md`.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
@@ -78,6 +78,14 @@
     Nobody,
 }
 
+/// What an allocator answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Answer {
+    Granted,
+    Denied,
+    Silent,
+}
+
 /// What came of asking one allocator.
 enum Answered {
     Granted(Lease),
@@ -242,6 +250,12 @@
         self.send(allocator, &Frame::Ask(ask));
         let answer = time::timeout(ANSWER_TIMEOUT, answered).await;
         self.state.borrow_mut().asks.remove(&lease);
+        let told = match &answer {
+            Ok(Ok(Some(_))) => Answer::Granted,
+            Ok(Ok(None)) => Answer::Denied,
+            _ => Answer::Silent,
+        };
+        measure::asked(wanted.class, told, now.elapsed());
         match answer {
             Ok(Ok(Some(grant))) => {
                 let lease = self.hold(lease, wanted.class, domain, Some(allocator), grant);
@@ -394,7 +408,7 @@
         }
     }
 
-    fn answered(&self, from: SocketAddr, answer: Answer) {
+    fn answered(&self, from: SocketAddr, answer: frame::Answer) {
         let waiting = self.state.borrow_mut().asks.remove(&answer.lease);
         let late = match waiting {
             Some(waiting) => waiting.send(answer.grant).err().flatten(),
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     border::store::{Entries, Error, List, Offset, Written},
+    measure,
     node::Node,
 };
 
@@ -124,6 +125,7 @@
         match read {
             Ok((entries, whole)) => {
                 if std::mem::take(&mut failing) {
+                    measure::store(name(list), true);
                     log::info!(list:?; "store list regained");
                 }
                 position = Some(entries.end);
@@ -138,6 +140,7 @@
                     position = None;
                 }
                 if !std::mem::replace(&mut failing, true) {
+                    measure::store(name(list), false);
                     log::warn!(list:?, error:%; "store list lost, going on with what is known");
                 }
                 time::sleep(RETRY).await;
@@ -146,6 +149,15 @@
     }
 }
 
+/// The name of a list for metrics.
+fn name(list: List) -> &'static str {
+    match list {
+        List::Config => "config",
+        List::Upstreams => "upstreams",
+        List::Hosts => "hosts",
+    }
+}
+
 /// The entries since a position, or all of them. True if all.
 async fn read(node: &Node, list: List, position: Option<Offset>) -> Result<(Entries, bool), Error> {
     let Some(from) = position else {
