--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -37,7 +37,7 @@
     },
     measure,
     node::Node,
-    sharing::{Asked, Wanted},
+    sharing::{Asked, Lease, Wanted},
 };
 
 /// When a caller is told to ask again after a refusal. Source: the time in which a freed slot or a new list is likely.
@@ -70,6 +70,17 @@
     has_begun: bool,
     /// All slots were in use.
     overloaded: bool,
+    /// The caller has its whole answer, or was told that there is none.
+    ended: bool,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.ended {
+            let waited_ms = self.received.elapsed().as_millis() as u64;
+            log::info!(request:% = self.request.id, route:% = self.route.name, waited_ms; "caller left before the end");
+        }
+    }
 }
 
 /// Answers a request for a route.
@@ -105,6 +116,7 @@
         deadline,
         has_begun: call.resume_after.is_some(),
         overloaded: false,
+        ended: false,
     };
     relay.run(call.resume_after).await
 }
@@ -203,6 +215,7 @@
             Asked::Nobody => return Err(self.attempts.give_up()),
         };
         let upstream = lease.upstream.clone();
+        self.log_sent(&lease, resume_after);
         let until = self.answer_until();
         let sent = attempt::send(
             &self.node,
@@ -221,6 +234,22 @@
         }
     }
 
+    fn log_sent(&self, lease: &Lease, resume_after: Option<u64>) {
+        let now = Instant::now();
+        let view = &self.node.view;
+        log::info!(
+            request:% = self.request.id,
+            route:% = self.route.name,
+            config = view.config().map_or(0, |config| config.version),
+            upstream:% = lease.upstream,
+            allocator:% = lease.chosen_by(),
+            list_age_ms = view.upstreams_age(now).map_or(0, |age| age.as_millis() as u64),
+            after = resume_after.unwrap_or(0),
+            left_ms = self.deadline.saturating_duration_since(now).as_millis() as u64;
+            "request sent to an upstream"
+        );
+    }
+
     /// Whether this request may wait inside an upstream. At first it may as long as it is likely to be in time; a
     /// caller that was turned away, or whose request has begun already, is not turned away again.
     fn queue(&self) -> Queue {
@@ -263,7 +292,7 @@
         self.attempts.next() == Next::Again
     }
 
-    fn answer(self, opened: Opened, resume_after: Option<u64>) -> Response<Body> {
+    fn answer(mut self, opened: Opened, resume_after: Option<u64>) -> Response<Body> {
         let Opened {
             lease,
             head,
@@ -277,7 +306,10 @@
             verdict == Verdict::Answer && matches!(self.route.kind, Kind::Stream { .. });
         let body: Body = match is_stream {
             true => Stream::new(self, lease, guard, body, resume_after).into_body(),
-            false => body::relayed(body, lease, guard, self.deadline),
+            false => {
+                self.ended = true;
+                body::relayed(body, lease, guard, self.deadline)
+            }
         };
         // The parts come from a valid head, so the builder has nothing to object to.
         passed.body(body).unwrap_or_else(|error| {
@@ -286,7 +318,8 @@
         })
     }
 
-    fn give_up(&self, next: Next) -> Response<Body> {
+    fn give_up(&mut self, next: Next) -> Response<Body> {
+        self.ended = true;
         let id = &self.request.id;
         let tried = self.attempts.tried().len();
         let reply = match next {
--- a/crates/tinbank-gateway/src/relay/stream.rs
+++ b/crates/tinbank-gateway/src/relay/stream.rs
@@ -109,6 +109,7 @@
                 }
                 Heard::End => {
                     self.end(Outcome::Served);
+                    self.relay.ended = true;
                     return None;
                 }
                 Heard::Broken(why, outcome) => (why, outcome),
@@ -170,7 +171,9 @@
         self.end(outcome);
         measure::broke(resumable);
         let id = &self.relay.request.id;
-        log::info!(request:% = id, upstream:? = from, after:? = self.last, why, resumable; "stream broken");
+        let upstream = from.as_deref().unwrap_or_default();
+        let after = self.last.unwrap_or(0);
+        log::info!(request:% = id, upstream, after, why, resumable; "stream broken");
         if !resumable {
             return Err(self.abort(why));
         }
@@ -188,7 +191,7 @@
                 opened.lease.end(Outcome::Failed);
                 return Err(self.abort("the next upstream failed"));
             }
-            log::info!(request:% = self.relay.request.id, upstream:% = opened.lease.upstream, after:? = self.last; "stream resumed");
+            log::info!(request:% = self.relay.request.id, upstream:% = opened.lease.upstream, after = self.last.unwrap_or(0); "stream resumed");
             self.heard_at = Instant::now();
             self.source = Some(Source {
                 lease: opened.lease,
@@ -205,8 +208,9 @@
         }
     }
 
-    fn abort(&self, why: &'static str) -> Aborted {
-        log::info!(request:% = self.relay.request.id, after:? = self.last, why; "stream given up");
+    fn abort(&mut self, why: &'static str) -> Aborted {
+        self.relay.ended = true;
+        log::info!(request:% = self.relay.request.id, after = self.last.unwrap_or(0), why; "stream given up");
         Aborted(why)
     }
 }
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -110,6 +110,12 @@
         self.reclaimed.notified().await;
     }
 
+    /// The allocator that granted it, for logs.
+    pub fn chosen_by(&self) -> String {
+        self.allocator
+            .map_or_else(|| "none".to_owned(), |allocator| allocator.to_string())
+    }
+
     /// Says how the request ended.
     pub fn end(&self, outcome: Outcome) {
         self.outcome.set(outcome);
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -59,6 +59,12 @@
         self.config.borrow().is_some() && self.upstreams_read_at.get().is_some()
     }
 
+    /// How long ago the upstreams were read.
+    pub fn upstreams_age(&self, now: Instant) -> Option<Duration> {
+        let read_at = self.upstreams_read_at.get();
+        read_at.map(|at| now.saturating_duration_since(at))
+    }
+
     /// Forgets when it read, after a pause of the process, so that nothing older than the pause is acted on.
     pub fn distrust(&self) {
         self.config_read_at.set(None);
