A refusing upstream is avoided for a moment and not ejected

Cause looked for: hosts exclude what refused them for 1.5 s, and two hosts eject it for all, though a full upstream refuses too; with all avoided a request would be turned away untried.

--- a/crates/tinbank-allocator/src/health.rs
+++ b/crates/tinbank-allocator/src/health.rs
@@ -34,7 +34,8 @@
     /// Takes in how a request of a host ended. True if the upstream is ejected by it.
     pub fn note(&mut self, by: SocketAddr, outcome: Outcome, now: Instant) -> bool {
         match outcome {
-            Outcome::Unused | Outcome::Leaving => false,
+            // A full upstream refuses, and to eject it would only load the others more.
+            Outcome::Unused | Outcome::Leaving | Outcome::Refused => false,
             Outcome::Served => {
                 self.reports.retain(|report| report.by != by);
                 if !self.ejected(now) {
@@ -42,7 +43,7 @@
                 }
                 false
             }
-            Outcome::Refused | Outcome::Failed | Outcome::Silent => self.trouble(by, now),
+            Outcome::Failed | Outcome::Silent => self.trouble(by, now),
         }
     }
 
--- a/crates/tinbank-allocator/tests/allocator.rs
+++ b/crates/tinbank-allocator/tests/allocator.rs
@@ -117,6 +117,17 @@
     assert!(later.is_some());
 }
 
+#[test]
+fn an_upstream_that_refuses_is_not_ejected() {
+    let mut desk = Desk::learned(1);
+    for host in [0, 1, 2] {
+        let held = desk.ask_held(host, Class::Online);
+        assert_eq!(desk.release(host, held, Outcome::Refused), None);
+    }
+
+    assert!(desk.ask(0, Class::Online, Queue::No).is_some());
+}
+
 #[test]
 fn an_allocator_that_takes_over_learns_before_it_grants_to_batch() {
     let mut desk = Desk::learned(1);
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -27,6 +27,8 @@
 
 /// How long an allocator may take to answer. Source: measured, see `docs/design/users-platform.md`.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
+/// For how long a host avoids an upstream that refused a request: about as long as a request holds a slot.
+const AVOID_REFUSING: Duration = Duration::from_millis(400);
 /// Grants of leaving upstreams after which a failure domain counts as having none.
 const MAX_LEAVING: usize = 4;
 /// For how long a host avoids an upstream that it had trouble with itself.
@@ -243,7 +245,10 @@
         };
         let lease = self.next_lease();
         let mut exclude: SmallVec<[id::Instance; 4]> = wanted.exclude.iter().cloned().collect();
-        exclude.extend(self.avoided(now));
+        // A request that would be turned away otherwise is better off at an upstream that is avoided.
+        if queue == Queue::No {
+            exclude.extend(self.avoided(now));
+        }
         let ask = Ask {
             lease,
             class: wanted.class,
@@ -336,9 +341,13 @@
         let mut state = self.state.borrow_mut();
         state.held.remove(&lease.id);
         match outcome {
-            Outcome::Failed | Outcome::Silent | Outcome::Refused => {
+            Outcome::Failed | Outcome::Silent => {
                 state.avoided.insert(lease.upstream.clone(), now + AVOID);
             }
+            Outcome::Refused => {
+                let until = now + AVOID_REFUSING;
+                state.avoided.insert(lease.upstream.clone(), until);
+            }
             Outcome::Served => {
                 state.avoided.remove(&lease.upstream);
             }
