--- a/crates/tinbank-gateway/src/batch/results.rs
+++ b/crates/tinbank-gateway/src/batch/results.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use futures_util::{StreamExt, stream};
 use tinbank_jobs::{
     job::{Final, Job},
     record::Stored,
@@ -24,6 +25,11 @@
 const RESULT_BYTES: usize = 120;
 /// A page without news says that there is none if the table is at most this old. Source: the users' bound of 1 s.
 const FRESH: Duration = Duration::from_millis(800);
+/// How long a page may take before it is given as far as it has come. Source: well below the 1.5 s that the users' callers
+/// wait beyond what they allow.
+const FILL_TIME: Duration = Duration::from_millis(500);
+/// Texts that are read at the same time.
+const TEXTS_AT_ONCE: usize = 8;
 /// How long a host may take to read the log to its end before it says that it can't tell.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -66,25 +72,34 @@
     }
 }
 
-/// Reads the texts of a page. Those behind one that can't be read now are left for the next call.
+/// Reads the texts of a page. Those behind one that can't be read now, or not in time, are left for the next call: a caller
+/// that gives up a long page and asks for it again would never get it.
 async fn fill(node: &Node, job: &str, outline: Outline) -> Reply {
+    let until = Instant::now() + FILL_TIME;
     let from = outline.next - outline.results.len();
-    let mut results = Vec::with_capacity(outline.results.len());
-    for (item, result) in &outline.results {
+    let filled = outline.results.iter().map(|(item, result)| async move {
         let result = match result {
-            Final::Abandoned(reason) => Text::Abandoned(*reason),
-            Final::Completed(pieces) => match text(node, pieces).await {
-                Ok(text) => Text::Completed(text),
-                Err(error) => {
-                    log::warn!(job, item:%, error:%; "text of a result not read");
-                    break;
-                }
-            },
+            Final::Abandoned(reason) => Ok(Text::Abandoned(*reason)),
+            Final::Completed(pieces) => text(node, pieces).await.map(Text::Completed),
         };
-        results.push(Listed {
-            item: item.clone(),
-            result,
-        });
+        (item, result)
+    });
+    let mut filled = stream::iter(filled).buffered(TEXTS_AT_ONCE);
+    let mut results = Vec::with_capacity(outline.results.len());
+    while let Some((item, result)) = filled.next().await {
+        match result {
+            Ok(result) => results.push(Listed {
+                item: item.clone(),
+                result,
+            }),
+            Err(error) => {
+                log::warn!(job, item:%, error:%; "text of a result not read");
+                break;
+            }
+        }
+        if Instant::now() > until {
+            break;
+        }
     }
     if results.is_empty() && !outline.results.is_empty() {
         return unsure(job, "texts not read");
