--- a/crates/tinbank-entry/src/logs.rs
+++ b/crates/tinbank-entry/src/logs.rs
@@ -6,6 +6,9 @@
 
 use logforth::{bridge::log::LogBridge, core};
 
+#[cfg(test)]
+mod tests;
+
 pub use output::Flush;
 
 /// Starts logging. Safe to call again: the first call counts. What it returns writes out what waits when it is dropped.
--- /dev/null
+++ b/crates/tinbank-entry/tests/command.rs
@@ -0,0 +1,99 @@
+//! The command line, by running the program.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::{Command, Output},
+};
+
+use yare::parameterized;
+
+const EXAMPLE: &str = concat!(
+    env!("CARGO_MANIFEST_DIR"),
+    "/../../examples/entry/host-1.jsonc"
+);
+
+fn entry(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_tinbank-entry"))
+        .args(arguments)
+        .output()
+        .unwrap()
+}
+
+fn check(path: &Path) -> Output {
+    entry(&["--settings", path.to_str().unwrap(), "--check"])
+}
+
+fn changed(name: &str, from: &str, to: &str) -> PathBuf {
+    let text = fs::read_to_string(EXAMPLE).unwrap();
+    assert!(text.contains(from));
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.jsonc"));
+    fs::write(&path, text.replace(from, to)).unwrap();
+    path
+}
+
+#[test]
+fn help_names_every_argument() {
+    let help = String::from_utf8(entry(&["--help"]).stdout).unwrap();
+
+    for argument in ["--settings", "--check"] {
+        assert!(help.contains(argument), "{help}");
+    }
+}
+
+#[test]
+fn the_example_can_be_used() {
+    let output = check(Path::new(EXAMPLE));
+
+    assert_eq!(output.status.code(), Some(0));
+    assert!(
+        String::from_utf8(output.stdout)
+            .unwrap()
+            .contains("settings are valid")
+    );
+}
+
+#[parameterized(
+    unknown = { "unknown", "\"grace_s\": 8", "\"grace_s\": 8, \"grase_s\": 9", "grase_s" },
+    missing = { "missing", "\"host\": \"host-1\",", "", "host" },
+    no_address = { "no-address", "127.0.0.11:8161", "nowhere", "listen.callers" },
+    negative = { "negative", "\"balancer_s\": 3.2", "\"balancer_s\": -1", "balancer_s" },
+    no_json = { "no-json", "\"store\": {", "\"store\": [", "" },
+)]
+fn settings_that_cannot_be_used_are_named_with_their_place(
+    name: &str,
+    from: &str,
+    to: &str,
+    place: &str,
+) {
+    let output = check(&changed(name, from, to));
+
+    let error = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(2), "{error}");
+    assert!(error.contains(place), "{error}");
+    assert!(error.contains("help:"), "{error}");
+}
+
+#[test]
+fn settings_that_are_not_there_are_an_error_of_the_input() {
+    let output = check(Path::new("/nowhere.jsonc"));
+
+    assert_eq!(output.status.code(), Some(2));
+}
+
+#[test]
+fn an_address_that_is_taken_ends_the_start_with_a_line() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let path = changed("taken", "127.0.0.11:8161", &address);
+
+    let output = entry(&["--settings", path.to_str().unwrap()]);
+
+    let lines = String::from_utf8(output.stdout).unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    assert!(
+        lines.contains("level=ERROR event=\"not started\""),
+        "{lines}"
+    );
+    assert!(lines.contains(&address), "{lines}");
+}
