--- /dev/null
+++ b/crates/tinbank-entry/tests/soak/faults.rs
@@ -0,0 +1,73 @@
+//! Faults in random order, overlapping and repeated.
+
+use std::time::Duration;
+
+use rand::{Rng, rngs::StdRng};
+use rustix::process::Signal;
+use tokio::time::{self, Instant};
+
+use crate::{
+    deployment::Deployment,
+    proxy,
+    standin::{engine, store},
+};
+
+/// Plays faults until then.
+pub async fn play(deployment: &Deployment, mut random: StdRng, until: Instant) {
+    while Instant::now() < until {
+        fault(deployment, &mut random).await;
+        let pause = random.random_range(20..350);
+        time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+/// One fault begins, or one ends: each kind sets a state that a later one may set back.
+async fn fault(deployment: &Deployment, random: &mut StdRng) {
+    let host = &deployment.hosts[random.random_range(0..deployment.hosts.len())];
+    let index = random.random_range(0..deployment.engines.len());
+    match random.random_range(0..12) {
+        0 => host.kill(),
+        1 => host.stop().await,
+        2 | 3 => deployment.hosts.iter().for_each(|host| host.start()),
+        4 => {
+            host.signal(Signal::STOP);
+            time::sleep(Duration::from_millis(random.random_range(50..1_800))).await;
+            host.signal(Signal::CONT);
+        }
+        5 => host.signal(Signal::HUP),
+        6 => deployment.store.mode.set(store_mode(random)),
+        7 => deployment.store.mode.set(store::Mode::Up),
+        8 => host.store_proxy.set(proxy_mode(random)),
+        9 => deployment.engine_proxies[index].set(proxy_mode(random)),
+        10 => deployment.engines[index].mode.set(engine_mode(random)),
+        _ => deployment.configure(),
+    }
+}
+
+fn store_mode(random: &mut StdRng) -> store::Mode {
+    match random.random_range(0..3) {
+        0 => store::Mode::Busy,
+        1 => store::Mode::LosesAnswers,
+        _ => store::Mode::LosesSomeAnswers,
+    }
+}
+
+fn proxy_mode(random: &mut StdRng) -> proxy::Mode {
+    match random.random_range(0..7) {
+        0 => proxy::Mode::Delay,
+        1 => proxy::Mode::Reset,
+        2 => proxy::Mode::Silent,
+        3 => proxy::Mode::OneWay,
+        _ => proxy::Mode::Pass,
+    }
+}
+
+fn engine_mode(random: &mut StdRng) -> engine::Mode {
+    match random.random_range(0..7) {
+        0 => engine::Mode::BreaksOff(random.random_range(0..engine::EVENTS)),
+        1 => engine::Mode::FallsSilent(random.random_range(0..engine::EVENTS)),
+        2 => engine::Mode::Sheds,
+        3 => engine::Mode::Fails,
+        _ => engine::Mode::Runs,
+    }
+}
