--- a/crates/tinbank-entry/tests/soak/caller.rs
+++ b/crates/tinbank-entry/tests/soak/caller.rs
@@ -159,11 +159,7 @@
             } else {
                 "/plain/x"
             };
-            let headers = [
-                ("tinbank-attempt-id", id.as_str()),
-                ("tinbank-time-remaining", "5000"),
-            ];
-            let asked = client::send(self.host(), "POST", path, &headers, "prompt");
+            let asked = client::try_stream(self.host(), path, &id);
             let got = time::timeout(PATIENCE, asked).await.ok().flatten();
             self.seen
                 .streams
@@ -204,9 +200,8 @@
 
     async fn end(&mut self, id: &str) {
         self.with(id, |job| job.ending = true);
-        let path = format!("/v1/lots/{id}");
         let host = self.host();
-        let asked = client::send(host, "DELETE", &path, &[], "");
+        let asked = client::end(host, id);
         let got = time::timeout(PATIENCE, asked).await.ok().flatten();
         if got.is_some_and(|got| got.status == 200) {
             self.with(id, |job| job.ended_at = Some(Instant::now()));
--- a/crates/tinbank-entry/tests/soak/deployment.rs
+++ b/crates/tinbank-entry/tests/soak/deployment.rs
@@ -19,7 +19,7 @@
     standin::{
         client,
         engine::{self, Engine},
-        store::{self, PARTITIONS, Store},
+        store::{self, PARTITIONS, Route, Store},
     },
 };
 
@@ -212,13 +212,18 @@
 }
 
 fn manifest(version: u64) -> Value {
-    let route = |name: &str, kind: &str, attempts: u32, resumable: bool| {
-        json!({"name": name, "hostname": "one.example", "path_prefix": format!("/{name}/"), "type": kind,
-            "timeout_ms": 5000, "target_latency_ms": 300, "service": "notes", "max_attempts": attempts,
-            "resumable": resumable, "completion_target_ms": 18000, "retention_s": 600})
+    let route = |name, kind, attempts, resumable| Route {
+        name,
+        kind,
+        attempts,
+        resumable,
+        quota: 0,
     };
-    json!({"version": version, "services": [],
-        "routes": [route("plain", "streaming", 1, false), route("resumable", "streaming", 2, true),
-            route("batch", "batch", 1000, false)],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+    let routes = [
+        route("plain", "streaming", 1, false),
+        route("resumable", "streaming", 2, true),
+        // Engines fail at random here, which must not make an item count as one that always fails.
+        route("batch", "batch", 1000, false),
+    ];
+    store::manifest(version, &routes)
 }
--- a/crates/tinbank-gateway/src/relay/attempt.rs
+++ b/crates/tinbank-gateway/src/relay/attempt.rs
@@ -69,36 +69,7 @@
     };
     let (head, body) = answer.into_parts();
     let verdict = node.engine.judge(request, &head);
-    let status = head.status.as_u16();
-    match verdict {
-        Verdict::NotRun => measure::attempt_failed("refused"),
-        Verdict::OtherInstance => measure::attempt_failed("other_instance"),
-        Verdict::OtherRequest => measure::attempt_failed("other_request"),
-        Verdict::Unclear => measure::attempt_failed("unclear"),
-        Verdict::Answer | Verdict::Failed | Verdict::Impossible => {}
-    }
     match verdict {
-        Verdict::NotRun => {
-            log::info!(request:% = request.id, upstream:% = lease.upstream, status; "upstream refused, not run");
-            lease.end(Outcome::Refused);
-            Err(Trouble::NotRun)
-        }
-        Verdict::OtherInstance => {
-            log::info!(request:% = request.id, upstream:% = lease.upstream, status; "another upstream has the address");
-            node.view.leave(&lease.upstream);
-            lease.end(Outcome::Refused);
-            Err(Trouble::NotRun)
-        }
-        Verdict::OtherRequest => {
-            log::warn!(request:% = request.id, upstream:% = lease.upstream, status; "answer to another request dropped");
-            lease.end(Outcome::Failed);
-            Err(Trouble::Lost)
-        }
-        Verdict::Unclear => {
-            log::info!(request:% = request.id, upstream:% = lease.upstream, status; "refusal that does not say whether it ran");
-            lease.end(Outcome::Failed);
-            Err(Trouble::Lost)
-        }
         Verdict::Answer | Verdict::Failed | Verdict::Impossible => Ok(Opened {
             lease,
             head,
@@ -106,9 +77,38 @@
             guard,
             verdict,
         }),
+        Verdict::NotRun => Err(refused(request, &lease, &head, "refused", Trouble::NotRun)),
+        Verdict::OtherInstance => {
+            node.view.leave(&lease.upstream);
+            let why = "other_instance";
+            Err(refused(request, &lease, &head, why, Trouble::NotRun))
+        }
+        Verdict::OtherRequest => {
+            let why = "other_request";
+            Err(refused(request, &lease, &head, why, Trouble::Lost))
+        }
+        Verdict::Unclear => Err(refused(request, &lease, &head, "unclear", Trouble::Lost)),
     }
 }
 
+/// An answer that is none to the request.
+fn refused(
+    request: &Request,
+    lease: &Lease,
+    head: &Parts,
+    why: &'static str,
+    trouble: Trouble,
+) -> Trouble {
+    let status = head.status.as_u16();
+    log::info!(request:% = request.id, upstream:% = lease.upstream, status, why; "attempt refused");
+    measure::attempt_failed(why);
+    lease.end(match trouble {
+        Trouble::NotRun => Outcome::Refused,
+        Trouble::Lost | Trouble::Silent => Outcome::Failed,
+    });
+    trouble
+}
+
 fn failed(request: &Request, lease: &Lease, error: Error) -> Trouble {
     log::info!(request:% = request.id, upstream:% = lease.upstream, error:%; "attempt without an answer");
     measure::attempt_failed(match error {
--- a/crates/tinbank-gateway/src/relay/stream.rs
+++ b/crates/tinbank-gateway/src/relay/stream.rs
@@ -13,7 +13,7 @@
 use tinbank_relay::{
     attempt::{Failure, Next},
     event::{self, Event, Splitter},
-    route::Kind,
+    route::{Kind, Route},
 };
 use tokio::time;
 
@@ -27,8 +27,10 @@
 
 /// Missing events after which an upstream counts as silent.
 const MISSING_EVENTS: u32 = 6;
-/// Shortest silence that ends a resumable stream. Source: with a new connection and a first event it leaves a stream
-/// within the pause of 200 ms that the users allow.
+/// Shortest silence that ends a resumable stream, in percent of the longest pause that its route allows: the rest is for
+/// a slot, a connection and the first event elsewhere.
+const LEAST_SILENCE_PERCENT: u32 = 55;
+/// Shortest silence where the route names no longest pause.
 const LEAST_SILENCE: Duration = Duration::from_millis(110);
 /// Weight of the newest gap in the smoothed gap, one part in so many.
 const SMOOTHING: u32 = 8;
@@ -73,13 +75,13 @@
             _guard: guard,
         };
         Self {
-            relay,
             source: Some(source),
             splitter: Splitter::default(),
             ready: VecDeque::new(),
             last: resume_after,
-            gap: LEAST_SILENCE / MISSING_EVENTS,
+            gap: least_silence(&relay.route) / MISSING_EVENTS,
             heard_at: Instant::now(),
+            relay,
         }
     }
 
@@ -155,7 +157,8 @@
         if !self.is_resumable() {
             return None;
         }
-        Some(self.heard_at + (self.gap * MISSING_EVENTS).max(LEAST_SILENCE))
+        let least = least_silence(&self.relay.route);
+        Some(self.heard_at + (self.gap * MISSING_EVENTS).max(least))
     }
 
     fn is_resumable(&self) -> bool {
@@ -215,6 +218,12 @@
     }
 }
 
+fn least_silence(route: &Route) -> Duration {
+    route
+        .event_gap
+        .map_or(LEAST_SILENCE, |gap| gap * LEAST_SILENCE_PERCENT / 100)
+}
+
 async fn hear(source: &mut Source, silent_at: Option<Instant>, deadline: Instant) -> Heard {
     let until = silent_at.map_or(deadline, |at| at.min(deadline));
     loop {
--- a/crates/tinbank-gateway/src/run.rs
+++ b/crates/tinbank-gateway/src/run.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use http::Response;
 use tinbank_allocator::directory::Peer;
 use tokio::{
     net::TcpListener,
@@ -19,6 +20,7 @@
         engine::Engine,
         ingress::Ingress,
         store::{List, Store},
+        whole,
     },
     clock::{Clock, TICK},
     identity,
@@ -86,7 +88,8 @@
     let readiness = bind("readiness checks", listen.readiness).await?;
     if let Some(address) = listen.metrics {
         let listener = bind("metrics", address).await?;
-        task::spawn_local(serve::text(listener, metrics));
+        let render = move || Response::new(whole(metrics()));
+        task::spawn_local(serve::always(listener, Rc::new(render)));
     }
     let own = Peer {
         address: listen.peers,
@@ -134,7 +137,9 @@
 fn start(node: &Rc<Node>, callers: TcpListener, readiness: TcpListener) {
     node.sharing.peers(Vec::new());
     task::spawn_local(serve::callers(Rc::clone(node), callers));
-    task::spawn_local(serve::readiness(Rc::clone(node), readiness));
+    let checked = Rc::clone(node);
+    let is_ready = move || serve::readiness(&checked);
+    task::spawn_local(serve::always(readiness, Rc::new(is_ready)));
     task::spawn_local(sharing::receive(Rc::clone(&node.sharing)));
     task::spawn_local(sharing::heartbeat(Rc::clone(&node.sharing)));
     for list in [List::Config, List::Upstreams, List::Hosts] {
--- a/crates/tinbank-gateway/src/serve.rs
+++ b/crates/tinbank-gateway/src/serve.rs
@@ -15,7 +15,6 @@
     border::{
         Body,
         ingress::{Call, Reply},
-        whole,
     },
     exchange, measure,
     node::Node,
@@ -41,48 +40,33 @@
     }
 }
 
-/// Answers with what a function gives for as long as the process runs, whatever is asked.
-pub(crate) async fn text(listener: TcpListener, render: Rc<dyn Fn() -> String>) {
-    accept(listener, |stream, _| {
-        let render = Rc::clone(&render);
+/// Answers each request with what a function gives, whatever is asked, for as long as the process runs.
+pub(crate) async fn always(listener: TcpListener, answer: Rc<dyn Fn() -> Response<Body>>) {
+    accept(listener, |stream, peer| {
+        let answer = Rc::clone(&answer);
         task::spawn_local(async move {
             let service = service_fn(|_| {
-                let answer = Response::new(whole(render()));
+                let answer = answer();
                 async move { Ok::<_, Infallible>(answer) }
             });
             let served = http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
             if let Err(error) = served {
-                log::debug!(error:%; "connection for metrics ended");
+                log::debug!(peer:%, error:%; "connection ended");
             }
         });
     })
     .await;
 }
 
-/// Answers readiness checks for as long as the process runs.
-pub(crate) async fn readiness(node: Rc<Node>, listener: TcpListener) {
-    accept(listener, |stream, _| {
-        let node = Rc::clone(&node);
-        task::spawn_local(async move {
-            let service = service_fn(|_| {
-                let reply = match node.is_ready() {
-                    true => Reply::Ready,
-                    false => Reply::NotReady,
-                };
-                let answer = node.ingress.encode(reply);
-                async move { Ok::<_, Infallible>(answer) }
-            });
-            let served = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            if let Err(error) = served {
-                log::debug!(error:%; "readiness connection ended");
-            }
-        });
-    })
-    .await;
+/// The answer to a readiness check.
+pub(crate) fn readiness(node: &Node) -> Response<Body> {
+    let reply = match node.is_ready() {
+        true => Reply::Ready,
+        false => Reply::NotReady,
+    };
+    node.ingress.encode(reply)
 }
 
 async fn accept(listener: TcpListener, mut serve: impl FnMut(TcpStream, SocketAddr)) {
--- /dev/null
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -0,0 +1,161 @@
+//! Datagrams of other hosts, and heartbeats to them.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use smallvec::SmallVec;
+use tinbank_allocator::{
+    allocator::{Change, HEARTBEAT, Outgoing},
+    frame::{self, Frame, Holdings, MAX_BYTES, Release},
+    lease::{self, Held, Outcome},
+};
+use tokio::time;
+
+use super::Sharing;
+
+impl Sharing {
+    pub(super) fn receive(&self, from: SocketAddr, frame: Frame) {
+        let now = Instant::now();
+        if from != self.own.address {
+            let mut state = self.state.borrow_mut();
+            state.unheard.remove(&from);
+            if state.directory.heard(from) {
+                log::info!(peer:% = from; "host heard again");
+            }
+        }
+        match frame {
+            Frame::Answer(answer) => self.answered(from, answer),
+            Frame::Reclaim(lease) => self.reclaim(lease),
+            Frame::Alive => {}
+            asked => {
+                let (out, change) = self.state.borrow_mut().allocator.receive(from, asked, now);
+                note(change);
+                self.send_all(out);
+            }
+        }
+    }
+
+    fn send_all(&self, out: Outgoing) {
+        for (to, frame) in out {
+            self.send(to, &frame);
+        }
+    }
+
+    fn answered(&self, from: SocketAddr, answer: frame::Answer) {
+        let waiting = self.state.borrow_mut().asks.remove(&answer.lease);
+        let late = match waiting {
+            Some(waiting) => waiting.send(answer.grant).err().flatten(),
+            None => answer.grant,
+        };
+        // Nobody waits any more, so the slot goes back at once.
+        if let Some(grant) = late {
+            let release = Release {
+                lease: answer.lease,
+                upstream: grant.upstream,
+                outcome: Outcome::Unused,
+            };
+            self.send(from, &Frame::Release(release));
+        }
+    }
+
+    fn reclaim(&self, lease: lease::Id) {
+        if let Some(holding) = self.state.borrow().held.get(&lease) {
+            holding.reclaimed.notify_one();
+        }
+    }
+
+    pub(super) fn missed(&self, allocator: SocketAddr, why: &'static str) {
+        let now = Instant::now();
+        let moved = self.state.borrow_mut().directory.missed(allocator, now);
+        if moved {
+            log::warn!(peer:% = allocator, why; "host silent, passed over as allocator");
+            self.tell_holdings(now);
+        }
+    }
+
+    /// Tells each allocator what this host holds in its failure domain.
+    fn tell_holdings(&self, now: Instant) {
+        let next = self.next.get();
+        let mut letters: SmallVec<[(SocketAddr, Holdings); 4]> = SmallVec::new();
+        let state = self.state.borrow();
+        let own = &self.own.failure_domain;
+        for domain in state.directory.failure_domains(own, 0) {
+            let Some(allocator) = state.directory.allocator(&domain, now) else {
+                continue;
+            };
+            let held = state
+                .held
+                .iter()
+                .filter(|(_, it)| it.failure_domain == domain);
+            let held = held.map(|(lease, it)| Held {
+                lease: *lease,
+                upstream: it.upstream.clone(),
+                class: it.class,
+            });
+            let held = held.collect();
+            letters.push((allocator, Holdings { next, held }));
+        }
+        for address in state.directory.due(now) {
+            // It holds nothing there: the host is passed over. The frame only asks whether it is back.
+            letters.push((address, Holdings::default()));
+        }
+        drop(state);
+        for (to, holdings) in letters {
+            if to != self.own.address {
+                self.state.borrow_mut().unheard.insert(to);
+            }
+            self.send(to, &Frame::Holdings(holdings));
+        }
+    }
+}
+
+fn note(change: Option<Change>) {
+    match change {
+        Some(Change::Ejected(upstream)) => {
+            log::warn!(upstream:%; "upstream ejected, two hosts had trouble with it");
+        }
+        Some(Change::Left(upstream)) => {
+            log::info!(upstream:%; "upstream leaves, by a newer list of another host");
+        }
+        Some(Change::Learning) => {
+            log::info!("allocator learns the leases of others before it grants to batch");
+        }
+        None => {}
+    }
+}
+
+/// Receives datagrams for as long as the process runs.
+pub(crate) async fn receive(sharing: Rc<Sharing>) {
+    let mut buffer = vec![0; MAX_BYTES];
+    loop {
+        let (length, from) = match sharing.socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::warn!(error:%; "datagram not received");
+                time::sleep(Duration::from_millis(1)).await;
+                continue;
+            }
+        };
+        match Frame::decode(&buffer[..length]) {
+            Ok(frame) => sharing.receive(from, frame),
+            Err(error) => log::warn!(peer:% = from, error:%; "datagram ignored"),
+        }
+    }
+}
+
+/// Tells holdings at each heartbeat, and passes over allocators that did not answer the one before.
+pub(crate) async fn heartbeat(sharing: Rc<Sharing>) {
+    let mut ticks = time::interval(HEARTBEAT);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let unheard = std::mem::take(&mut sharing.state.borrow_mut().unheard);
+        for peer in unheard {
+            sharing.missed(peer, "no answer to a heartbeat");
+        }
+        sharing.tell_holdings(Instant::now());
+    }
+}
