--- a/crates/tinbank-entry/tests/soak/faults.rs
+++ b/crates/tinbank-entry/tests/soak/faults.rs
@@ -16,7 +16,7 @@
 pub async fn play(deployment: &Deployment, mut random: StdRng, until: Instant) {
     while Instant::now() < until {
         fault(deployment, &mut random).await;
-        let pause = random.random_range(20..350);
+        let pause = random.random_range(20..220);
         time::sleep(Duration::from_millis(pause)).await;
     }
 }
@@ -25,7 +25,7 @@
 async fn fault(deployment: &Deployment, random: &mut StdRng) {
     let host = &deployment.hosts[random.random_range(0..deployment.hosts.len())];
     let index = random.random_range(0..deployment.engines.len());
-    match random.random_range(0..12) {
+    match random.random_range(0..15) {
         0 => host.kill(),
         1 => host.stop().await,
         2 | 3 => deployment.hosts.iter().for_each(|host| host.start()),
@@ -39,7 +39,7 @@
         7 => deployment.store.mode.set(store::Mode::Up),
         8 => host.store_proxy.set(proxy_mode(random)),
         9 => deployment.engine_proxies[index].set(proxy_mode(random)),
-        10 => deployment.engines[index].mode.set(engine_mode(random)),
+        10..=13 => deployment.engines[index].mode.set(engine_mode(random)),
         _ => deployment.configure(),
     }
 }
@@ -63,11 +63,12 @@
 }
 
 fn engine_mode(random: &mut StdRng) -> engine::Mode {
-    match random.random_range(0..7) {
+    match random.random_range(0..8) {
         0 => engine::Mode::BreaksOff(random.random_range(0..engine::EVENTS)),
         1 => engine::Mode::FallsSilent(random.random_range(0..engine::EVENTS)),
         2 => engine::Mode::Sheds,
         3 => engine::Mode::Fails,
+        4 => engine::Mode::LosesAnswer,
         _ => engine::Mode::Runs,
     }
 }
