Failures passed on count for health; items go on at once after a cold start; reasons told where a body is not read

Found by reading. A failure of a plain request ended its lease as served, or as unused where the length was known, so failing upstreams kept their share; the test fails before (6 of 12 requests at the failing engine) and passes now.

--- a/crates/tinbank-entry/tests/soak/caller.rs
+++ b/crates/tinbank-entry/tests/soak/caller.rs
@@ -186,11 +186,7 @@
             let submitted = client::try_submit(self.host(), id, items);
             let got = time::timeout(PATIENCE, submitted).await.ok().flatten();
             let answer = got.map(|got| got.status);
-            let mut jobs = self.seen.jobs.borrow_mut();
-            let job = jobs.entry(id.to_owned()).or_default();
-            job.items = items;
-            job.answers.push(answer);
-            drop(jobs);
+            self.answered(id, items, answer);
             if answer == Some(202) {
                 return;
             }
@@ -198,6 +194,13 @@
         }
     }
 
+    fn answered(&self, id: &str, items: usize, answer: Option<u16>) {
+        let mut jobs = self.seen.jobs.borrow_mut();
+        let job = jobs.entry(id.to_owned()).or_default();
+        job.items = items;
+        job.answers.push(answer);
+    }
+
     async fn end(&mut self, id: &str) {
         self.with(id, |job| job.ending = true);
         let host = self.host();
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -96,9 +96,10 @@
         run.is_some()
     }
 
-    /// The log has a further piece of an item. A run of another process is ahead of one here.
+    /// The log has a further piece of an item. If it is of a run of another process, that is ahead of one here.
     pub fn advanced(&self, job: &JobId, index: Index, run: RunId) {
-        if !self.is_own(run) {
+        let runs_here = self.running.borrow().contains_key(&(job.clone(), index));
+        if runs_here && !self.is_own(run) {
             self.drop_run(job, index, OTHER_RUN);
         }
     }
--- a/crates/tinbank-gateway/src/relay/body.rs
+++ b/crates/tinbank-gateway/src/relay/body.rs
@@ -51,12 +51,19 @@
     Box::pin(Held { body, _value: work })
 }
 
-/// The body of an upstream's answer, passed on as it comes.
-pub(crate) fn relayed(body: Incoming, lease: Lease, guard: Guard, deadline: Instant) -> Body {
+/// The body of an upstream's answer, passed on as it comes. Where it comes whole, the lease ends as `whole` says.
+pub(crate) fn relayed(
+    body: Incoming,
+    lease: Lease,
+    guard: Guard,
+    whole: Outcome,
+    deadline: Instant,
+) -> Body {
     let body = body.map_err(|_| Aborted("the upstream broke it off"));
     let timed = Timed {
         body: Box::pin(body),
         lease,
+        whole,
         deadline: Box::pin(time::sleep_until(deadline.into())),
         _guard: guard,
     };
@@ -67,6 +74,7 @@
 struct Timed {
     body: Body,
     lease: Lease,
+    whole: Outcome,
     deadline: Pin<Box<Sleep>>,
     _guard: Guard,
 }
@@ -81,8 +89,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         let polled = self.body.as_mut().poll_frame(context);
         match &polled {
-            Poll::Ready(None) => self.lease.end(Outcome::Served),
+            Poll::Ready(None) => self.lease.end(self.whole),
             Poll::Ready(Some(Err(_))) => self.lease.end(Outcome::Failed),
+            // Who reads a body of known length does not ask for its end.
+            Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => self.lease.end(self.whole),
             Poll::Ready(Some(Ok(_))) => {}
             Poll::Pending => {
                 if self.deadline.as_mut().poll(context).is_ready() {
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -148,16 +148,16 @@
 
 async fn read(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Reply> {
     let read = Limited::new(body, limit).collect();
-    match time::timeout_at(deadline.into(), read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reply::TooLarge),
-        Ok(Err(_)) => Err(Reply::NotRun {
-            retry_after: RETRY_AFTER,
-        }),
-        Err(_) => Err(Reply::NotRun {
-            retry_after: RETRY_AFTER,
-        }),
-    }
+    let error = match time::timeout_at(deadline.into(), read).await {
+        Ok(Ok(body)) => return Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Reply::TooLarge),
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "not whole in time".to_owned(),
+    };
+    log::info!(error:%; "body of a request not read");
+    Err(Reply::NotRun {
+        retry_after: RETRY_AFTER,
+    })
 }
 
 impl Relay {
@@ -253,8 +253,8 @@
     /// Whether this request may wait inside an upstream. At first it may as long as it is likely to be in time; a
     /// caller that was turned away, or whose request has begun already, is not turned away again.
     fn queue(&self) -> Queue {
-        let fresh = self.deadline.saturating_duration_since(self.received);
-        let is_first = fresh * FIRST_TRY_PART >= self.route.timeout * (FIRST_TRY_PART - 1);
+        let given = self.deadline.saturating_duration_since(self.received);
+        let is_first = given * FIRST_TRY_PART >= self.route.timeout * (FIRST_TRY_PART - 1);
         if !is_first || self.has_begun || self.attempts.may_have_run() {
             return Queue::Any;
         }
@@ -272,10 +272,9 @@
             return self.deadline;
         }
         let target = self.route.target_latency;
-        let patience = if queued {
-            target
-        } else {
-            target / PATIENCE_PART
+        let patience = match queued {
+            true => target,
+            false => target / PATIENCE_PART,
         };
         let patience = patience.max(LEAST_PATIENCE);
         (Instant::now() + patience).min(self.deadline)
@@ -308,6 +307,7 @@
             verdict,
         } = opened;
         measure::began(self.received.elapsed());
+        let node = Rc::clone(&self.node);
         let passed = self.node.engine.pass_on(head);
         let is_stream =
             verdict == Verdict::Answer && matches!(self.route.kind, Kind::Stream { .. });
@@ -315,13 +315,16 @@
             true => Stream::new(self, lease, guard, body, resume_after).into_body(),
             false => {
                 self.ended = true;
-                body::relayed(body, lease, guard, self.deadline)
+                let whole = match verdict {
+                    Verdict::Failed => Outcome::Failed,
+                    _ => Outcome::Served,
+                };
+                body::relayed(body, lease, guard, whole, self.deadline)
             }
         };
-        // The parts come from a valid head, so the builder has nothing to object to.
         passed.body(body).unwrap_or_else(|error| {
             log::error!(error:%; "head of an answer can't be passed on");
-            Response::new(crate::border::whole(Bytes::new()))
+            reply_with(&node, Reply::Failed)
         })
     }
 
