--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -149,6 +149,51 @@
         labels: &[],
         help: "Everything before this offset of the configuration stream is in force here.",
     },
+    seconds(
+        "tinbank_entry_ask_seconds",
+        "Time for an allocator to answer an ask for a slot, or until it counts as silent.",
+    ),
+    counter(
+        "tinbank_entry_asks_total",
+        "asks",
+        &["class", "answer"],
+        "Slots asked for, online or for batch: granted, denied, or no answer.",
+    ),
+    counter(
+        "tinbank_entry_broken_streams_total",
+        "streams",
+        &["resumable"],
+        "Streams of upstreams that broke off or fell silent under way, by whether they could be resumed.",
+    ),
+    counter(
+        "tinbank_entry_failed_attempts_total",
+        "attempts",
+        &["why"],
+        "Attempts at upstreams without an answer to the request.",
+    ),
+    seconds(
+        "tinbank_entry_first_answer_seconds",
+        "Time from a request to the head of its upstream's answer.",
+    ),
+    counter(
+        "tinbank_entry_item_runs_total",
+        "runs",
+        &["ended"],
+        "Runs of batch items, by how they ended.",
+    ),
+    counter(
+        "tinbank_entry_replies_total",
+        "answers",
+        &["reply"],
+        "Answers of the entry program's own, by what they say.",
+    ),
+    Metric {
+        name: "tinbank_entry_store_reached",
+        kind: Kind::Gauge,
+        unit: "1 or 0",
+        labels: &["what"],
+        help: "Whether a list or log at the store can be read; there once it was lost.",
+    },
     counter(
         "tinbank_failures_total",
         "answers",
