Each host of a test has a loopback address of its own

Ruled out: the program under test, which ended its start with the right error. Now every host has an address of 127/8 that no other test uses.

--- a/crates/tinbank-entry/tests/soak/deployment.rs
+++ b/crates/tinbank-entry/tests/soak/deployment.rs
@@ -19,6 +19,7 @@
     standin::{
         client,
         engine::{self, Engine},
+        own_address,
         store::{self, PARTITIONS, Route, Store},
     },
 };
@@ -126,8 +127,9 @@
 impl Host {
     async fn prepare(folder: &Path, index: usize, store: SocketAddr) -> Self {
         let (store_proxy, store) = Proxy::start(store).await;
-        let tcp = || TcpListener::bind("127.0.0.1:0").unwrap();
-        let udp = UdpSocket::bind("127.0.0.1:0").unwrap();
+        let own = own_address();
+        let tcp = || TcpListener::bind((own, 0)).unwrap();
+        let udp = UdpSocket::bind((own, 0)).unwrap();
         let (callers, readiness) = (tcp(), tcp());
         let callers = callers.local_addr().unwrap();
         let readiness = readiness.local_addr().unwrap();
