Records that somebody waits for are read at once where a waiting read is deaf

Cause: after a compaction of the store, reads that wait for news hear nothing for a second. Ruled out: the append (its answer came within milliseconds), the upstreams (all items were done in time). Change: who waits for a record says up to which offset; a waiting read that does not tell it within 25 ms is given up and the log is read at once. A page without news reads the log's end before it says that it can't tell.

--- a/crates/tinbank-gateway/src/batch/follower.rs
+++ b/crates/tinbank-gateway/src/batch/follower.rs
@@ -29,6 +29,9 @@
 /// Pause between two reads that found records, so that several are read together: each call at the store has a price.
 /// Source: less than half of the time between two reads of a caller.
 const REST: Duration = Duration::from_millis(200);
+/// Within this time after an append is acknowledged, a read that waits for news tells its records. Source: some times
+/// the 4 ms that an answer of the users' store takes, far below the target for accepting a job.
+const WAKE_TIME: Duration = Duration::from_millis(25);
 /// Pause after a read that failed.
 const RETRY: Duration = Duration::from_millis(100);
 /// Time beyond that for which a job is readable after which it is dropped: clocks of hosts differ.
@@ -43,13 +46,7 @@
     let mut pruned_at = Instant::now();
     loop {
         let from = node.batch.next.get();
-        let until = Instant::now() + Duration::from_millis(WAIT_MS) + ANSWER_TIMEOUT;
-        let range = Range {
-            from,
-            bytes: PAGE_BYTES,
-            wait_ms: WAIT_MS,
-        };
-        match node.store.read(JOBS, range, until).await {
+        match next_page(&node, from).await {
             Ok(page) => {
                 if std::mem::take(&mut failing) {
                     measure::store("jobs", true);
@@ -58,6 +55,9 @@
                 let news = !page.records.is_empty();
                 let end = page.end;
                 take_in(&node, &mut joiner, from, page);
+                if !news && node.batch.is_behind() {
+                    time::sleep(WAKE_TIME).await;
+                }
                 if news && node.batch.next.get() >= end {
                     // Whoever waits for a record of its own cuts the pause short.
                     let _ = time::timeout(REST, node.batch.hurry.notified()).await;
@@ -91,6 +91,42 @@
     }
 }
 
+/// The records from an offset on. A read that waits for news is given up if somebody waits for records that are in the
+/// log already: a store may fail to wake the reads that wait, and still answer those that don't.
+async fn next_page(node: &Node, from: Offset) -> Result<Page, Error> {
+    if !node.batch.is_behind() {
+        tokio::select! {
+            page = read(node, from, WAIT_MS) => return page,
+            () = overdue(node) => {
+                let wanted = node.batch.wanted.get();
+                log::info!(offset = from, wanted; "read that waits for records does not tell them, reading at once");
+            }
+        }
+    }
+    read(node, from, 0).await
+}
+
+async fn read(node: &Node, from: Offset, wait_ms: u64) -> Result<Page, Error> {
+    let until = Instant::now() + Duration::from_millis(wait_ms) + ANSWER_TIMEOUT;
+    let range = Range {
+        from,
+        bytes: PAGE_BYTES,
+        wait_ms,
+    };
+    node.store.read(JOBS, range, until).await
+}
+
+/// Waits until records that somebody waits for should have been told by a read that waits for news.
+async fn overdue(node: &Node) {
+    loop {
+        node.batch.hurry.notified().await;
+        time::sleep(WAKE_TIME).await;
+        if node.batch.is_behind() {
+            return;
+        }
+    }
+}
+
 /// Waits until the table holds all that the log held when this was called. False if that takes too long.
 pub(super) async fn catch_up(node: &Node, until: Instant) -> bool {
     let from = node.batch.next.get();
@@ -111,7 +147,7 @@
 
 /// Waits until the table holds all records before an offset. False if that takes too long.
 pub(super) async fn reached(node: &Node, end: Offset, until: Instant) -> bool {
-    node.batch.hurry.notify_one();
+    node.batch.want(end);
     let waited = time::timeout_at(until.into(), async {
         while node.batch.next.get() < end {
             node.batch.changed.notified().await;
--- a/crates/tinbank-gateway/src/batch/intake.rs
+++ b/crates/tinbank-gateway/src/batch/intake.rs
@@ -133,7 +133,7 @@
     match written {
         Written::No => return refuse(call, "store not reached"),
         Written::Perhaps => return Reply::TimedOut,
-        Written::At(_) => node.batch.hurry.notify_one(),
+        Written::At(offset) => node.batch.want(offset + 1),
     }
     match time::timeout_at(deadline.into(), decided).await {
         Ok(Ok(verdict)) => judge(verdict),
--- a/crates/tinbank-gateway/src/batch/mod.rs
+++ b/crates/tinbank-gateway/src/batch/mod.rs
@@ -40,7 +40,9 @@
     fresh_at: Cell<Option<Instant>>,
     known: Cell<bool>,
     changed: Notify,
-    /// Somebody waits for the log to be read further.
+    /// The table is to hold all records before this offset soon: somebody waits for them.
+    wanted: Cell<Offset>,
+    /// Told when `wanted` rises.
     hurry: Notify,
     verdicts: RefCell<HashMap<u64, oneshot::Sender<Verdict>>>,
     owner: owner::Owner,
@@ -58,6 +60,7 @@
             fresh_at: Cell::new(None),
             known: Cell::new(false),
             changed: Notify::new(),
+            wanted: Cell::new(0),
             hurry: Notify::new(),
             verdicts: RefCell::default(),
             owner: owner::Owner::default(),
@@ -79,6 +82,17 @@
         self.owner.distrust();
     }
 
+    /// Somebody waits until the table holds all records before an offset.
+    fn want(&self, end: Offset) {
+        self.wanted.set(self.wanted.get().max(end));
+        self.hurry.notify_one();
+    }
+
+    /// True if somebody waits for records that are in the log and not in the table yet.
+    fn is_behind(&self) -> bool {
+        self.next.get() < self.wanted.get()
+    }
+
     /// True if the table held all that the log held at most `age` ago.
     fn is_fresh(&self, age: Duration) -> bool {
         let fresh_at = self.fresh_at.get();
--- a/crates/tinbank-gateway/src/batch/results.rs
+++ b/crates/tinbank-gateway/src/batch/results.rs
@@ -63,7 +63,9 @@
             break;
         }
     }
-    if !node.batch.is_fresh(FRESH) {
+    if !node.batch.is_fresh(FRESH)
+        && !follower::catch_up(node, Instant::now() + CATCH_UP_TIMEOUT).await
+    {
         return unsure(job, "log read too long ago");
     }
     match outline(node, job, from) {
