An item that is stopped before it is sent is not cancelled at the engine

Ruled out: items that start after the job is told as cancelled (starts did not move), a count taken too early. Change: the engine is told to cancel only what was sent.

--- a/crates/tinbank-batch/src/runner/attempt.rs
+++ b/crates/tinbank-batch/src/runner/attempt.rs
@@ -1,6 +1,12 @@
 //! One attempt at an item: dispatch if it may not be repeated, send, collect the whole answer, give way when told.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Instant,
+};
 
 use bytes::Bytes;
 use futures::StreamExt as _;
@@ -127,16 +133,22 @@
     let mut stop = task.stop.clone();
     let mut withdrawn = pass.withdrawn.clone();
     let yields = task.repeatable;
+    let sent = AtomicBool::new(false);
+    let exchange = async {
+        sent.store(true, Ordering::Relaxed);
+        exchange(edge, task, target, request).await
+    };
     let end = tokio::select! {
         biased;
         () = turned(&mut stop, Stop::Now) => End::Stopped,
         () = turned(&mut withdrawn, true), if yields => End::Withdrawn,
-        result = exchange(edge, task, target, request) => match result {
+        result = exchange => match result {
             Ok(answer) => End::Answer(answer),
             Err(error) => End::Failed(error),
         },
     };
-    if leaves_work(&end) {
+    // What was stopped before it was sent is unknown to the engine.
+    if sent.load(Ordering::Relaxed) && leaves_work(&end) {
         // The engine may be gone; then nothing is left to cancel.
         let _ = edge.upstreams.cancel(target, request).await;
     }
