Small jobs are accepted with one append, and refused at once while the store is away

Cause: a job was accepted by two appends, one after the other, so each slow or lost answer counted twice; while the store was away a job was refused after up to a second and its caller told to come back after 0.3 s, when the store was still away, and callers come back once. Change: contents of up to 16 KB are part of the submission. Before it is sent, a log that was not read for a second is read once, within 80 ms; where that fails the job is refused, with a third of the caller's time as its return. A verdict is waited for for 1.5 s, not to the caller's end, so that another host can be asked. The host that runs a job has its contents from the log that it reads anyway.

--- a/crates/tinbank-gateway/src/batch/contents.rs
+++ b/crates/tinbank-gateway/src/batch/contents.rs
@@ -8,14 +8,17 @@
 };
 
 use tinbank_jobs::{
-    job::Job,
-    record::{self, Content, Index, JobId, Stored},
+    job::{Job, Source},
+    record::{self, Attachment, Content, Index, JobId, Record},
 };
 use tokio::{task, time};
 
-use super::large;
-use crate::node::Node;
+use super::{JOBS, large};
+use crate::{border::store, node::Node};
 
+/// Contents up to this size are part of the submission. All hosts read them then; source: at five jobs a second, which is
+/// the most that the users' deployments take in, that is 80 KB a second a host.
+pub(super) const INLINE_BYTES: usize = 16 << 10;
 /// Pause before contents that could not be read are asked for again.
 const RETRY: Duration = Duration::from_millis(200);
 
@@ -28,16 +31,21 @@
 
 impl Contents {
     /// True if the contents of a job are here.
-    pub fn has(&self, job: &JobId) -> bool {
+    pub fn has(&self, job: &str) -> bool {
         self.known.borrow().contains_key(job)
     }
 
     /// The content of an item, if it is here.
-    pub fn of_item(&self, job: &JobId, index: Index) -> Option<Content> {
+    pub fn of_item(&self, job: &str, index: Index) -> Option<Content> {
         let known = self.known.borrow();
         known.get(job)?.0.get(index as usize).cloned()
     }
 
+    /// Keeps the contents of a job.
+    pub fn keep(&self, job: JobId, contents: record::Contents) {
+        self.known.borrow_mut().insert(job, Rc::new(contents));
+    }
+
     /// Drops the contents of jobs that are over, or that others run.
     pub fn retain(&self, wanted: impl Fn(&JobId) -> bool) {
         self.known.borrow_mut().retain(|job, _| wanted(job));
@@ -52,33 +60,55 @@
     }
     let node = Rc::clone(node);
     let id = job.id.clone();
-    let stored = job.contents;
+    let source = job.contents;
     task::spawn_local(async move {
-        match read(&node, stored).await {
-            Some(read) => {
-                let mut known = node.batch.contents.known.borrow_mut();
-                known.insert(id.clone(), Rc::new(read));
+        match read(&node, source).await {
+            Ok(read) => node.batch.contents.keep(id.clone(), read),
+            Err(error) => {
+                log::warn!(job:% = id, source:?, error:%; "contents of a job not read");
+                time::sleep(RETRY).await;
             }
-            None => time::sleep(RETRY).await,
         }
         node.batch.contents.asked.borrow_mut().remove(&id);
     });
 }
 
-/// The contents of a job. Nothing if they can't be read now.
-pub(super) async fn read(node: &Node, stored: Stored) -> Option<record::Contents> {
-    let bytes = match large::read(node, stored).await {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            log::warn!(offset = stored.offset, error:%; "contents of a job not read");
-            return None;
+/// Contents that can't be had now.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum Error {
+    /// The store did not give them.
+    #[error(transparent)]
+    Store(#[from] store::Error),
+    /// They can't be decoded.
+    #[error(transparent)]
+    Record(#[from] record::Error),
+    /// The record at their place is not a submission that has them.
+    #[error("the record is no submission with contents")]
+    OtherRecord,
+}
+
+/// The contents of a job.
+pub(super) async fn read(node: &Node, source: Source) -> Result<record::Contents, Error> {
+    match source {
+        Source::Stored(stored) => {
+            let bytes = large::read(node, stored).await?;
+            Ok(record::Contents::decode(&bytes)?)
         }
-    };
-    match record::Contents::decode(&bytes) {
-        Ok(contents) => Some(contents),
-        Err(error) => {
-            log::error!(offset = stored.offset, error:%; "contents of a job can't be decoded");
-            None
+        Source::Submission(offset) => {
+            let bytes = large::read_whole(node, JOBS, offset, INLINE_BYTES).await?;
+            let record = Record::decode(&bytes)?;
+            inline(&record).cloned().ok_or(Error::OtherRecord)
         }
     }
 }
+
+/// The contents that a record of jobs has itself.
+pub(super) fn inline(record: &Record) -> Option<&record::Contents> {
+    match record {
+        Record::Submitted(submission) => match &submission.contents {
+            Attachment::Inline(contents) => Some(contents),
+            Attachment::Stored(_) => None,
+        },
+        _ => None,
+    }
+}
--- a/crates/tinbank-gateway/src/batch/follower.rs
+++ b/crates/tinbank-gateway/src/batch/follower.rs
@@ -6,14 +6,14 @@
 };
 
 use tinbank_jobs::{
-    fold::Change,
+    fold::{Change, Verdict},
     fragment::{Joiner, Whole},
     job::Job,
-    record::Record,
+    record::{JobId, Record},
 };
 use tokio::time;
 
-use super::{JOBS, owner, partition};
+use super::{JOBS, contents, owner, partition};
 use crate::{
     border::store::{Error, Offset, Page, Range},
     measure,
@@ -81,11 +81,9 @@
             let kept = node.settings.job_readable + KEPT_MARGIN;
             let mut table = node.batch.table.borrow_mut();
             table.prune(kept, SystemTime::now());
-            let ttl = owner::ttl(&node);
-            let partitions = node.settings.store.partitions;
             node.batch.contents.retain(|id| {
                 let is_open = table.job(id).is_some_and(Job::is_open);
-                is_open && node.batch.owner.holds(partition(id, partitions), ttl)
+                is_open && is_ours_to_run(&node, id)
             });
         }
     }
@@ -156,6 +154,12 @@
     waited.await.is_ok()
 }
 
+/// True if this process runs the items of a job.
+fn is_ours_to_run(node: &Node, job: &JobId) -> bool {
+    let partition = partition(job, node.settings.store.partitions);
+    node.batch.owner.holds(partition, owner::ttl(node))
+}
+
 fn take_in(node: &Node, joiner: &mut Joiner, from: Offset, page: Page) {
     let batch = &node.batch;
     let mut offset = from;
@@ -183,10 +187,17 @@
             return;
         }
     };
+    let contents = contents::inline(&record).cloned();
     let change = node.batch.table.borrow_mut().apply(whole.offset, record);
     match change {
         Change::Submitted { call, job, verdict } => {
             log::info!(job:%, offset = whole.offset, verdict:?; "job submitted");
+            if let Some(contents) = contents
+                && verdict == Verdict::Accepted
+                && is_ours_to_run(node, &job)
+            {
+                node.batch.contents.keep(job.clone(), contents);
+            }
             let waiting = node.batch.verdicts.borrow_mut().remove(&call);
             if let Some(waiting) = waiting
                 && waiting.send(verdict).is_err()
--- a/crates/tinbank-gateway/src/batch/intake.rs
+++ b/crates/tinbank-gateway/src/batch/intake.rs
@@ -5,12 +5,12 @@
 use tinbank_jobs::{
     fold::Verdict,
     fragment,
-    record::{Contents, JobId, Record, Stored, Submission},
+    record::{Attachment, Contents, JobId, Record, Stored, Submission},
 };
 use tinbank_relay::route::Route;
 use tokio::{sync::oneshot, time};
 
-use super::{JOBS, follower, large};
+use super::{JOBS, contents::INLINE_BYTES, follower, large};
 use crate::{
     border::{
         ingress::{Reply, Request},
@@ -22,7 +22,21 @@
 };
 
 /// How long one append may take before it is sent again. The fold drops what is written twice.
-const APPEND_TIMEOUT: Duration = Duration::from_millis(1_200);
+const APPEND_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a submission waits for its verdict. Another host may reach the store when this one does not, so the caller
+/// needs time to come again. Source: several times what an append takes at a slow store, well below what callers wait.
+const DECIDE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The log counts as reached if it was read to its end at most this long ago. Source: the longest time between two
+/// reads that are answered, twice.
+const LOG_AGE: Duration = Duration::from_millis(1_000);
+/// How long the read may take that tells whether the log is reached. Source: a refusal costs a caller little within a
+/// quarter of the target for accepting a job, 400 ms with the users.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(80);
+/// Part of the time that a caller has left after which it is told to come back while the store is away: one in so many.
+/// Outages last seconds, and the users' callers wait no longer than this part.
+const AWAY_RETRY_PART: u32 = 3;
+/// Time that a caller has left where it does not say.
+const UNKNOWN_TIME_LEFT: Duration = Duration::from_secs(3);
 /// How long the tries to write the contents of a job may take. An answer that is lost never comes, so the first try is
 /// short against the usual target for accepting a job; an answer of a slow store is waited for by the later ones.
 const CONTENTS_TIMEOUTS: [Duration; 3] = [
@@ -63,11 +77,16 @@
         Ok(items) => items,
         Err(malformed) => return Reply::Malformed(malformed),
     };
-    if !node.batch.is_known() {
-        return refuse(call, "log of jobs not read yet");
+    if !is_log_reached(node).await {
+        return refuse(call, "log of jobs not read to its end");
     }
     let number = identity::number();
-    let submission = Submission {
+    let listed = items.iter().map(|it| it.item.clone()).collect();
+    let contents = Contents(items.into_iter().map(|it| it.content).collect());
+    let Some(contents) = attach(node, contents, deadline).await else {
+        return refuse(call, "contents not written");
+    };
+    let record = Record::Submitted(Submission {
         job: call.id.clone(),
         call: number,
         host: call.host.clone(),
@@ -77,23 +96,36 @@
         submitted_at: SystemTime::now(),
         retention: route.batch.retention,
         target: route.batch.target,
-        items: items.iter().map(|it| it.item.clone()).collect(),
-        contents: Stored::default(),
-    };
-    let contents = Contents(items.into_iter().map(|it| it.content).collect());
-    let mut record = Record::Submitted(submission);
-    match write_contents(node, &contents, deadline).await {
-        Some(stored) => record.set_text(stored),
-        None => return refuse(call, "contents not written"),
-    }
+        items: listed,
+        contents,
+    });
     let (verdict, decided) = oneshot::channel();
     node.batch.verdicts.borrow_mut().insert(number, verdict);
-    let reply = decide(node, call, &record, decided, deadline).await;
+    let until = deadline.min(Instant::now() + DECIDE_TIMEOUT);
+    let reply = decide(node, call, &record, decided, until).await;
     node.batch.verdicts.borrow_mut().remove(&number);
     log::info!(job:% = call.id, route:% = route.name, reply:?; "submission answered");
     reply
 }
 
+/// True if the log of jobs is surely reached now. While its reads are answered, nothing is asked; otherwise one short
+/// read tells, before anything is sent that can't be taken back.
+async fn is_log_reached(node: &Node) -> bool {
+    if !node.batch.is_known() {
+        return false;
+    }
+    node.batch.is_fresh(LOG_AGE) || follower::catch_up(node, Instant::now() + PROBE_TIMEOUT).await
+}
+
+/// The contents of a job for its submission. Nothing if they could not be written.
+async fn attach(node: &Node, contents: Contents, deadline: Instant) -> Option<Attachment> {
+    if contents.size() <= INLINE_BYTES {
+        return Some(Attachment::Inline(contents));
+    }
+    let stored = write_contents(node, &contents, deadline).await;
+    stored.map(Attachment::Stored)
+}
+
 /// Writes the contents of a job. Without them there is no record of the job, so nothing of it runs.
 async fn write_contents(node: &Node, contents: &Contents, deadline: Instant) -> Option<Stored> {
     let bytes = match contents.encode() {
@@ -150,11 +182,12 @@
     }
 }
 
+/// Refuses a job because the store is away.
 fn refuse(call: &Request, why: &'static str) -> Reply {
-    log::info!(job:% = call.id, why; "job refused, nothing of it runs");
-    Reply::NotRun {
-        retry_after: RETRY_AFTER,
-    }
+    let retry_after = call.time_left.unwrap_or(UNKNOWN_TIME_LEFT) / AWAY_RETRY_PART;
+    let retry_after_ms = retry_after.as_millis() as u64;
+    log::info!(job:% = call.id, why, retry_after_ms; "job refused, nothing of it runs");
+    Reply::NotRun { retry_after }
 }
 
 /// Writes a record, again and again until the log has it or the time is up.
--- a/crates/tinbank-gateway/src/batch/large.rs
+++ b/crates/tinbank-gateway/src/batch/large.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    border::store::{Error, Place, Range, Topic},
+    border::store::{Error, Offset, Place, Range, Topic},
     node::Node,
 };
 
@@ -98,35 +98,43 @@
     if let Some(bytes) = node.batch.large.kept(&stored) {
         return Ok(bytes);
     }
+    let place = Place {
+        topic: Topic::Contents,
+        partition: stored.partition,
+    };
+    let expected = stored.bytes as usize + stored.records as usize * RECORD_BYTES;
+    let bytes = read_whole(node, place, stored.offset, expected).await?;
+    node.batch.large.keep(stored, bytes.clone());
+    Ok(bytes)
+}
+
+/// Reads the record that begins at an offset, of about `expected` bytes.
+pub(super) async fn read_whole(
+    node: &Node,
+    place: Place,
+    offset: Offset,
+    expected: usize,
+) -> Result<Bytes, Error> {
     let until = Instant::now() + READ_TIMEOUT;
     let mut joiner = Joiner::default();
-    let mut offset = stored.offset;
-    let end = stored.offset + u64::from(stored.records);
-    while offset < end {
+    let mut next = offset;
+    loop {
         let range = Range {
-            from: offset,
-            bytes: stored.bytes as usize + stored.records as usize * RECORD_BYTES,
+            from: next,
+            bytes: expected,
             wait_ms: 0,
         };
-        let place = Place {
-            topic: Topic::Contents,
-            partition: stored.partition,
-        };
         let page = node.store.read(place, range, until).await?;
         if page.records.is_empty() {
-            return Err(Error::Protocol(
-                "a record that was written is not there".to_owned(),
-            ));
+            let why = "a record that was written is not there";
+            return Err(Error::Protocol(why.to_owned()));
         }
         for piece in &page.records {
-            if let Some(whole) = joiner.push(offset, piece) {
+            if let Some(whole) = joiner.push(next, piece) {
                 // The page is larger than the record; what is kept must not hold all of it.
-                let bytes = Bytes::copy_from_slice(&whole.bytes);
-                node.batch.large.keep(stored, bytes.clone());
-                return Ok(bytes);
+                return Ok(Bytes::copy_from_slice(&whole.bytes));
             }
-            offset += 1;
+            next += 1;
         }
     }
-    Err(Error::Protocol("a record has no end".to_owned()))
 }
--- a/crates/tinbank-gateway/src/batch/results.rs
+++ b/crates/tinbank-gateway/src/batch/results.rs
@@ -139,11 +139,18 @@
             return unsure(job, "log not read to its end");
         }
     }
-    let Some((Some(index), stored)) = known(node) else {
+    let Some((Some(index), source)) = known(node) else {
         return not_found(job);
     };
-    let Some(contents) = contents::read(node, stored).await else {
-        return unsure(job, "contents not read");
+    if let Some(content) = node.batch.contents.of_item(job, index) {
+        return Reply::Body(content.body);
+    }
+    let contents = match contents::read(node, source).await {
+        Ok(contents) => contents,
+        Err(error) => {
+            log::warn!(job, source:?, error:%; "contents of a job not read");
+            return unsure(job, "contents not read");
+        }
     };
     match contents.0.into_iter().nth(index as usize) {
         Some(content) => Reply::Body(content.body),
--- a/crates/tinbank-jobs/src/job.rs
+++ b/crates/tinbank-jobs/src/job.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, SystemTime};
 
-use crate::record::{Index, Item, JobId, Outcome, Piece, Reason, RunId, Stored, Submission};
+use crate::record::{
+    Attachment, Index, Item, JobId, Outcome, Piece, Reason, RunId, Stored, Submission,
+};
 
 /// A job.
 #[derive(Clone, Debug)]
@@ -26,11 +28,20 @@
     /// The caller has ended it.
     pub ended: bool,
     /// Where the contents of its items stand.
-    pub contents: Stored,
+    pub contents: Source,
     entries: Vec<Entry>,
     listed: Vec<Index>,
 }
 
+/// Where the contents of a job's items are read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// In the job's submission, at this offset of the log.
+    Submission(u64),
+    /// In a large record.
+    Stored(Stored),
+}
+
 /// An item and what came of it.
 #[derive(Clone, Debug)]
 struct Entry {
@@ -91,7 +102,10 @@
             due_at: it.submitted_at + it.target,
             expires_at: it.submitted_at + it.retention,
             ended: false,
-            contents: it.contents,
+            contents: match it.contents {
+                Attachment::Inline(_) => Source::Submission(submission),
+                Attachment::Stored(stored) => Source::Stored(stored),
+            },
             entries: entries.map(Entry::new).collect(),
             listed: Vec::new(),
         }
--- a/crates/tinbank-jobs/src/record.rs
+++ b/crates/tinbank-jobs/src/record.rs
@@ -17,7 +17,7 @@
 pub type RunId = u64;
 
 /// First byte of each record; a record of another version is skipped with a line in the log.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// A record that can't be read.
 #[derive(Debug, thiserror::Error)]
@@ -74,7 +74,7 @@
     /// The items.
     pub items: Vec<Item>,
     /// Their contents.
-    pub contents: Stored,
+    pub contents: Attachment,
 }
 
 /// What every host knows of an item.
@@ -97,10 +97,19 @@
     pub body: Bytes,
 }
 
-/// The contents of all items of a job, in their order; a record of its own beside the job's.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// The contents of all items of a job, in their order.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Contents(pub Vec<Content>);
 
+/// The contents of a job's items, as its submission has them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Attachment {
+    /// They are small and part of the submission, so that one append accepts the job.
+    Inline(Contents),
+    /// They are large and stand elsewhere, so that hosts that don't run the job need not read them.
+    Stored(Stored),
+}
+
 /// Where something large stands, which hosts read only when they need it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Stored {
@@ -190,6 +199,15 @@
 }
 
 impl Contents {
+    /// About how many bytes they take.
+    pub fn size(&self) -> usize {
+        let header = |header: &Header| header.name.len() + header.value.len();
+        let of = |content: &Content| {
+            content.body.len() + content.headers.iter().map(header).sum::<usize>()
+        };
+        self.0.iter().map(of).sum()
+    }
+
     /// The bytes of the record.
     pub fn encode(&self) -> Result<Bytes, Error> {
         encode(self)
@@ -221,8 +239,7 @@
                     piece.text = text;
                 }
             }
-            Self::Submitted(submission) => submission.contents = text,
-            Self::Ended(_) => {}
+            Self::Submitted(_) | Self::Ended(_) => {}
         }
     }
 }
--- a/crates/tinbank-jobs/tests/fold.rs
+++ b/crates/tinbank-jobs/tests/fold.rs
@@ -10,7 +10,9 @@
     Table,
     fold::{Change, Verdict},
     job::Final,
-    record::{Advance, Finish, Item, Outcome, Piece, Reason, Record, Stored, Submission},
+    record::{
+        Advance, Attachment, Finish, Item, Outcome, Piece, Reason, Record, Stored, Submission,
+    },
 };
 use tinbank_test_support::property;
 
@@ -26,7 +28,7 @@
         retention: Duration::from_secs(60),
         target: Duration::from_secs(18),
         items: (0..3).map(item).collect(),
-        contents: Stored::default(),
+        contents: Attachment::Stored(Stored::default()),
     })
 }
 
