--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -157,14 +157,17 @@
             entry.grants.expire(now);
         }
         let mut out = Outgoing::new();
-        let chosen = match ask.class {
+        // An ask that comes again has lost its answer, and gets the same one.
+        let known = self.granted(from, ask.lease);
+        let chosen = known.or_else(|| match ask.class {
             Class::Online => self.online(ask, now, &mut out),
             Class::Batch(due) => self.batch(ask, due, now, &mut out),
-        };
+        });
         let grant = chosen.map(|index| {
             let learning = self.is_learning(now);
             let entry = &mut self.upstreams[index];
-            let queued = learning || entry.grants.len() >= entry.upstream.slots;
+            let others = entry.grants.len() - usize::from(known.is_some());
+            let queued = learning || others >= entry.upstream.slots;
             entry.grants.add(grants::Grant {
                 holder: from,
                 lease: ask.lease,
@@ -186,6 +189,12 @@
         out
     }
 
+    /// The upstream that a lease in force is for.
+    fn granted(&self, holder: SocketAddr, lease: lease::Id) -> Option<usize> {
+        let mut entries = self.upstreams.iter();
+        entries.position(|entry| entry.grants.has(holder, lease))
+    }
+
     /// A free slot, else one reclaimed from batch, else, if forced, the least loaded upstream.
     fn online(&mut self, ask: &Ask, now: Instant, out: &mut Outgoing) -> Option<usize> {
         let least = self.least(ask, now)?;
--- a/crates/tinbank-allocator/src/directory.rs
+++ b/crates/tinbank-allocator/src/directory.rs
@@ -26,16 +26,24 @@
     pub failure_domain: id::FailureDomain,
 }
 
+/// Missing answers in a row after which a host is passed over. Source: on a link that loses packets single answers go
+/// missing all the time, and each host that another allocator is asked for makes allocators deal without each other's knowledge.
+const MISSES: u32 = 2;
+
 /// The hosts known, and which of them are silent.
 #[derive(Debug, Default)]
 pub struct Directory {
     peers: Vec<Peer>,
+    /// Hosts of which an answer was missed and nothing was heard since.
     silent: HashMap<SocketAddr, Silence>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Silence {
+    misses: u32,
+    /// Passed over until then, for the last time that it was.
     until: Instant,
+    /// How many times it was passed over.
     strikes: u32,
 }
 
@@ -74,32 +82,54 @@
             .map(|peer| peer.address)
     }
 
-    /// Takes in that a host has sent a datagram. True if it had been silent.
+    /// Takes in that a host has sent a datagram. True if it had been passed over.
     pub fn heard(&mut self, address: SocketAddr) -> bool {
-        self.silent.remove(&address).is_some()
+        let silence = self.silent.remove(&address);
+        silence.is_some_and(|silence| silence.strikes > 0)
     }
 
-    /// Takes in that an answer of a host is missing. True if it was not silent before.
+    /// Takes in that an answer of a host is missing. True if it is passed over from now on.
     pub fn missed(&mut self, address: SocketAddr, now: Instant) -> bool {
-        let fresh = !self.is_silent(address, now);
-        let entry = self.silent.entry(address).or_insert(Silence {
+        if self.is_silent(address, now) {
+            return false;
+        }
+        let silence = self.silent.entry(address).or_insert(Silence {
+            misses: 0,
             until: now,
             strikes: 0,
         });
-        if fresh {
-            let wait = FIRST_SILENCE * 2u32.saturating_pow(entry.strikes);
-            entry.until = now + wait.min(LONGEST_SILENCE);
-            entry.strikes += 1;
+        silence.misses += 1;
+        if silence.misses < MISSES {
+            return false;
         }
-        fresh
+        let wait = FIRST_SILENCE * 2u32.saturating_pow(silence.strikes);
+        silence.until = now + wait.min(LONGEST_SILENCE);
+        silence.strikes += 1;
+        true
     }
 
     /// Hosts that were passed over and whose time is up; they are asked for a heartbeat before they count again.
     pub fn due(&self, now: Instant) -> SmallVec<[SocketAddr; 4]> {
-        let due = self.silent.iter().filter(|(_, it)| it.until <= now);
+        let silent = self.silent.iter();
+        let due = silent.filter(|(_, it)| it.strikes > 0 && it.until <= now);
         due.map(|(address, _)| *address).collect()
     }
 
+    /// The allocators of all failure domains.
+    pub fn allocators(&self, now: Instant) -> SmallVec<[SocketAddr; 4]> {
+        let mut domains: SmallVec<[&str; 4]> = SmallVec::new();
+        for peer in &self.peers {
+            if !domains.contains(&peer.failure_domain.as_str()) {
+                domains.push(&peer.failure_domain);
+            }
+        }
+        domains.sort_unstable();
+        let domains = domains.into_iter();
+        domains
+            .filter_map(|domain| self.allocator(domain, now))
+            .collect()
+    }
+
     fn is_silent(&self, address: SocketAddr, now: Instant) -> bool {
         self.silent
             .get(&address)
--- a/crates/tinbank-allocator/src/grants.rs
+++ b/crates/tinbank-allocator/src/grants.rs
@@ -33,6 +33,12 @@
         self.0.len()
     }
 
+    /// True if a lease is in force here.
+    pub fn has(&self, holder: SocketAddr, lease: lease::Id) -> bool {
+        let same = |grant: &Grant| grant.holder == holder && grant.lease == lease;
+        self.0.iter().any(same)
+    }
+
     /// Adds a lease, or renews it.
     pub fn add(&mut self, grant: Grant) {
         let known = self.remove(grant.holder, grant.lease);
--- a/crates/tinbank-allocator/tests/allocator.rs
+++ b/crates/tinbank-allocator/tests/allocator.rs
@@ -209,6 +209,21 @@
     assert_ne!(lost, asked_since);
 }
 
+#[test]
+fn an_ask_that_comes_again_gets_the_same_grant() {
+    let mut desk = Desk::learned(2);
+    let lease = desk.next;
+    let first = desk.ask(0, Class::Online, Queue::No);
+
+    desk.next = lease;
+    let again = desk.ask(0, Class::Online, Queue::No);
+
+    let rest = (0..20).filter_map(|_| desk.ask(1, Class::Online, Queue::No));
+    assert!(first.is_some());
+    assert_eq!(first, again);
+    assert_eq!(rest.count(), 2 * SLOTS - 1);
+}
+
 #[test]
 fn a_lease_ends_when_its_host_is_silent() {
     let mut desk = Desk::learned(1);
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -157,7 +157,17 @@
         if !peers.contains(&self.own) {
             peers.push(self.own.clone());
         }
-        self.state.borrow_mut().directory.list(peers);
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        let before = state.directory.allocators(now);
+        state.directory.list(peers);
+        let after = state.directory.allocators(now);
+        drop(state);
+        if before != after {
+            log::info!(before:?, after:?; "allocators by the list of hosts");
+            // A new one has to know what is held before it is asked.
+            self.tell_holdings(now);
+        }
     }
 
     /// Forgets what the allocator believes, after a pause of the process.
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -18,6 +18,9 @@
 
 /// How long an allocator may take to answer. Source: measured, see `docs/design/users-platform.md`.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
+/// When an ask without an answer is sent a second time: datagrams are lost now and then. Source: some round trips between
+/// failure domains.
+const RESEND_AFTER: Duration = Duration::from_millis(10);
 /// Grants of leaving upstreams after which a failure domain counts as having none.
 const MAX_LEAVING: usize = 4;
 
@@ -117,8 +120,20 @@
         };
         let (answer, answered) = oneshot::channel();
         self.state.borrow_mut().asks.insert(lease, answer);
-        self.send(allocator, &Frame::Ask(ask));
-        let answer = time::timeout(ANSWER_TIMEOUT, answered).await;
+        let frame = Frame::Ask(ask);
+        self.send(allocator, &frame);
+        let resend = async {
+            time::sleep(RESEND_AFTER).await;
+            self.send(allocator, &frame);
+            std::future::pending().await
+        };
+        let answer = time::timeout(ANSWER_TIMEOUT, async {
+            tokio::select! {
+                answer = answered => answer,
+                () = resend => unreachable!("a resend never ends"),
+            }
+        });
+        let answer = answer.await;
         self.state.borrow_mut().asks.remove(&lease);
         let told = match &answer {
             Ok(Ok(Some(_))) => Answer::Granted,
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -22,8 +22,12 @@
         if from != self.own.address {
             let mut state = self.state.borrow_mut();
             state.unheard.remove(&from);
-            if state.directory.heard(from) {
+            let is_back = state.directory.heard(from);
+            drop(state);
+            if is_back {
                 log::info!(peer:% = from; "host heard again");
+                // It may be an allocator again, and has not been told for a while.
+                self.tell_holdings(now);
             }
         }
         match frame {
@@ -77,7 +81,7 @@
     }
 
     /// Tells each allocator what this host holds in its failure domain.
-    fn tell_holdings(&self, now: Instant) {
+    pub(super) fn tell_holdings(&self, now: Instant) {
         let next = self.next.get();
         let mut letters: SmallVec<[(SocketAddr, Holdings); 4]> = SmallVec::new();
         let state = self.state.borrow();
