An upstream is ejected by its share of failures

Cause: two troubles of different hosts within 2 s ejected an upstream that served nearly all; on links that lose packets that was several times a second. Change: beside two hosts that agree, the smoothed share of failures has to be 23% at least, which is two in a row where all was well. Test: an_upstream_that_serves_nearly_all_is_not_ejected (failed first).

--- a/crates/tinbank-allocator/src/health.rs
+++ b/crates/tinbank-allocator/src/health.rs
@@ -11,6 +11,11 @@
 
 /// Two hosts have to report trouble within this time, so that one bad host or link ejects nobody for all.
 const AGREEMENT: Duration = Duration::from_secs(2);
+/// Weight of the newest request in the share of failures, one part in so many.
+const SMOOTHING: u32 = 8;
+/// Share of failures from which an upstream is in trouble, in permille: two in a row where all was well before. Links that
+/// lose one packet in forty stay far below.
+const TROUBLED: u32 = 230;
 /// First time for which an upstream gets no request. Doubled with each further ejection.
 const FIRST_EJECTION: Duration = Duration::from_secs(1);
 /// Longest time without a request, after which one is tried again.
@@ -20,6 +25,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Health {
     reports: SmallVec<[Report; 4]>,
+    /// Smoothed share of requests that failed, in permille.
+    failing: u32,
     ejected_until: Option<Instant>,
     ejections: u32,
 }
@@ -43,6 +50,7 @@
             // A full upstream refuses, and to eject it would only load the others more.
             Outcome::Unused | Outcome::Leaving | Outcome::Refused => false,
             Outcome::Served => {
+                self.failing -= self.failing / SMOOTHING;
                 self.reports.retain(|report| report.by != by);
                 if !self.ejected(now) {
                     self.ejections = 0;
@@ -61,7 +69,9 @@
         self.reports
             .retain(|report| report.by != by && now < report.at + AGREEMENT);
         self.reports.push(Report { by, at: now });
-        if self.reports.len() < 2 || self.ejected(now) || !may_eject {
+        self.failing += (1_000 - self.failing) / SMOOTHING;
+        let agreed = self.reports.len() >= 2 && self.failing >= TROUBLED;
+        if !agreed || self.ejected(now) || !may_eject {
             return false;
         }
         let time = FIRST_EJECTION * 2u32.saturating_pow(self.ejections);
--- a/crates/tinbank-allocator/tests/allocator.rs
+++ b/crates/tinbank-allocator/tests/allocator.rs
@@ -135,6 +135,26 @@
     assert_eq!(ejected, 2);
 }
 
+/// Seen on the bench: on links that lost packets two hosts had trouble with any upstream now and then, and it was ejected
+/// though it served nearly all.
+#[test]
+fn an_upstream_that_serves_nearly_all_is_not_ejected() {
+    let mut desk = Desk::learned(1);
+    let mut ejected = false;
+
+    for round in 0..200 {
+        let (host, outcome) = match round % 10 {
+            4 => (0, Outcome::Silent),
+            9 => (1, Outcome::Silent),
+            _ => (2, Outcome::Served),
+        };
+        let held = desk.ask_held(host, Class::Online);
+        ejected |= desk.release(host, held, outcome).is_some();
+    }
+
+    assert!(!ejected);
+}
+
 #[test]
 fn a_grant_of_an_allocator_that_learns_may_have_to_wait() {
     let mut desk = Desk::learned(1);
