After hosts were lost, upstreams' reports count, and requests that come again wait for a free slot

Change: an allocator that learns asks its upstreams for their load; what no known lease is for counts as in use until they report less.

--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -23,6 +23,8 @@
 const LEASE_TIME: Duration = Duration::from_millis(3_500);
 /// For how long an allocator that knew of nobody grants nothing to batch: until every host has told its holdings.
 const LEARNING_TIME: Duration = Duration::from_millis(1_500);
+/// By how much reports of upstreams lag. Source: the users' pages say some hundred milliseconds.
+const REPORT_LAG: Duration = Duration::from_millis(500);
 /// Slots of an upstream that stay free of batch, so that an online request seldom has to reclaim one.
 const HEADROOM: usize = 1;
 
@@ -71,8 +73,16 @@
 #[derive(Debug)]
 struct Entry {
     upstream: Upstream,
+    account: Account,
+}
+
+/// What is known of an upstream beside its place.
+#[derive(Debug, Default)]
+struct Account {
     grants: Grants,
     health: Health,
+    /// Requests that the upstream works on and that no known lease is for: those of hosts that were lost.
+    foreign: Option<usize>,
 }
 
 impl Allocator {
@@ -96,11 +106,9 @@
             .collect();
         let entries = upstreams.into_iter().map(|upstream| {
             let known = before.remove(&upstream.instance);
-            let (grants, health) = known.map(|it| (it.grants, it.health)).unwrap_or_default();
             Entry {
+                account: known.map(|it| it.account).unwrap_or_default(),
                 upstream,
-                grants,
-                health,
             }
         });
         self.upstreams = entries.collect();
@@ -131,11 +139,38 @@
     /// Forgets all leases, as after a pause of the process: what it believes is as old as the pause.
     pub fn forget(&mut self, now: Instant) {
         for entry in &mut self.upstreams {
-            entry.grants = Grants::default();
+            entry.account.grants = Grants::default();
+            entry.account.foreign = None;
         }
         self.learning_until = Some(now + LEARNING_TIME);
     }
 
+    /// The upstreams that are dealt out.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.iter().map(|entry| &entry.upstream)
+    }
+
+    /// Takes in how many requests an upstream says that it has. Those that no known lease is for are of hosts that were
+    /// lost: the upstream does not notice at once when a host loses power. They only become fewer.
+    pub fn reported(&mut self, upstream: &id::Instance, requests: usize, now: Instant) {
+        let Some(index) = self.find(upstream) else {
+            return;
+        };
+        let account = &mut self.upstreams[index].account;
+        let foreign = requests.saturating_sub(account.grants.older_than(REPORT_LAG, now));
+        account.foreign = Some(
+            account
+                .foreign
+                .map_or(foreign, |before| before.min(foreign)),
+        );
+    }
+
+    /// True while the allocator learns, or upstreams work on requests of hosts that were lost.
+    pub fn needs_reports(&self, now: Instant) -> bool {
+        let mut entries = self.upstreams.iter();
+        self.is_learning(now) || entries.any(|it| it.account.foreign.is_some_and(|it| it > 0))
+    }
+
     /// Starts learning if nobody has told anything for longer than a lease holds.
     fn wake(&mut self, now: Instant) -> Option<Change> {
         let idle = self.heard_at.is_none_or(|at| now > at + LEASE_TIME);
@@ -144,6 +179,9 @@
             return None;
         }
         self.learning_until = Some(now + LEARNING_TIME);
+        for entry in &mut self.upstreams {
+            entry.account.foreign = None;
+        }
         Some(Change::Learning)
     }
 
@@ -154,7 +192,7 @@
 
     fn ask(&mut self, from: SocketAddr, ask: &Ask, now: Instant) -> Outgoing {
         for entry in &mut self.upstreams {
-            entry.grants.expire(now);
+            entry.account.grants.expire(now);
         }
         let mut out = Outgoing::new();
         // An ask that comes again has lost its answer, and gets the same one.
@@ -166,9 +204,9 @@
         let grant = chosen.map(|index| {
             let learning = self.is_learning(now);
             let entry = &mut self.upstreams[index];
-            let others = entry.grants.len() - usize::from(known.is_some());
+            let others = entry.load() - usize::from(known.is_some());
             let queued = learning || others >= entry.upstream.slots;
-            entry.grants.add(grants::Grant {
+            entry.account.grants.add(grants::Grant {
                 holder: from,
                 lease: ask.lease,
                 class: ask.class,
@@ -192,14 +230,14 @@
     /// The upstream that a lease in force is for.
     fn granted(&self, holder: SocketAddr, lease: lease::Id) -> Option<usize> {
         let mut entries = self.upstreams.iter();
-        entries.position(|entry| entry.grants.has(holder, lease))
+        entries.position(|entry| entry.account.grants.has(holder, lease))
     }
 
     /// A free slot, else one reclaimed from batch, else, if forced, the least loaded upstream.
     fn online(&mut self, ask: &Ask, now: Instant, out: &mut Outgoing) -> Option<usize> {
         let least = self.least(ask, now)?;
         let entry = &self.upstreams[least];
-        if entry.grants.len() < entry.upstream.slots {
+        if entry.load() < entry.upstream.slots {
             return Some(least);
         }
         if let Some((index, _)) = self.reclaimable(ask, now) {
@@ -213,7 +251,8 @@
     /// `slots`th part of the time that a request takes.
     fn may_queue(&self, ask: &Ask, index: usize) -> bool {
         let entry = &self.upstreams[index];
-        let queued = entry.grants.len() + 1 - entry.upstream.slots.min(entry.grants.len());
+        let load = entry.load();
+        let queued = load + 1 - entry.upstream.slots.min(load);
         match ask.queue {
             Queue::No => false,
             Queue::Any => true,
@@ -234,7 +273,7 @@
         }
         let least = self.least(ask, now)?;
         let entry = &self.upstreams[least];
-        if entry.grants.len() + HEADROOM < entry.upstream.slots {
+        if entry.load() + HEADROOM < entry.upstream.slots {
             return Some(least);
         }
         let (index, last) = self.reclaimable(ask, now)?;
@@ -246,7 +285,7 @@
     }
 
     fn reclaim(&mut self, index: usize, out: &mut Outgoing) {
-        if let Some(grant) = self.upstreams[index].grants.reclaim() {
+        if let Some(grant) = self.upstreams[index].account.grants.reclaim() {
             out.push((grant.holder, Frame::Reclaim(grant.lease)));
         }
     }
@@ -259,14 +298,14 @@
         (0..count)
             .map(|step| (start + step) % count)
             .filter(|index| self.upstreams[*index].takes(ask, now))
-            .min_by_key(|index| self.upstreams[*index].grants.len())
+            .min_by_key(|index| self.upstreams[*index].load())
     }
 
     /// The upstream that runs the batch item that is due last, and when that is.
     fn reclaimable(&self, ask: &Ask, now: Instant) -> Option<(usize, Due)> {
         (0..self.upstreams.len())
             .filter(|index| self.upstreams[*index].takes(ask, now))
-            .filter_map(|index| Some((index, self.upstreams[index].grants.last_due()?)))
+            .filter_map(|index| Some((index, self.upstreams[index].account.grants.last_due()?)))
             .max_by_key(|(_, due)| *due)
     }
 
@@ -277,12 +316,15 @@
         let index = self.find(&release.upstream)?;
         let may_eject = self.may_eject(index, now);
         let entry = &mut self.upstreams[index];
-        let removed = entry.grants.remove(from, release.lease);
+        let removed = entry.account.grants.remove(from, release.lease);
         let granted_at = removed.and_then(|grant| grant.granted_at);
         if let (Some(at), Outcome::Served) = (granted_at, release.outcome) {
             self.pace.note(now.saturating_duration_since(at));
         }
-        let ejected = entry.health.note(from, release.outcome, may_eject, now);
+        let ejected = entry
+            .account
+            .health
+            .note(from, release.outcome, may_eject, now);
         ejected.then(|| Change::Ejected(release.upstream.clone()))
     }
 
@@ -300,7 +342,10 @@
             .upstreams
             .iter()
             .filter(|entry| entry.upstream.service == *service);
-        let ejected = same.clone().filter(|it| it.health.ejected(now)).count();
+        let ejected = same
+            .clone()
+            .filter(|it| it.account.health.ejected(now))
+            .count();
         ejected == 0 || (ejected + 1) * 100 <= same.count() * MOST_EJECTED_PERCENT
     }
 
@@ -315,7 +360,10 @@
 
     fn holdings(&mut self, from: SocketAddr, holdings: &Holdings, now: Instant) {
         for entry in &mut self.upstreams {
-            entry.grants.keep(from, holdings.next, &holdings.held);
+            entry
+                .account
+                .grants
+                .keep(from, holdings.next, &holdings.held);
         }
         for held in &holdings.held {
             self.renew(from, held, now);
@@ -327,7 +375,14 @@
         let Some(index) = self.find(&held.upstream) else {
             return;
         };
-        self.upstreams[index].grants.add(grants::Grant {
+        let account = &mut self.upstreams[index].account;
+        if !account.grants.has(from, held.lease)
+            && let Some(foreign) = &mut account.foreign
+        {
+            // It was counted as nobody's.
+            *foreign = foreign.saturating_sub(1);
+        }
+        account.grants.add(grants::Grant {
             holder: from,
             lease: held.lease,
             class: held.class,
@@ -338,9 +393,14 @@
 }
 
 impl Entry {
+    /// Requests that the upstream works on, as far as is known.
+    fn load(&self) -> usize {
+        self.account.grants.len() + self.account.foreign.unwrap_or(0)
+    }
+
     fn takes(&self, ask: &Ask, now: Instant) -> bool {
         self.upstream.service == ask.service
             && !ask.exclude.contains(&self.upstream.instance)
-            && !self.health.ejected(now)
+            && !self.account.health.ejected(now)
     }
 }
--- a/crates/tinbank-allocator/src/grants.rs
+++ b/crates/tinbank-allocator/src/grants.rs
@@ -1,6 +1,9 @@
 //! The leases in force at one upstream.
 
-use std::{net::SocketAddr, time::Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use crate::lease::{self, Class, Due};
 
@@ -33,6 +36,13 @@
         self.0.len()
     }
 
+    /// Leases that were not granted within the last `age`.
+    pub fn older_than(&self, age: Duration, now: Instant) -> usize {
+        let grants = self.0.iter();
+        let older = grants.filter(|it| it.granted_at.is_none_or(|at| now >= at + age));
+        older.count()
+    }
+
     /// True if a lease is in force here.
     pub fn has(&self, holder: SocketAddr, lease: lease::Id) -> bool {
         let same = |grant: &Grant| grant.holder == holder && grant.lease == lease;
--- a/crates/tinbank-allocator/tests/allocator.rs
+++ b/crates/tinbank-allocator/tests/allocator.rs
@@ -216,6 +216,42 @@
     assert!(learned.is_some());
 }
 
+/// Seen on the bench: after all hosts had lost power, allocators dealt out slots that upstreams still used for lost hosts.
+#[test]
+fn what_upstreams_do_for_lost_hosts_counts_until_they_are_done() {
+    let mut desk = Desk::learned(2);
+    let (busy, idle) = (upstream(0).instance, upstream(1).instance);
+
+    desk.allocator.reported(&busy, SLOTS, desk.now);
+    let while_busy: Vec<_> = (0..SLOTS + 1)
+        .map(|_| desk.ask(0, Class::Online, Queue::No))
+        .collect();
+    desk.now += Duration::from_secs(1);
+    desk.allocator.reported(&busy, 1, desk.now);
+    let later = (0..SLOTS).filter_map(|_| desk.ask(0, Class::Online, Queue::No));
+
+    let mut expected = vec![Some(idle); SLOTS];
+    expected.push(None);
+    assert_eq!(while_busy, expected);
+    assert_eq!(later.count(), SLOTS - 1);
+}
+
+#[test]
+fn what_a_host_tells_that_it_holds_is_no_lost_host_s() {
+    let mut desk = Desk::learned(1);
+    desk.allocator.reported(&upstream(0).instance, 2, desk.now);
+    let held = (0..2).map(|lease| Held {
+        lease: 1_000 + lease,
+        upstream: upstream(0).instance,
+        class: Class::Online,
+    });
+
+    desk.holdings(1, 2_000, held.collect());
+
+    let free = (0..SLOTS).filter_map(|_| desk.ask(0, Class::Online, Queue::No));
+    assert_eq!(free.count(), SLOTS - 2);
+}
+
 #[test]
 fn holdings_end_what_their_host_does_not_hold_and_keep_what_it_asked_for_since() {
     let mut desk = Desk::learned(1);
--- a/crates/tinbank-gateway/src/border/engine.rs
+++ b/crates/tinbank-gateway/src/border/engine.rs
@@ -66,8 +66,26 @@
     Impossible,
 }
 
+/// How much an upstream has to do, as it told some hundred milliseconds later.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that it works on.
+    pub running: usize,
+    /// Requests that wait inside it.
+    pub waiting: usize,
+}
+
+/// A report that can't be read.
+#[derive(Debug, thiserror::Error)]
+#[error("report can't be read: {0}")]
+pub struct Unreadable(pub String);
+
 /// Encodes requests and reads answers.
 pub trait Engine {
+    /// The request for an upstream's report.
+    fn report(&self) -> http::Request<Full<Bytes>>;
+    /// What a report says.
+    fn load(&self, report: &[u8]) -> Result<Load, Unreadable>;
     /// The request of a caller, by its head and body.
     fn relayed(&self, id: &str, head: &http::request::Parts, body: Bytes) -> Request;
     /// The request of a batch item.
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -49,6 +49,11 @@
 const QUEUE_PERCENT: u32 = 65;
 /// A request with less than all but one part in so many of its route's time left was turned away before.
 const FIRST_TRY_PART: u32 = 20;
+/// For how long a request that comes again waits for a free slot at most. Source: the users' callers leave a stream that
+/// was silent for two seconds, and the upstream needs a part of them.
+const LONGEST_HOLD: Duration = Duration::from_millis(1_000);
+/// Pause before such a request asks for a slot again. Source: some slots come free in it, while asks stay few.
+const HOLD_PAUSE: Duration = Duration::from_millis(80);
 /// Longest time for which a request without a time limit of its own is held.
 const LONGEST_TIME: Duration = Duration::from_secs(60);
 /// Attempts that did not run, after which a request is refused.
@@ -66,6 +71,10 @@
     attempts: Attempts,
     received: Instant,
     deadline: Instant,
+    /// The caller came before and has its answer late in any case.
+    is_late: bool,
+    /// Until then it waits for a free slot if it is late.
+    hold_until: Instant,
     /// The caller has had a part of the answer.
     has_begun: bool,
     /// All slots were in use.
@@ -107,7 +116,10 @@
         let reply = batch::intake::submit(node, &route, &call, &body, deadline).await;
         return reply_with(node, reply);
     }
+    let is_first = time * FIRST_TRY_PART >= route.timeout * (FIRST_TRY_PART - 1);
     let relay = Relay {
+        is_late: !is_first,
+        hold_until: deadline.min(received + LONGEST_HOLD),
         node: Rc::clone(node),
         request: node.engine.relayed(&call.id, &head, body),
         attempts: Attempts::new(route.kind, route.max_attempts),
@@ -200,20 +212,7 @@
         let Some(service) = self.route.service(self.node.draw()).cloned() else {
             return Err(self.attempts.give_up());
         };
-        let wanted = Wanted {
-            class: Class::Online,
-            service: &service,
-            exclude: self.attempts.tried(),
-            queue: self.queue(),
-        };
-        let lease = match self.node.sharing.lease(&self.node, &wanted).await {
-            Asked::Granted(lease) => lease,
-            Asked::Full => {
-                self.overloaded = true;
-                return Err(self.attempts.give_up());
-            }
-            Asked::Nobody => return Err(self.attempts.give_up()),
-        };
+        let lease = self.lease(&service).await?;
         let upstream = lease.upstream.clone();
         self.log_sent(&lease, resume_after);
         let until = self.answer_until(lease.queued);
@@ -234,6 +233,28 @@
         }
     }
 
+    /// A slot at an upstream of a service, or what to tell the caller.
+    async fn lease(&mut self, service: &str) -> Result<Lease, Next> {
+        loop {
+            let queue = self.queue();
+            let wanted = Wanted {
+                class: Class::Online,
+                service,
+                exclude: self.attempts.tried(),
+                queue,
+            };
+            match self.node.sharing.lease(&self.node, &wanted).await {
+                Asked::Granted(lease) => return Ok(lease),
+                Asked::Full if queue == Queue::No => time::sleep(HOLD_PAUSE).await,
+                Asked::Full => {
+                    self.overloaded = true;
+                    return Err(self.attempts.give_up());
+                }
+                Asked::Nobody => return Err(self.attempts.give_up()),
+            }
+        }
+    }
+
     fn log_sent(&self, lease: &Lease, resume_after: Option<u64>) {
         let now = Instant::now();
         let view = &self.node.view;
@@ -250,14 +271,19 @@
         );
     }
 
-    /// Whether this request may wait inside an upstream. At first it may as long as it is likely to be in time; a
-    /// caller that was turned away, or whose request has begun already, is not turned away again.
+    /// Whether this request may wait inside an upstream. One that is new may as long as it is likely to be in time. One
+    /// that comes again is late already: it waits here for a free slot, so that it makes no new one late, and inside an
+    /// upstream only once its time runs short. One whose answer has begun is never turned away.
     fn queue(&self) -> Queue {
-        let given = self.deadline.saturating_duration_since(self.received);
-        let is_first = given * FIRST_TRY_PART >= self.route.timeout * (FIRST_TRY_PART - 1);
-        if !is_first || self.has_begun || self.attempts.may_have_run() {
+        if self.has_begun || self.attempts.may_have_run() {
             return Queue::Any;
         }
+        if self.is_late {
+            return match Instant::now() < self.hold_until {
+                true => Queue::No,
+                false => Queue::Any,
+            };
+        }
         let patience = self.route.target_latency * QUEUE_PERCENT / 100;
         Queue::Within(patience.as_millis() as u32)
     }
@@ -272,9 +298,10 @@
             return self.deadline;
         }
         let target = self.route.target_latency;
-        let patience = match queued {
-            true => target,
-            false => target / PATIENCE_PART,
+        let patience = match (queued, self.is_late) {
+            (false, _) => target / PATIENCE_PART,
+            (true, false) => target,
+            (true, true) => LONGEST_HOLD,
         };
         let patience = patience.max(LEAST_PATIENCE);
         (Instant::now() + patience).min(self.deadline)
--- a/crates/tinbank-gateway/src/run.rs
+++ b/crates/tinbank-gateway/src/run.rs
@@ -142,6 +142,7 @@
     task::spawn_local(serve::always(readiness, Rc::new(is_ready)));
     task::spawn_local(sharing::receive(Rc::clone(&node.sharing)));
     task::spawn_local(sharing::heartbeat(Rc::clone(&node.sharing)));
+    task::spawn_local(sharing::survey(Rc::clone(node)));
     for list in [List::Config, List::Upstreams, List::Hosts] {
         task::spawn_local(view::follow(Rc::clone(node), list));
     }
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -3,6 +3,7 @@
 
 mod ask;
 mod peers;
+mod survey;
 
 use std::{
     cell::{Cell, RefCell},
@@ -29,6 +30,7 @@
 pub(crate) use self::{
     ask::Answer,
     peers::{heartbeat, receive},
+    survey::survey,
 };
 
 /// For how long a host avoids an upstream that refused a request: about as long as a request holds a slot.
@@ -42,6 +44,8 @@
     own: Peer,
     state: RefCell<State>,
     next: Cell<lease::Id>,
+    /// Told when the allocator of this host begins to learn.
+    learning: Notify,
 }
 
 struct State {
@@ -139,6 +143,7 @@
             own,
             state: RefCell::new(state),
             next: Cell::new(first),
+            learning: Notify::new(),
         })
     }
 
@@ -175,6 +180,23 @@
         let mut state = self.state.borrow_mut();
         state.allocator.forget(now);
         state.unheard.clear();
+        self.learning.notify_one();
+    }
+
+    /// The upstreams that the allocator of this host deals out.
+    fn dealt(&self) -> Vec<Upstream> {
+        let state = self.state.borrow();
+        state.allocator.upstreams().cloned().collect()
+    }
+
+    /// Takes in how many requests an upstream says that it has.
+    fn reported(&self, upstream: &id::Instance, requests: usize, now: Instant) {
+        let mut state = self.state.borrow_mut();
+        state.allocator.reported(upstream, requests, now);
+    }
+
+    fn needs_reports(&self, now: Instant) -> bool {
+        self.state.borrow().allocator.needs_reports(now)
     }
 
     fn hold(
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -46,9 +46,9 @@
         let turn = self.next.get();
         let own = &self.own.failure_domain;
         let domains = self.state.borrow().directory.failure_domains(own, turn);
-        let queues: &[Queue] = match wanted.class.is_batch() {
-            true => &[Queue::No],
-            false => &[Queue::No, wanted.queue],
+        let queues: &[Queue] = match wanted.queue {
+            Queue::No => &[Queue::No],
+            queue => &[Queue::No, queue],
         };
         let mut denied = false;
         for queue in queues {
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -36,6 +36,9 @@
             Frame::Alive => {}
             asked => {
                 let (out, change) = self.state.borrow_mut().allocator.receive(from, asked, now);
+                if change == Some(Change::Learning) {
+                    self.learning.notify_one();
+                }
                 note(change);
                 self.send_all(out);
             }
