Calls about jobs are passed on to a host that reaches the store; lists are read less often

Change: allocators say in their heartbeats whether their host has read the store within a second; a host that does not reach it passes calls about jobs on to one that does, once. Without an answer of that host a job's fate is told as unknown. Test: a_host_that_the_store_turns_away_passes_calls_about_jobs_on.

--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -10,7 +10,7 @@
 use tinbank_base::id;
 
 use crate::{
-    frame::{Answer, Ask, Frame, Grant, Holdings, Queue, Release},
+    frame::{Alive, Answer, Ask, Frame, Grant, Holdings, Queue, Release},
     grants::{self, Grants},
     health::Health,
     lease::{self, Class, Due, Outcome},
@@ -66,6 +66,8 @@
     heard_at: Option<Instant>,
     learning_until: Option<Instant>,
     turn: u64,
+    /// What it says of its host.
+    alive: Alive,
     /// How long online requests take.
     pace: Pace,
 }
@@ -93,6 +95,7 @@
             heard_at: None,
             learning_until: None,
             turn: seed,
+            alive: Alive::default(),
             pace: Pace::default(),
         }
     }
@@ -114,6 +117,11 @@
         self.upstreams = entries.collect();
     }
 
+    /// What the allocator is to say of its host.
+    pub fn say(&mut self, alive: Alive) {
+        self.alive = alive;
+    }
+
     /// Takes in a datagram.
     pub fn receive(
         &mut self,
@@ -130,9 +138,12 @@
             Frame::Holdings(holdings) => {
                 let change = self.wake(now);
                 self.holdings(from, &holdings, now);
-                (Outgoing::from_iter([(from, Frame::Alive)]), change)
+                (
+                    Outgoing::from_iter([(from, Frame::Alive(self.alive))]),
+                    change,
+                )
             }
-            Frame::Answer(_) | Frame::Reclaim(_) | Frame::Alive => (Outgoing::new(), None),
+            Frame::Answer(_) | Frame::Reclaim(_) | Frame::Alive(_) => (Outgoing::new(), None),
         }
     }
 
--- a/crates/tinbank-allocator/src/directory.rs
+++ b/crates/tinbank-allocator/src/directory.rs
@@ -22,6 +22,8 @@
 pub struct Peer {
     /// Where it takes datagrams.
     pub address: SocketAddr,
+    /// Where it takes callers' requests.
+    pub callers: SocketAddr,
     /// Failure domain it runs in, whose upstreams it deals out.
     pub failure_domain: id::FailureDomain,
 }
@@ -115,6 +117,11 @@
         due.map(|(address, _)| *address).collect()
     }
 
+    /// A host by the address at which it takes datagrams.
+    pub fn peer(&self, address: SocketAddr) -> Option<&Peer> {
+        self.peers.iter().find(|peer| peer.address == address)
+    }
+
     /// The allocators of all failure domains.
     pub fn allocators(&self, now: Instant) -> SmallVec<[SocketAddr; 4]> {
         let mut domains: SmallVec<[&str; 4]> = SmallVec::new();
--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -9,7 +9,7 @@
 use crate::lease;
 
 /// First byte of each datagram; a host ignores datagrams of another version.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 /// Largest datagram in bytes. Source: the holdings of a host with 200 requests at upstreams; most fit in one packet.
 pub const MAX_BYTES: usize = 8 << 10;
 
@@ -41,7 +41,7 @@
     /// What a host holds in the allocator's failure domain; also the host's heartbeat.
     Holdings(Holdings),
     /// The allocator has heard the holdings; also its heartbeat.
-    Alive,
+    Alive(Alive),
 }
 
 /// A request for one slot.
@@ -101,6 +101,13 @@
     pub outcome: lease::Outcome,
 }
 
+/// What an allocator says of its host in its heartbeat.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Alive {
+    /// It has read the platform's store a moment ago, so hosts that can't may pass calls on to it.
+    pub reaches_store: bool,
+}
+
 /// All leases that a host holds in one failure domain.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holdings {
--- a/crates/tinbank-allocator/tests/directory.rs
+++ b/crates/tinbank-allocator/tests/directory.rs
@@ -10,6 +10,7 @@
 fn peer(index: u8, failure_domain: &str) -> Peer {
     Peer {
         address: SocketAddr::from(([10, 0, 0, index], 7000)),
+        callers: SocketAddr::from(([10, 0, 0, index], 80)),
         failure_domain: failure_domain.to_owned(),
     }
 }
--- a/crates/tinbank-gateway/src/batch/follower.rs
+++ b/crates/tinbank-gateway/src/batch/follower.rs
@@ -28,7 +28,7 @@
 const PAGE_BYTES: usize = 256 << 10;
 /// Pause between two reads that found records, so that several are read together: each call at the store has a price.
 /// Source: less than half of the time between two reads of a caller.
-const REST: Duration = Duration::from_millis(200);
+const REST: Duration = Duration::from_millis(300);
 /// Within this time after an append is acknowledged, a read that waits for news tells its records. Source: some times
 /// the 4 ms that an answer of the users' store takes, far below the target for accepting a job.
 const WAKE_TIME: Duration = Duration::from_millis(25);
@@ -171,7 +171,9 @@
     }
     batch.next.set(offset);
     if offset >= page.end {
-        batch.fresh_at.set(Some(Instant::now()));
+        let now = Instant::now();
+        batch.fresh_at.set(Some(now));
+        node.sharing.store_read(now);
         if !batch.known.replace(true) {
             log::info!(offset, jobs = batch.table.borrow().len(); "log of jobs read to its end");
         }
--- /dev/null
+++ b/crates/tinbank-gateway/src/batch/forward.rs
@@ -0,0 +1,93 @@
+//! Passes calls about jobs on to another host while this one does not reach the store.
+//!
+//! Otherwise each such call would cost its caller a refusal and another try, at a host that may be cut off as well.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Request, Response, request::Parts};
+use http_body_util::{BodyExt, Full};
+use tokio::time;
+
+use crate::{
+    border::{Body, whole},
+    exchange::{self, Until},
+    node::Node,
+};
+
+/// Marks a call that was passed on, which is not passed on again.
+const FORWARDED: HeaderName = HeaderName::from_static("x-tinbank-forwarded");
+/// How long a connection to the other host may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
+/// How long the other host may take for its answer, beyond what the call says. Source: what a submission waits for its
+/// verdict.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_600);
+
+/// What came of passing a call on.
+pub(crate) enum Forwarded {
+    /// The other host's answer.
+    Answered(Response<Body>),
+    /// No other host has the call.
+    NotSent,
+    /// Another host may have the call, and gave no answer.
+    Unknown,
+}
+
+/// Passes a call on to a host that reaches the store, unless it was passed on before.
+pub(crate) async fn forward(node: &Node, head: &Parts, body: Bytes, wait: Duration) -> Forwarded {
+    let now = Instant::now();
+    if head.headers.contains_key(FORWARDED) {
+        return Forwarded::NotSent;
+    }
+    let Some(host) = node.sharing.host_with_store(now) else {
+        return Forwarded::NotSent;
+    };
+    let until = Until {
+        connected: now + CONNECT_TIMEOUT,
+        answered: now + ANSWER_TIMEOUT + wait,
+    };
+    let answered = exchange(node, host, request(node, head, body), until).await;
+    match answered {
+        Ok(answer) => {
+            let status = answer.status().as_u16();
+            log::info!(target_path:% = head.uri, host:%, status; "call passed on to a host that reaches the store");
+            Forwarded::Answered(answer)
+        }
+        Err(exchange::Error::NotSent(why)) => {
+            log::info!(target_path:% = head.uri, host:%, why:%; "call not passed on");
+            Forwarded::NotSent
+        }
+        Err(error) => {
+            log::info!(target_path:% = head.uri, host:%, error:%; "call passed on without an answer");
+            Forwarded::Unknown
+        }
+    }
+}
+
+fn request(node: &Node, head: &Parts, body: Bytes) -> Request<Full<Bytes>> {
+    let call = node.engine.relayed("", head, body);
+    let mut request = Request::new(Full::new(call.body));
+    *request.method_mut() = call.method;
+    *request.uri_mut() = head.uri.clone();
+    *request.headers_mut() = call.headers;
+    let mark = HeaderValue::from_static("1");
+    request.headers_mut().insert(FORWARDED, mark);
+    request
+}
+
+async fn exchange(
+    node: &Node,
+    host: std::net::SocketAddr,
+    request: Request<Full<Bytes>>,
+    until: Until,
+) -> Result<Response<Body>, exchange::Error> {
+    let (answer, _guard) = exchange::send(host, request, until).await?;
+    let (head, body) = answer.into_parts();
+    let body = match time::timeout_at(until.answered.into(), body.collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => return Err(exchange::Error::Lost(error.to_string())),
+        Err(_) => return Err(exchange::Error::Silent),
+    };
+    let answer = node.engine.pass_on(head).body(whole(body));
+    answer.map_err(|error| exchange::Error::Lost(error.to_string()))
+}
--- a/crates/tinbank-gateway/src/batch/intake.rs
+++ b/crates/tinbank-gateway/src/batch/intake.rs
@@ -182,11 +182,11 @@
     }
 }
 
-/// Refuses a job because the store is away.
+/// What to tell the caller of a job that this host can not take in, because it does not reach the store.
 fn refuse(call: &Request, why: &'static str) -> Reply {
     let retry_after = call.time_left.unwrap_or(UNKNOWN_TIME_LEFT) / AWAY_RETRY_PART;
     let retry_after_ms = retry_after.as_millis() as u64;
-    log::info!(job:% = call.id, why, retry_after_ms; "job refused, nothing of it runs");
+    log::info!(job:% = call.id, why, retry_after_ms; "job not taken in here, nothing of it runs");
     Reply::NotRun { retry_after }
 }
 
--- a/crates/tinbank-gateway/src/batch/mod.rs
+++ b/crates/tinbank-gateway/src/batch/mod.rs
@@ -2,6 +2,7 @@
 
 mod contents;
 mod follower;
+pub(crate) mod forward;
 pub(crate) mod intake;
 mod item;
 mod large;
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -29,7 +29,10 @@
     stream::Stream,
 };
 use crate::{
-    batch,
+    batch::{
+        self,
+        forward::{Forwarded, forward},
+    },
     border::{
         Body, engine,
         engine::Verdict,
@@ -113,8 +116,7 @@
         Err(reply) => return reply_with(node, reply),
     };
     if route.kind == Kind::Batch {
-        let reply = batch::intake::submit(node, &route, &call, &body, deadline).await;
-        return reply_with(node, reply);
+        return submit(node, &route, &call, &head, body, deadline).await;
     }
     let is_first = time * FIRST_TRY_PART >= route.timeout * (FIRST_TRY_PART - 1);
     let relay = Relay {
@@ -133,6 +135,27 @@
     relay.run(call.resume_after).await
 }
 
+/// Takes in a job, here or at a host that reaches the store when this one does not.
+async fn submit(
+    node: &Node,
+    route: &Route,
+    call: &ingress::Request,
+    head: &Parts,
+    body: Bytes,
+    deadline: Instant,
+) -> Response<Body> {
+    let reply = batch::intake::submit(node, route, call, &body, deadline).await;
+    if !matches!(reply, Reply::NotRun { .. }) {
+        return reply_with(node, reply);
+    }
+    match forward(node, head, body, Duration::ZERO).await {
+        Forwarded::Answered(answer) => answer,
+        Forwarded::NotSent => reply_with(node, reply),
+        // The other host may have taken it in.
+        Forwarded::Unknown => reply_with(node, Reply::TimedOut),
+    }
+}
+
 fn no_route(node: &Node, call: &ingress::Request, version: u64, now: Instant) -> Response<Body> {
     if !node.view.is_config_fresh(now) {
         return refuse(
--- a/crates/tinbank-gateway/src/run.rs
+++ b/crates/tinbank-gateway/src/run.rs
@@ -93,6 +93,7 @@
     }
     let own = Peer {
         address: listen.peers,
+        callers: listen.callers,
         failure_domain: settings.failure_domain.clone(),
     };
     let sharing = Sharing::bind(own, identity::number()).await;
--- a/crates/tinbank-gateway/src/serve.rs
+++ b/crates/tinbank-gateway/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::{convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -11,7 +12,10 @@
 };
 
 use crate::{
-    batch,
+    batch::{
+        self,
+        forward::{Forwarded, forward},
+    },
     border::{
         Body,
         ingress::{Call, Reply},
@@ -126,12 +130,21 @@
             return node.ingress.encode(Reply::Malformed(malformed));
         }
     };
+    let mut longest = Duration::ZERO;
     let reply = match call {
         Call::Request(call) => return relay::request(node, call, head, body).await,
-        Call::Results { job, from, wait } => batch::results::page(node, &job, from, wait).await,
+        Call::Results { job, from, wait } => {
+            longest = wait;
+            batch::results::page(node, &job, from, wait).await
+        }
         Call::Body { job, item } => batch::results::body(node, &job, &item).await,
         Call::End { job } => batch::intake::end(node, job).await,
     };
+    if reply == Reply::Unsure
+        && let Forwarded::Answered(answer) = forward(node, &head, Bytes::new(), longest).await
+    {
+        return answer;
+    }
     measure::replied(&reply);
     node.ingress.encode(reply)
 }
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -16,9 +16,9 @@
 use smallvec::SmallVec;
 use tinbank_allocator::{
     Allocator, Directory,
-    allocator::Upstream,
+    allocator::{HEARTBEAT, Upstream},
     directory::Peer,
-    frame::{Frame, Grant, Queue, Release},
+    frame::{Alive, Frame, Grant, Queue, Release},
     lease::{self, Class, Outcome},
 };
 use tinbank_base::id;
@@ -33,6 +33,9 @@
     survey::survey,
 };
 
+/// A host reaches the store if it has read it at most this long ago. Source: the longest time between two reads that are
+/// answered, twice.
+const STORE_AGE: Duration = Duration::from_millis(1_000);
 /// For how long a host avoids an upstream that refused a request: about as long as a request holds a slot.
 const AVOID_REFUSING: Duration = Duration::from_millis(400);
 /// For how long a host avoids an upstream that it had trouble with itself.
@@ -46,6 +49,8 @@
     next: Cell<lease::Id>,
     /// Told when the allocator of this host begins to learn.
     learning: Notify,
+    /// When this host last read the store.
+    store_read_at: Cell<Option<Instant>>,
 }
 
 struct State {
@@ -56,6 +61,8 @@
     /// Allocators that were sent a heartbeat and have not answered.
     unheard: HashSet<SocketAddr>,
     avoided: HashMap<id::Instance, Instant>,
+    /// Allocators that said that they reach the store, and when.
+    reach_store: HashMap<SocketAddr, Instant>,
 }
 
 struct Holding {
@@ -134,6 +141,7 @@
             held: HashMap::new(),
             unheard: HashSet::new(),
             avoided: HashMap::new(),
+            reach_store: HashMap::new(),
         };
         // Lease numbers of a later start are larger, so that its holdings end the leases of an earlier one.
         let since_1970 = std::time::SystemTime::UNIX_EPOCH.elapsed();
@@ -144,6 +152,7 @@
             state: RefCell::new(state),
             next: Cell::new(first),
             learning: Notify::new(),
+            store_read_at: Cell::new(None),
         })
     }
 
@@ -183,6 +192,27 @@
         self.learning.notify_one();
     }
 
+    /// This host has read the store to its end.
+    pub fn store_read(&self, now: Instant) {
+        self.store_read_at.set(Some(now));
+    }
+
+    fn alive(&self, now: Instant) -> Alive {
+        let read_at = self.store_read_at.get();
+        Alive {
+            reaches_store: read_at.is_some_and(|at| now < at + STORE_AGE),
+        }
+    }
+
+    /// Where another host takes calls that reaches the store, by its last heartbeat.
+    pub fn host_with_store(&self, now: Instant) -> Option<SocketAddr> {
+        let state = self.state.borrow();
+        let reach = state.reach_store.iter();
+        let fresh = reach.filter(|(_, at)| now < **at + HEARTBEAT + STORE_AGE);
+        let (address, _) = fresh.max_by_key(|(_, at)| **at)?;
+        state.directory.peer(*address).map(|peer| peer.callers)
+    }
+
     /// The upstreams that the allocator of this host deals out.
     fn dealt(&self) -> Vec<Upstream> {
         let state = self.state.borrow();
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -33,9 +33,18 @@
         match frame {
             Frame::Answer(answer) => self.answered(from, answer),
             Frame::Reclaim(lease) => self.reclaim(lease),
-            Frame::Alive => {}
+            Frame::Alive(alive) => {
+                let mut state = self.state.borrow_mut();
+                match alive.reaches_store {
+                    true => state.reach_store.insert(from, now),
+                    false => state.reach_store.remove(&from),
+                };
+            }
             asked => {
-                let (out, change) = self.state.borrow_mut().allocator.receive(from, asked, now);
+                let mut state = self.state.borrow_mut();
+                state.allocator.say(self.alive(now));
+                let (out, change) = state.allocator.receive(from, asked, now);
+                drop(state);
                 if change == Some(Change::Learning) {
                     self.learning.notify_one();
                 }
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -22,8 +22,9 @@
 const WAIT: Duration = Duration::from_millis(1_000);
 /// Time that the answer to a read may take beyond its wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
-/// Pause between two reads that found news, so that heartbeats of many upstreams are read together.
-const REST: Duration = Duration::from_millis(150);
+/// Pause between two reads that found news, so that heartbeats of many upstreams are read together: each call at the store
+/// has a price. Source: a quarter of the shortest time in which a leaving upstream has to be heard of.
+const REST: Duration = Duration::from_millis(450);
 /// Pause after a read that failed.
 const RETRY: Duration = Duration::from_millis(150);
 /// A list read this long ago may lack what others know.
