tinbank logs: the log lines of several hosts as one time line, and a bound on reports asked at once

A lost host has no ring to ask, and on the users' platform there are only logs and metrics: the command reads the logs of hosts, puts them in the order of their times, selects the lines about a request, job, item, upstream or host, and shows what the hosts concerned came to believe around them. Lines that can't be read are told with their place. Sixteen are asked at once now. Tests: tinbank-timeline logs, tinbank-cli logs.

--- a/crates/tinbank-cli/src/command/mod.rs
+++ b/crates/tinbank-cli/src/command/mod.rs
@@ -7,6 +7,7 @@
 mod customer;
 mod drain;
 mod hosts;
+mod logs;
 mod template;
 mod timeline;
 mod upstreams;
@@ -53,6 +54,8 @@
     Chat(chat::Chat),
     /// The time line.
     Timeline(timeline::Timeline),
+    /// Log files.
+    Logs(logs::Logs),
     /// The system's hosts.
     Hosts(hosts::Hosts),
     /// The upstreams.
@@ -76,6 +79,7 @@
             Self::Batch(command) => command.run(context, output).await,
             Self::Chat(command) => command.run(context, output).await,
             Self::Timeline(command) => command.run(context, output).await,
+            Self::Logs(command) => command.run(output),
             Self::Hosts(command) => command.run(context, output).await,
             Self::Upstreams(command) => command.run(context, output).await,
             Self::Drain(command) => command.run(context, output).await,
--- a/crates/tinbank-gateway/src/sharing/survey.rs
+++ b/crates/tinbank-gateway/src/sharing/survey.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use futures_util::future::join_all;
+use futures_util::{StreamExt, stream};
 use http_body_util::BodyExt;
 use tokio::time;
 
@@ -22,6 +22,9 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Pause between two reports of an upstream: twice as long as they lag, since each has a price.
 const PAUSE: Duration = Duration::from_millis(800);
+/// Upstreams that are asked at the same time. Source: at 1,000 upstreams in a failure domain, to ask all at once took 15 MB
+/// and 1,000 connections.
+const AT_ONCE: usize = 16;
 /// Longest time for which upstreams are asked. Source: by then they have finished what lost hosts left.
 const LONGEST: Duration = Duration::from_secs(10);
 
@@ -39,8 +42,11 @@
 
 async fn ask_all(node: &Node) {
     let upstreams = node.sharing.dealt();
-    let reports = upstreams.iter().map(|it| ask(node, it.address));
-    for (upstream, load) in upstreams.iter().zip(join_all(reports).await) {
+    let reports = upstreams
+        .iter()
+        .map(|it| async move { (it, ask(node, it.address).await) });
+    let mut reports = stream::iter(reports).buffer_unordered(AT_ONCE);
+    while let Some((upstream, load)) = reports.next().await {
         match load {
             Ok(load) => {
                 let Load { running, waiting } = load;
