Items of a host that is cut off from the store are left to those that take over

Test: items_of_a_host_that_is_cut_off_are_left_to_the_host_that_takes_over (failed first: one item finished twice).

--- a/crates/tinbank-gateway/src/batch/owner.rs
+++ b/crates/tinbank-gateway/src/batch/owner.rs
@@ -66,12 +66,30 @@
                 if !std::mem::replace(&mut failing, true) {
                     log::warn!(error:%; "group at the store lost");
                 }
+                leave_to_others(&node);
             }
         }
         time::sleep(ttl(&node) / JOINS_PER_TTL).await;
     }
 }
 
+/// Stops the items that run here once others have taken over. They have if the store has not heard from this process for
+/// the ttl, and still serves other hosts; if it serves none, nobody has, and the items go on.
+fn leave_to_others(node: &Node) {
+    let owner = &node.batch.owner;
+    let silent = owner.renewed_at.get().map(|at| at.elapsed());
+    let Some(silent) = silent.filter(|silent| *silent >= ttl(node)) else {
+        return;
+    };
+    let Some(host) = node.sharing.host_with_store(Instant::now()) else {
+        return;
+    };
+    let silent_ms = silent.as_millis() as u64;
+    log::warn!(silent_ms, host:%; "cut off from the store, which serves others: items are left to them");
+    owner.distrust();
+    node.batch.runner.stop_all();
+}
+
 /// Leaves the group, so that others get the partitions at once.
 pub(super) async fn leave(node: &Node) {
     node.batch.owner.left.set(true);
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -121,6 +121,13 @@
         self.routes_gone.borrow_mut().remove(job);
     }
 
+    /// Stops all items that run here.
+    pub fn stop_all(&self) {
+        for run in self.running.borrow().values() {
+            run.stop.notify_one();
+        }
+    }
+
     fn drop_run(&self, job: &JobId, index: Index, wait: Duration) {
         let key = (job.clone(), index);
         let run = self.running.borrow_mut().remove(&key);
@@ -169,9 +176,7 @@
 /// Stops all items and waits until the log has what they have so far, or until the time is up.
 pub(super) async fn drained(node: &Node) {
     let runner = &node.batch.runner;
-    for run in runner.running.borrow().values() {
-        run.stop.notify_one();
-    }
+    runner.stop_all();
     let until = Instant::now() + node.settings.grace.saturating_sub(STOP_MARGIN);
     while Instant::now() < until {
         time::sleep(PAUSE).await;
