One type tells once that a part of the store is lost or regained

The lines are 'dependency lost' and 'dependency regained' now, with the name that the metric has and how long it was lost.

--- a/crates/tinbank-gateway/src/batch/follower.rs
+++ b/crates/tinbank-gateway/src/batch/follower.rs
@@ -16,7 +16,7 @@
 use super::{JOBS, contents, owner, partition};
 use crate::{
     border::store::{Error, Offset, Page, Range},
-    measure,
+    dependency::Dependency,
     node::Node,
 };
 
@@ -42,16 +42,13 @@
 /// Follows the log for as long as the process runs.
 pub(super) async fn follow(node: Rc<Node>) {
     let mut joiner = Joiner::default();
-    let mut failing = false;
+    let mut log_of_jobs = Dependency::new("jobs");
     let mut pruned_at = Instant::now();
     loop {
         let from = node.batch.next.get();
         match next_page(&node, from).await {
             Ok(page) => {
-                if std::mem::take(&mut failing) {
-                    measure::store("jobs", true);
-                    log::info!(offset = from; "log of jobs regained");
-                }
+                log_of_jobs.reached();
                 let news = !page.records.is_empty();
                 let end = page.end;
                 take_in(&node, &mut joiner, from, page);
@@ -69,10 +66,7 @@
                 node.batch.next.set(first);
             }
             Err(error) => {
-                if !std::mem::replace(&mut failing, true) {
-                    measure::store("jobs", false);
-                    log::warn!(offset = from, error:%; "log of jobs lost");
-                }
+                log_of_jobs.failed(&error);
                 time::sleep(RETRY).await;
             }
         }
--- a/crates/tinbank-gateway/src/batch/owner.rs
+++ b/crates/tinbank-gateway/src/batch/owner.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     border::store::{Assignment, Membership, Place, Topic},
+    dependency::Dependency,
     node::Node,
 };
 
@@ -54,18 +55,12 @@
 /// Stays in the group for as long as the process runs.
 pub(super) async fn stay(node: Rc<Node>) {
     create(&node).await;
-    let mut failing = false;
+    let mut group = Dependency::new("group");
     while !node.batch.owner.left.get() {
         match join(&node).await {
-            Ok(()) => {
-                if std::mem::take(&mut failing) {
-                    log::info!("group at the store regained");
-                }
-            }
+            Ok(()) => group.reached(),
             Err(error) => {
-                if !std::mem::replace(&mut failing, true) {
-                    log::warn!(error:%; "group at the store lost");
-                }
+                group.failed(&error);
                 leave_to_others(&node);
             }
         }
--- a/crates/tinbank-gateway/src/batch/writer.rs
+++ b/crates/tinbank-gateway/src/batch/writer.rs
@@ -12,7 +12,7 @@
 use tokio::{sync::Notify, time};
 
 use super::{JOBS, large};
-use crate::{border::store::Error, node::Node};
+use crate::{border::store::Error, dependency::Dependency, node::Node};
 
 /// How long the first append may take before it is sent again, doubled each time. An answer that is lost never comes;
 /// the fold drops what is written twice.
@@ -91,7 +91,7 @@
     let mut stored = Vec::new();
     if !texts.is_empty() {
         let write = async |until| large::write(node, &texts, until).await;
-        stored = again("texts of items", write).await;
+        stored = again("texts", write).await;
     }
     let mut stored = stored.into_iter().zip(texts);
     let mut pieces = Vec::new();
@@ -110,21 +110,20 @@
         }
     }
     let append = async |until| node.store.append(JOBS, &pieces, until).await;
-    again("records of items", append).await;
+    again("records", append).await;
 }
 
 /// Calls until it is done.
-async fn again<T>(what: &'static str, call: impl AsyncFn(Instant) -> Result<T, Error>) -> T {
-    let mut failing = false;
+async fn again<T>(name: &'static str, call: impl AsyncFn(Instant) -> Result<T, Error>) -> T {
+    let mut dependency = Dependency::new(name);
     let mut timeout = FIRST_TIMEOUT;
     loop {
         match call(Instant::now() + timeout).await {
-            Ok(done) => return done,
-            Err(error) => {
-                if !std::mem::replace(&mut failing, true) {
-                    log::warn!(what, error:%; "not written yet");
-                }
+            Ok(done) => {
+                dependency.reached();
+                return done;
             }
+            Err(error) => dependency.failed(&error),
         }
         time::sleep(RETRY).await;
         timeout = (timeout * 2).min(LONGEST_TIMEOUT);
--- /dev/null
+++ b/crates/tinbank-gateway/src/dependency.rs
@@ -0,0 +1,42 @@
+//! Whether a part of the platform's store is reached; a change is told once, in the log and on the metrics.
+
+use std::{fmt::Display, time::Instant};
+
+use crate::measure;
+
+/// Something at the store that the process reads or writes all the time.
+#[derive(Debug)]
+pub(crate) struct Dependency {
+    name: &'static str,
+    lost_at: Option<Instant>,
+}
+
+impl Dependency {
+    /// One that is thought to be reached.
+    pub fn new(name: &'static str) -> Self {
+        Self {
+            name,
+            lost_at: None,
+        }
+    }
+
+    /// It has answered.
+    pub fn reached(&mut self) {
+        let Some(lost_at) = self.lost_at.take() else {
+            return;
+        };
+        measure::store(self.name, true);
+        let lost_ms = lost_at.elapsed().as_millis() as u64;
+        log::info!(dependency = self.name, lost_ms; "dependency regained");
+    }
+
+    /// It has not answered, or with an error.
+    pub fn failed(&mut self, error: &dyn Display) {
+        if self.lost_at.is_some() {
+            return;
+        }
+        self.lost_at = Some(Instant::now());
+        measure::store(self.name, false);
+        log::warn!(dependency = self.name, error:%; "dependency lost");
+    }
+}
--- a/crates/tinbank-gateway/src/lib.rs
+++ b/crates/tinbank-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod batch;
 pub mod border;
 mod clock;
+mod dependency;
 pub mod exchange;
 mod identity;
 mod measure;
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     border::store::{Entries, Error, List, Offset, Written},
-    measure,
+    dependency::Dependency,
     node::Node,
 };
 
@@ -126,15 +126,12 @@
 /// Follows a list for as long as the process runs.
 pub(crate) async fn follow(node: Rc<Node>, list: List) {
     let mut position = None;
-    let mut failing = false;
+    let mut dependency = Dependency::new(name(list));
     loop {
         let read = read(&node, list, position).await;
         match read {
             Ok((entries, whole)) => {
-                if std::mem::take(&mut failing) {
-                    measure::store(name(list), true);
-                    log::info!(list:?; "store list regained");
-                }
+                dependency.reached();
                 position = Some(entries.end);
                 let news = !entries.entries.is_empty();
                 take_in(&node, list, entries, whole);
@@ -146,17 +143,15 @@
                 if matches!(error, Error::Trimmed { .. }) {
                     position = None;
                 }
-                if !std::mem::replace(&mut failing, true) {
-                    measure::store(name(list), false);
-                    log::warn!(list:?, error:%; "store list lost, going on with what is known");
-                }
+                // What is known stays in force.
+                dependency.failed(&error);
                 time::sleep(RETRY).await;
             }
         }
     }
 }
 
-/// The name of a list for metrics.
+/// The name of a list for logs and metrics.
 fn name(list: List) -> &'static str {
     match list {
         List::Config => "config",
