--- a/crates/tinbank-entry/tests/soak/deployment.rs
+++ b/crates/tinbank-entry/tests/soak/deployment.rs
@@ -24,6 +24,8 @@
     },
 };
 
+/// Failure domains of the hosts, in turn. All engines are in the first one.
+const DOMAINS: [&str; 2] = ["north", "south"];
 /// Hosts of the deployment.
 pub const HOSTS: usize = 3;
 /// Engines of the deployment.
@@ -134,7 +136,7 @@
         let callers = callers.local_addr().unwrap();
         let readiness = readiness.local_addr().unwrap();
         let settings = json!({
-            "host": format!("host-{index}"), "failure_domain": "north",
+            "host": format!("host-{index}"), "failure_domain": DOMAINS[index % DOMAINS.len()],
             "listen": {"callers": callers, "readiness": readiness, "peers": udp.local_addr().unwrap()},
             "store": {"address": store, "partitions": PARTITIONS, "record_bytes": 1024, "call_bytes": 65536,
                 "least_member_ttl_ms": 1000},
--- a/crates/tinbank-entry/tests/soak/faults.rs
+++ b/crates/tinbank-entry/tests/soak/faults.rs
@@ -45,9 +45,11 @@
 }
 
 fn store_mode(random: &mut StdRng) -> store::Mode {
-    match random.random_range(0..3) {
+    match random.random_range(0..5) {
         0 => store::Mode::Busy,
         1 => store::Mode::LosesAnswers,
+        2 => store::Mode::Silent,
+        3 => store::Mode::Deaf,
         _ => store::Mode::LosesSomeAnswers,
     }
 }
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -47,6 +47,9 @@
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// When a caller is told to ask again while all slots are in use: several times what a request takes.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// How long a process that has just started lets a request wait for what it reads first. Source: that takes some ten
+/// milliseconds where the store answers; a refusal costs a caller whose host was lost its last try.
+const FIRST_READ: Duration = Duration::from_millis(250);
 /// Part of a route's target latency that a request may be expected to wait inside an upstream, in percent; the rest is
 /// for its first event.
 const QUEUE_PERCENT: u32 = 65;
@@ -103,7 +106,7 @@
     body: Incoming,
 ) -> Response<Body> {
     let received = Instant::now();
-    let Some(config) = node.view.config() else {
+    let Some(config) = node.view.config_once_known(received + FIRST_READ).await else {
         return refuse(node, &call.id, "no configuration known yet");
     };
     let Some(route) = config.route(&call.host, &call.path).cloned() else {
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -49,6 +49,17 @@
         self.config.borrow().clone()
     }
 
+    /// The configuration in force. A process that has just started waits until it knows it and the upstreams.
+    pub async fn config_once_known(&self, until: Instant) -> Option<Rc<Config>> {
+        while !self.is_known() {
+            let refreshed = time::timeout_at(until.into(), self.refreshed.notified());
+            if refreshed.await.is_err() {
+                break;
+            }
+        }
+        self.config()
+    }
+
     /// True if the configuration was read a moment ago.
     pub fn is_config_fresh(&self, now: Instant) -> bool {
         let read_at = self.config_read_at.get();
@@ -69,7 +80,6 @@
     /// Forgets when it read, after a pause of the process, so that nothing older than the pause is acted on.
     pub fn distrust(&self) {
         self.config_read_at.set(None);
-        self.refreshed.notify_waiters();
     }
 
     /// The upstreams of a service that take requests.
