Callers' usual time is learned; one online request has a file of its own

Cause (read, not played): a request counted as one that comes again if it had less than 95% of its route's time limit left. Where callers wait for less than the route allows, all requests would have waited for free slots as late ones. Test: tinbank-relay patience.

--- a/crates/tinbank-gateway/src/node.rs
+++ b/crates/tinbank-gateway/src/node.rs
@@ -1,6 +1,13 @@
 //! The state that all duties of the process share.
 
-use std::{cell::Cell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use tinbank_relay::{patience::Patience, route::Route};
 
 use crate::{
     batch::Batch,
@@ -22,6 +29,8 @@
     pub batch: Batch,
     pub stop: Stop,
     draws: Cell<u64>,
+    /// How long callers wait, by the names of routes.
+    patience: RefCell<HashMap<String, Patience>>,
 }
 
 impl Node {
@@ -43,6 +52,7 @@
             sharing,
             stop: Stop::default(),
             draws: Cell::new(crate::identity::number()),
+            patience: RefCell::default(),
         }
     }
 
@@ -53,6 +63,16 @@
         next
     }
 
+    /// True if a request with so much time left is likely its caller's first try.
+    pub fn is_first_try(&self, route: &Route, time_left: Duration) -> bool {
+        let mut patience = self.patience.borrow_mut();
+        if let Some(of_route) = patience.get_mut(&route.name) {
+            return of_route.is_first(time_left, route.timeout);
+        }
+        let of_route = patience.entry(route.name.clone()).or_default();
+        of_route.is_first(time_left, route.timeout)
+    }
+
     /// True if the process can take requests: it knows the configuration, the upstreams and the jobs.
     pub fn is_ready(&self) -> bool {
         self.view.is_known() && self.batch.is_known() && !self.stop.is_stopping()
--- /dev/null
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -0,0 +1,318 @@
+//! One online request on its way to an upstream.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use http::Response;
+use tinbank_allocator::{
+    frame::Queue,
+    lease::{Class, Outcome},
+};
+use tinbank_relay::{
+    attempt::{Attempts, Failure, Next},
+    event,
+    route::{Kind, Route},
+};
+use tokio::time;
+
+use super::{
+    RETRY_AFTER,
+    attempt::{self, Opened, Trouble},
+    body, reply_with,
+    stream::Stream,
+};
+use crate::{
+    border::{
+        Body,
+        engine::{self, Verdict},
+        ingress::Reply,
+    },
+    measure,
+    node::Node,
+    sharing::{Asked, Lease, Wanted},
+};
+
+/// When a caller is told to ask again while all slots are in use: several times what a request takes.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Part of a route's target latency that a request may be expected to wait inside an upstream, in percent; the rest is
+/// for its first event.
+const QUEUE_PERCENT: u32 = 65;
+/// For how long a request that comes again waits for a free slot at most. Source: the users' callers leave a stream that
+/// was silent for two seconds, and the upstream needs a part of them.
+const LONGEST_HOLD: Duration = Duration::from_millis(1_000);
+/// Pause before such a request asks for a slot again. Source: some slots come free in it, while asks stay few.
+const HOLD_PAUSE: Duration = Duration::from_millis(80);
+/// Attempts that did not run, after which a request is refused.
+const MAX_REFUSALS: usize = 6;
+/// Part of a route's target latency after which an idempotent request without any answer is tried elsewhere.
+const PATIENCE_PART: u32 = 2;
+/// Shortest time after which such a request is tried elsewhere, where the route names no target.
+const LEAST_PATIENCE: Duration = Duration::from_millis(150);
+
+/// A request on its way.
+pub(super) struct Online {
+    node: Rc<Node>,
+    pub route: Rc<Route>,
+    pub request: engine::Request,
+    pub attempts: Attempts,
+    received: Instant,
+    pub deadline: Instant,
+    /// The caller came before and has its answer late in any case.
+    is_late: bool,
+    /// Until then it waits for a free slot if it is late.
+    hold_until: Instant,
+    /// Event behind which the caller goes on, if it had a part of the answer before.
+    resume_after: Option<event::Id>,
+    /// All slots were in use.
+    overloaded: bool,
+    /// The caller has its whole answer, or was told that there is none.
+    pub ended: bool,
+}
+
+impl Drop for Online {
+    fn drop(&mut self) {
+        if !self.ended {
+            let waited_ms = self.received.elapsed().as_millis() as u64;
+            log::info!(request:% = self.request.id, route:% = self.route.name, waited_ms; "caller left before the end");
+        }
+    }
+}
+
+/// When and with what a request came.
+pub(super) struct Arrival {
+    pub received: Instant,
+    pub deadline: Instant,
+    /// The caller has not come before.
+    pub is_first: bool,
+    /// Event behind which the caller goes on, if it had a part of the answer before.
+    pub resume_after: Option<event::Id>,
+}
+
+impl Online {
+    pub fn new(
+        node: &Rc<Node>,
+        route: Rc<Route>,
+        request: engine::Request,
+        arrival: Arrival,
+    ) -> Self {
+        let Arrival {
+            received, deadline, ..
+        } = arrival;
+        Self {
+            node: Rc::clone(node),
+            attempts: Attempts::new(route.kind, route.max_attempts),
+            route,
+            request,
+            received,
+            deadline,
+            is_late: !arrival.is_first,
+            hold_until: deadline.min(received + LONGEST_HOLD),
+            resume_after: arrival.resume_after,
+            overloaded: false,
+            ended: false,
+        }
+    }
+
+    pub async fn run(mut self) -> Response<Body> {
+        let resume_after = self.resume_after;
+        loop {
+            let opened = match self.open(resume_after).await {
+                Ok(opened) => opened,
+                Err(next) => return self.give_up(next),
+            };
+            match opened.verdict {
+                Verdict::Failed | Verdict::Impossible if self.is_worth_another(&opened) => {
+                    opened.lease.end(Outcome::Failed);
+                }
+                _ => return self.answer(opened, resume_after),
+            }
+        }
+    }
+
+    /// An answer that an upstream began, or what to tell the caller.
+    async fn open(&mut self, resume_after: Option<u64>) -> Result<Opened, Next> {
+        let mut refusals = 0;
+        loop {
+            let Some(opened) = self.attempt(resume_after).await? else {
+                refusals += 1;
+                match self.attempts.next() {
+                    Next::Again if refusals < MAX_REFUSALS => continue,
+                    Next::Again => return Err(self.attempts.give_up()),
+                    next => return Err(next),
+                }
+            };
+            return Ok(opened);
+        }
+    }
+
+    /// One attempt. Nothing if it gave no answer, which is noted.
+    pub async fn attempt(&mut self, resume_after: Option<u64>) -> Result<Option<Opened>, Next> {
+        if Instant::now() >= self.deadline {
+            return Err(self.attempts.give_up());
+        }
+        let Some(service) = self.route.service(self.node.draw()).cloned() else {
+            return Err(self.attempts.give_up());
+        };
+        let lease = self.lease(&service).await?;
+        let upstream = lease.upstream.clone();
+        self.log_sent(&lease, resume_after);
+        let until = self.answer_until(lease.queued);
+        let sent = attempt::send(
+            &self.node,
+            lease,
+            &self.request,
+            resume_after,
+            self.deadline,
+            until,
+        );
+        match sent.await {
+            Ok(opened) => Ok(Some(opened)),
+            Err(trouble) => {
+                self.note(&upstream, trouble);
+                Ok(None)
+            }
+        }
+    }
+
+    /// A slot at an upstream of a service, or what to tell the caller.
+    async fn lease(&mut self, service: &str) -> Result<Lease, Next> {
+        loop {
+            let queue = self.queue();
+            let wanted = Wanted {
+                class: Class::Online,
+                service,
+                exclude: self.attempts.tried(),
+                queue,
+            };
+            match self.node.sharing.lease(&self.node, &wanted).await {
+                Asked::Granted(lease) => return Ok(lease),
+                Asked::Full if queue == Queue::No => time::sleep(HOLD_PAUSE).await,
+                Asked::Full => {
+                    self.overloaded = true;
+                    return Err(self.attempts.give_up());
+                }
+                Asked::Nobody => return Err(self.attempts.give_up()),
+            }
+        }
+    }
+
+    fn log_sent(&self, lease: &Lease, resume_after: Option<u64>) {
+        let now = Instant::now();
+        let view = &self.node.view;
+        log::info!(
+            request:% = self.request.id,
+            route:% = self.route.name,
+            config = view.config().map_or(0, |config| config.version),
+            upstream:% = lease.upstream,
+            allocator:% = lease.chosen_by(),
+            list_age_ms = view.upstreams_age(now).map_or(0, |age| age.as_millis() as u64),
+            after = resume_after.unwrap_or(0),
+            left_ms = self.deadline.saturating_duration_since(now).as_millis() as u64;
+            "request sent to an upstream"
+        );
+    }
+
+    /// Whether this request may wait inside an upstream. One that is new may as long as it is likely to be in time. One
+    /// that comes again is late already: it waits here for a free slot, so that it makes no new one late, and inside an
+    /// upstream only once its time runs short. One whose answer has begun is never turned away.
+    fn queue(&self) -> Queue {
+        if self.resume_after.is_some() || self.attempts.may_have_run() {
+            return Queue::Any;
+        }
+        if self.is_late {
+            return match Instant::now() < self.hold_until {
+                true => Queue::No,
+                false => Queue::Any,
+            };
+        }
+        let patience = self.route.target_latency * QUEUE_PERCENT / 100;
+        Queue::Within(patience.as_millis() as u32)
+    }
+
+    /// Until when this attempt may stay without an answer. Only a request that may run again is given up for silence,
+    /// and one that waits inside a full upstream only once it is late.
+    fn answer_until(&self, queued: bool) -> Instant {
+        let another = self.route.kind.is_idempotent()
+            && !self.attempts.may_have_run()
+            && self.route.max_attempts > 1;
+        if !another {
+            return self.deadline;
+        }
+        let target = self.route.target_latency;
+        let patience = match (queued, self.is_late) {
+            (false, _) => target / PATIENCE_PART,
+            (true, false) => target,
+            (true, true) => LONGEST_HOLD,
+        };
+        let patience = patience.max(LEAST_PATIENCE);
+        (Instant::now() + patience).min(self.deadline)
+    }
+
+    fn note(&mut self, upstream: &tinbank_base::id::Instance, trouble: Trouble) {
+        let failure = match trouble {
+            Trouble::NotRun => Failure::NotRun,
+            Trouble::Lost | Trouble::Silent => Failure::Unknown,
+        };
+        self.attempts.note(upstream.clone(), failure);
+    }
+
+    /// Notes an upstream's own failure. True if the request may be sent to another one.
+    fn is_worth_another(&mut self, opened: &Opened) -> bool {
+        if opened.verdict == Verdict::Impossible {
+            return false;
+        }
+        self.attempts
+            .note(opened.lease.upstream.clone(), Failure::Unknown);
+        self.attempts.next() == Next::Again
+    }
+
+    fn answer(mut self, opened: Opened, resume_after: Option<u64>) -> Response<Body> {
+        let Opened {
+            lease,
+            head,
+            body,
+            guard,
+            verdict,
+        } = opened;
+        measure::began(self.received.elapsed());
+        let node = Rc::clone(&self.node);
+        let passed = self.node.engine.pass_on(head);
+        let is_stream =
+            verdict == Verdict::Answer && matches!(self.route.kind, Kind::Stream { .. });
+        let body: Body = match is_stream {
+            true => Stream::new(self, lease, guard, body, resume_after).into_body(),
+            false => {
+                self.ended = true;
+                let whole = match verdict {
+                    Verdict::Failed => Outcome::Failed,
+                    _ => Outcome::Served,
+                };
+                body::relayed(body, lease, guard, whole, self.deadline)
+            }
+        };
+        passed.body(body).unwrap_or_else(|error| {
+            log::error!(error:%; "head of an answer can't be passed on");
+            reply_with(&node, Reply::Failed)
+        })
+    }
+
+    fn give_up(&mut self, next: Next) -> Response<Body> {
+        self.ended = true;
+        let id = &self.request.id;
+        let tried = self.attempts.tried().len();
+        let reply = match next {
+            Next::Refuse | Next::Again if self.overloaded => Reply::NotRun {
+                retry_after: OVERLOAD_RETRY_AFTER,
+            },
+            Next::Refuse | Next::Again => Reply::NotRun {
+                retry_after: RETRY_AFTER,
+            },
+            Next::Fail if Instant::now() >= self.deadline => Reply::TimedOut,
+            Next::Fail => Reply::Failed,
+        };
+        log::info!(request:% = id, route:% = self.route.name, tried, reply:?; "no answer");
+        reply_with(&self.node, reply)
+    }
+}
--- a/crates/tinbank-gateway/src/relay/stream.rs
+++ b/crates/tinbank-gateway/src/relay/stream.rs
@@ -17,7 +17,7 @@
 };
 use tokio::time;
 
-use super::Relay;
+use super::online::Online;
 use crate::{
     border::{Aborted, Body, engine::Verdict},
     exchange::Guard,
@@ -37,7 +37,7 @@
 
 /// A stream on its way.
 pub(super) struct Stream {
-    relay: Relay,
+    relay: Online,
     source: Option<Source>,
     splitter: Splitter,
     ready: VecDeque<Event>,
@@ -63,7 +63,7 @@
 
 impl Stream {
     pub fn new(
-        relay: Relay,
+        relay: Online,
         lease: Lease,
         guard: Guard,
         body: Incoming,
--- a/crates/tinbank-relay/src/lib.rs
+++ b/crates/tinbank-relay/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod attempt;
 pub mod event;
+pub mod patience;
 pub mod route;
 pub mod upstream;
