--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -10,9 +10,9 @@
 use tinbank_base::id;
 
 use crate::{
+    entry::{Account, Entry},
     frame::{Alive, Answer, Ask, Frame, Grant, Holdings, Queue, Release},
-    grants::{self, Grants},
-    health::Health,
+    grants,
     lease::{self, Class, Due, Outcome},
     pace::Pace,
 };
@@ -23,8 +23,6 @@
 const LEASE_TIME: Duration = Duration::from_millis(3_500);
 /// For how long an allocator that knew of nobody grants nothing to batch: until every host has told its holdings.
 const LEARNING_TIME: Duration = Duration::from_millis(1_500);
-/// By how much reports of upstreams lag. Source: the users' pages say some hundred milliseconds.
-const REPORT_LAG: Duration = Duration::from_millis(500);
 /// Slots of an upstream that stay free of batch, so that an online request seldom has to reclaim one.
 const HEADROOM: usize = 1;
 
@@ -72,21 +70,6 @@
     pace: Pace,
 }
 
-#[derive(Debug)]
-struct Entry {
-    upstream: Upstream,
-    account: Account,
-}
-
-/// What is known of an upstream beside its place.
-#[derive(Debug, Default)]
-struct Account {
-    grants: Grants,
-    health: Health,
-    /// Requests that the upstream works on and that no known lease is for: those of hosts that were lost.
-    foreign: Option<usize>,
-}
-
 impl Allocator {
     /// An allocator that knows of nothing. `seed` makes the order among equals differ between hosts.
     pub fn new(seed: u64) -> Self {
@@ -402,16 +385,3 @@
         });
     }
 }
-
-impl Entry {
-    /// Requests that the upstream works on, as far as is known.
-    fn load(&self) -> usize {
-        self.account.grants.len() + self.account.foreign.unwrap_or(0)
-    }
-
-    fn takes(&self, ask: &Ask, now: Instant) -> bool {
-        self.upstream.service == ask.service
-            && !ask.exclude.contains(&self.upstream.instance)
-            && !self.account.health.ejected(now)
-    }
-}
--- a/crates/tinbank-allocator/src/lib.rs
+++ b/crates/tinbank-allocator/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod allocator;
 pub mod directory;
+mod entry;
 pub mod frame;
 mod grants;
 mod health;
