--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -10,9 +10,9 @@
 use tinbank_base::id;
 
 use crate::{
-    entry::{Account, Entry},
+    entry::Entry,
     frame::{Alive, Answer, Ask, Frame, Grant, Holdings, Queue, Release},
-    grants,
+    grants::{self, Grants},
     lease::{self, Class, Due, Outcome},
     pace::Pace,
 };
@@ -150,13 +150,7 @@
         let Some(index) = self.find(upstream) else {
             return;
         };
-        let account = &mut self.upstreams[index].account;
-        let foreign = requests.saturating_sub(account.grants.older_than(REPORT_LAG, now));
-        account.foreign = Some(
-            account
-                .foreign
-                .map_or(foreign, |before| before.min(foreign)),
-        );
+        self.upstreams[index].account.reported(requests, now);
     }
 
     /// True while the allocator learns, or upstreams work on requests of hosts that were lost.
