Calls sent while the store was away are given up once it answers

Ruled out: pauses between tries (0.1 to 0.5 s). Change: all calls at the store are watched; the first one that is answered after 0.4 s of failures ends the wait of those that were sent before it, with their effect unknown.

--- a/crates/tinbank-gateway/src/lib.rs
+++ b/crates/tinbank-gateway/src/lib.rs
@@ -18,5 +18,6 @@
 mod sharing;
 mod stop;
 mod view;
+pub mod watch;
 
 pub use run::{Error, Metrics, Platform, run};
--- a/crates/tinbank-gateway/src/run.rs
+++ b/crates/tinbank-gateway/src/run.rs
@@ -29,6 +29,7 @@
     settings::Settings,
     sharing::{self, Sharing},
     view,
+    watch::Watched,
 };
 
 /// How long a call to register the host may take.
@@ -108,6 +109,7 @@
         ingress,
         engine,
     } = platform;
+    let store = Rc::new(Watched::new(store));
     let node = Node::new(settings, store, ingress, engine, Rc::new(sharing));
     let node = Rc::new(node);
     start(&node, callers, readiness);
--- /dev/null
+++ b/crates/tinbank-gateway/src/watch.rs
@@ -0,0 +1,132 @@
+//! Gives up calls at the store that it will not answer any more.
+//!
+//! A store that was silent answers nothing that came to it meanwhile. Each call would wait for its own timeout, up to two
+//! seconds after the store is back, so the first call that is answered ends the wait of all that were sent before it.
+
+use std::{
+    cell::Cell,
+    pin::pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use tinbank_allocator::directory::Peer;
+use tokio::sync::Notify;
+
+use crate::border::store::{
+    Assignment, Entries, Error, List, Membership, Offset, Page, Place, Range, Store,
+};
+
+/// The store counts as having been away if no call was answered for this long after one had failed. Source: longer than a
+/// lost packet takes, shorter than any outage that the users' pages speak of.
+const AWAY: Duration = Duration::from_millis(400);
+
+/// The calls under way, in the order in which they began.
+#[derive(Debug, Default)]
+pub struct Watch {
+    began: Cell<u64>,
+    /// Since when calls fail.
+    failing_since: Cell<Option<Instant>>,
+    /// Calls that began before this one are given up.
+    answered: Cell<u64>,
+    back: Notify,
+}
+
+impl Watch {
+    /// Makes a call, and gives it up once a later one is answered after the store was away. Its effect is unknown then.
+    pub async fn call<T>(&self, call: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
+        let number = self.began.get() + 1;
+        self.began.set(number);
+        let mut call = pin!(call);
+        loop {
+            let back = self.back.notified();
+            tokio::select! {
+                ended = &mut call => {
+                    self.note(number, &ended);
+                    return ended;
+                }
+                () = back => {}
+            }
+            if number < self.answered.get() {
+                return Err(Error::Unknown(
+                    "given up, later calls are answered".to_owned(),
+                ));
+            }
+        }
+    }
+
+    fn note<T>(&self, number: u64, ended: &Result<T, Error>) {
+        if let Err(Error::Unknown(_) | Error::NoEffect(_)) = ended {
+            let since = self.failing_since.get();
+            self.failing_since.set(since.or(Some(Instant::now())));
+            return;
+        }
+        let Some(since) = self.failing_since.take() else {
+            return;
+        };
+        if since.elapsed() >= AWAY {
+            log::info!(away_ms = since.elapsed().as_millis() as u64; "store answers again, calls sent before are given up");
+            self.answered.set(number);
+            self.back.notify_waiters();
+        }
+    }
+}
+
+/// A store whose calls are watched.
+pub(crate) struct Watched {
+    store: Rc<dyn Store>,
+    watch: Watch,
+}
+
+impl Watched {
+    pub fn new(store: Rc<dyn Store>) -> Self {
+        Self {
+            store,
+            watch: Watch::default(),
+        }
+    }
+}
+
+#[async_trait(?Send)]
+impl Store for Watched {
+    async fn append(&self, at: Place, records: &[Bytes], until: Instant) -> Result<Offset, Error> {
+        self.watch.call(self.store.append(at, records, until)).await
+    }
+
+    async fn read(&self, at: Place, range: Range, until: Instant) -> Result<Page, Error> {
+        self.watch.call(self.store.read(at, range, until)).await
+    }
+
+    async fn newest(&self, list: List, until: Instant) -> Result<Entries, Error> {
+        self.watch.call(self.store.newest(list, until)).await
+    }
+
+    async fn since(
+        &self,
+        list: List,
+        from: Offset,
+        wait_ms: u64,
+        until: Instant,
+    ) -> Result<Entries, Error> {
+        let call = self.store.since(list, from, wait_ms, until);
+        self.watch.call(call).await
+    }
+
+    async fn register(&self, host: &Peer, until: Instant) -> Result<(), Error> {
+        self.watch.call(self.store.register(host, until)).await
+    }
+
+    async fn unregister(&self, host: &Peer, until: Instant) -> Result<(), Error> {
+        self.watch.call(self.store.unregister(host, until)).await
+    }
+
+    async fn join(&self, membership: &Membership, until: Instant) -> Result<Assignment, Error> {
+        self.watch.call(self.store.join(membership, until)).await
+    }
+
+    async fn leave(&self, membership: &Membership, until: Instant) -> Result<(), Error> {
+        self.watch.call(self.store.leave(membership, until)).await
+    }
+}
