--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -100,8 +100,8 @@
         self.upstreams = entries.collect();
     }
 
-    /// What the allocator is to say of its host.
-    pub fn say(&mut self, alive: Alive) {
+    /// What the allocator is to say of its host in its heartbeats.
+    pub fn announce(&mut self, alive: Alive) {
         self.alive = alive;
     }
 
--- a/crates/tinbank-gateway/src/batch/intake.rs
+++ b/crates/tinbank-gateway/src/batch/intake.rs
@@ -26,9 +26,6 @@
 /// How long a submission waits for its verdict. Another host may reach the store when this one does not, so the caller
 /// needs time to come again. Source: several times what an append takes at a slow store, well below what callers wait.
 const DECIDE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The log counts as reached if it was read to its end at most this long ago. Source: the longest time between two
-/// reads that are answered, twice.
-const LOG_AGE: Duration = Duration::from_millis(1_000);
 /// How long the read may take that tells whether the log is reached. Source: a refusal costs a caller little within a
 /// quarter of the target for accepting a job, 400 ms with the users.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(80);
@@ -114,7 +111,8 @@
     if !node.batch.is_known() {
         return false;
     }
-    node.batch.is_fresh(LOG_AGE) || follower::catch_up(node, Instant::now() + PROBE_TIMEOUT).await
+    let now = Instant::now();
+    node.sharing.reaches_store(now) || follower::catch_up(node, now + PROBE_TIMEOUT).await
 }
 
 /// The contents of a job for its submission. Nothing if they could not be written.
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -178,6 +178,7 @@
 
     /// A slot at an upstream of a service, or what to tell the caller.
     async fn lease(&mut self, service: &str) -> Result<Lease, Next> {
+        let mut is_held = false;
         loop {
             let queue = self.queue();
             let wanted = Wanted {
@@ -188,7 +189,12 @@
             };
             match self.node.sharing.lease(&self.node, &wanted).await {
                 Asked::Granted(lease) => return Ok(lease),
-                Asked::Full if queue == Queue::No => time::sleep(HOLD_PAUSE).await,
+                Asked::Full if queue == Queue::No => {
+                    if !std::mem::replace(&mut is_held, true) {
+                        self.log_held();
+                    }
+                    time::sleep(HOLD_PAUSE).await;
+                }
                 Asked::Full => {
                     self.overloaded = true;
                     return Err(self.attempts.give_up());
@@ -198,6 +204,13 @@
         }
     }
 
+    fn log_held(&self) {
+        let now = Instant::now();
+        let left = self.deadline.saturating_duration_since(now);
+        let left_ms = left.as_millis() as u64;
+        log::info!(request:% = self.request.id, route:% = self.route.name, left_ms; "request that comes again waits for a free slot");
+    }
+
     fn log_sent(&self, lease: &Lease, resume_after: Option<u64>) {
         let now = Instant::now();
         let view = &self.node.view;
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -62,7 +62,7 @@
     unheard: HashSet<SocketAddr>,
     avoided: HashMap<id::Instance, Instant>,
     /// Allocators that said that they reach the store, and when.
-    reach_store: HashMap<SocketAddr, Instant>,
+    with_store: HashMap<SocketAddr, Instant>,
 }
 
 struct Holding {
@@ -141,7 +141,7 @@
             held: HashMap::new(),
             unheard: HashSet::new(),
             avoided: HashMap::new(),
-            reach_store: HashMap::new(),
+            with_store: HashMap::new(),
         };
         // Lease numbers of a later start are larger, so that its holdings end the leases of an earlier one.
         let since_1970 = std::time::SystemTime::UNIX_EPOCH.elapsed();
@@ -189,6 +189,7 @@
         let mut state = self.state.borrow_mut();
         state.allocator.forget(now);
         state.unheard.clear();
+        self.store_read_at.set(None);
         self.learning.notify_one();
     }
 
@@ -197,18 +198,23 @@
         self.store_read_at.set(Some(now));
     }
 
-    fn alive(&self, now: Instant) -> Alive {
+    /// True if this host has read the store a moment ago.
+    pub fn reaches_store(&self, now: Instant) -> bool {
         let read_at = self.store_read_at.get();
+        read_at.is_some_and(|at| now < at + STORE_AGE)
+    }
+
+    fn alive(&self, now: Instant) -> Alive {
         Alive {
-            reaches_store: read_at.is_some_and(|at| now < at + STORE_AGE),
+            reaches_store: self.reaches_store(now),
         }
     }
 
     /// Where another host takes calls that reaches the store, by its last heartbeat.
     pub fn host_with_store(&self, now: Instant) -> Option<SocketAddr> {
         let state = self.state.borrow();
-        let reach = state.reach_store.iter();
-        let fresh = reach.filter(|(_, at)| now < **at + HEARTBEAT + STORE_AGE);
+        let with_store = state.with_store.iter();
+        let fresh = with_store.filter(|(_, at)| now < **at + HEARTBEAT + STORE_AGE);
         let (address, _) = fresh.max_by_key(|(_, at)| **at)?;
         state.directory.peer(*address).map(|peer| peer.callers)
     }
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -118,22 +118,15 @@
             exclude,
             queue,
         };
-        let (answer, answered) = oneshot::channel();
+        let (answer, mut answered) = oneshot::channel();
         self.state.borrow_mut().asks.insert(lease, answer);
         let frame = Frame::Ask(ask);
         self.send(allocator, &frame);
-        let resend = async {
-            time::sleep(RESEND_AFTER).await;
+        let mut answer = time::timeout(RESEND_AFTER, &mut answered).await;
+        if answer.is_err() {
             self.send(allocator, &frame);
-            std::future::pending().await
-        };
-        let answer = time::timeout(ANSWER_TIMEOUT, async {
-            tokio::select! {
-                answer = answered => answer,
-                () = resend => unreachable!("a resend never ends"),
-            }
-        });
-        let answer = answer.await;
+            answer = time::timeout(ANSWER_TIMEOUT - RESEND_AFTER, answered).await;
+        }
         self.state.borrow_mut().asks.remove(&lease);
         let told = match &answer {
             Ok(Ok(Some(_))) => Answer::Granted,
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -36,13 +36,13 @@
             Frame::Alive(alive) => {
                 let mut state = self.state.borrow_mut();
                 match alive.reaches_store {
-                    true => state.reach_store.insert(from, now),
-                    false => state.reach_store.remove(&from),
+                    true => state.with_store.insert(from, now),
+                    false => state.with_store.remove(&from),
                 };
             }
             asked => {
                 let mut state = self.state.borrow_mut();
-                state.allocator.say(self.alive(now));
+                state.allocator.announce(self.alive(now));
                 let (out, change) = state.allocator.receive(from, asked, now);
                 drop(state);
                 if change == Some(Change::Learning) {
