How long another host and an upstream may take follows from how far away they are

Hosts measure the round trip to the allocators by their heartbeats now; an answer may take three of them, 25 ms at least and 150 ms at most, and an upstream is as far away as the allocator of its domain. Tests: a_host_far_away_is_waited_for_longer, a_late_answer_makes_nobody_wait_for_long.

--- a/crates/tinbank-allocator/src/directory.rs
+++ b/crates/tinbank-allocator/src/directory.rs
@@ -28,6 +28,14 @@
     pub failure_domain: id::FailureDomain,
 }
 
+/// How long a host may take to answer at least. Source: measured, see `docs/design/users-platform.md`.
+const LEAST_PATIENCE: Duration = Duration::from_millis(25);
+/// How long it may take at most, however far away it is: a request must not be late for asking.
+const MOST_PATIENCE: Duration = Duration::from_millis(150);
+/// Round trips that an answer may take. Source: the time of the answer itself, and a queue on the way.
+const ROUND_TRIPS: u32 = 3;
+/// Weight of the newest round trip in the smoothed one, one part in so many.
+const SMOOTHING: u32 = 4;
 /// Missing answers in a row after which a host is passed over. Source: on a link that loses packets single answers go
 /// missing all the time, and each host that another allocator is asked for makes allocators deal without each other's knowledge.
 const MISSES: u32 = 2;
@@ -38,6 +46,10 @@
     peers: Vec<Peer>,
     /// Hosts of which an answer was missed and nothing was heard since.
     silent: HashMap<SocketAddr, Silence>,
+    /// When the heartbeat was sent that a host has not answered yet.
+    sent: HashMap<SocketAddr, Instant>,
+    /// How far away hosts are, by their answers to heartbeats.
+    round_trips: HashMap<SocketAddr, Duration>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -52,8 +64,10 @@
 impl Directory {
     /// Takes in the list of hosts.
     pub fn list(&mut self, peers: Vec<Peer>) {
-        self.silent
-            .retain(|address, _| peers.iter().any(|peer| peer.address == *address));
+        let is_listed = |address: &SocketAddr| peers.iter().any(|peer| peer.address == *address);
+        self.silent.retain(|address, _| is_listed(address));
+        self.sent.retain(|address, _| is_listed(address));
+        self.round_trips.retain(|address, _| is_listed(address));
         self.peers = peers;
     }
 
@@ -84,6 +98,28 @@
             .map(|peer| peer.address)
     }
 
+    /// Takes in that a heartbeat was sent to a host.
+    pub fn told(&mut self, address: SocketAddr, now: Instant) {
+        self.sent.insert(address, now);
+    }
+
+    /// Takes in that a host has answered a heartbeat.
+    pub fn answered(&mut self, address: SocketAddr, now: Instant) {
+        let Some(sent) = self.sent.remove(&address) else {
+            return;
+        };
+        let newest = now.saturating_duration_since(sent);
+        let smoothed = self.round_trips.entry(address).or_insert(newest);
+        *smoothed = (*smoothed * (SMOOTHING - 1) + newest) / SMOOTHING;
+    }
+
+    /// How long a host may take to answer an ask, by how far away it is.
+    pub fn patience(&self, address: SocketAddr) -> Duration {
+        let round_trip = self.round_trips.get(&address).copied();
+        let needed = round_trip.unwrap_or_default() * ROUND_TRIPS;
+        needed.clamp(LEAST_PATIENCE, MOST_PATIENCE)
+    }
+
     /// Takes in that a host has sent a datagram. True if it had been passed over.
     pub fn heard(&mut self, address: SocketAddr) -> bool {
         let silence = self.silent.remove(&address);
--- a/crates/tinbank-allocator/tests/directory.rs
+++ b/crates/tinbank-allocator/tests/directory.rs
@@ -83,6 +83,37 @@
     assert_eq!(directory.allocator("north", now), Some(first));
 }
 
+#[test]
+fn a_host_far_away_is_waited_for_longer() {
+    let mut now = Instant::now();
+    let mut directory = directory();
+    let (near, far) = (peer(1, "north").address, peer(4, "south").address);
+
+    for _ in 0..20 {
+        directory.told(near, now);
+        directory.told(far, now);
+        directory.answered(near, now + Duration::from_millis(2));
+        directory.answered(far, now + Duration::from_millis(30));
+        now += Duration::from_secs(1);
+    }
+
+    let millis = |host| directory.patience(host).as_millis();
+    assert_eq!((millis(near), millis(far)), (25, 90));
+    assert_eq!(millis(peer(5, "west").address), 25);
+}
+
+#[test]
+fn a_late_answer_makes_nobody_wait_for_long() {
+    let now = Instant::now();
+    let mut directory = directory();
+    let host = peer(1, "north").address;
+    directory.told(host, now);
+
+    directory.answered(host, now + Duration::from_secs(2));
+
+    assert_eq!(directory.patience(host), Duration::from_millis(150));
+}
+
 #[test]
 fn a_host_that_is_heard_counts_at_once() {
     let now = Instant::now();
--- a/crates/tinbank-gateway/src/relay/attempt.rs
+++ b/crates/tinbank-gateway/src/relay/attempt.rs
@@ -15,8 +15,8 @@
     sharing::Lease,
 };
 
-/// How long a new connection to an upstream may take. Source: far above a round trip between failure domains, far below
-/// a target latency; the request was not sent by then, so it goes elsewhere.
+/// How long a new connection to an upstream may take, if it is not far away. Source: far above a round trip between failure
+/// domains, far below a target latency; the request was not sent by then, so it goes elsewhere.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// An attempt without an answer.
@@ -59,7 +59,7 @@
         lease.address,
         node.engine.encode(request, attempt),
         Until {
-            connected: now + CONNECT_TIMEOUT,
+            connected: now + CONNECT_TIMEOUT.max(lease.patience()),
             answered: until,
         },
     );
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -118,6 +118,12 @@
             .map_or_else(|| "none".to_owned(), |allocator| allocator.to_string())
     }
 
+    /// How long the upstream may take for a round trip at least: it is as far away as the allocator of its failure domain.
+    pub fn patience(&self) -> Duration {
+        let allocator = self.allocator;
+        allocator.map_or(Duration::ZERO, |host| self.sharing.patience(host))
+    }
+
     /// Says how the request ended.
     pub fn end(&self, outcome: Outcome) {
         self.outcome.set(outcome);
@@ -193,6 +199,11 @@
         self.learning.notify_one();
     }
 
+    /// How long another host may take to answer, by how far away it is.
+    fn patience(&self, host: SocketAddr) -> Duration {
+        self.state.borrow().directory.patience(host)
+    }
+
     /// This host has read the store to its end.
     pub fn store_read(&self, now: Instant) {
         self.store_read_at.set(Some(now));
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -1,9 +1,6 @@
 //! Asks allocators for slots.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Instant};
 
 use smallvec::SmallVec;
 use tinbank_allocator::{
@@ -16,11 +13,9 @@
 use super::{Asked, Lease, Sharing, Wanted};
 use crate::{measure, node::Node};
 
-/// How long an allocator may take to answer. Source: measured, see `docs/design/users-platform.md`.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
-/// When an ask without an answer is sent a second time: datagrams are lost now and then. Source: some round trips between
-/// failure domains.
-const RESEND_AFTER: Duration = Duration::from_millis(10);
+/// Part of the time for an answer after which an ask is sent a second time, in percent: datagrams are lost now and then.
+/// Source: the answer has come by then as a rule, and the second one has time for its own.
+const RESEND_PERCENT: u32 = 40;
 /// Grants of leaving upstreams after which a failure domain counts as having none.
 const MAX_LEAVING: usize = 4;
 
@@ -122,10 +117,12 @@
         self.state.borrow_mut().asks.insert(lease, answer);
         let frame = Frame::Ask(ask);
         self.send(allocator, &frame);
-        let mut answer = time::timeout(RESEND_AFTER, &mut answered).await;
+        let patience = self.patience(allocator);
+        let resend_at = now + patience * RESEND_PERCENT / 100;
+        let mut answer = time::timeout_at(resend_at.into(), &mut answered).await;
         if answer.is_err() {
             self.send(allocator, &frame);
-            answer = time::timeout(ANSWER_TIMEOUT - RESEND_AFTER, answered).await;
+            answer = time::timeout_at((now + patience).into(), answered).await;
         }
         self.state.borrow_mut().asks.remove(&lease);
         let told = match &answer {
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -35,6 +35,7 @@
             Frame::Reclaim(lease) => self.reclaim(lease),
             Frame::Alive(alive) => {
                 let mut state = self.state.borrow_mut();
+                state.directory.answered(from, now);
                 match alive.reaches_store {
                     true => state.with_store.insert(from, now),
                     false => state.with_store.remove(&from),
@@ -121,7 +122,9 @@
         drop(state);
         for (to, holdings) in letters {
             if to != self.own.address {
-                self.state.borrow_mut().unheard.insert(to);
+                let mut state = self.state.borrow_mut();
+                state.unheard.insert(to);
+                state.directory.told(to, now);
             }
             self.send(to, &Frame::Holdings(holdings));
         }
