Which item runs next, when an upstream counts as silent and which ones a host avoids: code of their own

They stood in tinbank-gateway between sockets and clocks. The probe of the log of jobs takes a part of the route's target instead of a fixed time.

--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -27,8 +27,8 @@
 /// Slots of an upstream that stay free of batch, so that an online request seldom has to reclaim one.
 const HEADROOM: usize = 1;
 
-/// Part of a service's upstreams in a failure domain that may be ejected at once, in percent. Source: the users' days take
-/// up to a third of the upstreams away at once.
+/// Part of a service's upstreams in a failure domain that may be ejected at once, in percent. Source: up to a third of the
+/// upstreams may be lost at once.
 const MOST_EJECTED_PERCENT: usize = 50;
 
 /// An upstream that may be dealt out.
--- a/crates/tinbank-allocator/src/lib.rs
+++ b/crates/tinbank-allocator/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod allocator;
+pub mod avoidance;
 pub mod directory;
 mod entry;
 pub mod frame;
--- a/crates/tinbank-allocator/src/pace.rs
+++ b/crates/tinbank-allocator/src/pace.rs
@@ -4,7 +4,7 @@
 
 /// What is assumed before the first request has ended: nobody is turned away on a guess.
 const UNKNOWN: Duration = Duration::ZERO;
-/// Weight of the newest request, one part in so many: a change shows within a second or two of the users' traffic.
+/// Weight of the newest request, one part in so many: a change shows within a second or two.
 const SMOOTHING: u32 = 16;
 
 /// A smoothed time, such as that for which an online request holds its slot.
--- /dev/null
+++ b/crates/tinbank-allocator/tests/avoidance.rs
@@ -0,0 +1,29 @@
+//! For how long a host avoids upstreams.
+
+use std::time::{Duration, Instant};
+
+use tinbank_allocator::{avoidance::Avoidance, lease::Outcome};
+use yare::parameterized;
+
+#[parameterized(
+    failed = { &[Outcome::Failed], 1_400, true },
+    failed_long_ago = { &[Outcome::Failed], 1_600, false },
+    silent = { &[Outcome::Silent], 1_400, true },
+    refused = { &[Outcome::Refused], 300, true },
+    refused_a_moment_ago = { &[Outcome::Refused], 500, false },
+    served_since = { &[Outcome::Failed, Outcome::Served], 0, false },
+    ended_for_another_reason_since = { &[Outcome::Failed, Outcome::Unused], 0, true },
+    leaving = { &[Outcome::Leaving], 0, false },
+)]
+fn an_upstream_is_avoided_after_trouble(outcomes: &[Outcome], after_ms: u64, expected: bool) {
+    let now = Instant::now();
+    let upstream = "u1".into();
+    let mut avoidance = Avoidance::default();
+    for outcome in outcomes {
+        avoidance.note(&upstream, *outcome, now);
+    }
+
+    let avoided = avoidance.upstreams(now + Duration::from_millis(after_ms));
+
+    assert_eq!(avoided.contains(&upstream), expected);
+}
--- a/crates/tinbank-entry/src/logs/rate.rs
+++ b/crates/tinbank-entry/src/logs/rate.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-/// Lines of one kind in one second. Source: some ten decisions a second a host on the users' busiest days, with room
+/// Lines of one kind in one second. Source: some ten decisions a second a host on the busiest days, with room
 /// for the bursts in which the lines are needed; with lines of 150 bytes it bounds a kind to 6 KB a second.
 const LINES: u32 = 40;
 /// The time over which lines are counted.
--- a/crates/tinbank-gateway/src/batch/contents.rs
+++ b/crates/tinbank-gateway/src/batch/contents.rs
@@ -17,7 +17,7 @@
 use crate::{border::store, node::Node};
 
 /// Contents up to this size are part of the submission. All hosts read them then; source: at five jobs a second, which is
-/// the most that the users' deployments take in, that is 80 KB a second a host.
+/// the most that deployments took in, that is 80 KB a second a host.
 pub(super) const INLINE_BYTES: usize = 16 << 10;
 /// Pause before contents that could not be read are asked for again.
 const RETRY: Duration = Duration::from_millis(200);
--- a/crates/tinbank-gateway/src/batch/follower.rs
+++ b/crates/tinbank-gateway/src/batch/follower.rs
@@ -9,18 +9,18 @@
     fold::{Change, Verdict},
     fragment::{Joiner, Whole},
     job::Job,
-    record::{JobId, Record},
+    record::Record,
 };
 use tokio::time;
 
-use super::{JOBS, contents, owner, partition};
+use super::{JOBS, contents, owner};
 use crate::{
     border::store::{Error, Offset, Page, Range},
     dependency::Dependency,
     node::Node,
 };
 
-/// How long a read waits for a record. Source: a page without news may be this old, and the users' bound is 1 s.
+/// How long a read waits for a record. Source: a page without news may be this old, and the platform's bound is 1 s.
 const WAIT_MS: u64 = 400;
 /// Time that the answer to a read may take beyond its wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
@@ -30,7 +30,7 @@
 /// Source: less than half of the time between two reads of a caller.
 const REST: Duration = Duration::from_millis(300);
 /// Within this time after an append is acknowledged, a read that waits for news tells its records. Source: some times
-/// the 4 ms that an answer of the users' store takes, far below the target for accepting a job.
+/// the 4 ms that an answer of the store takes, far below the target for accepting a job.
 const WAKE_TIME: Duration = Duration::from_millis(25);
 /// Pause after a read that failed.
 const RETRY: Duration = Duration::from_millis(100);
@@ -77,7 +77,7 @@
             table.prune(kept, SystemTime::now());
             node.batch.contents.retain(|id| {
                 let is_open = table.job(id).is_some_and(Job::is_open);
-                is_open && is_ours_to_run(&node, id)
+                is_open && owner::holds(&node, id)
             });
         }
     }
@@ -148,12 +148,6 @@
     waited.await.is_ok()
 }
 
-/// True if this process runs the items of a job.
-fn is_ours_to_run(node: &Node, job: &JobId) -> bool {
-    let partition = partition(job, node.settings.store.partitions);
-    node.batch.owner.holds(partition, owner::ttl(node))
-}
-
 fn take_in(node: &Node, joiner: &mut Joiner, from: Offset, page: Page) {
     let batch = &node.batch;
     let mut offset = from;
@@ -190,7 +184,7 @@
             log::info!(job:%, offset = whole.offset, verdict:?; "job submitted");
             if let Some(contents) = contents
                 && verdict == Verdict::Accepted
-                && is_ours_to_run(node, &job)
+                && owner::holds(node, &job)
             {
                 node.batch.contents.keep(job.clone(), contents);
             }
--- a/crates/tinbank-gateway/src/batch/intake.rs
+++ b/crates/tinbank-gateway/src/batch/intake.rs
@@ -26,11 +26,11 @@
 /// How long a submission waits for its verdict. Another host may reach the store when this one does not, so the caller
 /// needs time to come again. Source: several times what an append takes at a slow store, well below what callers wait.
 const DECIDE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// How long the read may take that tells whether the log is reached. Source: a refusal costs a caller little within a
-/// quarter of the target for accepting a job, 400 ms with the users.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(80);
+/// Part of a route's target for accepting a job that the read may take that tells whether the log is reached, one in so
+/// many: several times what a read takes, and the rest is for the job itself.
+const PROBE_PART: u32 = 5;
 /// Part of the time that a caller has left after which it is told to come back while the store is away: one in so many.
-/// Outages last seconds, and the users' callers wait no longer than this part.
+/// Outages last seconds, and by the platform's protocol callers wait for no longer than this part.
 const AWAY_RETRY_PART: u32 = 3;
 /// Time that a caller has left where it does not say.
 const UNKNOWN_TIME_LEFT: Duration = Duration::from_secs(3);
@@ -74,7 +74,7 @@
         Ok(items) => items,
         Err(malformed) => return Reply::Malformed(malformed),
     };
-    if !is_log_reached(node).await {
+    if !is_log_reached(node, route).await {
         return refuse(call, "log of jobs not read to its end");
     }
     let number = identity::number();
@@ -107,12 +107,13 @@
 
 /// True if the log of jobs is surely reached now. While its reads are answered, nothing is asked; otherwise one short
 /// read tells, before anything is sent that can't be taken back.
-async fn is_log_reached(node: &Node) -> bool {
+async fn is_log_reached(node: &Node, route: &Route) -> bool {
     if !node.batch.is_known() {
         return false;
     }
     let now = Instant::now();
-    node.sharing.reaches_store(now) || follower::catch_up(node, now + PROBE_TIMEOUT).await
+    let until = now + route.target_latency / PROBE_PART;
+    node.sharing.reaches_store(now) || follower::catch_up(node, until).await
 }
 
 /// The contents of a job for its submission. Nothing if they could not be written.
--- a/crates/tinbank-gateway/src/batch/item.rs
+++ b/crates/tinbank-gateway/src/batch/item.rs
@@ -21,7 +21,7 @@
 };
 
 /// How long an upstream may work on an item in one run; what is left of it goes on in another one.
-/// Source: the bench's items take 5 s on an idle upstream and three times that on a full one.
+/// Source: above what items take at full upstreams, so that only one that hangs while it sends is cut.
 const RUN_TIME: Duration = Duration::from_secs(30);
 /// How long the answer to an item may take to begin.
 const FIRST_EVENT: Duration = Duration::from_secs(2);
--- a/crates/tinbank-gateway/src/batch/large.rs
+++ b/crates/tinbank-gateway/src/batch/large.rs
@@ -22,7 +22,7 @@
 /// Bytes that a record takes beside its content, in the store's form and in ours.
 const RECORD_BYTES: usize = 8;
 /// Most bytes of texts that are kept for the next caller. Source: what finishes within the two seconds in which most
-/// results are read, on the users' deployments, against hosts of 88 MB.
+/// results are read, against hosts of 88 MB.
 const CACHE_BYTES: usize = 256 << 10;
 
 /// What was read or written last.
--- a/crates/tinbank-gateway/src/batch/owner.rs
+++ b/crates/tinbank-gateway/src/batch/owner.rs
@@ -7,8 +7,10 @@
 };
 
 use bytes::Bytes;
+use tinbank_jobs::record::JobId;
 use tokio::time;
 
+use super::partition;
 use crate::{
     border::store::{Assignment, Membership, Place, Topic},
     dependency::Dependency,
@@ -35,7 +37,7 @@
 impl Owner {
     /// True if the process may start items of a partition. Without an answer of the store for a while it may not:
     /// others have taken over by then.
-    pub fn holds(&self, partition: u32, ttl: Duration) -> bool {
+    fn holds(&self, partition: u32, ttl: Duration) -> bool {
         let renewed = self.renewed_at.get();
         renewed.is_some_and(|at| at.elapsed() < ttl + CALL_TIMEOUT)
             && self.assignment.borrow().partitions.contains(&partition)
@@ -47,8 +49,14 @@
     }
 }
 
+/// True if this process may start items of a job now.
+pub(super) fn holds(node: &Node, job: &JobId) -> bool {
+    let partition = partition(job, node.settings.store.partitions);
+    node.batch.owner.holds(partition, ttl(node))
+}
+
 /// The time for which a member may stay silent.
-pub(super) fn ttl(node: &Node) -> Duration {
+fn ttl(node: &Node) -> Duration {
     TTL.max(node.settings.store.least_member_ttl)
 }
 
--- a/crates/tinbank-gateway/src/batch/results.rs
+++ b/crates/tinbank-gateway/src/batch/results.rs
@@ -19,13 +19,13 @@
     node::Node,
 };
 
-/// Most bytes of results in a page. Source: the users' bound of 1 MB, less the names around the texts.
+/// Most bytes of results in a page. Source: the platform's bound of 1 MB, less the names around the texts.
 const PAGE_BYTES: usize = 800_000;
 /// Bytes that a result takes beside its text.
 const RESULT_BYTES: usize = 120;
-/// A page without news says that there is none if the table is at most this old. Source: the users' bound of 1 s.
+/// A page without news says that there is none if the table is at most this old. Source: the platform's bound of 1 s.
 const FRESH: Duration = Duration::from_millis(800);
-/// How long a page may take before it is given as far as it has come. Source: well below the 1.5 s that the users' callers
+/// How long a page may take before it is given as far as it has come. Source: well below the 1.5 s that callers
 /// wait beyond what they allow.
 const FILL_TIME: Duration = Duration::from_millis(500);
 /// Texts that are read at the same time.
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -1,7 +1,6 @@
 //! Runs the items of the jobs that this process owns, while upstreams have slots to spare.
 
 mod next;
-mod pace;
 
 use std::{
     cell::{Cell, RefCell},
@@ -13,7 +12,10 @@
 use bytes::Bytes;
 use tinbank_allocator::{frame::Queue, lease::Class};
 use tinbank_base::id;
-use tinbank_jobs::record::{Advance, Finish, Index, JobId, Outcome, Reason, Record, RunId};
+use tinbank_jobs::{
+    pace::Pace,
+    record::{Advance, Finish, Index, JobId, Outcome, Reason, Record, RunId},
+};
 use tokio::{sync::Notify, task, time};
 
 use self::next::Candidate;
@@ -48,7 +50,7 @@
     paused: RefCell<HashMap<Key, Paused>>,
     /// Since when the route of a job is gone.
     routes_gone: RefCell<HashMap<JobId, Instant>>,
-    pace: RefCell<pace::Pace>,
+    pace: RefCell<Pace>,
     first_run: RunId,
     next_run: Cell<RunId>,
 }
@@ -160,7 +162,7 @@
             continue;
         };
         let wanted = Wanted {
-            class: Class::Batch(candidate.due),
+            class: Class::Batch(next::lease_due(candidate.due)),
             service: &candidate.service,
             exclude: &candidate.avoid,
             queue: Queue::No,
--- a/crates/tinbank-gateway/src/batch/runner/next.rs
+++ b/crates/tinbank-gateway/src/batch/runner/next.rs
@@ -2,25 +2,24 @@
 
 use std::{
     rc::Rc,
-    time::{Duration, Instant, SystemTime},
+    time::{Instant, SystemTime},
 };
 
-use tinbank_allocator::lease::Due;
+use tinbank_allocator::lease;
 use tinbank_base::id;
-use tinbank_jobs::{job::Job, record::Reason};
+use tinbank_jobs::{
+    job::Job,
+    record::{Index, Item},
+    schedule::{self, Due, Now, State, Step},
+};
 use tinbank_relay::route::Config;
 
 use super::{Key, give_up};
 use crate::{
-    batch::{contents, owner, partition},
+    batch::{contents, owner},
     node::Node,
 };
 
-/// Clocks of hosts may differ by this much; an item is given up only once it is surely time.
-const CLOCK_MARGIN: Duration = Duration::from_secs(5);
-/// For how long a route must have been gone before its items are given up.
-const ROUTE_GONE: Duration = Duration::from_secs(4);
-
 /// An item that may run now.
 pub(super) struct Candidate {
     pub key: Key,
@@ -31,108 +30,107 @@
     pub avoid: Vec<id::Instance>,
 }
 
-/// The item that is due first among those that this process owns and that may run now. Those that can't be in time any
-/// more come behind all others, for a late result is worth little, and the time it takes makes others late as well.
+/// The item that is due first among those that this process owns and that may run now.
 pub(super) fn next(node: &Rc<Node>) -> Option<Candidate> {
     if node.stop.is_stopping() || !node.batch.is_known() {
         return None;
     }
     let config = node.view.config()?;
-    let ttl = owner::ttl(node);
-    let partitions = node.settings.store.partitions;
     let table = node.batch.table.borrow();
-    let owned = table.open().filter(|job| {
-        let partition = partition(&job.id, partitions);
-        node.batch.owner.holds(partition, ttl)
-    });
-    let mut first = None;
-    for job in owned {
-        if let Some(candidate) = next_of(node, &config, job)
-            && first
-                .as_ref()
-                .is_none_or(|first: &Candidate| candidate.due < first.due)
-        {
-            first = Some(candidate);
-        }
-    }
-    first
+    let owned = table.open().filter(|job| owner::holds(node, &job.id));
+    owned
+        .filter_map(|job| next_of(node, &config, job))
+        .min_by_key(|candidate| candidate.due)
 }
 
 /// The item of a job that runs next.
 fn next_of(node: &Rc<Node>, config: &Config, job: &Job) -> Option<Candidate> {
+    let now = Now::read();
     let runner = &node.batch.runner;
-    let expired = SystemTime::now() > job.expires_at + CLOCK_MARGIN;
-    let mut first: Option<Candidate> = None;
+    let mut first: Option<(Index, Due)> = None;
     for (index, item) in job.pending() {
         let key = (job.id.clone(), index);
-        if runner.running.borrow().contains_key(&key) {
-            continue;
-        }
-        if expired {
-            give_up(node, key, job.submission, Reason::Expired);
-            continue;
-        }
-        if !node.batch.contents.has(&job.id) {
-            contents::fetch(node, job);
-            return None;
-        }
-        let Some(route) = config.route(&job.host, &item.path) else {
-            if is_route_gone(node, job) {
-                give_up(node, key, job.submission, Reason::RouteRemoved);
+        let state = state(node, config, job, index, item);
+        let due = match schedule::step(job, state, &runner.pace.borrow(), now) {
+            Step::Run(due) => due,
+            Step::Wait => continue,
+            Step::GiveUp(reason) => {
+                give_up(node, key, job.submission, reason);
+                continue;
             }
-            continue;
         };
-        runner.routes_gone.borrow_mut().remove(&job.id);
-        let paused = runner.paused.borrow();
-        let paused = paused.get(&key);
-        let until = paused.and_then(|paused| paused.until);
-        if until.is_some_and(|until| Instant::now() < until) {
-            continue;
-        }
-        let last = paused.map_or(0, |paused| paused.last);
-        let due = due(node, job, last.max(job.progress(index).last));
-        if first.as_ref().is_some_and(|first| first.due <= due) {
-            continue;
-        }
-        let service = route.service(node.draw())?.clone();
-        let failed_at = paused.map(|paused| paused.failed_at.clone());
-        let mut avoid = failed_at.unwrap_or_default();
-        // Where it has failed at all of them, one of them has to try again until its attempts are used up.
-        if !node.view.has_upstream_beside(&service, &avoid) {
-            avoid.clear();
+        if first.is_none_or(|(_, earliest)| due < earliest) {
+            first = Some((index, due));
         }
-        first = Some(Candidate {
-            key,
-            submission: job.submission,
-            due,
-            service,
-            avoid,
-        });
-        if !due.late {
+        if !due.is_late {
             break;
         }
     }
-    first
+    let (index, due) = first?;
+    if !node.batch.contents.has(&job.id) {
+        contents::fetch(node, job);
+        return None;
+    }
+    candidate(node, config, job, index, due)
 }
 
-/// When an item is due that has `last` events, and whether it can be done by then.
-fn due(node: &Node, job: &Job, last: u64) -> Due {
-    let rest = node.batch.runner.pace.borrow().rest(last);
-    let done_at = SystemTime::now() + rest.unwrap_or_default();
-    let due_at = job.due_at.duration_since(SystemTime::UNIX_EPOCH);
-    Due {
-        late: done_at > job.due_at,
-        at_ms: due_at.map_or(0, |due| due.as_millis() as u64),
+/// What this process knows of an item beside the log.
+fn state(node: &Node, config: &Config, job: &Job, index: Index, item: &Item) -> State {
+    let runner = &node.batch.runner;
+    let key = (job.id.clone(), index);
+    let paused = runner.paused.borrow();
+    let paused = paused.get(&key);
+    let last = paused.map_or(0, |paused| paused.last);
+    State {
+        is_running: runner.running.borrow().contains_key(&key),
+        paused_until: paused.and_then(|paused| paused.until),
+        last: last.max(job.progress(index).last),
+        route: route(node, config, job, item),
     }
 }
 
-/// True once the route of a job has been gone for a while, in a configuration that is read all the time.
-fn is_route_gone(node: &Node, job: &Job) -> bool {
+/// Whether the configuration has a route for an item, and since when it has none.
+fn route(node: &Node, config: &Config, job: &Job, item: &Item) -> schedule::Route {
+    let mut gone = node.batch.runner.routes_gone.borrow_mut();
+    if config.route(&job.host, &item.path).is_some() {
+        gone.remove(&job.id);
+        return schedule::Route::Known;
+    }
     let now = Instant::now();
     if !node.view.is_config_fresh(now) {
-        return false;
+        return schedule::Route::Unsure;
     }
-    let mut gone = node.batch.runner.routes_gone.borrow_mut();
     let since = gone.entry(job.id.clone()).or_insert(now);
-    now.saturating_duration_since(*since) > ROUTE_GONE
+    schedule::Route::GoneSince(*since)
+}
+
+fn candidate(node: &Node, config: &Config, job: &Job, index: Index, due: Due) -> Option<Candidate> {
+    let key = (job.id.clone(), index);
+    let item = job.runnable(index)?;
+    let route = config.route(&job.host, &item.path)?;
+    let service = route.service(node.draw())?.clone();
+    let paused = node.batch.runner.paused.borrow();
+    let paused = paused.get(&key);
+    let failed_at = paused.map(|paused| paused.failed_at.clone());
+    let mut avoid = failed_at.unwrap_or_default();
+    // Where it has failed at all of them, one of them has to try again until its attempts are used up.
+    if !node.view.has_upstream_beside(&service, &avoid) {
+        avoid.clear();
+    }
+    Some(Candidate {
+        key,
+        submission: job.submission,
+        due,
+        service,
+        avoid,
+    })
+}
+
+/// When an item is due as allocators are told.
+pub(super) fn lease_due(due: Due) -> lease::Due {
+    let at = due.at.duration_since(SystemTime::UNIX_EPOCH);
+    lease::Due {
+        late: due.is_late,
+        at_ms: at.map_or(0, |at| at.as_millis() as u64),
+    }
 }
--- a/crates/tinbank-gateway/src/clock.rs
+++ b/crates/tinbank-gateway/src/clock.rs
@@ -5,7 +5,7 @@
 /// How often the process looks at the clock.
 pub(crate) const TICK: Duration = Duration::from_millis(100);
 /// A tick that comes this much late means that the process was paused. Source: far above what a slow host causes,
-/// below the shortest bound that the users state.
+/// below the shortest bound that the platform states.
 const PAUSE: Duration = Duration::from_millis(1_000);
 
 /// The last time at which the process ran.
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -1,9 +1,6 @@
 //! One online request on its way to an upstream.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Instant};
 
 use http::Response;
 use tinbank_allocator::{
@@ -15,6 +12,7 @@
     attempt::{Attempts, Failure, Next},
     event,
     route::{Kind, Route},
+    silence::Unanswered,
 };
 
 use super::{
@@ -36,11 +34,6 @@
 
 /// Attempts that did not run, after which a request is refused.
 const MAX_REFUSALS: usize = 6;
-/// Part of a route's target latency after which an idempotent request without any answer is tried elsewhere.
-const PATIENCE_PART: u32 = 2;
-/// Shortest time after which such a request is tried elsewhere, where the route names no target.
-const LEAST_PATIENCE: Duration = Duration::from_millis(150);
-
 /// A request on its way.
 pub(super) struct Online {
     node: Rc<Node>,
@@ -235,21 +228,20 @@
 
     /// Until when this attempt may stay without an answer. Only a request that may run again is given up for silence,
     /// and one that waits inside a full upstream only once it is late.
-    fn answer_until(&self, queued: bool) -> Instant {
+    fn answer_until(&self, is_queued: bool) -> Instant {
         let another = self.route.kind.is_idempotent()
             && !self.attempts.may_have_run()
             && self.route.max_attempts > 1;
         if !another {
             return self.deadline;
         }
-        let target = self.route.target_latency;
-        let patience = match (queued, self.admission.is_late) {
-            (false, _) => target / PATIENCE_PART,
-            (true, false) => target,
-            (true, true) => self.node.usual(&self.route).held.unwrap_or(target),
+        let unanswered = Unanswered {
+            target: self.route.target_latency,
+            is_queued,
+            is_late: self.admission.is_late,
+            usually_held: self.node.usual(&self.route).held,
         };
-        let patience = patience.max(LEAST_PATIENCE);
-        (Instant::now() + patience).min(self.deadline)
+        unanswered.silent_at(Instant::now()).min(self.deadline)
     }
 
     fn note(&mut self, upstream: &tinbank_base::id::Instance, trouble: Trouble) {
--- a/crates/tinbank-gateway/src/relay/stream.rs
+++ b/crates/tinbank-gateway/src/relay/stream.rs
@@ -1,9 +1,6 @@
 //! The events of an upstream on their way to a caller, resumed at another upstream if need be.
 
-use std::{
-    collections::VecDeque,
-    time::{Duration, Instant},
-};
+use std::{collections::VecDeque, time::Instant};
 
 use bytes::Bytes;
 use http_body::Frame;
@@ -13,7 +10,8 @@
 use tinbank_relay::{
     attempt::{Failure, Next},
     event::{self, Event, Splitter},
-    route::{Kind, Route},
+    route::Kind,
+    silence::Gap,
 };
 use tokio::time;
 
@@ -25,16 +23,6 @@
     sharing::Lease,
 };
 
-/// Missing events after which an upstream counts as silent.
-const MISSING_EVENTS: u32 = 6;
-/// Shortest silence that ends a resumable stream, in percent of the longest pause that its route allows: the rest is for
-/// a slot, a connection and the first event elsewhere.
-const LEAST_SILENCE_PERCENT: u32 = 55;
-/// Shortest silence where the route names no longest pause.
-const LEAST_SILENCE: Duration = Duration::from_millis(110);
-/// Weight of the newest gap in the smoothed gap, one part in so many.
-const SMOOTHING: u32 = 8;
-
 /// A stream on its way.
 pub(super) struct Stream {
     relay: Online,
@@ -43,8 +31,7 @@
     ready: VecDeque<Event>,
     last: Option<event::Id>,
     has_begun: bool,
-    gap: Duration,
-    heard_at: Instant,
+    gap: Gap,
 }
 
 /// The upstream that a stream comes from.
@@ -81,8 +68,7 @@
             ready: VecDeque::new(),
             last: resume_after,
             has_begun: false,
-            gap: least_silence(&relay.route) / MISSING_EVENTS,
-            heard_at: Instant::now(),
+            gap: Gap::new(relay.route.event_gap, Instant::now()),
             relay,
         }
     }
@@ -149,22 +135,15 @@
     }
 
     fn measure(&mut self) {
-        let now = Instant::now();
         if !std::mem::replace(&mut self.has_begun, true) {
             self.relay.note_first_event();
         }
-        let gap = now.saturating_duration_since(self.heard_at);
-        self.heard_at = now;
-        self.gap = (self.gap * (SMOOTHING - 1) + gap) / SMOOTHING;
+        self.gap.heard(Instant::now());
     }
 
     /// From when on the upstream counts as silent; never, where nobody else may go on.
     fn silent_at(&self) -> Option<Instant> {
-        if !self.is_resumable() {
-            return None;
-        }
-        let least = least_silence(&self.relay.route);
-        Some(self.heard_at + (self.gap * MISSING_EVENTS).max(least))
+        self.is_resumable().then(|| self.gap.silent_at())
     }
 
     fn is_resumable(&self) -> bool {
@@ -201,7 +180,7 @@
                 return Err(self.abort("the next upstream failed"));
             }
             log::info!(request:% = self.relay.request.id, upstream:% = opened.lease.upstream, after = self.last.unwrap_or(0); "stream resumed");
-            self.heard_at = Instant::now();
+            self.gap.resumed(Instant::now());
             self.source = Some(Source {
                 lease: opened.lease,
                 body: opened.body,
@@ -224,12 +203,6 @@
     }
 }
 
-fn least_silence(route: &Route) -> Duration {
-    route
-        .event_gap
-        .map_or(LEAST_SILENCE, |gap| gap * LEAST_SILENCE_PERCENT / 100)
-}
-
 async fn hear(source: &mut Source, silent_at: Option<Instant>, deadline: Instant) -> Heard {
     let until = silent_at.map_or(deadline, |at| at.min(deadline));
     loop {
--- a/crates/tinbank-gateway/src/run.rs
+++ b/crates/tinbank-gateway/src/run.rs
@@ -154,15 +154,22 @@
     task::spawn_local(watch(Rc::clone(node)));
 }
 
-/// Registers the host, so that others ask it for slots.
+/// Registers the host, so that others ask it for slots, and again if its entry is taken off the list: when a host stops, the
+/// store may do what it asked for seconds later, when the host has already started again.
 async fn register(node: Rc<Node>) {
-    loop {
+    while !node.stop.is_stopping() {
         let until = Instant::now() + REGISTER_TIMEOUT;
         match node.store.register(node.sharing.own(), until).await {
-            Ok(()) => return,
-            Err(error) => log::info!(error:%; "host not registered yet"),
+            Ok(()) => {
+                node.view
+                    .host_taken_off(node.sharing.own(), Instant::now())
+                    .await
+            }
+            Err(error) => {
+                log::info!(error:%; "host not registered yet");
+                time::sleep(REGISTER_RETRY).await;
+            }
         }
-        time::sleep(REGISTER_RETRY).await;
     }
 }
 
--- a/crates/tinbank-gateway/src/serve.rs
+++ b/crates/tinbank-gateway/src/serve.rs
@@ -27,7 +27,7 @@
 
 /// Pause after a failed accept, which is a lack of descriptors mostly.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
-/// Head timeout before the configuration is known. Source: the usual setting of the users' deployments.
+/// Head timeout before the configuration is known. Source: a usual setting of deployments.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
 /// Largest head before the configuration is known, in bytes; the least that the library takes.
 const HEAD_BYTES: usize = 16 << 10;
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -17,6 +17,7 @@
 use tinbank_allocator::{
     Allocator, Directory,
     allocator::{HEARTBEAT, Upstream},
+    avoidance::Avoidance,
     directory::Peer,
     frame::{Alive, Frame, Grant, Queue, Release, Verdict},
     lease::{self, Class, Outcome},
@@ -36,11 +37,6 @@
 /// A host reaches the store if it has read it at most this long ago. Source: the longest time between two reads that are
 /// answered, twice.
 const STORE_AGE: Duration = Duration::from_millis(1_000);
-/// For how long a host avoids an upstream that refused a request: about as long as a request holds a slot.
-const AVOID_REFUSING: Duration = Duration::from_millis(400);
-/// For how long a host avoids an upstream that it had trouble with itself.
-const AVOID: Duration = Duration::from_millis(1_500);
-
 /// The process's part in sharing the upstreams.
 pub(crate) struct Sharing {
     socket: UdpSocket,
@@ -60,7 +56,7 @@
     held: HashMap<lease::Id, Holding>,
     /// Allocators that were sent a heartbeat and have not answered.
     unheard: HashSet<SocketAddr>,
-    avoided: HashMap<id::Instance, Instant>,
+    avoidance: Avoidance,
     /// Allocators that said that they reach the store, and when.
     with_store: HashMap<SocketAddr, Instant>,
 }
@@ -146,7 +142,7 @@
             asks: HashMap::new(),
             held: HashMap::new(),
             unheard: HashSet::new(),
-            avoided: HashMap::new(),
+            avoidance: Avoidance::default(),
             with_store: HashMap::new(),
         };
         // Lease numbers of a later start are larger, so that its holdings end the leases of an earlier one.
@@ -281,19 +277,7 @@
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
         state.held.remove(&lease.id);
-        match outcome {
-            Outcome::Failed | Outcome::Silent => {
-                state.avoided.insert(lease.upstream.clone(), now + AVOID);
-            }
-            Outcome::Refused => {
-                let until = now + AVOID_REFUSING;
-                state.avoided.insert(lease.upstream.clone(), until);
-            }
-            Outcome::Served => {
-                state.avoided.remove(&lease.upstream);
-            }
-            Outcome::Unused | Outcome::Leaving => {}
-        }
+        state.avoidance.note(&lease.upstream, outcome, now);
         drop(state);
         let Some(allocator) = lease.allocator else {
             return;
@@ -307,9 +291,7 @@
     }
 
     fn avoided(&self, now: Instant) -> SmallVec<[id::Instance; 4]> {
-        let mut state = self.state.borrow_mut();
-        state.avoided.retain(|_, until| now < *until);
-        state.avoided.keys().cloned().collect()
+        self.state.borrow_mut().avoidance.upstreams(now)
     }
 
     fn next_lease(&self) -> lease::Id {
--- a/crates/tinbank-gateway/src/sharing/survey.rs
+++ b/crates/tinbank-gateway/src/sharing/survey.rs
@@ -20,7 +20,7 @@
 
 /// How long an upstream may take to report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Pause between two reports of an upstream. Source: a third of the time for which requests of the users' days hold a slot,
+/// Pause between two reports of an upstream. Source: a third of the time for which requests hold a slot,
 /// so that a slot that a lost host's request leaves is known to be free soon; each report has a price.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Upstreams that are asked at the same time. Source: at 1,000 upstreams in a failure domain, to ask all at once took 15 MB
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -42,6 +42,7 @@
     upstreams: RefCell<Listing>,
     upstreams_read_at: Cell<Option<Instant>>,
     peers: RefCell<HashMap<String, Peer>>,
+    peers_read_at: Cell<Option<Instant>>,
     refreshed: Notify,
 }
 
@@ -62,6 +63,19 @@
         self.config()
     }
 
+    /// Waits until a list of hosts that was read after some time lacks a host.
+    pub async fn host_taken_off(&self, host: &Peer, after: Instant) {
+        loop {
+            self.refreshed.notified().await;
+            let is_newer = self.peers_read_at.get().is_some_and(|at| at > after);
+            let is_listed = self.peers.borrow().values().any(|it| it == host);
+            if is_newer && !is_listed {
+                log::info!("host is off the list, registering it again");
+                return;
+            }
+        }
+    }
+
     /// True if the configuration was read a moment ago.
     pub fn is_config_fresh(&self, now: Instant) -> bool {
         let read_at = self.config_read_at.get();
@@ -219,6 +233,7 @@
             node.sharing.list(view.dealt(&node.settings.failure_domain));
         }
         List::Hosts => {
+            view.peers_read_at.set(Some(now));
             let peers = view.peers.borrow().values().cloned().collect();
             node.sharing.peers(peers);
         }
--- a/crates/tinbank-gateway/src/watch.rs
+++ b/crates/tinbank-gateway/src/watch.rs
@@ -20,7 +20,7 @@
 };
 
 /// The store counts as having been away if no call was answered for this long after one had failed. Source: longer than a
-/// lost packet takes, shorter than any outage that the users' pages speak of.
+/// lost packet takes, shorter than any outage that the platform speaks of.
 const AWAY: Duration = Duration::from_millis(400);
 
 /// The calls under way, in the order in which they began.
--- a/crates/tinbank-jobs/src/lib.rs
+++ b/crates/tinbank-jobs/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod fold;
 pub mod fragment;
 pub mod job;
+pub mod pace;
 pub mod record;
+pub mod schedule;
 pub mod table;
 
 pub use table::Table;
--- a/crates/tinbank-gateway/src/batch/runner/pace.rs
+++ b/crates/tinbank-jobs/src/pace.rs
@@ -11,7 +11,7 @@
 
 /// Smoothed measures of the items that ran here.
 #[derive(Debug, Default)]
-pub(super) struct Pace {
+pub struct Pace {
     events: Option<u64>,
     micros_per_event: Option<u64>,
 }
--- a/crates/tinbank-relay/src/lib.rs
+++ b/crates/tinbank-relay/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod listing;
 pub mod patience;
 pub mod route;
+pub mod silence;
 pub mod upstream;
