--- /dev/null
+++ b/crates/tinbank-allocator/src/allocator/ask.rs
@@ -0,0 +1,175 @@
+//! What becomes of an ask: a slot, a place among those that wait, or nothing.
+
+use std::{net::SocketAddr, time::Instant};
+
+use super::{Allocator, LEASE_TIME, Outgoing};
+use crate::{
+    frame::{Answer, Ask, Frame, Grant, Queue, Verdict},
+    grants,
+    lease::{self, Class, Due},
+    waiting::Waiter,
+};
+
+/// Slots of an upstream that stay free of batch, so that an online request seldom has to reclaim one.
+const HEADROOM: usize = 1;
+
+impl Allocator {
+    pub(super) fn ask(&mut self, from: SocketAddr, ask: Ask, now: Instant, out: &mut Outgoing) {
+        for entry in &mut self.upstreams {
+            entry.account.grants.expire(now);
+        }
+        self.waiting.expire(now);
+        // An ask that comes again has lost its answer, and gets the same one.
+        let verdict = if let Some(index) = self.granted(from, ask.lease) {
+            Verdict::Granted(self.grant(index, from, &ask, now))
+        } else if self.waiting.has(from, ask.lease) {
+            Verdict::Waiting
+        } else if let Some(index) = self.choose(&ask, now, out) {
+            Verdict::Granted(self.grant(index, from, &ask, now))
+        } else {
+            self.park(from, &ask, now)
+        };
+        let lease = ask.lease;
+        out.push((from, Frame::Answer(Answer { lease, verdict })));
+    }
+
+    /// The upstream at which a request may start now.
+    fn choose(&mut self, ask: &Ask, now: Instant, out: &mut Outgoing) -> Option<usize> {
+        match ask.class {
+            Class::Online => self.online(ask, now, out),
+            Class::Batch(due) => self.batch(ask, due, now, out),
+        }
+    }
+
+    /// Enters a lease, or renews it.
+    fn grant(&mut self, index: usize, from: SocketAddr, ask: &Ask, now: Instant) -> Grant {
+        let learning = self.is_learning(now);
+        let entry = &mut self.upstreams[index];
+        let is_known = entry.account.grants.has(from, ask.lease);
+        let others = entry.load() - usize::from(is_known);
+        let queued = learning || others >= entry.upstream.slots;
+        entry.account.grants.add(grants::Grant {
+            holder: from,
+            lease: ask.lease,
+            class: ask.class,
+            until: now + LEASE_TIME,
+            granted_at: (!ask.class.is_batch()).then_some(now),
+        });
+        Grant {
+            upstream: entry.upstream.instance.clone(),
+            address: entry.upstream.address,
+            queued,
+        }
+    }
+
+    /// Lets a request wait if a slot is likely to come free for it in time; else it is told at once.
+    fn park(&mut self, from: SocketAddr, ask: &Ask, now: Instant) -> Verdict {
+        let Some(patience) = ask.queue.patience() else {
+            return Verdict::Denied;
+        };
+        let slots: usize = self
+            .upstreams
+            .iter()
+            .filter(|entry| entry.takes(ask, now))
+            .map(|entry| entry.upstream.slots)
+            .sum();
+        if slots == 0 {
+            return Verdict::Denied;
+        }
+        let ahead = self.waiting.ahead_of(ask, patience, now);
+        let wait = self.pace.duration() * (ahead + 1) as u32 / slots as u32;
+        if wait > patience {
+            return Verdict::Denied;
+        }
+        self.waiting.add(from, ask.clone(), patience, now);
+        Verdict::Waiting
+    }
+
+    /// Gives the slots that are free to those that wait.
+    pub(super) fn serve_waiting(&mut self, now: Instant, out: &mut Outgoing) {
+        let mut entries = self.upstreams.iter();
+        let has_room = entries.any(|it| it.load() < it.upstream.slots || it.runs_batch());
+        if self.waiting.is_empty() || !has_room {
+            return;
+        }
+        self.waiting.expire(now);
+        let mut left: Vec<Waiter> = Vec::new();
+        for waiter in self.waiting.take() {
+            let Some(index) = self.choose(&waiter.ask, now, out) else {
+                left.push(waiter);
+                continue;
+            };
+            let grant = self.grant(index, waiter.from, &waiter.ask, now);
+            let answer = Answer {
+                lease: waiter.ask.lease,
+                verdict: Verdict::Granted(grant),
+            };
+            out.push((waiter.from, Frame::Answer(answer)));
+        }
+        self.waiting.put_back(left);
+    }
+
+    /// The upstream that a lease in force is for.
+    fn granted(&self, holder: SocketAddr, lease: lease::Id) -> Option<usize> {
+        let mut entries = self.upstreams.iter();
+        entries.position(|entry| entry.account.grants.has(holder, lease))
+    }
+
+    /// A free slot, else one reclaimed from batch, else, if it may wait inside it, the least loaded upstream.
+    fn online(&mut self, ask: &Ask, now: Instant, out: &mut Outgoing) -> Option<usize> {
+        let least = self.least(ask, now)?;
+        let entry = &self.upstreams[least];
+        if entry.load() < entry.upstream.slots {
+            return Some(least);
+        }
+        if let Some((index, _)) = self.reclaimable(ask, now) {
+            self.reclaim(index, out);
+            return Some(index);
+        }
+        (ask.queue == Queue::Any).then_some(least)
+    }
+
+    /// A slot if the headroom for online requests stays free beside it. An item that can still be in time takes the
+    /// slot of one that can't.
+    fn batch(&mut self, ask: &Ask, due: Due, now: Instant, out: &mut Outgoing) -> Option<usize> {
+        if self.is_learning(now) {
+            return None;
+        }
+        let least = self.least(ask, now)?;
+        let entry = &self.upstreams[least];
+        if entry.load() + HEADROOM < entry.upstream.slots {
+            return Some(least);
+        }
+        let (index, last) = self.reclaimable(ask, now)?;
+        if due.late || !last.late {
+            return None;
+        }
+        self.reclaim(index, out);
+        Some(index)
+    }
+
+    fn reclaim(&mut self, index: usize, out: &mut Outgoing) {
+        if let Some(grant) = self.upstreams[index].account.grants.reclaim() {
+            out.push((grant.holder, Frame::Reclaim(grant.lease)));
+        }
+    }
+
+    /// The upstream with the fewest leases; among equals another one at each turn.
+    fn least(&mut self, ask: &Ask, now: Instant) -> Option<usize> {
+        self.turn = self.turn.wrapping_add(1);
+        let count = self.upstreams.len();
+        let start = self.turn as usize % count.max(1);
+        (0..count)
+            .map(|step| (start + step) % count)
+            .filter(|index| self.upstreams[*index].takes(ask, now))
+            .min_by_key(|index| self.upstreams[*index].load())
+    }
+
+    /// The upstream that runs the batch item that is due last, and when that is.
+    fn reclaimable(&self, ask: &Ask, now: Instant) -> Option<(usize, Due)> {
+        (0..self.upstreams.len())
+            .filter(|index| self.upstreams[*index].takes(ask, now))
+            .filter_map(|index| Some((index, self.upstreams[index].account.grants.last_due()?)))
+            .max_by_key(|(_, due)| *due)
+    }
+}
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -3,6 +3,7 @@
 
 mod ask;
 mod peers;
+mod pending;
 mod survey;
 
 use std::{
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -1,28 +1,17 @@
 //! Asks allocators for slots.
 
-use std::{
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Instant};
 
 use smallvec::SmallVec;
 use tinbank_allocator::{
-    frame::{Ask, Frame, Grant, Queue, Verdict},
-    lease::{self, Outcome},
+    frame::{Ask, Grant, Queue, Verdict},
+    lease::Outcome,
 };
 use tinbank_base::id;
-use tokio::{sync::mpsc, time};
 
-use super::{Asked, Lease, Sharing, Wanted};
+use super::{Asked, Lease, Sharing, Wanted, pending::Pending};
 use crate::{measure, node::Node};
 
-/// Part of the time for an answer after which an ask is sent a second time, in percent: datagrams are lost now and then.
-/// Source: the answer has come by then as a rule, and the second one has time for its own.
-const RESEND_PERCENT: u32 = 40;
-/// How often a request that waits at an allocator asks again: its answer, or the allocator, may be lost. Source: a small part
-/// of the time for which requests wait.
-const RENEW: Duration = Duration::from_millis(70);
 /// Grants of leaving upstreams after which a failure domain counts as having none.
 const MAX_LEAVING: usize = 4;
 
@@ -44,41 +33,6 @@
     Silent,
 }
 
-/// An ask under way. When it is dropped the allocator is told that nobody waits for it any more.
-struct Pending {
-    sharing: Rc<Sharing>,
-    allocator: SocketAddr,
-    lease: lease::Id,
-    verdicts: mpsc::UnboundedReceiver<Verdict>,
-    is_waiting: bool,
-}
-
-impl Pending {
-    /// The next verdict, or nothing if there was none in time.
-    async fn next(&mut self, until: Instant) -> Option<Verdict> {
-        let next = time::timeout_at(until.into(), self.verdicts.recv());
-        let verdict = next.await.ok().flatten()?;
-        self.is_waiting = verdict == Verdict::Waiting;
-        Some(verdict)
-    }
-}
-
-impl Drop for Pending {
-    fn drop(&mut self) {
-        let sharing = &self.sharing;
-        sharing.state.borrow_mut().asks.remove(&self.lease);
-        if self.is_waiting {
-            sharing.send(self.allocator, &Frame::Withdraw(self.lease));
-        }
-        self.verdicts.close();
-        while let Ok(verdict) = self.verdicts.try_recv() {
-            if let Verdict::Granted(grant) = verdict {
-                sharing.give_back(self.allocator, self.lease, grant);
-            }
-        }
-    }
-}
-
 impl Sharing {
     /// Asks the own failure domain, then the others, for a slot. An online request may then wait inside the least
     /// loaded upstream, and gets one of this host's own choice where no allocator answers.
@@ -152,30 +106,15 @@
         if queue == Queue::No {
             exclude.extend(self.avoided(now));
         }
-        let frame = Frame::Ask(Ask {
+        let ask = Ask {
             lease,
             class: wanted.class,
             service: wanted.service.to_owned(),
             exclude,
             queue,
-        });
-        let (sender, verdicts) = mpsc::unbounded_channel();
-        self.state.borrow_mut().asks.insert(lease, sender);
-        let mut pending = Pending {
-            sharing: Rc::clone(self),
-            allocator,
-            lease,
-            verdicts,
-            is_waiting: false,
         };
-        self.send(allocator, &frame);
-        let patience = self.patience(allocator);
-        let resend_at = now + patience * RESEND_PERCENT / 100;
-        let mut verdict = pending.next(resend_at).await;
-        if verdict.is_none() {
-            self.send(allocator, &frame);
-            verdict = pending.next(now + patience).await;
-        }
+        let mut pending = Pending::send(self, allocator, ask);
+        let mut verdict = pending.first(now, self.patience(allocator)).await;
         let told = match &verdict {
             Some(Verdict::Granted(_)) => Answer::Granted,
             Some(Verdict::Waiting) => Answer::Waiting,
@@ -185,8 +124,8 @@
         measure::asked(wanted.class, told, now.elapsed());
         if verdict == Some(Verdict::Waiting) {
             let until = now + queue.patience().unwrap_or_default();
-            verdict = self.wait(&mut pending, &frame, until).await;
-            if pending.is_waiting {
+            verdict = pending.wait(until).await;
+            if pending.is_waiting() {
                 return Answered::TimeUp;
             }
         }
@@ -203,21 +142,6 @@
         }
     }
 
-    /// Waits until an allocator has a slot for a request that waits there, or until it has waited for long enough.
-    async fn wait(&self, pending: &mut Pending, frame: &Frame, until: Instant) -> Option<Verdict> {
-        loop {
-            let now = Instant::now();
-            if now >= until {
-                return Some(Verdict::Waiting);
-            }
-            match pending.next(until.min(now + RENEW)).await {
-                Some(Verdict::Waiting) => {}
-                Some(verdict) => return Some(verdict),
-                None => self.send(pending.allocator, frame),
-            }
-        }
-    }
-
     /// The upstream at which this host has the fewest requests, where no allocator answers.
     fn choose(self: &Rc<Self>, node: &Node, wanted: &Wanted<'_>) -> Option<Lease> {
         let now = Instant::now();
