--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -1,5 +1,8 @@
 //! Asks allocators for slots.
 
+#[cfg(test)]
+mod tests;
+
 use std::{rc::Rc, time::Instant};
 
 use smallvec::SmallVec;
