Only allocators that hosts ask ask upstreams for their load

Cause: every host takes itself for an allocator at its start, and counted all that upstreams did as work of lost hosts for ten seconds. Test: an_allocator_that_nobody_asks_needs_no_reports.

--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -24,6 +24,8 @@
 pub const HEARTBEAT: Duration = Duration::from_secs(1);
 /// A lease that its holder has not named for this long is over: three heartbeats and a half.
 const LEASE_TIME: Duration = Duration::from_millis(3_500);
+/// An allocator that has heard of nobody for this long is not one any more: each host tells its holdings at each heartbeat.
+const ASKED_TIME: Duration = Duration::from_secs(2);
 /// For how long an allocator that knew of nobody grants nothing to batch: until every host has told its holdings.
 const LEARNING_TIME: Duration = Duration::from_millis(1_500);
 /// Part of a service's upstreams in a failure domain that may be ejected at once, in percent. Source: up to a third of the
@@ -163,10 +165,13 @@
         out
     }
 
-    /// True while the allocator learns, or upstreams work on requests of hosts that were lost.
+    /// True while hosts ask this allocator and it learns, or upstreams work on requests of hosts that were lost. One that
+    /// nobody asks any more knows no leases, and would take all that upstreams do for work of lost hosts.
     pub fn needs_reports(&self, now: Instant) -> bool {
+        let is_asked = self.heard_at.is_some_and(|at| now < at + ASKED_TIME);
         let mut entries = self.upstreams.iter();
-        self.is_learning(now) || entries.any(|it| it.account.foreign.is_some_and(|it| it > 0))
+        let has_foreign = entries.any(|it| it.account.foreign.is_some_and(|it| it > 0));
+        is_asked && (self.is_learning(now) || has_foreign)
     }
 
     /// Starts learning if nobody has told anything for longer than a lease holds.
--- a/crates/tinbank-allocator/tests/allocator.rs
+++ b/crates/tinbank-allocator/tests/allocator.rs
@@ -227,6 +227,20 @@
     assert_eq!(free.count(), SLOTS - 1);
 }
 
+/// On a start of 63 hosts all of them asked upstreams four times a second for ten seconds, though four were allocators.
+#[test]
+fn an_allocator_that_nobody_asks_needs_no_reports() {
+    let mut desk = Desk::learned(1);
+    desk.allocator
+        .reported(&upstream(0).instance, SLOTS, desk.now);
+    let while_asked = desk.allocator.needs_reports(desk.now);
+
+    desk.now += Duration::from_millis(2_100);
+
+    assert!(while_asked);
+    assert!(!desk.allocator.needs_reports(desk.now));
+}
+
 #[test]
 fn what_a_host_tells_that_it_holds_is_no_lost_host_s() {
     let mut desk = Desk::learned(1);
