--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -70,6 +70,7 @@
     alive: Alive,
     /// How long online requests take.
     pace: Pace,
+    /// Online requests for which no slot was free.
     waiting: Waiting,
 }
 
--- a/crates/tinbank-allocator/src/allocator/ask.rs
+++ b/crates/tinbank-allocator/src/allocator/ask.rs
@@ -14,6 +14,7 @@
 const HEADROOM: usize = 1;
 
 impl Allocator {
+    /// Answers an ask: with a slot, with a place among those that wait, or with neither.
     pub(super) fn ask(&mut self, from: SocketAddr, ask: Ask, now: Instant, out: &mut Outgoing) {
         for entry in &mut self.upstreams {
             entry.account.grants.expire(now);
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -34,6 +34,7 @@
 
 /// Attempts that did not run, after which a request is refused.
 const MAX_REFUSALS: usize = 6;
+
 /// A request on its way.
 pub(super) struct Online {
     node: Rc<Node>,
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -37,8 +37,9 @@
 }
 
 impl Sharing {
-    /// Asks the own failure domain, then the others, for a slot. An online request may then wait inside the least
-    /// loaded upstream, and gets one of this host's own choice where no allocator answers.
+    /// Asks the own failure domain, then the others, for a slot that is free. If there is none, an online request waits at
+    /// the first allocator that expects to have one in time, or inside an upstream if it may. Where no allocator answers, it
+    /// gets an upstream of this host's own choice.
     pub async fn lease(self: &Rc<Self>, node: &Node, wanted: &Wanted<'_>) -> Asked {
         let turn = self.next.get();
         let own = &self.own.failure_domain;
@@ -93,6 +94,7 @@
         Answered::Denied
     }
 
+    /// Asks the allocator of a failure domain once, and waits there if it says that a slot is likely to come free in time.
     async fn ask_once(
         self: &Rc<Self>,
         wanted: &Wanted<'_>,
