Read once more: what stood twice stands once, and nobody is looked for where nobody waits

- serve_waiting, on the way of every datagram, looked at all upstreams before it looked whether a request waits.
- The order of those that wait was written out in waiting.rs twice.
- Batch::fresh_at and Sharing::store_read_at were set and reset together; has_read_store answers for both.
- sharing::Answer repeated the allocator's Verdict for the metric; the metric takes the verdict.
- Online kept received and deadline beside its Admission, which has them.

--- a/crates/tinbank-allocator/src/allocator/ask.rs
+++ b/crates/tinbank-allocator/src/allocator/ask.rs
@@ -88,9 +88,7 @@
 
     /// Gives the slots that are free to those that wait.
     pub(super) fn serve_waiting(&mut self, now: Instant, out: &mut Outgoing) {
-        let mut entries = self.upstreams.iter();
-        let has_room = entries.any(|it| it.load() < it.upstream.slots || it.runs_batch());
-        if self.waiting.is_empty() || !has_room {
+        if self.waiting.is_empty() || !self.has_room() {
             return;
         }
         self.waiting.expire(now);
@@ -110,6 +108,12 @@
         self.waiting.put_back(left);
     }
 
+    /// True if an upstream has a free slot, or one that batch can give.
+    fn has_room(&self) -> bool {
+        let mut entries = self.upstreams.iter();
+        entries.any(|it| it.load() < it.upstream.slots || it.runs_batch())
+    }
+
     /// The upstream that a lease in force is for.
     fn granted(&self, holder: SocketAddr, lease: lease::Id) -> Option<usize> {
         let mut entries = self.upstreams.iter();
--- a/crates/tinbank-allocator/src/waiting.rs
+++ b/crates/tinbank-allocator/src/waiting.rs
@@ -24,12 +24,16 @@
 }
 
 impl Waiter {
-    /// Those that can be in time come first, and among equals those whose time is up first.
     fn rank(&self) -> (bool, Instant) {
-        (matches!(self.ask.queue, Queue::Spare(_)), self.until)
+        rank(&self.ask, self.until)
     }
 }
 
+/// Those that can be in time come first, and among equals those whose time is up first.
+fn rank(ask: &Ask, until: Instant) -> (bool, Instant) {
+    (matches!(ask.queue, Queue::Spare(_)), until)
+}
+
 /// All requests that wait, those that get a slot next first.
 #[derive(Debug, Default)]
 pub(crate) struct Waiting(Vec<Waiter>);
@@ -64,7 +68,7 @@
 
     /// How many requests of its service would get a slot before this one.
     pub fn ahead_of(&self, ask: &Ask, patience: Duration, now: Instant) -> usize {
-        let rank = (matches!(ask.queue, Queue::Spare(_)), now + patience);
+        let rank = rank(ask, now + patience);
         let ahead = self.0.iter().filter(|it| it.ask.service == ask.service);
         ahead.filter(|it| it.rank() <= rank).count()
     }
--- a/crates/tinbank-gateway/src/batch/mod.rs
+++ b/crates/tinbank-gateway/src/batch/mod.rs
@@ -15,7 +15,6 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
-    time::{Duration, Instant},
 };
 
 use tinbank_jobs::{Table, fold::Verdict, record::JobId};
@@ -37,8 +36,6 @@
     table: RefCell<Table>,
     /// Offset behind the last record taken in.
     next: Cell<Offset>,
-    /// When the table was known to hold all that the log held.
-    fresh_at: Cell<Option<Instant>>,
     known: Cell<bool>,
     changed: Notify,
     /// The table is to hold all records before this offset soon: somebody waits for them.
@@ -58,7 +55,6 @@
         Self {
             table: RefCell::default(),
             next: Cell::new(0),
-            fresh_at: Cell::new(None),
             known: Cell::new(false),
             changed: Notify::new(),
             wanted: Cell::new(0),
@@ -77,9 +73,8 @@
         self.known.get()
     }
 
-    /// Forgets how fresh the table is and what it owns, after a pause of the process.
+    /// Forgets what it owns, after a pause of the process.
     pub fn distrust(&self) {
-        self.fresh_at.set(None);
         self.owner.distrust();
     }
 
@@ -93,12 +88,6 @@
     fn is_behind(&self) -> bool {
         self.next.get() < self.wanted.get()
     }
-
-    /// True if the table held all that the log held at most `age` ago.
-    fn is_fresh(&self, age: Duration) -> bool {
-        let fresh_at = self.fresh_at.get();
-        fresh_at.is_some_and(|at| at.elapsed() < age)
-    }
 }
 
 /// Starts everything that runs for as long as the process does.
--- a/crates/tinbank-gateway/src/batch/results.rs
+++ b/crates/tinbank-gateway/src/batch/results.rs
@@ -63,7 +63,7 @@
             break;
         }
     }
-    if !node.batch.is_fresh(FRESH)
+    if !node.sharing.has_read_store(FRESH, Instant::now())
         && !follower::catch_up(node, Instant::now() + CATCH_UP_TIMEOUT).await
     {
         return unsure(job, "log read too long ago");
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use tinbank_allocator::lease::Class;
+use tinbank_allocator::{frame::Verdict, lease::Class};
 
-use crate::{border::ingress::Reply, sharing::Answer};
+use crate::border::ingress::Reply;
 
 /// A request for a route was answered by the system itself, without an upstream's answer.
 pub(crate) fn replied(reply: &Reply) {
@@ -43,14 +43,14 @@
     metrics::counter!("tinbank_entry_failed_attempts_total", "why" => why).increment(1);
 }
 
-/// An allocator was asked for a slot.
-pub(crate) fn asked(class: Class, answer: Answer, took: Duration) {
+/// An allocator was asked for a slot, and gave its first verdict or none in time.
+pub(crate) fn asked(class: Class, verdict: Option<&Verdict>, took: Duration) {
     let class = if class.is_batch() { "batch" } else { "online" };
-    let answer = match answer {
-        Answer::Granted => "granted",
-        Answer::Waiting => "waiting",
-        Answer::Denied => "denied",
-        Answer::Silent => "silent",
+    let answer = match verdict {
+        Some(Verdict::Granted(_)) => "granted",
+        Some(Verdict::Waiting) => "waiting",
+        Some(Verdict::Denied) => "denied",
+        None => "silent",
     };
     metrics::counter!("tinbank_entry_asks_total", "class" => class, "answer" => answer)
         .increment(1);
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -41,8 +41,6 @@
     pub route: Rc<Route>,
     pub request: engine::Request,
     pub attempts: Attempts,
-    received: Instant,
-    pub deadline: Instant,
     admission: Admission,
     /// When it was sent to the upstream that has it, if it did not have to wait inside it.
     began_at: Option<Instant>,
@@ -57,7 +55,7 @@
 impl Drop for Online {
     fn drop(&mut self) {
         if !self.ended {
-            let waited_ms = self.received.elapsed().as_millis() as u64;
+            let waited_ms = self.admission.received.elapsed().as_millis() as u64;
             log::info!(request:% = self.request.id, route:% = self.route.name, waited_ms; "caller left before the end");
         }
     }
@@ -80,12 +78,9 @@
         request: engine::Request,
         arrival: Arrival,
     ) -> Self {
-        let Arrival {
-            received, deadline, ..
-        } = arrival;
         let admission = Admission {
-            received,
-            deadline,
+            received: arrival.received,
+            deadline: arrival.deadline,
             target: route.target_latency,
             is_late: !arrival.is_first,
         };
@@ -94,8 +89,6 @@
             attempts: Attempts::new(route.kind, route.max_attempts),
             route,
             request,
-            received,
-            deadline,
             admission,
             began_at: None,
             resume_after: arrival.resume_after,
@@ -104,6 +97,11 @@
         }
     }
 
+    /// When the answer has to be whole.
+    pub fn deadline(&self) -> Instant {
+        self.admission.deadline
+    }
+
     pub async fn run(mut self) -> Response<Body> {
         let resume_after = self.resume_after;
         loop {
@@ -138,7 +136,7 @@
 
     /// One attempt. Nothing if it gave no answer, which is noted.
     pub async fn attempt(&mut self, resume_after: Option<u64>) -> Result<Option<Opened>, Next> {
-        if Instant::now() >= self.deadline {
+        if Instant::now() >= self.admission.deadline {
             return Err(self.attempts.give_up());
         }
         let Some(service) = self.route.service(self.node.draw()).cloned() else {
@@ -154,7 +152,7 @@
             lease,
             &self.request,
             resume_after,
-            self.deadline,
+            self.admission.deadline,
             until,
         );
         match sent.await {
@@ -197,9 +195,9 @@
             list_age_ms = view.upstreams_age(now).map_or(0, |age| age.as_millis() as u64),
             queued = lease.queued,
             late = self.admission.is_late,
-            waited_ms = now.saturating_duration_since(self.received).as_millis() as u64,
+            waited_ms = now.saturating_duration_since(self.admission.received).as_millis() as u64,
             after = resume_after.unwrap_or(0),
-            left_ms = self.deadline.saturating_duration_since(now).as_millis() as u64;
+            left_ms = self.admission.deadline.saturating_duration_since(now).as_millis() as u64;
             "request sent to an upstream"
         );
     }
@@ -234,7 +232,7 @@
             && !self.attempts.may_have_run()
             && self.route.max_attempts > 1;
         if !another {
-            return self.deadline;
+            return self.admission.deadline;
         }
         let unanswered = Unanswered {
             target: self.route.target_latency,
@@ -242,7 +240,9 @@
             is_late: self.admission.is_late,
             usually_held: self.node.usual(&self.route).held,
         };
-        unanswered.silent_at(Instant::now()).min(self.deadline)
+        unanswered
+            .silent_at(Instant::now())
+            .min(self.admission.deadline)
     }
 
     fn note(&mut self, upstream: &tinbank_base::id::Instance, trouble: Trouble) {
@@ -271,7 +271,7 @@
             guard,
             verdict,
         } = opened;
-        measure::began(self.received.elapsed());
+        measure::began(self.admission.received.elapsed());
         let node = Rc::clone(&self.node);
         let passed = self.node.engine.pass_on(head);
         let is_stream =
@@ -286,7 +286,7 @@
                     Verdict::Failed => Outcome::Failed,
                     _ => Outcome::Served,
                 };
-                body::relayed(body, lease, guard, whole, self.deadline)
+                body::relayed(body, lease, guard, whole, self.admission.deadline)
             }
         };
         passed.body(body).unwrap_or_else(|error| {
@@ -309,11 +309,11 @@
             Next::Refuse | Next::Again => Reply::NotRun {
                 retry_after: RETRY_AFTER,
             },
-            Next::Fail if Instant::now() >= self.deadline => Reply::TimedOut,
+            Next::Fail if Instant::now() >= self.admission.deadline => Reply::TimedOut,
             Next::Fail => Reply::Failed,
         };
         let late = self.admission.is_late;
-        let waited_ms = self.received.elapsed().as_millis() as u64;
+        let waited_ms = self.admission.received.elapsed().as_millis() as u64;
         log::info!(request:% = id, route:% = self.route.name, tried, late, waited_ms, reply:?; "no answer");
         reply_with(&self.node, reply)
     }
--- a/crates/tinbank-gateway/src/relay/stream.rs
+++ b/crates/tinbank-gateway/src/relay/stream.rs
@@ -89,7 +89,7 @@
             }
             let silent_at = self.silent_at();
             let source = self.source.as_mut()?;
-            let broken = match hear(source, silent_at, self.relay.deadline).await {
+            let broken = match hear(source, silent_at, self.relay.deadline()).await {
                 Heard::Piece(piece) => match self.take(&piece) {
                     Ok(()) => continue,
                     Err(why) => (why, Outcome::Failed),
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -30,7 +30,6 @@
 };
 
 pub(crate) use self::{
-    ask::Answer,
     peers::{heartbeat, receive},
     survey::survey,
 };
@@ -206,10 +205,15 @@
         self.store_read_at.set(Some(now));
     }
 
+    /// True if this host has read the store to its end at most `age` ago.
+    pub fn has_read_store(&self, age: Duration, now: Instant) -> bool {
+        let read_at = self.store_read_at.get();
+        read_at.is_some_and(|at| now < at + age)
+    }
+
     /// True if this host has read the store a moment ago.
     pub fn reaches_store(&self, now: Instant) -> bool {
-        let read_at = self.store_read_at.get();
-        read_at.is_some_and(|at| now < at + STORE_AGE)
+        self.has_read_store(STORE_AGE, now)
     }
 
     fn alive(&self, now: Instant) -> Alive {
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -18,15 +18,6 @@
 /// Grants of leaving upstreams after which a failure domain counts as having none.
 const MAX_LEAVING: usize = 4;
 
-/// What an allocator answered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Answer {
-    Granted,
-    Waiting,
-    Denied,
-    Silent,
-}
-
 /// What came of asking one allocator.
 enum Answered {
     Granted(Lease),
@@ -120,13 +111,7 @@
         };
         let mut pending = Pending::send(self, allocator, ask);
         let mut verdict = pending.first(now, self.patience(allocator)).await;
-        let told = match &verdict {
-            Some(Verdict::Granted(_)) => Answer::Granted,
-            Some(Verdict::Waiting) => Answer::Waiting,
-            Some(Verdict::Denied) => Answer::Denied,
-            None => Answer::Silent,
-        };
-        measure::asked(wanted.class, told, now.elapsed());
+        measure::asked(wanted.class, verdict.as_ref(), now.elapsed());
         if verdict == Some(Verdict::Waiting) {
             let until = now + queue.patience().unwrap_or_default();
             verdict = pending.wait(until).await;
