Lists of the store: marks, pages and what delegates tell in files of their own; a late answer is as old as it is

An answer of a delegate that lies in the socket while the process is paused counts from when it can have been given at the latest. Tests for what another host tells of the upstreams.

--- a/crates/tinbank-gateway/src/feed/follower.rs
+++ b/crates/tinbank-gateway/src/feed/follower.rs
@@ -93,6 +93,7 @@
 
 /// Asks a delegate. True if it told fresh news, or that there is none.
 async fn ask(node: &Node, delegate: SocketAddr) -> bool {
+    let asked_at = Instant::now();
     let update = match exchange(node, delegate).await {
         Ok(update) => update,
         Err(why) => {
@@ -105,7 +106,9 @@
         let age = update.age;
         log::info!(delegate:%, age:?; "delegate has not read the store lately");
     }
-    view::take_snapshot(node, update, Instant::now());
+    // An answer that lay here while the process was paused is older than it seems.
+    let told_at = Instant::now().min(asked_at + WAIT);
+    view::take_told(node, update, told_at);
     is_fresh
 }
 
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -1,6 +1,9 @@
 //! What the process knows of the configuration, the upstreams and the other hosts.
 
 mod lists;
+mod mark;
+mod pages;
+mod told;
 
 use std::{
     cell::{Cell, RefCell},
@@ -15,8 +18,8 @@
 use tinbank_relay::{listing::Listing, route::Config, upstream::Upstream};
 use tokio::{sync::Notify, time};
 
-use self::lists::Lists;
-pub(crate) use self::lists::{follow, take_snapshot};
+use self::mark::Lists;
+pub(crate) use self::{lists::follow, told::take_told};
 use crate::border::store::{Error, List};
 
 /// How long a read waits for news at the store.
--- a/crates/tinbank-gateway/src/view/lists.rs
+++ b/crates/tinbank-gateway/src/view/lists.rs
@@ -1,21 +1,20 @@
 //! Follows the lists that the platform keeps: the configuration, the upstreams and the hosts.
 
 use std::{
-    cell::Cell,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use tinbank_feed::{
-    Patience,
-    message::{Snapshot, Update},
-};
+use tinbank_feed::Patience;
 use tinbank_relay::listing::Change;
 use tokio::time;
 
-use super::View;
+use super::{
+    View,
+    pages::{Pages, Read, read},
+};
 use crate::{
-    border::store::{Cursor, Entries, Error, List, Offset, Written},
+    border::store::{Entries, Error, List, Written},
     dependency::Dependency,
     node::Node,
 };
@@ -26,67 +25,6 @@
 /// has a price. Source: a quarter of the shortest time in which a leaving upstream has to be heard of.
 const REST: Duration = Duration::from_millis(450);
 
-/// How far this process knows the lists, whoever told it.
-#[derive(Debug, Default)]
-pub(crate) struct Lists {
-    config: Mark,
-    upstreams: Mark,
-    hosts: Mark,
-}
-
-/// How far a list is known.
-#[derive(Debug, Default)]
-pub(crate) struct Mark {
-    /// Position behind the last record taken in.
-    position: Cell<Option<Offset>>,
-    /// Position at which what the list says changed last.
-    changed: Cell<Offset>,
-    /// Position at which what is believed of the list changed without a record.
-    settled: Cell<Option<Offset>>,
-}
-
-impl Lists {
-    /// How far a list is known.
-    pub fn of(&self, list: List) -> &Mark {
-        match list {
-            List::Config => &self.config,
-            List::Upstreams => &self.upstreams,
-            List::Hosts => &self.hosts,
-        }
-    }
-}
-
-impl Mark {
-    /// Position behind the last record taken in.
-    pub fn position(&self) -> Option<Offset> {
-        self.position.get()
-    }
-
-    /// True if a host that knows the list up to a position lacks a change.
-    pub fn has_news_for(&self, known: Option<Offset>) -> bool {
-        let Some(known) = known else {
-            return self.position.get().is_some();
-        };
-        known < self.changed.get() || self.settled.get().is_some_and(|settled| known <= settled)
-    }
-
-    fn advance(&self, position: Offset, changed: bool) {
-        self.position.set(Some(position));
-        if changed {
-            self.changed.set(position);
-        }
-    }
-}
-
-/// Pages of a list that is being read whole. They are kept if a later one does not come.
-#[derive(Default)]
-struct Pages {
-    entries: Vec<Written>,
-    /// Position behind the first page. The pages are no snapshot: what changed since is read again from here.
-    end: Option<Offset>,
-    next: Option<Cursor>,
-}
-
 /// Follows a list for as long as the process runs: at the store while it falls to this host to read it.
 pub(crate) async fn follow(node: Rc<Node>, list: List) {
     let mut pages = Pages::default();
@@ -115,7 +53,7 @@
             }
             Err(error) => {
                 if matches!(error, Error::Trimmed { .. }) {
-                    node.view.lists.of(list).position.set(None);
+                    node.view.lists.of(list).forget();
                 }
                 if matches!(error, Error::Unknown(_)) {
                     patience.missed();
@@ -137,88 +75,6 @@
     }
 }
 
-/// What one call read.
-enum Read {
-    /// A page of the whole list, and there are more.
-    Part,
-    /// The whole list.
-    Whole(Entries),
-    /// What was written since a position.
-    Since(Entries),
-}
-
-/// Reads what was written since the position that is known, or the next page of the whole list.
-async fn read(
-    node: &Node,
-    list: List,
-    pages: &mut Pages,
-    patience: Duration,
-) -> Result<Read, Error> {
-    let now = Instant::now();
-    let Some(from) = node.view.lists.of(list).position() else {
-        return pages.read(node, list, now + patience).await;
-    };
-    let wait = node.view.wait(list, now);
-    let until = now + wait + patience;
-    let wait_ms = wait.as_millis() as u64;
-    let entries = node.store.since(list, from, wait_ms, until).await?;
-    Ok(Read::Since(entries))
-}
-
-impl Pages {
-    async fn read(&mut self, node: &Node, list: List, until: Instant) -> Result<Read, Error> {
-        let page = node.store.newest(list, self.next.as_ref(), until).await?;
-        let end = *self.end.get_or_insert(page.end);
-        self.entries.extend(page.entries);
-        self.next = page.next;
-        if self.next.is_some() {
-            return Ok(Read::Part);
-        }
-        let Self { entries, .. } = std::mem::take(self);
-        Ok(Read::Whole(Entries { entries, end }))
-    }
-}
-
-/// Takes in what a delegate told.
-pub(crate) fn take_snapshot(node: &Node, update: Update, now: Instant) {
-    let view = &node.view;
-    if let Some(config) = update.config {
-        take_one(view, Written::Config(config));
-    }
-    if let Some(snapshot) = newer(view, List::Upstreams, update.upstreams) {
-        let changes = view.upstreams.borrow_mut().mirror(snapshot.entries);
-        let mark = view.lists.of(List::Upstreams);
-        mark.advance(snapshot.position, !changes.is_empty());
-        // The delegate has a line for each.
-        let position = snapshot.position;
-        log::info!(position, changes = changes.len(); "upstreams told by a delegate");
-    }
-    if let Some(snapshot) = newer(view, List::Hosts, update.hosts) {
-        let entries = snapshot.entries.into_iter();
-        let peers = entries.map(|peer| (peer.address.to_string(), peer));
-        *view.peers.borrow_mut() = peers.collect();
-        view.lists.of(List::Hosts).advance(snapshot.position, true);
-        note_read(node, List::Hosts, now);
-    }
-    let later = |known: Option<Instant>, age: Option<Duration>| {
-        let told = age.and_then(|age| now.checked_sub(age));
-        known.max(told)
-    };
-    let config_read_at = later(view.config_read_at.get(), update.age.config);
-    view.config_read_at.set(config_read_at);
-    let upstreams_read_at = later(view.upstreams_read_at.get(), update.age.upstreams);
-    if let Some(at) = upstreams_read_at {
-        note_read(node, List::Upstreams, at);
-    }
-    view.refreshed.notify_waiters();
-}
-
-/// A snapshot, unless more is known already.
-fn newer<T>(view: &View, list: List, told: Option<Snapshot<T>>) -> Option<Snapshot<T>> {
-    let known = view.lists.of(list).position();
-    told.filter(|told| known.is_none_or(|known| told.position >= known))
-}
-
 fn take_in(node: &Node, list: List, entries: Entries, whole: bool) {
     let now = Instant::now();
     let view = &node.view;
@@ -241,7 +97,7 @@
 }
 
 /// A list was read at some time, here or at a delegate.
-fn note_read(node: &Node, list: List, at: Instant) {
+pub(super) fn note_read(node: &Node, list: List, at: Instant) {
     let view = &node.view;
     match list {
         List::Config => view.config_read_at.set(Some(at)),
@@ -280,7 +136,7 @@
     };
     let settled = listing.settle(now);
     if !settled.is_empty() {
-        view.lists.upstreams.settled.set(Some(end));
+        view.lists.of(List::Upstreams).settle(end);
     }
     changes.extend(settled);
     changes.iter().for_each(log_change);
@@ -302,7 +158,7 @@
     }
 }
 
-fn take_one(view: &View, written: Written) {
+pub(super) fn take_one(view: &View, written: Written) {
     match written {
         Written::Config(config) => {
             let before = view.config.borrow().as_ref().map(|it| it.version);
--- /dev/null
+++ b/crates/tinbank-gateway/src/view/mark.rs
@@ -0,0 +1,68 @@
+//! How far the lists of the store are known, by positions that all hosts share.
+
+use std::cell::Cell;
+
+use crate::border::store::{List, Offset};
+
+/// How far this process knows the lists, whoever told it.
+#[derive(Debug, Default)]
+pub(crate) struct Lists {
+    config: Mark,
+    upstreams: Mark,
+    hosts: Mark,
+}
+
+/// How far a list is known.
+#[derive(Debug, Default)]
+pub(crate) struct Mark {
+    /// Position behind the last record taken in.
+    position: Cell<Option<Offset>>,
+    /// Position at which what the list says changed last.
+    changed: Cell<Offset>,
+    /// Position at which what is believed of the list changed without a record.
+    settled: Cell<Option<Offset>>,
+}
+
+impl Lists {
+    /// How far a list is known.
+    pub fn of(&self, list: List) -> &Mark {
+        match list {
+            List::Config => &self.config,
+            List::Upstreams => &self.upstreams,
+            List::Hosts => &self.hosts,
+        }
+    }
+}
+
+impl Mark {
+    /// Position behind the last record taken in.
+    pub fn position(&self) -> Option<Offset> {
+        self.position.get()
+    }
+
+    /// The store has dropped the records behind the position; the list has to be read whole.
+    pub fn forget(&self) {
+        self.position.set(None);
+    }
+
+    /// What is believed of the list has changed at a position without a record.
+    pub fn settle(&self, position: Offset) {
+        self.settled.set(Some(position));
+    }
+
+    /// True if a host that knows the list up to a position lacks a change.
+    pub fn has_news_for(&self, known: Option<Offset>) -> bool {
+        let Some(known) = known else {
+            return self.position.get().is_some();
+        };
+        known < self.changed.get() || self.settled.get().is_some_and(|settled| known <= settled)
+    }
+
+    /// The list was read up to a position, and says something else than before or not.
+    pub fn advance(&self, position: Offset, changed: bool) {
+        self.position.set(Some(position));
+        if changed {
+            self.changed.set(position);
+        }
+    }
+}
--- a/crates/tinbank-relay/tests/listing.rs
+++ b/crates/tinbank-relay/tests/listing.rs
@@ -193,3 +193,41 @@
         }
     }
 }
+
+#[test]
+fn what_another_host_tells_counts_at_once() {
+    let now = Instant::now();
+    let mut listing = listing(3, now);
+
+    let changes = listing.mirror(vec![upstream(1), upstream(2), upstream(5)]);
+
+    let gone = Change::Gone("u0".into());
+    assert_eq!(changes.as_slice(), [gone, Change::Listed(upstream(5))]);
+    assert_eq!(serving(&listing), ["u1", "u2", "u5"]);
+    assert!(listing.is_leaving(&"u0".into()));
+}
+
+#[test]
+fn an_upstream_that_was_heard_to_leave_does_not_come_back_by_hearsay() {
+    let now = Instant::now();
+    let mut listing = listing(2, now);
+    listing.leave(&"u1".into());
+
+    listing.mirror(vec![upstream(0), upstream(1)]);
+
+    assert_eq!(serving(&listing), ["u0"]);
+    assert!(listing.is_leaving(&"u1".into()));
+}
+
+#[test]
+fn upstreams_that_leave_are_told_as_well() {
+    let now = Instant::now();
+    let mut teller = listing(2, now);
+    teller.leave(&"u1".into());
+    let mut told = Listing::default();
+
+    told.mirror(teller.present().cloned().collect());
+
+    assert_eq!(serving(&told), ["u0"]);
+    assert!(told.is_leaving(&"u1".into()));
+}
