--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -73,7 +73,7 @@
     Online::new(node, route, request, arrival).run().await
 }
 
-/// Takes in a job, here or at a host that reaches the store when this one does not.
+/// Takes in a job, here or at a host that follows the log of jobs and reaches the store when this one does not.
 async fn submit(
     node: &Node,
     route: &Route,
@@ -82,16 +82,20 @@
     body: Bytes,
     deadline: Instant,
 ) -> Response<Body> {
-    let reply = match node.feed.is_delegate() {
-        true => batch::intake::submit(node, route, call, &body, deadline).await,
-        false => batch::intake::refuse(call, "log of jobs not followed here"),
-    };
-    if !matches!(reply, Reply::NotRun { .. }) {
-        return reply_with(node, reply);
+    let mut refused = None;
+    if node.feed.is_delegate() {
+        let reply = batch::intake::submit(node, route, call, &body, deadline).await;
+        if !matches!(reply, Reply::NotRun { .. }) {
+            return reply_with(node, reply);
+        }
+        refused = Some(reply);
     }
     match forward(node, &call.id, head, body, Duration::ZERO).await {
         Forwarded::Answered(answer) => answer,
-        Forwarded::NotSent => reply_with(node, reply),
+        Forwarded::NotSent => {
+            let refuse = || batch::intake::refuse(call, "no host reached that follows the log");
+            reply_with(node, refused.unwrap_or_else(refuse))
+        }
         // The other host may have taken it in.
         Forwarded::Unknown => reply_with(node, Reply::TimedOut),
     }
