A host that gives up the duty of a delegate denies no job

Cause: a read that waits for results (up to 1 s) was answered 404 if its host gave the duty up meanwhile: the table was forgotten, and the log still counted as read a moment ago. Ruled out: the fold, and hosts that were never delegates (they pass the call on). Change: absence is said only while the table holds the log; what was read of the store does not count any more once the duty is given up, so other hosts pass no calls on to it.

--- a/crates/tinbank-gateway/src/batch/intake.rs
+++ b/crates/tinbank-gateway/src/batch/intake.rs
@@ -10,7 +10,7 @@
 use tinbank_relay::route::Route;
 use tokio::{sync::oneshot, time};
 
-use super::{JOBS, contents::INLINE_BYTES, follower, large};
+use super::{JOBS, contents::INLINE_BYTES, follower, large, results};
 use crate::{
     border::{
         ingress::{Reply, Request},
@@ -234,7 +234,7 @@
         }
     }
     match ended(node) {
-        None => return Reply::NotFound,
+        None => return results::absent(node, &job),
         Some(true) => return Reply::Ended,
         Some(false) => {}
     }
--- a/crates/tinbank-gateway/src/batch/mod.rs
+++ b/crates/tinbank-gateway/src/batch/mod.rs
@@ -118,6 +118,7 @@
             () = work(&node) => {}
         }
         log::info!("jobs left to other hosts");
+        node.sharing.store_left();
         node.batch.forget();
     }
 }
--- a/crates/tinbank-gateway/src/batch/results.rs
+++ b/crates/tinbank-gateway/src/batch/results.rs
@@ -48,7 +48,7 @@
         match listed(node, job) {
             Some(listed) if listed >= from => {}
             _ if !caught_up => return unsure(job, "log not read to its end"),
-            None => return not_found(job),
+            None => return absent(node, job),
             Some(_) => return unsure(job, "position beyond the results known"),
         }
     }
@@ -70,7 +70,7 @@
     }
     match outline(node, job, from) {
         Some(outline) => fill(node, job, outline).await,
-        None => not_found(job),
+        None => absent(node, job),
     }
 }
 
@@ -139,8 +139,10 @@
             return unsure(job, "log not read to its end");
         }
     }
-    let Some((Some(index), source)) = known(node) else {
-        return not_found(job);
+    let (index, source) = match known(node) {
+        Some((Some(index), source)) => (index, source),
+        Some((None, _)) => return not_found(job),
+        None => return absent(node, job),
     };
     if let Some(content) = node.batch.contents.of_item(job, index) {
         return Reply::Body(content.body);
@@ -154,7 +156,7 @@
     };
     match contents.0.into_iter().nth(index as usize) {
         Some(content) => Reply::Body(content.body),
-        None => not_found(job),
+        None => absent(node, job),
     }
 }
 
@@ -163,6 +165,15 @@
     Reply::Unsure
 }
 
+/// What to say of a job that the table does not have: that there is none only while the table holds the log. A host that gave
+/// its duty up while a call waited has forgotten it.
+pub(super) fn absent(node: &Node, job: &str) -> Reply {
+    match node.batch.is_known() {
+        true => not_found(job),
+        false => unsure(job, "log of jobs not followed any more"),
+    }
+}
+
 fn not_found(job: &str) -> Reply {
     log::info!(job; "no such job or item");
     Reply::NotFound
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -207,6 +207,11 @@
         self.store_read_at.set(Some(now));
     }
 
+    /// This host follows the log of jobs no more; others pass no calls about jobs on to it.
+    pub fn store_left(&self) {
+        self.store_read_at.set(None);
+    }
+
     /// True if this host has read the store to its end at most `age` ago.
     pub fn has_read_store(&self, age: Duration, now: Instant) -> bool {
         let read_at = self.store_read_at.get();
