--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -9,6 +9,7 @@
 };
 
 use smallvec::SmallVec;
+use tinbank_allowance::{Counter, Counts, Reach, Tolerance};
 use tinbank_base::id;
 
 use crate::{
@@ -72,11 +73,15 @@
     pace: Pace,
     /// Online requests for which no slot was free.
     waiting: Waiting,
+    /// What customers have used of their allowances.
+    counter: Counter,
+    /// The hosts that ask it.
+    reach: Reach,
 }
 
 impl Allocator {
-    /// An allocator that knows of nothing. `seed` makes the order among equals differ between hosts.
-    pub fn new(seed: u64) -> Self {
+    /// An allocator that knows of nothing. `seed` names its start, and makes the order among equals differ between hosts.
+    pub fn new(seed: u64, tolerance: Tolerance) -> Self {
         Self {
             upstreams: Vec::new(),
             heard_at: None,
@@ -85,6 +90,8 @@
             alive: Alive::default(),
             pace: Pace::default(),
             waiting: Waiting::default(),
+            counter: Counter::new(seed, tolerance),
+            reach: Reach::default(),
         }
     }
 
@@ -105,6 +112,11 @@
         self.upstreams = entries.collect();
     }
 
+    /// Takes in how many hosts are listed.
+    pub fn hosts(&mut self, listed: usize, now: Instant) {
+        self.reach.listed(listed, now);
+    }
+
     /// What the allocator is to say of its host in its heartbeats.
     pub fn announce(&mut self, alive: Alive) {
         self.alive = alive;
@@ -120,7 +132,7 @@
         let mut out = Outgoing::new();
         let change = match frame {
             Frame::Ask(ask) => {
-                let change = self.wake(now);
+                let change = self.wake(from, now);
                 self.ask(from, ask, now, &mut out);
                 change
             }
@@ -130,11 +142,16 @@
                 None
             }
             Frame::Holdings(holdings) => {
-                let change = self.wake(now);
+                let change = self.wake(from, now);
                 self.holdings(from, &holdings, now);
                 out.push((from, Frame::Alive(self.alive)));
                 change
             }
+            Frame::Counts(counts) => {
+                self.reach.told(counts.hosts as usize, now);
+                self.counter.told(from, counts, now);
+                None
+            }
             Frame::Answer(_) | Frame::Reclaim(_) | Frame::Alive(_) | Frame::Ping => {
                 return (out, None);
             }
@@ -150,6 +167,8 @@
             entry.account.foreign = None;
         }
         self.learning_until = Some(now + LEARNING_TIME);
+        self.counter.forget(now);
+        self.reach.forget();
     }
 
     /// The upstreams that are dealt out.
@@ -171,26 +190,46 @@
     /// True while hosts ask this allocator and it learns, or upstreams work on requests of hosts that were lost. One that
     /// nobody asks any more knows no leases, and would take all that upstreams do for work of lost hosts.
     pub fn needs_reports(&self, now: Instant) -> bool {
-        let is_asked = self.heard_at.is_some_and(|at| now < at + ASKED_TIME);
         let mut entries = self.upstreams.iter();
         let has_foreign = entries.any(|it| it.account.foreign.is_some_and(|it| it > 0));
-        is_asked && (self.is_learning(now) || has_foreign)
+        self.is_asked(now) && (self.is_learning(now) || has_foreign)
     }
 
     /// Starts learning if nobody has told anything for longer than a lease holds.
-    fn wake(&mut self, now: Instant) -> Option<Change> {
+    fn wake(&mut self, from: SocketAddr, now: Instant) -> Option<Change> {
         let idle = self.heard_at.is_none_or(|at| now > at + LEASE_TIME);
         self.heard_at = Some(now);
+        if idle {
+            self.reach.forget();
+        }
+        self.reach.heard(from, now);
+        self.counter.give_out(self.reach.share(now));
         if !idle {
             return None;
         }
         self.learning_until = Some(now + LEARNING_TIME);
+        self.counter.forget(now);
         for entry in &mut self.upstreams {
             entry.account.foreign = None;
         }
         Some(Change::Learning)
     }
 
+    /// What other allocators have to hear of the customers that this one has let in, while it is one.
+    pub fn counts(&mut self, now: Instant) -> Option<Counts> {
+        match self.is_asked(now) {
+            true => {
+                let hosts = self.reach.hosts(now);
+                self.counter.news(hosts as u32, now)
+            }
+            false => None,
+        }
+    }
+
+    fn is_asked(&self, now: Instant) -> bool {
+        self.heard_at.is_some_and(|at| now < at + ASKED_TIME)
+    }
+
     /// True while the allocator may not know who uses which slots.
     fn is_learning(&self, now: Instant) -> bool {
         self.learning_until.is_some_and(|until| now < until)
--- a/crates/tinbank-allocator/src/allocator/ask.rs
+++ b/crates/tinbank-allocator/src/allocator/ask.rs
@@ -2,9 +2,11 @@
 
 use std::{net::SocketAddr, time::Instant};
 
+use tinbank_allowance::counter;
+
 use super::{Allocator, LEASE_TIME, Outgoing};
 use crate::{
-    frame::{Answer, Ask, Frame, Grant, Queue, Verdict},
+    frame::{Answer, Ask, Frame, Grant, OverLimit, Queue, Verdict},
     grants,
     lease::{self, Class, Due},
     waiting::Waiter,
@@ -27,6 +29,8 @@
             Verdict::Granted(self.grant(index, from, &ask, now))
         } else if self.waiting.has(from, ask.lease) {
             Verdict::Waiting
+        } else if let Some(over) = self.over_limit(&ask, now) {
+            Verdict::OverLimit(over)
         } else if let Some(index) = self.choose(&ask, now, out) {
             Verdict::Granted(self.grant(index, from, &ask, now))
         } else {
@@ -36,6 +40,18 @@
         out.push((from, Frame::Answer(Answer { lease, verdict })));
     }
 
+    /// Says so if the customer of a request has used up its allowance. Nothing is taken from it yet.
+    fn over_limit(&mut self, ask: &Ask, now: Instant) -> Option<OverLimit> {
+        let meter = ask.meter.as_ref()?;
+        match self.counter.check(&meter.customer, meter.limit, now) {
+            counter::Verdict::Within => None,
+            counter::Verdict::Over(over) => Some(OverLimit {
+                returns_in_ms: over.returns_in.as_millis() as u32,
+                level_milli: over.level_milli,
+            }),
+        }
+    }
+
     /// The upstream at which a request may start now.
     fn choose(&mut self, ask: &Ask, now: Instant, out: &mut Outgoing) -> Option<usize> {
         match ask.class {
@@ -44,11 +60,14 @@
         }
     }
 
-    /// Enters a lease, or renews it.
+    /// Enters a lease, or renews it. A new one is counted against its customer's allowance.
     fn grant(&mut self, index: usize, from: SocketAddr, ask: &Ask, now: Instant) -> Grant {
         let learning = self.is_learning(now);
         let entry = &mut self.upstreams[index];
         let is_known = entry.account.grants.has(from, ask.lease);
+        if let (false, Some(meter)) = (is_known, &ask.meter) {
+            self.counter.take(&meter.customer, meter.limit, now);
+        }
         let others = entry.load() - usize::from(is_known);
         let queued = learning || others >= entry.upstream.slots;
         entry.account.grants.add(grants::Grant {
@@ -96,14 +115,18 @@
         self.waiting.expire(now);
         let mut left: Vec<Waiter> = Vec::new();
         for waiter in self.waiting.take() {
-            let Some(index) = self.choose(&waiter.ask, now, out) else {
+            // Others of its customer may have used the allowance up while it waited.
+            let verdict = if let Some(over) = self.over_limit(&waiter.ask, now) {
+                Verdict::OverLimit(over)
+            } else if let Some(index) = self.choose(&waiter.ask, now, out) {
+                Verdict::Granted(self.grant(index, waiter.from, &waiter.ask, now))
+            } else {
                 left.push(waiter);
                 continue;
             };
-            let grant = self.grant(index, waiter.from, &waiter.ask, now);
             let answer = Answer {
                 lease: waiter.ask.lease,
-                verdict: Verdict::Granted(grant),
+                verdict,
             };
             out.push((waiter.from, Frame::Answer(answer)));
         }
--- a/crates/tinbank-allocator/src/directory.rs
+++ b/crates/tinbank-allocator/src/directory.rs
@@ -127,6 +127,11 @@
         self.peers = peers;
     }
 
+    /// Number of hosts that are listed.
+    pub fn hosts(&self) -> usize {
+        self.peers.len()
+    }
+
     /// Failure domains in which there are hosts, in the order in which a host of `own` asks them.
     pub fn failure_domains(&self, own: &str, turn: u64) -> SmallVec<[id::FailureDomain; 4]> {
         let others = self.failure_domains.iter().filter(|it| *it != own);
--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -4,12 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
+use tinbank_allowance::{Counts, Limit};
 use tinbank_base::id;
 
 use crate::lease;
 
 /// First byte of each datagram; a host ignores datagrams of another version.
-const VERSION: u8 = 4;
+const VERSION: u8 = 5;
 /// Largest datagram in bytes. Source: the holdings of a host with 200 requests at upstreams; most fit in one packet.
 pub const MAX_BYTES: usize = 8 << 10;
 
@@ -44,6 +45,8 @@
     Holdings(Holdings),
     /// The allocator has heard the holdings; also its heartbeat.
     Alive(Alive),
+    /// What another allocator has let in of customers.
+    Counts(Counts),
     /// A host asks a delegate that is not its allocator for a heartbeat.
     Ping,
 }
@@ -61,6 +64,17 @@
     pub exclude: SmallVec<[id::Instance; 4]>,
     /// What to do if all slots are in use.
     pub queue: Queue,
+    /// Whose allowance the request is counted against, unless it was counted before or nobody's is.
+    pub meter: Option<Meter>,
+}
+
+/// A customer whose requests are counted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Meter {
+    /// The customer.
+    pub customer: id::Customer,
+    /// Its limit, by the configuration of the asking host: the allocator's may be an older one.
+    pub limit: Limit,
 }
 
 /// What becomes of a request if all slots are in use. Times are in milliseconds.
@@ -106,6 +120,17 @@
     Waiting,
     /// The failure domain has no slot for it, or none in time.
     Denied,
+    /// The request's customer has used up its allowance.
+    OverLimit(OverLimit),
+}
+
+/// A customer above its limit. Times are in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OverLimit {
+    /// When the request may come again.
+    pub returns_in_ms: u32,
+    /// What is left of the allowance by the allocator's count, in thousandths of a request.
+    pub level_milli: i64,
 }
 
 /// An upstream at which the asking host may start one request.
--- a/crates/tinbank-allocator/tests/allocator.rs
+++ b/crates/tinbank-allocator/tests/allocator.rs
@@ -12,6 +12,7 @@
     frame::{Frame, Queue, Release},
     lease::{Class, Due, Held, Outcome},
 };
+use tinbank_allowance::Tolerance;
 use tinbank_test_support::property;
 use world::{Desk, HOSTS, LEARNED, SLOTS, batch, host, late, upstream};
 
@@ -302,7 +303,7 @@
 #[test]
 fn a_second_allocator_that_knows_nothing_harms_nobody() {
     let now = Instant::now();
-    let mut other = Allocator::new(9);
+    let mut other = Allocator::new(9, Tolerance::default());
     other.list(vec![upstream(0)]);
     let release = Release {
         lease: 4,
--- a/crates/tinbank-allocator/tests/frame.rs
+++ b/crates/tinbank-allocator/tests/frame.rs
@@ -2,9 +2,10 @@
 
 use proptest::prelude::*;
 use tinbank_allocator::{
-    frame::{Ask, Error, Frame, Holdings, MAX_BYTES, Queue},
+    frame::{Ask, Error, Frame, Holdings, MAX_BYTES, Meter, Queue},
     lease::{Class, Held},
 };
+use tinbank_allowance::Limit;
 use tinbank_test_support::property;
 
 fn ask() -> Frame {
@@ -14,6 +15,10 @@
         service: "notes".to_owned(),
         exclude: ["u1".into()].into_iter().collect(),
         queue: Queue::Within(195),
+        meter: Some(Meter {
+            customer: "c1".to_owned(),
+            limit: Limit::new(90.0, 90.0).unwrap(),
+        }),
     })
 }
 
--- a/crates/tinbank-allocator/tests/load/play.rs
+++ b/crates/tinbank-allocator/tests/load/play.rs
@@ -14,6 +14,7 @@
     frame::{Answer, Ask, Frame, Holdings, Queue, Release, Verdict},
     lease::{Class, Due, Held, Outcome},
 };
+use tinbank_allowance::Tolerance;
 
 use crate::{
     caller::{Caller, Chance, Got, Number, Tally},
@@ -136,7 +137,7 @@
             load,
             now: start,
             allocators: (0..load.failure_domains)
-                .map(|it| Allocator::new(it as u64))
+                .map(|it| Allocator::new(it as u64, Tolerance::default()))
                 .collect(),
             upstreams: Vec::new(),
             events: BinaryHeap::new(),
@@ -308,6 +309,7 @@
             service: "notes".to_owned(),
             exclude: Default::default(),
             queue: work.queue.expect("an ask"),
+            meter: None,
         };
         let event = Event::Told(
             work.domain,
--- a/crates/tinbank-allocator/tests/world/mod.rs
+++ b/crates/tinbank-allocator/tests/world/mod.rs
@@ -12,6 +12,7 @@
     frame::{Ask, Frame, Holdings, Queue, Release, Verdict},
     lease::{Class, Due, Held, Id, Outcome},
 };
+use tinbank_allowance::Tolerance;
 use tinbank_base::id;
 
 /// Slots of each upstream.
@@ -64,7 +65,7 @@
     /// An allocator that has heard of all hosts for long enough.
     pub fn learned(upstreams: u8) -> Self {
         let mut desk = Self {
-            allocator: Allocator::new(1),
+            allocator: Allocator::new(1, Tolerance::default()),
             now: Instant::now(),
             next: 0,
             queued: false,
@@ -91,6 +92,7 @@
             service: "notes".to_owned(),
             exclude: Default::default(),
             queue,
+            meter: None,
         };
         let (out, _) = self.allocator.receive(host(by), Frame::Ask(ask), self.now);
         self.waiting.insert((host(by), lease), class);
@@ -115,7 +117,7 @@
             let key = (to, answer.lease);
             match answer.verdict {
                 Verdict::Waiting => {}
-                Verdict::Denied => drop(self.waiting.remove(&key)),
+                Verdict::Denied | Verdict::OverLimit(_) => drop(self.waiting.remove(&key)),
                 Verdict::Granted(grant) => {
                     let class = self.waiting.remove(&key).expect("a request that waits");
                     self.queued = grant.queued;
--- /dev/null
+++ b/crates/tinbank-allowance/src/reach.rs
@@ -0,0 +1,108 @@
+//! Which part of a limit a counter may give out, by how many hosts it hears.
+//!
+//! A host that is cut off from the others and not from callers and upstreams counts alone. If it gave out the whole limit, as
+//! the others do, a customer that sends five times its limit would get it as often as there are such hosts. So each counter
+//! gives out as large a part as the hosts that it hears are of all. Parts of counters that don't hear each other add up to the
+//! whole.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+/// A host that was heard this long ago may be cut off. Source: hosts are heard each second at least, and a request or two in
+/// that time; until a host counts as silent, its part is given out twice, and each second of that costs a limit of 94 a second
+/// with 16 of 61 hosts cut off 25 requests of the 76 by which it may be exceeded.
+const SILENT_AFTER: Duration = Duration::from_millis(1_300);
+/// A host that was silent for this long is gone, where most others are heard: nobody takes lost hosts off the list.
+const GONE_AFTER: Duration = Duration::from_secs(30);
+/// For so long after the first list of hosts, all hosts count as heard. Source: after a loss of power all hosts start within
+/// half a second and tell each other within another, while their callers come back at once; the parts of the few that were
+/// heard so far would refuse callers that are far below their limits.
+const FIRST_HEARD: Duration = Duration::from_millis(1_500);
+/// What another counter says of the hosts that it hears counts for so long: some times the time between two messages.
+const TOLD_FOR: Duration = Duration::from_millis(500);
+/// How often the part is reckoned anew. Source: it goes through all hosts, and each request asks for it.
+const RECKON: Duration = Duration::from_millis(100);
+
+/// The hosts that a counter hears.
+#[derive(Debug, Default)]
+pub struct Reach {
+    heard_at: HashMap<SocketAddr, Instant>,
+    /// Number of hosts that are listed.
+    listed: usize,
+    /// From then on a host that was not heard may be cut off.
+    complete_at: Option<Instant>,
+    /// Hosts that another counter hears, and until when that counts.
+    told: Option<Told>,
+    share: f64,
+    reckon_at: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    hosts: usize,
+    until: Instant,
+}
+
+impl Reach {
+    /// Takes in how many hosts are listed.
+    pub fn listed(&mut self, hosts: usize, now: Instant) {
+        self.listed = hosts;
+        self.complete_at.get_or_insert(now + FIRST_HEARD);
+    }
+
+    /// Takes in that a host was heard.
+    pub fn heard(&mut self, host: SocketAddr, now: Instant) {
+        self.heard_at.insert(host, now);
+    }
+
+    /// Takes in how many hosts another counter hears. The two hear each other, so what they give out is one count.
+    pub fn told(&mut self, hosts: usize, now: Instant) {
+        let is_over = self.told.is_none_or(|told| now >= told.until);
+        if is_over || self.told.is_some_and(|told| hosts >= told.hosts) {
+            self.told = Some(Told {
+                hosts,
+                until: now + TOLD_FOR,
+            });
+            self.reckon_at = None;
+        }
+    }
+
+    /// Hosts that are heard.
+    pub fn hosts(&self, now: Instant) -> usize {
+        let heard = self.heard_at.values();
+        heard.filter(|at| now < **at + SILENT_AFTER).count()
+    }
+
+    /// Forgets who was heard, because nobody was for a while.
+    pub fn forget(&mut self) {
+        self.heard_at.clear();
+        self.reckon_at = None;
+    }
+
+    /// The part of a limit that may be given out, from 0 to 1.
+    pub fn share(&mut self, now: Instant) -> f64 {
+        if self.reckon_at.is_none_or(|at| now >= at) {
+            self.reckon_at = Some(now + RECKON);
+            self.heard_at.retain(|_, at| now < *at + GONE_AFTER);
+            self.share = self.reckon(now);
+        }
+        self.share
+    }
+
+    fn reckon(&self, now: Instant) -> f64 {
+        if self.complete_at.is_none_or(|at| now < at) {
+            return 1.0;
+        }
+        let known = self.heard_at.len();
+        let told = self.told.filter(|told| now < told.until);
+        let heard = self.hosts(now).max(told.map_or(0, |told| told.hosts));
+        let all = match heard * 2 > self.listed {
+            true => known.max(heard),
+            false => self.listed.max(known),
+        };
+        heard as f64 / all.max(1) as f64
+    }
+}
--- /dev/null
+++ b/crates/tinbank-customer/tests/customers.rs
@@ -0,0 +1,81 @@
+//! Whose key a request carries.
+
+use std::rc::Rc;
+
+use tinbank_allowance::Limit;
+use tinbank_customer::{Caller, Customer, Customers, Key, Refusal, identify};
+use yare::parameterized;
+
+fn customer(name: &str, keys: &[&str]) -> Rc<Customer> {
+    Rc::new(Customer {
+        name: name.to_owned(),
+        keys: keys.iter().map(|key| Key::of(key.as_bytes())).collect(),
+        rank: Some(1),
+        limit: Limit::new(90.0, 90.0),
+    })
+}
+
+fn customers() -> Customers {
+    vec![customer("one", &["a", "b"]), customer("two", &["c", "b"])].into()
+}
+
+#[parameterized(
+    first_key = { Some("a"), false, Ok(Some("one")) },
+    of_two_customers = { Some("b"), false, Ok(Some("one")) },
+    other_customer = { Some("c"), false, Ok(Some("two")) },
+    unknown = { Some("d"), false, Err(Refusal::Unknown) },
+    missing = { None, false, Err(Refusal::Missing) },
+    unknown_at_an_open_route = { Some("d"), true, Ok(None) },
+    missing_at_an_open_route = { None, true, Ok(None) },
+    known_at_an_open_route = { Some("c"), true, Ok(Some("two")) },
+)]
+fn a_key_names_its_customer(
+    key: Option<&str>,
+    is_open: bool,
+    expected: Result<Option<&str>, Refusal>,
+) {
+    let customers = customers();
+    let key = key.map(|key| Key::of(key.as_bytes()));
+
+    let caller = identify(Some(&customers), key.as_ref(), is_open);
+
+    let name = caller.map(|it| it.name().cloned());
+    assert_eq!(name, expected.map(|it| it.map(str::to_owned)));
+}
+
+#[test]
+fn nobody_is_asked_for_a_key_where_there_are_no_customers() {
+    let caller = identify(None, None, false);
+
+    assert_eq!(caller, Ok(Caller::Unchecked));
+}
+
+#[test]
+fn customers_without_any_key_left_are_still_asked_for_one() {
+    let customers = Customers::from(vec![]);
+
+    let caller = identify(Some(&customers), Some(&Key::of(b"a")), false);
+
+    assert_eq!(caller, Err(Refusal::Unknown));
+}
+
+#[test]
+fn customers_are_told_to_other_hosts_as_they_are() {
+    let bytes = postcard::to_stdvec(&customers()).unwrap();
+
+    let told: Customers = postcard::from_bytes(&bytes).unwrap();
+
+    assert_eq!(told, customers());
+}
+
+#[test]
+fn no_key_is_printed_or_told() {
+    let customers = vec![customer("one", &["wyy7yx5x42q492cqf75r"])].into();
+
+    let told = postcard::to_stdvec::<Customers>(&customers).unwrap();
+
+    let printed = format!("{customers:?}");
+    assert!(!printed.contains("wyy7yx5x42q492cqf75r"));
+    assert!(printed.contains("Key(..)"));
+    assert!(!told.windows(8).any(|it| it == b"wyy7yx5x"));
+}
--- a/crates/tinbank-feed/src/message.rs
+++ b/crates/tinbank-feed/src/message.rs
@@ -11,7 +11,7 @@
 pub type Position = u64;
 
 /// First byte of each message; others are refused.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// A message that can't be understood.
 #[derive(Debug, thiserror::Error)]
--- a/crates/tinbank-feed/tests/message.rs
+++ b/crates/tinbank-feed/tests/message.rs
@@ -28,6 +28,8 @@
         timeout: Duration::from_secs(5),
         target_latency: Duration::from_millis(300),
         max_attempts: 2,
+        rank: 0,
+        is_open: false,
         event_gap: Some(Duration::from_millis(300)),
         batch: Batch::default(),
     };
@@ -40,6 +42,7 @@
             head_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
+        customers: None,
     }
 }
 
--- a/crates/tinbank-gateway/src/batch/contents.rs
+++ b/crates/tinbank-gateway/src/batch/contents.rs
@@ -104,11 +104,8 @@
 
 /// The contents that a record of jobs has itself.
 pub(super) fn inline(record: &Record) -> Option<&record::Contents> {
-    match record {
-        Record::Submitted(submission) => match &submission.contents {
-            Attachment::Inline(contents) => Some(contents),
-            Attachment::Stored(_) => None,
-        },
-        _ => None,
+    match &record.submission()?.contents {
+        Attachment::Inline(contents) => Some(contents),
+        Attachment::Stored(_) => None,
     }
 }
--- a/crates/tinbank-gateway/src/batch/forward.rs
+++ b/crates/tinbank-gateway/src/batch/forward.rs
@@ -81,11 +81,7 @@
 }
 
 fn request(node: &Node, head: &Parts, body: Bytes) -> Request<Full<Bytes>> {
-    let call = node.engine.relayed("", head, body);
-    let mut request = Request::new(Full::new(call.body));
-    *request.method_mut() = call.method;
-    *request.uri_mut() = head.uri.clone();
-    *request.headers_mut() = call.headers;
+    let mut request = node.engine.passed_on(head, body);
     let mark = HeaderValue::from_static("1");
     request.headers_mut().insert(FORWARDED, mark);
     request
--- a/crates/tinbank-gateway/src/batch/intake.rs
+++ b/crates/tinbank-gateway/src/batch/intake.rs
@@ -2,10 +2,12 @@
 
 use std::time::{Duration, Instant, SystemTime};
 
+use tinbank_customer::Caller;
 use tinbank_jobs::{
     fold::Verdict,
     fragment,
     record::{Attachment, Contents, JobId, Record, Stored, Submission},
+    scope,
 };
 use tinbank_relay::route::Route;
 use tokio::{sync::oneshot, time};
@@ -62,11 +64,14 @@
 pub(crate) async fn submit(
     node: &Node,
     route: &Route,
+    caller: &Caller,
     call: &Request,
     body: &[u8],
     deadline: Instant,
 ) -> Reply {
-    if node.batch.table.borrow().job(&call.id).is_some() {
+    let customer = caller.name().cloned();
+    let job = scope::job_id(customer.as_deref(), &call.id);
+    if node.batch.table.borrow().job(&job).is_some() {
         log::info!(job:% = call.id; "job known, accepted again");
         return Reply::Accepted;
     }
@@ -83,8 +88,8 @@
     let Some(contents) = attach(node, contents, deadline).await else {
         return refuse(call, "contents not written");
     };
-    let record = Record::Submitted(Submission {
-        job: call.id.clone(),
+    let submission = Submission {
+        job,
         call: number,
         host: call.host.clone(),
         route: route.name.clone(),
@@ -95,7 +100,8 @@
         target: route.batch.target,
         items: listed,
         contents,
-    });
+    };
+    let record = Record::submitted(customer, submission);
     let (verdict, decided) = oneshot::channel();
     node.batch.verdicts.borrow_mut().insert(number, verdict);
     let until = deadline.min(Instant::now() + DECIDE_TIMEOUT);
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -21,7 +21,7 @@
 use self::next::Candidate;
 use super::item::{self, Ended, Progress};
 use crate::{
-    border::engine::{self, Request},
+    border::engine::{self, Request, Sender},
     identity, measure,
     node::Node,
     sharing::{Asked, Lease, Wanted},
@@ -179,6 +179,7 @@
             service: &candidate.service,
             exclude: &candidate.avoid,
             queue: Queue::No,
+            meter: None,
         };
         let Asked::Granted(lease) = node.sharing.lease(&node, &wanted).await else {
             time::sleep(PAUSE).await;
@@ -217,8 +218,15 @@
     let Some(content) = node.batch.contents.of_item(&key.0, key.1) else {
         return;
     };
+    let has_customers = node.view.config().is_some_and(|it| it.customers.is_some());
+    let sender = match &job.customer {
+        Some(name) => Sender::Customer(name),
+        None if has_customers => Sender::Anonymous,
+        None => Sender::Unchecked,
+    };
     let request = node.engine.item(engine::Item {
         host: &job.host,
+        sender,
         id: &item.id,
         path: &item.path,
         content: &content,
--- a/crates/tinbank-gateway/src/border/engine.rs
+++ b/crates/tinbank-gateway/src/border/engine.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use http_body_util::Full;
+use tinbank_customer::Caller;
 use tinbank_jobs::record::Content;
 use tinbank_relay::event;
 
@@ -23,11 +24,34 @@
     pub body: Bytes,
 }
 
+/// Who sends a request, as upstreams are told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sender<'a> {
+    /// The configuration has no customers; the request is sent on as it came.
+    Unchecked,
+    /// Nobody that upstreams are told of.
+    Anonymous,
+    /// A customer, by its name.
+    Customer(&'a str),
+}
+
+impl<'a> From<&'a Caller> for Sender<'a> {
+    fn from(caller: &'a Caller) -> Self {
+        match caller {
+            Caller::Unchecked => Self::Unchecked,
+            Caller::Anonymous => Self::Anonymous,
+            Caller::Customer(customer) => Self::Customer(&customer.name),
+        }
+    }
+}
+
 /// A batch item to send.
 #[derive(Clone, Copy, Debug)]
 pub struct Item<'a> {
     /// Host name that its job was submitted under.
     pub host: &'a str,
+    /// Whose item it is.
+    pub sender: Sender<'a>,
     /// Name of the item.
     pub id: &'a str,
     /// Path that it is sent to.
@@ -86,8 +110,16 @@
     fn report(&self) -> http::Request<Full<Bytes>>;
     /// What a report says.
     fn load(&self, report: &[u8]) -> Result<Load, Unreadable>;
-    /// The request of a caller, by its head and body.
-    fn relayed(&self, id: &str, head: &http::request::Parts, body: Bytes) -> Request;
+    /// The request of a caller, by its head and body. Upstreams are told whose it is, and never by which key.
+    fn relayed(
+        &self,
+        id: &str,
+        sender: Sender<'_>,
+        head: &http::request::Parts,
+        body: Bytes,
+    ) -> Request;
+    /// A call as it came, for another host, which has to know the key as well.
+    fn passed_on(&self, head: &http::request::Parts, body: Bytes) -> http::Request<Full<Bytes>>;
     /// The request of a batch item.
     fn item(&self, item: Item<'_>) -> Request;
     /// The bytes of an attempt.
--- a/crates/tinbank-gateway/src/border/ingress.rs
+++ b/crates/tinbank-gateway/src/border/ingress.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tinbank_jobs::record::{self, Content, Index, ItemId, JobId, Reason};
+use tinbank_customer::Key;
+use tinbank_jobs::record::{self, Content, Index, ItemId, Reason};
 use tinbank_relay::event;
 
 use super::Body;
@@ -20,8 +21,12 @@
 /// A call about a job.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AboutJob {
-    /// The job.
-    pub job: JobId,
+    /// Name that its caller gave the job.
+    pub job: String,
+    /// Host name that the call carries.
+    pub host: String,
+    /// Key that it carries.
+    pub key: Option<Key>,
     /// What is asked.
     pub call: JobCall,
 }
@@ -64,6 +69,8 @@
     pub host: String,
     /// Path without query.
     pub path: String,
+    /// Key that it carries.
+    pub key: Option<Key>,
     /// How long the caller waits.
     pub time_left: Option<Duration>,
     /// Last event that the caller has of the stream it continues.
@@ -123,7 +130,7 @@
 pub enum Reply {
     /// The job is the system's to keep.
     Accepted,
-    /// The job does not fit the quota; nothing of it runs.
+    /// It is more than its customer may have now; nothing of it runs.
     OverQuota {
         /// When to ask again.
         retry_after: Duration,
@@ -139,6 +146,8 @@
     Failed,
     /// The time is up; the request may have run.
     TimedOut,
+    /// The request carries no key of a customer.
+    NoKey,
     /// No route takes the request.
     NoRoute,
     /// There is no such job or item.
--- a/crates/tinbank-gateway/src/lib.rs
+++ b/crates/tinbank-gateway/src/lib.rs
@@ -3,7 +3,8 @@
 //! One process does both duties on one control thread, with one view of the configuration, the upstreams and the other
 //! hosts. What the platform looks like is behind the traits in [`border`]. See `docs/design/users-platform.md`.
 
-pub mod batch;
+pub mod access;
+mod batch;
 pub mod border;
 mod clock;
 mod dependency;
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -15,6 +15,7 @@
         Reply::Unsure => "unsure",
         Reply::Failed => "failed",
         Reply::TimedOut => "timed_out",
+        Reply::NoKey => "no_key",
         Reply::NoRoute => "no_route",
         Reply::NotFound => "not_found",
         Reply::TooLarge => "too_large",
@@ -50,6 +51,7 @@
         Some(Verdict::Granted(_)) => "granted",
         Some(Verdict::Waiting) => "waiting",
         Some(Verdict::Denied) => "denied",
+        Some(Verdict::OverLimit(_)) => "over_limit",
         None => "silent",
     };
     metrics::counter!("tinbank_entry_asks_total", "class" => class, "answer" => answer)
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -14,12 +14,15 @@
 use http::{Response, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use tinbank_allocator::frame::Meter;
+use tinbank_customer::Caller;
 use tinbank_relay::route::{Kind, Route};
 use tokio::time;
 
 pub(crate) use self::body::hold;
 use self::online::{Arrival, Online};
 use crate::{
+    access::{self, Denied},
     batch::{
         self,
         forward::{Forwarded, forward},
@@ -54,6 +57,13 @@
     let Some(route) = config.route(&call.host, &call.path).cloned() else {
         return no_route(node, &call, config.version, received);
     };
+    let caller = match access::caller(node, &config, &call.id, call.key.as_ref(), route.is_open) {
+        Ok(caller) => caller,
+        Err(Denied::NoKey) => return reply_with(node, Reply::NoKey),
+        Err(Denied::Unsure) => {
+            return refuse(node, &call.id, "key not in a configuration that may be old");
+        }
+    };
     let time = call.time_left.unwrap_or(LONGEST_TIME);
     let deadline = received + time.min(route.timeout);
     let body = match read(body, config.limits.body_bytes, deadline).await {
@@ -61,22 +71,33 @@
         Err(reply) => return reply_with(node, reply),
     };
     if route.kind == Kind::Batch {
-        return submit(node, &route, &call, &head, body, deadline).await;
+        return submit(node, &route, &caller, &call, &head, body, deadline).await;
     }
-    let request = node.engine.relayed(&call.id, &head, body);
+    let request = node.engine.relayed(&call.id, (&caller).into(), &head, body);
     let arrival = Arrival {
         received,
         deadline,
         is_first: node.is_first_try(&route, time),
         resume_after: call.resume_after,
+        meter: meter(&caller),
     };
     Online::new(node, route, request, arrival).run().await
 }
 
+/// Whose allowance a request is counted against.
+fn meter(caller: &Caller) -> Option<Meter> {
+    let customer = caller.customer()?;
+    Some(Meter {
+        customer: customer.name.clone(),
+        limit: customer.limit?,
+    })
+}
+
 /// Takes in a job, here or at a host that follows the log of jobs and reaches the store when this one does not.
 async fn submit(
     node: &Node,
     route: &Route,
+    caller: &Caller,
     call: &ingress::Request,
     head: &Parts,
     body: Bytes,
@@ -84,7 +105,7 @@
 ) -> Response<Body> {
     let mut refused = None;
     if node.feed.is_delegate() {
-        let reply = batch::intake::submit(node, route, call, &body, deadline).await;
+        let reply = batch::intake::submit(node, route, caller, call, &body, deadline).await;
         if !matches!(reply, Reply::NotRun { .. }) {
             return reply_with(node, reply);
         }
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -1,11 +1,14 @@
 //! One online request on its way to an upstream.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use http::Response;
 use tinbank_allocator::{
     admission::Admission,
-    frame::Queue,
+    frame::{Meter, Queue},
     lease::{Class, Outcome},
 };
 use tinbank_relay::{
@@ -48,6 +51,10 @@
     resume_after: Option<event::Id>,
     /// All slots were in use.
     overloaded: bool,
+    /// Whose allowance it is counted against, until it has been.
+    meter: Option<Meter>,
+    /// When its customer, which has used up its allowance, may come again.
+    over_limit: Option<Duration>,
     /// The caller has its whole answer, or was told that there is none.
     pub ended: bool,
 }
@@ -69,6 +76,8 @@
     pub is_first: bool,
     /// Event behind which the caller goes on, if it had a part of the answer before.
     pub resume_after: Option<event::Id>,
+    /// Whose allowance it is counted against.
+    pub meter: Option<Meter>,
 }
 
 impl Online {
@@ -93,6 +102,8 @@
             began_at: None,
             resume_after: arrival.resume_after,
             overloaded: false,
+            meter: arrival.meter,
+            over_limit: None,
             ended: false,
         }
     }
@@ -172,9 +183,18 @@
             service,
             exclude: self.attempts.tried(),
             queue,
+            meter: self.meter.as_ref(),
         };
         match self.node.sharing.lease(&self.node, &wanted).await {
-            Asked::Granted(lease) => Ok(lease),
+            Asked::Granted(lease) => {
+                // Further attempts are of the same request.
+                self.meter = None;
+                Ok(lease)
+            }
+            Asked::OverLimit(returns_in) => {
+                self.over_limit = Some(returns_in);
+                Err(self.attempts.give_up())
+            }
             Asked::Full => {
                 self.overloaded = true;
                 Err(self.attempts.give_up())
@@ -299,7 +319,19 @@
         self.ended = true;
         let id = &self.request.id;
         let tried = self.attempts.tried().len();
-        let reply = match next {
+        let reply = match (next, self.over_limit) {
+            (Next::Refuse | Next::Again, Some(retry_after)) => Reply::OverQuota { retry_after },
+            (next, _) => self.refusal(next),
+        };
+        let late = self.admission.is_late;
+        let waited_ms = self.admission.received.elapsed().as_millis() as u64;
+        log::info!(request:% = id, route:% = self.route.name, tried, late, waited_ms, reply:?; "no answer");
+        reply_with(&self.node, reply)
+    }
+
+    /// What the caller is told where its customer's allowance does not matter.
+    fn refusal(&self, next: Next) -> Reply {
+        match next {
             Next::Refuse | Next::Again if self.overloaded => {
                 let usual = self.node.usual(&self.route);
                 Reply::NotRun {
@@ -311,10 +343,6 @@
             },
             Next::Fail if Instant::now() >= self.admission.deadline => Reply::TimedOut,
             Next::Fail => Reply::Failed,
-        };
-        let late = self.admission.is_late;
-        let waited_ms = self.admission.received.elapsed().as_millis() as u64;
-        log::info!(request:% = id, route:% = self.route.name, tried, late, waited_ms, reply:?; "no answer");
-        reply_with(&self.node, reply)
+        }
     }
 }
--- a/crates/tinbank-gateway/src/run.rs
+++ b/crates/tinbank-gateway/src/run.rs
@@ -99,7 +99,7 @@
         capacity: settings.capacity,
     };
     let followers = bind("hosts that follow this one", listen.peers).await?;
-    let sharing = Sharing::bind(own, identity::number()).await;
+    let sharing = Sharing::bind(own, identity::number(), settings.allowance).await;
     let sharing = sharing.map_err(|source| Error::Listen {
         what: "datagrams of other hosts",
         address: listen.peers,
@@ -146,6 +146,7 @@
     task::spawn_local(serve::always(readiness, Rc::new(is_ready)));
     task::spawn_local(sharing::receive(Rc::clone(&node.sharing)));
     task::spawn_local(sharing::heartbeat(Rc::clone(node)));
+    task::spawn_local(sharing::tell_counts(Rc::clone(&node.sharing)));
     task::spawn_local(feed::follow(Rc::clone(node)));
     task::spawn_local(sharing::survey(Rc::clone(node)));
     for list in [List::Config, List::Upstreams, List::Hosts] {
--- a/crates/tinbank-gateway/src/serve.rs
+++ b/crates/tinbank-gateway/src/serve.rs
@@ -6,12 +6,14 @@
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tinbank_jobs::scope;
 use tokio::{
     net::{TcpListener, TcpStream},
     task, time,
 };
 
 use crate::{
+    access::{self, Denied},
     batch::{
         self,
         forward::{Forwarded, forward},
@@ -135,10 +137,7 @@
         Call::Request(call) => return relay::request(node, call, head, body).await,
         Call::Job(about) => about,
     };
-    let reply = match node.feed.is_delegate() {
-        true => answer_about(node, &about).await,
-        false => Reply::Unsure,
-    };
+    let reply = about_job(node, &about).await;
     if reply == Reply::Unsure
         && let Forwarded::Answered(answer) =
             forward(node, &about.job, &head, Bytes::new(), about.wait()).await
@@ -149,11 +148,24 @@
     node.ingress.encode(reply)
 }
 
-async fn answer_about(node: &Node, about: &AboutJob) -> Reply {
-    let job = &about.job;
+/// The answer of this host about a job, if it can tell. A job of another customer is as good as none.
+async fn about_job(node: &Node, about: &AboutJob) -> Reply {
+    let Some(config) = node.view.config() else {
+        return Reply::Unsure;
+    };
+    let is_open = config.has_open_jobs(&about.host);
+    let caller = match access::caller(node, &config, &about.job, about.key.as_ref(), is_open) {
+        Ok(caller) => caller,
+        Err(Denied::NoKey) => return Reply::NoKey,
+        Err(Denied::Unsure) => return Reply::Unsure,
+    };
+    if !node.feed.is_delegate() {
+        return Reply::Unsure;
+    }
+    let job = scope::job_id(caller.name().map(String::as_str), &about.job);
     match &about.call {
-        JobCall::Results { from, wait } => batch::results::page(node, job, *from, *wait).await,
-        JobCall::Body { item } => batch::results::body(node, job, item).await,
-        JobCall::End => batch::intake::end(node, job.clone()).await,
+        JobCall::Results { from, wait } => batch::results::page(node, &job, *from, *wait).await,
+        JobCall::Body { item } => batch::results::body(node, &job, item).await,
+        JobCall::End => batch::intake::end(node, job).await,
     }
 }
--- a/crates/tinbank-gateway/src/settings.rs
+++ b/crates/tinbank-gateway/src/settings.rs
@@ -5,11 +5,12 @@
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, DurationSeconds, FromInto, serde_as};
 use tinbank_allocator::directory::Capacity;
+use tinbank_allowance::Tolerance;
 use tinbank_base::id;
 
 /// Settings of the entry program.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the host, for logs and as the member name in the platform's groups.
@@ -33,6 +34,9 @@
     #[serde_as(as = "DurationSeconds<f64>")]
     #[serde(rename = "balancer_s")]
     pub balancer: Duration,
+    /// How exactly limits of customers hold; without it, as exactly as hosts know of each other's counts.
+    #[serde(default)]
+    pub allowance: Tolerance,
     /// For how long a job is readable after its submission, in seconds.
     #[serde_as(as = "DurationSeconds<f64>")]
     #[serde(rename = "job_readable_s")]
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -2,6 +2,7 @@
 //! those that ask it.
 
 mod ask;
+mod counts;
 mod peers;
 mod pending;
 mod survey;
@@ -22,9 +23,10 @@
     allocator::{HEARTBEAT, Upstream},
     avoidance::Avoidance,
     directory::Peer,
-    frame::{Alive, Frame, Grant, Queue, Release, Verdict},
+    frame::{Alive, Frame, Grant, Meter, Queue, Release, Verdict},
     lease::{self, Class, Outcome},
 };
+use tinbank_allowance::{Part, Tolerance};
 use tinbank_base::id;
 use tinbank_feed::source::{self, Candidates};
 use tokio::{
@@ -33,6 +35,7 @@
 };
 
 pub(crate) use self::{
+    counts::tell_counts,
     peers::{heartbeat, receive},
     survey::survey,
 };
@@ -62,6 +65,10 @@
     avoidance: Avoidance,
     /// Allocators that said that they reach the store, and when.
     with_store: HashMap<SocketAddr, Instant>,
+    /// Hosts that told what they let in of customers, and when.
+    tellers: HashMap<SocketAddr, Instant>,
+    /// What this host lets in of customers while it reaches no allocator.
+    part: Part,
 }
 
 struct Holding {
@@ -80,6 +87,8 @@
     pub exclude: &'a [id::Instance],
     /// Whether an online request may wait inside an upstream.
     pub queue: Queue,
+    /// Whose allowance it is counted against, unless it was counted before.
+    pub meter: Option<&'a Meter>,
 }
 
 /// What came of asking for a slot.
@@ -88,6 +97,8 @@
     Granted(Lease),
     /// All slots are in use, and the request may not wait.
     Full,
+    /// Its customer has used up its allowance, and may come again after this time.
+    OverLimit(Duration),
     /// No upstream of the service is known.
     Nobody,
 }
@@ -137,16 +148,18 @@
 
 impl Sharing {
     /// Takes datagrams at the address of `own`.
-    pub async fn bind(own: Peer, seed: u64) -> std::io::Result<Self> {
+    pub async fn bind(own: Peer, seed: u64, tolerance: Tolerance) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(own.address).await?;
         let state = State {
-            allocator: Allocator::new(seed),
+            allocator: Allocator::new(seed, tolerance),
             directory: Directory::default(),
             asks: HashMap::new(),
             held: HashMap::new(),
             unheard: HashSet::new(),
             avoidance: Avoidance::default(),
             with_store: HashMap::new(),
+            tellers: HashMap::new(),
+            part: Part::new(seed, tolerance),
         };
         // Lease numbers of a later start are larger, so that its holdings end the leases of an earlier one.
         let since_1970 = std::time::SystemTime::UNIX_EPOCH.elapsed();
@@ -180,6 +193,8 @@
         let before = state.directory.allocators(now);
         state.directory.list(peers);
         let after = state.directory.allocators(now);
+        let hosts = state.directory.hosts();
+        state.allocator.hosts(hosts, now);
         drop(state);
         if before != after {
             log::info!(before:?, after:?; "allocators by the list of hosts");
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -3,11 +3,15 @@
 #[cfg(test)]
 mod tests;
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use smallvec::SmallVec;
 use tinbank_allocator::{
-    frame::{Ask, Grant, Queue, Verdict},
+    frame::{Ask, Grant, Meter, OverLimit, Queue, Verdict},
     lease::Outcome,
 };
 use tinbank_base::id;
@@ -18,10 +22,16 @@
 /// Grants of leaving upstreams after which a failure domain counts as having none.
 const MAX_LEAVING: usize = 4;
 
+/// When a caller may come again whose customer's part at a host without an allocator is used up. Source: the balancer passes
+/// it to another host, which most likely has one.
+const OWN_PART_RETRY: Duration = Duration::from_millis(200);
+
 /// What came of asking one allocator.
 enum Answered {
     Granted(Lease),
     Denied,
+    /// Its customer has used up its allowance, and may come again after this time.
+    OverLimit(Duration),
     /// The request has waited for a slot for as long as it may.
     TimeUp,
     Silent,
@@ -45,6 +55,7 @@
                 match self.ask(node, wanted, domain, *queue).await {
                     Answered::Granted(lease) => return Asked::Granted(lease),
                     Answered::Denied => denied = true,
+                    Answered::OverLimit(returns_in) => return Asked::OverLimit(returns_in),
                     Answered::TimeUp => return Asked::Full,
                     Answered::Silent => {}
                 }
@@ -57,12 +68,28 @@
         if denied && is_known && wanted.queue != Queue::Any {
             return Asked::Full;
         }
+        if let Some(meter) = wanted.meter
+            && !self.take_own_part(meter)
+        {
+            return Asked::OverLimit(OWN_PART_RETRY);
+        }
         match self.choose(node, wanted) {
             Some(lease) => Asked::Granted(lease),
             None => Asked::Nobody,
         }
     }
 
+    /// True if a request may pass though no allocator has counted it.
+    fn take_own_part(&self, meter: &Meter) -> bool {
+        let mut state = self.state.borrow_mut();
+        let hosts = state.directory.hosts();
+        let now = Instant::now();
+        let passes = state.part.take(&meter.customer, meter.limit, hosts, now);
+        let limit = meter.limit;
+        log::info!(customer:% = meter.customer, rate_milli = limit.rate_milli, hosts, passes; "no allocator counts, this host's own part");
+        passes
+    }
+
     /// Asks the allocator of a failure domain until it grants an upstream that does not leave, or none.
     async fn ask(
         self: &Rc<Self>,
@@ -108,6 +135,7 @@
             service: wanted.service.to_owned(),
             exclude,
             queue,
+            meter: wanted.meter.cloned(),
         };
         let mut pending = Pending::send(self, allocator, ask);
         let mut verdict = pending.first(now, self.patience(allocator)).await;
@@ -124,6 +152,11 @@
                 let lease = self.hold(lease, wanted.class, domain, Some(allocator), grant);
                 Answered::Granted(lease)
             }
+            Some(Verdict::OverLimit(over)) => {
+                let returns_in = Duration::from_millis(over.returns_in_ms.into());
+                log_over_limit(wanted, allocator, over);
+                Answered::OverLimit(returns_in)
+            }
             Some(Verdict::Denied | Verdict::Waiting) => Answered::Denied,
             None => {
                 self.missed(allocator, "no answer to an ask");
@@ -162,3 +195,19 @@
         Some(self.hold(lease, wanted.class, &least.failure_domain, None, grant))
     }
 }
+
+fn log_over_limit(wanted: &Wanted<'_>, allocator: SocketAddr, over: OverLimit) {
+    let Some(meter) = wanted.meter else {
+        return;
+    };
+    let limit = meter.limit;
+    log::info!(
+        customer:% = meter.customer,
+        rate_milli = limit.rate_milli,
+        burst_milli = limit.burst_milli,
+        level_milli = over.level_milli,
+        returns_in_ms = over.returns_in_ms,
+        allocator:%;
+        "customer above its limit"
+    );
+}
--- a/crates/tinbank-gateway/src/sharing/ask/tests.rs
+++ b/crates/tinbank-gateway/src/sharing/ask/tests.rs
@@ -7,6 +7,7 @@
     frame::{Answer, Frame, Grant, MAX_BYTES, Queue, Verdict},
     lease::{self, Class},
 };
+use tinbank_allowance::Tolerance;
 use tokio::{net::UdpSocket, task, time};
 
 use super::Answered;
@@ -28,7 +29,7 @@
         drop(own);
         let allocator = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let own = peer(own_address, "south");
-        let sharing = Rc::new(Sharing::bind(own, 1).await.unwrap());
+        let sharing = Rc::new(Sharing::bind(own, 1, Tolerance::default()).await.unwrap());
         sharing.peers(vec![peer(allocator.local_addr().unwrap(), "north")]);
         task::spawn_local(receive(Rc::clone(&sharing)));
         Self { sharing, allocator }
@@ -108,6 +109,7 @@
             service: "notes",
             exclude: &[],
             queue,
+            meter: None,
         };
         sharing.ask_once(&wanted, "north", queue).await
     })
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -45,6 +45,9 @@
             }
             asked => {
                 let mut state = self.state.borrow_mut();
+                if matches!(asked, Frame::Counts(_)) {
+                    state.tellers.insert(from, now);
+                }
                 state.allocator.announce(self.alive(now));
                 let (out, change) = state.allocator.receive(from, asked, now);
                 drop(state);
@@ -75,7 +78,7 @@
             // Nobody waits any more, so the slot goes back at once.
             Some(Verdict::Granted(grant)) => self.give_back(from, lease, grant),
             Some(Verdict::Waiting) => self.send(from, &Frame::Withdraw(lease)),
-            Some(Verdict::Denied) | None => {}
+            Some(Verdict::Denied | Verdict::OverLimit(_)) | None => {}
         }
     }
 
--- a/crates/tinbank-jobs/src/fold.rs
+++ b/crates/tinbank-jobs/src/fold.rs
@@ -57,7 +57,7 @@
     Known,
     /// It does not fit the quota, and will never run.
     OverQuota {
-        /// Tokens that waited on the route.
+        /// Tokens of its customer that waited on the route.
         waiting: u64,
     },
 }
--- a/crates/tinbank-jobs/src/job.rs
+++ b/crates/tinbank-jobs/src/job.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, SystemTime};
 
+use tinbank_base::id;
+
 use crate::record::{
     Attachment, Index, Item, JobId, Outcome, Piece, Reason, RunId, Stored, Submission,
 };
@@ -15,6 +17,8 @@
     pub submission: u64,
     /// Host name that it was submitted under.
     pub host: String,
+    /// Customer that submitted it, if it is a customer's.
+    pub customer: Option<id::Customer>,
     /// Route whose quota it counts against.
     pub route: String,
     /// Failures after which an item is given up.
@@ -90,12 +94,13 @@
 }
 
 impl Job {
-    pub(crate) fn new(submission: u64, it: Submission) -> Self {
+    pub(crate) fn new(submission: u64, customer: Option<id::Customer>, it: Submission) -> Self {
         let entries = it.items.into_iter();
         Self {
             id: it.job,
             submission,
             host: it.host,
+            customer,
             route: it.route,
             max_attempts: it.max_attempts,
             submitted_at: it.submitted_at,
--- a/crates/tinbank-jobs/src/lib.rs
+++ b/crates/tinbank-jobs/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod pace;
 pub mod record;
 pub mod schedule;
+pub mod scope;
 pub mod table;
 
 pub use table::Table;
--- a/crates/tinbank-jobs/src/record.rs
+++ b/crates/tinbank-jobs/src/record.rs
@@ -5,8 +5,9 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_with::{DurationMilliSeconds, TimestampMilliSeconds, serde_as};
+use tinbank_base::id;
 
-/// Name that the caller gave a job.
+/// Name under which a job is kept, see [`crate::scope`].
 pub type JobId = String;
 /// Name that the caller gave an item.
 pub type ItemId = String;
@@ -44,13 +45,15 @@
     Ended(JobId),
     /// A run of an item has got further, so that another host can go on from there.
     Advanced(Advance),
+    /// A customer submits a job. Records of jobs of nobody are as they were before there were customers, so both are read.
+    SubmittedBy(id::Customer, Submission),
 }
 
 /// A whole job, so that one append accepts all of it or nothing.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submission {
-    /// Name of the job.
+    /// Name of the job, see [`crate::scope`].
     pub job: JobId,
     /// Identifies the submit call, so that its host recognises its own record.
     pub call: u64,
@@ -58,7 +61,7 @@
     pub host: String,
     /// Name of the route whose quota the job counts against.
     pub route: String,
-    /// Most tokens that may wait on the route; nothing means no limit.
+    /// Most tokens of the job's customer that may wait on the route; nothing means no limit.
     pub quota: Option<u64>,
     /// Failures after which an item is given up.
     pub max_attempts: u32,
@@ -239,7 +242,23 @@
                     piece.text = text;
                 }
             }
-            Self::Submitted(_) | Self::Ended(_) => {}
+            Self::Submitted(_) | Self::SubmittedBy(..) | Self::Ended(_) => {}
+        }
+    }
+
+    /// The record of a submission by a customer, or by nobody.
+    pub fn submitted(customer: Option<id::Customer>, submission: Submission) -> Self {
+        match customer {
+            Some(customer) => Self::SubmittedBy(customer, submission),
+            None => Self::Submitted(submission),
+        }
+    }
+
+    /// The submission that the record is, if it is one.
+    pub fn submission(&self) -> Option<&Submission> {
+        match self {
+            Self::Submitted(submission) | Self::SubmittedBy(_, submission) => Some(submission),
+            Self::Finished(_) | Self::Ended(_) | Self::Advanced(_) => None,
         }
     }
 }
--- a/crates/tinbank-jobs/src/table.rs
+++ b/crates/tinbank-jobs/src/table.rs
@@ -5,6 +5,8 @@
     time::{Duration, SystemTime},
 };
 
+use tinbank_base::id;
+
 use crate::{
     fold::{Change, Verdict},
     job::{Job, Step},
@@ -21,7 +23,10 @@
     /// Takes in the record at an offset.
     pub fn apply(&mut self, offset: u64, record: Record) -> Change {
         match record {
-            Record::Submitted(submission) => self.submit(offset, submission),
+            Record::Submitted(submission) => self.submit(offset, None, submission),
+            Record::SubmittedBy(customer, submission) => {
+                self.submit(offset, Some(customer), submission)
+            }
             Record::Finished(finish) => self.finish(finish),
             Record::Ended(job) => self.end(job),
             Record::Advanced(advance) => self.advance(advance),
@@ -48,9 +53,10 @@
         self.jobs.is_empty()
     }
 
-    /// Tokens of the items that wait on a route.
-    pub fn waiting_tokens(&self, route: &str) -> u64 {
+    /// Tokens of the items of a customer that wait on a route.
+    pub fn waiting_tokens(&self, route: &str, customer: Option<&id::Customer>) -> u64 {
         let jobs = self.open().filter(|job| job.route == route);
+        let jobs = jobs.filter(|job| job.customer.as_ref() == customer);
         jobs.map(Job::waiting_tokens).sum()
     }
 
@@ -59,24 +65,30 @@
         self.jobs.retain(|_, job| !job.is_past(kept, now));
     }
 
-    fn submit(&mut self, offset: u64, submission: Submission) -> Change {
-        let verdict = self.judge(&submission);
+    fn submit(
+        &mut self,
+        offset: u64,
+        customer: Option<id::Customer>,
+        submission: Submission,
+    ) -> Change {
+        let verdict = self.judge(customer.as_ref(), &submission);
         let call = submission.call;
         let job = submission.job.clone();
         if verdict == Verdict::Accepted {
-            self.jobs.insert(job.clone(), Job::new(offset, submission));
+            let new = Job::new(offset, customer, submission);
+            self.jobs.insert(job.clone(), new);
         }
         Change::Submitted { call, job, verdict }
     }
 
-    fn judge(&self, submission: &Submission) -> Verdict {
+    fn judge(&self, customer: Option<&id::Customer>, submission: &Submission) -> Verdict {
         if self.jobs.contains_key(&submission.job) {
             return Verdict::Known;
         }
         let Some(quota) = submission.quota else {
             return Verdict::Accepted;
         };
-        let waiting = self.waiting_tokens(&submission.route);
+        let waiting = self.waiting_tokens(&submission.route, customer);
         let tokens: u64 = submission.items.iter().map(|item| item.tokens).sum();
         match waiting.saturating_add(tokens) <= quota {
             true => Verdict::Accepted,
--- a/crates/tinbank-jobs/tests/fold.rs
+++ b/crates/tinbank-jobs/tests/fold.rs
@@ -215,7 +215,7 @@
     assert_eq!(late, Change::Dropped);
     assert_eq!(again, Change::Dropped);
     assert_eq!(texts(&table).len(), 1);
-    assert_eq!(table.waiting_tokens("sweep"), 0);
+    assert_eq!(table.waiting_tokens("sweep", None), 0);
 }
 
 #[test]
--- a/crates/tinbank-relay/src/route.rs
+++ b/crates/tinbank-relay/src/route.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use tinbank_base::id;
+use tinbank_customer::Customers;
 
 /// The configuration in force, as the operator wrote it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,6 +16,8 @@
     pub routes: Vec<Rc<Route>>,
     /// What callers may send.
     pub limits: Limits,
+    /// Who may send it; nothing means anybody.
+    pub customers: Option<Customers>,
 }
 
 /// Bounds on what a caller may send, and for how long it may take.
@@ -49,6 +52,10 @@
     pub target_latency: Duration,
     /// Most upstreams that may run one request.
     pub max_attempts: u32,
+    /// Its rank; 0 is the highest.
+    pub rank: u8,
+    /// Requests need no key.
+    pub is_open: bool,
     /// Longest pause between events at which a stream is still in time.
     pub event_gap: Option<Duration>,
     /// What is said of batch jobs, on routes that take them.
@@ -106,6 +113,12 @@
             .filter(|route| route.host == host && path.starts_with(&route.prefix))
             .max_by_key(|route| route.prefix.len())
     }
+
+    /// True if a host name has a route for jobs that is open to all, so that a call about a job may come without a key.
+    pub fn has_open_jobs(&self, host: &str) -> bool {
+        let mut routes = self.routes.iter().filter(|route| route.host == host);
+        routes.any(|route| route.is_open && route.kind == Kind::Batch)
+    }
 }
 
 impl Route {
--- a/crates/tinbank-relay/tests/route.rs
+++ b/crates/tinbank-relay/tests/route.rs
@@ -21,6 +21,8 @@
         timeout: Duration::from_secs(5),
         target_latency: Duration::from_millis(300),
         max_attempts: 1,
+        rank: 0,
+        is_open: false,
         event_gap: None,
         batch: Batch::default(),
     })
@@ -40,6 +42,7 @@
             head_timeout: Duration::ZERO,
             idle_timeout: Duration::ZERO,
         },
+        customers: None,
     }
 }
 
