--- a/crates/tinbank-feed/tests/message.rs
+++ b/crates/tinbank-feed/tests/message.rs
@@ -52,6 +52,7 @@
         upstreams: Some(Snapshot {
             position: 40,
             entries: vec![Upstream {
+                name: "u1".into(),
                 instance: "i-1".into(),
                 address: address(1),
                 service: "notes".to_owned(),
--- a/crates/tinbank-gateway/src/border/engine.rs
+++ b/crates/tinbank-gateway/src/border/engine.rs
@@ -99,17 +99,17 @@
     pub waiting: usize,
 }
 
-/// A report that can't be read.
+/// A report that can't be used.
 #[derive(Debug, thiserror::Error)]
-#[error("report can't be read: {0}")]
+#[error("report can't be used: {0}")]
 pub struct Unreadable(pub String);
 
 /// Encodes requests and reads answers.
 pub trait Engine {
     /// The request for an upstream's report.
     fn report(&self) -> http::Request<Full<Bytes>>;
-    /// What a report says.
-    fn load(&self, report: &[u8]) -> Result<Load, Unreadable>;
+    /// What the report of an upstream says. One of another start of it says nothing about this one.
+    fn load(&self, instance: &str, report: &[u8]) -> Result<Load, Unreadable>;
     /// The request of a caller, by its head and body. Upstreams are told whose it is, and never by which key.
     fn relayed(
         &self,
--- a/crates/tinbank-gateway/src/border/store.rs
+++ b/crates/tinbank-gateway/src/border/store.rs
@@ -104,7 +104,7 @@
     Config(Config),
     /// An upstream is listed.
     Upstream(Upstream),
-    /// An upstream is gone.
+    /// Nothing usable is listed under an upstream's name any more.
     Gone(tinbank_base::id::Instance),
     /// A host of the system is registered.
     Host(Peer),
--- a/crates/tinbank-gateway/src/sharing/survey.rs
+++ b/crates/tinbank-gateway/src/sharing/survey.rs
@@ -3,7 +3,6 @@
 //! After hosts have lost power, upstreams go on with what they ran for them, and no lease tells so.
 
 use std::{
-    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -56,7 +55,7 @@
 }
 
 async fn note_load(node: &Node, upstream: &Upstream) {
-    match ask(node, upstream.address).await {
+    match ask(node, upstream).await {
         Ok(Load { running, waiting }) => {
             log::info!(upstream:% = upstream.instance, running, waiting; "upstream reports its load");
             let requests = running + waiting;
@@ -80,14 +79,14 @@
     Unreadable(#[from] crate::border::engine::Unreadable),
 }
 
-async fn ask(node: &Node, address: SocketAddr) -> Result<Load, Error> {
+async fn ask(node: &Node, upstream: &Upstream) -> Result<Load, Error> {
     let until = Instant::now() + REPORT_TIMEOUT;
     let times = Until {
         connected: until,
         answered: until,
     };
-    let (answer, _guard) = exchange::send(address, node.engine.report(), times).await?;
+    let (answer, _guard) = exchange::send(upstream.address, node.engine.report(), times).await?;
     let body = time::timeout_at(until.into(), answer.into_body().collect()).await;
     let body = body.map_err(|_| exchange::Error::Silent)??;
-    Ok(node.engine.load(&body.to_bytes())?)
+    Ok(node.engine.load(&upstream.instance, &body.to_bytes())?)
 }
--- a/crates/tinbank-gateway/src/view/lists.rs
+++ b/crates/tinbank-gateway/src/view/lists.rs
@@ -6,7 +6,7 @@
 };
 
 use tinbank_feed::Patience;
-use tinbank_relay::listing::Change;
+use tinbank_relay::listing::{Change, Changes};
 use tokio::time;
 
 use super::{
@@ -127,10 +127,10 @@
             listing.replace(listed.collect(), now)
         }
         false => entries
-            .filter_map(|written| match written {
+            .flat_map(|written| match written {
                 Written::Upstream(upstream) => listing.add(upstream),
-                Written::Gone(instance) => listing.remove(&instance, now),
-                _ => None,
+                Written::Gone(name) => listing.remove(&name, now).into_iter().collect(),
+                _ => Changes::new(),
             })
             .collect(),
     };
--- a/crates/tinbank-relay/src/listing.rs
+++ b/crates/tinbank-relay/src/listing.rs
@@ -5,6 +5,9 @@
 //! seconds after the store. To believe such a list costs every request of those seconds: on a day on which the store was
 //! away twice within 12 s, 348 of some 2,900 requests were refused though all nine upstreams lived. An entry that is taken
 //! off while the store answers all the time counts as gone at once.
+//!
+//! An upstream may start again under its name. It is another one then: it holds nothing that the one before had, so what was
+//! believed of that one ends, and nothing of it counts for the new one.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -42,6 +45,8 @@
 #[derive(Debug, Default)]
 pub struct Listing {
     known: HashMap<id::Instance, State>,
+    /// The start that is listed under a name, or was listed last.
+    starts: HashMap<id::Instance, id::Instance>,
     contact: Contact,
 }
 
@@ -49,7 +54,7 @@
 enum State {
     Listed(Upstream),
     Missing(Upstream),
-    /// Names are never given twice, but an upstream that was taken for gone may be listed again.
+    /// An upstream that was taken for gone may be listed again.
     Gone,
 }
 
@@ -89,17 +94,29 @@
         self.contact.has_failed = true;
     }
 
-    /// An entry was written.
-    pub fn add(&mut self, upstream: Upstream) -> Option<Change> {
+    /// An entry was written. Where it is of another start than before, the one before is gone.
+    pub fn add(&mut self, upstream: Upstream) -> Changes {
+        let mut changes = Changes::new();
         let instance = upstream.instance.clone();
+        let before = self.starts.insert(upstream.name.clone(), instance.clone());
+        if let Some(before) = before.filter(|it| *it != instance)
+            && let Some(State::Listed(_) | State::Missing(_)) =
+                self.known.insert(before.clone(), State::Gone)
+        {
+            changes.push(Change::Gone(before));
+        }
         let before = self.known.insert(instance, State::Listed(upstream.clone()));
         let is_same =
             matches!(before, Some(State::Listed(before)) if before.leaving == upstream.leaving);
-        (!is_same).then_some(Change::Listed(upstream))
+        if !is_same {
+            changes.push(Change::Listed(upstream));
+        }
+        changes
     }
 
-    /// An entry was taken off the list.
-    pub fn remove(&mut self, instance: &id::Instance, now: Instant) -> Option<Change> {
+    /// The entry of a name was taken off the list.
+    pub fn remove(&mut self, name: &id::Instance, now: Instant) -> Option<Change> {
+        let instance = self.starts.get(name).unwrap_or(name);
         let state = self.known.remove(instance);
         let (state, change) = match state {
             Some(State::Listed(upstream)) if !self.contact.is_settled(now) => (
@@ -130,7 +147,7 @@
             upstream
         });
         let told: Vec<Upstream> = told.collect();
-        changes.extend(told.into_iter().filter_map(|it| self.add(it)));
+        changes.extend(told.into_iter().flat_map(|it| self.add(it)));
         changes
     }
 
@@ -143,18 +160,14 @@
 
     /// The whole list was read: what it does not name was taken off.
     pub fn replace(&mut self, upstreams: Vec<Upstream>, now: Instant) -> Changes {
-        let named = |instance: &id::Instance| upstreams.iter().any(|it| it.instance == *instance);
-        let unnamed: Vec<_> = self
-            .known
-            .keys()
-            .filter(|instance| !named(instance))
-            .cloned()
-            .collect();
+        let named = |name: &id::Instance| upstreams.iter().any(|it| it.name == *name);
+        let names = self.starts.keys();
+        let unnamed: Vec<_> = names.filter(|name| !named(name)).cloned().collect();
         let mut changes: Changes = unnamed
             .iter()
-            .filter_map(|instance| self.remove(instance, now))
+            .filter_map(|name| self.remove(name, now))
             .collect();
-        changes.extend(upstreams.into_iter().filter_map(|it| self.add(it)));
+        changes.extend(upstreams.into_iter().flat_map(|it| self.add(it)));
         changes
     }
 
--- a/crates/tinbank-relay/src/upstream.rs
+++ b/crates/tinbank-relay/src/upstream.rs
@@ -8,8 +8,10 @@
 /// One start of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Upstream {
-    /// Name of this start.
+    /// Name of this start, which no other start has.
     pub instance: id::Instance,
+    /// Name under which it is listed; a later start may be listed under it as well.
+    pub name: id::Instance,
     /// Where it listens.
     pub address: SocketAddr,
     /// Service it runs.
--- a/crates/tinbank-relay/tests/listing.rs
+++ b/crates/tinbank-relay/tests/listing.rs
@@ -20,6 +20,7 @@
 fn upstream(index: u8) -> Upstream {
     Upstream {
         instance: format!("u{index}").into(),
+        name: format!("u{index}").into(),
         address: SocketAddr::from(([10, 0, 1, index], 8000)),
         service: "notes".to_owned(),
         failure_domain: "north".to_owned(),
@@ -231,3 +232,51 @@
     assert_eq!(serving(&told), ["u0"]);
     assert!(told.is_leaving(&"u1".into()));
 }
+
+/// A later start of an upstream.
+fn reborn(index: u8) -> Upstream {
+    Upstream {
+        instance: format!("u{index}@2").into(),
+        ..upstream(index)
+    }
+}
+
+#[test]
+fn an_upstream_that_starts_again_under_its_name_is_another_one() {
+    let now = Instant::now();
+    let mut listing = listing(2, now);
+    listing.leave(&"u0".into());
+
+    let changes = listing.add(reborn(0));
+
+    let gone = Change::Gone("u0".into());
+    assert_eq!(changes.as_slice(), [gone, Change::Listed(reborn(0))]);
+    assert_eq!(serving(&listing), ["u0@2", "u1"]);
+    assert!(listing.is_leaving(&"u0".into()));
+    assert!(!listing.is_leaving(&"u0@2".into()));
+}
+
+#[test]
+fn what_is_taken_off_under_a_name_is_its_last_start() {
+    let now = Instant::now();
+    let mut listing = listing(2, now);
+    listing.add(reborn(0));
+
+    let change = listing.remove(&"u0".into(), now);
+
+    assert_eq!(change, Some(Change::Gone("u0@2".into())));
+    assert_eq!(serving(&listing), ["u1"]);
+}
+
+#[test]
+fn a_whole_list_and_what_another_host_tells_replace_a_start_by_a_later_one() {
+    let now = Instant::now();
+    let (mut read, mut told) = (listing(2, now), listing(2, now));
+    told.leave(&"u0".into());
+
+    read.replace(vec![reborn(0), upstream(1)], now);
+    told.mirror(vec![reborn(0), upstream(1)]);
+
+    assert_eq!(serving(&read), ["u0@2", "u1"]);
+    assert_eq!(serving(&told), ["u0@2", "u1"]);
+}
