Requests that wait for a slot go by rank, a customer's before its route's

Cause: the configuration's priority of routes and customers was not read. Change: among requests that wait at an allocator and can be in time, the higher rank goes first. Kept because operators say so in the configuration; the other way, first come among all ranks, serves all alike. Tests: waiting.rs, red without it.

--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -64,6 +64,8 @@
     pub exclude: SmallVec<[id::Instance; 4]>,
     /// What to do if all slots are in use.
     pub queue: Queue,
+    /// Rank among online requests that wait; 0 is the highest.
+    pub rank: u8,
     /// Whose allowance the request is counted against, unless it was counted before or nobody's is.
     pub meter: Option<Meter>,
 }
--- a/crates/tinbank-allocator/src/waiting.rs
+++ b/crates/tinbank-allocator/src/waiting.rs
@@ -24,14 +24,18 @@
 }
 
 impl Waiter {
-    fn rank(&self) -> (bool, Instant) {
-        rank(&self.ask, self.until)
+    fn place(&self) -> Place {
+        place(&self.ask, self.until)
     }
 }
 
-/// Those that can be in time come first, and among equals those whose time is up first.
-fn rank(ask: &Ask, until: Instant) -> (bool, Instant) {
-    (matches!(ask.queue, Queue::Spare(_)), until)
+/// Where a request stands among those that wait: a late one or not, its rank, and when its time is up.
+type Place = (bool, u8, Instant);
+
+/// Those that can be in time come first, among them those of higher rank, and among equals those whose time is up first. A
+/// late one of high rank stands behind: it would make one late that is not.
+fn place(ask: &Ask, until: Instant) -> Place {
+    (matches!(ask.queue, Queue::Spare(_)), ask.rank, until)
 }
 
 /// All requests that wait, those that get a slot next first.
@@ -46,7 +50,7 @@
             ask,
             until: now + patience,
         };
-        let place = self.0.partition_point(|it| it.rank() <= waiter.rank());
+        let place = self.0.partition_point(|it| it.place() <= waiter.place());
         self.0.insert(place, waiter);
     }
 
@@ -68,9 +72,9 @@
 
     /// How many requests of its service would get a slot before this one.
     pub fn ahead_of(&self, ask: &Ask, patience: Duration, now: Instant) -> usize {
-        let rank = rank(ask, now + patience);
+        let place = place(ask, now + patience);
         let ahead = self.0.iter().filter(|it| it.ask.service == ask.service);
-        ahead.filter(|it| it.rank() <= rank).count()
+        ahead.filter(|it| it.place() <= place).count()
     }
 
     /// The requests that wait, in order.
--- a/crates/tinbank-allocator/tests/frame.rs
+++ b/crates/tinbank-allocator/tests/frame.rs
@@ -15,6 +15,7 @@
         service: "notes".to_owned(),
         exclude: ["u1".into()].into_iter().collect(),
         queue: Queue::Within(195),
+        rank: 1,
         meter: Some(Meter {
             customer: "c1".to_owned(),
             limit: Limit::new(90.0, 90.0).unwrap(),
--- a/crates/tinbank-allocator/tests/load/play.rs
+++ b/crates/tinbank-allocator/tests/load/play.rs
@@ -309,6 +309,7 @@
             service: "notes".to_owned(),
             exclude: Default::default(),
             queue: work.queue.expect("an ask"),
+            rank: 0,
             meter: None,
         };
         let event = Event::Told(
--- a/crates/tinbank-allocator/tests/waiting.rs
+++ b/crates/tinbank-allocator/tests/waiting.rs
@@ -115,3 +115,30 @@
     assert_eq!(desk.served, [waits]);
     assert!(item.is_none());
 }
+
+#[test]
+fn a_request_of_higher_rank_gets_a_slot_first() {
+    let (mut desk, leases) = full(1);
+    desk.rank = 1;
+    let lower = wait(&mut desk, 0, Queue::Within(400));
+    desk.rank = 0;
+    let higher = wait(&mut desk, 1, Queue::Within(450));
+
+    desk.release(0, leases[0], Outcome::Served);
+    desk.release(0, leases[1], Outcome::Served);
+
+    assert_eq!(desk.served, [higher, lower]);
+}
+
+#[test]
+fn a_late_request_of_higher_rank_waits_behind_one_that_can_be_in_time() {
+    let (mut desk, leases) = full(1);
+    let late = wait(&mut desk, 0, Queue::Spare(900));
+    desk.rank = 1;
+    let in_time = wait(&mut desk, 1, Queue::Within(450));
+
+    desk.release(0, leases[0], Outcome::Served);
+    desk.release(0, leases[1], Outcome::Served);
+
+    assert_eq!(desk.served, [in_time, late]);
+}
--- a/crates/tinbank-allocator/tests/world/mod.rs
+++ b/crates/tinbank-allocator/tests/world/mod.rs
@@ -34,6 +34,8 @@
     pub waiting: HashMap<(SocketAddr, Id), Class>,
     /// Requests that were granted a slot after they had waited, in order.
     pub served: Vec<Id>,
+    /// Rank of the requests that are asked for.
+    pub rank: u8,
     held: HashMap<(SocketAddr, Id), (id::Instance, Class)>,
     upstreams: usize,
 }
@@ -72,6 +74,7 @@
             reclaimed: Vec::new(),
             waiting: HashMap::new(),
             served: Vec::new(),
+            rank: 0,
             held: HashMap::new(),
             upstreams: upstreams.into(),
         };
@@ -92,6 +95,7 @@
             service: "notes".to_owned(),
             exclude: Default::default(),
             queue,
+            rank: self.rank,
             meter: None,
         };
         let (out, _) = self.allocator.receive(host(by), Frame::Ask(ask), self.now);
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -179,6 +179,7 @@
             service: &candidate.service,
             exclude: &candidate.avoid,
             queue: Queue::No,
+            rank: 0,
             meter: None,
         };
         let Asked::Granted(lease) = node.sharing.lease(&node, &wanted).await else {
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -79,11 +79,18 @@
         deadline,
         is_first: node.is_first_try(&route, time),
         resume_after: call.resume_after,
+        rank: rank(&caller, &route),
         meter: meter(&caller),
     };
     Online::new(node, route, request, arrival).run().await
 }
 
+/// The rank of a request: its customer's goes before its route's.
+fn rank(caller: &Caller, route: &Route) -> u8 {
+    let of_customer = caller.customer().and_then(|customer| customer.rank);
+    of_customer.unwrap_or(route.rank)
+}
+
 /// Whose allowance a request is counted against.
 fn meter(caller: &Caller) -> Option<Meter> {
     let customer = caller.customer()?;
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -51,6 +51,8 @@
     resume_after: Option<event::Id>,
     /// All slots were in use.
     overloaded: bool,
+    /// Rank among those that wait; 0 is the highest.
+    rank: u8,
     /// Whose allowance it is counted against, until it has been.
     meter: Option<Meter>,
     /// When its customer, which has used up its allowance, may come again.
@@ -76,6 +78,8 @@
     pub is_first: bool,
     /// Event behind which the caller goes on, if it had a part of the answer before.
     pub resume_after: Option<event::Id>,
+    /// Rank among those that wait; 0 is the highest.
+    pub rank: u8,
     /// Whose allowance it is counted against.
     pub meter: Option<Meter>,
 }
@@ -102,6 +106,7 @@
             began_at: None,
             resume_after: arrival.resume_after,
             overloaded: false,
+            rank: arrival.rank,
             meter: arrival.meter,
             over_limit: None,
             ended: false,
@@ -183,6 +188,7 @@
             service,
             exclude: self.attempts.tried(),
             queue,
+            rank: self.rank,
             meter: self.meter.as_ref(),
         };
         match self.node.sharing.lease(&self.node, &wanted).await {
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -87,6 +87,8 @@
     pub exclude: &'a [id::Instance],
     /// Whether an online request may wait inside an upstream.
     pub queue: Queue,
+    /// Rank among online requests that wait; 0 is the highest.
+    pub rank: u8,
     /// Whose allowance it is counted against, unless it was counted before.
     pub meter: Option<&'a Meter>,
 }
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -135,6 +135,7 @@
             service: wanted.service.to_owned(),
             exclude,
             queue,
+            rank: wanted.rank,
             meter: wanted.meter.cloned(),
         };
         let mut pending = Pending::send(self, allocator, ask);
--- a/crates/tinbank-gateway/src/sharing/ask/tests.rs
+++ b/crates/tinbank-gateway/src/sharing/ask/tests.rs
@@ -109,6 +109,7 @@
             service: "notes",
             exclude: &[],
             queue,
+            rank: 0,
             meter: None,
         };
         sharing.ask_once(&wanted, "north", queue).await
