--- a/crates/tinbank-entry/tests/soak/caller.rs
+++ b/crates/tinbank-entry/tests/soak/caller.rs
@@ -29,9 +29,44 @@
 pub struct Stream {
     pub id: String,
     pub resumable: bool,
+    pub by: By,
     pub got: Option<Got>,
 }
 
+/// Who asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum By {
+    /// Somebody without a key, on an open route.
+    Nobody,
+    /// A customer that sends less than it may.
+    Cool,
+    /// A customer that sends many times its limit.
+    Hot,
+    /// Somebody with a key that no customer ever had.
+    Stranger,
+}
+
+impl By {
+    /// The key that it sends.
+    fn key(self) -> Option<&'static str> {
+        match self {
+            Self::Nobody => None,
+            Self::Cool => Some("key-of-cool"),
+            Self::Hot => Some("key-of-hot"),
+            Self::Stranger => Some("key-of-nobody"),
+        }
+    }
+
+    /// The customer that upstreams may be told.
+    pub fn customer(self) -> Option<&'static str> {
+        match self {
+            Self::Cool => Some("cool"),
+            Self::Hot => Some("hot"),
+            Self::Nobody | Self::Stranger => None,
+        }
+    }
+}
+
 /// A job that was submitted.
 #[derive(Clone, Default)]
 pub struct Job {
@@ -111,6 +146,10 @@
         let caller = Caller::new(&seen, &hosts, &numbers, &mut random);
         tasks.push(task::spawn_local(caller.reads(until)));
     }
+    for by in [By::Cool, By::Hot, By::Hot, By::Stranger] {
+        let caller = Caller::new(&seen, &hosts, &numbers, &mut random);
+        tasks.push(task::spawn_local(caller.keyed(by, until)));
+    }
     Callers { seen, tasks }
 }
 
@@ -161,14 +200,33 @@
             };
             let asked = client::try_stream(self.host(), path, &id);
             let got = time::timeout(PATIENCE, asked).await.ok().flatten();
-            self.seen
-                .streams
-                .borrow_mut()
-                .push(Stream { id, resumable, got });
+            self.seen.streams.borrow_mut().push(Stream {
+                id,
+                resumable,
+                by: By::Nobody,
+                got,
+            });
             self.pause(60).await;
         }
     }
 
+    async fn keyed(mut self, by: By, until: Instant) {
+        let key = by.key().unwrap_or_default();
+        let most_ms = if by == By::Hot { 20 } else { 120 };
+        while Instant::now() < until {
+            let id = format!("k{}", self.number());
+            let asked = client::try_stream_as(self.host(), "/keyed/x", &id, key);
+            let got = time::timeout(PATIENCE, asked).await.ok().flatten();
+            self.seen.streams.borrow_mut().push(Stream {
+                id,
+                resumable: true,
+                by,
+                got,
+            });
+            self.pause(most_ms).await;
+        }
+    }
+
     async fn jobs(mut self, until: Instant) {
         while Instant::now() < until {
             let id = format!("j{}", self.number());
--- a/crates/tinbank-entry/tests/soak/deployment.rs
+++ b/crates/tinbank-entry/tests/soak/deployment.rs
@@ -148,7 +148,7 @@
             "listen": {"callers": callers, "readiness": readiness, "peers": udp.local_addr().unwrap()},
             "store": {"address": store, "partitions": PARTITIONS, "record_bytes": 1024, "call_bytes": 65536,
                 "least_member_ttl_ms": 1000},
-            "grace_s": GRACE.as_secs(), "balancer_s": 0.5, "job_readable_s": 120,
+            "grace_s": GRACE.as_secs(), "balancer_s": 0.5, "allowance": {"window_s": 5, "overshoot": 0.1, "slack": 20}, "job_readable_s": 120,
         });
         let path = folder.join(format!("host-{index}.jsonc"));
         fs::write(&path, settings.to_string()).unwrap();
@@ -237,5 +237,17 @@
         // Engines fail at random here, which must not make an item count as one that always fails.
         route("batch", "batch", 1000, false),
     ];
-    store::manifest(version, &routes)
+    let mut manifest = store::manifest(version, &routes);
+    let routes = manifest["routes"].as_array_mut().unwrap();
+    let mut keyed = routes[1].clone();
+    routes
+        .iter_mut()
+        .for_each(|route| route["allow_anonymous"] = json!(true));
+    keyed["name"] = json!("keyed");
+    keyed["path_prefix"] = json!("/keyed/");
+    routes.push(keyed);
+    manifest["tenants"] = json!([
+        {"name": "cool", "api_keys": ["key-of-cool"], "priority": 0, "rate_per_s": 100, "burst": 100},
+        {"name": "hot", "api_keys": ["key-of-hot"], "priority": 1, "rate_per_s": 2, "burst": 2}]);
+    manifest
 }
--- a/crates/tinbank-entry/tests/soak/promises.rs
+++ b/crates/tinbank-entry/tests/soak/promises.rs
@@ -6,7 +6,7 @@
 use tokio::time::{self, Instant};
 
 use crate::{
-    caller::{Job, Seen, Stream},
+    caller::{By, Job, Seen, Stream},
     deployment::Deployment,
     standin::{
         client,
@@ -19,6 +19,11 @@
 /// After the acknowledged end of a job nothing of it may begin once this has passed.
 const CANCELLED: Duration = Duration::from_secs(3);
 
+/// Windows in which limits are counted.
+const WINDOW: Duration = Duration::from_secs(5);
+/// What the hot customer may have in a window: two a second and two on top, a tenth more, and 20.
+const MOST_IN_WINDOW: usize = 33;
+
 /// A run, and the engine that it was at.
 struct Ran {
     engine: String,
@@ -30,7 +35,9 @@
     let mut broken = Vec::new();
     for stream in seen.streams.borrow().iter() {
         broken.extend(stream_broken(deployment, stream));
+        broken.extend(customer_broken(deployment, stream));
     }
+    broken.extend(limit_broken(deployment, seen));
     let jobs = seen.jobs.borrow().clone();
     let until = Instant::now() + FINISH;
     for (id, job) in &jobs {
@@ -69,6 +76,44 @@
     runs.collect()
 }
 
+/// Whether upstreams were told whose request it is, and nothing else of it.
+fn customer_broken(deployment: &Deployment, stream: &Stream) -> Option<String> {
+    let (id, by) = (&stream.id, stream.by);
+    let runs = runs(deployment, id);
+    if by == By::Stranger && !runs.is_empty() {
+        return Some(format!("{id} has the key of nobody, and ran"));
+    }
+    let wrong = runs
+        .iter()
+        .find(|ran| ran.run.has_key || ran.run.customer.as_deref() != by.customer())?;
+    let run = &wrong.run;
+    Some(format!(
+        "{id} of {by:?} ran for {:?}, key {}",
+        run.customer, run.has_key
+    ))
+}
+
+/// Whether the customer that sends many times its limit had more of it than it may, in any window.
+fn limit_broken(deployment: &Deployment, seen: &Seen) -> Option<String> {
+    let streams = seen.streams.borrow();
+    let hot = streams.iter().filter(|stream| stream.by == By::Hot);
+    // Attempts of one request are one request.
+    let first = hot.filter_map(|stream| {
+        let runs = runs(deployment, &stream.id);
+        runs.iter().map(|ran| ran.run.at).min()
+    });
+    let mut at: Vec<Instant> = first.collect();
+    at.sort();
+    let within = |from: &Instant| {
+        at.iter()
+            .filter(|it| *it >= from && **it < *from + WINDOW)
+            .count()
+    };
+    let most = at.iter().map(within).max().unwrap_or_default();
+    (most > MOST_IN_WINDOW)
+        .then(|| format!("a customer had {most} requests of {MOST_IN_WINDOW} in a window"))
+}
+
 fn stream_broken(deployment: &Deployment, stream: &Stream) -> Option<String> {
     let id = &stream.id;
     let runs = runs(deployment, id);
