--- a/crates/tinbank-customer/tests/customers.rs
+++ b/crates/tinbank-customer/tests/customers.rs
@@ -1,6 +1,6 @@
 //! Whose key a request carries.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Instant};
 
 use tinbank_allowance::Limit;
 use tinbank_customer::{Caller, Customer, Customers, Key, Refusal, identify};
@@ -79,3 +79,37 @@
     assert!(printed.contains("Key(..)"));
     assert!(!told.windows(8).any(|it| it == b"wyy7yx5x"));
 }
+
+/// Prints what many customers cost: `cargo test --release -p tinbank-customer --test customers -- --ignored --nocapture`.
+#[test]
+#[ignore = "prints measurements"]
+fn thirteen_thousand_customers_measured() {
+    let keys: Vec<String> = (0..26_000)
+        .map(|index| format!("wyy7yx5x42q492c{index:05}"))
+        .collect();
+    let named = |index: usize| {
+        let own = [&*keys[2 * index], &*keys[2 * index + 1]];
+        customer(&format!("customer-{index}"), &own)
+    };
+    let all: Vec<_> = (0..13_000).map(named).collect();
+
+    let began = Instant::now();
+    let customers = Customers::from(all);
+    let taken_in = began.elapsed();
+    let bytes = postcard::to_stdvec(&customers).unwrap();
+    let began = Instant::now();
+    let told: Customers = postcard::from_bytes(&bytes).unwrap();
+    let told_in = began.elapsed();
+    let began = Instant::now();
+    let found = keys.iter().filter(|key| {
+        let key = Key::of(key.as_bytes());
+        identify(Some(&told), Some(&key), false).is_ok()
+    });
+    let found = found.count();
+    let each = began.elapsed() / 26_000;
+
+    println!(
+        "taken in {taken_in:?}, told in {} bytes, {told_in:?}, a request {each:?}, {found} found",
+        bytes.len()
+    );
+}
