--- a/crates/tinbank-entry/tests/soak/caller.rs
+++ b/crates/tinbank-entry/tests/soak/caller.rs
@@ -47,13 +47,13 @@
 }
 
 impl By {
-    /// The key that it sends.
+    /// The key that it sends; that of a customer is its name here.
     fn key(self) -> Option<&'static str> {
         match self {
             Self::Nobody => None,
-            Self::Cool => Some("key-of-cool"),
-            Self::Hot => Some("key-of-hot"),
-            Self::Stranger => Some("key-of-nobody"),
+            Self::Cool => Some("cool"),
+            Self::Hot => Some("hot"),
+            Self::Stranger => Some("stranger"),
         }
     }
 
--- a/crates/tinbank-entry/tests/soak/deployment.rs
+++ b/crates/tinbank-entry/tests/soak/deployment.rs
@@ -20,7 +20,7 @@
         client,
         engine::{self, Engine},
         own_address,
-        store::{self, PARTITIONS, Route, Store},
+        store::{self, Customer, PARTITIONS, Route, Store},
     },
 };
 
@@ -234,20 +234,15 @@
     let routes = [
         route("plain", "streaming", 1, false),
         route("resumable", "streaming", 2, true),
+        route("keyed", "streaming", 2, true),
         // Engines fail at random here, which must not make an item count as one that always fails.
         route("batch", "batch", 1000, false),
     ];
-    let mut manifest = store::manifest(version, &routes);
-    let routes = manifest["routes"].as_array_mut().unwrap();
-    let mut keyed = routes[1].clone();
-    routes
-        .iter_mut()
-        .for_each(|route| route["allow_anonymous"] = json!(true));
-    keyed["name"] = json!("keyed");
-    keyed["path_prefix"] = json!("/keyed/");
-    routes.push(keyed);
-    manifest["tenants"] = json!([
-        {"name": "cool", "api_keys": ["key-of-cool"], "priority": 0, "rate_per_s": 100, "burst": 100},
-        {"name": "hot", "api_keys": ["key-of-hot"], "priority": 1, "rate_per_s": 2, "burst": 2}]);
-    manifest
+    let customers = [("cool", 100), ("hot", 2)].map(|(name, rate)| Customer {
+        name,
+        key: name,
+        rate,
+    });
+    let manifest = store::manifest(version, &routes);
+    store::with_customers(manifest, &customers, &["plain", "resumable", "batch"])
 }
