--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -3,6 +3,7 @@
 
 mod ask;
 mod counts;
+mod held;
 mod peers;
 mod pending;
 mod survey;
@@ -12,7 +13,6 @@
     collections::{HashMap, HashSet},
     hash::{Hash, Hasher},
     net::SocketAddr,
-    rc::Rc,
     time::{Duration, Instant},
 };
 
@@ -23,8 +23,8 @@
     allocator::{HEARTBEAT, Upstream},
     avoidance::Avoidance,
     directory::Peer,
-    frame::{Alive, Frame, Grant, Meter, Queue, Release, Verdict},
-    lease::{self, Class, Outcome},
+    frame::{Alive, Frame, Meter, Queue, Verdict},
+    lease::{self, Class},
 };
 use tinbank_allowance::{Part, Tolerance};
 use tinbank_base::id;
@@ -36,6 +36,7 @@
 
 pub(crate) use self::{
     counts::tell_counts,
+    held::Lease,
     peers::{heartbeat, receive},
     survey::survey,
 };
@@ -59,7 +60,7 @@
     allocator: Allocator,
     directory: Directory,
     asks: HashMap<lease::Id, mpsc::UnboundedSender<Verdict>>,
-    held: HashMap<lease::Id, Holding>,
+    held: HashMap<lease::Id, held::Holding>,
     /// Allocators that were sent a heartbeat and have not answered.
     unheard: HashSet<SocketAddr>,
     avoidance: Avoidance,
@@ -71,13 +72,6 @@
     part: Part,
 }
 
-struct Holding {
-    upstream: id::Instance,
-    failure_domain: id::FailureDomain,
-    class: Class,
-    reclaimed: Rc<Notify>,
-}
-
 /// What a slot is asked for.
 #[derive(Clone, Debug)]
 pub(crate) struct Wanted<'a> {
@@ -105,49 +99,6 @@
     Nobody,
 }
 
-/// The right to have one request at one upstream. It ends when it is dropped.
-pub(crate) struct Lease {
-    pub upstream: id::Instance,
-    pub address: SocketAddr,
-    /// All slots of the upstream were in use, so the request waits inside it at first.
-    pub queued: bool,
-    sharing: Rc<Sharing>,
-    id: lease::Id,
-    allocator: Option<SocketAddr>,
-    reclaimed: Rc<Notify>,
-    outcome: Cell<Outcome>,
-}
-
-impl Lease {
-    /// Waits until the allocator takes the slot back.
-    pub async fn reclaimed(&self) {
-        self.reclaimed.notified().await;
-    }
-
-    /// The allocator that granted it, for logs.
-    pub fn chosen_by(&self) -> String {
-        self.allocator
-            .map_or_else(|| "none".to_owned(), |allocator| allocator.to_string())
-    }
-
-    /// How long the upstream may take for a round trip at least: it is as far away as the allocator of its failure domain.
-    pub fn patience(&self) -> Duration {
-        let allocator = self.allocator;
-        allocator.map_or(Duration::ZERO, |host| self.sharing.patience(host))
-    }
-
-    /// Says how the request ended.
-    pub fn end(&self, outcome: Outcome) {
-        self.outcome.set(outcome);
-    }
-}
-
-impl Drop for Lease {
-    fn drop(&mut self) {
-        self.sharing.release(self);
-    }
-}
-
 impl Sharing {
     /// Takes datagrams at the address of `own`.
     pub async fn bind(own: Peer, seed: u64, tolerance: Tolerance) -> std::io::Result<Self> {
@@ -296,52 +247,6 @@
         self.state.borrow().allocator.needs_reports(now)
     }
 
-    fn hold(
-        self: &Rc<Self>,
-        id: lease::Id,
-        class: Class,
-        domain: &str,
-        allocator: Option<SocketAddr>,
-        grant: Grant,
-    ) -> Lease {
-        let reclaimed = Rc::new(Notify::new());
-        let holding = Holding {
-            upstream: grant.upstream.clone(),
-            failure_domain: domain.to_owned(),
-            class,
-            reclaimed: Rc::clone(&reclaimed),
-        };
-        self.state.borrow_mut().held.insert(id, holding);
-        Lease {
-            upstream: grant.upstream,
-            address: grant.address,
-            queued: grant.queued,
-            sharing: Rc::clone(self),
-            id,
-            allocator,
-            reclaimed,
-            outcome: Cell::new(Outcome::Unused),
-        }
-    }
-
-    fn release(&self, lease: &Lease) {
-        let outcome = lease.outcome.get();
-        let now = Instant::now();
-        let mut state = self.state.borrow_mut();
-        state.held.remove(&lease.id);
-        state.avoidance.note(&lease.upstream, outcome, now);
-        drop(state);
-        let Some(allocator) = lease.allocator else {
-            return;
-        };
-        let release = Release {
-            lease: lease.id,
-            upstream: lease.upstream.clone(),
-            outcome,
-        };
-        self.send(allocator, &Frame::Release(release));
-    }
-
     fn avoided(&self, now: Instant) -> SmallVec<[id::Instance; 4]> {
         self.state.borrow_mut().avoidance.upstreams(now)
     }
