--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -9,7 +9,7 @@
 };
 
 use smallvec::SmallVec;
-use tinbank_allowance::{Counter, Counts, Reach, Told, Tolerance};
+use tinbank_allowance::{Counter, Counts, Reach, Tolerance};
 use tinbank_base::id;
 
 use crate::{
@@ -148,12 +148,7 @@
                 change
             }
             Frame::Counts(counts) => {
-                let told = Told {
-                    heard: counts.heard as usize,
-                    known: counts.known as usize,
-                    at: now,
-                };
-                self.reach.told(from, told);
+                self.reach.told(from, &counts, now);
                 self.counter.told(from, counts, now);
                 None
             }
@@ -234,6 +229,11 @@
         }
     }
 
+    /// Hosts that have told this one their counts at most `age` ago.
+    pub fn tellers(&self, age: Duration, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        self.reach.tellers(age, now)
+    }
+
     fn is_asked(&self, now: Instant) -> bool {
         self.heard_at.is_some_and(|at| now < at + ASKED_TIME)
     }
--- a/crates/tinbank-allowance/src/lib.rs
+++ b/crates/tinbank-allowance/src/lib.rs
@@ -15,4 +15,4 @@
 pub use counts::Counts;
 pub use limit::{Limit, Tolerance};
 pub use part::Part;
-pub use reach::{Reach, Told};
+pub use reach::Reach;
--- a/crates/tinbank-allowance/src/reach.rs
+++ b/crates/tinbank-allowance/src/reach.rs
@@ -11,6 +11,8 @@
     time::{Duration, Instant},
 };
 
+use crate::counts::Counts;
+
 /// A host that was heard this long ago may be cut off. Source: hosts are heard each second at least, and a request or two in
 /// that time; until a host counts as silent, its part is given out twice, and each second of that costs a limit of 94 a second
 /// with 16 of 61 hosts cut off 25 requests of the 76 by which it may be exceeded.
@@ -45,13 +47,13 @@
 
 /// What another counter says of the hosts that it hears.
 #[derive(Clone, Copy, Debug)]
-pub struct Told {
+struct Told {
     /// Hosts that it hears.
-    pub heard: usize,
+    heard: usize,
     /// Hosts that it hears, or has heard a while ago.
-    pub known: usize,
+    known: usize,
     /// When it said so.
-    pub at: Instant,
+    at: Instant,
 }
 
 impl Told {
@@ -78,10 +80,24 @@
     }
 
     /// Takes in what another counter says. The two hear each other, so what they give out is one count.
-    pub fn told(&mut self, from: SocketAddr, told: Told) {
+    pub fn told(&mut self, from: SocketAddr, counts: &Counts, now: Instant) {
+        let told = Told {
+            heard: counts.heard as usize,
+            known: counts.known as usize,
+            at: now,
+        };
         self.told.insert(from, told);
     }
 
+    /// Counters that have told what they let in at most `age` ago. Those of the last second and a half are kept.
+    pub fn tellers(&self, age: Duration, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        let told = self
+            .told
+            .iter()
+            .filter(move |(_, told)| now < told.at + age);
+        told.map(|(from, _)| *from)
+    }
+
     /// True if another counter has told what it let in a moment ago, so what is known of customers is not old.
     pub fn is_told(&self, now: Instant) -> bool {
         self.told.values().any(|told| told.is_fresh(now))
--- a/crates/tinbank-allowance/tests/fleet/play.rs
+++ b/crates/tinbank-allowance/tests/fleet/play.rs
@@ -7,7 +7,7 @@
 };
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use tinbank_allowance::{Counter, Counts, Limit, Reach, Told, Tolerance, counter::Verdict};
+use tinbank_allowance::{Counter, Counts, Limit, Reach, Tolerance, counter::Verdict};
 
 const CUSTOMER: &str = "c";
 /// How long the counters have known of all before a play.
@@ -521,12 +521,7 @@
         while self.messages.front().is_some_and(|(at, ..)| *at <= step) {
             if let Some((_, to, from, counts)) = self.messages.pop_front() {
                 let desk = &mut self.desks[to];
-                let told = Told {
-                    heard: counts.heard as usize,
-                    known: counts.known as usize,
-                    at: now,
-                };
-                desk.reach.told(from, told);
+                desk.reach.told(from, &counts, now);
                 desk.counter.told(from, counts, now);
             }
         }
--- a/crates/tinbank-customer/src/customers.rs
+++ b/crates/tinbank-customer/src/customers.rs
@@ -36,16 +36,6 @@
         let index = self.by_key.get(key)?;
         self.all.get(*index)
     }
-
-    /// Number of customers.
-    pub fn len(&self) -> usize {
-        self.all.len()
-    }
-
-    /// True if there is no customer.
-    pub fn is_empty(&self) -> bool {
-        self.all.is_empty()
-    }
 }
 
 impl From<Vec<Rc<Customer>>> for Customers {
--- a/crates/tinbank-entry/tests/soak/deployment.rs
+++ b/crates/tinbank-entry/tests/soak/deployment.rs
@@ -238,11 +238,8 @@
         // Engines fail at random here, which must not make an item count as one that always fails.
         route("batch", "batch", 1000, false),
     ];
-    let customers = [("cool", 100), ("hot", 2)].map(|(name, rate)| Customer {
-        name,
-        key: name,
-        rate,
-    });
+    let customers = [("cool", &["cool"], 100), ("hot", &["hot"], 2)];
+    let customers = customers.map(|(name, keys, rate)| Customer { name, keys, rate });
     let manifest = store::manifest(version, &routes);
     store::with_customers(manifest, &customers, &["plain", "resumable", "batch"])
 }
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -66,8 +66,6 @@
     avoidance: Avoidance,
     /// Allocators that said that they reach the store, and when.
     with_store: HashMap<SocketAddr, Instant>,
-    /// Hosts that told what they let in of customers, and when.
-    tellers: HashMap<SocketAddr, Instant>,
     /// What this host lets in of customers while it reaches no allocator.
     part: Part,
 }
@@ -111,7 +109,6 @@
             unheard: HashSet::new(),
             avoidance: Avoidance::default(),
             with_store: HashMap::new(),
-            tellers: HashMap::new(),
             part: Part::new(seed, tolerance),
         };
         // Lease numbers of a later start are larger, so that its holdings end the leases of an earlier one.
--- a/crates/tinbank-gateway/src/sharing/counts.rs
+++ b/crates/tinbank-gateway/src/sharing/counts.rs
@@ -32,9 +32,8 @@
         let Some(counts) = state.allocator.counts(now) else {
             return;
         };
-        state.tellers.retain(|_, at| now < *at + TELLER_AGE);
         let mut others = state.directory.counters(now);
-        others.extend(state.tellers.keys().copied());
+        others.extend(state.allocator.tellers(TELLER_AGE, now));
         drop(state);
         others.sort();
         others.dedup();
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -45,9 +45,6 @@
             }
             asked => {
                 let mut state = self.state.borrow_mut();
-                if matches!(asked, Frame::Counts(_)) {
-                    state.tellers.insert(from, now);
-                }
                 state.allocator.announce(self.alive(now));
                 let (out, change) = state.allocator.receive(from, asked, now);
                 drop(state);
