Sight: which requests are the same one, and whether an upstream that broke off has ended

Logs could not tell the hypotheses of the incident apart. Requests now have a fingerprint of their content, and a host that loses a connection to an upstream before the answer is whole looks whether anybody still listens there; one line says what it found and which contents were cut. No decision uses it yet.

--- a/crates/tinbank-gateway/src/batch/item.rs
+++ b/crates/tinbank-gateway/src/batch/item.rs
@@ -2,12 +2,12 @@
 
 use std::{
     cell::RefCell,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tinbank_allocator::lease::Outcome;
 use tinbank_jobs::record::{Piece, RunId, Stored};
 use tinbank_relay::event::{self, Event, Splitter};
@@ -16,7 +16,10 @@
 use crate::{
     border::engine::{Request, Verdict},
     node::Node,
-    relay::attempt::{self, Opened},
+    relay::{
+        answer::Answer,
+        attempt::{self, Opened},
+    },
     sharing::Lease,
 };
 
@@ -120,9 +123,9 @@
 
 /// Runs an item from where it stopped.
 pub(super) async fn run(
-    node: &Node,
+    node: &Rc<Node>,
     lease: Lease,
-    request: &Request,
+    request: &Rc<Request>,
     progress: &RefCell<Progress>,
 ) -> Ended {
     let now = Instant::now();
@@ -164,12 +167,15 @@
     ended
 }
 
-async fn read(mut body: Incoming, progress: &RefCell<Progress>) -> (Ended, Outcome) {
+async fn read(mut body: Answer, progress: &RefCell<Progress>) -> (Ended, Outcome) {
     let mut splitter = Splitter::default();
     loop {
         let frame = match time::timeout(SILENCE, body.frame()).await {
             Err(_) => return (Ended::Broken, Outcome::Silent),
-            Ok(None) if splitter.is_partial() => return (Ended::Broken, Outcome::Failed),
+            Ok(None) if splitter.is_partial() => {
+                body.cut();
+                return (Ended::Broken, Outcome::Failed);
+            }
             Ok(None) => return (Ended::Completed, Outcome::Served),
             Ok(Some(Err(_))) => return (Ended::Broken, Outcome::Failed),
             Ok(Some(Ok(frame))) => frame,
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -253,7 +253,7 @@
         paused,
         run,
     };
-    task::spawn_local(task.run(lease, request));
+    task::spawn_local(task.run(lease, Rc::new(request)));
 }
 
 /// One run of an item, from its slot to its record.
@@ -267,7 +267,7 @@
 }
 
 impl Task {
-    async fn run(mut self, lease: Lease, request: Request) {
+    async fn run(mut self, lease: Lease, request: Rc<Request>) {
         let upstream = lease.upstream.clone();
         let number = self.node.batch.runner.new_run();
         let after = self.paused.last;
--- a/crates/tinbank-gateway/src/border/engine.rs
+++ b/crates/tinbank-gateway/src/border/engine.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method};
+use http::{HeaderMap, HeaderValue, Method, header};
 use http_body_util::Full;
+use tinbank_base::id;
 use tinbank_customer::Caller;
-use tinbank_jobs::record::Content;
+use tinbank_jobs::record;
+use tinbank_quarantine::{Content, Fingerprint};
 use tinbank_relay::event;
 
 /// A request as it came; each attempt sends it on.
@@ -14,6 +16,8 @@
 pub struct Request {
     /// Name of the request, which an upstream repeats in its answer.
     pub id: String,
+    /// Its customer, if it is a customer's.
+    pub customer: Option<id::Customer>,
     /// Its method.
     pub method: Method,
     /// Path and query.
@@ -24,6 +28,21 @@
     pub body: Bytes,
 }
 
+impl Request {
+    /// What the request has in common with those that are the same one under other ids.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let host = self.headers.get(header::HOST);
+        let content = Content {
+            customer: self.customer.as_deref(),
+            method: self.method.as_str(),
+            host: host.map_or(&[], HeaderValue::as_bytes),
+            target: &self.target,
+            body: &self.body,
+        };
+        content.fingerprint()
+    }
+}
+
 /// Who sends a request, as upstreams are told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sender<'a> {
@@ -35,6 +54,16 @@
     Customer(&'a str),
 }
 
+impl Sender<'_> {
+    /// The customer, if it is one.
+    pub fn customer(self) -> Option<id::Customer> {
+        match self {
+            Self::Unchecked | Self::Anonymous => None,
+            Self::Customer(name) => Some(name.to_owned()),
+        }
+    }
+}
+
 impl<'a> From<&'a Caller> for Sender<'a> {
     fn from(caller: &'a Caller) -> Self {
         match caller {
@@ -57,7 +86,7 @@
     /// Path that it is sent to.
     pub path: &'a str,
     /// What it is sent with.
-    pub content: &'a Content,
+    pub content: &'a record::Content,
 }
 
 /// What is particular to one attempt.
--- a/crates/tinbank-gateway/src/exchange.rs
+++ b/crates/tinbank-gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 //! request. A new connection costs a round trip. See `docs/design/users-platform.md`.
 
 use std::{
+    io::ErrorKind,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -92,6 +93,37 @@
     Ok(stream)
 }
 
+/// What a look at an address found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// Somebody listens there.
+    Listening,
+    /// Nobody does: the process there has ended.
+    Ended,
+    /// There is no answer: it may be cut off, or without power.
+    Silent,
+}
+
+impl Found {
+    /// The name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Listening => "listening",
+            Self::Ended => "ended",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+/// Looks whether somebody listens at an address, by a connection that carries nothing.
+pub async fn look(address: SocketAddr, patience: Duration) -> Found {
+    match time::timeout(patience, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Found::Listening,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Found::Ended,
+        Ok(Err(_)) | Err(_) => Found::Silent,
+    }
+}
+
 /// Sets what both sides of the process want of a connection.
 pub fn tune(stream: &TcpStream) {
     if let Err(error) = stream.set_nodelay(true) {
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -59,6 +59,11 @@
     metrics::histogram!("tinbank_entry_ask_seconds").record(took);
 }
 
+/// An upstream broke off a connection, and a look at its address found something.
+pub(crate) fn upstream_broke_off(found: &'static str) {
+    metrics::counter!("tinbank_entry_broken_upstreams_total", "found" => found).increment(1);
+}
+
 /// A batch item left its upstream.
 pub(crate) fn item_left(ended: &'static str) {
     metrics::counter!("tinbank_entry_item_runs_total", "ended" => ended).increment(1);
--- a/crates/tinbank-gateway/src/node.rs
+++ b/crates/tinbank-gateway/src/node.rs
@@ -14,6 +14,7 @@
     batch::Batch,
     border::{engine::Engine, ingress::Ingress, store::Store},
     feed::Feed,
+    quarantine::Quarantine,
     retry::Retry,
     settings::Settings,
     sharing::Sharing,
@@ -32,6 +33,7 @@
     pub sharing: Rc<Sharing>,
     pub feed: Feed,
     pub retry: Rc<Retry>,
+    pub quarantine: Quarantine,
     pub batch: Batch,
     pub stop: Stop,
     draws: Cell<u64>,
@@ -61,6 +63,7 @@
         let watched = Watched::new(store, Rc::clone(&retry));
         Self {
             feed: Feed::default(),
+            quarantine: Quarantine::default(),
             retry,
             store: Rc::new(watched),
             batch: Batch::new(),
--- /dev/null
+++ b/crates/tinbank-gateway/src/quarantine.rs
@@ -0,0 +1,73 @@
+//! Finds out whether an upstream that broke off a connection has ended, and under which requests.
+//!
+//! An upstream that ends closes its connections, and so do resets on the way and upstreams that give an answer up. Only the
+//! first one refuses new connections, so the address is asked for one.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use smallvec::SmallVec;
+use tinbank_base::id;
+use tinbank_quarantine::{Fingerprint, fingerprint::short};
+use tokio::{task, time};
+
+use crate::{
+    exchange::{self, Found},
+    measure,
+    node::Node,
+};
+
+/// Time from a break to the first look. Source: a process that ends closes its connections one by one, within milliseconds; the
+/// other requests that it had break meanwhile, so that one look serves all of them.
+const SETTLE: Duration = Duration::from_millis(30);
+/// How long an address may take to answer one look. Source: a round trip between failure domains, and a host that is busy.
+const LOOK: Duration = Duration::from_millis(300);
+/// Looks at an address that does not answer. Source: one packet in forty is lost on bad links; an upstream that has ended is
+/// back after seconds, and would be taken for one that lives then.
+const LOOKS: usize = 3;
+
+/// What this host knows of requests that end upstreams.
+#[derive(Default)]
+pub(crate) struct Quarantine {
+    /// Requests of upstreams that broke off and are being looked at.
+    broken: RefCell<HashMap<id::Instance, Broken>>,
+}
+
+/// Requests whose connections an upstream broke off.
+type Broken = SmallVec<[Fingerprint; 8]>;
+
+/// An upstream broke off the connection of a request.
+pub(crate) fn broken(
+    node: &Rc<Node>,
+    upstream: &id::Instance,
+    address: SocketAddr,
+    request: Fingerprint,
+) {
+    let mut broken = node.quarantine.broken.borrow_mut();
+    let is_new = !broken.contains_key(upstream);
+    broken.entry(upstream.clone()).or_default().push(request);
+    if is_new {
+        task::spawn_local(look(Rc::clone(node), upstream.clone(), address));
+    }
+}
+
+/// Looks whether an upstream has ended.
+async fn look(node: Rc<Node>, upstream: id::Instance, address: SocketAddr) {
+    time::sleep(SETTLE).await;
+    let found = find(address).await;
+    let requests = node.quarantine.broken.borrow_mut().remove(&upstream);
+    let requests = requests.unwrap_or_default();
+    measure::upstream_broke_off(found.name());
+    let names: Vec<String> = requests.iter().map(|it| short(*it)).collect();
+    log::warn!(upstream:%, found = found.name(), contents:% = names.join(","); "upstream broke off");
+}
+
+async fn find(address: SocketAddr) -> Found {
+    let mut found = Found::Silent;
+    for _ in 0..LOOKS {
+        found = exchange::look(address, LOOK).await;
+        if found != Found::Silent {
+            break;
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/tinbank-gateway/src/relay/answer.rs
@@ -0,0 +1,72 @@
+//! The body of an upstream's answer, which says so when the upstream breaks it off.
+
+use std::{
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use tinbank_base::id;
+
+use crate::{border::engine::Request, node::Node, quarantine};
+
+/// A request under way at an upstream.
+pub(crate) struct Witness {
+    pub node: Rc<Node>,
+    pub request: Rc<Request>,
+    pub upstream: id::Instance,
+    pub address: SocketAddr,
+}
+
+impl Witness {
+    /// The upstream closed the connection before the answer was whole. It may have ended, perhaps by this request.
+    pub fn broken(&self) {
+        let request = self.request.fingerprint();
+        quarantine::broken(&self.node, &self.upstream, self.address, request);
+    }
+}
+
+/// The body of an answer. Whoever reads it need not care for what a break means for other requests.
+pub(crate) struct Answer {
+    body: Incoming,
+    witness: Witness,
+}
+
+impl Answer {
+    pub fn new(body: Incoming, witness: Witness) -> Self {
+        Self { body, witness }
+    }
+
+    /// The body has ended within an event. Where it has no length, that is how an upstream's end shows.
+    pub fn cut(&self) {
+        self.witness.broken();
+    }
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if let Poll::Ready(Some(Err(_))) = polled {
+            self.witness.broken();
+        }
+        polled
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+}
--- a/crates/tinbank-gateway/src/relay/attempt.rs
+++ b/crates/tinbank-gateway/src/relay/attempt.rs
@@ -1,12 +1,15 @@
 //! One attempt at an upstream, for online requests and batch items alike.
 
-use std::time::{Duration, Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use http::response::Parts;
-use hyper::body::Incoming;
 use tinbank_allocator::lease::Outcome;
 use tinbank_relay::event;
 
+use super::answer::{Answer, Witness};
 use crate::{
     border::engine::{Attempt, Request, Verdict},
     exchange::{self, Error, Guard, Until},
@@ -34,7 +37,7 @@
 pub(crate) struct Opened {
     pub lease: Lease,
     pub head: Parts,
-    pub body: Incoming,
+    pub body: Answer,
     pub guard: Guard,
     pub verdict: Verdict,
 }
@@ -42,9 +45,9 @@
 /// Sends a request to the upstream of a lease. The upstream works on it until `deadline`; its answer has to begin by
 /// `until`.
 pub(crate) async fn send(
-    node: &Node,
+    node: &Rc<Node>,
     lease: Lease,
-    request: &Request,
+    request: &Rc<Request>,
     resume_after: Option<event::Id>,
     deadline: Instant,
     until: Instant,
@@ -63,11 +66,24 @@
             answered: until,
         },
     );
-    let (answer, guard) = match sent.await {
+    let sent = sent.await;
+    let witness = Witness {
+        node: Rc::clone(node),
+        request: Rc::clone(request),
+        upstream: lease.upstream.clone(),
+        address: lease.address,
+    };
+    let (answer, guard) = match sent {
         Ok(answered) => answered,
-        Err(error) => return Err(failed(request, &lease, error)),
+        Err(error) => {
+            if matches!(error, Error::Lost(_)) {
+                witness.broken();
+            }
+            return Err(failed(request, &lease, error));
+        }
     };
     let (head, body) = answer.into_parts();
+    let body = Answer::new(body, witness);
     let verdict = node.engine.judge(request, &head);
     match verdict {
         Verdict::Answer | Verdict::Failed | Verdict::Impossible => Ok(Opened {
--- a/crates/tinbank-gateway/src/relay/body.rs
+++ b/crates/tinbank-gateway/src/relay/body.rs
@@ -9,10 +9,10 @@
 use bytes::Bytes;
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tinbank_allocator::lease::Outcome;
 use tokio::time::{self, Sleep};
 
+use super::answer::Answer;
 use crate::{
     border::{Aborted, Body},
     exchange::Guard,
@@ -53,7 +53,7 @@
 
 /// The body of an upstream's answer, passed on as it comes. Where it comes whole, the lease ends as `whole` says.
 pub(crate) fn relayed(
-    body: Incoming,
+    body: Answer,
     lease: Lease,
     guard: Guard,
     whole: Outcome,
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -1,5 +1,6 @@
 //! Relays a caller's request to an upstream, and its answer back.
 
+pub(crate) mod answer;
 pub(crate) mod attempt;
 mod body;
 mod online;
@@ -74,6 +75,7 @@
         return submit(node, &route, &caller, &call, &head, body, deadline).await;
     }
     let request = node.engine.relayed(&call.id, (&caller).into(), &head, body);
+    let request = Rc::new(request);
     let arrival = Arrival {
         received,
         deadline,
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -43,7 +43,7 @@
 pub(super) struct Online {
     node: Rc<Node>,
     pub route: Rc<Route>,
-    pub request: engine::Request,
+    pub request: Rc<engine::Request>,
     pub attempts: Attempts,
     admission: Admission,
     /// When it was sent to the upstream that has it, if it did not have to wait inside it.
@@ -93,7 +93,7 @@
     pub fn new(
         node: &Rc<Node>,
         route: Rc<Route>,
-        request: engine::Request,
+        request: Rc<engine::Request>,
         arrival: Arrival,
     ) -> Self {
         let admission = Admission {
--- a/crates/tinbank-gateway/src/relay/stream.rs
+++ b/crates/tinbank-gateway/src/relay/stream.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Incoming;
 use tinbank_allocator::lease::Outcome;
 use tinbank_relay::{
     attempt::{Failure, Next},
@@ -15,7 +14,7 @@
 };
 use tokio::time;
 
-use super::online::Online;
+use super::{answer::Answer, online::Online};
 use crate::{
     border::{Aborted, Body, engine::Verdict},
     exchange::Guard,
@@ -37,7 +36,7 @@
 /// The upstream that a stream comes from.
 struct Source {
     lease: Lease,
-    body: Incoming,
+    body: Answer,
     _guard: Guard,
 }
 
@@ -54,7 +53,7 @@
         relay: Online,
         lease: Lease,
         guard: Guard,
-        body: Incoming,
+        body: Answer,
         resume_after: Option<event::Id>,
     ) -> Self {
         let source = Source {
@@ -95,6 +94,7 @@
                     Err(why) => (why, Outcome::Failed),
                 },
                 Heard::End if self.splitter.is_partial() => {
+                    source.body.cut();
                     ("stopped within an event", Outcome::Failed)
                 }
                 Heard::End => {
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -165,6 +165,12 @@
         &["resumable"],
         "Streams of upstreams that broke off or fell silent under way, by whether they could be resumed.",
     ),
+    counter(
+        "tinbank_entry_broken_upstreams_total",
+        "upstreams",
+        &["found"],
+        "Upstreams that broke off connections, by what a look at their address found: ended, listening, or silent.",
+    ),
     counter(
         "tinbank_entry_failed_attempts_total",
         "attempts",
