Requests that end upstreams are held back at all hosts

Cause: what a request did at upstreams was remembered in its own attempt at one host, and nowhere else; callers come again under other ids at other hosts. Class: a bound that holds for one attempt at one host, where it is promised for the fleet. Change: a request is known by its content; a host that sees an upstream end under it tells all others by datagram; after three ends no host sends it, checked where requests, resumed streams and items all pass; what is held back stands in the store and outlasts all hosts; a whole answer clears.

--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -152,7 +152,11 @@
                 self.counter.told(from, counts, now);
                 None
             }
-            Frame::Answer(_) | Frame::Reclaim(_) | Frame::Alive(_) | Frame::Ping => {
+            Frame::Answer(_)
+            | Frame::Reclaim(_)
+            | Frame::Alive(_)
+            | Frame::Ping
+            | Frame::Quarantine(_) => {
                 return (out, None);
             }
         };
--- a/crates/tinbank-allocator/src/directory.rs
+++ b/crates/tinbank-allocator/src/directory.rs
@@ -132,6 +132,11 @@
         self.peers = peers;
     }
 
+    /// Where all hosts that are listed take datagrams.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers.iter().map(|peer| peer.address).collect()
+    }
+
     /// Number of hosts that are listed.
     pub fn hosts(&self) -> usize {
         self.peers.len()
--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 use tinbank_allowance::{Counts, Limit};
 use tinbank_base::id;
+use tinbank_quarantine::News;
 
 use crate::lease;
 
@@ -49,6 +50,8 @@
     Counts(Counts),
     /// A host asks a delegate that is not its allocator for a heartbeat.
     Ping,
+    /// What a host has seen of requests that end upstreams.
+    Quarantine(News),
 }
 
 /// A request for one slot.
--- a/crates/tinbank-feed/src/message.rs
+++ b/crates/tinbank-feed/src/message.rs
@@ -5,13 +5,14 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 use tinbank_allocator::directory::Peer;
+use tinbank_quarantine::Held;
 use tinbank_relay::{route::Config, upstream::Upstream};
 
 /// Position in a list of the store.
 pub type Position = u64;
 
 /// First byte of each message; others are refused.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 /// A message that can't be understood.
 #[derive(Debug, thiserror::Error)]
@@ -36,6 +37,8 @@
     pub upstreams: Option<Position>,
     /// Position up to which it knows the hosts.
     pub hosts: Option<Position>,
+    /// Position up to which it knows the requests that are held back.
+    pub quarantine: Option<Position>,
 }
 
 /// What a delegate knows that the asking host does not.
@@ -47,6 +50,8 @@
     pub upstreams: Option<Snapshot<Upstream>>,
     /// The hosts, if they are others.
     pub hosts: Option<Snapshot<Peer>>,
+    /// The requests that are held back, if they are others.
+    pub quarantine: Option<Snapshot<Held>>,
     /// How long ago the store answered the delegate.
     pub age: Age,
 }
--- a/crates/tinbank-feed/tests/message.rs
+++ b/crates/tinbank-feed/tests/message.rs
@@ -5,6 +5,7 @@
 use smallvec::smallvec;
 use tinbank_allocator::directory::Peer;
 use tinbank_feed::message::{Age, Ask, Error, Snapshot, Update, decode, encode};
+use tinbank_quarantine::Held;
 use tinbank_relay::{
     route::{Batch, Config, Kind, Limits, Route, Share},
     upstream::Upstream,
@@ -70,6 +71,13 @@
                 capacity: Default::default(),
             }],
         }),
+        quarantine: Some(Snapshot {
+            position: 3,
+            entries: vec![Held {
+                request: 1 << 100,
+                ended: 3,
+            }],
+        }),
         age: Age {
             config: Some(Duration::from_millis(12)),
             upstreams: Some(Duration::from_millis(400)),
@@ -84,6 +92,7 @@
         config: Some(6),
         upstreams: None,
         hosts: Some(9),
+        quarantine: Some(2),
     };
 
     assert_eq!(told, update());
--- a/crates/tinbank-gateway/src/batch/item.rs
+++ b/crates/tinbank-gateway/src/batch/item.rs
@@ -176,7 +176,10 @@
                 body.cut();
                 return (Ended::Broken, Outcome::Failed);
             }
-            Ok(None) => return (Ended::Completed, Outcome::Served),
+            Ok(None) => {
+                body.whole();
+                return (Ended::Completed, Outcome::Served);
+            }
             Ok(Some(Err(_))) => return (Ended::Broken, Outcome::Failed),
             Ok(Some(Ok(frame))) => frame,
         };
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -33,6 +33,8 @@
 const RETRY: Duration = Duration::from_millis(100);
 /// Pause before an item is run that another host has just got further with.
 const OTHER_RUN: Duration = Duration::from_secs(2);
+/// Pause before an item that is held back is looked at again. Source: each look takes a slot for a moment.
+const HELD_BACK: Duration = Duration::from_secs(5);
 /// How often a run writes how far it has got. Source: what a lost host costs at most, against one record more.
 const CHECKPOINT: Duration = Duration::from_millis(1_500);
 /// Time that is left for writing what runs have so far, before a stopping process is killed.
@@ -156,6 +158,14 @@
         self.paused.borrow_mut().insert(key, paused);
     }
 
+    /// An item under which upstreams end waits: it may not be given up before its time, and may be cleared.
+    fn hold_back(&self, key: Key, until: Instant) {
+        let again = until.min(Instant::now() + HELD_BACK);
+        log::info!(job:% = key.0, item = key.1; "item held back, upstreams end under it");
+        let mut paused = self.paused.borrow_mut();
+        paused.entry(key).or_default().until = Some(again);
+    }
+
     fn is_own(&self, run: RunId) -> bool {
         run / RUNS * RUNS == self.first_run
     }
@@ -232,6 +242,9 @@
         path: &item.path,
         content: &content,
     });
+    if let Some(until) = node.quarantine.held_until(&request, Instant::now()) {
+        return runner.hold_back(key, until);
+    }
     let max_attempts = job.max_attempts;
     let in_log = job.progress(key.1).last;
     drop(table);
--- a/crates/tinbank-gateway/src/border/ingress.rs
+++ b/crates/tinbank-gateway/src/border/ingress.rs
@@ -140,6 +140,11 @@
         /// When to ask again.
         retry_after: Duration,
     },
+    /// The request has not run and never will, because upstreams end under it.
+    HeldBack {
+        /// When it may be tried again.
+        retry_after: Duration,
+    },
     /// This host can't tell now; another may.
     Unsure,
     /// The request failed; it may have run.
--- a/crates/tinbank-gateway/src/border/store.rs
+++ b/crates/tinbank-gateway/src/border/store.rs
@@ -5,6 +5,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use tinbank_allocator::directory::Peer;
+use tinbank_quarantine::{Fingerprint, Held};
 use tinbank_relay::{route::Config, upstream::Upstream};
 
 /// Position of a record in a partition.
@@ -110,6 +111,10 @@
     Host(Peer),
     /// A host of the system has signed off, by the key it was registered under.
     HostGone(String),
+    /// A request is held back.
+    Held(Held),
+    /// A request is not held back any more.
+    Lifted(Fingerprint),
     /// Something that the system has no use for.
     Other,
 }
@@ -123,6 +128,8 @@
     Upstreams,
     /// The hosts of the system.
     Hosts,
+    /// The requests that are held back, because upstreams end under them.
+    Quarantine,
 }
 
 /// Entries of a list, and the position from which to read on.
@@ -174,6 +181,10 @@
     async fn register(&self, host: &Peer, until: Instant) -> Result<(), Error>;
     /// Takes a host of the system off the list.
     async fn unregister(&self, host: &Peer, until: Instant) -> Result<(), Error>;
+    /// Enters a request that is held back.
+    async fn hold(&self, held: &Held, until: Instant) -> Result<(), Error>;
+    /// Takes a request off those that are held back.
+    async fn lift(&self, request: Fingerprint, until: Instant) -> Result<(), Error>;
     /// Joins a group, or stays in it.
     async fn join(&self, membership: &Membership, until: Instant) -> Result<Assignment, Error>;
     /// Leaves a group, so that others get the member's partitions at once.
--- a/crates/tinbank-gateway/src/feed/follower.rs
+++ b/crates/tinbank-gateway/src/feed/follower.rs
@@ -118,6 +118,7 @@
         config: node.view.config().map(|config| config.version),
         upstreams: lists.of(List::Upstreams).position(),
         hosts: lists.of(List::Hosts).position(),
+        quarantine: lists.of(List::Quarantine).position(),
     };
     let body = Bytes::from(message::encode(&ask)?);
     let mut request = Request::new(Full::new(body));
--- a/crates/tinbank-gateway/src/feed/server.rs
+++ b/crates/tinbank-gateway/src/feed/server.rs
@@ -89,7 +89,8 @@
     view.is_known()
         && (version > ask.config
             || view.lists.of(List::Upstreams).has_news_for(ask.upstreams)
-            || view.lists.of(List::Hosts).has_news_for(ask.hosts))
+            || view.lists.of(List::Hosts).has_news_for(ask.hosts)
+            || view.lists.of(List::Quarantine).has_news_for(ask.quarantine))
 }
 
 fn is_stale(node: &Node) -> bool {
@@ -105,6 +106,9 @@
         config: config.map(|it| (*it).clone()),
         upstreams: snapshot(node, List::Upstreams, ask.upstreams, || view.present()),
         hosts: snapshot(node, List::Hosts, ask.hosts, || view.hosts()),
+        quarantine: snapshot(node, List::Quarantine, ask.quarantine, || {
+            node.quarantine.listed()
+        }),
         age: view.age(now),
     }
 }
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -12,6 +12,7 @@
         Reply::Accepted => "accepted",
         Reply::OverQuota { .. } => "over_quota",
         Reply::NotRun { .. } => "not_run",
+        Reply::HeldBack { .. } => "held_back",
         Reply::Unsure => "unsure",
         Reply::Failed => "failed",
         Reply::TimedOut => "timed_out",
@@ -64,6 +65,11 @@
     metrics::counter!("tinbank_entry_broken_upstreams_total", "found" => found).increment(1);
 }
 
+/// So many requests are held back, because upstreams end under them.
+pub(crate) fn held_back(requests: usize) {
+    metrics::gauge!("tinbank_entry_held_requests").set(requests as f64);
+}
+
 /// A batch item left its upstream.
 pub(crate) fn item_left(ended: &'static str) {
     metrics::counter!("tinbank_entry_item_runs_total", "ended" => ended).increment(1);
--- a/crates/tinbank-gateway/src/quarantine.rs
+++ b/crates/tinbank-gateway/src/quarantine/look.rs
@@ -3,13 +3,14 @@
 //! An upstream that ends closes its connections, and so do resets on the way and upstreams that give an answer up. Only the
 //! first one refuses new connections, so the address is asked for one.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use smallvec::SmallVec;
 use tinbank_base::id;
-use tinbank_quarantine::{Fingerprint, fingerprint::short};
+use tinbank_quarantine::{Fingerprint, Report, fingerprint::short};
 use tokio::{task, time};
 
+use super::blame;
 use crate::{
     exchange::{self, Found},
     measure,
@@ -25,15 +26,8 @@
 /// back after seconds, and would be taken for one that lives then.
 const LOOKS: usize = 3;
 
-/// What this host knows of requests that end upstreams.
-#[derive(Default)]
-pub(crate) struct Quarantine {
-    /// Requests of upstreams that broke off and are being looked at.
-    broken: RefCell<HashMap<id::Instance, Broken>>,
-}
-
 /// Requests whose connections an upstream broke off.
-type Broken = SmallVec<[Fingerprint; 8]>;
+pub(super) type Broken = SmallVec<[Fingerprint; 8]>;
 
 /// An upstream broke off the connection of a request.
 pub(crate) fn broken(
@@ -59,6 +53,9 @@
     measure::upstream_broke_off(found.name());
     let names: Vec<String> = requests.iter().map(|it| short(*it)).collect();
     log::warn!(upstream:%, found = found.name(), contents:% = names.join(","); "upstream broke off");
+    if found == Found::Ended {
+        blame(&node, Report { upstream, requests }).await;
+    }
 }
 
 async fn find(address: SocketAddr) -> Found {
--- /dev/null
+++ b/crates/tinbank-gateway/src/quarantine/mod.rs
@@ -0,0 +1,157 @@
+//! Requests that end upstreams: what this host sees, hears and holds back.
+//!
+//! Hosts tell each other at once under which requests an upstream has ended, so that each counts for itself and a request
+//! costs no round trip. What is held back lasts in the store, which a host reads when it starts. See `docs/design/quarantine.md`.
+
+mod look;
+mod record;
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use tinbank_allocator::frame::Frame;
+use tinbank_base::id;
+use tinbank_quarantine::{Held, News, Report, Table, fingerprint::short, table::Change};
+use tokio::{sync::Notify, task, time};
+
+pub(crate) use self::{look::broken, record::keep};
+use crate::{
+    border::{engine::Request, store::Written},
+    measure,
+    node::Node,
+};
+
+/// How many times a report is told. Source: datagrams are lost now and then, two in a row hardly ever.
+const TELLINGS: u32 = 2;
+/// Time between two tellings. Source: longer than a link is full for a moment, shorter than the time after which a caller comes again.
+const AGAIN: Duration = Duration::from_millis(150);
+
+/// What this host knows of requests that end upstreams.
+#[derive(Default)]
+pub(crate) struct Quarantine {
+    table: RefCell<Table>,
+    /// Requests of upstreams that broke off and are being looked at.
+    broken: RefCell<HashMap<id::Instance, look::Broken>>,
+    /// Told when the store may lack something.
+    changed: Notify,
+}
+
+impl Quarantine {
+    /// Until when no upstream gets a request, if it is held back. Asked before each send.
+    pub fn held_until(&self, request: &Request, now: Instant) -> Option<Instant> {
+        let table = self.table.borrow();
+        if !table.holds_any() {
+            return None;
+        }
+        table.held_until(request.fingerprint(), now)
+    }
+
+    /// Requests that stand in the store, as this host has read or written it.
+    pub fn listed(&self) -> Vec<Held> {
+        self.table.borrow().listed()
+    }
+
+    /// Takes in what was read from the store. True if there was anything.
+    pub fn read(&self, entries: Vec<Written>, is_whole: bool, now: Instant) -> bool {
+        let is_news = is_whole || !entries.is_empty();
+        if is_whole {
+            let listed = entries.into_iter().filter_map(|written| match written {
+                Written::Held(held) => Some(held),
+                _ => None,
+            });
+            self.read_all(&listed.collect::<Vec<Held>>(), now);
+            return is_news;
+        }
+        for written in entries {
+            match written {
+                Written::Held(held) => {
+                    let change = self.table.borrow_mut().list(held, now);
+                    self.note(change, "the store");
+                }
+                Written::Lifted(request) => self.table.borrow_mut().unlist(request),
+                _ => {}
+            }
+        }
+        is_news
+    }
+
+    /// Takes in all that stands in the store.
+    pub fn read_all(&self, listed: &[Held], now: Instant) {
+        let changes = self.table.borrow_mut().list_all(listed, now);
+        self.note(changes, "the store");
+    }
+
+    /// Takes in that an upstream has ended. `by` says who saw it.
+    fn blame(&self, report: &Report, by: &str) {
+        let changes = self.table.borrow_mut().blame(report, Instant::now());
+        self.note(changes, by);
+    }
+
+    fn note(&self, changes: impl IntoIterator<Item = Change>, by: &str) {
+        for change in changes {
+            log_change(change, by);
+            self.changed.notify_one();
+        }
+        measure::held_back(self.table.borrow().held().count());
+    }
+}
+
+/// A request has got a whole answer, so it ends no upstreams. Others hear of it if anybody thought so.
+pub(crate) fn survived(node: &Rc<Node>, request: &Request) {
+    if node.quarantine.table.borrow().is_empty() {
+        return;
+    }
+    let request = request.fingerprint();
+    let change = node.quarantine.table.borrow_mut().clear(request);
+    if change.is_none() {
+        return;
+    }
+    node.quarantine.note(change, "a whole answer");
+    let node = Rc::clone(node);
+    task::spawn_local(async move { tell(&node, News::Survived(request)).await });
+}
+
+/// Another host has told something of a request.
+pub(crate) fn told(node: &Node, from: SocketAddr, news: News) {
+    let by = from.to_string();
+    match news {
+        News::Ended(report) => node.quarantine.blame(&report, &by),
+        News::Survived(request) => {
+            let change = node.quarantine.table.borrow_mut().clear(request);
+            node.quarantine.note(change, &by);
+        }
+    }
+}
+
+/// This host has seen an upstream end.
+async fn blame(node: &Node, report: Report) {
+    node.quarantine.blame(&report, "this host");
+    tell(node, News::Ended(report)).await;
+}
+
+async fn tell(node: &Node, news: News) {
+    let frame = Frame::Quarantine(news);
+    for _ in 0..TELLINGS {
+        node.sharing.tell_all(&frame);
+        time::sleep(AGAIN).await;
+    }
+}
+
+fn log_change(change: Change, by: &str) {
+    match change {
+        Change::Suspected(Held { request, ended }) => {
+            log::info!(content:% = short(request), ended, by; "upstream ended under a request");
+        }
+        Change::HeldBack(Held { request, ended }) => {
+            log::warn!(content:% = short(request), ended, by; "request held back, upstreams end under it");
+        }
+        Change::Cleared(request) => {
+            log::info!(content:% = short(request), by; "request cleared, upstreams don't end under it");
+        }
+    }
+}
--- a/crates/tinbank-gateway/src/relay/answer.rs
+++ b/crates/tinbank-gateway/src/relay/answer.rs
@@ -41,6 +41,11 @@
         Self { body, witness }
     }
 
+    /// The answer was whole.
+    pub fn whole(&self) {
+        quarantine::survived(&self.witness.node, &self.witness.request);
+    }
+
     /// The body has ended within an event. Where it has no length, that is how an upstream's end shows.
     pub fn cut(&self) {
         self.witness.broken();
--- a/crates/tinbank-gateway/src/relay/attempt.rs
+++ b/crates/tinbank-gateway/src/relay/attempt.rs
@@ -7,6 +7,7 @@
 
 use http::response::Parts;
 use tinbank_allocator::lease::Outcome;
+use tinbank_quarantine::fingerprint::short;
 use tinbank_relay::event;
 
 use super::answer::{Answer, Witness};
@@ -27,6 +28,8 @@
 pub(crate) enum Trouble {
     /// It provably did not run.
     NotRun,
+    /// It was not sent, because upstreams end under it.
+    HeldBack,
     /// The connection was lost; it may have run.
     Lost,
     /// There was no answer in time; it may have run.
@@ -53,6 +56,11 @@
     until: Instant,
 ) -> Result<Opened, Trouble> {
     let now = Instant::now();
+    // The one place through which requests, resumed streams and items go to upstreams. It may have waited for its slot while
+    // other copies of it ended upstreams.
+    if node.quarantine.held_until(request, now).is_some() {
+        return Err(held_back(request, &lease));
+    }
     let attempt = Attempt {
         instance: &lease.upstream,
         time_left: deadline.saturating_duration_since(now),
@@ -107,6 +115,14 @@
     }
 }
 
+/// A request that no upstream gets.
+fn held_back(request: &Request, lease: &Lease) -> Trouble {
+    let content = short(request.fingerprint());
+    log::info!(request:% = request.id, content:%, upstream:% = lease.upstream; "request not sent, upstreams end under it");
+    measure::attempt_failed("held_back");
+    Trouble::HeldBack
+}
+
 /// An answer that is none to the request.
 fn refused(
     request: &Request,
@@ -119,7 +135,7 @@
     log::info!(request:% = request.id, upstream:% = lease.upstream, status, why; "attempt refused");
     measure::attempt_failed(why);
     lease.end(match trouble {
-        Trouble::NotRun => Outcome::Refused,
+        Trouble::NotRun | Trouble::HeldBack => Outcome::Refused,
         Trouble::Lost | Trouble::Silent => Outcome::Failed,
     });
     trouble
--- a/crates/tinbank-gateway/src/relay/body.rs
+++ b/crates/tinbank-gateway/src/relay/body.rs
@@ -8,7 +8,6 @@
 
 use bytes::Bytes;
 use http_body::{Frame, SizeHint};
-use http_body_util::BodyExt;
 use tinbank_allocator::lease::Outcome;
 use tokio::time::{self, Sleep};
 
@@ -59,9 +58,8 @@
     whole: Outcome,
     deadline: Instant,
 ) -> Body {
-    let body = body.map_err(|_| Aborted("the upstream broke it off"));
     let timed = Timed {
-        body: Box::pin(body),
+        body,
         lease,
         whole,
         deadline: Box::pin(time::sleep_until(deadline.into())),
@@ -72,13 +70,20 @@
 
 /// A body that is given up at a deadline.
 struct Timed {
-    body: Body,
+    body: Answer,
     lease: Lease,
     whole: Outcome,
     deadline: Pin<Box<Sleep>>,
     _guard: Guard,
 }
 
+impl Timed {
+    fn ended(&self) {
+        self.body.whole();
+        self.lease.end(self.whole);
+    }
+}
+
 impl http_body::Body for Timed {
     type Data = Bytes;
     type Error = Aborted;
@@ -87,12 +92,12 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
-        let polled = self.body.as_mut().poll_frame(context);
+        let polled = Pin::new(&mut self.body).poll_frame(context);
         match &polled {
-            Poll::Ready(None) => self.lease.end(self.whole),
+            Poll::Ready(None) => self.ended(),
             Poll::Ready(Some(Err(_))) => self.lease.end(Outcome::Failed),
             // Who reads a body of known length does not ask for its end.
-            Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => self.lease.end(self.whole),
+            Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => self.ended(),
             Poll::Ready(Some(Ok(_))) => {}
             Poll::Pending => {
                 if self.deadline.as_mut().poll(context).is_ready() {
@@ -101,7 +106,7 @@
                 }
             }
         }
-        polled
+        polled.map_err(|_| Aborted("the upstream broke it off"))
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -60,6 +60,8 @@
     meter: Option<Meter>,
     /// When its customer, which has used up its allowance, may come again.
     over_limit: Option<Duration>,
+    /// Until when no upstream gets it, because upstreams end under it.
+    held_until: Option<Instant>,
     /// The caller has its whole answer, or was told that there is none.
     pub ended: bool,
 }
@@ -115,6 +117,7 @@
             customer: arrival.customer,
             meter: arrival.meter,
             over_limit: None,
+            held_until: None,
             ended: false,
         }
     }
@@ -158,7 +161,13 @@
 
     /// One attempt. Nothing if it gave no answer, which is noted.
     pub async fn attempt(&mut self, resume_after: Option<u64>) -> Result<Option<Opened>, Next> {
-        if Instant::now() >= self.admission.deadline {
+        let now = Instant::now();
+        if now >= self.admission.deadline {
+            return Err(self.attempts.give_up());
+        }
+        // Asked for again in `attempt::send`: this one spares the wait for a slot, and the caller hears at once.
+        self.held_until = self.node.quarantine.held_until(&self.request, now);
+        if self.held_until.is_some() {
             return Err(self.attempts.give_up());
         }
         let Some(service) = self.route.service(self.node.draw()).cloned() else {
@@ -280,7 +289,7 @@
 
     fn note(&mut self, upstream: &id::Instance, trouble: Trouble) {
         let failure = match trouble {
-            Trouble::NotRun => Failure::NotRun,
+            Trouble::NotRun | Trouble::HeldBack => Failure::NotRun,
             Trouble::Lost | Trouble::Silent => Failure::Unknown,
         };
         self.attempts.note(upstream.clone(), failure);
@@ -332,9 +341,13 @@
         self.ended = true;
         let id = &self.request.id;
         let tried = self.attempts.tried().len();
-        let reply = match (next, self.over_limit) {
-            (Next::Refuse | Next::Again, Some(retry_after)) => Reply::OverQuota { retry_after },
-            (next, _) => self.refusal(next),
+        let held_for = self
+            .held_until
+            .map(|until| until.saturating_duration_since(Instant::now()));
+        let reply = match (next, held_for, self.over_limit) {
+            (Next::Fail, ..) | (_, None, None) => self.refusal(next),
+            (_, Some(retry_after), _) => Reply::HeldBack { retry_after },
+            (_, None, Some(retry_after)) => Reply::OverQuota { retry_after },
         };
         let late = self.admission.is_late;
         let waited_ms = self.admission.received.elapsed().as_millis() as u64;
@@ -342,7 +355,7 @@
         reply_with(&self.node, reply)
     }
 
-    /// What the caller is told where its customer's allowance does not matter.
+    /// What the caller is told where neither its content nor its customer's allowance is the reason.
     fn refusal(&self, next: Next) -> Reply {
         match next {
             Next::Refuse | Next::Again if self.overloaded => {
--- a/crates/tinbank-gateway/src/relay/stream.rs
+++ b/crates/tinbank-gateway/src/relay/stream.rs
@@ -98,6 +98,7 @@
                     ("stopped within an event", Outcome::Failed)
                 }
                 Heard::End => {
+                    source.body.whole();
                     self.relay.note_served();
                     self.end(Outcome::Served);
                     self.relay.ended = true;
--- a/crates/tinbank-gateway/src/run.rs
+++ b/crates/tinbank-gateway/src/run.rs
@@ -25,7 +25,7 @@
     clock::{Clock, TICK},
     feed, identity,
     node::Node,
-    serve,
+    quarantine, serve,
     settings::Settings,
     sharing::{self, Sharing},
     view,
@@ -144,14 +144,17 @@
     let checked = Rc::clone(node);
     let is_ready = move || serve::readiness(&checked);
     task::spawn_local(serve::always(readiness, Rc::new(is_ready)));
-    task::spawn_local(sharing::receive(Rc::clone(&node.sharing)));
+    let told = Rc::clone(node);
+    let news = move |from, news| quarantine::told(&told, from, news);
+    task::spawn_local(sharing::receive(Rc::clone(&node.sharing), news));
     task::spawn_local(sharing::heartbeat(Rc::clone(node)));
     task::spawn_local(sharing::tell_counts(Rc::clone(&node.sharing)));
     task::spawn_local(feed::follow(Rc::clone(node)));
     task::spawn_local(sharing::survey(Rc::clone(node)));
-    for list in [List::Config, List::Upstreams, List::Hosts] {
+    for list in [List::Config, List::Upstreams, List::Hosts, List::Quarantine] {
         task::spawn_local(view::follow(Rc::clone(node), list));
     }
+    task::spawn_local(quarantine::keep(Rc::clone(node)));
     batch::start(node);
     task::spawn_local(register(Rc::clone(node)));
     task::spawn_local(watch(Rc::clone(node)));
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -195,6 +195,20 @@
         delegates.iter().any(|it| it.address == self.own.address)
     }
 
+    /// True if this host is the allocator of its failure domain, by the list of hosts and who is silent.
+    pub fn is_allocator(&self, now: Instant) -> bool {
+        let state = self.state.borrow();
+        state.directory.allocator(&self.own.failure_domain, now) == Some(self.own.address)
+    }
+
+    /// Sends a frame to all other hosts.
+    pub fn tell_all(&self, frame: &Frame) {
+        let hosts = self.state.borrow().directory.addresses();
+        for host in hosts.into_iter().filter(|it| *it != self.own.address) {
+            self.send(host, frame);
+        }
+    }
+
     /// The delegates that this host may follow.
     pub fn delegates(&self, now: Instant) -> Candidates {
         source::candidates(&self.state.borrow().directory, &self.own, now)
--- a/crates/tinbank-gateway/src/sharing/ask/tests.rs
+++ b/crates/tinbank-gateway/src/sharing/ask/tests.rs
@@ -31,7 +31,7 @@
         let own = peer(own_address, "south");
         let sharing = Rc::new(Sharing::bind(own, 1, Tolerance::default()).await.unwrap());
         sharing.peers(vec![peer(allocator.local_addr().unwrap(), "north")]);
-        task::spawn_local(receive(Rc::clone(&sharing)));
+        task::spawn_local(receive(Rc::clone(&sharing), |_, _| {}));
         Self { sharing, allocator }
     }
 
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -12,6 +12,7 @@
     frame::{self, Frame, Grant, Holdings, MAX_BYTES, Release, Verdict},
     lease::{self, Held, Outcome},
 };
+use tinbank_quarantine::News;
 use tokio::time;
 
 use super::Sharing;
@@ -182,7 +183,8 @@
 }
 
 /// Receives datagrams for as long as the process runs.
-pub(crate) async fn receive(sharing: Rc<Sharing>) {
+/// What they tell of requests that end upstreams is passed to `news`.
+pub(crate) async fn receive(sharing: Rc<Sharing>, news: impl Fn(SocketAddr, News)) {
     let mut buffer = vec![0; MAX_BYTES];
     loop {
         let (length, from) = match sharing.socket.recv_from(&mut buffer).await {
@@ -194,6 +196,7 @@
             }
         };
         match Frame::decode(&buffer[..length]) {
+            Ok(Frame::Quarantine(told)) => news(from, told),
             Ok(frame) => sharing.receive(from, frame),
             Err(error) => log::warn!(peer:% = from, error:%; "datagram ignored"),
         }
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -24,6 +24,8 @@
 
 /// How long a read waits for news at the store.
 const WAIT: Duration = Duration::from_millis(1_000);
+/// How long a read of a list waits that seldom changes, and of which hosts tell each other as well. Each call has a price.
+const LONG_WAIT: Duration = Duration::from_secs(10);
 /// A list read this long ago may lack what others know.
 const STALE: Duration = Duration::from_millis(1_800);
 
@@ -170,8 +172,10 @@
 
     /// How long a read of a list waits for news: not beyond the time at which missing upstreams are given up.
     fn wait(&self, list: List, now: Instant) -> Duration {
-        if list != List::Upstreams {
-            return WAIT;
+        match list {
+            List::Config | List::Hosts => return WAIT,
+            List::Quarantine => return LONG_WAIT,
+            List::Upstreams => {}
         }
         let settles_at = self.upstreams.borrow().settles_at();
         let left = settles_at.map(|at| at.saturating_duration_since(now));
--- a/crates/tinbank-gateway/src/view/lists.rs
+++ b/crates/tinbank-gateway/src/view/lists.rs
@@ -72,6 +72,7 @@
         List::Config => "config",
         List::Upstreams => "upstreams",
         List::Hosts => "hosts",
+        List::Quarantine => "quarantine",
     }
 }
 
@@ -84,6 +85,7 @@
     let end = entries.end;
     let changed = match list {
         List::Upstreams => take_upstreams(view, entries, whole, now),
+        List::Quarantine => node.quarantine.read(entries.entries, whole, now),
         List::Config | List::Hosts => {
             let news = !entries.entries.is_empty();
             let entries = entries.entries.into_iter();
@@ -110,6 +112,7 @@
             node.sharing.peers(view.hosts());
             node.feed.listed(&node.sharing, Instant::now());
         }
+        List::Quarantine => {}
     }
 }
 
@@ -176,6 +179,10 @@
         Written::HostGone(key) => {
             view.peers.borrow_mut().remove(&key);
         }
-        Written::Upstream(_) | Written::Gone(_) | Written::Other => {}
+        Written::Upstream(_)
+        | Written::Gone(_)
+        | Written::Held(_)
+        | Written::Lifted(_)
+        | Written::Other => {}
     }
 }
--- a/crates/tinbank-gateway/src/view/mark.rs
+++ b/crates/tinbank-gateway/src/view/mark.rs
@@ -10,6 +10,7 @@
     config: Mark,
     upstreams: Mark,
     hosts: Mark,
+    quarantine: Mark,
 }
 
 /// How far a list is known.
@@ -30,6 +31,7 @@
             List::Config => &self.config,
             List::Upstreams => &self.upstreams,
             List::Hosts => &self.hosts,
+            List::Quarantine => &self.quarantine,
         }
     }
 }
--- a/crates/tinbank-gateway/src/view/told.rs
+++ b/crates/tinbank-gateway/src/view/told.rs
@@ -34,6 +34,12 @@
         view.lists.of(List::Hosts).advance(snapshot.position, true);
         note_read(node, List::Hosts, told_at);
     }
+    if let Some(snapshot) = newer(view, List::Quarantine, update.quarantine) {
+        node.quarantine.read_all(&snapshot.entries, told_at);
+        view.lists
+            .of(List::Quarantine)
+            .advance(snapshot.position, true);
+    }
     let later = |known: Option<Instant>, age: Option<Duration>| {
         let told = age.and_then(|age| told_at.checked_sub(age));
         known.max(told)
--- a/crates/tinbank-gateway/src/watch.rs
+++ b/crates/tinbank-gateway/src/watch.rs
@@ -13,6 +13,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use tinbank_allocator::directory::Peer;
+use tinbank_quarantine::{Fingerprint, Held};
 use tokio::sync::Notify;
 
 use crate::{
@@ -146,6 +147,14 @@
         self.call(self.store.unregister(host, until)).await
     }
 
+    async fn hold(&self, held: &Held, until: Instant) -> Result<(), Error> {
+        self.call(self.store.hold(held, until)).await
+    }
+
+    async fn lift(&self, request: Fingerprint, until: Instant) -> Result<(), Error> {
+        self.call(self.store.lift(request, until)).await
+    }
+
     async fn join(&self, membership: &Membership, until: Instant) -> Result<Assignment, Error> {
         self.call(self.store.join(membership, until)).await
     }
--- a/crates/tinbank-quarantine/src/lib.rs
+++ b/crates/tinbank-quarantine/src/lib.rs
@@ -4,5 +4,9 @@
 //! come again under another id and at another host, so a request is known by its content. See `docs/design/quarantine.md`.
 
 pub mod fingerprint;
+pub mod report;
+pub mod table;
 
 pub use fingerprint::{Content, Fingerprint};
+pub use report::{Held, News, Report};
+pub use table::Table;
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -181,6 +181,11 @@
         "tinbank_entry_first_answer_seconds",
         "Time from a request to the head of its upstream's answer.",
     ),
+    gauge(
+        "tinbank_entry_held_requests",
+        "requests",
+        "Requests that no upstream gets, because upstreams ended while they ran them.",
+    ),
     counter(
         "tinbank_entry_item_runs_total",
         "runs",
