A suspended host notices: pauses are measured by the clock that counts from the boot as well

Cause, found by the question of what a host can forget: deadlines, leases and ages are kept on the steady clock, which stands while a host is suspended, and a pause was noticed by that clock alone, at the next tick of 100 ms. Change: one clock of the process reads both; it is asked where a call comes in, before a slot is asked for and before anything is sent; what was read across a pause is not believed; time that was not counted is taken off deadlines.

--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -180,6 +180,7 @@
 /// Runs items for as long as it is polled.
 pub(super) async fn run(node: Rc<Node>) {
     loop {
+        let pauses = node.notice_pause();
         let Some(candidate) = next::next(&node) else {
             time::sleep(PAUSE).await;
             continue;
@@ -196,6 +197,10 @@
             time::sleep(PAUSE).await;
             continue;
         };
+        if node.notice_pause() != pauses {
+            // The item may be another host's by now.
+            continue;
+        }
         start(&node, candidate, lease);
     }
 }
--- a/crates/tinbank-gateway/src/clock.rs
+++ b/crates/tinbank-gateway/src/clock.rs
@@ -1,28 +1,91 @@
 //! Notices that the process did not run for a while.
+//!
+//! The steady clock, by which all deadlines and ages are kept, goes on while a process is frozen and stands while its host is
+//! suspended: then a list that was read ten seconds ago seems to be fresh, and a request seems to have all its time left. The
+//! clock that counts from the boot goes on in both cases.
 
-use std::time::{Duration, Instant};
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
 
-/// How often the process looks at the clock.
-pub(crate) const TICK: Duration = Duration::from_millis(100);
-/// A tick that comes this much late means that the process was paused. Source: far above what a slow host causes,
+use rustix::time::{ClockId, clock_gettime};
+
+/// How often the process looks at the clock, if nothing else does.
+pub const TICK: Duration = Duration::from_millis(100);
+/// A look that comes this much late means that the process was paused. Source: far above what a slow host causes,
 /// below the shortest bound that the platform states.
 const PAUSE: Duration = Duration::from_millis(1_000);
 
-/// The last time at which the process ran.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Clock {
-    last: Instant,
+/// A moment on both clocks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Moment {
+    /// The steady clock.
+    pub steady: Instant,
+    /// Time since the boot, with the time for which the host was suspended.
+    pub since_boot: Duration,
 }
 
+impl Moment {
+    /// Now.
+    pub fn read() -> Self {
+        let since_boot = clock_gettime(ClockId::Boottime);
+        let seconds = u64::try_from(since_boot.tv_sec).unwrap_or_default();
+        let nanos = u32::try_from(since_boot.tv_nsec).unwrap_or_default();
+        Self {
+            steady: Instant::now(),
+            since_boot: Duration::new(seconds, nanos),
+        }
+    }
+
+    /// Time from an earlier moment, whichever clock has counted more of it.
+    fn since(self, earlier: Self) -> Duration {
+        let steady = self.steady.saturating_duration_since(earlier.steady);
+        steady.max(self.since_boot.saturating_sub(earlier.since_boot))
+    }
+
+    /// Time from an earlier moment that the steady clock has not counted.
+    pub fn suspended_since(self, earlier: Self) -> Duration {
+        let steady = self.steady.saturating_duration_since(earlier.steady);
+        let since_boot = self.since_boot.saturating_sub(earlier.since_boot);
+        since_boot.saturating_sub(steady)
+    }
+}
+
+/// The last moment at which the process ran, and how often it did not run for a while.
+#[derive(Debug)]
+pub struct Clock {
+    last: Cell<Moment>,
+    pauses: Cell<u64>,
+    /// The longest pause that nobody has acted on.
+    unnoticed: Cell<Option<Duration>>,
+}
+
+/// Pauses until some moment; another number later means that there was one meanwhile.
+pub type Pauses = u64;
+
 impl Clock {
-    pub fn new(now: Instant) -> Self {
-        Self { last: now }
+    /// A clock that was looked at now.
+    pub fn new(now: Moment) -> Self {
+        Self {
+            last: Cell::new(now),
+            pauses: Cell::new(0),
+            unnoticed: Cell::new(None),
+        }
+    }
+
+    /// Looks at the clock. How many pauses there were so far.
+    pub fn look(&self, now: Moment) -> Pauses {
+        let gap = now.since(self.last.replace(now));
+        if gap > TICK + PAUSE {
+            self.pauses.set(self.pauses.get() + 1);
+            self.unnoticed.set(self.unnoticed.get().max(Some(gap)));
+        }
+        self.pauses.get()
     }
 
-    /// Takes in a tick. For how long the process was paused, if it was.
-    pub fn tick(&mut self, now: Instant) -> Option<Duration> {
-        let gap = now.saturating_duration_since(self.last);
-        self.last = now;
-        (gap > TICK + PAUSE).then_some(gap)
+    /// The pause that nobody has acted on yet, if there was one.
+    pub fn take_pause(&self) -> Option<Duration> {
+        self.unnoticed.take()
     }
 }
--- a/crates/tinbank-gateway/src/lib.rs
+++ b/crates/tinbank-gateway/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod access;
 mod batch;
 pub mod border;
-mod clock;
+pub mod clock;
 mod dependency;
 pub mod exchange;
 mod feed;
--- a/crates/tinbank-gateway/src/node.rs
+++ b/crates/tinbank-gateway/src/node.rs
@@ -13,6 +13,7 @@
 use crate::{
     batch::Batch,
     border::{engine::Engine, ingress::Ingress, store::Store},
+    clock::{Clock, Moment, Pauses},
     feed::Feed,
     quarantine::Quarantine,
     retry::Retry,
@@ -34,6 +35,7 @@
     pub feed: Feed,
     pub retry: Rc<Retry>,
     pub quarantine: Quarantine,
+    pub clock: Rc<Clock>,
     pub batch: Batch,
     pub stop: Stop,
     draws: Cell<u64>,
@@ -60,10 +62,12 @@
         sharing: Rc<Sharing>,
     ) -> Self {
         let retry = Rc::new(Retry::default());
-        let watched = Watched::new(store, Rc::clone(&retry));
+        let clock = Rc::new(Clock::new(Moment::read()));
+        let watched = Watched::new(store, Rc::clone(&retry), Rc::clone(&clock));
         Self {
             feed: Feed::default(),
             quarantine: Quarantine::default(),
+            clock,
             retry,
             store: Rc::new(watched),
             batch: Batch::new(),
@@ -78,6 +82,21 @@
         }
     }
 
+    /// Trusts nothing that was known before a pause of the process. It is asked where a call comes in and before anything is
+    /// sent, so that nothing happens between the end of a pause and the next tick. How many pauses there were so far.
+    pub fn notice_pause(&self) -> Pauses {
+        let now = Moment::read();
+        let pauses = self.clock.look(now);
+        let Some(pause) = self.clock.take_pause() else {
+            return pauses;
+        };
+        log::warn!(pause_ms = pause.as_millis() as u64; "process was paused, reading everything again");
+        self.view.distrust();
+        self.batch.distrust();
+        self.sharing.forget(now.steady);
+        pauses
+    }
+
     /// The next number of a sequence that draws services by their weights evenly.
     pub fn draw(&self) -> u64 {
         let next = self.draws.get().wrapping_add(1);
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -32,6 +32,7 @@
         Body,
         ingress::{self, Reply},
     },
+    clock::Moment,
     measure,
     node::Node,
 };
@@ -51,7 +52,9 @@
     head: Parts,
     body: Incoming,
 ) -> Response<Body> {
-    let received = Instant::now();
+    node.notice_pause();
+    let at = Moment::read();
+    let received = at.steady;
     let Some(config) = node.view.config_once_known(received + FIRST_READ).await else {
         return refuse(node, &call.id, "no configuration known yet");
     };
@@ -77,7 +80,7 @@
     let request = node.engine.relayed(&call.id, (&caller).into(), &head, body);
     let request = Rc::new(request);
     let arrival = Arrival {
-        received,
+        at,
         deadline,
         is_first: node.is_first_try(&route, time),
         resume_after: call.resume_after,
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -31,6 +31,7 @@
         engine::{self, Verdict},
         ingress::Reply,
     },
+    clock::Moment,
     measure,
     node::Node,
     sharing::{Asked, Lease, Wanted},
@@ -46,6 +47,8 @@
     pub request: Rc<engine::Request>,
     pub attempts: Attempts,
     admission: Admission,
+    /// Until then its times are counted by both clocks.
+    counted_at: Moment,
     /// When it was sent to the upstream that has it, if it did not have to wait inside it.
     began_at: Option<Instant>,
     /// Event behind which the caller goes on, if it had a part of the answer before.
@@ -77,7 +80,7 @@
 
 /// When and with what a request came.
 pub(super) struct Arrival {
-    pub received: Instant,
+    pub at: Moment,
     pub deadline: Instant,
     /// The caller has not come before.
     pub is_first: bool,
@@ -99,7 +102,7 @@
         arrival: Arrival,
     ) -> Self {
         let admission = Admission {
-            received: arrival.received,
+            received: arrival.at.steady,
             deadline: arrival.deadline,
             target: route.target_latency,
             is_late: !arrival.is_first,
@@ -110,6 +113,7 @@
             route,
             request,
             admission,
+            counted_at: arrival.at,
             began_at: None,
             resume_after: arrival.resume_after,
             overloaded: false,
@@ -161,6 +165,7 @@
 
     /// One attempt. Nothing if it gave no answer, which is noted.
     pub async fn attempt(&mut self, resume_after: Option<u64>) -> Result<Option<Opened>, Next> {
+        self.count_suspended();
         let now = Instant::now();
         if now >= self.admission.deadline {
             return Err(self.attempts.give_up());
@@ -173,7 +178,12 @@
         let Some(service) = self.route.service(self.node.draw()).cloned() else {
             return Err(self.attempts.give_up());
         };
+        let pauses = self.node.notice_pause();
         let lease = self.lease(&service).await?;
+        if self.node.notice_pause() != pauses {
+            // Its slot may be another one's by now, and its time may be over.
+            return Ok(None);
+        }
         let upstream = lease.upstream.clone();
         self.log_sent(&lease, resume_after);
         self.began_at = (!lease.queued).then(Instant::now);
@@ -195,6 +205,17 @@
         }
     }
 
+    /// Takes time off that has passed while the host was suspended, which the steady clock has not counted. Otherwise an
+    /// upstream would work on for as long after its caller has left.
+    fn count_suspended(&mut self) {
+        let now = Moment::read();
+        let suspended = now.suspended_since(self.counted_at);
+        self.counted_at = now;
+        let earlier = |at: Instant| at.checked_sub(suspended).unwrap_or(at);
+        self.admission.received = earlier(self.admission.received);
+        self.admission.deadline = earlier(self.admission.deadline);
+    }
+
     /// A slot at an upstream of a service, or what to tell the caller.
     async fn lease(&mut self, service: &str) -> Result<Lease, Next> {
         let queue = self.queue();
--- a/crates/tinbank-gateway/src/run.rs
+++ b/crates/tinbank-gateway/src/run.rs
@@ -22,7 +22,7 @@
         store::{List, Store},
         whole,
     },
-    clock::{Clock, TICK},
+    clock::TICK,
     feed, identity,
     node::Node,
     quarantine, serve,
@@ -196,19 +196,12 @@
     }
 }
 
-/// Notices pauses of the process, after which it trusts nothing that it knew before.
+/// Looks for pauses of the process while nothing else does.
 async fn watch(node: Rc<Node>) {
-    let mut clock = Clock::new(Instant::now());
     let mut ticks = time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let now = Instant::now();
-        if let Some(pause) = clock.tick(now) {
-            log::warn!(pause_ms = pause.as_millis() as u64; "process was paused, reading everything again");
-            node.view.distrust();
-            node.batch.distrust();
-            node.sharing.forget(now);
-        }
+        node.notice_pause();
     }
 }
--- a/crates/tinbank-gateway/src/serve.rs
+++ b/crates/tinbank-gateway/src/serve.rs
@@ -137,6 +137,7 @@
         Call::Request(call) => return relay::request(node, call, head, body).await,
         Call::Job(about) => about,
     };
+    node.notice_pause();
     let reply = about_job(node, &about).await;
     if reply == Reply::Unsure
         && let Forwarded::Answered(answer) =
--- a/crates/tinbank-gateway/src/watch.rs
+++ b/crates/tinbank-gateway/src/watch.rs
@@ -21,6 +21,7 @@
         Assignment, Cursor, Entries, Error, List, Membership, Newest, Offset, Page, Place, Range,
         Store,
     },
+    clock::{Clock, Moment},
     retry::Retry,
 };
 
@@ -83,20 +84,38 @@
     }
 }
 
+/// What a call has read, unless the process was paused meanwhile: the answer may have lain there all the time, so nothing says
+/// how old it is.
+pub async fn unpaused<T>(
+    clock: &Clock,
+    call: impl Future<Output = Result<T, Error>>,
+) -> Result<T, Error> {
+    let before = clock.look(Moment::read());
+    let read = call.await;
+    if clock.look(Moment::read()) != before {
+        return Err(Error::Unknown(
+            "the process was paused meanwhile".to_owned(),
+        ));
+    }
+    read
+}
+
 /// A store whose calls are watched.
 pub(crate) struct Watched {
     store: Rc<dyn Store>,
     watch: Watch,
     retry: Rc<Retry>,
+    clock: Rc<Clock>,
 }
 
 impl Watched {
     /// A store whose answers end the pauses of `retry`.
-    pub fn new(store: Rc<dyn Store>, retry: Rc<Retry>) -> Self {
+    pub fn new(store: Rc<dyn Store>, retry: Rc<Retry>, clock: Rc<Clock>) -> Self {
         Self {
             store,
             watch: Watch::default(),
             retry,
+            clock,
         }
     }
 
@@ -107,6 +126,11 @@
         }
         ended
     }
+
+    /// A call whose answer says how things are now.
+    async fn read_call<T>(&self, call: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
+        unpaused(&self.clock, self.call(call)).await
+    }
 }
 
 #[async_trait(?Send)]
@@ -116,7 +140,7 @@
     }
 
     async fn read(&self, at: Place, range: Range, until: Instant) -> Result<Page, Error> {
-        self.call(self.store.read(at, range, until)).await
+        self.read_call(self.store.read(at, range, until)).await
     }
 
     async fn newest(
@@ -125,7 +149,7 @@
         at: Option<&Cursor>,
         until: Instant,
     ) -> Result<Newest, Error> {
-        self.call(self.store.newest(list, at, until)).await
+        self.read_call(self.store.newest(list, at, until)).await
     }
 
     async fn since(
@@ -136,7 +160,7 @@
         until: Instant,
     ) -> Result<Entries, Error> {
         let call = self.store.since(list, from, wait_ms, until);
-        self.call(call).await
+        self.read_call(call).await
     }
 
     async fn register(&self, host: &Peer, until: Instant) -> Result<(), Error> {
@@ -156,7 +180,7 @@
     }
 
     async fn join(&self, membership: &Membership, until: Instant) -> Result<Assignment, Error> {
-        self.call(self.store.join(membership, until)).await
+        self.read_call(self.store.join(membership, until)).await
     }
 
     async fn leave(&self, membership: &Membership, until: Instant) -> Result<(), Error> {
