Failures of an item count on at the host that runs it next

An item that fails each time was sent on seven times by three hosts in turn (route: three), because each counted anew; the log had no word of failures. Each failed run is a record now, by its number, so a record that comes twice counts once.

--- a/crates/tinbank-gateway/src/batch/follower.rs
+++ b/crates/tinbank-gateway/src/batch/follower.rs
@@ -221,6 +221,9 @@
             log::log!(level, job:%, offset = whole.offset; "job ended by its caller");
             node.batch.runner.ended(&job);
         }
+        Change::Failed { job, index } => {
+            log::debug!(job:%, item = index, offset = whole.offset; "run of an item failed");
+        }
         Change::Dropped => log::debug!(offset = whole.offset; "record of jobs dropped"),
     }
 }
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -14,7 +14,7 @@
 use tinbank_base::id;
 use tinbank_jobs::{
     pace::Pace,
-    record::{Advance, Finish, Index, JobId, Outcome, Reason, Record, RunId},
+    record::{Advance, Failure, Finish, Index, JobId, Outcome, Reason, Record, RunId},
 };
 use tokio::{sync::Notify, task, time};
 
@@ -68,7 +68,7 @@
     /// Last event that is in the log or on its way there.
     last: u64,
     until: Option<Instant>,
-    /// Answers that say that the item failed.
+    /// Answers that say that the item failed, at this host and at those before it.
     failures: u32,
     /// Upstreams that gave them.
     failed_at: Vec<id::Instance>,
@@ -252,10 +252,12 @@
     }
     let max_attempts = job.max_attempts;
     let in_log = job.progress(key.1).last;
+    let failures = job.failures(key.1);
     drop(table);
     let paused = runner.paused.borrow_mut().remove(&key);
     let mut paused = paused.unwrap_or_default();
     paused.last = paused.last.max(in_log);
+    paused.failures = paused.failures.max(failures);
     let run = Rc::new(Run {
         stop: Notify::new(),
     });
@@ -319,6 +321,7 @@
                 if self.paused.failures >= self.max_attempts {
                     return self.abandon(Reason::Attempts);
                 }
+                self.fail(number);
             }
             Ended::Broken | Ended::Reclaimed | Ended::Stopped => {}
         }
@@ -370,6 +373,17 @@
         self.node.batch.writer.add(record, data);
     }
 
+    /// Writes that a run has failed, for whoever runs the item next.
+    fn fail(&self, run: RunId) {
+        let record = Record::Failed(Failure {
+            job: self.key.0.clone(),
+            submission: self.submission,
+            index: self.key.1,
+            run,
+        });
+        self.node.batch.writer.add(record, Bytes::new());
+    }
+
     fn abandon(&self, reason: Reason) {
         self.finish(Outcome::Abandoned(reason), Bytes::new());
     }
--- a/crates/tinbank-jobs/src/fold.rs
+++ b/crates/tinbank-jobs/src/fold.rs
@@ -39,6 +39,13 @@
         /// The run.
         run: RunId,
     },
+    /// One more run of an item has failed.
+    Failed {
+        /// The job.
+        job: JobId,
+        /// The item.
+        index: Index,
+    },
     /// A job was ended.
     Ended {
         /// The job.
--- a/crates/tinbank-jobs/src/job.rs
+++ b/crates/tinbank-jobs/src/job.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, SystemTime};
 
+use smallvec::SmallVec;
 use tinbank_base::id;
 
 use crate::record::{
@@ -52,6 +53,7 @@
     item: Item,
     progress: Progress,
     text: Vec<Stored>,
+    failed_runs: SmallVec<[RunId; 2]>,
     result: Option<Final>,
 }
 
@@ -197,6 +199,24 @@
         }
     }
 
+    /// Runs of an item that failed at an upstream.
+    pub fn failures(&self, index: Index) -> u32 {
+        let entry = self.entries.get(index as usize);
+        entry.map_or(0, |entry| entry.failed_runs.len() as u32)
+    }
+
+    /// Takes in a run that failed. True unless it was known.
+    pub(crate) fn fail(&mut self, index: Index, run: RunId) -> bool {
+        let Some(entry) = self.pending_entry(index) else {
+            return false;
+        };
+        let is_new = !entry.failed_runs.contains(&run);
+        if is_new {
+            entry.failed_runs.push(run);
+        }
+        is_new
+    }
+
     /// Takes in a result. The first one counts.
     pub(crate) fn finish(&mut self, index: Index, result: Outcome) -> Step {
         let Some(entry) = self.pending_entry(index) else {
@@ -236,6 +256,7 @@
             item,
             progress: Progress::default(),
             text: Vec::new(),
+            failed_runs: SmallVec::new(),
             result: None,
         }
     }
--- a/crates/tinbank-jobs/src/record.rs
+++ b/crates/tinbank-jobs/src/record.rs
@@ -47,6 +47,9 @@
     Advanced(Advance),
     /// A customer submits a job. Records of jobs of nobody are as they were before there were customers, so both are read.
     SubmittedBy(id::Customer, Submission),
+    /// An upstream ran an item and failed. Hosts that run it later count on from there, so the bound on failures holds for all
+    /// of them together: without it three hosts in turn sent an item on seven times that may fail three times.
+    Failed(Failure),
 }
 
 /// A whole job, so that one append accepts all of it or nothing.
@@ -148,6 +151,19 @@
     pub result: Outcome,
 }
 
+/// An upstream ran an item and failed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failure {
+    /// Job of the item.
+    pub job: JobId,
+    /// Offset of the job's submission.
+    pub submission: u64,
+    /// The item.
+    pub index: Index,
+    /// The run that failed, so that a record that comes twice counts once.
+    pub run: RunId,
+}
+
 /// A further piece of an item's text.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Advance {
@@ -242,7 +258,7 @@
                     piece.text = text;
                 }
             }
-            Self::Submitted(_) | Self::SubmittedBy(..) | Self::Ended(_) => {}
+            Self::Submitted(_) | Self::SubmittedBy(..) | Self::Ended(_) | Self::Failed(_) => {}
         }
     }
 
@@ -258,7 +274,7 @@
     pub fn submission(&self) -> Option<&Submission> {
         match self {
             Self::Submitted(submission) | Self::SubmittedBy(_, submission) => Some(submission),
-            Self::Finished(_) | Self::Ended(_) | Self::Advanced(_) => None,
+            Self::Finished(_) | Self::Ended(_) | Self::Advanced(_) | Self::Failed(_) => None,
         }
     }
 }
--- a/crates/tinbank-jobs/src/table.rs
+++ b/crates/tinbank-jobs/src/table.rs
@@ -10,7 +10,7 @@
 use crate::{
     fold::{Change, Verdict},
     job::{Job, Step},
-    record::{Advance, Finish, JobId, Outcome, Record, Submission},
+    record::{Advance, Failure, Finish, JobId, Outcome, Record, Submission},
 };
 
 /// The jobs of all routes.
@@ -30,6 +30,7 @@
             Record::Finished(finish) => self.finish(finish),
             Record::Ended(job) => self.end(job),
             Record::Advanced(advance) => self.advance(advance),
+            Record::Failed(failure) => self.fail(failure),
         }
     }
 
@@ -140,6 +141,17 @@
         }
     }
 
+    fn fail(&mut self, failure: Failure) -> Change {
+        let job = self.live(&failure.job, failure.submission);
+        match job.is_some_and(|job| job.fail(failure.index, failure.run)) {
+            true => Change::Failed {
+                job: failure.job,
+                index: failure.index,
+            },
+            false => Change::Dropped,
+        }
+    }
+
     fn live(&mut self, job: &str, submission: u64) -> Option<&mut Job> {
         let job = self.jobs.get_mut(job);
         job.filter(|job| job.submission == submission)
--- a/crates/tinbank-jobs/tests/fold.rs
+++ b/crates/tinbank-jobs/tests/fold.rs
@@ -11,7 +11,8 @@
     fold::{Change, Verdict},
     job::Final,
     record::{
-        Advance, Attachment, Finish, Item, Outcome, Piece, Reason, Record, Stored, Submission,
+        Advance, Attachment, Failure, Finish, Item, Outcome, Piece, Reason, Record, Stored,
+        Submission,
     },
 };
 use tinbank_test_support::property;
@@ -90,6 +91,28 @@
     finished(0, index, Outcome::Completed(piece))
 }
 
+fn failed(index: u32, run: u64) -> Record {
+    Record::Failed(Failure {
+        job: "job".to_owned(),
+        submission: 0,
+        index,
+        run,
+    })
+}
+
+#[test]
+fn each_failed_run_of_an_item_counts_once_whoever_ran_it() {
+    let mut table = table();
+
+    // A record whose answer was lost is written again.
+    let records = [failed(0, 7), failed(0, 7), failed(0, 8), failed(1, 9)];
+    let changes = records.map(|record| table.apply(1, record));
+
+    assert_eq!(changes[1], Change::Dropped);
+    let job = table.job("job").unwrap();
+    assert_eq!([0, 1, 2].map(|index| job.failures(index)), [2, 1, 0]);
+}
+
 fn texts(table: &Table) -> Vec<(String, Option<String>)> {
     let results = table.job("job").unwrap().results(0);
     let results = results.map(|listed| {
--- a/crates/tinbank-jobs/tests/naive/mod.rs
+++ b/crates/tinbank-jobs/tests/naive/mod.rs
@@ -39,7 +39,7 @@
             return;
         }
         match record {
-            Record::Submitted(_) | Record::SubmittedBy(..) => {}
+            Record::Submitted(_) | Record::SubmittedBy(..) | Record::Failed(_) => {}
             Record::Ended(_) => self.ended = true,
             Record::Advanced(advance) => {
                 self.add(advance.index, &advance.piece);
