The soak sends a request that ends the engines that run it, beside all faults, and counts from outside

Four engines of a service of their own end under it and are back under other names. Once the faults have ended and every host has to know, three may end more; no other request may be held back.

--- a/crates/tinbank-entry/tests/soak/caller.rs
+++ b/crates/tinbank-entry/tests/soak/caller.rs
@@ -133,7 +133,7 @@
 /// Starts callers that ask until then.
 pub fn start(deployment: &Deployment, mut random: StdRng, until: Instant) -> Callers {
     let seen = Rc::new(Seen::default());
-    let hosts: Vec<SocketAddr> = deployment.hosts.iter().map(|host| host.callers).collect();
+    let hosts = deployment.callers();
     let numbers = Rc::new(Cell::new(0));
     let mut tasks = Vec::new();
     for _ in 0..4 {
--- a/crates/tinbank-entry/tests/soak/deployment.rs
+++ b/crates/tinbank-entry/tests/soak/deployment.rs
@@ -15,6 +15,7 @@
 use tokio::time;
 
 use crate::{
+    mortal::{self, Mortals},
     proxy::{self, Proxy},
     standin::{
         client,
@@ -41,6 +42,7 @@
     pub store: Rc<Store>,
     pub engines: Vec<Rc<Engine>>,
     pub hosts: Vec<Host>,
+    pub mortals: Rc<Mortals>,
     /// One before each engine.
     pub engine_proxies: Vec<Rc<Proxy>>,
     version: Cell<u64>,
@@ -74,6 +76,7 @@
             engines.push(engine);
             engine_proxies.push(proxy);
         }
+        let mortals = Mortals::start(&store).await;
         let mut hosts = Vec::new();
         let failure_domains = match seed % 3 {
             0 => MANY.as_slice(),
@@ -87,6 +90,7 @@
             store,
             engines,
             hosts,
+            mortals,
             engine_proxies,
             version: Cell::new(0),
             folder,
@@ -97,6 +101,11 @@
         deployment
     }
 
+    /// Where the hosts take callers.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(|host| host.callers).collect()
+    }
+
     pub fn folder(&self) -> &Path {
         &self.folder
     }
@@ -235,11 +244,18 @@
         route("plain", "streaming", 1, false),
         route("resumable", "streaming", 2, true),
         route("keyed", "streaming", 2, true),
+        route(mortal::SERVICE, "streaming", 2, true),
         // Engines fail at random here, which must not make an item count as one that always fails.
         route("batch", "batch", 1000, false),
     ];
     let customers = [("cool", &["cool"], 100), ("hot", &["hot"], 2)];
     let customers = customers.map(|(name, keys, rate)| Customer { name, keys, rate });
-    let manifest = store::manifest(version, &routes);
-    store::with_customers(manifest, &customers, &["plain", "resumable", "batch"])
+    let mut manifest = store::manifest(version, &routes);
+    for route in manifest["routes"].as_array_mut().unwrap() {
+        if route["name"] == mortal::SERVICE {
+            route["service"] = json!(mortal::SERVICE);
+        }
+    }
+    let open = ["plain", "resumable", "batch", mortal::SERVICE];
+    store::with_customers(manifest, &customers, &open)
 }
--- a/crates/tinbank-entry/tests/soak/main.rs
+++ b/crates/tinbank-entry/tests/soak/main.rs
@@ -7,17 +7,19 @@
 mod caller;
 mod deployment;
 mod faults;
+mod mortal;
 mod promises;
 mod proxy;
 #[path = "../../../../platform/tests/standin/mod.rs"]
 #[allow(dead_code, reason = "the stand-ins serve other tests as well")]
 mod standin;
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use deployment::Deployment;
 use rand::{SeedableRng, rngs::StdRng};
 use standin::play;
+use tokio::task;
 
 /// Seeds that CI plays. One that ever failed is added with a line on its cause.
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -42,15 +44,20 @@
     play(async move {
         let deployment = Deployment::start(seed).await;
         let until = tokio::time::Instant::now() + FAULTS;
+        let mortals = Rc::clone(&deployment.mortals);
+        let deadly = task::spawn_local(mortals.call(deployment.callers(), until));
         let callers = caller::start(&deployment, StdRng::seed_from_u64(seed), until);
         faults::play(&deployment, StdRng::seed_from_u64(!seed), until).await;
         deployment.heal().await;
         let seen = callers.finish().await;
-        let broken = promises::broken(&deployment, &seen).await;
+        deadly.await.unwrap();
+        let mut broken = promises::broken(&deployment, &seen).await;
+        broken.extend(deployment.mortals.broken(&deployment.callers()).await);
         println!(
-            "seed {seed}: {} streams, {} jobs, {} broken",
+            "seed {seed}: {} streams, {} jobs, {} engines ended, {} broken",
             seen.streams(),
             seen.jobs(),
+            deployment.mortals.ended(),
             broken.len()
         );
         assert!(
