Read once more: one digest a request, one look for pauses across a call, the gauge of held requests in one place

The digest of a body was worked out up to three times a request while anything was held back; the check for a pause stood in watch and in the follower; the gauge was set at each report and not when a request was released; the stand-in's route literal stood three times.

--- a/crates/tinbank-entry/tests/soak/deployment.rs
+++ b/crates/tinbank-entry/tests/soak/deployment.rs
@@ -233,13 +233,7 @@
 }
 
 fn manifest(version: u64) -> Value {
-    let route = |name, kind, attempts, resumable| Route {
-        name,
-        kind,
-        attempts,
-        resumable,
-        quota: 0,
-    };
+    let route = Route::unlimited;
     let routes = [
         route("plain", "streaming", 1, false),
         route("resumable", "streaming", 2, true),
--- a/crates/tinbank-gateway/src/border/engine.rs
+++ b/crates/tinbank-gateway/src/border/engine.rs
@@ -1,6 +1,6 @@
 //! Requests to upstreams, and what their answers say.
 
-use std::time::Duration;
+use std::{cell::OnceCell, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, header};
@@ -26,11 +26,17 @@
     pub headers: HeaderMap,
     /// Its whole body.
     pub body: Bytes,
+    /// Its fingerprint, once it was asked for: each attempt asks, and so does the end of the answer.
+    pub digested: OnceCell<Fingerprint>,
 }
 
 impl Request {
     /// What the request has in common with those that are the same one under other ids.
     pub fn fingerprint(&self) -> Fingerprint {
+        *self.digested.get_or_init(|| self.digest())
+    }
+
+    fn digest(&self) -> Fingerprint {
         let host = self.headers.get(header::HOST);
         let content = Content {
             customer: self.customer.as_deref(),
--- a/crates/tinbank-gateway/src/clock.rs
+++ b/crates/tinbank-gateway/src/clock.rs
@@ -84,6 +84,14 @@
         self.pauses.get()
     }
 
+    /// Waits for what comes, and says nothing of it if the process was paused meanwhile: it may have lain there all the time, so
+    /// nobody knows how old it is.
+    pub async fn unpaused<T>(&self, coming: impl Future<Output = T>) -> Option<T> {
+        let before = self.look(Moment::read());
+        let came = coming.await;
+        (self.look(Moment::read()) == before).then_some(came)
+    }
+
     /// The pause that nobody has acted on yet, if there was one.
     pub fn take_pause(&self) -> Option<Duration> {
         self.unnoticed.take()
--- a/crates/tinbank-gateway/src/feed/follower.rs
+++ b/crates/tinbank-gateway/src/feed/follower.rs
@@ -19,7 +19,6 @@
 use super::server::WAIT;
 use crate::{
     border::store::List,
-    clock::Moment,
     exchange::{self, Until},
     node::Node,
     view,
@@ -95,12 +94,10 @@
 /// Asks a delegate. True if it told fresh news, or that there is none.
 async fn ask(node: &Node, delegate: SocketAddr) -> bool {
     let asked_at = Instant::now();
-    let pauses = node.clock.look(Moment::read());
-    let answer = exchange(node, delegate).await;
-    if node.clock.look(Moment::read()) != pauses {
+    let Some(answer) = node.clock.unpaused(exchange(node, delegate)).await else {
         log::info!(delegate:%; "answer of a delegate not believed, the process was paused meanwhile");
         return false;
-    }
+    };
     let update = match answer {
         Ok(update) => update,
         Err(why) => {
--- a/crates/tinbank-gateway/src/quarantine/mod.rs
+++ b/crates/tinbank-gateway/src/quarantine/mod.rs
@@ -19,7 +19,6 @@
 pub(crate) use self::{look::broken, record::keep, tell::tell};
 use crate::{
     border::{engine::Request, store::Written},
-    measure,
     node::Node,
 };
 
@@ -112,7 +111,6 @@
             log_change(change, by);
             self.changed.notify_one();
         }
-        measure::held_back(self.table.borrow().held());
     }
 }
 
--- a/crates/tinbank-gateway/src/quarantine/record.rs
+++ b/crates/tinbank-gateway/src/quarantine/record.rs
@@ -8,7 +8,7 @@
 use tinbank_quarantine::{fingerprint::short, table::Write};
 use tokio::time;
 
-use crate::node::Node;
+use crate::{measure, node::Node};
 
 /// How often the store is compared with what is held back, beside each change. Source: hosts whose allocator is lost have another
 /// one after two heartbeats; requests are held back for an hour, so a second more or less is nothing.
@@ -24,6 +24,7 @@
         let _ = time::timeout(ROUND, node.quarantine.changed.notified()).await;
         let now = Instant::now();
         let writes = node.quarantine.table.borrow_mut().writes(now);
+        measure::held_back(node.quarantine.table.borrow().held());
         if !node.sharing.is_allocator(now) {
             continue;
         }
--- a/crates/tinbank-gateway/src/watch.rs
+++ b/crates/tinbank-gateway/src/watch.rs
@@ -21,7 +21,7 @@
         Assignment, Cursor, Entries, Error, List, Membership, Newest, Offset, Page, Place, Range,
         Store,
     },
-    clock::{Clock, Moment},
+    clock::Clock,
     retry::Retry,
 };
 
@@ -84,20 +84,13 @@
     }
 }
 
-/// What a call has read, unless the process was paused meanwhile: the answer may have lain there all the time, so nothing says
-/// how old it is.
+/// What a call has read, unless the process was paused meanwhile.
 pub async fn unpaused<T>(
     clock: &Clock,
     call: impl Future<Output = Result<T, Error>>,
 ) -> Result<T, Error> {
-    let before = clock.look(Moment::read());
-    let read = call.await;
-    if clock.look(Moment::read()) != before {
-        return Err(Error::Unknown(
-            "the process was paused meanwhile".to_owned(),
-        ));
-    }
-    read
+    let paused = || Error::Unknown("the process was paused meanwhile".to_owned());
+    clock.unpaused(call).await.ok_or_else(paused)?
 }
 
 /// A store whose calls are watched.
