Requests and jobs restricted to regions run only there

Cause: nothing read allowed_regions of routes and customers, so a restricted request ran at any upstream, and its body went to any host. Change: tinbank-relay region combines the restrictions and knows the region of each failure domain (setting regions); slot requests, forwarded calls, resumed streams and items keep to them. Restricted jobs are run by a delegate in an allowed region, and their contents are not inlined in the record that every delegate reads. max_queued_tokens of a customer bounds its queued tokens on a route beside the route's own limit.

--- a/crates/tinbank-gateway/src/batch/forward.rs
+++ b/crates/tinbank-gateway/src/batch/forward.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, request::Parts};
 use http_body_util::{BodyExt, Full};
+use tinbank_relay::region::Allowed;
 use tokio::time;
 
 use crate::{
@@ -37,18 +38,21 @@
 }
 
 /// Forwards a call about a job to a host that reaches the store, unless it was already forwarded. If a host refuses the call
-/// or can't be reached, the next one is tried.
+/// or can't be reached, the next one is tried. Hosts outside the allowed regions and the caller's get no call.
 pub(crate) async fn forward(
     node: &Node,
     job: &str,
     head: &Parts,
     body: Bytes,
     wait: Duration,
+    allowed: &Allowed,
 ) -> Forwarded {
     if head.headers.contains_key(FORWARDED) {
         return Forwarded::NotSent;
     }
-    let hosts = node.sharing.hosts_with_store(job, Instant::now());
+    let regions = &node.settings.regions;
+    let now = Instant::now();
+    let hosts = node.sharing.hosts_with_store_in(job, regions, allowed, now);
     let mut refused = Forwarded::NotSent;
     for host in hosts.into_iter().take(MAX_HOSTS) {
         let now = Instant::now();
--- a/crates/tinbank-gateway/src/batch/ownership.rs
+++ b/crates/tinbank-gateway/src/batch/ownership.rs
@@ -8,9 +8,11 @@
 
 use bytes::Bytes;
 use tinbank_jobs::{
+    job::Job,
     partitions::{Partitions, Revoked},
     record::JobId,
 };
+use tinbank_relay::route::Config;
 use tokio::time;
 
 use super::partition;
@@ -18,6 +20,7 @@
     border::store::{Membership, Topic, TopicPartition},
     dependency::Dependency,
     node::Node,
+    region,
 };
 
 /// Time without a join call after which a member is removed, unless the store's minimum is longer.
@@ -64,9 +67,18 @@
     ownership.is_renewed(ttl(node)) && ownership.partitions.borrow().owns(partition)
 }
 
-/// Returns whether this process may start items of a job now.
-pub(super) fn may_start(node: &Node, job: &JobId) -> bool {
-    let partition = partition(job, node.settings.store.partitions);
+/// Returns whether this process may start items of a job now. The owner of a partition may be in any region, so the items of
+/// a job that is restricted to some regions are run by a delegate there.
+pub(super) fn may_start(node: &Node, config: &Config, job: &Job) -> bool {
+    let allowed = region::of_job(config, job);
+    if !allowed.is_all() {
+        let now = Instant::now();
+        let regions = &node.settings.regions;
+        return node
+            .sharing
+            .runs_restricted(&job.id, regions, &allowed, now);
+    }
+    let partition = partition(&job.id, node.settings.store.partitions);
     let ownership = &node.batch.ownership;
     let now = Instant::now();
     ownership.is_renewed(ttl(node)) && ownership.partitions.borrow().may_start(partition, now)
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -196,6 +196,7 @@
             share: candidate.share.as_ref(),
             size: &candidate.size,
             max_gap: None,
+            allowed: &candidate.allowed,
         };
         let Allocation::Granted(lease) = node.sharing.lease(&node, &wanted).await else {
             time::sleep(IDLE_DELAY).await;
--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -12,13 +12,13 @@
     record::{Index, Item},
     schedule::{self, Decision, Due, Now, State},
 };
-use tinbank_relay::route::Config;
+use tinbank_relay::{region::Allowed, route::Config};
 
 use super::{Key, abandon};
 use crate::{
     batch::{contents, ownership},
     node::Node,
-    share,
+    region, share,
 };
 
 /// An item that may run now.
@@ -31,6 +31,8 @@
     pub excluded: Vec<id::Instance>,
     pub share: Option<Share>,
     pub size: Size,
+    /// Regions in which it may run.
+    pub allowed: Allowed,
 }
 
 /// Returns the item that is due first among those that this process owns and that may run now.
@@ -42,7 +44,7 @@
     let table = node.batch.table.borrow();
     let owned = table
         .open_jobs()
-        .filter(|job| ownership::may_start(node, &job.id));
+        .filter(|job| ownership::may_start(node, &config, job));
     owned
         .filter_map(|job| next_of_job(node, &config, job))
         .min_by_key(|candidate| candidate.due)
@@ -126,6 +128,7 @@
     let size = content.map(|it| node.engine.item_size(&it));
     let customer = job.customer.as_deref();
     Some(Candidate {
+        allowed: region::of_request(config, route, customer),
         share: customer.and_then(|it| share::of_name(config, it)),
         size: size.unwrap_or_default(),
         key,
--- a/crates/tinbank-gateway/src/batch/submission.rs
+++ b/crates/tinbank-gateway/src/batch/submission.rs
@@ -9,7 +9,7 @@
     record::{Attachment, Contents, JobId, Record, Stored, Submission},
     scope,
 };
-use tinbank_relay::route::Route;
+use tinbank_relay::{region::Allowed, route::Route};
 use tokio::{sync::oneshot, time};
 
 use super::{JOBS, contents::INLINE_BYTES, follower, large, results};
@@ -20,6 +20,7 @@
     },
     identity,
     node::Node,
+    region,
     relay::RETRY_AFTER,
 };
 
@@ -82,9 +83,10 @@
         return refuse(call, "log of jobs not read to its end");
     }
     let number = identity::random_id();
+    let allowed = region::of_customer(route, caller.customer().map(|it| &**it));
     let listed = items.iter().map(|it| it.item.clone()).collect();
     let contents = Contents(items.into_iter().map(|it| it.content).collect());
-    let Some(contents) = attach(node, contents, deadline).await else {
+    let Some(contents) = attach(node, contents, &allowed, deadline).await else {
         return refuse(call, "contents not written");
     };
     let submission = Submission {
@@ -92,7 +94,7 @@
         call: number,
         host: call.host.clone(),
         route: route.name.clone(),
-        quota: route.batch.quota,
+        quota: quota(route, caller),
         max_attempts: route.max_attempts,
         submitted_at: SystemTime::now(),
         retention: route.batch.retention,
@@ -110,6 +112,13 @@
     reply
 }
 
+/// Returns the limit on the tokens that the caller may have waiting on a route: the lower one of the route's and the
+/// customer's.
+fn quota(route: &Route, caller: &Caller) -> Option<u64> {
+    let of_customer = caller.customer().and_then(|it| it.queued_tokens);
+    [route.batch.quota, of_customer].into_iter().flatten().min()
+}
+
 /// Returns whether the job log is reachable, before anything irrevocable is written. Reads it only if the follower's reads
 /// were not answered recently.
 async fn is_log_reachable(node: &Node, route: &Route) -> bool {
@@ -122,8 +131,14 @@
 }
 
 /// Attaches the contents of a job to its submission. Returns `None` if they could not be written.
-async fn attach(node: &Node, contents: Contents, deadline: Instant) -> Option<Attachment> {
-    if contents.size() <= INLINE_BYTES {
+async fn attach(
+    node: &Node,
+    contents: Contents,
+    allowed: &Allowed,
+    deadline: Instant,
+) -> Option<Attachment> {
+    // Delegates of all regions read the submissions.
+    if allowed.is_all() && contents.size() <= INLINE_BYTES {
         return Some(Attachment::Inline(contents));
     }
     let stored = write_contents(node, &contents, deadline).await;
--- a/crates/tinbank-gateway/src/lib.rs
+++ b/crates/tinbank-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod measure;
 mod node;
 mod quarantine;
+mod region;
 mod relay;
 mod retry;
 mod run;
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -75,6 +75,11 @@
     metrics::gauge!("tinbank_entry_evacuated_failure_domains").set(failure_domains as f64);
 }
 
+/// Records a request that found no host in its allowed regions.
+pub(crate) fn record_region_refusal() {
+    metrics::counter!("tinbank_entry_region_refusals_total").increment(1);
+}
+
 /// Records the end of a run of a batch item at an upstream.
 pub(crate) fn record_item_run(ended: &'static str) {
     metrics::counter!("tinbank_entry_item_runs_total", "ended" => ended).increment(1);
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -17,7 +17,10 @@
 use hyper::body::Incoming;
 use tinbank_allocator::frame::{Meter, Share};
 use tinbank_customer::Caller;
-use tinbank_relay::route::{Kind, Route};
+use tinbank_relay::{
+    region::Allowed,
+    route::{Kind, Route},
+};
 use tokio::time;
 
 pub(crate) use self::body::with_work_guard;
@@ -35,7 +38,7 @@
     clock::ClockReading,
     measure,
     node::Node,
-    share,
+    region, share,
 };
 
 /// Value of `Retry-After` for a refused request: a free slot or a newer list is likely by then.
@@ -80,8 +83,18 @@
         Ok(body) => body,
         Err(reply) => return reply_with(node, reply),
     };
+    let allowed = region::of_customer(&route, caller.customer().map(|it| &**it));
     if route.kind == Kind::Batch {
-        return submit(node, &route, &caller, &call, &head, body, deadline).await;
+        let job = Submitted {
+            route: &route,
+            caller: &caller,
+            call: &call,
+            head: &head,
+            body,
+            allowed: &allowed,
+            deadline,
+        };
+        return submit(node, job).await;
     }
     let mut request = node
         .engine
@@ -99,6 +112,7 @@
         customer: caller.name().cloned(),
         meter: meter(&caller),
         share: share_of(&caller),
+        allowed,
     };
     OnlineRequest::new(node, route, request, arrival)
         .run()
@@ -125,16 +139,29 @@
     caller.customer().map(|it| share::of_customer(it))
 }
 
-/// Submits a job, here or at another host that follows the job log and reaches the store if this one can't.
-async fn submit(
-    node: &Node,
-    route: &Route,
-    caller: &Caller,
-    call: &ingress::Request,
-    head: &Parts,
+/// A job that a caller submits.
+struct Submitted<'a> {
+    route: &'a Route,
+    caller: &'a Caller,
+    call: &'a ingress::Request,
+    head: &'a Parts,
     body: Bytes,
+    /// Regions in which its items may run.
+    allowed: &'a Allowed,
     deadline: Instant,
-) -> Response<Body> {
+}
+
+/// Submits a job, here or at another host that follows the job log and reaches the store if this one can't.
+async fn submit(node: &Node, job: Submitted<'_>) -> Response<Body> {
+    let Submitted {
+        route,
+        caller,
+        call,
+        head,
+        body,
+        allowed,
+        deadline,
+    } = job;
     let mut refused = None;
     if node.feed.is_delegate() {
         let reply = batch::submission::submit(node, route, caller, call, &body, deadline).await;
@@ -143,7 +170,7 @@
         }
         refused = Some(reply);
     }
-    match forward(node, &call.id, head, body, Duration::ZERO).await {
+    match forward(node, &call.id, head, body, Duration::ZERO, allowed).await {
         Forwarded::Answered(answer) => answer,
         Forwarded::NotSent => {
             let refuse =
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -15,6 +15,7 @@
 use tinbank_relay::{
     attempt::{Attempts, Failure, Next},
     event,
+    region::Allowed,
     route::{Kind, Route},
     timeout::AttemptTimeout,
 };
@@ -62,6 +63,8 @@
     meter: Option<Meter>,
     /// Whose share of the slots it takes.
     share: Option<Share>,
+    /// Regions in which it may run.
+    allowed: Allowed,
     /// Time after which the customer may retry, if it has used up its allowance.
     over_limit: Option<Duration>,
     /// End of its quarantine, if it is quarantined because it crashes upstreams.
@@ -94,6 +97,8 @@
     pub meter: Option<Meter>,
     /// Whose share of the slots it takes.
     pub share: Option<Share>,
+    /// Regions in which it may run.
+    pub allowed: Allowed,
 }
 
 impl OnlineRequest {
@@ -123,6 +128,7 @@
             customer: arrival.customer,
             meter: arrival.meter,
             share: arrival.share,
+            allowed: arrival.allowed,
             over_limit: None,
             quarantined_until: None,
             is_finished: false,
@@ -235,6 +241,7 @@
             meter: self.meter.as_ref(),
             share: self.share.as_ref(),
             size: &self.request.size,
+            allowed: &self.allowed,
             max_gap: self.route.event_gap,
         };
         match self.node.sharing.lease(&self.node, &spec).await {
--- a/crates/tinbank-gateway/src/serve.rs
+++ b/crates/tinbank-gateway/src/serve.rs
@@ -3,7 +3,7 @@
 use std::{convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, header, request::Parts};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tinbank_jobs::scope;
@@ -24,7 +24,7 @@
     },
     exchange, measure,
     node::Node,
-    relay,
+    region, relay,
 };
 
 /// Delay after a failed accept, which is mostly due to a lack of file descriptors.
@@ -145,8 +145,7 @@
     node.check_for_pause();
     let reply = job_reply(node, &call).await;
     if reply == Reply::Unsure
-        && let Forwarded::Answered(response) =
-            forward(node, &call.job, &head, Bytes::new(), call.wait()).await
+        && let Forwarded::Answered(response) = forward_job_call(node, &call, &head).await
     {
         return response;
     }
@@ -154,6 +153,19 @@
     node.ingress.encode(reply)
 }
 
+/// Forwards a call about a job to a host that may know better.
+async fn forward_job_call(node: &Node, call: &JobCall, head: &Parts) -> Forwarded {
+    let Some(config) = node.view.config() else {
+        return Forwarded::NotSent;
+    };
+    let is_open = config.has_open_jobs(&call.host);
+    let caller = access::authenticate(node, &config, &call.job, call.key.as_ref(), is_open);
+    let caller = caller.ok();
+    let customer = caller.as_ref().and_then(|it| it.customer());
+    let allowed = region::of_job_call(&config, &call.host, customer.map(|it| &**it));
+    forward(node, &call.job, head, Bytes::new(), call.wait(), &allowed).await
+}
+
 /// Returns this host's reply to a call about a job, or `Reply::Unsure` if another host may know better. A job of another
 /// customer counts as not found.
 async fn job_reply(node: &Node, call: &JobCall) -> Reply {
--- a/crates/tinbank-gateway/src/settings.rs
+++ b/crates/tinbank-gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use tinbank_allocator::{Options, directory::Capacity, options::Strategy};
 use tinbank_allowance::Tolerance;
 use tinbank_base::id;
+use tinbank_relay::region::Regions;
 
 /// Settings of the entry program.
 #[serde_as]
@@ -41,6 +42,9 @@
     #[serde_as(as = "DurationSeconds<f64>")]
     #[serde(rename = "job_readable_s")]
     pub job_retention: Duration,
+    /// The region of each failure domain. Without it, requests that are restricted to regions are refused.
+    #[serde(default)]
+    pub regions: Regions,
     /// Decisions under load. Each is off without its setting.
     #[serde(default)]
     pub scheduling: Scheduling,
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -32,6 +32,7 @@
 use tinbank_allowance::{FallbackLimiter, Tolerance};
 use tinbank_base::id;
 use tinbank_feed::source::{self, Candidates};
+use tinbank_relay::region::{Allowed, Regions};
 use tokio::{
     net::UdpSocket,
     sync::{Notify, mpsc},
@@ -91,6 +92,8 @@
     pub share: Option<&'a Share>,
     /// Size of the request.
     pub size: &'a Size,
+    /// Regions in which the request may run.
+    pub allowed: &'a Allowed,
     /// Longest pause between two events that the caller accepts.
     pub max_gap: Option<Duration>,
 }
@@ -237,6 +240,24 @@
         state.directory.allocator(&self.own.failure_domain, now) == Some(self.own.address)
     }
 
+    /// Returns whether this host runs the jobs that are restricted to some regions and hash to `job`: of the delegates in
+    /// these regions, the first by rendezvous hash. Hosts may disagree for a while, and then an item may run twice.
+    pub fn runs_restricted(
+        &self,
+        job: &str,
+        regions: &Regions,
+        allowed: &Allowed,
+        now: Instant,
+    ) -> bool {
+        let state = self.state.borrow();
+        let directory = &state.directory;
+        let domains = directory.failure_domains(&self.own.failure_domain, 0);
+        let permitted = domains.iter().filter(|it| regions.permits(allowed, it));
+        let delegates = permitted.flat_map(|domain| directory.delegates(domain, now));
+        let first = delegates.max_by_key(|it| stable_hash(&(job, it.address)));
+        first.is_some_and(|it| it.address == self.own.address)
+    }
+
     /// Sends a frame to all other hosts.
     pub fn broadcast(&self, frame: &Frame) {
         let hosts = self.state.borrow().directory.addresses();
@@ -265,10 +286,33 @@
     /// Returns the caller addresses of hosts that reach the store according to their last heartbeats. Hosts of the own failure
     /// domain come first. The order is stable for each job, since hosts cache what they read of it.
     pub fn hosts_with_store(&self, job: &str, now: Instant) -> SmallVec<[SocketAddr; 8]> {
+        self.hosts_with_store_if(job, now, |_| true)
+    }
+
+    /// Returns those of [`Self::hosts_with_store`] that a request may be forwarded to.
+    pub fn hosts_with_store_in(
+        &self,
+        job: &str,
+        regions: &Regions,
+        allowed: &Allowed,
+        now: Instant,
+    ) -> SmallVec<[SocketAddr; 8]> {
+        let own = &self.own.failure_domain;
+        let is_permitted = |peer: &Peer| regions.permits_host(allowed, own, &peer.failure_domain);
+        self.hosts_with_store_if(job, now, is_permitted)
+    }
+
+    fn hosts_with_store_if(
+        &self,
+        job: &str,
+        now: Instant,
+        is_permitted: impl Fn(&Peer) -> bool,
+    ) -> SmallVec<[SocketAddr; 8]> {
         let state = self.state.borrow();
         let reports = state.store_reachable_at.iter();
         let fresh = reports.filter(|(_, at)| now < **at + HEARTBEAT_INTERVAL + MAX_STORE_AGE);
         let peers = fresh.filter_map(|(address, _)| state.directory.peer(*address));
+        let peers = peers.filter(|peer| is_permitted(peer));
         let mut peers: SmallVec<[&Peer; 8]> = peers.collect();
         peers.sort_by_cached_key(|peer| {
             let is_far = peer.failure_domain != self.own.failure_domain;
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -46,7 +46,14 @@
         let turn = self.next_lease_id.get();
         let own = &self.own.failure_domain;
         let mut domains = self.state.borrow().directory.failure_domains(own, turn);
-        domains.retain(|domain| !node.view.is_evacuated(domain));
+        let regions = &node.settings.regions;
+        domains.retain(|domain| {
+            !node.view.is_evacuated(domain) && regions.permits(spec.allowed, domain)
+        });
+        if domains.is_empty() && !spec.allowed.is_all() {
+            log::info!(service:% = spec.service, allowed:% = spec.allowed; "request refused, no allowed region has hosts");
+            measure::record_region_refusal();
+        }
         let queues: &[Queue] = match spec.queue {
             Queue::No => &[Queue::No],
             queue => &[Queue::No, queue],
@@ -189,7 +196,13 @@
         let now = Instant::now();
         let avoided = self.avoided_upstreams(now);
         let mut candidates = node.view.upstreams(spec.service);
-        candidates.retain(|it| !spec.exclude.contains(&it.instance));
+        candidates.retain(|it| {
+            !spec.exclude.contains(&it.instance)
+                && node
+                    .settings
+                    .regions
+                    .permits(spec.allowed, &it.failure_domain)
+        });
         let (fallback, preferred): (Vec<_>, Vec<_>) = candidates
             .into_iter()
             .partition(|it| avoided.contains(&it.instance));
--- a/crates/tinbank-gateway/src/sharing/ask/tests.rs
+++ b/crates/tinbank-gateway/src/sharing/ask/tests.rs
@@ -10,6 +10,7 @@
     size::Size,
 };
 use tinbank_allowance::Tolerance;
+use tinbank_relay::region::Allowed;
 use tokio::{net::UdpSocket, task, time};
 
 use super::SlotResult;
@@ -121,6 +122,7 @@
             share: None,
             size: &Size::default(),
             max_gap: None,
+            allowed: &Allowed::default(),
         };
         sharing.request_slot_once(&spec, "north", queue).await
     })
--- a/crates/tinbank-relay/src/lib.rs
+++ b/crates/tinbank-relay/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod evacuation;
 pub mod event;
 pub mod listing;
+pub mod region;
 mod remaining;
 pub mod route;
 pub mod timeout;
