--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -176,12 +176,6 @@
         "failure domains",
         "Failure domains whose upstreams get nothing new, by the operator's orders.",
     ),
-    counter(
-        "tinbank_entry_region_refusals_total",
-        "requests",
-        &[],
-        "Requests that no upstream in their allowed regions could run.",
-    ),
     counter(
         "tinbank_entry_failed_attempts_total",
         "attempts",
@@ -203,6 +197,12 @@
         &["ended"],
         "Runs of batch items, by how they ended.",
     ),
+    counter(
+        "tinbank_entry_region_refusals_total",
+        "requests",
+        &[],
+        "Requests that no upstream in their allowed regions could run.",
+    ),
     counter(
         "tinbank_entry_replies_total",
         "answers",
