Responses are read at the upstream's speed, and what slow callers have yet to read is bounded

Cause: a caller that does not read its response held up its upstream, which aborts such responses and crashes when it keeps too many; a host kept no count of what it holds for callers. Change: with scheduling.buffer_kb, a task reads ahead of a caller that does not read. tinbank-relay buffer bounds what is kept for one response and for all, and names what is cut, the longest unread first. An upstream's slot is released as soon as it has sent all.

--- a/crates/tinbank-allocator/tests/allocator.rs
+++ b/crates/tinbank-allocator/tests/allocator.rs
@@ -9,7 +9,7 @@
 use proptest::prelude::*;
 use tinbank_allocator::{
     Allocator,
-    allocator::StateChange,
+    allocator::{StateChange, Upstream},
     frame::{Frame, Queue, Release},
     lease::{Class, Due, Footprint, Held, Outcome},
 };
@@ -375,3 +375,21 @@
         }
     }
 }
+
+/// Guards against connections that an upstream resets because all hosts together opened too many.
+#[test]
+fn an_upstream_is_given_no_more_leases_than_it_accepts_connections() {
+    let mut harness = Harness::after_learning(0);
+    let limited = Upstream {
+        max_connections: Some(6),
+        ..upstream(0)
+    };
+    harness.allocator.set_upstreams(vec![limited]);
+
+    let granted = (0..9).filter(|it| {
+        let request = harness.request(it % HOSTS, Class::Online, Queue::InUpstream);
+        request.is_some()
+    });
+
+    assert_eq!(granted.count(), 6);
+}
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -80,6 +80,16 @@
     metrics::counter!("tinbank_entry_region_refusals_total").increment(1);
 }
 
+/// Sets the bytes that are kept for callers that read slowly.
+pub(crate) fn set_kept_bytes(bytes: usize) {
+    metrics::gauge!("tinbank_entry_kept_bytes").set(bytes as f64);
+}
+
+/// Records a response that was cut because its caller did not read.
+pub(crate) fn record_cut_response(why: &'static str) {
+    metrics::counter!("tinbank_entry_cut_responses_total", "why" => why).increment(1);
+}
+
 /// Records the end of a run of a batch item at an upstream.
 pub(crate) fn record_item_run(ended: &'static str) {
     metrics::counter!("tinbank_entry_item_runs_total", "ended" => ended).increment(1);
--- a/crates/tinbank-gateway/src/node.rs
+++ b/crates/tinbank-gateway/src/node.rs
@@ -16,6 +16,7 @@
     clock::{ClockReading, PauseCount, PauseDetector},
     feed::Feed,
     quarantine::Quarantine,
+    relay::read_ahead::ReadAhead,
     retry::Retry,
     settings::Settings,
     sharing::Sharing,
@@ -38,6 +39,8 @@
     pub clock: Rc<PauseDetector>,
     pub batch: Batch,
     pub stop: Stop,
+    /// Reads ahead for slow callers, if the settings bound what is kept for them.
+    pub read_ahead: Option<Rc<ReadAhead>>,
     draws: Cell<u64>,
     /// Statistics of routes, by route name.
     route_stats: RefCell<HashMap<String, RouteStats>>,
@@ -64,7 +67,10 @@
         let retry = Rc::new(Retry::default());
         let clock = Rc::new(PauseDetector::new(ClockReading::read()));
         let watched = WatchedStore::new(store, Rc::clone(&retry), Rc::clone(&clock));
+        let buffer = settings.scheduling.buffer_kb;
+        let read_ahead = buffer.map(|it| Rc::new(ReadAhead::new((it.get() as usize) << 10)));
         Self {
+            read_ahead,
             feed: Feed::default(),
             quarantine: Quarantine::default(),
             clock,
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod attempt;
 mod body;
 mod online;
+pub(crate) mod read_ahead;
 mod stream;
 
 use std::{
@@ -24,7 +25,10 @@
 use tokio::time;
 
 pub(crate) use self::body::with_work_guard;
-use self::online::{Arrival, OnlineRequest};
+use self::{
+    online::{Arrival, OnlineRequest},
+    read_ahead::Hangup,
+};
 use crate::{
     access::{self, AuthError},
     batch::{
@@ -55,6 +59,7 @@
     call: ingress::Request,
     head: Parts,
     body: Incoming,
+    hangup: Hangup,
 ) -> Response<Body> {
     node.check_for_pause();
     let at = ClockReading::read();
@@ -114,9 +119,13 @@
         share: share_of(&caller),
         allowed,
     };
-    OnlineRequest::new(node, route, request, arrival)
+    let response = OnlineRequest::new(node, route, request, arrival)
         .run()
-        .await
+        .await;
+    match &node.read_ahead {
+        Some(read_ahead) => response.map(|body| read_ahead.wrap(body, hangup)),
+        None => response,
+    }
 }
 
 /// Returns the rank of a request: that of its customer, or else that of its route.
--- a/crates/tinbank-gateway/src/run.rs
+++ b/crates/tinbank-gateway/src/run.rs
@@ -25,7 +25,9 @@
     clock::CHECK_INTERVAL,
     feed, identity,
     node::Node,
-    quarantine, serve,
+    quarantine,
+    relay::read_ahead::read_ahead,
+    serve,
     settings::Settings,
     sharing::{self, Sharing},
     view,
@@ -164,6 +166,7 @@
     task::spawn_local(quarantine::write_to_store(Rc::clone(node)));
     task::spawn_local(quarantine::broadcast(Rc::clone(node)));
     batch::start(node);
+    task::spawn_local(read_ahead(Rc::clone(node)));
     task::spawn_local(keep_registered(Rc::clone(node)));
     task::spawn_local(check_for_pauses(Rc::clone(node)));
 }
--- a/crates/tinbank-gateway/src/serve.rs
+++ b/crates/tinbank-gateway/src/serve.rs
@@ -24,7 +24,8 @@
     },
     exchange, measure,
     node::Node,
-    region, relay,
+    region,
+    relay::{self, read_ahead::Hangup},
 };
 
 /// Delay after a failed accept, which is mostly due to a lack of file descriptors.
@@ -97,7 +98,8 @@
     let head_timeout = limits.map_or(DEFAULT_HEAD_TIMEOUT, |it| {
         it.head_timeout.max(it.idle_timeout)
     });
-    let service = service_fn(|request| serve_request(Rc::clone(&node), request));
+    let hangup = Hangup::default();
+    let service = service_fn(|request| serve_request(Rc::clone(&node), request, hangup.clone()));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(head_timeout)
@@ -106,6 +108,8 @@
     let mut connection = pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
+        // Dropping the connection closes it, although its caller does not read.
+        () = hangup.requested() => return,
         () = node.stop.wait_until_closing() => {
             connection.as_mut().graceful_shutdown();
             connection.await
@@ -119,9 +123,10 @@
 async fn serve_request(
     node: Rc<Node>,
     request: Request<Incoming>,
+    hangup: Hangup,
 ) -> Result<Response<Body>, Infallible> {
     let work = crate::stop::track_work(&node);
-    let mut response = respond(&node, request).await;
+    let mut response = respond(&node, request, hangup).await;
     if node.stop.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -129,7 +134,7 @@
     Ok(response.map(|body| relay::with_work_guard(body, work)))
 }
 
-async fn respond(node: &Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+async fn respond(node: &Rc<Node>, request: Request<Incoming>, hangup: Hangup) -> Response<Body> {
     let (head, body) = request.into_parts();
     let call = match node.ingress.decode(&head) {
         Ok(call) => call,
@@ -139,7 +144,7 @@
         }
     };
     let call = match call {
-        Call::Request(call) => return relay::request(node, call, head, body).await,
+        Call::Request(call) => return relay::request(node, call, head, body, hangup).await,
         Call::Job(call) => call,
     };
     node.check_for_pause();
--- a/crates/tinbank-relay/src/lib.rs
+++ b/crates/tinbank-relay/src/lib.rs
@@ -3,6 +3,7 @@
 //! The crate does no I/O; `tinbank-gateway` does it. See `docs/design/users-platform.md`.
 
 pub mod attempt;
+pub mod buffer;
 pub mod caller_timeout;
 pub mod evacuation;
 pub mod event;
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -171,6 +171,12 @@
         &["found"],
         "Upstreams that broke off connections, by what a look at their address found: ended, listening, or silent.",
     ),
+    counter(
+        "tinbank_entry_cut_responses_total",
+        "responses",
+        &["why"],
+        "Responses that were cut because their callers did not read; `host_full` means that the host kept too much.",
+    ),
     gauge(
         "tinbank_entry_evacuated_failure_domains",
         "failure domains",
@@ -197,6 +203,11 @@
         &["ended"],
         "Runs of batch items, by how they ended.",
     ),
+    gauge(
+        "tinbank_entry_kept_bytes",
+        "bytes",
+        "Parts of responses that are kept for callers that read slowly.",
+    ),
     counter(
         "tinbank_entry_region_refusals_total",
         "requests",
