relay: the first read of the store counts as a read after an outage

Cause: a host that begins to read the store has no earlier answer to compare with, so its first read counted as reliable and entries that had lapsed in an outage counted as gone. Change: the first answer starts the renewal time, as one after an outage does.

--- a/crates/tinbank-relay/src/listing.rs
+++ b/crates/tinbank-relay/src/listing.rs
@@ -69,9 +69,11 @@
 }
 
 impl StoreContact {
+    /// Records an answer. The first one counts as an answer after an outage: a host that begins to read the store does not know
+    /// whether entries lapsed before, and most hosts begin because their delegates fell silent in an outage.
     fn record_answer(&mut self, now: Instant) {
         let gap_end = self.last_answer_at.map(|at| at + MAX_ANSWER_GAP);
-        let was_unavailable = self.has_failed || gap_end.is_some_and(|end| now > end);
+        let was_unavailable = self.has_failed || gap_end.is_none_or(|end| now > end);
         if was_unavailable {
             self.reliable_from = Some(now + RENEWAL_TIME);
         }
--- a/crates/tinbank-relay/tests/listing.rs
+++ b/crates/tinbank-relay/tests/listing.rs
@@ -30,9 +30,11 @@
     }
 }
 
-/// Returns a listing of `upstreams` upstreams, read from a reachable store.
+/// Returns a listing of `upstreams` upstreams, read from a store that has answered for [`RENEWAL_TIME`].
 fn listing(upstreams: u8, now: Instant) -> Listing {
     let mut listing = Listing::default();
+    listing.record_store_answer(now - RENEWAL_TIME);
+    listing.record_store_answer(now - RENEWAL_TIME / 2);
     listing.record_store_answer(now);
     listing.replace((0..upstreams).map(upstream).collect(), now);
     listing
@@ -105,6 +107,29 @@
     assert_eq!(serving(&listing), expected);
 }
 
+/// Guards against a follower that begins to read the store after an outage of which it knows nothing, and takes the entries
+/// that lapsed for those of upstreams that are gone.
+#[parameterized(
+    records_since_the_last_position = { false },
+    whole_list = { true },
+)]
+fn entries_absent_from_the_first_read_are_missing_until_the_renewal_time(is_whole: bool) {
+    let now = Instant::now();
+    let mut listing = Listing::default();
+    listing.apply_snapshot(vec![upstream(0), upstream(1)]);
+
+    listing.record_store_answer(now);
+    match is_whole {
+        true => drop(listing.replace(vec![upstream(1)], now)),
+        false => drop(listing.remove(&upstream(0).name, now)),
+    }
+    let at_first = serving(&listing);
+    listing.expire_missing(now + RENEWAL_TIME);
+
+    assert_eq!(at_first, ["u0", "u1"]);
+    assert_eq!(serving(&listing), ["u1"]);
+}
+
 #[test]
 fn a_missing_upstream_that_reported_leaving_accepts_no_requests() {
     let (mut listing, _) = play(&[Fail(SECOND), Answer(SECOND), Remove(0)]);
