relay, gateway: what is known of upstreams ends when they leave the scope

Cause: a host that tracks only its own failure domain recorded removals of all upstreams (records of the store without a failure domain, and the unscoped removals in updates of delegates), but ignored the entries of other failure domains when they came back. retain_failure_domain kept such marks, and the whole list of a reader of its own failure domain was applied before the others were dropped, which marked all of them as gone. The marks lasted as long as the process. Change: the listing has a scope. Setting it drops everything out of scope, marks included; nothing is recorded about names that are unknown or out of scope. A mark holds its failure domain, the position that it is based on, and expires after 60 s.

--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -19,7 +19,7 @@
 use tinbank_feed::message::Age;
 use tinbank_relay::{
     evacuation::{self, Evacuations},
-    listing::Listing,
+    listing::{Listing, Scope},
     route::Config,
     upstream::Upstream,
 };
@@ -45,8 +45,6 @@
     config_read_at: Cell<Option<Instant>>,
     upstreams: RefCell<Listing>,
     upstreams_read_at: Cell<Option<Instant>>,
-    /// Whether only the upstreams of the own failure domain are known.
-    is_own_domain_only: Cell<bool>,
     peers: RefCell<HashMap<SocketAddr, Peer>>,
     peers_read_at: Cell<Option<Instant>>,
     evacuations: RefCell<Evacuations>,
@@ -130,9 +128,9 @@
         self.upstreams.borrow().get(instance).cloned()
     }
 
-    /// Returns whether only the upstreams of the own failure domain are known.
+    /// Returns whether only the upstreams of the own failure domain are tracked.
     pub fn is_own_domain_only(&self) -> bool {
-        self.is_own_domain_only.get()
+        *self.upstreams.borrow().scope() != Scope::All
     }
 
     /// Returns the evacuated failure domains, whose upstreams get no new requests.
@@ -207,7 +205,7 @@
 
     /// Returns whether an upstream is known to be leaving or gone. One that is not listed yet may be new.
     pub fn is_leaving(&self, instance: &id::Instance) -> bool {
-        self.upstreams.borrow().is_leaving(instance)
+        self.upstreams.borrow().is_leaving(instance, Instant::now())
     }
 
     /// Records that an upstream itself reported that it is leaving or gone.
--- a/crates/tinbank-gateway/src/view/entries.rs
+++ b/crates/tinbank-gateway/src/view/entries.rs
@@ -4,8 +4,7 @@
 
 use tinbank_relay::{
     evacuation,
-    listing::{Change, Changes},
-    upstream::Upstream,
+    listing::{Change, Changes, Reading, Scope},
 };
 
 use super::View;
@@ -107,41 +106,42 @@
     node.update_allocator();
 }
 
+/// Returns which upstreams this host tracks.
+pub(super) fn scope(node: &Node, is_own_domain_only: bool) -> Scope {
+    match is_own_domain_only {
+        true => Scope::Domain(node.settings.failure_domain.clone()),
+        false => Scope::All,
+    }
+}
+
 /// Returns whether the upstreams changed.
 fn apply_upstreams(node: &Node, read: Entries, whole: bool, now: Instant) -> bool {
     let view = &node.view;
     let end = read.end;
+    let at = Reading { position: end, now };
+    let mut listing = view.upstreams.borrow_mut();
     if whole {
-        view.is_own_domain_only.set(!node.feed.serves_followers());
+        // Before the list is applied: upstreams out of scope are dropped, while those absent from the list count as removed.
+        listing.set_scope(scope(node, !node.feed.serves_followers()));
     }
-    let own = &node.settings.failure_domain;
-    let is_own_domain_only = view.is_own_domain_only();
-    let is_wanted = |it: &Upstream| !is_own_domain_only || it.failure_domain == *own;
-    let mut listing = view.upstreams.borrow_mut();
     let entries = read.entries.into_iter();
     let mut changes: Changes = match whole {
         true => {
             let listed = entries.filter_map(|written| match written {
-                ListEntry::Upstream(upstream) if is_wanted(&upstream) => Some(upstream),
+                ListEntry::Upstream(upstream) => Some(upstream),
                 _ => None,
             });
-            let changes = listing.replace(listed.collect(), now);
-            if is_own_domain_only {
-                listing.retain_failure_domain(own);
-            }
-            changes
+            listing.replace(listed.collect(), at)
         }
         false => entries
             .flat_map(|written| match written {
-                ListEntry::Upstream(upstream) if is_wanted(&upstream) => listing.add(upstream),
-                ListEntry::UpstreamRemoved(name) => {
-                    listing.remove(&name, now).into_iter().collect()
-                }
+                ListEntry::Upstream(upstream) => listing.add(upstream, at),
+                ListEntry::UpstreamRemoved(name) => listing.remove(&name, at).into_iter().collect(),
                 _ => Changes::new(),
             })
             .collect(),
     };
-    let settled = listing.expire_missing(now);
+    let settled = listing.expire_missing(at);
     drop(listing);
     if whole {
         view.lists.changed_upstreams.borrow_mut().reset(end);
@@ -159,19 +159,20 @@
 
 /// Applies a page of the upstreams while a starting host reads on, so that it can use these upstreams already. The list of a large
 /// fleet has many pages.
-pub(super) fn apply_page(node: &Node, page: Vec<ListEntry>) {
+pub(super) fn apply_page(node: &Node, page: Vec<ListEntry>, end: Offset) {
     let view = &node.view;
     if view.lists.of(List::Upstreams).position().is_some() {
         return;
     }
-    let is_own_domain_only = !node.feed.serves_followers();
-    let own = &node.settings.failure_domain;
+    let at = Reading {
+        position: end,
+        now: Instant::now(),
+    };
     let mut listing = view.upstreams.borrow_mut();
+    listing.set_scope(scope(node, !node.feed.serves_followers()));
     for written in page {
-        if let ListEntry::Upstream(upstream) = written
-            && (!is_own_domain_only || upstream.failure_domain == *own)
-        {
-            listing.add(upstream).iter().for_each(log_change);
+        if let ListEntry::Upstream(upstream) = written {
+            listing.add(upstream, at).iter().for_each(log_change);
         }
     }
     drop(listing);
--- a/crates/tinbank-gateway/src/view/lists.rs
+++ b/crates/tinbank-gateway/src/view/lists.rs
@@ -43,7 +43,7 @@
             Ok(Read::Page(entries)) => {
                 timeout.on_response();
                 if list == List::Upstreams {
-                    apply_page(&node, entries);
+                    apply_page(&node, entries.entries, entries.end);
                 }
             }
             Ok(Read::Since(entries)) => {
--- a/crates/tinbank-gateway/src/view/pages.rs
+++ b/crates/tinbank-gateway/src/view/pages.rs
@@ -19,7 +19,7 @@
 /// Result of one call to the store.
 pub(super) enum Read {
     /// A page of the whole list, with more to follow.
-    Page(Vec<ListEntry>),
+    Page(Entries),
     /// The whole list, read in full.
     Whole(Entries),
     /// Records written since a position.
@@ -54,7 +54,10 @@
         self.next = page.next;
         if self.next.is_some() {
             self.entries.extend(page.entries.iter().cloned());
-            return Ok(Read::Page(page.entries));
+            return Ok(Read::Page(Entries {
+                entries: page.entries,
+                end,
+            }));
         }
         self.entries.extend(page.entries);
         let Self { entries, .. } = std::mem::take(self);
--- a/crates/tinbank-gateway/src/view/update.rs
+++ b/crates/tinbank-gateway/src/view/update.rs
@@ -8,11 +8,11 @@
 use tinbank_allocator::directory::Peer;
 use tinbank_base::id;
 use tinbank_feed::message::{Delta, Position, Snapshot, Update};
-use tinbank_relay::upstream::Upstream;
+use tinbank_relay::{listing::Reading, upstream::Upstream};
 
 use super::{
     View,
-    entries::{apply_config, on_evacuation_changes, record_changes, record_read},
+    entries::{apply_config, on_evacuation_changes, record_changes, record_read, scope},
     watermark::Watermark,
 };
 use crate::{
@@ -75,17 +75,18 @@
 ) -> bool {
     let view = &node.view;
     let position = delta.position;
+    let at = Reading {
+        position,
+        now: Instant::now(),
+    };
     let mut listing = view.upstreams.borrow_mut();
     let changes = match delta.is_whole {
         true => {
-            if is_own_domain_only {
-                listing.retain_failure_domain(&node.settings.failure_domain);
-            }
-            view.is_own_domain_only.set(is_own_domain_only);
+            listing.set_scope(scope(node, is_own_domain_only));
             view.lists.changed_upstreams.borrow_mut().reset(position);
-            listing.apply_snapshot(delta.entries)
+            listing.apply_snapshot(delta.entries, at)
         }
-        false => listing.apply_update(delta.entries, delta.gone),
+        false => listing.apply_update(delta.entries, delta.gone, at),
     };
     drop(listing);
     // At the next position, since the delegate may have sent changes that no record describes.
--- a/crates/tinbank-relay/src/listing.rs
+++ b/crates/tinbank-relay/src/listing.rs
@@ -29,6 +29,51 @@
 /// computed end of the period varies.
 const COLD_TOLERANCE: Duration = Duration::from_millis(1_500);
 
+/// How long an upstream that was removed counts as gone. A mark answers grants of an allocator whose list is older; an allocator
+/// that is told once does not grant the upstream again. Without expiry a wrong mark would last as long as the process.
+pub const GONE_DURATION: Duration = Duration::from_secs(60);
+
+/// Position in the list of the store, the same at all hosts.
+pub type Position = u64;
+
+/// Point up to which the list was read, from the store or from another host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reading {
+    /// Position after the last record.
+    pub position: Position,
+    /// When it was applied.
+    pub now: Instant,
+}
+
+/// Upstreams that a host keeps track of.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Scope {
+    /// Those of all failure domains.
+    #[default]
+    All,
+    /// Those of one failure domain.
+    Domain(id::FailureDomain),
+}
+
+impl Scope {
+    /// Returns whether upstreams of a failure domain are in scope.
+    pub fn covers(&self, failure_domain: &str) -> bool {
+        match self {
+            Self::All => true,
+            Self::Domain(domain) => domain == failure_domain,
+        }
+    }
+}
+
+/// How a host knows that an upstream is leaving or gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The upstream itself said so to this host.
+    Reply,
+    /// The list at this position says so.
+    List(Position),
+}
+
 /// A change to the state of an upstream, for logs and followers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -48,6 +93,9 @@
     states: HashMap<id::Instance, State>,
     /// The latest instance listed under each name.
     instances: HashMap<id::Instance, id::Instance>,
+    /// Why upstreams that are listed or missing are leaving.
+    leaving: HashMap<id::Instance, Cause>,
+    scope: Scope,
     store: StoreContact,
 }
 
@@ -55,8 +103,35 @@
 enum State {
     Listed(Upstream),
     Missing(Upstream),
-    /// Kept in the map, since the instance may be listed again.
-    Gone,
+    /// Kept for [`GONE_DURATION`], since an allocator with an older list may grant it, and it may be listed again.
+    Gone(Mark),
+}
+
+/// Why an upstream counts as gone, and until when.
+#[derive(Debug)]
+struct Mark {
+    failure_domain: id::FailureDomain,
+    cause: Cause,
+    expires_at: Instant,
+}
+
+impl Mark {
+    fn new(upstream: &Upstream, at: Reading) -> Self {
+        Self {
+            failure_domain: upstream.failure_domain.clone(),
+            cause: Cause::List(at.position),
+            expires_at: at.now + GONE_DURATION,
+        }
+    }
+}
+
+impl State {
+    fn failure_domain(&self) -> &str {
+        match self {
+            Self::Listed(upstream) | Self::Missing(upstream) => &upstream.failure_domain,
+            Self::Gone(mark) => &mark.failure_domain,
+        }
+    }
 }
 
 /// Availability of the store, by its answers to reads of the list.
@@ -107,18 +182,49 @@
         self.store.has_failed = true;
     }
 
+    /// Returns which upstreams are tracked.
+    pub fn scope(&self) -> &Scope {
+        &self.scope
+    }
+
+    /// Sets which upstreams are tracked, and drops all that is known about others, also that they are gone: this host receives
+    /// no more updates about them and would not learn that they are listed again.
+    pub fn set_scope(&mut self, scope: Scope) {
+        self.scope = scope;
+        let scope = &self.scope;
+        self.states
+            .retain(|_, state| scope.covers(state.failure_domain()));
+        self.drop_unknown();
+    }
+
+    /// Drops what refers to upstreams of which nothing is known any more.
+    fn drop_unknown(&mut self) {
+        let states = &self.states;
+        self.instances
+            .retain(|_, instance| states.contains_key(instance));
+        self.leaving
+            .retain(|instance, _| states.contains_key(instance));
+    }
+
     /// Applies a written entry. A previous instance of the same name is gone.
-    pub fn add(&mut self, upstream: Upstream) -> Changes {
+    pub fn add(&mut self, upstream: Upstream, at: Reading) -> Changes {
         let mut changes = Changes::new();
+        if !self.scope.covers(&upstream.failure_domain) {
+            return changes;
+        }
         let instance = upstream.instance.clone();
         let before = self
             .instances
             .insert(upstream.name.clone(), instance.clone());
-        if let Some(before) = before.filter(|it| *it != instance)
-            && let Some(State::Listed(_) | State::Missing(_)) =
-                self.states.insert(before.clone(), State::Gone)
-        {
-            changes.push(Change::Gone(before));
+        if let Some(before) = before.filter(|it| *it != instance) {
+            changes.extend(self.mark_gone(before, at));
+        }
+        match upstream.leaving {
+            true => {
+                let cause = self.leaving.entry(instance.clone());
+                cause.or_insert(Cause::List(at.position));
+            }
+            false => drop(self.leaving.remove(&instance)),
         }
         let before = self
             .states
@@ -131,58 +237,69 @@
         changes
     }
 
-    /// Applies the removal of a name's entry.
-    pub fn remove(&mut self, name: &id::Instance, now: Instant) -> Option<Change> {
-        let instance = self.instances.get(name).unwrap_or(name);
-        let state = self.states.remove(instance);
-        let (state, change) = match state {
-            Some(State::Listed(upstream)) if !self.store.is_reliable(now) => (
-                State::Missing(upstream),
-                Some(Change::Missing(instance.clone())),
-            ),
-            Some(State::Listed(_)) => (State::Gone, Some(Change::Gone(instance.clone()))),
-            Some(missing @ State::Missing(_)) => (missing, None),
-            Some(State::Gone) | None => (State::Gone, None),
+    /// Applies the removal of a name's entry. Nothing is recorded about a name that is unknown or out of scope.
+    pub fn remove(&mut self, name: &id::Instance, at: Reading) -> Option<Change> {
+        let instance = self.instances.get(name)?.clone();
+        if self.store.is_reliable(at.now) {
+            return self.mark_gone(instance, at);
+        }
+        self.mark_missing(&instance)
+    }
+
+    /// Records that an upstream is gone. Returns the change, unless that is known.
+    fn mark_gone(&mut self, instance: id::Instance, at: Reading) -> Option<Change> {
+        let state = self.states.get_mut(&instance)?;
+        let (State::Listed(upstream) | State::Missing(upstream)) = state else {
+            return None;
         };
-        self.states.insert(instance.clone(), state);
-        change
+        *state = State::Gone(Mark::new(upstream, at));
+        Some(Change::Gone(instance))
+    }
+
+    /// Records that the entry of an upstream is missing. Returns the change, unless that is known or the upstream is gone.
+    fn mark_missing(&mut self, instance: &id::Instance) -> Option<Change> {
+        let state = self.states.get_mut(instance)?;
+        let State::Listed(upstream) = state else {
+            return None;
+        };
+        *state = State::Missing(upstream.clone());
+        Some(Change::Missing(instance.clone()))
     }
 
     /// Applies the full list of upstreams that another host sent. Upstreams that are not in it are gone: the sender has
     /// already waited for expired entries to be renewed.
-    pub fn apply_snapshot(&mut self, upstreams: Vec<Upstream>) -> Changes {
-        let named: HashSet<id::Instance> = upstreams.iter().map(|it| it.instance.clone()).collect();
+    pub fn apply_snapshot(&mut self, upstreams: Vec<Upstream>, at: Reading) -> Changes {
+        let named: HashSet<&id::Instance> = upstreams.iter().map(|it| &it.instance).collect();
         let known = self.states.keys();
         let unnamed: Vec<_> = known.filter(|it| !named.contains(*it)).cloned().collect();
-        self.apply_update(upstreams, unnamed)
+        self.apply_update(upstreams, unnamed, at)
     }
 
     /// Applies the changes that another host sent. An upstream that is leaving by this host's own knowledge stays so.
-    pub fn apply_update(&mut self, upstreams: Vec<Upstream>, gone: Vec<id::Instance>) -> Changes {
-        let mut changes = Changes::new();
-        for instance in gone {
-            let before = self.states.insert(instance.clone(), State::Gone);
-            if !matches!(before, Some(State::Gone)) {
-                changes.push(Change::Gone(instance));
-            }
-        }
-        let merged = upstreams.into_iter().map(|mut upstream| {
+    pub fn apply_update(
+        &mut self,
+        upstreams: Vec<Upstream>,
+        gone: Vec<id::Instance>,
+        at: Reading,
+    ) -> Changes {
+        let gone = gone.into_iter();
+        let mut changes: Changes = gone.filter_map(|it| self.mark_gone(it, at)).collect();
+        for mut upstream in upstreams {
             upstream.leaving |= self.was_leaving(&upstream.instance);
-            upstream
-        });
-        let merged: Vec<Upstream> = merged.collect();
-        changes.extend(merged.into_iter().flat_map(|it| self.add(it)));
+            changes.extend(self.add(upstream, at));
+        }
+        self.drop_expired(at.now);
         changes
     }
 
-    /// Drops the upstreams of other failure domains, about which this host receives no more updates.
-    pub fn retain_failure_domain(&mut self, failure_domain: &str) {
-        self.states.retain(|_, state| match state {
-            State::Listed(upstream) | State::Missing(upstream) => {
-                upstream.failure_domain == failure_domain
-            }
-            State::Gone => true,
-        });
+    /// Drops the marks of upstreams that are gone for longer than [`GONE_DURATION`].
+    fn drop_expired(&mut self, now: Instant) {
+        let before = self.states.len();
+        self.states
+            .retain(|_, state| !matches!(state, State::Gone(mark) if now >= mark.expires_at));
+        if self.states.len() != before {
+            self.drop_unknown();
+        }
     }
 
     fn was_leaving(&self, instance: &id::Instance) -> bool {
@@ -193,28 +310,29 @@
     }
 
     /// Applies a read of the whole list; entries that are not in it were removed.
-    pub fn replace(&mut self, upstreams: Vec<Upstream>, now: Instant) -> Changes {
+    pub fn replace(&mut self, upstreams: Vec<Upstream>, at: Reading) -> Changes {
         let named: HashSet<&id::Instance> = upstreams.iter().map(|it| &it.name).collect();
         let names = self.instances.keys();
         let unnamed: Vec<_> = names.filter(|it| !named.contains(*it)).cloned().collect();
         drop(named);
         let mut changes: Changes = unnamed
             .iter()
-            .filter_map(|name| self.remove(name, now))
+            .filter_map(|name| self.remove(name, at))
             .collect();
-        changes.extend(upstreams.into_iter().flat_map(|it| self.add(it)));
+        changes.extend(upstreams.into_iter().flat_map(|it| self.add(it, at)));
         changes
     }
 
     /// Marks missing upstreams as gone once the store has answered for [`RENEWAL_TIME`].
-    pub fn expire_missing(&mut self, now: Instant) -> Changes {
-        if !self.store.is_reliable(now) {
+    pub fn expire_missing(&mut self, at: Reading) -> Changes {
+        self.drop_expired(at.now);
+        if !self.store.is_reliable(at.now) {
             return Changes::new();
         }
         let mut changes = Changes::new();
         for (instance, state) in &mut self.states {
-            if matches!(state, State::Missing(_)) {
-                *state = State::Gone;
+            if let State::Missing(upstream) = state {
+                *state = State::Gone(Mark::new(upstream, at));
                 changes.push(Change::Gone(instance.clone()));
             }
         }
@@ -234,15 +352,20 @@
             self.states.get_mut(instance)
         {
             upstream.leaving = true;
+            self.leaving.insert(instance.clone(), Cause::Reply);
         }
     }
 
     /// Returns whether the upstream is known to be leaving or gone. One that was never listed may be new.
-    pub fn is_leaving(&self, instance: &id::Instance) -> bool {
-        match self.states.get(instance) {
-            Some(State::Listed(upstream) | State::Missing(upstream)) => upstream.leaving,
-            Some(State::Gone) => true,
-            None => false,
+    pub fn is_leaving(&self, instance: &id::Instance, now: Instant) -> bool {
+        self.cause_of_leaving(instance, now).is_some()
+    }
+
+    /// Returns how this host knows that the upstream is leaving or gone, if it is.
+    pub fn cause_of_leaving(&self, instance: &id::Instance, now: Instant) -> Option<Cause> {
+        match self.states.get(instance)? {
+            State::Listed(_) | State::Missing(_) => self.leaving.get(instance).copied(),
+            State::Gone(mark) => (now < mark.expires_at).then_some(mark.cause),
         }
     }
 
@@ -250,7 +373,7 @@
     pub fn get(&self, instance: &id::Instance) -> Option<&Upstream> {
         match self.states.get(instance)? {
             State::Listed(upstream) | State::Missing(upstream) => Some(upstream),
-            State::Gone => None,
+            State::Gone(_) => None,
         }
     }
 
@@ -258,7 +381,7 @@
     pub fn present(&self) -> impl Iterator<Item = &Upstream> {
         self.states.values().filter_map(|state| match state {
             State::Listed(upstream) | State::Missing(upstream) => Some(upstream),
-            State::Gone => None,
+            State::Gone(_) => None,
         })
     }
 
--- a/crates/tinbank-relay/tests/listing.rs
+++ b/crates/tinbank-relay/tests/listing.rs
@@ -8,7 +8,7 @@
 
 use proptest::prelude::*;
 use tinbank_relay::{
-    listing::{Change, Listing, MAX_ANSWER_GAP, RENEWAL_TIME},
+    listing::{Change, GONE_DURATION, Listing, MAX_ANSWER_GAP, RENEWAL_TIME, Reading, Scope},
     upstream::Upstream,
 };
 use tinbank_test_support::property;
@@ -17,6 +17,10 @@
 /// Time between two reads of the list.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 
+fn at(now: Instant) -> Reading {
+    Reading { position: 7, now }
+}
+
 fn upstream(index: u8) -> Upstream {
     Upstream {
         instance: format!("u{index}").into(),
@@ -36,7 +40,7 @@
     listing.record_store_answer(now - RENEWAL_TIME);
     listing.record_store_answer(now - RENEWAL_TIME / 2);
     listing.record_store_answer(now);
-    listing.replace((0..upstreams).map(upstream).collect(), now);
+    listing.replace((0..upstreams).map(upstream).collect(), at(now));
     listing
 }
 
@@ -80,11 +84,11 @@
                 now += after;
                 listing.record_store_failure();
             }
-            Remove(index) => drop(listing.remove(&upstream(index).instance, now)),
-            Add(index) => drop(listing.add(upstream(index))),
-            Empty => drop(listing.replace(Vec::new(), now)),
+            Remove(index) => drop(listing.remove(&upstream(index).instance, at(now))),
+            Add(index) => drop(listing.add(upstream(index), at(now))),
+            Empty => drop(listing.replace(Vec::new(), at(now))),
         }
-        listing.expire_missing(now);
+        listing.expire_missing(at(now));
     }
     (listing, now)
 }
@@ -116,15 +120,15 @@
 fn entries_absent_from_the_first_read_are_missing_until_the_renewal_time(is_whole: bool) {
     let now = Instant::now();
     let mut listing = Listing::default();
-    listing.apply_snapshot(vec![upstream(0), upstream(1)]);
+    listing.apply_snapshot(vec![upstream(0), upstream(1)], at(now));
 
     listing.record_store_answer(now);
     match is_whole {
-        true => drop(listing.replace(vec![upstream(1)], now)),
-        false => drop(listing.remove(&upstream(0).name, now)),
+        true => drop(listing.replace(vec![upstream(1)], at(now))),
+        false => drop(listing.remove(&upstream(0).name, at(now))),
     }
     let at_first = serving(&listing);
-    listing.expire_missing(now + RENEWAL_TIME);
+    listing.expire_missing(at(now + RENEWAL_TIME));
 
     assert_eq!(at_first, ["u0", "u1"]);
     assert_eq!(serving(&listing), ["u1"]);
@@ -132,12 +136,12 @@
 
 #[test]
 fn a_missing_upstream_that_reported_leaving_accepts_no_requests() {
-    let (mut listing, _) = play(&[Fail(SECOND), Answer(SECOND), Remove(0)]);
+    let (mut listing, now) = play(&[Fail(SECOND), Answer(SECOND), Remove(0)]);
 
     listing.mark_leaving(&upstream(0).instance);
 
     assert_eq!(serving(&listing), ["u1"]);
-    assert!(listing.is_leaving(&upstream(0).instance));
+    assert!(listing.is_leaving(&upstream(0).instance, now));
 }
 
 #[test]
@@ -145,19 +149,19 @@
     let (mut listing, now) = play(&[Fail(SECOND), Answer(SECOND)]);
     let gone = upstream(0).instance;
 
-    let first = listing.remove(&gone, now);
-    let second = listing.remove(&gone, now);
+    let first = listing.remove(&gone, at(now));
+    let second = listing.remove(&gone, at(now));
     let expires_at = listing.missing_expire_at().unwrap();
-    let early = listing.expire_missing(now + READ_INTERVAL);
-    let expired = listing.expire_missing(expires_at);
-    let again = listing.expire_missing(expires_at + READ_INTERVAL);
+    let early = listing.expire_missing(at(now + READ_INTERVAL));
+    let expired = listing.expire_missing(at(expires_at));
+    let again = listing.expire_missing(at(expires_at + READ_INTERVAL));
 
     assert_eq!(first, Some(Change::Missing(gone.clone())));
     assert_eq!(second, None);
     assert!(early.is_empty());
     assert_eq!(expired[..], [Change::Gone(gone.clone())]);
     assert!(again.is_empty());
-    assert!(listing.is_leaving(&gone));
+    assert!(listing.is_leaving(&gone, now));
 }
 
 proptest! {
@@ -192,12 +196,12 @@
                     if was_listed && is_unreliable {
                         missing.insert(index, true);
                     }
-                    listing.remove(&upstream(index).instance, now);
+                    listing.remove(&upstream(index).instance, at(now));
                 }
                 5 if !is_unavailable => {
                     listed.insert(index, true);
                     missing.remove(&index);
-                    listing.add(upstream(index));
+                    listing.add(upstream(index), at(now));
                 }
                 _ => {}
             }
@@ -208,7 +212,7 @@
             if !is_unavailable && returned_at.is_none_or(|at| now >= at + RENEWAL_TIME) {
                 missing.clear();
             }
-            listing.expire_missing(now);
+            listing.expire_missing(at(now));
             let expected: Vec<_> = (0..2u8)
                 .filter(|index| listed[index] || missing.contains_key(index))
                 .map(|index| format!("u{index}"))
@@ -223,12 +227,12 @@
     let now = Instant::now();
     let mut listing = listing(3, now);
 
-    let changes = listing.apply_snapshot(vec![upstream(1), upstream(2), upstream(5)]);
+    let changes = listing.apply_snapshot(vec![upstream(1), upstream(2), upstream(5)], at(now));
 
     let gone = Change::Gone("u0".into());
     assert_eq!(changes.as_slice(), [gone, Change::Listed(upstream(5))]);
     assert_eq!(serving(&listing), ["u1", "u2", "u5"]);
-    assert!(listing.is_leaving(&"u0".into()));
+    assert!(listing.is_leaving(&"u0".into(), now));
 }
 
 #[test]
@@ -237,10 +241,10 @@
     let mut listing = listing(2, now);
     listing.mark_leaving(&"u1".into());
 
-    listing.apply_snapshot(vec![upstream(0), upstream(1)]);
+    listing.apply_snapshot(vec![upstream(0), upstream(1)], at(now));
 
     assert_eq!(serving(&listing), ["u0"]);
-    assert!(listing.is_leaving(&"u1".into()));
+    assert!(listing.is_leaving(&"u1".into(), now));
 }
 
 #[test]
@@ -250,10 +254,10 @@
     sender.mark_leaving(&"u1".into());
     let mut receiver = Listing::default();
 
-    receiver.apply_snapshot(sender.present().cloned().collect());
+    receiver.apply_snapshot(sender.present().cloned().collect(), at(now));
 
     assert_eq!(serving(&receiver), ["u0"]);
-    assert!(receiver.is_leaving(&"u1".into()));
+    assert!(receiver.is_leaving(&"u1".into(), now));
 }
 
 /// Returns a later instance of an upstream.
@@ -270,22 +274,22 @@
     let mut listing = listing(2, now);
     listing.mark_leaving(&"u0".into());
 
-    let changes = listing.add(restarted(0));
+    let changes = listing.add(restarted(0), at(now));
 
     let gone = Change::Gone("u0".into());
     assert_eq!(changes.as_slice(), [gone, Change::Listed(restarted(0))]);
     assert_eq!(serving(&listing), ["u0@2", "u1"]);
-    assert!(listing.is_leaving(&"u0".into()));
-    assert!(!listing.is_leaving(&"u0@2".into()));
+    assert!(listing.is_leaving(&"u0".into(), now));
+    assert!(!listing.is_leaving(&"u0@2".into(), now));
 }
 
 #[test]
 fn removing_a_name_removes_its_latest_instance() {
     let now = Instant::now();
     let mut listing = listing(2, now);
-    listing.add(restarted(0));
+    listing.add(restarted(0), at(now));
 
-    let change = listing.remove(&"u0".into(), now);
+    let change = listing.remove(&"u0".into(), at(now));
 
     assert_eq!(change, Some(Change::Gone("u0@2".into())));
     assert_eq!(serving(&listing), ["u1"]);
@@ -297,8 +301,8 @@
     let (mut read, mut received) = (listing(2, now), listing(2, now));
     received.mark_leaving(&"u0".into());
 
-    read.replace(vec![restarted(0), upstream(1)], now);
-    received.apply_snapshot(vec![restarted(0), upstream(1)]);
+    read.replace(vec![restarted(0), upstream(1)], at(now));
+    received.apply_snapshot(vec![restarted(0), upstream(1)], at(now));
 
     assert_eq!(serving(&read), ["u0@2", "u1"]);
     assert_eq!(serving(&received), ["u0@2", "u1"]);
@@ -306,29 +310,98 @@
 
 #[test]
 fn an_update_changes_only_the_named_upstreams() {
+    let now = Instant::now();
     let mut listing = Listing::default();
-    listing.apply_snapshot(vec![upstream(0), upstream(1), upstream(2)]);
+    listing.apply_snapshot(vec![upstream(0), upstream(1), upstream(2)], at(now));
     listing.mark_leaving(&"u1".into());
 
-    let changes = listing.apply_update(vec![upstream(1), upstream(3)], vec!["u0".into()]);
+    let changes = listing.apply_update(vec![upstream(1), upstream(3)], vec!["u0".into()], at(now));
 
     // u1 reported to this host that it is leaving, so the update does not reinstate it.
     assert_eq!(serving(&listing), ["u2", "u3"]);
-    assert!(listing.is_leaving(&"u0".into()));
+    assert!(listing.is_leaving(&"u0".into(), now));
     assert_eq!(changes.len(), 2);
 }
 
-#[test]
-fn dropped_upstreams_of_other_failure_domains_are_unknown_rather_than_gone() {
-    let mut listing = Listing::default();
-    let far = Upstream {
+fn far(index: u8) -> Upstream {
+    Upstream {
         failure_domain: "south".to_owned(),
-        ..upstream(1)
-    };
-    listing.apply_snapshot(vec![upstream(0), far]);
+        ..upstream(index)
+    }
+}
 
-    listing.retain_failure_domain("north");
+fn own_domain() -> Scope {
+    Scope::Domain("north".to_owned())
+}
 
-    assert_eq!(serving(&listing), ["u0"]);
-    assert!(!listing.is_leaving(&"u1".into()));
+/// How a host learns about upstreams of another failure domain.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// The store has the entry, or no longer.
+    Read {
+        is_listed: bool,
+    },
+    /// A delegate sent an update of all upstreams with the entry, or without.
+    Snapshot {
+        is_listed: bool,
+    },
+    /// A delegate reports the upstream as gone, as it does to followers of every scope.
+    Update,
+    Scope(fn() -> Scope),
+}
+
+const ALL: Event = Event::Scope(Scope::default);
+const OWN: Event = Event::Scope(own_domain);
+const LISTED: Event = Event::Read { is_listed: true };
+const REMOVED: Event = Event::Read { is_listed: false };
+const TOLD: Event = Event::Snapshot { is_listed: true };
+const TOLD_WITHOUT: Event = Event::Snapshot { is_listed: false };
+
+/// Guards against marks of upstreams about which a host receives no more updates: they would last although the upstreams are
+/// listed again, and make the host return each grant of them.
+#[parameterized(
+    delegate_hears_of_the_removal = { &[ALL, TOLD, Event::Update], true },
+    delegate_becomes_follower = { &[ALL, TOLD, Event::Update, OWN], false },
+    delegate_reads_and_becomes_follower = { &[ALL, LISTED, REMOVED, OWN], false },
+    reader_of_all_becomes_reader_of_its_own_domain = { &[ALL, LISTED, OWN, REMOVED], false },
+    reader_of_its_own_domain = { &[OWN, LISTED, REMOVED], false },
+    follower_hears_of_the_removal = { &[OWN, TOLD, Event::Update], false },
+    follower_becomes_delegate = { &[OWN, TOLD, Event::Update, ALL, TOLD], false },
+    delegate_becomes_follower_and_delegate_again = { &[ALL, TOLD, Event::Update, OWN, ALL, TOLD], false },
+    delegate_becomes_follower_by_a_list_of_its_domain = { &[ALL, TOLD, OWN, TOLD_WITHOUT], false },
+    listed_again = { &[ALL, LISTED, REMOVED, LISTED], false },
+)]
+fn a_mark_ends_with_the_updates_on_its_failure_domain(events: &[Event], is_leaving: bool) {
+    let now = Instant::now();
+    let mut listing = listing(1, now);
+
+    for event in events {
+        match event {
+            Event::Read { is_listed: true } => drop(listing.add(far(1), at(now))),
+            Event::Read { is_listed: false } => drop(listing.remove(&"u1".into(), at(now))),
+            Event::Snapshot { is_listed } => {
+                let upstreams = [upstream(0)].into_iter().chain(is_listed.then(|| far(1)));
+                listing.apply_snapshot(upstreams.collect(), at(now));
+            }
+            Event::Update => drop(listing.apply_update(vec![], vec!["u1".into()], at(now))),
+            Event::Scope(scope) => listing.set_scope(scope()),
+        }
+    }
+
+    assert_eq!(listing.is_leaving(&"u1".into(), now), is_leaving);
+    let is_far = |it: &Upstream| it.failure_domain == "south";
+    assert!(*listing.scope() == Scope::All || !listing.present().any(is_far));
+}
+
+#[test]
+fn an_upstream_counts_as_gone_for_a_limited_time() {
+    let now = Instant::now();
+    let mut listing = listing(2, now);
+    let gone = upstream(0).instance;
+
+    listing.remove(&gone, at(now));
+
+    let last = now + GONE_DURATION - Duration::from_millis(1);
+    assert!(listing.is_leaving(&gone, last));
+    assert!(!listing.is_leaving(&gone, now + GONE_DURATION));
 }
