allocator, gateway: reports that an upstream leaves carry their evidence

Cause: an allocator removed an upstream whenever any host returned a grant as leaving, also if its own list was newer. The allocator acts on a reply at once and on a list only if it is newer than its own; it keeps the last upstream of a service; lists older than the reported position don't bring the upstream back. What is not believed is logged once for each list, with the host and the reason, and counted; the host counts the grants that it returns. A host excludes returned upstreams from its further requests, since the allocator may keep them.

--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -16,6 +16,7 @@
     frame::{Frame, HeartbeatReply, Holdings, Release, SlotResponse, Verdict},
     grants::{self, Grants},
     lease::{self, Outcome},
+    leaving::{Decision, Doubt, Evidence, Position, Reports},
     options::Options,
     order::Order,
     placement::Placement,
@@ -65,6 +66,15 @@
     Ejected(id::Instance),
     /// A host reported that the upstream is leaving.
     Left(id::Instance),
+    /// A host reported that the upstream is leaving, which was not acted on.
+    ReportRefused {
+        /// The upstream.
+        upstream: id::Instance,
+        /// Which host reported it.
+        from: SocketAddr,
+        /// Why the report was not acted on.
+        why: Doubt,
+    },
     /// The allocator had been idle, and collects holdings before it grants slots to batch.
     Learning,
 }
@@ -76,6 +86,7 @@
     upstreams: Entries,
     /// Whether upstreams were removed since the last list, because hosts reported that they are leaving.
     has_removed_upstreams: bool,
+    reports: Reports,
     /// Lower bound of the time at which the next lease expires.
     next_expiry: Option<Instant>,
     last_contact: Option<Instant>,
@@ -109,6 +120,7 @@
         Self {
             upstreams: Entries::default(),
             has_removed_upstreams: false,
+            reports: Reports::default(),
             next_expiry: None,
             last_contact: None,
             learning_until: None,
@@ -125,8 +137,8 @@
 
     /// Sets the upstreams of the failure domain that accept requests. Queued requests for a service without any upstream
     /// left are denied at once, since another failure domain may still serve them in time.
-    pub fn set_upstreams(&mut self, upstreams: Vec<Upstream>) -> Outgoing {
-        self.has_removed_upstreams = false;
+    pub fn set_upstreams(&mut self, mut upstreams: Vec<Upstream>) -> Outgoing {
+        self.has_removed_upstreams = self.reports.withhold(&mut upstreams);
         self.upstreams.replace(upstreams);
         let upstreams = &self.upstreams;
         let has_upstream =
@@ -144,6 +156,11 @@
         denied.collect()
     }
 
+    /// Sets the position up to which the list of upstreams was read. Called before the list is set.
+    pub fn set_list_position(&mut self, position: Position) {
+        self.reports.set_position(position);
+    }
+
     /// Returns whether upstreams of the last list were removed, because hosts reported that they are leaving.
     pub fn has_removed_upstreams(&self) -> bool {
         self.has_removed_upstreams
@@ -327,8 +344,8 @@
         release: &Release,
         now: Instant,
     ) -> Option<StateChange> {
-        if release.outcome == Outcome::Leaving {
-            return self.remove_leaving(&release.upstream);
+        if let Outcome::Leaving(evidence) = release.outcome {
+            return self.on_leaving(from, release, evidence);
         }
         let index = self.upstreams.index_of(&release.upstream)?;
         let may_eject = self.may_eject(index, now);
@@ -360,12 +377,38 @@
         ejected == 0 || (ejected + 1) * 100 <= same.count() * MAX_EJECTED_PERCENT
     }
 
-    /// Removes an upstream that a host reported as leaving. This host's list may be out of date while it can't reach the
-    /// platform.
-    fn remove_leaving(&mut self, upstream: &id::Instance) -> Option<StateChange> {
-        let is_known = self.upstreams.remove(upstream);
-        self.has_removed_upstreams |= is_known;
-        is_known.then(|| StateChange::Left(upstream.clone()))
+    /// Handles a report that an upstream is leaving. This host's list may be out of date while it can't reach the platform.
+    fn on_leaving(
+        &mut self,
+        from: SocketAddr,
+        release: &Release,
+        evidence: Evidence,
+    ) -> Option<StateChange> {
+        let upstream = &release.upstream;
+        let index = self.upstreams.index_of(upstream)?;
+        self.upstreams[index]
+            .state
+            .grants
+            .remove(from, release.lease);
+        let service = &self.upstreams[index].upstream.service;
+        let same = self.upstreams.iter();
+        let same = same.filter(|it| it.upstream.service == *service);
+        let others = same.count() - 1;
+        match self.reports.decide(upstream, evidence, others) {
+            Decision::Remove => {
+                self.upstreams.remove(upstream);
+                self.has_removed_upstreams = true;
+                Some(StateChange::Left(upstream.clone()))
+            }
+            Decision::Keep(why) => {
+                let is_first = self.reports.is_first_doubt(upstream);
+                is_first.then(|| StateChange::ReportRefused {
+                    upstream: upstream.clone(),
+                    from,
+                    why,
+                })
+            }
+        }
     }
 
     fn apply_holdings(&mut self, from: SocketAddr, holdings: &Holdings, now: Instant) {
--- a/crates/tinbank-allocator/src/avoidance.rs
+++ b/crates/tinbank-allocator/src/avoidance.rs
@@ -35,7 +35,7 @@
                 self.until.remove(upstream);
                 return;
             }
-            Outcome::Inconclusive | Outcome::Leaving => return,
+            Outcome::Inconclusive | Outcome::Leaving(_) => return,
         };
         self.until.insert(upstream.clone(), now + time);
     }
--- a/crates/tinbank-allocator/src/health.rs
+++ b/crates/tinbank-allocator/src/health.rs
@@ -48,7 +48,7 @@
     ) -> bool {
         match outcome {
             // A full upstream refuses requests; ejecting it would only put more load on the others.
-            Outcome::Inconclusive | Outcome::Leaving | Outcome::Refused => false,
+            Outcome::Inconclusive | Outcome::Leaving(_) | Outcome::Refused => false,
             Outcome::Served => {
                 self.failure_rate -= self.failure_rate / SMOOTHING;
                 self.reports.retain(|report| report.by != by);
--- a/crates/tinbank-allocator/src/lease.rs
+++ b/crates/tinbank-allocator/src/lease.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use tinbank_base::id;
 
-use crate::size::Tokens;
+use crate::{leaving::Evidence, size::Tokens};
 
 /// Number of a lease, assigned by the requesting host and increasing with each request.
 pub type Id = u64;
@@ -70,6 +70,6 @@
     Failed,
     /// The upstream could not be reached, or stopped responding.
     Unresponsive,
-    /// The upstream is leaving or gone, by a newer list than the allocator's.
-    Leaving,
+    /// The upstream is leaving or gone, as far as the host knows.
+    Leaving(Evidence),
 }
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tinbank_allocator::{frame::Verdict, lease::Class};
+use tinbank_allocator::{frame::Verdict, lease::Class, leaving::Evidence};
 
 use crate::border::ingress::Reply;
 
@@ -60,6 +60,20 @@
     metrics::histogram!("tinbank_entry_ask_seconds").record(took);
 }
 
+/// Records that this host returned a grant because it takes the upstream for leaving, which the allocator's list has as serving.
+pub(crate) fn record_returned_grant(evidence: Evidence) {
+    let evidence = match evidence {
+        Evidence::Reply => "reply",
+        Evidence::List(_) => "list",
+    };
+    metrics::counter!("tinbank_entry_returned_grants_total", "evidence" => evidence).increment(1);
+}
+
+/// Records that the allocator of this host removed an upstream because of a report, or why it did not.
+pub(crate) fn record_leaving_report(decision: &'static str) {
+    metrics::counter!("tinbank_entry_leaving_reports_total", "decision" => decision).increment(1);
+}
+
 /// Records that an upstream broke a connection, with the outcome of the probe that followed.
 pub(crate) fn record_broken_connection(found: &'static str) {
     metrics::counter!("tinbank_entry_broken_upstreams_total", "found" => found).increment(1);
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -27,6 +27,7 @@
     directory::Peer,
     frame::{Frame, HeartbeatReply, Meter, Queue, Share, Verdict},
     lease::{self, Class, Footprint},
+    leaving::Position,
     size::Size,
 };
 use tinbank_allowance::{FallbackLimiter, Tolerance};
@@ -160,6 +161,12 @@
         self.send_all(out);
     }
 
+    /// Sets the position up to which the list of upstreams was read, whether it changed or not.
+    pub fn set_list_position(&self, position: Position) {
+        let mut state = self.state.borrow_mut();
+        state.allocator.set_list_position(position);
+    }
+
     /// Returns whether the allocator has removed listed upstreams because other hosts reported that they are leaving.
     pub fn lacks_upstreams(&self) -> bool {
         self.state.borrow().allocator.has_removed_upstreams()
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -105,8 +105,9 @@
         domain: &str,
         queue: Queue,
     ) -> SlotResult {
+        let mut returned: SmallVec<[id::Instance; 4]> = SmallVec::new();
         for _ in 0..MAX_LEAVING_GRANTS {
-            let lease = match self.request_slot_once(spec, domain, queue).await {
+            let lease = match self.request_slot_once(spec, domain, queue, &returned).await {
                 SlotResult::Granted(lease) => lease,
                 other => return other,
             };
@@ -115,29 +116,34 @@
                 log::info!(upstream:% = lease.upstream, failure_domain:% = domain; "grant in an evacuated failure domain given back");
                 return SlotResult::Denied;
             }
-            if !node.view.is_leaving(&lease.upstream) {
+            let Some(evidence) = node.view.evidence_of_leaving(&lease.upstream) else {
                 return SlotResult::Granted(lease);
-            }
-            log::info!(upstream:% = lease.upstream; "grant of a leaving upstream given back");
-            lease.set_outcome(Outcome::Leaving);
+            };
+            log::info!(upstream:% = lease.upstream, allocator:% = lease.granted_by(), evidence:?; "grant of a leaving upstream given back");
+            measure::record_returned_grant(evidence);
+            lease.set_outcome(Outcome::Leaving(evidence));
+            // The allocator may have reasons not to believe the report.
+            returned.push(lease.upstream.clone());
         }
         SlotResult::Denied
     }
 
     /// Sends one slot request to the allocator of a failure domain, and waits there if the allocator expects a free slot in
-    /// time.
+    /// time. Upstreams in `returned` are leaving and are not requested again.
     async fn request_slot_once(
         self: &Rc<Self>,
         spec: &SlotSpec<'_>,
         domain: &str,
         queue: Queue,
+        returned: &[id::Instance],
     ) -> SlotResult {
         let now = Instant::now();
         let Some(allocator) = self.state.borrow().directory.allocator(domain, now) else {
             return SlotResult::Unresponsive;
         };
         let lease = self.new_lease_id();
-        let mut exclude: SmallVec<[id::Instance; 4]> = spec.exclude.iter().cloned().collect();
+        let exclude = spec.exclude.iter().chain(returned);
+        let mut exclude: SmallVec<[id::Instance; 4]> = exclude.cloned().collect();
         // Avoided upstreams are excluded from the search for a free slot, but not if the request would be refused otherwise.
         if queue == Queue::No {
             exclude.extend(self.avoided_upstreams(now));
--- a/crates/tinbank-gateway/src/sharing/ask/tests.rs
+++ b/crates/tinbank-gateway/src/sharing/ask/tests.rs
@@ -122,7 +122,7 @@
             size: &Size::default(),
             max_gap: None,
         };
-        sharing.request_slot_once(&spec, "north", queue).await
+        sharing.request_slot_once(&spec, "north", queue, &[]).await
     })
 }
 
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -11,12 +11,13 @@
     allocator::{HEARTBEAT_INTERVAL, Outgoing, StateChange},
     frame::{self, Frame, Grant, Holdings, MAX_DATAGRAM_BYTES, Release, Verdict},
     lease::{self, Held, Outcome},
+    leaving::Doubt,
 };
 use tinbank_quarantine::Update;
 use tokio::time;
 
 use super::Sharing;
-use crate::node::Node;
+use crate::{measure, node::Node};
 
 impl Sharing {
     pub(super) fn receive(&self, from: SocketAddr, frame: Frame) {
@@ -52,7 +53,7 @@
                 if change == Some(StateChange::Learning) {
                     self.learning.notify_one();
                 }
-                log_change(change);
+                log_change(change, from);
                 self.send_all(out);
             }
         }
@@ -174,13 +175,26 @@
     }
 }
 
-fn log_change(change: Option<StateChange>) {
+fn log_change(change: Option<StateChange>, from: SocketAddr) {
     match change {
         Some(StateChange::Ejected(upstream)) => {
             log::warn!(upstream:%; "upstream ejected, two hosts reported failures");
         }
         Some(StateChange::Left(upstream)) => {
-            log::info!(upstream:%; "upstream leaves, according to a newer list of another host");
+            measure::record_leaving_report("removed");
+            log::info!(upstream:%, host:% = from; "upstream leaves, according to a newer list of another host");
+        }
+        Some(StateChange::ReportRefused {
+            upstream,
+            from,
+            why,
+        }) => {
+            let decision = match why {
+                Doubt::NotNewer { .. } => "not_newer",
+                Doubt::LastOfService => "last_of_service",
+            };
+            measure::record_leaving_report(decision);
+            log::warn!(upstream:%, host:% = from, why:?; "report that an upstream leaves not believed");
         }
         Some(StateChange::Learning) => {
             log::info!(
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -14,12 +14,12 @@
     time::{Duration, Instant},
 };
 
-use tinbank_allocator::{allocator, directory::Peer, slow_start::ColdStart};
+use tinbank_allocator::{allocator, directory::Peer, leaving::Evidence, slow_start::ColdStart};
 use tinbank_base::id;
 use tinbank_feed::message::Age;
 use tinbank_relay::{
     evacuation::{self, Evacuations},
-    listing::{Listing, Scope},
+    listing::{Cause, Listing, Scope},
     route::Config,
     upstream::Upstream,
 };
@@ -203,9 +203,14 @@
         serving.any(|it| !others.contains(&it.instance))
     }
 
-    /// Returns whether an upstream is known to be leaving or gone. One that is not listed yet may be new.
-    pub fn is_leaving(&self, instance: &id::Instance) -> bool {
-        self.upstreams.borrow().is_leaving(instance, Instant::now())
+    /// Returns why an upstream counts as leaving or gone, if it does. One that is not listed yet may be new.
+    pub fn evidence_of_leaving(&self, instance: &id::Instance) -> Option<Evidence> {
+        let listing = self.upstreams.borrow();
+        let cause = listing.cause_of_leaving(instance, Instant::now())?;
+        Some(match cause {
+            Cause::Reply => Evidence::Reply,
+            Cause::List(position) => Evidence::List(position),
+        })
     }
 
     /// Records that an upstream itself reported that it is leaving or gone.
--- a/crates/tinbank-gateway/src/view/entries.rs
+++ b/crates/tinbank-gateway/src/view/entries.rs
@@ -48,6 +48,9 @@
         List::Config => view.config_read_at.set(Some(at)),
         List::Upstreams => {
             view.upstreams_read_at.set(Some(at));
+            if let Some(position) = view.lists.of(list).position() {
+                node.sharing.set_list_position(position);
+            }
             if changed || node.sharing.lacks_upstreams() {
                 node.update_allocator();
             }
