--- a/crates/tinbank-gateway/src/sharing/ask/tests.rs
+++ b/crates/tinbank-gateway/src/sharing/ask/tests.rs
@@ -124,7 +124,7 @@
             max_gap: None,
             allowed: &Allowed::default(),
         };
-        sharing.request_slot_once(&spec, "north", queue).await
+        sharing.request_slot_once(&spec, "north", queue, &[]).await
     })
 }
 
