Placement by kept prompt parts and by memory

Cause: a request goes to the upstream with the fewest leases, wherever its shared parts are kept and whether or not its memory suffices. Change: placement::Affinity wraps another placement and prefers upstreams that keep more of the prompt while their load is under a bound of the mean; memory::fits decides where a request fits. Placement::choose decides over all upstreams at once, with today's choice as its default. Nothing uses Affinity yet.

--- a/crates/tinbank-allocator/src/lib.rs
+++ b/crates/tinbank-allocator/src/lib.rs
@@ -14,6 +14,7 @@
 mod grants;
 mod health;
 pub mod lease;
+pub mod memory;
 pub mod options;
 pub mod order;
 pub mod pace;
--- a/crates/tinbank-allocator/src/placement.rs
+++ b/crates/tinbank-allocator/src/placement.rs
@@ -1,7 +1,12 @@
 //! The choice of the upstream at which a request starts.
 
+mod affinity;
+
 use std::{fmt, time::Instant};
 
+use tinbank_base::id;
+
+pub use self::affinity::Affinity;
 use crate::{frame::SlotRequest, pace::Pace, size::Tokens};
 
 /// Cost of sending a request to an upstream; the lowest wins.
@@ -18,12 +23,23 @@
     pub pace: &'a Pace,
     /// Tokens of the request's prompt that it is likely to keep from earlier requests.
     pub kept_tokens: Tokens,
-    /// Upper bound of the memory that the requests it processes take, in tokens.
+    /// Memory that is reserved for the requests it processes, in tokens, see [`memory::reservation`].
+    ///
+    /// [`memory::reservation`]: crate::memory::reservation
     pub memory_in_use: Tokens,
     /// Memory for requests and kept prompts, in tokens; `None` if the configuration does not say.
     pub memory_tokens: Option<Tokens>,
 }
 
+/// A candidate and the upstream that it describes.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer<'a> {
+    /// Name of the upstream.
+    pub instance: &'a id::Instance,
+    /// What the choice depends on.
+    pub candidate: Candidate<'a>,
+}
+
 /// Decides at which upstream a request starts.
 pub trait Placement: fmt::Debug {
     /// Returns the cost of sending a request to an upstream, or `None` if it can't process the request beside what it
@@ -33,11 +49,35 @@
     /// Returns how many requests an upstream is given at once, at most its slots.
     fn concurrency(&self, candidate: &Candidate<'_>, now: Instant) -> usize;
 
+    /// Returns the position of the upstream at which a request starts, or `None` if no upstream can process it beside what it
+    /// processes now. Among equals the first one is chosen.
+    fn choose(&self, request: &SlotRequest, offers: &[Offer<'_>], now: Instant) -> Option<usize> {
+        cheapest(self, request, offers, now)
+    }
+
     /// Takes the paces of all upstreams into account, which tells a slow upstream from a slow service. Called before the
     /// costs of a request are compared.
     fn refresh(&mut self, _paces: &mut dyn Iterator<Item = &Pace>, _now: Instant) {}
 }
 
+/// Returns the position of the upstream with the lowest cost; one that processes as many requests as it is given at once
+/// comes behind all others.
+fn cheapest(
+    placement: &(impl Placement + ?Sized),
+    request: &SlotRequest,
+    offers: &[Offer<'_>],
+    now: Instant,
+) -> Option<usize> {
+    let costs = offers.iter().enumerate().filter_map(|(index, offer)| {
+        let candidate = &offer.candidate;
+        let is_full = placement.concurrency(candidate, now) <= candidate.load;
+        let cost = placement.cost(request, candidate, now)?;
+        Some((index, (is_full, cost)))
+    });
+    let cheapest = costs.min_by_key(|(_, cost)| *cost);
+    cheapest.map(|(index, _)| index)
+}
+
 /// Sends a request to the upstream that processes the fewest.
 #[derive(Debug, Default)]
 pub struct LeastLoaded;
