An allocator places by kept prompt parts and by memory where prefix_affinity is set

Cause: the allocator counts slots only, so shared parts are read again at other upstreams, and long prompts beside each other exceed an upstream's memory. Change: with prefix_affinity the placement is wrapped in Affinity; grants are recorded in the cache of their upstream, which is dropped for a new instance and when the allocator was idle. A request that fits nowhere is denied at once and reported; one that does not fit beside the running ones goes elsewhere or waits. Metrics of the tokens that are expected to be kept and read, and of requests that fit nowhere.

--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -18,7 +18,8 @@
     lease::{self, Outcome},
     options::Options,
     order::Order,
-    placement::Placement,
+    placement::{self, Placement},
+    prefix::Cache,
     size::Tokens,
     slow_start::ColdStart,
     smoothed_duration::SmoothedDuration,
@@ -33,6 +34,8 @@
 const ACTIVE_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a new allocator grants nothing to batch, so that every host reports its holdings first.
 const LEARNING_TIME: Duration = Duration::from_millis(1_500);
+/// Minimum time between two reports of oversized requests, so that a caller that repeats one does not fill the log.
+const OVERSIZED_REPORT_INTERVAL: Duration = Duration::from_secs(10);
 /// Maximum percentage of a service's upstreams in a failure domain that may be ejected at once.
 const MAX_EJECTED_PERCENT: usize = 50;
 
@@ -67,6 +70,17 @@
     Left(id::Instance),
     /// The allocator had been idle, and collects holdings before it grants slots to batch.
     Learning,
+    /// A request was denied because no upstream of its service has enough memory. Not reported for each request.
+    Oversized(Oversized),
+}
+
+/// A request that fits no upstream, even one that processes nothing else.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Oversized {
+    /// The service it is for.
+    pub service: id::Service,
+    /// Size of its prompt.
+    pub prompt_tokens: Tokens,
 }
 
 /// The state of an allocator. It serves any host that sends requests; two active allocators are harmless, because each
@@ -91,6 +105,14 @@
     order: Box<dyn Order>,
     /// Where a request starts.
     placement: Box<dyn Placement>,
+    /// Whether it depends on the parts of prompts that upstreams keep.
+    prefix_affinity: bool,
+    /// What placements came to since the summary was taken.
+    summary: placement::Summary,
+    /// An oversized request that is to be reported.
+    oversized: Option<Oversized>,
+    /// Until then, no oversized request is reported.
+    oversized_quiet_until: Option<Instant>,
     /// How much of their allowances customers have used.
     counter: Counter,
     /// The hosts that use this allocator.
@@ -118,6 +140,10 @@
             wait_queue: WaitQueue::default(),
             order: options.order(),
             placement: options.placement(),
+            prefix_affinity: options.prefix_affinity,
+            summary: placement::Summary::default(),
+            oversized: None,
+            oversized_quiet_until: None,
             counter: Counter::new(seed, tolerance),
             reachability: Reachability::default(),
         }
@@ -149,6 +175,11 @@
         self.has_removed_upstreams
     }
 
+    /// Returns what placements came to since the last call.
+    pub fn take_summary(&mut self) -> placement::Summary {
+        std::mem::take(&mut self.summary)
+    }
+
     /// Sets how many hosts are listed.
     pub fn set_host_count(&mut self, listed: usize, now: Instant) {
         self.reachability.set_host_count(listed, now);
@@ -171,7 +202,7 @@
             Frame::SlotRequest(request) => {
                 let change = self.record_contact(from, now);
                 self.handle_request(from, request, now, &mut out);
-                change
+                change.or_else(|| self.oversized.take().map(StateChange::Oversized))
             }
             Frame::Release(release) => self.release(from, &release, now),
             Frame::Withdraw(lease) => {
@@ -208,6 +239,7 @@
             entry.state.grants = Grants::default();
             entry.state.orphaned = None;
             entry.state.slow_start.reset(now);
+            entry.state.cache = Cache::default();
         }
         self.learning_until = Some(now + LEARNING_TIME);
         self.counter.reset(false, now);
@@ -274,6 +306,8 @@
         for entry in self.upstreams.iter_mut() {
             entry.state.orphaned = None;
             entry.state.slow_start.reset(now);
+            // Another allocator has sent requests in the meantime.
+            entry.state.cache = Cache::default();
         }
         Some(StateChange::Learning)
     }
--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -2,14 +2,18 @@
 
 use std::{collections::VecDeque, net::SocketAddr, time::Instant};
 
+use smallvec::SmallVec;
 use tinbank_allowance::counter;
 
-use super::{Allocator, LEASE_DURATION, Outgoing};
+use super::{Allocator, LEASE_DURATION, OVERSIZED_REPORT_INTERVAL, Outgoing, Oversized};
 use crate::{
+    entry::Entry,
     frame::{Frame, Grant, OverLimit, Queue, SlotRequest, SlotResponse, Verdict},
     grants,
     lease::{Class, Due, Footprint},
+    memory,
     order::Waiter,
+    placement::{Candidate, Offer},
 };
 
 /// Maximum number of slots per failure domain that batch leaves free, one per upstream below that, so that an online
@@ -85,8 +89,16 @@
         }
         if !is_known {
             entry.state.slow_start.record_request(now);
+        }
+        if !is_known && self.prefix_affinity {
+            let in_use = entry.state.grants.memory();
             let capacity = entry.upstream.memory_tokens;
-            entry.state.cache.record_sent(&request.size, capacity, now);
+            let left = capacity.map(|memory| memory.saturating_sub(in_use));
+            let kept = entry.state.cache.kept_tokens(&request.size, now);
+            entry.state.cache.record_sent(&request.size, left, now);
+            let read = request.size.prompt_tokens.saturating_sub(kept);
+            self.summary.kept_tokens += u64::from(kept);
+            self.summary.read_tokens += u64::from(read);
         }
         let others = entry.load() - usize::from(is_known);
         let queued = learning || others >= entry.upstream.slots;
@@ -109,6 +121,10 @@
 
     /// Queues a request if a slot is likely to become free for it in time; denies it otherwise.
     fn enqueue(&mut self, from: SocketAddr, request: &SlotRequest, now: Instant) -> Verdict {
+        if self.is_oversized(request, now) {
+            self.record_oversized(request, now);
+            return Verdict::Denied;
+        }
         let Some(max_wait) = request.queue.max_wait() else {
             return Verdict::Denied;
         };
@@ -116,6 +132,7 @@
             .upstreams
             .iter()
             .filter(|entry| entry.accepts(request, now))
+            .filter(|entry| self.suffices(entry, request, now))
             .map(|entry| entry.upstream.slots)
             .sum();
         if slots == 0 || !self.order.may_wait(request, self.wait_queue.waiters()) {
@@ -250,33 +267,80 @@
         let start = self.rotation as usize % count.max(1);
         let mut paces = self.upstreams.iter().map(|entry| &entry.state.pace);
         self.placement.refresh(&mut paces, now);
-        let placement = &*self.placement;
-        let candidates = (0..count)
+        let indices = (0..count)
             .map(|step| (start + step) % count)
             .filter(|index| self.upstreams[*index].accepts(request, now));
-        let costs = candidates.filter_map(|index| {
-            let candidate = self.upstreams[index].candidate(request, now);
-            let is_full = placement.concurrency(&candidate, now) <= candidate.load;
-            let cost = placement.cost(request, &candidate, now)?;
-            Some((index, (is_full, cost)))
+        let indices: SmallVec<[usize; 32]> = indices.collect();
+        let mut offers: SmallVec<[Offer<'_>; 32]> = indices
+            .iter()
+            .map(|index| self.upstreams[*index].offer(request, now))
+            .collect();
+        let placement = &*self.placement;
+        let best = placement.choose(request, &offers, now).or_else(|| {
+            // A request that queues inside an upstream takes no memory until it is its turn.
+            if request.queue != Queue::InUpstream {
+                return None;
+            }
+            for offer in &mut offers {
+                offer.candidate.memory_in_use = 0;
+            }
+            placement.choose(request, &offers, now)
         });
-        let cheapest = costs.min_by_key(|(_, cost)| *cost);
-        cheapest.map(|(index, _)| index)
+        best.map(|position| indices[position])
     }
 
     /// Returns the upstream that runs the batch item with the latest due time, and that due time.
     fn reclaimable(&self, request: &SlotRequest, now: Instant) -> Option<(usize, Due)> {
         (0..self.upstreams.len())
             .filter(|index| self.upstreams[*index].accepts(request, now))
-            .filter_map(|index| Some((index, self.upstreams[index].state.grants.last_due()?)))
+            .filter_map(|index| Some((index, self.reclaimable_at(index, request, now)?)))
             .max_by_key(|(_, due)| *due)
     }
+
+    /// Returns the latest due time of an upstream's batch items if the request fits once that item has ended.
+    fn reclaimable_at(&self, index: usize, request: &SlotRequest, now: Instant) -> Option<Due> {
+        let entry = &self.upstreams[index];
+        let (due, memory) = entry.state.grants.last_batch()?;
+        let mut candidate = entry.candidate(request, now);
+        candidate.memory_in_use = candidate.memory_in_use.saturating_sub(memory);
+        self.placement.cost(request, &candidate, now)?;
+        Some(due)
+    }
+
+    /// Returns whether there are upstreams for the request, but none that could process it if it processed nothing else.
+    fn is_oversized(&self, request: &SlotRequest, now: Instant) -> bool {
+        let accepting = self.upstreams.iter().filter(|it| it.accepts(request, now));
+        let mut accepting = accepting.peekable();
+        accepting.peek().is_some() && !accepting.any(|it| self.suffices(it, request, now))
+    }
+
+    fn record_oversized(&mut self, request: &SlotRequest, now: Instant) {
+        self.summary.oversized += 1;
+        if self.oversized_quiet_until.is_some_and(|until| now < until) {
+            return;
+        }
+        self.oversized_quiet_until = Some(now + OVERSIZED_REPORT_INTERVAL);
+        self.oversized = Some(Oversized {
+            service: request.service.clone(),
+            prompt_tokens: request.size.prompt_tokens,
+        });
+    }
+
+    /// Returns whether the upstream could process the request if it processed nothing else.
+    fn suffices(&self, entry: &Entry, request: &SlotRequest, now: Instant) -> bool {
+        let empty = Candidate {
+            load: 0,
+            memory_in_use: 0,
+            ..entry.candidate(request, now)
+        };
+        self.placement.cost(request, &empty, now).is_some()
+    }
 }
 
 /// Returns what a request takes of its upstream and of its customer's share.
 fn footprint(request: &SlotRequest) -> Footprint {
     Footprint {
-        memory: request.size.memory(),
+        memory: memory::reservation(&request.size),
         work: request.size.work(),
         customer: request.share.as_ref().map(|it| it.customer.clone()),
     }
--- a/crates/tinbank-allocator/src/entry.rs
+++ b/crates/tinbank-allocator/src/entry.rs
@@ -8,7 +8,7 @@
     grants::Grants,
     health::Health,
     pace::Pace,
-    placement::{Candidate, Placement},
+    placement::{Candidate, Offer, Placement},
     prefix::Cache,
     slow_start::SlowStart,
 };
@@ -54,6 +54,14 @@
         self.state.grants.len() + self.state.orphaned.unwrap_or(0)
     }
 
+    /// Returns the upstream with what its choice for a request depends on.
+    pub fn offer(&self, request: &SlotRequest, now: Instant) -> Offer<'_> {
+        Offer {
+            instance: &self.upstream.instance,
+            candidate: self.candidate(request, now),
+        }
+    }
+
     /// Returns what the choice of an upstream for a request depends on.
     pub fn candidate(&self, request: &SlotRequest, now: Instant) -> Candidate<'_> {
         Candidate {
--- a/crates/tinbank-allocator/src/grants.rs
+++ b/crates/tinbank-allocator/src/grants.rs
@@ -47,7 +47,7 @@
         older.count()
     }
 
-    /// Returns an upper bound of the memory that the requests take, in tokens.
+    /// Returns the memory that is reserved for the requests, in tokens.
     pub fn memory(&self) -> Tokens {
         let footprints = self.0.iter().map(|it| it.footprint.memory);
         footprints.fold(0, Tokens::saturating_add)
@@ -98,7 +98,14 @@
 
     /// Returns the latest due time of the batch leases.
     pub fn last_due(&self) -> Option<Due> {
-        self.0.iter().filter_map(Grant::due).max()
+        self.last_batch().map(|(due, _)| due)
+    }
+
+    /// Returns the due time and the memory of the lease that [`Self::reclaim`] removes.
+    pub fn last_batch(&self) -> Option<(Due, Tokens)> {
+        let batch = self.0.iter();
+        let batch = batch.filter_map(|grant| Some((grant.due()?, grant.footprint.memory)));
+        batch.max_by_key(|(due, _)| *due)
     }
 
     /// Removes expired leases. Returns when the next one expires.
--- a/crates/tinbank-allocator/src/lease.rs
+++ b/crates/tinbank-allocator/src/lease.rs
@@ -49,7 +49,7 @@
 /// allocator knows it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Footprint {
-    /// Upper bound of the memory that the request takes, in tokens.
+    /// Memory that is reserved for the request, in tokens.
     pub memory: Tokens,
     /// Expected work, in prompt tokens.
     pub work: u64,
--- a/crates/tinbank-allocator/src/options.rs
+++ b/crates/tinbank-allocator/src/options.rs
@@ -2,9 +2,13 @@
 
 use crate::{
     order::{ByExpiry, Order},
-    placement::{LeastLoaded, Placement},
+    placement::{Affinity, Cost, LeastLoaded, Placement},
 };
 
+/// How much later than at the best upstream the first event may be expected where parts of the prompt are kept, in
+/// microseconds: a tenth of the 300 ms within which it is due.
+const MAX_AFFINITY_DELAY: Cost = 30_000;
+
 /// How an allocator chooses upstreams.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Strategy {
@@ -34,6 +38,15 @@
     }
 
     pub(crate) fn placement(self) -> Box<dyn Placement> {
-        Box::new(LeastLoaded)
+        let placement = Box::new(LeastLoaded);
+        if !self.prefix_affinity {
+            return placement;
+        }
+        // The cost of the least loaded upstream is no time; the bound of its load is enough.
+        let max_excess = match self.strategy {
+            Strategy::LeastLoaded => None,
+            Strategy::ExpectedFirstEvent => Some(MAX_AFFINITY_DELAY),
+        };
+        Box::new(Affinity::new(placement, max_excess))
     }
 }
--- a/crates/tinbank-allocator/src/placement.rs
+++ b/crates/tinbank-allocator/src/placement.rs
@@ -40,6 +40,17 @@
     pub candidate: Candidate<'a>,
 }
 
+/// What placements came to over some time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// Prompt tokens of granted requests that their upstreams were expected to keep.
+    pub kept_tokens: u64,
+    /// Prompt tokens of granted requests that their upstreams were expected to read.
+    pub read_tokens: u64,
+    /// Slot requests that were denied because no upstream has enough memory.
+    pub oversized: u64,
+}
+
 /// Decides at which upstream a request starts.
 pub trait Placement: fmt::Debug {
     /// Returns the cost of sending a request to an upstream, or `None` if it can't process the request beside what it
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tinbank_allocator::{frame::Verdict, lease::Class};
+use tinbank_allocator::{frame::Verdict, lease::Class, placement::Summary};
 
 use crate::border::ingress::Reply;
 
@@ -60,6 +60,23 @@
     metrics::histogram!("tinbank_entry_ask_seconds").record(took);
 }
 
+/// Records what the placements of this host's allocator came to.
+pub(crate) fn record_placements(summary: Summary) {
+    let Summary {
+        kept_tokens,
+        read_tokens,
+        oversized,
+    } = summary;
+    let tokens = [("kept", kept_tokens), ("read", read_tokens)];
+    for (expected, tokens) in tokens.into_iter().filter(|(_, tokens)| *tokens > 0) {
+        metrics::counter!("tinbank_entry_prompt_tokens_total", "expected" => expected)
+            .increment(tokens);
+    }
+    if oversized > 0 {
+        metrics::counter!("tinbank_entry_oversized_requests_total").increment(oversized);
+    }
+}
+
 /// Records that an upstream broke a connection, with the outcome of the probe that followed.
 pub(crate) fn record_broken_connection(found: &'static str) {
     metrics::counter!("tinbank_entry_broken_upstreams_total", "found" => found).increment(1);
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -27,6 +27,7 @@
     directory::Peer,
     frame::{Frame, HeartbeatReply, Meter, Queue, Share, Verdict},
     lease::{self, Class, Footprint},
+    memory,
     size::Size,
 };
 use tinbank_allowance::{FallbackLimiter, Tolerance};
@@ -99,7 +100,7 @@
     /// Returns what the request takes of its upstream and of its customer's share.
     fn footprint(&self) -> Footprint {
         Footprint {
-            memory: self.size.memory(),
+            memory: memory::reservation(self.size),
             work: self.size.work(),
             customer: self.share.map(|it| it.customer.clone()),
         }
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -8,7 +8,7 @@
 
 use smallvec::SmallVec;
 use tinbank_allocator::{
-    allocator::{HEARTBEAT_INTERVAL, Outgoing, StateChange},
+    allocator::{HEARTBEAT_INTERVAL, Outgoing, Oversized, StateChange},
     frame::{self, Frame, Grant, Holdings, MAX_DATAGRAM_BYTES, Release, Verdict},
     lease::{self, Held, Outcome},
 };
@@ -16,7 +16,7 @@
 use tokio::time;
 
 use super::Sharing;
-use crate::node::Node;
+use crate::{measure, node::Node};
 
 impl Sharing {
     pub(super) fn receive(&self, from: SocketAddr, frame: Frame) {
@@ -48,7 +48,9 @@
                 let mut state = self.state.borrow_mut();
                 state.allocator.set_heartbeat_reply(self.alive(now));
                 let (out, change) = state.allocator.receive(from, frame, now);
+                let summary = state.allocator.take_summary();
                 drop(state);
+                measure::record_placements(summary);
                 if change == Some(StateChange::Learning) {
                     self.learning.notify_one();
                 }
@@ -187,6 +189,12 @@
                 "allocator collects the leases of other hosts before it grants slots to batch"
             );
         }
+        Some(StateChange::Oversized(Oversized {
+            service,
+            prompt_tokens,
+        })) => {
+            log::warn!(service:%, prompt_tokens; "request denied, no upstream has the memory for its prompt");
+        }
         None => {}
     }
 }
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -197,6 +197,18 @@
         &["ended"],
         "Runs of batch items, by how they ended.",
     ),
+    counter(
+        "tinbank_entry_oversized_requests_total",
+        "requests",
+        &[],
+        "Slot requests denied because no upstream of the failure domain has the memory for their prompt.",
+    ),
+    counter(
+        "tinbank_entry_prompt_tokens_total",
+        "tokens",
+        &["expected"],
+        "Prompt tokens of granted requests that their upstreams are expected to have kept, or to read.",
+    ),
     counter(
         "tinbank_entry_replies_total",
         "answers",
