--- a/crates/tinbank-allocator/src/lib.rs
+++ b/crates/tinbank-allocator/src/lib.rs
@@ -15,6 +15,7 @@
 mod health;
 pub mod lease;
 pub mod leaving;
+pub mod memory;
 pub mod options;
 pub mod order;
 pub mod pace;
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -28,6 +28,7 @@
     frame::{Frame, HeartbeatReply, Meter, Queue, Share, Verdict},
     lease::{self, Class, Footprint},
     leaving::Position,
+    memory,
     size::Size,
 };
 use tinbank_allowance::{FallbackLimiter, Tolerance};
@@ -103,7 +104,7 @@
     /// Returns what the request takes of its upstream and of its customer's share.
     fn footprint(&self) -> Footprint {
         Footprint {
-            memory: self.size.memory(),
+            memory: memory::reservation(self.size),
             work: self.size.work(),
             customer: self.share.map(|it| it.customer.clone()),
         }
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -208,6 +208,18 @@
         "bytes",
         "Parts of responses that are kept for callers that read slowly.",
     ),
+    counter(
+        "tinbank_entry_oversized_requests_total",
+        "requests",
+        &[],
+        "Slot requests denied because no upstream of the failure domain has the memory for their prompt.",
+    ),
+    counter(
+        "tinbank_entry_prompt_tokens_total",
+        "tokens",
+        &["expected"],
+        "Prompt tokens of granted requests that their upstreams are expected to have kept, or to read.",
+    ),
     counter(
         "tinbank_entry_region_refusals_total",
         "requests",
