Fair shares among customers at the allocator, and Retry-After by a customer's own backlog

Cause: the wait queue is ordered by rank and expiry, so one busy customer takes what it sends. A refused caller returns after a turnover of the slots, whoever filled the queue. Change: order::FairShare keeps a virtual counter of work for each customer and service. Rank decides first, the counter within a rank; one grant in five goes by counter alone. A request's place counts the turns of its own customer. What a customer may queue is bounded; a batch lease of the customer most above its share is reclaimed first; leases that hosts report count at a new allocator. A denial carries when its caller should return by the customer's backlog (frame version 7). In effect with fair_shares only. Tests changed: Verdict::Denied has a field, so three patterns name it; the harness takes options and a customer.

--- a/crates/tinbank-allocator/src/admission.rs
+++ b/crates/tinbank-allocator/src/admission.rs
@@ -27,6 +27,30 @@
 /// Number of steps over which retries are spread.
 const RETRY_STEPS: u64 = 64;
 
+/// When the caller of a request that several allocators have denied should retry, by the backlog of its customer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Backlog(Option<Duration>);
+
+impl Backlog {
+    /// Adds the time that one allocator states. Allocators work off the backlog side by side, so their rates add up.
+    pub fn add(&mut self, time: Duration) {
+        let Some(before) = self.0 else {
+            self.0 = Some(time);
+            return;
+        };
+        let both = before + time;
+        if !both.is_zero() {
+            let part = time.as_secs_f64() / both.as_secs_f64();
+            self.0 = Some(before.mul_f64(part));
+        }
+    }
+
+    /// Returns when the caller should retry; `None` if no allocator has stated a time.
+    pub fn retry_after(self) -> Option<Duration> {
+        self.0
+    }
+}
+
 /// An online request that needs a slot.
 #[derive(Clone, Copy, Debug)]
 pub struct Admission {
--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -13,7 +13,8 @@
 
 use crate::{
     entries::Entries,
-    frame::{Frame, HeartbeatReply, Holdings, Release, SlotResponse, Verdict},
+    entry::Entry,
+    frame::{Denial, Frame, HeartbeatReply, Holdings, Release, SlotResponse, Verdict},
     grants::{self, Grants},
     lease::{self, Outcome},
     options::Options,
@@ -106,6 +107,16 @@
     /// Creates an allocator without upstreams or leases. `seed` identifies this incarnation of the counter and makes
     /// different hosts start at different upstreams among equally loaded ones.
     pub fn with_options(seed: u64, tolerance: Tolerance, options: Options) -> Self {
+        Self::with_order(seed, tolerance, options.order(), options)
+    }
+
+    /// Creates an allocator with another order than that of its options, see [`Self::with_options`].
+    pub fn with_order(
+        seed: u64,
+        tolerance: Tolerance,
+        order: Box<dyn Order>,
+        options: Options,
+    ) -> Self {
         Self {
             upstreams: Entries::default(),
             has_removed_upstreams: false,
@@ -116,7 +127,7 @@
             heartbeat_reply: HeartbeatReply::default(),
             slot_time: SmoothedDuration::default(),
             wait_queue: WaitQueue::default(),
-            order: options.order(),
+            order,
             placement: options.placement(),
             counter: Counter::new(seed, tolerance),
             reachability: Reachability::default(),
@@ -137,7 +148,7 @@
         let denied = unservable.into_iter().map(|waiter| {
             let response = SlotResponse {
                 lease: waiter.request.lease,
-                verdict: Verdict::Denied,
+                verdict: Verdict::Denied(Denial::default()),
             };
             (waiter.from, Frame::SlotResponse(response))
         });
@@ -209,6 +220,7 @@
             entry.state.orphaned = None;
             entry.state.slow_start.reset(now);
         }
+        self.order.reset();
         self.learning_until = Some(now + LEARNING_TIME);
         self.counter.reset(false, now);
         self.reachability.reset();
@@ -381,10 +393,13 @@
         let Some(index) = self.upstreams.index_of(&held.upstream) else {
             return;
         };
-        let state = &mut self.upstreams[index].state;
-        if !state.grants.contains(from, held.lease)
-            && let Some(orphaned) = &mut state.orphaned
-        {
+        let Entry { upstream, state } = &mut self.upstreams[index];
+        let is_known = state.grants.contains(from, held.lease);
+        if !is_known && !held.class.is_batch() {
+            self.order
+                .record_held(&upstream.service, &held.footprint, now);
+        }
+        if !is_known && let Some(orphaned) = &mut state.orphaned {
             // The request was counted as orphaned until now.
             *orphaned = orphaned.saturating_sub(1);
         }
--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -1,15 +1,19 @@
 //! Decides on a slot request: grants a slot, queues the request, or denies it.
 
-use std::{collections::VecDeque, net::SocketAddr, time::Instant};
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    time::Instant,
+};
 
 use tinbank_allowance::counter;
 
 use super::{Allocator, LEASE_DURATION, Outgoing};
 use crate::{
-    frame::{Frame, Grant, OverLimit, Queue, SlotRequest, SlotResponse, Verdict},
+    frame::{Denial, Frame, Grant, OverLimit, Queue, SlotRequest, SlotResponse, Verdict},
     grants,
-    lease::{Class, Due, Footprint},
-    order::Waiter,
+    lease::{self, Class, Due, Footprint},
+    order::{Turnover, Waiter},
 };
 
 /// Maximum number of slots per failure domain that batch leaves free, one per upstream below that, so that an online
@@ -109,8 +113,9 @@
 
     /// Queues a request if a slot is likely to become free for it in time; denies it otherwise.
     fn enqueue(&mut self, from: SocketAddr, request: &SlotRequest, now: Instant) -> Verdict {
+        let denied = Verdict::Denied(Denial::default());
         let Some(max_wait) = request.queue.max_wait() else {
-            return Verdict::Denied;
+            return denied;
         };
         let slots: usize = self
             .upstreams
@@ -118,21 +123,28 @@
             .filter(|entry| entry.accepts(request, now))
             .map(|entry| entry.upstream.slots)
             .sum();
-        if slots == 0 || !self.order.may_wait(request, self.wait_queue.waiters()) {
-            return Verdict::Denied;
+        if slots == 0 {
+            return denied;
         }
         let waiter = Waiter {
             from,
             request: request.clone(),
             expires_at: now + max_wait,
         };
-        let ahead = self.wait_queue.count_ahead(&waiter, &*self.order);
-        let wait = self.slot_time.get_or_zero() * (ahead + 1) as u32 / slots as u32;
-        if wait > max_wait {
-            return Verdict::Denied;
-        }
         let waiting = self.wait_queue.waiters();
         self.order.record_queued(request, waiting, now);
+        let ahead = self.order.count_ahead(&waiter, waiting);
+        let wait = self.slot_time.get_or_zero() * (ahead + 1) as u32 / slots as u32;
+        if wait > max_wait || !self.order.may_wait(request, waiting, slots) {
+            let turnover = Turnover {
+                slot_time: self.slot_time.get(),
+                slots,
+            };
+            let after = self.order.return_after(request, waiting, turnover, now);
+            return Verdict::Denied(Denial {
+                retry_after_ms: after.map(|it| it.as_micros().div_ceil(1_000) as u32),
+            });
+        }
         self.wait_queue.add(waiter);
         Verdict::Waiting
     }
@@ -146,17 +158,13 @@
         let mut left: Vec<Waiter> = Vec::new();
         let mut waiters = VecDeque::from(self.wait_queue.take(&*self.order));
         while let Some(waiter) = waiters.pop_front() {
+            let mut is_reordered = false;
             // Other requests of the customer may have used up its allowance in the meantime.
             let verdict = if let Some(over) = self.check_limit(&waiter.request, now) {
                 Verdict::OverLimit(over)
             } else if let Some(index) = self.choose_upstream(&waiter.request, now, out) {
                 let grant = self.grant(index, waiter.from, &waiter.request, now);
-                if self.order.record_grant(&waiter.request, now) {
-                    let order = &*self.order;
-                    waiters
-                        .make_contiguous()
-                        .sort_by(|a, b| order.compare(a, b));
-                }
+                is_reordered = self.order.record_grant(&waiter.request, now);
                 Verdict::Granted(grant)
             } else {
                 left.push(waiter);
@@ -167,7 +175,19 @@
                 verdict,
             };
             out.push((waiter.from, Frame::SlotResponse(response)));
+            if !is_reordered {
+                continue;
+            }
+            if !self.has_available_slot() {
+                // Sorting the rest would be most of the work of a grant, since slots become free one at a time.
+                break;
+            }
+            let order = &*self.order;
+            waiters
+                .make_contiguous()
+                .sort_by(|a, b| order.compare(a, b));
         }
+        left.extend(waiters);
         self.wait_queue.restore(left);
     }
 
@@ -189,9 +209,9 @@
         if let Some(best) = best.filter(|it| self.has_free_slot(*it, request, now)) {
             return Some(best);
         }
-        if let Some((index, _)) = self.reclaimable(request, now) {
-            self.reclaim(index, out);
-            return Some(index);
+        if let Some(batch) = self.reclaimable(request, now, |_| true) {
+            self.reclaim(&batch, out);
+            return Some(batch.upstream);
         }
         best.filter(|_| request.queue == Queue::InUpstream)
     }
@@ -214,12 +234,12 @@
         {
             return Some(best);
         }
-        let (index, last) = self.reclaimable(request, now)?;
-        if due.late || !last.late {
+        if due.late {
             return None;
         }
-        self.reclaim(index, out);
-        Some(index)
+        let batch = self.reclaimable(request, now, |due| due.late)?;
+        self.reclaim(&batch, out);
+        Some(batch.upstream)
     }
 
     /// Returns whether more slots are free than batch has to leave free.
@@ -233,8 +253,9 @@
         free > upstreams.min(MAX_HEADROOM)
     }
 
-    fn reclaim(&mut self, index: usize, out: &mut Outgoing) {
-        if let Some(grant) = self.upstreams[index].state.grants.reclaim() {
+    fn reclaim(&mut self, batch: &BatchLease, out: &mut Outgoing) {
+        let grants = &mut self.upstreams[batch.upstream].state.grants;
+        if let Some(grant) = grants.reclaim(batch.holder, batch.lease) {
             out.push((grant.holder, Frame::Reclaim(grant.lease)));
         }
     }
@@ -264,15 +285,48 @@
         cheapest.map(|(index, _)| index)
     }
 
-    /// Returns the upstream that runs the batch item with the latest due time, and that due time.
-    fn reclaimable(&self, request: &SlotRequest, now: Instant) -> Option<(usize, Due)> {
-        (0..self.upstreams.len())
-            .filter(|index| self.upstreams[*index].accepts(request, now))
-            .filter_map(|index| Some((index, self.upstreams[index].state.grants.last_due()?)))
-            .max_by_key(|(_, due)| *due)
+    /// Returns the lease of a batch item to reclaim for a request: of those that `select` accepts by their due time, one of
+    /// the customer that is most above its share, and of its leases the one that is due last.
+    fn reclaimable(
+        &self,
+        request: &SlotRequest,
+        now: Instant,
+        select: impl Fn(Due) -> bool,
+    ) -> Option<BatchLease> {
+        let mut held: HashMap<Option<&str>, u64> = HashMap::new();
+        for (grant, _) in self.upstreams.iter().flat_map(|it| it.state.grants.batch()) {
+            let work = held.entry(grant.customer()).or_default();
+            *work = work.saturating_add(grant.footprint.work);
+        }
+        let excess = |grant: &grants::Grant| {
+            let customer = grant.customer();
+            self.order.excess(customer, held[&customer])
+        };
+        let entries = self.upstreams.iter().enumerate();
+        let accepting = entries.filter(|(_, entry)| entry.accepts(request, now));
+        let leases = accepting.flat_map(|(index, entry)| {
+            let batch = entry.state.grants.batch();
+            batch.map(move |(grant, due)| (index, grant, due))
+        });
+        let last = leases
+            .filter(|(_, _, due)| select(*due))
+            .max_by_key(|(_, grant, due)| (excess(grant), *due));
+        last.map(|(upstream, grant, _)| BatchLease {
+            upstream,
+            holder: grant.holder,
+            lease: grant.lease,
+        })
     }
 }
 
+/// A lease of a batch item.
+struct BatchLease {
+    /// Index of its upstream.
+    upstream: usize,
+    holder: SocketAddr,
+    lease: lease::Id,
+}
+
 /// Returns what a request takes of its upstream and of its customer's share.
 fn footprint(request: &SlotRequest) -> Footprint {
     Footprint {
--- a/crates/tinbank-allocator/src/entry.rs
+++ b/crates/tinbank-allocator/src/entry.rs
@@ -80,7 +80,7 @@
 
     /// Returns whether a slot can be reclaimed from batch.
     pub fn has_batch(&self) -> bool {
-        self.state.grants.last_due().is_some()
+        self.state.grants.batch().next().is_some()
     }
 
     /// Returns whether the request may be sent to this upstream.
--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -11,7 +11,7 @@
 use crate::{lease, pace, size::Size};
 
 /// First byte of each datagram; a host ignores datagrams of another version.
-const VERSION: u8 = 6;
+const VERSION: u8 = 7;
 /// Maximum datagram size in bytes. Holds the holdings of a host with 200 leases; most datagrams fit in one packet.
 pub const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -122,6 +122,11 @@
             Self::No | Self::InUpstream => None,
         }
     }
+
+    /// Returns whether the request waits behind all that can be on time.
+    pub fn is_low_priority(self) -> bool {
+        matches!(self, Self::LowPriority(_))
+    }
 }
 
 /// Response to a [`SlotRequest`].
@@ -141,11 +146,19 @@
     /// The request is queued; another response follows.
     Waiting,
     /// The failure domain has no slot for the request, or none in time.
-    Denied,
+    Denied(Denial),
     /// The customer has used up its allowance.
     OverLimit(OverLimit),
 }
 
+/// A request that gets no slot.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Denial {
+    /// Time in milliseconds after which its caller should retry by the backlog of its customer in this failure domain; `None`
+    /// if that is not known.
+    pub retry_after_ms: Option<u32>,
+}
+
 /// A customer above its limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OverLimit {
--- a/crates/tinbank-allocator/src/grants.rs
+++ b/crates/tinbank-allocator/src/grants.rs
@@ -23,6 +23,10 @@
 }
 
 impl Grant {
+    pub fn customer(&self) -> Option<&str> {
+        self.footprint.customer.as_deref()
+    }
+
     fn due(&self) -> Option<Due> {
         match self.class {
             Class::Online => None,
@@ -85,20 +89,17 @@
         Some(self.0.swap_remove(index))
     }
 
-    /// Removes the batch lease with the latest due time.
-    pub fn reclaim(&mut self) -> Option<Grant> {
-        let (last, _) = self
-            .0
-            .iter()
-            .enumerate()
-            .filter_map(|(index, grant)| Some((index, grant.due()?)))
-            .max_by_key(|(_, due)| *due)?;
-        Some(self.0.remove(last))
+    /// Removes a lease and keeps the order of the others, which decides between items that are due at the same time.
+    pub fn reclaim(&mut self, holder: SocketAddr, lease: lease::Id) -> Option<Grant> {
+        let same = |grant: &Grant| grant.holder == holder && grant.lease == lease;
+        let index = self.0.iter().position(same)?;
+        Some(self.0.remove(index))
     }
 
-    /// Returns the latest due time of the batch leases.
-    pub fn last_due(&self) -> Option<Due> {
-        self.0.iter().filter_map(Grant::due).max()
+    /// Returns the leases of batch items, with their due times.
+    pub fn batch(&self) -> impl Iterator<Item = (&Grant, Due)> + Clone {
+        let grants = self.0.iter();
+        grants.filter_map(|grant| Some((grant, grant.due()?)))
     }
 
     /// Removes expired leases. Returns when the next one expires.
--- a/crates/tinbank-allocator/src/options.rs
+++ b/crates/tinbank-allocator/src/options.rs
@@ -1,7 +1,7 @@
 //! Selects the decisions of an allocator.
 
 use crate::{
-    order::{ByExpiry, Order},
+    order::{ByExpiry, FairShare, Order},
     placement::{LeastLoaded, Placement},
 };
 
@@ -30,7 +30,10 @@
 
 impl Options {
     pub(crate) fn order(self) -> Box<dyn Order> {
-        Box::new(ByExpiry)
+        match self.fair_shares {
+            true => Box::new(FairShare::default()),
+            false => Box::new(ByExpiry),
+        }
     }
 
     pub(crate) fn placement(self) -> Box<dyn Placement> {
--- a/crates/tinbank-allocator/src/order.rs
+++ b/crates/tinbank-allocator/src/order.rs
@@ -1,8 +1,17 @@
 //! The order in which waiting requests get free slots.
 
-use std::{cmp::Ordering, fmt, net::SocketAddr, time::Instant};
+pub mod fair_share;
+pub mod virtual_counter;
 
-use crate::frame::{Queue, SlotRequest};
+use std::{
+    cmp::Ordering,
+    fmt,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+pub use self::fair_share::FairShare;
+use crate::{frame::SlotRequest, lease::Footprint};
 
 /// A queued request.
 #[derive(Clone, Debug)]
@@ -18,21 +27,39 @@
 impl Waiter {
     /// Returns whether the request can't be on time any more.
     pub fn is_late(&self) -> bool {
-        matches!(self.request.queue, Queue::LowPriority(_))
+        self.request.queue.is_low_priority()
     }
 }
 
+/// How fast the slots for a request become free.
+#[derive(Clone, Copy, Debug)]
+pub struct Turnover {
+    /// How long a request holds its slot, if that was measured.
+    pub slot_time: Option<Duration>,
+    /// Number of slots.
+    pub slots: usize,
+}
+
 /// Decides which waiting request gets the next free slot.
 pub trait Order: fmt::Debug {
     /// Compares two waiting requests; the lesser one is served first.
     fn compare(&self, a: &Waiter, b: &Waiter) -> Ordering;
 
-    /// Returns whether a request may join the queue, which bounds what one customer can queue.
-    fn may_wait(&self, _request: &SlotRequest, _waiting: &[Waiter]) -> bool {
+    /// Returns how many waiting requests of the same service are served before this one.
+    fn count_ahead(&self, waiter: &Waiter, waiting: &[Waiter]) -> usize {
+        let same_service = |it: &&Waiter| it.request.service == waiter.request.service;
+        let ahead = waiting.iter().filter(same_service);
+        ahead
+            .filter(|it| self.compare(it, waiter) != Ordering::Greater)
+            .count()
+    }
+
+    /// Returns whether a request may join the queue for `slots` slots, which bounds what one customer can queue.
+    fn may_wait(&self, _request: &SlotRequest, _waiting: &[Waiter], _slots: usize) -> bool {
         true
     }
 
-    /// Records that a request joins the queue of those in `waiting`.
+    /// Records that a request competes with those in `waiting`. Called before its place is determined.
     fn record_queued(&mut self, _request: &SlotRequest, _waiting: &[Waiter], _now: Instant) {}
 
     /// Records that a request was granted a slot, with or without waiting. Returns whether this may have changed the order of
@@ -40,6 +67,30 @@
     fn record_grant(&mut self, _request: &SlotRequest, _now: Instant) -> bool {
         false
     }
+
+    /// Records an online lease that a host reports and that this allocator did not grant.
+    fn record_held(&mut self, _service: &str, _footprint: &Footprint, _now: Instant) {}
+
+    /// Returns how far a customer whose batch items hold this much work is above its share. The items of the customer with
+    /// the greatest value are reclaimed first.
+    fn excess(&self, _customer: Option<&str>, _held_work: u64) -> u64 {
+        0
+    }
+
+    /// Returns after which time the caller of a request that can't wait should retry, if this follows from the backlog of
+    /// its customer.
+    fn return_after(
+        &mut self,
+        _request: &SlotRequest,
+        _waiting: &[Waiter],
+        _turnover: Turnover,
+        _now: Instant,
+    ) -> Option<Duration> {
+        None
+    }
+
+    /// Discards what was recorded, because it may be out of date.
+    fn reset(&mut self) {}
 }
 
 /// Serves requests that can be on time before late ones, then by rank, then by expiry. A late request of high rank comes
--- a/crates/tinbank-allocator/src/waiting.rs
+++ b/crates/tinbank-allocator/src/waiting.rs
@@ -3,7 +3,7 @@
 //! A request that queues inside an upstream gets the next slot of that upstream only, in arrival order. One that queues
 //! here gets the next slot of any upstream, so it waits less and more requests meet their target.
 
-use std::{cmp::Ordering, net::SocketAddr, time::Instant};
+use std::{net::SocketAddr, time::Instant};
 
 use crate::{
     frame::SlotRequest,
@@ -43,15 +43,6 @@
         self.0.retain(|it| now < it.expires_at);
     }
 
-    /// Returns how many requests of the same service would be served before this one.
-    pub fn count_ahead(&self, waiter: &Waiter, order: &dyn Order) -> usize {
-        let same_service = |it: &&Waiter| it.request.service == waiter.request.service;
-        let ahead = self.0.iter().filter(same_service);
-        ahead
-            .filter(|it| order.compare(it, waiter) != Ordering::Greater)
-            .count()
-    }
-
     /// Takes all queued requests, the next one to be served first.
     pub fn take(&mut self, order: &dyn Order) -> Vec<Waiter> {
         let mut all = std::mem::take(&mut self.0);
--- a/crates/tinbank-allocator/tests/harness/mod.rs
+++ b/crates/tinbank-allocator/tests/harness/mod.rs
@@ -7,9 +7,9 @@
 };
 
 use tinbank_allocator::{
-    Allocator,
+    Allocator, Options,
     allocator::{Outgoing, StateChange, Upstream},
-    frame::{Frame, Holdings, Queue, Release, SlotRequest, Verdict},
+    frame::{Frame, Holdings, Queue, Release, Share, SlotRequest, Verdict},
     lease::{Class, Due, Footprint, Held, Id, Outcome},
     size::Size,
 };
@@ -35,8 +35,12 @@
     pub pending: HashMap<(SocketAddr, Id), Class>,
     /// Granted leases, in order.
     pub granted: Vec<Id>,
+    /// Retry times of denials, in milliseconds, in order.
+    pub retry_after: Vec<Option<u32>>,
     /// Rank of new requests.
     pub rank: u8,
+    /// Whose share new requests take.
+    pub share: Option<Share>,
     held: HashMap<(SocketAddr, Id), (id::Instance, Class)>,
     upstreams: usize,
 }
@@ -70,15 +74,22 @@
 impl Harness {
     /// Creates an allocator that has received heartbeats of all hosts and no longer learns.
     pub fn after_learning(upstreams: u8) -> Self {
+        Self::with_options(upstreams, Options::default())
+    }
+
+    /// Creates such an allocator with options.
+    pub fn with_options(upstreams: u8, options: Options) -> Self {
         let mut harness = Self {
-            allocator: Allocator::new(1, Tolerance::default()),
+            allocator: Allocator::with_options(1, Tolerance::default(), options),
             now: Instant::now(),
             next_lease: 0,
             queued: false,
             reclaimed: Vec::new(),
             pending: HashMap::new(),
             granted: Vec::new(),
+            retry_after: Vec::new(),
             rank: 0,
+            share: None,
             held: HashMap::new(),
             upstreams: upstreams.into(),
         };
@@ -103,7 +114,7 @@
             queue,
             rank: self.rank,
             meter: None,
-            share: None,
+            share: self.share.clone(),
             size: Size::default(),
             max_gap_ms: None,
         };
@@ -132,7 +143,11 @@
             let key = (to, response.lease);
             match response.verdict {
                 Verdict::Waiting => {}
-                Verdict::Denied | Verdict::OverLimit(_) => drop(self.pending.remove(&key)),
+                Verdict::Denied(denial) => {
+                    self.retry_after.push(denial.retry_after_ms);
+                    self.pending.remove(&key);
+                }
+                Verdict::OverLimit(_) => drop(self.pending.remove(&key)),
                 Verdict::Granted(grant) => {
                     let class = self.pending.remove(&key).expect("a pending request");
                     self.queued = grant.queued;
--- a/crates/tinbank-allocator/tests/load/caller.rs
+++ b/crates/tinbank-allocator/tests/load/caller.rs
@@ -13,6 +13,17 @@
     /// When the current attempt arrived.
     pub received: Instant,
     pub attempts: u32,
+    /// Index of its customer's [`Profile`], if it has a customer.
+    pub customer: Option<usize>,
+}
+
+/// The requests of a customer.
+#[derive(Clone, Copy, Debug)]
+pub struct Profile {
+    pub weight: u32,
+    pub rank: u8,
+    /// Tokens of the prompt; a request of 1,000 holds its slot for the usual time.
+    pub tokens: u32,
 }
 
 /// Result of a caller's request.
@@ -37,6 +48,15 @@
     pub items: usize,
 }
 
+/// What became of a customer's request.
+#[derive(Clone, Copy, Debug)]
+pub struct CustomerResult {
+    pub customer: usize,
+    /// When the caller made its first attempt.
+    pub sent: Instant,
+    pub result: CallerResult,
+}
+
 impl Tally {
     pub fn record(&mut self, result: CallerResult) {
         match result {
--- a/crates/tinbank-allocator/tests/load/main.rs
+++ b/crates/tinbank-allocator/tests/load/main.rs
@@ -2,6 +2,7 @@
 //! sizes.
 
 mod caller;
+mod shares;
 mod simulation;
 mod upstream;
 
--- a/crates/tinbank-allocator/tests/load/simulation.rs
+++ b/crates/tinbank-allocator/tests/load/simulation.rs
@@ -8,17 +8,18 @@
 };
 
 use tinbank_allocator::{
-    Allocator,
-    admission::{Admission, RouteTimings},
+    Allocator, Options,
+    admission::{Admission, Backlog, RouteTimings},
     allocator,
-    frame::{Frame, Holdings, Queue, Release, SlotRequest, SlotResponse, Verdict},
+    frame::{Frame, Holdings, Queue, Release, Share, SlotRequest, SlotResponse, Verdict},
     lease::{Class, Due, Footprint, Held, Outcome},
+    order::{ByExpiry, Order},
     size::Size,
 };
 use tinbank_allowance::Tolerance;
 
 use crate::{
-    caller::{Caller, CallerResult, Number, Rng, Tally},
+    caller::{Caller, CallerResult, CustomerResult, Number, Profile, Rng, Tally},
     upstream::{Started, Upstream},
 };
 
@@ -93,11 +94,22 @@
     location: Option<(usize, usize)>,
     has_lease: bool,
     is_batch: bool,
+    backlog: Backlog,
+}
+
+/// Customers that send requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Customers<'a> {
+    pub profiles: &'a [Profile],
+    /// Creates the order of an allocator.
+    pub order: fn() -> Box<dyn Order>,
 }
 
 /// State of a simulation.
-pub struct Simulation {
+pub struct Simulation<'a> {
     load: Load,
+    customers: Customers<'a>,
+    results: Vec<CustomerResult>,
     now: Instant,
     allocators: Vec<Allocator>,
     upstreams: Vec<Vec<Upstream>>,
@@ -120,25 +132,49 @@
 
 /// Simulates requests that arrive at the given times. Returns the results of their callers.
 pub fn simulate(load: Load, arrivals: &[Instant]) -> Tally {
-    let mut simulation = Simulation::new(load, arrivals);
+    let arrivals: Vec<_> = arrivals.iter().map(|at| (*at, None)).collect();
+    let customers = Customers {
+        profiles: &[],
+        order: || Box::new(ByExpiry),
+    };
+    let mut simulation = Simulation::new(load, customers, &arrivals);
     simulation.run();
     simulation.tally
 }
 
-impl Simulation {
-    fn new(load: Load, arrivals: &[Instant]) -> Self {
-        let start = arrivals[0] - Duration::from_secs(5);
-        let caller = |at: &Instant| Caller {
+/// Simulates requests of customers that arrive at the given times. Returns what became of each.
+pub fn simulate_customers(
+    load: Load,
+    customers: Customers<'_>,
+    arrivals: &[(Instant, usize)],
+) -> Vec<CustomerResult> {
+    let arrivals: Vec<_> = arrivals.iter().map(|(at, it)| (*at, Some(*it))).collect();
+    let mut simulation = Simulation::new(load, customers, &arrivals);
+    simulation.run();
+    simulation.results
+}
+
+impl<'a> Simulation<'a> {
+    fn new(load: Load, customers: Customers<'a>, arrivals: &[(Instant, Option<usize>)]) -> Self {
+        let start = arrivals[0].0 - Duration::from_secs(5);
+        let caller = |(at, customer): &(Instant, Option<usize>)| Caller {
             first_attempt: *at,
             deadline: *at + load.time,
             received: *at,
             attempts: 0,
+            customer: *customer,
+        };
+        let allocator = |seed| {
+            let order = (customers.order)();
+            Allocator::with_order(seed, Tolerance::default(), order, Options::default())
         };
         let mut simulation = Self {
             load,
+            customers,
+            results: Vec::new(),
             now: start,
             allocators: (0..load.failure_domains)
-                .map(|it| Allocator::new(it as u64, Tolerance::default()))
+                .map(|it| allocator(it as u64))
                 .collect(),
             upstreams: Vec::new(),
             events: BinaryHeap::new(),
@@ -170,7 +206,7 @@
                 simulation.schedule(Duration::from_secs(2), Event::NextItem(domain));
             }
         }
-        for (number, at) in arrivals.iter().enumerate() {
+        for (number, (at, _)) in arrivals.iter().enumerate() {
             simulation.schedule(*at - start, Event::Arrival(number));
         }
         simulation
@@ -322,10 +358,16 @@
             service: "notes".to_owned(),
             exclude: Default::default(),
             queue: work.queue.expect("a slot request"),
-            rank: 0,
+            rank: self.profile(number).map_or(0, |(_, it)| it.rank),
             meter: None,
-            share: None,
-            size: Size::default(),
+            share: self.profile(number).map(|(customer, it)| Share {
+                customer: format!("c{customer}"),
+                weight: it.weight,
+            }),
+            size: Size {
+                prompt_tokens: self.profile(number).map_or(0, |(_, it)| it.tokens),
+                ..Size::default()
+            },
             max_gap_ms: None,
         };
         let event = Event::ReachesAllocator(
@@ -336,6 +378,24 @@
         self.send(event);
     }
 
+    /// Returns the customer of a request, if it has one.
+    fn profile(&self, number: Number) -> Option<(usize, Profile)> {
+        let customer = self.callers.get(number)?.customer?;
+        Some((customer, self.customers.profiles[customer]))
+    }
+
+    fn record(&mut self, number: Number, result: CallerResult) {
+        self.tally.record(result);
+        let caller = self.callers[number];
+        if let Some(customer) = caller.customer {
+            self.results.push(CustomerResult {
+                customer,
+                sent: caller.first_attempt,
+                result,
+            });
+        }
+    }
+
     fn resend(&mut self, number: Number) {
         self.send_slot_request(number);
         let sequence = self.work[&number].sequence;
@@ -386,7 +446,11 @@
         let (number, sequence) = parse_lease(lease);
         match verdict {
             Verdict::Waiting => {}
-            Verdict::Denied if self.is_waiting(number, sequence) => {
+            Verdict::Denied(denial) if self.is_waiting(number, sequence) => {
+                if let Some(ms) = denial.retry_after_ms {
+                    let work = self.work.get_mut(&number).expect("work");
+                    work.backlog.add(Duration::from_millis(ms.into()));
+                }
                 match self.work[&number].is_batch {
                     true => drop(self.work.remove(&number)),
                     false => self.request_slot(number),
@@ -450,8 +514,9 @@
             } else {
                 CallerResult::Late
             };
-            self.tally.record(result);
+            self.record(number, result);
         }
+        let held = held * self.profile(number).map_or(1_000, |(_, it)| it.tokens) / 1_000;
         self.schedule(held, Event::Completed(number, sequence));
     }
 
@@ -491,15 +556,16 @@
             return;
         }
         let draw = self.rng.next();
-        let retry_after = self.admission(number).retry_after(self.timings(), draw);
+        let usual = self.admission(number).retry_after(self.timings(), draw);
+        let backlog = self.work[&number].backlog.retry_after();
+        let retry_after = backlog.unwrap_or(usual);
         let caller = self.callers[number];
         self.work.get_mut(&number).expect("work").queue = None;
         let will_retry = caller.attempts < MAX_ATTEMPTS && self.now + retry_after < caller.deadline;
         if will_retry {
             return self.schedule(retry_after, Event::Arrival(number));
         }
-        self.tally
-            .record(CallerResult::Refused(self.now - caller.received));
+        self.record(number, CallerResult::Refused(self.now - caller.received));
     }
 
     fn next_item(&mut self, domain: usize) {
--- a/crates/tinbank-allocator/tests/waiting.rs
+++ b/crates/tinbank-allocator/tests/waiting.rs
@@ -7,7 +7,7 @@
 
 use harness::{Harness, SLOTS, batch};
 use tinbank_allocator::{
-    frame::{Frame, Queue, SlotResponse, Verdict},
+    frame::{Denial, Frame, Queue, SlotResponse, Verdict},
     lease::{Class, Id, Outcome},
 };
 
@@ -108,7 +108,9 @@
     assert!(matches!(
         responses[0].1,
         Frame::SlotResponse(SlotResponse {
-            verdict: Verdict::Denied,
+            verdict: Verdict::Denied(Denial {
+                retry_after_ms: None
+            }),
             ..
         })
     ));
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -51,7 +51,7 @@
     let answer = match verdict {
         Some(Verdict::Granted(_)) => "granted",
         Some(Verdict::Waiting) => "waiting",
-        Some(Verdict::Denied) => "denied",
+        Some(Verdict::Denied(_)) => "denied",
         Some(Verdict::OverLimit(_)) => "over_limit",
         None => "silent",
     };
@@ -60,6 +60,11 @@
     metrics::histogram!("tinbank_entry_ask_seconds").record(took);
 }
 
+/// Records the `Retry-After` of a refusal that follows from the backlog of the caller's customer.
+pub(crate) fn record_backlog_retry(retry_after: Duration) {
+    metrics::histogram!("tinbank_entry_backlog_retry_seconds").record(retry_after);
+}
+
 /// Records that an upstream broke a connection, with the outcome of the probe that followed.
 pub(crate) fn record_broken_connection(found: &'static str) {
     metrics::counter!("tinbank_entry_broken_upstreams_total", "found" => found).increment(1);
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -7,7 +7,7 @@
 
 use http::Response;
 use tinbank_allocator::{
-    admission::Admission,
+    admission::{Admission, Backlog},
     frame::{Meter, Queue, Share},
     lease::{Class, Outcome},
 };
@@ -55,6 +55,8 @@
     resume_after: Option<event::Id>,
     /// Whether it was refused a slot because all were in use.
     is_overloaded: bool,
+    /// The backlog of its customer when it was refused a slot.
+    backlog: Backlog,
     /// Priority among waiting requests; 0 is the highest.
     rank: u8,
     customer: Option<id::Customer>,
@@ -119,6 +121,7 @@
             sent_at: None,
             resume_after: arrival.resume_after,
             is_overloaded: false,
+            backlog: Backlog::default(),
             rank: arrival.rank,
             customer: arrival.customer,
             meter: arrival.meter,
@@ -247,8 +250,9 @@
                 self.over_limit = Some(retry_after);
                 Err(self.attempts.give_up())
             }
-            Allocation::Full => {
+            Allocation::Full(backlog) => {
                 self.is_overloaded = true;
+                self.backlog = backlog;
                 Err(self.attempts.give_up())
             }
             Allocation::NoUpstream => Err(self.attempts.give_up()),
@@ -389,12 +393,9 @@
     /// Returns the reply for a request that is neither quarantined nor over its customer's limit.
     fn refusal(&self, next: Next) -> Reply {
         match next {
-            Next::Refuse | Next::Retry if self.is_overloaded => {
-                let usual = self.node.usual(&self.route);
-                Reply::NotRun {
-                    retry_after: self.admission.retry_after(usual, self.node.next_draw()),
-                }
-            }
+            Next::Refuse | Next::Retry if self.is_overloaded => Reply::NotRun {
+                retry_after: self.overload_retry_after(),
+            },
             Next::Refuse | Next::Retry => Reply::NotRun {
                 retry_after: RETRY_AFTER,
             },
@@ -402,4 +403,14 @@
             Next::Fail => Reply::Failed,
         }
     }
+
+    /// Returns when the caller of a request should retry that was refused a slot because all were in use.
+    fn overload_retry_after(&self) -> Duration {
+        if let Some(retry_after) = self.backlog.retry_after() {
+            measure::record_backlog_retry(retry_after);
+            return retry_after;
+        }
+        let usual = self.node.usual(&self.route);
+        self.admission.retry_after(usual, self.node.next_draw())
+    }
 }
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -22,6 +22,7 @@
 use smallvec::SmallVec;
 use tinbank_allocator::{
     Allocator, Directory, Options,
+    admission::Backlog,
     allocator::{HEARTBEAT_INTERVAL, Upstream},
     avoidance::Avoidance,
     directory::Peer,
@@ -109,8 +110,8 @@
 /// Result of a slot request.
 pub(crate) enum Allocation {
     Granted(Lease),
-    /// All slots are in use, and the request may not wait.
-    Full,
+    /// All slots are in use, and the request may not wait. Its caller should retry by the backlog of its customer.
+    Full(Backlog),
     /// The customer has used up its allowance and may retry after this time.
     OverLimit(Duration),
     /// No upstream of the service is known.
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -11,6 +11,7 @@
 
 use smallvec::SmallVec;
 use tinbank_allocator::{
+    admission::Backlog,
     frame::{Grant, Meter, OverLimit, Queue, SlotRequest, Verdict},
     lease::Outcome,
 };
@@ -29,7 +30,8 @@
 /// Result of a request to one allocator.
 enum SlotResult {
     Granted(Lease),
-    Denied,
+    /// There is no slot, and the caller should retry after this time if the allocator knows one.
+    Denied(Option<Duration>),
     /// The customer has used up its allowance and may retry after this time.
     OverLimit(Duration),
     /// No slot became free within the time that the request may wait.
@@ -52,25 +54,29 @@
             queue => &[Queue::No, queue],
         };
         let mut denied = false;
+        let mut backlog = Backlog::default();
         for queue in queues {
             for domain in &domains {
                 match self.request_slot(node, spec, domain, *queue).await {
                     SlotResult::Granted(lease) => return Allocation::Granted(lease),
-                    SlotResult::Denied => denied = true,
+                    SlotResult::Denied(retry_after) => {
+                        denied = true;
+                        retry_after.into_iter().for_each(|it| backlog.add(it));
+                    }
                     SlotResult::OverLimit(after) => return Allocation::OverLimit(after),
-                    SlotResult::WaitExpired => return Allocation::Full,
+                    SlotResult::WaitExpired => return Allocation::Full(backlog),
                     SlotResult::Unresponsive => {}
                 }
             }
         }
         if spec.class.is_batch() {
-            return Allocation::Full;
+            return Allocation::Full(backlog);
         }
         // A host that lists only its own failure domain can't rule out upstreams elsewhere.
         let may_exist =
             node.view.is_own_domain_only() || node.view.has_other_upstream(spec.service, &[]);
         if denied && may_exist && spec.queue != Queue::InUpstream {
-            return Allocation::Full;
+            return Allocation::Full(backlog);
         }
         if let Some(meter) = spec.meter
             && !self.try_acquire_fallback(meter)
@@ -113,7 +119,7 @@
             // The failure domain may have been evacuated while the request waited.
             if node.view.is_evacuated(domain) {
                 log::info!(upstream:% = lease.upstream, failure_domain:% = domain; "grant in an evacuated failure domain given back");
-                return SlotResult::Denied;
+                return SlotResult::Denied(None);
             }
             if !node.view.is_leaving(&lease.upstream) {
                 return SlotResult::Granted(lease);
@@ -121,7 +127,7 @@
             log::info!(upstream:% = lease.upstream; "grant of a leaving upstream given back");
             lease.set_outcome(Outcome::Leaving);
         }
-        SlotResult::Denied
+        SlotResult::Denied(None)
     }
 
     /// Sends one slot request to the allocator of a failure domain, and waits there if the allocator expects a free slot in
@@ -176,7 +182,11 @@
                 log_over_limit(spec, allocator, over);
                 SlotResult::OverLimit(retry_after)
             }
-            Some(Verdict::Denied | Verdict::Waiting) => SlotResult::Denied,
+            Some(Verdict::Denied(denial)) => {
+                let retry_after = denial.retry_after_ms;
+                SlotResult::Denied(retry_after.map(|ms| Duration::from_millis(ms.into())))
+            }
+            Some(Verdict::Waiting) => SlotResult::Denied(None),
             None => {
                 self.record_timeout(allocator, "no answer to a slot request");
                 SlotResult::Unresponsive
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -76,7 +76,7 @@
             // The caller has left, so the slot is released at once.
             Some(Verdict::Granted(grant)) => self.release_unused(from, lease, grant),
             Some(Verdict::Waiting) => self.send(from, &Frame::Withdraw(lease)),
-            Some(Verdict::Denied | Verdict::OverLimit(_)) | None => {}
+            Some(Verdict::Denied(_) | Verdict::OverLimit(_)) | None => {}
         }
     }
 
