Items by shares of customers and jobs; displaced requests are denied at once

Cause: a host starts the item that is due first, so a job of 200 items holds up one of 5 that is due later, and a customer with many jobs counts once for each. A queued request that others displace waits until it expires. Change: schedule::Turn orders items by late or not, the customer's work over its weight, the job's work, due time; the gateway keeps the counters. The allocator denies queued requests whose expected wait exceeds 1.5 times what they have left; the host subtracts that wait from what the request may wait elsewhere. Metric tinbank_entry_backlog_retry_seconds. In effect with fair_shares only. The item tests fail with the counters left out of the turn.

--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -20,6 +20,10 @@
 /// request seldom has to reclaim one. Covers the online requests that arrive while a slot is being reclaimed.
 const MAX_HEADROOM: usize = 8;
 
+/// A queued request is denied if its expected wait exceeds this percentage of the time that it has left. Slots become free
+/// irregularly, so at 100 many requests would be denied that get one in time.
+const DISPLACED_PERCENT: u32 = 150;
+
 impl Allocator {
     /// Responds to a slot request.
     pub(super) fn handle_request(
@@ -42,7 +46,7 @@
             self.order.record_grant(&request, now);
             Verdict::Granted(self.grant(index, from, &request, now))
         } else {
-            self.enqueue(from, &request, now)
+            self.enqueue(from, &request, now, out)
         };
         let lease = request.lease;
         out.push((from, Frame::SlotResponse(SlotResponse { lease, verdict })));
@@ -112,7 +116,13 @@
     }
 
     /// Queues a request if a slot is likely to become free for it in time; denies it otherwise.
-    fn enqueue(&mut self, from: SocketAddr, request: &SlotRequest, now: Instant) -> Verdict {
+    fn enqueue(
+        &mut self,
+        from: SocketAddr,
+        request: &SlotRequest,
+        now: Instant,
+        out: &mut Outgoing,
+    ) -> Verdict {
         let denied = Verdict::Denied(Denial::default());
         let Some(max_wait) = request.queue.max_wait() else {
             return denied;
@@ -134,21 +144,61 @@
         let waiting = self.wait_queue.waiters();
         self.order.record_queued(request, waiting, now);
         let ahead = self.order.count_ahead(&waiter, waiting);
-        let wait = self.slot_time.get_or_zero() * (ahead + 1) as u32 / slots as u32;
+        let turnover = Turnover {
+            slot_time: self.slot_time.get(),
+            slots,
+        };
+        let wait = turnover.wait(ahead);
         if wait > max_wait || !self.order.may_wait(request, waiting, slots) {
-            let turnover = Turnover {
-                slot_time: self.slot_time.get(),
-                slots,
-            };
-            let after = self.order.return_after(request, waiting, turnover, now);
-            return Verdict::Denied(Denial {
-                retry_after_ms: after.map(|it| it.as_micros().div_ceil(1_000) as u32),
-            });
+            return self.deny(request, turnover, now);
         }
+        let is_last = ahead >= waiting.len();
         self.wait_queue.add(waiter);
+        if !is_last {
+            self.deny_displaced(&request.service, turnover, now, out);
+        }
         Verdict::Waiting
     }
 
+    fn deny(&mut self, request: &SlotRequest, turnover: Turnover, now: Instant) -> Verdict {
+        let waiting = self.wait_queue.waiters();
+        let after = self.order.return_after(request, waiting, turnover, now);
+        Verdict::Denied(Denial {
+            retry_after_ms: after.map(|it| it.as_micros().div_ceil(1_000) as u32),
+        })
+    }
+
+    /// Denies queued requests that can't be served in time any more because others came before them, so that they can wait
+    /// elsewhere.
+    fn deny_displaced(
+        &mut self,
+        service: &str,
+        turnover: Turnover,
+        now: Instant,
+        out: &mut Outgoing,
+    ) {
+        let mut places = self.order.places(service, self.wait_queue.waiters());
+        places.sort_by_key(|it| it.ahead);
+        let mut denied = 0;
+        for place in places {
+            let left = place.expires_at.saturating_duration_since(now);
+            let wait = turnover.wait(place.ahead.saturating_sub(denied));
+            if wait * 100 <= left * DISPLACED_PERCENT {
+                continue;
+            }
+            denied += 1;
+            let Some(waiter) = self.wait_queue.remove(place.from, place.lease) else {
+                continue;
+            };
+            let verdict = self.deny(&waiter.request, turnover, now);
+            let response = SlotResponse {
+                lease: place.lease,
+                verdict,
+            };
+            out.push((place.from, Frame::SlotResponse(response)));
+        }
+    }
+
     /// Grants free slots to queued requests.
     pub(super) fn serve_wait_queue(&mut self, now: Instant, out: &mut Outgoing) {
         if self.wait_queue.is_empty() || !self.has_available_slot() {
--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -123,6 +123,19 @@
         }
     }
 
+    /// Returns what is left of the wait after some of it has passed.
+    pub fn shortened(self, passed: Duration) -> Self {
+        let left = |max_wait_ms: u32| match max_wait_ms.saturating_sub(passed.as_millis() as u32) {
+            0 => None,
+            left => Some(left),
+        };
+        match self {
+            Self::Within(max_wait_ms) => left(max_wait_ms).map_or(Self::No, Self::Within),
+            Self::LowPriority(max_wait_ms) => left(max_wait_ms).map_or(Self::No, Self::LowPriority),
+            Self::No | Self::InUpstream => self,
+        }
+    }
+
     /// Returns whether the request waits behind all that can be on time.
     pub fn is_low_priority(self) -> bool {
         matches!(self, Self::LowPriority(_))
--- a/crates/tinbank-allocator/src/order.rs
+++ b/crates/tinbank-allocator/src/order.rs
@@ -11,7 +11,10 @@
 };
 
 pub use self::fair_share::FairShare;
-use crate::{frame::SlotRequest, lease::Footprint};
+use crate::{
+    frame::SlotRequest,
+    lease::{self, Footprint},
+};
 
 /// A queued request.
 #[derive(Clone, Debug)]
@@ -40,6 +43,27 @@
     pub slots: usize,
 }
 
+impl Turnover {
+    /// Returns how long a request waits for a slot if `ahead` others are served before it. Zero before the first measurement,
+    /// so that requests are not refused on a guess.
+    pub fn wait(&self, ahead: usize) -> Duration {
+        self.slot_time.unwrap_or_default() * (ahead + 1) as u32 / self.slots.max(1) as u32
+    }
+}
+
+/// The place of a queued request.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// The host that sent it.
+    pub from: SocketAddr,
+    /// Its lease.
+    pub lease: lease::Id,
+    /// How many requests of its service are served before it.
+    pub ahead: usize,
+    /// When it stops waiting.
+    pub expires_at: Instant,
+}
+
 /// Decides which waiting request gets the next free slot.
 pub trait Order: fmt::Debug {
     /// Compares two waiting requests; the lesser one is served first.
@@ -54,6 +78,12 @@
             .count()
     }
 
+    /// Returns the places of the queued requests of a service; none if requests that join the queue do not delay those that
+    /// wait.
+    fn places(&self, _service: &str, _waiting: &[Waiter]) -> Vec<Place> {
+        Vec::new()
+    }
+
     /// Returns whether a request may join the queue for `slots` slots, which bounds what one customer can queue.
     fn may_wait(&self, _request: &SlotRequest, _waiting: &[Waiter], _slots: usize) -> bool {
         true
--- a/crates/tinbank-allocator/src/order/fair_share.rs
+++ b/crates/tinbank-allocator/src/order/fair_share.rs
@@ -10,15 +10,13 @@
 use tinbank_base::id;
 
 use super::{
-    Order, Turnover, Waiter,
-    virtual_counter::{Counters, Level, Weight, relative},
+    Order, Place, Turnover, Waiter,
+    virtual_counter::{Counters, DEFAULT_WEIGHT, Level, Weight, relative},
 };
 use crate::{frame::SlotRequest, lease::Footprint};
 
 /// Stands for all requests without a customer. The configuration has no customer with an empty name.
 const NO_CUSTOMER: &str = "";
-/// Weight of a customer without a limit, and of one that has sent no request to this allocator.
-const DEFAULT_WEIGHT: Weight = 1_000;
 /// Step in which the counters age. Levels halve in about 1.3 s, so shares are fair over the 2 s that callers notice, and a
 /// customer that used idle slots is not served last for longer than that.
 const AGING_STEP: Duration = Duration::from_millis(250);
@@ -58,6 +56,7 @@
 
 /// Position of a request in the order; the least is served first.
 type Position = (Level, (bool, u8), Level, Instant);
+type Positions = SmallVec<[Position; 64]>;
 
 impl Default for Service {
     fn default() -> Self {
@@ -84,34 +83,37 @@
         service.map_or(0, |it| it.counters.level(customer(request)))
     }
 
-    /// Returns how many waiting requests are served before this one if only one kind of turn decides. The work of a
-    /// customer's own earlier requests counts, as its counter will have risen by it.
-    fn count_ahead_by(&self, turn: Turn, waiter: &Waiter, waiting: &[Waiter]) -> usize {
-        let service = &waiter.request.service;
-        let same = waiting.iter().filter(|it| it.request.service == *service);
-        let mut same: SmallVec<[&Waiter; 64]> = same.collect();
-        same.sort_by_key(|it| own_order(it));
+    /// Returns the positions of requests of one service, in the order given. The work of a customer's own earlier requests
+    /// counts, as its counter will have risen by it.
+    fn positions(&self, turn: Turn, waiters: &[&Waiter]) -> Positions {
+        let mut in_own_order: SmallVec<[usize; 64]> = (0..waiters.len()).collect();
+        in_own_order.sort_by_key(|index| own_order(waiters[*index]));
         let mut levels: HashMap<&str, Level> = HashMap::new();
-        let mut positions: SmallVec<[Position; 64]> = SmallVec::new();
-        let mut own_level = self.level(&waiter.request);
-        for other in same {
-            let request = &other.request;
+        let mut positions: Positions = waiters.iter().map(|it| position(turn, it, 0)).collect();
+        for index in in_own_order {
+            let request = &waiters[index].request;
             let level = levels
                 .entry(customer(request))
                 .or_insert_with(|| self.level(request));
-            positions.push(position(turn, other, *level));
+            positions[index] = position(turn, waiters[index], *level);
             let added = relative(request.size.work(), weight(request));
             *level = level.saturating_add(added);
-            let is_own = customer(request) == customer(&waiter.request);
-            if is_own && own_order(other) <= own_order(waiter) {
-                own_level = own_level.saturating_add(added);
-            }
         }
-        let own = position(turn, waiter, own_level);
-        positions.into_iter().filter(|it| *it <= own).count()
+        positions
     }
 }
 
+/// Returns the place of a request that is reached by rank or by counter, whichever comes first.
+fn place(by_rank: usize, by_counter: usize) -> usize {
+    by_rank.min((by_counter + 1) * COUNTER_TURN as usize - 1)
+}
+
+/// Returns the requests of a service.
+fn of_service<'a>(service: &str, waiting: &'a [Waiter]) -> SmallVec<[&'a Waiter; 64]> {
+    let same = waiting.iter().filter(|it| it.request.service == service);
+    same.collect()
+}
+
 impl Order for FairShare {
     fn compare(&self, a: &Waiter, b: &Waiter) -> Ordering {
         let turn_of = |it: &Waiter| self.services.get(&it.request.service).map(Service::turn);
@@ -123,10 +125,34 @@
     }
 
     fn count_ahead(&self, waiter: &Waiter, waiting: &[Waiter]) -> usize {
-        let by_rank = self.count_ahead_by(Turn::Rank, waiter, waiting);
-        let by_counter = self.count_ahead_by(Turn::Counter, waiter, waiting);
-        let turns = (by_counter + 1) * COUNTER_TURN as usize;
-        by_rank.min(turns - 1)
+        let mut waiters = of_service(&waiter.request.service, waiting);
+        waiters.push(waiter);
+        let count = |turn| {
+            let positions = self.positions(turn, &waiters);
+            let (own, others) = positions.split_last().expect("the request itself");
+            others.iter().filter(|it| *it <= own).count()
+        };
+        place(count(Turn::Rank), count(Turn::Counter))
+    }
+
+    fn places(&self, service: &str, waiting: &[Waiter]) -> Vec<Place> {
+        let waiters = of_service(service, waiting);
+        let count = |turn| {
+            let positions = self.positions(turn, &waiters);
+            let mut sorted = positions.clone();
+            sorted.sort_unstable();
+            let ahead = move |it: &Position| sorted.partition_point(|other| other < it);
+            positions.into_iter().map(move |it| ahead(&it))
+        };
+        let both = count(Turn::Rank).zip(count(Turn::Counter));
+        let places = waiters.iter().zip(both);
+        let places = places.map(|(waiter, (by_rank, by_counter))| Place {
+            from: waiter.from,
+            lease: waiter.request.lease,
+            ahead: place(by_rank, by_counter),
+            expires_at: waiter.expires_at,
+        });
+        places.collect()
     }
 
     fn may_wait(&self, request: &SlotRequest, waiting: &[Waiter], slots: usize) -> bool {
--- a/crates/tinbank-allocator/src/order/virtual_counter.rs
+++ b/crates/tinbank-allocator/src/order/virtual_counter.rs
@@ -10,6 +10,9 @@
 /// Weight of a party relative to others.
 pub type Weight = u32;
 
+/// Weight of a party without a limit, and of one whose limit is not known.
+pub const DEFAULT_WEIGHT: Weight = 1_000;
+
 /// Levels are integers, so work is multiplied by this before it is divided by a weight.
 const SCALE: u64 = 1_000_000;
 /// At each step of aging, a level loses one in this many parts.
--- a/crates/tinbank-allocator/src/smoothed_duration.rs
+++ b/crates/tinbank-allocator/src/smoothed_duration.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-/// Value before the first measurement: requests are not refused on a guess.
-const UNMEASURED: Duration = Duration::ZERO;
 /// The newest measurement has a weight of one in this many.
 const SMOOTHING: u32 = 16;
 
@@ -24,9 +22,4 @@
     pub fn get(self) -> Option<Duration> {
         self.0
     }
-
-    /// Returns the smoothed duration, or zero before the first measurement.
-    pub fn get_or_zero(self) -> Duration {
-        self.0.unwrap_or(UNMEASURED)
-    }
 }
--- a/crates/tinbank-allocator/src/waiting.rs
+++ b/crates/tinbank-allocator/src/waiting.rs
@@ -26,9 +26,10 @@
         self.0.iter().any(same)
     }
 
-    pub fn remove(&mut self, from: SocketAddr, lease: lease::Id) {
-        self.0
-            .retain(|it| it.from != from || it.request.lease != lease);
+    pub fn remove(&mut self, from: SocketAddr, lease: lease::Id) -> Option<Waiter> {
+        let same = |it: &Waiter| it.from == from && it.request.lease == lease;
+        let index = self.0.iter().position(same)?;
+        Some(self.0.remove(index))
     }
 
     /// Removes and returns the requests for which the predicate does not hold.
--- a/crates/tinbank-allocator/tests/fair_shares.rs
+++ b/crates/tinbank-allocator/tests/fair_shares.rs
@@ -105,6 +105,21 @@
     assert_eq!((pending, harness.pending.len()), (2, 3));
 }
 
+/// Guards against a request that waits until it expires although others have taken its place.
+#[test]
+fn a_request_that_others_displace_is_denied_at_once() {
+    let (mut harness, _) = full(1);
+    queue(&mut harness, "busy", 2, 410);
+
+    for customer in ["b", "c"] {
+        queue(&mut harness, customer, 1, 700);
+    }
+
+    // The second request of the busy customer would wait for 800 ms.
+    assert_eq!(harness.pending.len(), 3);
+    assert_eq!(harness.retry_after.len(), 1);
+}
+
 #[test]
 fn a_customer_gains_nothing_from_having_been_idle() {
     let (mut harness, held) = full(2);
--- a/crates/tinbank-allocator/tests/load/simulation.rs
+++ b/crates/tinbank-allocator/tests/load/simulation.rs
@@ -95,6 +95,7 @@
     has_lease: bool,
     is_batch: bool,
     backlog: Backlog,
+    waiting_since: Option<Instant>,
 }
 
 /// Customers that send requests.
@@ -445,11 +446,18 @@
     fn on_response(&mut self, lease: u64, verdict: Verdict) {
         let (number, sequence) = parse_lease(lease);
         match verdict {
-            Verdict::Waiting => {}
+            Verdict::Waiting if self.is_waiting(number, sequence) => {
+                let work = self.work.get_mut(&number).expect("work");
+                work.waiting_since.get_or_insert(self.now);
+            }
             Verdict::Denied(denial) if self.is_waiting(number, sequence) => {
+                let work = self.work.get_mut(&number).expect("work");
                 if let Some(ms) = denial.retry_after_ms {
-                    let work = self.work.get_mut(&number).expect("work");
                     work.backlog.add(Duration::from_millis(ms.into()));
+                    let waited = work.waiting_since.take().map(|at| self.now - at);
+                    for (_, queue) in &mut work.remaining {
+                        *queue = queue.shortened(waited.unwrap_or_default());
+                    }
                 }
                 match self.work[&number].is_batch {
                     true => drop(self.work.remove(&number)),
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -1,6 +1,7 @@
 //! Runs the items of the jobs that this process owns, as far as the allocator grants slots.
 
 mod selection;
+mod shares;
 
 use std::{
     cell::{Cell, RefCell},
@@ -18,7 +19,7 @@
 };
 use tokio::{sync::Notify, task, time};
 
-use self::selection::Candidate;
+use self::{selection::Candidate, shares::Shares};
 use super::item::{self, Ended, Received};
 use crate::{
     border::engine::{self, Request, Sender},
@@ -54,6 +55,8 @@
     /// Jobs whose route is missing, and since when.
     missing_routes: RefCell<HashMap<JobId, Instant>>,
     estimator: RefCell<Estimator>,
+    /// Work done for each customer, by which the next item is selected if shares are fair.
+    shares: RefCell<Shares>,
     first_run: RunId,
     next_run: Cell<RunId>,
 }
@@ -83,6 +86,7 @@
             waiting: RefCell::default(),
             missing_routes: RefCell::default(),
             estimator: RefCell::default(),
+            shares: RefCell::default(),
             first_run,
             next_run: Cell::new(first_run + 1),
         }
@@ -223,10 +227,8 @@
 }
 
 fn start(node: &Rc<Node>, candidate: Candidate, lease: Lease) {
-    let Candidate {
-        key, submission, ..
-    } = candidate;
     let runner = &node.batch.runner;
+    let (key, submission) = (candidate.key.clone(), candidate.submission);
     let table = node.batch.table.borrow();
     let job = table.job(&key.0);
     let Some(job) = job.filter(|job| job.submission == submission) else {
@@ -258,6 +260,11 @@
     let logged = job.progress(key.1).last_event;
     let failures = job.failure_count(key.1);
     drop(table);
+    if node.settings.scheduling.fair_shares {
+        let mut shares = runner.shares.borrow_mut();
+        let (contender, work) = (candidate.contender(), candidate.size.work());
+        shares.record_start(contender, work, candidate.weight(), Instant::now());
+    }
     let waiting = runner.waiting.borrow_mut().remove(&key);
     let mut state = waiting.unwrap_or_default();
     state.last_event = state.last_event.max(logged);
--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -5,7 +5,12 @@
     time::{Instant, SystemTime},
 };
 
-use tinbank_allocator::{frame::Share, lease, size::Size};
+use tinbank_allocator::{
+    frame::Share,
+    lease,
+    order::virtual_counter::{DEFAULT_WEIGHT, Weight},
+    size::Size,
+};
 use tinbank_base::id;
 use tinbank_jobs::{
     job::Job,
@@ -14,7 +19,7 @@
 };
 use tinbank_relay::route::Config;
 
-use super::{Key, abandon};
+use super::{Key, abandon, shares::Contender};
 use crate::{
     batch::{contents, ownership},
     node::Node,
@@ -33,7 +38,22 @@
     pub size: Size,
 }
 
-/// Returns the item that is due first among those that this process owns and that may run now.
+impl Candidate {
+    pub fn contender(&self) -> Contender<'_> {
+        Contender {
+            customer: self.share.as_ref().map(|it| it.customer.as_str()),
+            job: &self.key.0,
+        }
+    }
+
+    /// Returns the weight of its customer.
+    pub fn weight(&self) -> Weight {
+        self.share.as_ref().map_or(DEFAULT_WEIGHT, |it| it.weight)
+    }
+}
+
+/// Returns the item to run next among those that this process owns and that may run now: the one that is due first, or that
+/// of the customer with the least work so far if shares are fair.
 pub(super) fn next_item(node: &Rc<Node>) -> Option<Candidate> {
     if node.stop.is_stopping() || !node.batch.is_caught_up() {
         return None;
@@ -43,9 +63,16 @@
     let owned = table
         .open_jobs()
         .filter(|job| ownership::may_start(node, &job.id));
-    owned
-        .filter_map(|job| next_of_job(node, &config, job))
-        .min_by_key(|candidate| candidate.due)
+    let candidates = owned.filter_map(|job| next_of_job(node, &config, job));
+    if !node.settings.scheduling.fair_shares {
+        return candidates.min_by_key(|candidate| candidate.due);
+    }
+    let candidates: Vec<_> = candidates.collect();
+    let contenders: Vec<_> = candidates.iter().map(Candidate::contender).collect();
+    let mut shares = node.batch.runner.shares.borrow_mut();
+    shares.set_contenders(&contenders, Instant::now());
+    let turn = |it: &Candidate| shares.turn(it.contender(), it.due);
+    candidates.into_iter().min_by_key(turn)
 }
 
 /// Returns the item of a job that is due first, and abandons the items that may no longer run.
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -30,8 +30,7 @@
 /// Result of a request to one allocator.
 enum SlotResult {
     Granted(Lease),
-    /// There is no slot, and the caller should retry after this time if the allocator knows one.
-    Denied(Option<Duration>),
+    Denied(Denied),
     /// The customer has used up its allowance and may retry after this time.
     OverLimit(Duration),
     /// No slot became free within the time that the request may wait.
@@ -40,6 +39,15 @@
     Unresponsive,
 }
 
+/// A denial of one allocator.
+#[derive(Clone, Copy, Debug, Default)]
+struct Denied {
+    /// Time after which the caller should retry by the backlog of its customer there.
+    retry_after: Option<Duration>,
+    /// How long the request has waited there before others displaced it.
+    waited: Duration,
+}
+
 impl Sharing {
     /// Requests a free slot from the host's own failure domain, then from the others. If there is none, an online request
     /// waits at the first allocator that expects to have one in time, or inside an upstream if it may. If no allocator
@@ -55,13 +63,19 @@
         };
         let mut denied = false;
         let mut backlog = Backlog::default();
+        let mut waited = Duration::ZERO;
         for queue in queues {
             for domain in &domains {
-                match self.request_slot(node, spec, domain, *queue).await {
+                let queue = queue.shortened(waited);
+                match self.request_slot(node, spec, domain, queue).await {
                     SlotResult::Granted(lease) => return Allocation::Granted(lease),
-                    SlotResult::Denied(retry_after) => {
+                    SlotResult::Denied(denial) => {
                         denied = true;
-                        retry_after.into_iter().for_each(|it| backlog.add(it));
+                        waited += denial.waited;
+                        denial
+                            .retry_after
+                            .into_iter()
+                            .for_each(|it| backlog.add(it));
                     }
                     SlotResult::OverLimit(after) => return Allocation::OverLimit(after),
                     SlotResult::WaitExpired => return Allocation::Full(backlog),
@@ -119,7 +133,7 @@
             // The failure domain may have been evacuated while the request waited.
             if node.view.is_evacuated(domain) {
                 log::info!(upstream:% = lease.upstream, failure_domain:% = domain; "grant in an evacuated failure domain given back");
-                return SlotResult::Denied(None);
+                return SlotResult::Denied(Denied::default());
             }
             if !node.view.is_leaving(&lease.upstream) {
                 return SlotResult::Granted(lease);
@@ -127,7 +141,7 @@
             log::info!(upstream:% = lease.upstream; "grant of a leaving upstream given back");
             lease.set_outcome(Outcome::Leaving);
         }
-        SlotResult::Denied(None)
+        SlotResult::Denied(Denied::default())
     }
 
     /// Sends one slot request to the allocator of a failure domain, and waits there if the allocator expects a free slot in
@@ -165,9 +179,11 @@
             .first_verdict(now, self.response_timeout(allocator))
             .await;
         measure::record_slot_request(spec.class, verdict.as_ref(), now.elapsed());
+        let mut waited = Duration::ZERO;
         if verdict == Some(Verdict::Waiting) {
             let until = now + queue.max_wait().unwrap_or_default();
             verdict = pending.wait(until).await;
+            waited = now.elapsed();
             if pending.is_queued() {
                 return SlotResult::WaitExpired;
             }
@@ -184,9 +200,15 @@
             }
             Some(Verdict::Denied(denial)) => {
                 let retry_after = denial.retry_after_ms;
-                SlotResult::Denied(retry_after.map(|ms| Duration::from_millis(ms.into())))
+                let retry_after = retry_after.map(|ms| Duration::from_millis(ms.into()));
+                // Without a time, nothing displaced the request: the service has no upstream there any more.
+                let waited = retry_after.map_or(Duration::ZERO, |_| waited);
+                SlotResult::Denied(Denied {
+                    retry_after,
+                    waited,
+                })
             }
-            Some(Verdict::Waiting) => SlotResult::Denied(None),
+            Some(Verdict::Waiting) => SlotResult::Denied(Denied::default()),
             None => {
                 self.record_timeout(allocator, "no answer to a slot request");
                 SlotResult::Unresponsive
--- a/crates/tinbank-gateway/src/sharing/ask/tests.rs
+++ b/crates/tinbank-gateway/src/sharing/ask/tests.rs
@@ -5,7 +5,7 @@
 use tinbank_allocator::{
     Options,
     directory::Peer,
-    frame::{Frame, Grant, MAX_DATAGRAM_BYTES, Queue, SlotResponse, Verdict},
+    frame::{Denial, Frame, Grant, MAX_DATAGRAM_BYTES, Queue, SlotResponse, Verdict},
     lease::{self, Class},
     size::Size,
 };
@@ -202,3 +202,26 @@
         assert_eq!(withdrawn, lease);
     });
 }
+
+/// Guards against a request that is displaced at one allocator and then waits for its full time at the next.
+#[test]
+fn a_denial_after_a_wait_states_how_long_the_request_has_waited() {
+    run(async {
+        let fixture = Fixture::new().await;
+        let request = request(&fixture, Queue::Within(2_000));
+        let (lease, host) = fixture.next(slot_request).await.unwrap();
+        fixture.answer(host, lease, Verdict::Waiting).await;
+        time::sleep(DELIVERY_TIME).await;
+
+        let denial = Denial {
+            retry_after_ms: Some(700),
+        };
+        fixture.answer(host, lease, Verdict::Denied(denial)).await;
+
+        let SlotResult::Denied(denied) = request.await.unwrap() else {
+            panic!("expected a denial");
+        };
+        assert_eq!(denied.retry_after, Some(Duration::from_millis(700)));
+        assert!(denied.waited >= DELIVERY_TIME);
+    });
+}
--- a/crates/tinbank-jobs/src/schedule.rs
+++ b/crates/tinbank-jobs/src/schedule.rs
@@ -38,6 +38,20 @@
     }
 }
 
+/// When an item runs relative to those of other customers and jobs. The item with the least value runs first, so an item
+/// that can be in time never waits for late ones, and a customer with many items does not hold up the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Turn {
+    /// The item can't be finished by its due time.
+    pub is_late: bool,
+    /// Work done for its customer, relative to the customer's weight.
+    pub customer: u64,
+    /// Work done for its job.
+    pub job: u64,
+    /// When the results of its job are due.
+    pub due_at: SystemTime,
+}
+
 /// Whether the configuration has a route for an item.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteState {
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -159,6 +159,10 @@
         &["class", "answer"],
         "Slots asked for, online or for batch: granted, waiting, denied, or no answer.",
     ),
+    seconds(
+        "tinbank_entry_backlog_retry_seconds",
+        "`Retry-After` of refusals that follows from the backlog of the caller's customer.",
+    ),
     counter(
         "tinbank_entry_broken_streams_total",
         "streams",
