--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -1,6 +1,10 @@
 //! Decides on a slot request: grants a slot, queues the request, or denies it.
 
-use std::{collections::VecDeque, net::SocketAddr, time::Instant};
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    time::Instant,
+};
 
 use smallvec::SmallVec;
 use tinbank_allowance::counter;
@@ -8,11 +12,11 @@
 use super::{Allocator, LEASE_DURATION, OVERSIZED_REPORT_INTERVAL, Outgoing, Oversized};
 use crate::{
     entry::Entry,
-    frame::{Frame, Grant, OverLimit, Queue, SlotRequest, SlotResponse, Verdict},
+    frame::{Denial, Frame, Grant, OverLimit, Queue, SlotRequest, SlotResponse, Verdict},
     grants,
-    lease::{Class, Due, Footprint},
+    lease::{self, Class, Due, Footprint},
     memory,
-    order::Waiter,
+    order::{Turnover, Waiter},
     placement::{Candidate, Offer},
 };
 
@@ -20,6 +24,10 @@
 /// request seldom has to reclaim one. Covers the online requests that arrive while a slot is being reclaimed.
 const MAX_HEADROOM: usize = 8;
 
+/// A queued request is denied if its expected wait exceeds this percentage of the time that it has left. Slots become free
+/// irregularly, so at 100 many requests would be denied that get one in time.
+const DISPLACED_PERCENT: u32 = 150;
+
 impl Allocator {
     /// Responds to a slot request.
     pub(super) fn handle_request(
@@ -42,7 +50,7 @@
             self.order.record_grant(&request, now);
             Verdict::Granted(self.grant(index, from, &request, now))
         } else {
-            self.enqueue(from, &request, now)
+            self.enqueue(from, &request, now, out)
         };
         let lease = request.lease;
         out.push((from, Frame::SlotResponse(SlotResponse { lease, verdict })));
@@ -120,13 +128,20 @@
     }
 
     /// Queues a request if a slot is likely to become free for it in time; denies it otherwise.
-    fn enqueue(&mut self, from: SocketAddr, request: &SlotRequest, now: Instant) -> Verdict {
+    fn enqueue(
+        &mut self,
+        from: SocketAddr,
+        request: &SlotRequest,
+        now: Instant,
+        out: &mut Outgoing,
+    ) -> Verdict {
+        let denied = Verdict::Denied(Denial::default());
         if self.is_oversized(request, now) {
             self.record_oversized(request, now);
-            return Verdict::Denied;
+            return denied;
         }
         let Some(max_wait) = request.queue.max_wait() else {
-            return Verdict::Denied;
+            return denied;
         };
         let slots: usize = self
             .upstreams
@@ -135,25 +150,72 @@
             .filter(|entry| self.suffices(entry, request, now))
             .map(|entry| entry.upstream.slots)
             .sum();
-        if slots == 0 || !self.order.may_wait(request, self.wait_queue.waiters()) {
-            return Verdict::Denied;
+        if slots == 0 {
+            return denied;
         }
         let waiter = Waiter {
             from,
             request: request.clone(),
             expires_at: now + max_wait,
         };
-        let ahead = self.wait_queue.count_ahead(&waiter, &*self.order);
-        let wait = self.slot_time.get_or_zero() * (ahead + 1) as u32 / slots as u32;
-        if wait > max_wait {
-            return Verdict::Denied;
-        }
         let waiting = self.wait_queue.waiters();
         self.order.record_queued(request, waiting, now);
+        let ahead = self.order.count_ahead(&waiter, waiting);
+        let turnover = Turnover {
+            slot_time: self.slot_time.get(),
+            slots,
+        };
+        let wait = turnover.wait(ahead);
+        if wait > max_wait || !self.order.may_wait(request, waiting, slots) {
+            return self.deny(request, turnover, now);
+        }
+        let is_last = ahead >= waiting.len();
         self.wait_queue.add(waiter);
+        if !is_last {
+            self.deny_displaced(&request.service, turnover, now, out);
+        }
         Verdict::Waiting
     }
 
+    fn deny(&mut self, request: &SlotRequest, turnover: Turnover, now: Instant) -> Verdict {
+        let waiting = self.wait_queue.waiters();
+        let after = self.order.return_after(request, waiting, turnover, now);
+        Verdict::Denied(Denial {
+            retry_after_ms: after.map(|it| it.as_micros().div_ceil(1_000) as u32),
+        })
+    }
+
+    /// Denies queued requests that can't be served in time any more because others came before them, so that they can wait
+    /// elsewhere.
+    fn deny_displaced(
+        &mut self,
+        service: &str,
+        turnover: Turnover,
+        now: Instant,
+        out: &mut Outgoing,
+    ) {
+        let mut places = self.order.places(service, self.wait_queue.waiters());
+        places.sort_by_key(|it| it.ahead);
+        let mut denied = 0;
+        for place in places {
+            let left = place.expires_at.saturating_duration_since(now);
+            let wait = turnover.wait(place.ahead.saturating_sub(denied));
+            if wait * 100 <= left * DISPLACED_PERCENT {
+                continue;
+            }
+            denied += 1;
+            let Some(waiter) = self.wait_queue.remove(place.from, place.lease) else {
+                continue;
+            };
+            let verdict = self.deny(&waiter.request, turnover, now);
+            let response = SlotResponse {
+                lease: place.lease,
+                verdict,
+            };
+            out.push((place.from, Frame::SlotResponse(response)));
+        }
+    }
+
     /// Grants free slots to queued requests.
     pub(super) fn serve_wait_queue(&mut self, now: Instant, out: &mut Outgoing) {
         if self.wait_queue.is_empty() || !self.has_available_slot() {
@@ -163,17 +225,13 @@
         let mut left: Vec<Waiter> = Vec::new();
         let mut waiters = VecDeque::from(self.wait_queue.take(&*self.order));
         while let Some(waiter) = waiters.pop_front() {
+            let mut is_reordered = false;
             // Other requests of the customer may have used up its allowance in the meantime.
             let verdict = if let Some(over) = self.check_limit(&waiter.request, now) {
                 Verdict::OverLimit(over)
             } else if let Some(index) = self.choose_upstream(&waiter.request, now, out) {
                 let grant = self.grant(index, waiter.from, &waiter.request, now);
-                if self.order.record_grant(&waiter.request, now) {
-                    let order = &*self.order;
-                    waiters
-                        .make_contiguous()
-                        .sort_by(|a, b| order.compare(a, b));
-                }
+                is_reordered = self.order.record_grant(&waiter.request, now);
                 Verdict::Granted(grant)
             } else {
                 left.push(waiter);
@@ -184,7 +242,19 @@
                 verdict,
             };
             out.push((waiter.from, Frame::SlotResponse(response)));
+            if !is_reordered {
+                continue;
+            }
+            if !self.has_available_slot() {
+                // Sorting the rest would be most of the work of a grant, since slots become free one at a time.
+                break;
+            }
+            let order = &*self.order;
+            waiters
+                .make_contiguous()
+                .sort_by(|a, b| order.compare(a, b));
         }
+        left.extend(waiters);
         self.wait_queue.restore(left);
     }
 
@@ -206,9 +276,9 @@
         if let Some(best) = best.filter(|it| self.has_free_slot(*it, request, now)) {
             return Some(best);
         }
-        if let Some((index, _)) = self.reclaimable(request, now) {
-            self.reclaim(index, out);
-            return Some(index);
+        if let Some(batch) = self.reclaimable(request, now, |_| true) {
+            self.reclaim(&batch, out);
+            return Some(batch.upstream);
         }
         best.filter(|_| request.queue == Queue::InUpstream)
     }
@@ -231,12 +301,12 @@
         {
             return Some(best);
         }
-        let (index, last) = self.reclaimable(request, now)?;
-        if due.late || !last.late {
+        if due.late {
             return None;
         }
-        self.reclaim(index, out);
-        Some(index)
+        let batch = self.reclaimable(request, now, |due| due.late)?;
+        self.reclaim(&batch, out);
+        Some(batch.upstream)
     }
 
     /// Returns whether more slots are free than batch has to leave free.
@@ -250,8 +320,9 @@
         free > upstreams.min(MAX_HEADROOM)
     }
 
-    fn reclaim(&mut self, index: usize, out: &mut Outgoing) {
-        if let Some(grant) = self.upstreams[index].state.grants.reclaim() {
+    fn reclaim(&mut self, batch: &BatchLease, out: &mut Outgoing) {
+        let grants = &mut self.upstreams[batch.upstream].state.grants;
+        if let Some(grant) = grants.reclaim(batch.holder, batch.lease) {
             out.push((grant.holder, Frame::Reclaim(grant.lease)));
         }
     }
@@ -289,22 +360,66 @@
         best.map(|position| indices[position])
     }
 
-    /// Returns the upstream that runs the batch item with the latest due time, and that due time.
-    fn reclaimable(&self, request: &SlotRequest, now: Instant) -> Option<(usize, Due)> {
-        (0..self.upstreams.len())
-            .filter(|index| self.upstreams[*index].accepts(request, now))
-            .filter_map(|index| Some((index, self.reclaimable_at(index, request, now)?)))
-            .max_by_key(|(_, due)| *due)
+    /// Returns the lease of a batch item to reclaim for a request: of those that `select` accepts by their due time and whose
+    /// end makes the request fit, one of the customer that is most above its share, and of its leases the one that is due last.
+    fn reclaimable(
+        &self,
+        request: &SlotRequest,
+        now: Instant,
+        select: impl Fn(Due) -> bool,
+    ) -> Option<BatchLease> {
+        let held = self.batch_work();
+        let excess = |grant: &grants::Grant| {
+            let customer = grant.customer();
+            let work = held.get(&customer).copied();
+            self.order.excess(customer, work.unwrap_or_default())
+        };
+        let entries = self.upstreams.iter().enumerate();
+        let accepting = entries.filter(|(_, entry)| entry.accepts(request, now));
+        let leases = accepting.flat_map(|(index, entry)| {
+            let candidate = entry.candidate(request, now);
+            let batch = entry.state.grants.batch();
+            let select = &select;
+            let suitable = batch.filter(move |(grant, due)| {
+                select(*due) && self.fits_without(grant, &candidate, request, now)
+            });
+            suitable.map(move |(grant, due)| (index, grant, due))
+        });
+        let last = leases.max_by_key(|(_, grant, due)| (excess(grant), *due));
+        last.map(|(upstream, grant, _)| BatchLease {
+            upstream,
+            holder: grant.holder,
+            lease: grant.lease,
+        })
+    }
+
+    /// Returns the work of the batch items of each customer, if the order of the requests depends on it.
+    fn batch_work(&self) -> HashMap<Option<&str>, u64> {
+        let mut held: HashMap<Option<&str>, u64> = HashMap::new();
+        if !self.order.weighs_customers() {
+            return held;
+        }
+        for (grant, _) in self.upstreams.iter().flat_map(|it| it.state.grants.batch()) {
+            let work = held.entry(grant.customer()).or_default();
+            *work = work.saturating_add(grant.footprint.work);
+        }
+        held
     }
 
-    /// Returns the latest due time of an upstream's batch items if the request fits once that item has ended.
-    fn reclaimable_at(&self, index: usize, request: &SlotRequest, now: Instant) -> Option<Due> {
-        let entry = &self.upstreams[index];
-        let (due, memory) = entry.state.grants.last_batch()?;
-        let mut candidate = entry.candidate(request, now);
-        candidate.memory_in_use = candidate.memory_in_use.saturating_sub(memory);
-        self.placement.cost(request, &candidate, now)?;
-        Some(due)
+    /// Returns whether a request fits an upstream once a lease there has ended.
+    fn fits_without(
+        &self,
+        grant: &grants::Grant,
+        candidate: &Candidate<'_>,
+        request: &SlotRequest,
+        now: Instant,
+    ) -> bool {
+        let in_use = candidate.memory_in_use;
+        let without = Candidate {
+            memory_in_use: in_use.saturating_sub(grant.footprint.memory),
+            ..*candidate
+        };
+        self.placement.cost(request, &without, now).is_some()
     }
 
     /// Returns whether there are upstreams for the request, but none that could process it if it processed nothing else.
@@ -337,6 +452,14 @@
     }
 }
 
+/// A lease of a batch item.
+struct BatchLease {
+    /// Index of its upstream.
+    upstream: usize,
+    holder: SocketAddr,
+    lease: lease::Id,
+}
+
 /// Returns what a request takes of its upstream and of its customer's share.
 fn footprint(request: &SlotRequest) -> Footprint {
     Footprint {
--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -122,6 +122,24 @@
             Self::No | Self::InUpstream => None,
         }
     }
+
+    /// Returns what is left of the wait after some of it has passed.
+    pub fn shortened(self, passed: Duration) -> Self {
+        let left = |max_wait_ms: u32| match max_wait_ms.saturating_sub(passed.as_millis() as u32) {
+            0 => None,
+            left => Some(left),
+        };
+        match self {
+            Self::Within(max_wait_ms) => left(max_wait_ms).map_or(Self::No, Self::Within),
+            Self::LowPriority(max_wait_ms) => left(max_wait_ms).map_or(Self::No, Self::LowPriority),
+            Self::No | Self::InUpstream => self,
+        }
+    }
+
+    /// Returns whether the request waits behind all that can be on time.
+    pub fn is_low_priority(self) -> bool {
+        matches!(self, Self::LowPriority(_))
+    }
 }
 
 /// Response to a [`SlotRequest`].
@@ -141,11 +159,19 @@
     /// The request is queued; another response follows.
     Waiting,
     /// The failure domain has no slot for the request, or none in time.
-    Denied,
+    Denied(Denial),
     /// The customer has used up its allowance.
     OverLimit(OverLimit),
 }
 
+/// A request that gets no slot.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Denial {
+    /// Time in milliseconds after which its caller should retry by the backlog of its customer in this failure domain; `None`
+    /// if that is not known.
+    pub retry_after_ms: Option<u32>,
+}
+
 /// A customer above its limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OverLimit {
--- a/crates/tinbank-allocator/src/waiting.rs
+++ b/crates/tinbank-allocator/src/waiting.rs
@@ -3,7 +3,7 @@
 //! A request that queues inside an upstream gets the next slot of that upstream only, in arrival order. One that queues
 //! here gets the next slot of any upstream, so it waits less and more requests meet their target.
 
-use std::{cmp::Ordering, net::SocketAddr, time::Instant};
+use std::{net::SocketAddr, time::Instant};
 
 use crate::{
     frame::SlotRequest,
@@ -26,9 +26,10 @@
         self.0.iter().any(same)
     }
 
-    pub fn remove(&mut self, from: SocketAddr, lease: lease::Id) {
-        self.0
-            .retain(|it| it.from != from || it.request.lease != lease);
+    pub fn remove(&mut self, from: SocketAddr, lease: lease::Id) -> Option<Waiter> {
+        let same = |it: &Waiter| it.from == from && it.request.lease == lease;
+        let index = self.0.iter().position(same)?;
+        Some(self.0.remove(index))
     }
 
     /// Removes and returns the requests for which the predicate does not hold.
@@ -43,15 +44,6 @@
         self.0.retain(|it| now < it.expires_at);
     }
 
-    /// Returns how many requests of the same service would be served before this one.
-    pub fn count_ahead(&self, waiter: &Waiter, order: &dyn Order) -> usize {
-        let same_service = |it: &&Waiter| it.request.service == waiter.request.service;
-        let ahead = self.0.iter().filter(same_service);
-        ahead
-            .filter(|it| order.compare(it, waiter) != Ordering::Greater)
-            .count()
-    }
-
     /// Takes all queued requests, the next one to be served first.
     pub fn take(&mut self, order: &dyn Order) -> Vec<Waiter> {
         let mut all = std::mem::take(&mut self.0);
--- a/crates/tinbank-allocator/tests/prompt_placement.rs
+++ b/crates/tinbank-allocator/tests/prompt_placement.rs
@@ -8,7 +8,7 @@
 use tinbank_allocator::{
     Allocator, Options,
     allocator::{StateChange, Upstream},
-    frame::{Frame, Holdings, Queue, Release, SlotRequest, Verdict},
+    frame::{Denial, Frame, Holdings, Queue, Release, SlotRequest, Verdict},
     lease::{Class, Due, Footprint, Held, Id, Outcome},
     size::{Part, Size, Tokens},
 };
@@ -208,7 +208,13 @@
     let (first, reported) = fixture.request(Class::Online, Queue::Within(200), too_large.clone());
     let (second, not_again) = fixture.request(Class::Online, Queue::Within(200), too_large);
 
-    assert_eq!([first, second], [Verdict::Denied, Verdict::Denied]);
+    assert_eq!(
+        [first, second],
+        [
+            Verdict::Denied(Denial::default()),
+            Verdict::Denied(Denial::default())
+        ]
+    );
     assert!(matches!(reported, Some(StateChange::Oversized(_))));
     assert_eq!(not_again, None);
     assert_eq!(fixture.allocator.take_summary().oversized, 2);
@@ -246,7 +252,7 @@
     let too_large = fixture.online(Queue::No, prompt(3, 600));
     let fits = fixture.online(Queue::No, prompt(3, 450));
 
-    assert_eq!(too_large, Verdict::Denied);
+    assert_eq!(too_large, Verdict::Denied(Denial::default()));
     assert!(matches!(fits, Verdict::Granted(_)));
 }
 
@@ -266,5 +272,8 @@
     fixture.next = 1;
     fixture.send_holdings(vec![held]);
 
-    assert_eq!(fixture.online(Queue::No, prompt(1, 600)), Verdict::Denied);
+    assert_eq!(
+        fixture.online(Queue::No, prompt(1, 600)),
+        Verdict::Denied(Denial::default())
+    );
 }
