allocator: paces of upstreams, and the choice by the expected first event

Cause: upstreams of one service differ in speed and become slow for seconds, and the allocator counts slots only.

Change: an allocator with `placement = "expected_first_event"` keeps the pace of each upstream relative to what is usual at its load. The estimate moves only as far as two hosts agree. The upstream at the median of its service is typical, so none is slow when all are. Costs are expected first events; a slow upstream gets slots in proportion to its speed, and its batch items are reclaimed first. Grants tell the expected pace. Nothing is recorded without the setting.

--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -1,8 +1,10 @@
 //! The allocator: decides at which upstream a request may start.
 
+mod paces;
 mod slot_request;
 
 use std::{
+    collections::VecDeque,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -18,6 +20,7 @@
     lease::{self, Outcome},
     options::Options,
     order::Order,
+    pace,
     placement::Placement,
     size::Tokens,
     slow_start::ColdStart,
@@ -65,6 +68,10 @@
     Ejected(id::Instance),
     /// A host reported that the upstream is leaving.
     Left(id::Instance),
+    /// An upstream has become slower than the others of its service, and gets fewer requests.
+    Slowed(id::Instance),
+    /// An upstream is no longer slow.
+    Recovered(id::Instance),
     /// The allocator had been idle, and collects holdings before it grants slots to batch.
     Learning,
 }
@@ -91,6 +98,10 @@
     order: Box<dyn Order>,
     /// Where a request starts.
     placement: Box<dyn Placement>,
+    /// The usual paces of upstreams, if hosts measure them.
+    services: Option<pace::Services>,
+    /// State changes that are yet to be returned.
+    changes: VecDeque<StateChange>,
     /// How much of their allowances customers have used.
     counter: Counter,
     /// The hosts that use this allocator.
@@ -118,6 +129,8 @@
             wait_queue: WaitQueue::default(),
             order: options.order(),
             placement: options.placement(),
+            services: options.measures_pace().then(pace::Services::default),
+            changes: VecDeque::new(),
             counter: Counter::new(seed, tolerance),
             reachability: Reachability::default(),
         }
@@ -128,6 +141,7 @@
     pub fn set_upstreams(&mut self, upstreams: Vec<Upstream>) -> Outgoing {
         self.has_removed_upstreams = false;
         self.upstreams.replace(upstreams);
+        self.apply_usual_paces();
         let upstreams = &self.upstreams;
         let has_upstream =
             |service: &str| upstreams.iter().any(|it| it.upstream.service == service);
@@ -167,6 +181,7 @@
         now: Instant,
     ) -> (Outgoing, Option<StateChange>) {
         let mut out = Outgoing::new();
+        let has_pace = frame.has_pace();
         let change = match frame {
             Frame::SlotRequest(request) => {
                 let change = self.record_contact(from, now);
@@ -189,17 +204,26 @@
                 self.counter.apply(from, counts, now);
                 None
             }
+            Frame::Pace(report) => {
+                self.apply_pace_report(from, &report, now);
+                None
+            }
             Frame::SlotResponse(_)
             | Frame::Reclaim(_)
             | Frame::HeartbeatReply(_)
             | Frame::Ping
-            | Frame::Pace(_)
             | Frame::Quarantine(_) => {
                 return (out, None);
             }
         };
+        if has_pace {
+            self.refresh_paces(now, &mut out);
+        }
         self.serve_wait_queue(now, &mut out);
-        (out, change)
+        if let Some(change) = change {
+            self.changes.push_front(change);
+        }
+        (out, self.changes.pop_front())
     }
 
     /// Drops all leases and starts learning, for use after a pause of the process, when the state is out of date.
@@ -208,6 +232,7 @@
             entry.state.grants = Grants::default();
             entry.state.orphaned = None;
             entry.state.slow_start.reset(now);
+            entry.state.pace.forget();
         }
         self.learning_until = Some(now + LEARNING_TIME);
         self.counter.reset(false, now);
@@ -334,7 +359,7 @@
         let may_eject = self.may_eject(index, now);
         let entry = &mut self.upstreams[index];
         let removed = entry.state.grants.remove(from, release.lease);
-        let granted_at = removed.and_then(|grant| grant.granted_at);
+        let granted_at = removed.as_ref().and_then(|grant| grant.granted_at);
         if let (Some(at), Outcome::Served) = (granted_at, release.outcome) {
             self.slot_time.record(now.saturating_duration_since(at));
         }
@@ -342,6 +367,9 @@
             .state
             .health
             .record_outcome(from, release.outcome, may_eject, now);
+        if let (Some(grant), Some(sample)) = (removed, release.pace) {
+            self.record_sample(index, &grant, sample, false, now);
+        }
         ejected.then(|| StateChange::Ejected(release.upstream.clone()))
     }
 
@@ -395,6 +423,7 @@
             expires_at: now + LEASE_DURATION,
             granted_at: None,
             footprint: held.footprint.clone(),
+            unread_tokens: None,
         });
         self.upstreams.add_holder(index, from);
     }
--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -83,7 +83,10 @@
         if let (false, Some(meter)) = (is_known, &request.meter) {
             self.counter.take(&meter.customer, meter.limit, now);
         }
+        let kept_tokens = entry.state.cache.kept_tokens(&request.size, now);
+        let unread_tokens = request.size.prompt_tokens.saturating_sub(kept_tokens);
         if !is_known {
+            entry.state.pace.record_prompt(unread_tokens, now);
             entry.state.slow_start.record_request(now);
             let capacity = entry.upstream.memory_tokens;
             entry.state.cache.record_sent(&request.size, capacity, now);
@@ -97,11 +100,17 @@
             expires_at: now + LEASE_DURATION,
             granted_at: (!request.class.is_batch()).then_some(now),
             footprint: footprint(request),
+            unread_tokens: Some(unread_tokens),
         });
+        // Further requests may start beside this one.
+        let load = entry.upstream.slots;
+        let pace = &entry.state.pace;
+        let expected = pace.expected(request.class.is_batch(), load, unread_tokens, now);
         let grant = Grant {
             upstream: entry.upstream.instance.clone(),
             address: entry.upstream.address,
             queued,
+            expected,
         };
         self.upstreams.add_holder(index, from);
         grant
@@ -116,7 +125,7 @@
             .upstreams
             .iter()
             .filter(|entry| entry.accepts(request, now))
-            .map(|entry| entry.upstream.slots)
+            .map(|entry| entry.concurrency(&*self.placement, now))
             .sum();
         if slots == 0 || !self.order.may_wait(request, self.wait_queue.waiters()) {
             return Verdict::Denied;
@@ -139,7 +148,7 @@
 
     /// Grants free slots to queued requests.
     pub(super) fn serve_wait_queue(&mut self, now: Instant, out: &mut Outgoing) {
-        if self.wait_queue.is_empty() || !self.has_available_slot() {
+        if self.wait_queue.is_empty() || !self.has_available_slot(now) {
             return;
         }
         self.wait_queue.remove_expired(now);
@@ -172,9 +181,9 @@
     }
 
     /// Returns whether an upstream has a slot that is free or can be reclaimed from batch.
-    fn has_available_slot(&self) -> bool {
+    fn has_available_slot(&self, now: Instant) -> bool {
         let mut entries = self.upstreams.iter();
-        entries.any(|it| it.load() < it.upstream.slots || it.has_batch())
+        entries.any(|it| it.load() < it.concurrency(&*self.placement, now) || it.has_batch())
     }
 
     /// Chooses a free slot, else one reclaimed from batch, else the least loaded upstream if the request may queue inside
@@ -189,7 +198,7 @@
         if let Some(best) = best.filter(|it| self.has_free_slot(*it, request, now)) {
             return Some(best);
         }
-        if let Some((index, _)) = self.reclaimable(request, now) {
+        if let Some(index) = self.reclaimable_for_online(request, now) {
             self.reclaim(index, out);
             return Some(index);
         }
@@ -233,7 +242,7 @@
         free > upstreams.min(MAX_HEADROOM)
     }
 
-    fn reclaim(&mut self, index: usize, out: &mut Outgoing) {
+    pub(super) fn reclaim(&mut self, index: usize, out: &mut Outgoing) {
         if let Some(grant) = self.upstreams[index].state.grants.reclaim() {
             out.push((grant.holder, Frame::Reclaim(grant.lease)));
         }
@@ -264,6 +273,21 @@
         cheapest.map(|(index, _)| index)
     }
 
+    /// Returns an upstream with a batch item in whose place an online request may run: a slow one before the others. A slow
+    /// upstream whose requests exceed its concurrency is of no use to an online request.
+    fn reclaimable_for_online(&self, request: &SlotRequest, now: Instant) -> Option<usize> {
+        let reclaimable = (0..self.upstreams.len()).filter_map(|index| {
+            let entry = &self.upstreams[index];
+            let is_slow = entry.state.pace.is_slow(now);
+            let is_full = is_slow && entry.load() > entry.concurrency(&*self.placement, now);
+            let due = entry.state.grants.last_due()?;
+            let is_candidate = !is_full && entry.accepts(request, now);
+            is_candidate.then_some((index, (is_slow, due)))
+        });
+        let (index, _) = reclaimable.max_by_key(|(_, key)| *key)?;
+        Some(index)
+    }
+
     /// Returns the upstream that runs the batch item with the latest due time, and that due time.
     fn reclaimable(&self, request: &SlotRequest, now: Instant) -> Option<(usize, Due)> {
         (0..self.upstreams.len())
--- a/crates/tinbank-allocator/src/entries.rs
+++ b/crates/tinbank-allocator/src/entries.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     allocator::Upstream,
-    entry::Entry,
+    entry::{Entry, UpstreamState},
     lease::{self, Held},
 };
 
@@ -41,17 +41,25 @@
 }
 
 impl Entries {
-    /// Replaces the list of upstreams, keeping the state of those that remain.
+    /// Replaces the list of upstreams, keeping the state of those that remain. An upstream at another address has restarted, so
+    /// its pace is forgotten.
     pub fn replace(&mut self, upstreams: Vec<Upstream>) {
         let before = self.entries.drain(..);
-        let before = before.map(|entry| (entry.upstream.instance, entry.state));
-        let mut states: HashMap<_, _> = before.collect();
+        let before = before.map(|entry| (entry.upstream.instance.clone(), entry));
+        let mut before: HashMap<_, _> = before.collect();
         let entries = upstreams.into_iter().map(|upstream| {
-            let state = states.remove(&upstream.instance);
-            Entry {
-                state: state.unwrap_or_default(),
-                upstream,
+            let Some(Entry {
+                upstream: previous,
+                mut state,
+            }) = before.remove(&upstream.instance)
+            else {
+                let state = UpstreamState::default();
+                return Entry { upstream, state };
+            };
+            if previous.address != upstream.address {
+                state.pace.forget();
             }
+            Entry { upstream, state }
         });
         self.entries = entries.collect();
         self.rebuild_indices();
--- a/crates/tinbank-allocator/src/entry.rs
+++ b/crates/tinbank-allocator/src/entry.rs
@@ -66,6 +66,19 @@
         }
     }
 
+    /// Returns how many requests the upstream is given at once now.
+    pub fn concurrency(&self, placement: &dyn Placement, now: Instant) -> usize {
+        let candidate = Candidate {
+            load: self.load(),
+            slots: self.upstream.slots,
+            pace: &self.state.pace,
+            kept_tokens: 0,
+            memory_in_use: self.state.grants.memory(),
+            memory_tokens: self.upstream.memory_tokens,
+        };
+        placement.concurrency(&candidate, now)
+    }
+
     /// Returns how many more requests like this one the upstream is given now.
     pub fn free_slots(
         &self,
--- a/crates/tinbank-allocator/src/grants.rs
+++ b/crates/tinbank-allocator/src/grants.rs
@@ -20,6 +20,8 @@
     /// When this allocator granted an online lease, to measure how long it holds its slot.
     pub granted_at: Option<Instant>,
     pub footprint: Footprint,
+    /// Tokens of the prompt that the upstream had to read, if this allocator granted the lease.
+    pub unread_tokens: Option<Tokens>,
 }
 
 impl Grant {
@@ -59,6 +61,12 @@
         self.0.iter().any(same)
     }
 
+    /// Returns a lease, if it is active here.
+    pub fn get(&self, holder: SocketAddr, lease: lease::Id) -> Option<&Grant> {
+        let mut grants = self.0.iter();
+        grants.find(|it| it.holder == holder && it.lease == lease)
+    }
+
     /// Returns whether a host has a lease here.
     pub fn has_holder(&self, holder: SocketAddr) -> bool {
         self.0.iter().any(|grant| grant.holder == holder)
@@ -69,12 +77,14 @@
         self.0.iter().map(|grant| grant.holder)
     }
 
-    /// Adds or renews a lease. Renewing keeps the original `granted_at`.
+    /// Adds or renews a lease. Renewing keeps the original `granted_at` and `unread_tokens`.
     pub fn add(&mut self, grant: Grant) {
         let known = self.remove(grant.holder, grant.lease);
-        let granted_at = known.and_then(|known| known.granted_at);
+        let granted_at = known.as_ref().and_then(|known| known.granted_at);
+        let unread_tokens = known.and_then(|known| known.unread_tokens);
         self.0.push(Grant {
             granted_at: granted_at.or(grant.granted_at),
+            unread_tokens: unread_tokens.or(grant.unread_tokens),
             ..grant
         });
     }
--- a/crates/tinbank-allocator/src/options.rs
+++ b/crates/tinbank-allocator/src/options.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     order::{ByExpiry, Order},
-    placement::{LeastLoaded, Placement},
+    placement::{FirstEvent, LeastLoaded, Placement},
 };
 
 /// How an allocator chooses upstreams.
@@ -34,6 +34,14 @@
     }
 
     pub(crate) fn placement(self) -> Box<dyn Placement> {
-        Box::new(LeastLoaded)
+        match self.strategy {
+            Strategy::LeastLoaded => Box::new(LeastLoaded),
+            Strategy::ExpectedFirstEvent => Box::new(FirstEvent),
+        }
+    }
+
+    /// Returns whether hosts measure the paces of upstreams and report them.
+    pub fn measures_pace(self) -> bool {
+        self.strategy == Strategy::ExpectedFirstEvent
     }
 }
--- a/crates/tinbank-allocator/src/placement.rs
+++ b/crates/tinbank-allocator/src/placement.rs
@@ -1,7 +1,11 @@
 //! The choice of the upstream at which a request starts.
 
+mod first_event;
+
 use std::{fmt, time::Instant};
 
+pub use self::first_event::FirstEvent;
+
 use crate::{frame::SlotRequest, pace::Pace, size::Tokens};
 
 /// Cost of sending a request to an upstream; the lowest wins.
--- /dev/null
+++ b/crates/tinbank-allocator/src/placement/first_event.rs
@@ -0,0 +1,45 @@
+//! Sends a request where its first event is expected soonest, see `docs/design/pace.md`.
+
+use std::time::Instant;
+
+use super::{Candidate, Cost, Placement};
+use crate::frame::SlotRequest;
+
+/// Ratio of the longest pause between two events to the mean time between them.
+const LONGEST_PAUSE: f64 = 1.5;
+/// Cost of a pause beyond the route's limit, in microseconds: above any expected first event, so that such an upstream is chosen
+/// only if there is no other.
+const PAUSE_PENALTY: f64 = 10e6;
+/// Cost of a slow upstream for a batch item, in microseconds. Slow upstreams get what can wait, but only if no other upstream has
+/// a free slot.
+const BATCH_PENALTY: f64 = 20e6;
+
+/// Sends a request to the upstream where its first event is expected soonest, at a pace within the route's longest pause.
+#[derive(Debug, Default)]
+pub struct FirstEvent;
+
+impl Placement for FirstEvent {
+    fn cost(&self, request: &SlotRequest, candidate: &Candidate<'_>, now: Instant) -> Option<Cost> {
+        let load = candidate.load + 1;
+        let unread = request.size.prompt_tokens;
+        let unread = unread.saturating_sub(candidate.kept_tokens);
+        let pace = candidate.pace;
+        let mut cost = pace.first_event_us(load, unread, now);
+        let pause_us = pace.interval_us(load, now) * LONGEST_PAUSE;
+        let max_gap_us = request.max_gap_ms.map(|ms| f64::from(ms) * 1_000.0);
+        if max_gap_us.is_some_and(|max| pause_us > max) {
+            cost += PAUSE_PENALTY;
+        }
+        if request.class.is_batch() && pace.is_slow(now) {
+            cost += BATCH_PENALTY;
+        }
+        Some(cost as Cost)
+    }
+
+    /// Returns the slots of an upstream in proportion to its speed if it counts as slow. At least one request finds out when it
+    /// no longer is.
+    fn concurrency(&self, candidate: &Candidate<'_>, now: Instant) -> usize {
+        let slots = candidate.slots as f64 / candidate.pace.slowdown(now);
+        (slots as usize).max(1).min(candidate.slots)
+    }
+}
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -213,6 +213,7 @@
             address: least.address,
             // Other hosts' requests are not known here, so the upstream may be full.
             queued: true,
+            expected: None,
         };
         let lease = self.new_lease_id();
         Some(self.add_holding(lease, spec, &least.failure_domain, None, grant))
--- a/crates/tinbank-gateway/src/sharing/ask/tests.rs
+++ b/crates/tinbank-gateway/src/sharing/ask/tests.rs
@@ -75,6 +75,7 @@
         upstream: "u1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         queued: false,
+        expected: None,
     })
 }
 
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -182,6 +182,12 @@
         Some(StateChange::Left(upstream)) => {
             log::info!(upstream:%; "upstream leaves, according to a newer list of another host");
         }
+        Some(StateChange::Slowed(upstream)) => {
+            log::warn!(upstream:%; "upstream slow compared with the others of its service, gets fewer requests");
+        }
+        Some(StateChange::Recovered(upstream)) => {
+            log::info!(upstream:%; "upstream no longer slow");
+        }
         Some(StateChange::Learning) => {
             log::info!(
                 "allocator collects the leases of other hosts before it grants slots to batch"
