gateway: hosts measure the pace of upstreams and report late events

Cause: an allocator can tell uneven upstreams apart only by what hosts measure on the requests that they send.

Change: a lease measures the first event and the time between events of a stream or item, if `placement` is `expected_first_event`. Time in which the host does not read is not measured, so that a slow caller does not make its upstream slow.

Run: cargo fmt, clippy and test of tinbank-gateway and tinbank-server.

--- a/crates/tinbank-gateway/src/batch/item.rs
+++ b/crates/tinbank-gateway/src/batch/item.rs
@@ -126,6 +126,7 @@
     received: &RefCell<Received>,
 ) -> Ended {
     let now = Instant::now();
+    lease.start_meter();
     let last_event = received.borrow().last_event;
     let resume_after = (last_event > 0).then_some(last_event);
     let sent = attempt::send(
@@ -157,17 +158,22 @@
         ..
     } = opened;
     let (ended, outcome) = tokio::select! {
-        read = read(body, received) => read,
+        read = read(&lease, body, received) => read,
         () = lease.reclaimed() => (Ended::Reclaimed, Outcome::Inconclusive),
     };
     lease.set_outcome(outcome);
     ended
 }
 
-async fn read(mut body: AnswerBody, received: &RefCell<Received>) -> (Ended, Outcome) {
+async fn read(
+    lease: &Lease,
+    mut body: AnswerBody,
+    received: &RefCell<Received>,
+) -> (Ended, Outcome) {
     let mut splitter = Splitter::default();
     loop {
-        let frame = match time::timeout(EVENT_TIMEOUT, body.frame()).await {
+        let frame = lease.receive(time::timeout(EVENT_TIMEOUT, body.frame()));
+        let frame = match frame.await {
             Err(_) => return (Ended::Broken, Outcome::Unresponsive),
             Ok(None) if splitter.is_partial() => {
                 body.mark_truncated();
@@ -191,6 +197,7 @@
                 return (Ended::Broken, Outcome::Failed);
             }
             body.record_event(received.borrow().last_event);
+            lease.record_event();
         }
     }
 }
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tinbank_allocator::{frame::Verdict, lease::Class};
+use tinbank_allocator::{frame::Verdict, lease::Class, pace::Sample};
 
 use crate::border::ingress::Reply;
 
@@ -60,6 +60,21 @@
     metrics::histogram!("tinbank_entry_ask_seconds").record(took);
 }
 
+/// Records an event that is or was later than the allocator expects.
+pub(crate) fn record_late_event(sample: Sample) {
+    let event = if sample.interval_us == 0 {
+        "first"
+    } else {
+        "later"
+    };
+    metrics::counter!("tinbank_entry_late_events_total", "event" => event).increment(1);
+}
+
+/// Sets the number of upstreams that count as slow at the allocator of this host.
+pub(crate) fn set_slow_upstreams(upstreams: usize) {
+    metrics::gauge!("tinbank_entry_slow_upstreams").set(upstreams as f64);
+}
+
 /// Records that an upstream broke a connection, with the outcome of the probe that followed.
 pub(crate) fn record_broken_connection(found: &'static str) {
     metrics::counter!("tinbank_entry_broken_upstreams_total", "found" => found).increment(1);
--- a/crates/tinbank-gateway/src/relay/attempt.rs
+++ b/crates/tinbank-gateway/src/relay/attempt.rs
@@ -65,14 +65,14 @@
         time_left: deadline.saturating_duration_since(now),
         resume_after,
     };
-    let sent = exchange::send(
+    let sent = lease.receive(exchange::send(
         lease.address,
         node.engine.encode(request, attempt),
         Deadlines {
             connect: now + CONNECT_TIMEOUT.max(lease.round_trip_timeout()),
             response: answer_by,
         },
-    );
+    ));
     let sent = sent.await;
     let context = AttemptContext {
         node: Rc::clone(node),
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -194,6 +194,9 @@
         let upstream = lease.upstream.clone();
         self.log_sent(&lease, resume_after);
         self.sent_at = (!lease.queued).then(Instant::now);
+        if matches!(self.route.kind, Kind::Stream { .. }) {
+            lease.start_meter();
+        }
         let answer_by = self.answer_deadline(lease.queued);
         let sent = attempt::send(
             &self.node,
--- a/crates/tinbank-gateway/src/relay/stream.rs
+++ b/crates/tinbank-gateway/src/relay/stream.rs
@@ -89,7 +89,8 @@
             }
             let idle_deadline = self.idle_deadline();
             let source = self.source.as_mut()?;
-            let broken = match receive(source, idle_deadline, self.relay.deadline()).await {
+            let input = receive(&mut source.body, idle_deadline, self.relay.deadline());
+            let broken = match source.lease.receive(input).await {
                 Input::Chunk(chunk) => match self.parse(&chunk) {
                     Ok(()) => continue,
                     Err(why) => (why, Outcome::Failed),
@@ -144,6 +145,9 @@
         if !std::mem::replace(&mut self.has_begun, true) {
             self.relay.record_first_event();
         }
+        if let Some(source) = &self.source {
+            source.lease.record_event();
+        }
         self.idle_timeout.record_event(Instant::now());
     }
 
@@ -209,10 +213,14 @@
     }
 }
 
-async fn receive(source: &mut Source, idle_deadline: Option<Instant>, deadline: Instant) -> Input {
+async fn receive(
+    body: &mut AnswerBody,
+    idle_deadline: Option<Instant>,
+    deadline: Instant,
+) -> Input {
     let until = idle_deadline.map_or(deadline, |at| at.min(deadline));
     loop {
-        let frame = match time::timeout_at(until.into(), source.body.frame()).await {
+        let frame = match time::timeout_at(until.into(), body.frame()).await {
             Err(_) if Instant::now() >= deadline => return Input::DeadlineExceeded,
             Err(_) => return Input::Broken("stopped sending events", Outcome::Unresponsive),
             Ok(None) => return Input::End,
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -43,6 +43,7 @@
     load_poll::poll_upstream_load,
     peers::{heartbeat, receive},
 };
+use crate::measure;
 
 /// Age of the last read of the store up to which the store counts as reachable: twice the longest time between two
 /// answered reads.
@@ -57,6 +58,8 @@
     /// Notified when this host's allocator starts to collect the leases of other hosts.
     learning: Notify,
     store_read_at: Cell<Option<Instant>>,
+    /// Whether the paces of upstreams are measured and reported.
+    measures_pace: bool,
 }
 
 struct State {
@@ -146,6 +149,7 @@
             next_lease_id: Cell::new(first),
             learning: Notify::new(),
             store_read_at: Cell::new(None),
+            measures_pace: options.measures_pace(),
         })
     }
 
@@ -156,7 +160,12 @@
 
     /// Sets the upstreams of the host's own failure domain.
     pub fn set_upstreams(&self, upstreams: Vec<Upstream>) {
-        let out = self.state.borrow_mut().allocator.set_upstreams(upstreams);
+        let mut state = self.state.borrow_mut();
+        let out = state.allocator.set_upstreams(upstreams);
+        if self.measures_pace {
+            measure::set_slow_upstreams(state.allocator.slow_upstreams(Instant::now()));
+        }
+        drop(state);
         self.send_all(out);
     }
 
--- a/crates/tinbank-gateway/src/sharing/ask/tests.rs
+++ b/crates/tinbank-gateway/src/sharing/ask/tests.rs
@@ -7,6 +7,8 @@
     directory::Peer,
     frame::{Frame, Grant, MAX_DATAGRAM_BYTES, Queue, SlotResponse, Verdict},
     lease::{self, Class},
+    options::Strategy,
+    pace::{Expected, Sample},
     size::Size,
 };
 use tinbank_allowance::Tolerance;
@@ -26,13 +28,17 @@
 
 impl Fixture {
     async fn new() -> Self {
+        Self::with_options(Options::default()).await
+    }
+
+    async fn with_options(options: Options) -> Self {
         let own = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let own_address = own.local_addr().unwrap();
         drop(own);
         let allocator = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let own = peer(own_address, "south");
         let sharing = Rc::new(
-            Sharing::bind(own, 1, Tolerance::default(), Options::default())
+            Sharing::bind(own, 1, Tolerance::default(), options)
                 .await
                 .unwrap(),
         );
@@ -75,7 +81,10 @@
         upstream: "u1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         queued: false,
-        expected: None,
+        expected: Some(Expected {
+            first_event_ms: 20,
+            interval_us: 20_000,
+        }),
     })
 }
 
@@ -93,6 +102,14 @@
     }
 }
 
+fn pace(frame: Frame) -> Option<Option<Sample>> {
+    match frame {
+        Frame::Release(release) => Some(release.pace),
+        Frame::Pace(report) => Some(Some(report.sample)),
+        _ => None,
+    }
+}
+
 fn withdrawal(frame: Frame) -> Option<lease::Id> {
     match frame {
         Frame::Withdraw(lease) => Some(lease),
@@ -203,3 +220,53 @@
         assert_eq!(withdrawn, lease);
     });
 }
+
+/// Runs a request whose only event arrives after a time. Returns the samples that the allocator gets.
+async fn samples(options: Options, after: Duration) -> Vec<Option<Sample>> {
+    let fixture = Fixture::with_options(options).await;
+    let request = request(&fixture, Queue::No);
+    let (lease, host) = fixture.next(slot_request).await.unwrap();
+    fixture.answer(host, lease, grant()).await;
+    let SlotResult::Granted(lease) = request.await.unwrap() else {
+        panic!("no slot granted");
+    };
+
+    lease.start_meter();
+    lease.receive(time::sleep(after)).await;
+    lease.record_event();
+    drop(lease);
+
+    let mut samples = Vec::new();
+    while let Some((sample, _)) = fixture.next(pace).await {
+        samples.push(sample);
+    }
+    samples
+}
+
+#[test]
+fn a_late_event_is_reported_while_the_request_runs() {
+    run(async {
+        let options = Options {
+            strategy: Strategy::ExpectedFirstEvent,
+            ..Options::default()
+        };
+
+        let late = samples(options, Duration::from_millis(150)).await;
+        let on_time = samples(options, Duration::from_millis(1)).await;
+
+        // When it is noticed, when it arrives and when the request ends.
+        let late: Vec<_> = late.iter().map(|it| it.unwrap().first_event_ms).collect();
+        assert!(late.len() == 3 && late[0] < late[1], "{late:?}");
+        assert_eq!(on_time.len(), 1);
+        assert!(on_time[0].is_some());
+    });
+}
+
+#[test]
+fn nothing_is_measured_without_the_setting() {
+    run(async {
+        let samples = samples(Options::default(), Duration::from_millis(150)).await;
+
+        assert_eq!(samples, [None]);
+    });
+}
--- a/crates/tinbank-gateway/src/sharing/held.rs
+++ b/crates/tinbank-gateway/src/sharing/held.rs
@@ -1,21 +1,24 @@
 //! The leases of slots that this host holds.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
+    future::Future,
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use tinbank_allocator::{
-    frame::{Frame, Grant, Release},
+    frame::{Frame, Grant, PaceReport, Release},
     lease::{self, Class, Footprint, Outcome},
-    pace::Sample,
+    pace::{Expected, Meter, Sample},
 };
 use tinbank_base::id;
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time};
 
 use super::{Sharing, SlotSpec};
+use crate::measure;
 
 /// The right to run one request at one upstream. Dropping it releases the slot.
 pub(crate) struct Lease {
@@ -28,7 +31,10 @@
     allocator: Option<SocketAddr>,
     reclaimed: Rc<Notify>,
     outcome: Cell<Outcome>,
-    pace: Cell<Option<Sample>>,
+    /// The pace that the allocator expects, if it knows it.
+    expected: Option<Expected>,
+    /// Measures the pace of the upstream on a response with events.
+    meter: RefCell<Option<Box<Meter>>>,
 }
 
 impl Lease {
@@ -54,10 +60,62 @@
         self.outcome.set(outcome);
     }
 
-    /// Sets the pace of the upstream that is reported when the lease is dropped.
-    #[expect(dead_code, reason = "measured by part B of docs/hard-load.md")]
-    pub fn set_pace(&self, sample: Sample) {
-        self.pace.set(Some(sample));
+    /// Starts to measure the pace of the upstream, for a request that is sent now and answered by events. Does nothing if paces
+    /// are not measured.
+    pub fn start_meter(&self) {
+        if self.sharing.measures_pace && self.allocator.is_some() {
+            let meter = Meter::new(self.expected, self.queued, Instant::now());
+            self.meter.replace(Some(Box::new(meter)));
+        }
+    }
+
+    /// Records an event of the response.
+    pub fn record_event(&self) {
+        let mut meter = self.meter.borrow_mut();
+        let report = meter
+            .as_mut()
+            .and_then(|it| it.record_event(Instant::now()));
+        drop(meter);
+        self.report(report);
+    }
+
+    /// Waits for the next input from the upstream, and reports to the allocator if the next event is late.
+    pub async fn receive<T>(&self, input: impl Future<Output = T>) -> T {
+        if let Some(meter) = self.meter.borrow_mut().as_mut() {
+            meter.record_wait(Instant::now());
+        }
+        let mut input = pin!(input);
+        while let Some(late_at) = self.late_at() {
+            if let Ok(received) = time::timeout_at(late_at.into(), &mut input).await {
+                return received;
+            }
+            self.report_late(Instant::now());
+        }
+        input.await
+    }
+
+    fn late_at(&self) -> Option<Instant> {
+        self.meter.borrow().as_ref()?.late_at()
+    }
+
+    fn report_late(&self, now: Instant) {
+        let mut meter = self.meter.borrow_mut();
+        let report = meter.as_mut().and_then(|it| it.take_late(now));
+        drop(meter);
+        self.report(report);
+    }
+
+    fn report(&self, sample: Option<Sample>) {
+        let (Some(allocator), Some(sample)) = (self.allocator, sample) else {
+            return;
+        };
+        measure::record_late_event(sample);
+        let report = PaceReport {
+            lease: self.id,
+            upstream: self.upstream.clone(),
+            sample,
+        };
+        self.sharing.send(allocator, &Frame::Pace(report));
     }
 }
 
@@ -104,7 +162,8 @@
             allocator,
             reclaimed,
             outcome: Cell::new(Outcome::Inconclusive),
-            pace: Cell::new(None),
+            expected: grant.expected,
+            meter: RefCell::new(None),
         }
     }
 
@@ -124,7 +183,7 @@
             lease: lease.id,
             upstream: lease.upstream.clone(),
             outcome,
-            pace: lease.pace.get(),
+            pace: lease.meter.borrow().as_ref().and_then(|it| it.sample()),
         };
         self.send(allocator, &Frame::Release(release));
     }
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -16,7 +16,7 @@
 use tokio::time;
 
 use super::Sharing;
-use crate::node::Node;
+use crate::{measure, node::Node};
 
 impl Sharing {
     pub(super) fn receive(&self, from: SocketAddr, frame: Frame) {
@@ -48,6 +48,9 @@
                 let mut state = self.state.borrow_mut();
                 state.allocator.set_heartbeat_reply(self.alive(now));
                 let (out, change) = state.allocator.receive(from, frame, now);
+                if let Some(StateChange::Slowed(_) | StateChange::Recovered(_)) = change {
+                    measure::set_slow_upstreams(state.allocator.slow_upstreams(now));
+                }
                 drop(state);
                 if change == Some(StateChange::Learning) {
                     self.learning.notify_one();
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -197,12 +197,23 @@
         &["ended"],
         "Runs of batch items, by how they ended.",
     ),
+    counter(
+        "tinbank_entry_late_events_total",
+        "events",
+        &["event"],
+        "Events of upstreams that took a multiple of the time expected by the allocator, when noticed and when received: first or later ones.",
+    ),
     counter(
         "tinbank_entry_replies_total",
         "answers",
         &["reply"],
         "Answers of the entry program's own, by what they say.",
     ),
+    gauge(
+        "tinbank_entry_slow_upstreams",
+        "upstreams",
+        "Upstreams that count as slow at this host's allocator, and get fewer requests.",
+    ),
     Metric {
         name: "tinbank_entry_store_reached",
         kind: Kind::Gauge,
