--- a/crates/tinbank-allocator/src/pace.rs
+++ b/crates/tinbank-allocator/src/pace.rs
@@ -23,12 +23,12 @@
 };
 use crate::size::Tokens;
 
-/// Slowness from which an upstream counts as slow: between the speeds of equal upstreams of one service, which differ by a
-/// factor of 1.3, and those at 0.55 of the usual speed.
-const SLOW_FROM: f64 = 1.5;
+/// Slowness from which an upstream counts as slow. Upstreams at 0.55 of the usual speed, or 0.42 of that of the fastest, get fewer
+/// requests by their cost alone: with fewer slots, more requests are refused and no fewer are late.
+const SLOW_FROM: f64 = 2.5;
 /// Slowness below which a slow upstream no longer counts as slow. Lower than [`SLOW_FROM`], so that an upstream between the two
 /// does not change with each sample.
-const SLOW_UNTIL: f64 = 1.25;
+const SLOW_UNTIL: f64 = 2.0;
 /// Relative change of the estimate from which decisions use it. Below it, upstreams of equal speed would be told apart by noise.
 const RESOLUTION: f64 = 0.12;
 /// Time within which two hosts must measure a change.
@@ -41,6 +41,10 @@
 const SMOOTHING: f64 = 4.0;
 /// Ratio of a sample to the estimate from which the pace counts as suddenly changed.
 const SUDDEN: f64 = 1.4;
+/// Shortest time to read a prompt that is subtracted from late events.
+const MIN_READING: Duration = Duration::from_millis(10);
+/// Number of latest times of reading that are kept for an upstream: more than begin within one late event.
+const MAX_READINGS: usize = 4;
 /// Time without samples in which half of an upstream's slowness is forgotten for costs, so that it is tried again.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 /// Time without samples after which an upstream counts as typical.
@@ -82,6 +86,20 @@
     earlier: Finding,
 }
 
+/// A time in which an upstream reads prompts.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    start: Instant,
+    end: Instant,
+}
+
+/// A sudden change of the pace.
+#[derive(Clone, Copy, Debug)]
+struct Jump {
+    at: Instant,
+    is_slower: bool,
+}
+
 /// The pace of one upstream. A new instance of an upstream starts with an empty one, which counts as typical.
 #[derive(Clone, Debug)]
 pub struct Pace {
@@ -97,9 +115,11 @@
     /// Whether the upstream was slow when [`Pace::take_change`] was last called.
     was_slow: bool,
     sampled_at: Option<Instant>,
+    /// When the pace last changed suddenly.
+    jump: Option<Jump>,
     witnesses: SmallVec<[Witness; MAX_WITNESSES]>,
-    /// When the upstream began and is expected to end reading the prompts that it was sent last.
-    reading: Option<(Instant, Instant)>,
+    /// When the upstream lately read long prompts, by what it was sent.
+    readings: SmallVec<[Reading; MAX_READINGS]>,
 }
 
 impl Default for Pace {
@@ -112,8 +132,9 @@
             is_slow: false,
             was_slow: false,
             sampled_at: None,
+            jump: None,
             witnesses: SmallVec::new(),
-            reading: None,
+            readings: SmallVec::new(),
         }
     }
 }
@@ -165,12 +186,21 @@
     /// Records that the upstream was sent a prompt of which it has to read `unread` tokens. Its other requests may have to wait
     /// in the meantime, which does not make it slow.
     pub fn record_prompt(&mut self, unread: Tokens, now: Instant) {
-        let reading = Duration::from_micros(self.online.reading_us(unread) as u64);
-        let (from, until) = match self.reading {
-            Some((from, until)) if now < until => (from, until),
-            _ => (now, now),
-        };
-        self.reading = Some((from, until + reading));
+        let reading_us = self.online.reading_us(unread) * self.slowness;
+        let reading = Duration::from_micros(reading_us as u64);
+        match self.readings.last_mut() {
+            Some(last) if now < last.end => last.end += reading,
+            _ if reading < MIN_READING => {}
+            _ => {
+                if self.readings.len() == MAX_READINGS {
+                    self.readings.remove(0);
+                }
+                self.readings.push(Reading {
+                    start: now,
+                    end: now + reading,
+                });
+            }
+        }
     }
 
     /// Returns whether the upstream has begun or ceased to count as slow since the last call, and which of them.
@@ -182,22 +212,26 @@
 
     /// Returns how much of the time since `start` the upstream has spent on reading prompts.
     fn time_reading(&self, start: Instant, now: Instant) -> Duration {
-        let Some((from, until)) = self.reading else {
-            return Duration::ZERO;
+        let overlap = |it: &Reading| {
+            let end = it.end.min(now);
+            end.saturating_duration_since(it.start.max(start))
         };
-        until.min(now).saturating_duration_since(from.max(start))
+        self.readings.iter().map(overlap).sum()
     }
 
-    /// Records how slow a host found the upstream. The estimate moves only as far as two hosts agree, so that one with a bad
-    /// link can't move it.
-    fn record(&mut self, by: SocketAddr, slowness: f64, now: Instant) {
+    /// Records how slow a host found the upstream since a time. The estimate moves only as far as two hosts agree, so that one
+    /// with a bad link can't move it.
+    fn record(&mut self, by: SocketAddr, slowness: f64, since: Instant, now: Instant) {
         if self.is_outdated(now) {
             self.forget();
         }
+        self.sampled_at = Some(now);
+        if self.is_from_before(slowness, since) {
+            return;
+        }
         if let Some(other) = self.confirmation(by, now) {
-            self.move_estimate(slowness, other);
+            self.move_estimate(slowness, other, now);
         }
-        self.sampled_at = Some(now);
         let latest = Finding { slowness, at: now };
         let earlier = match self.witnesses.iter().position(|it| it.by == by) {
             Some(index) => {
@@ -217,6 +251,14 @@
         });
     }
 
+    /// Returns whether a finding is of a time before the pace suddenly changed, and would undo the change.
+    fn is_from_before(&self, slowness: f64, since: Instant) -> bool {
+        self.jump.is_some_and(|jump| {
+            let is_slower = slowness > self.estimate;
+            since < jump.at && is_slower != jump.is_slower
+        })
+    }
+
     /// Returns what another host found lately. If no other host sends samples, returns what this one found before.
     fn confirmation(&self, by: SocketAddr, now: Instant) -> Option<f64> {
         // Ordered by their latest findings.
@@ -233,7 +275,7 @@
     }
 
     /// Moves the estimate towards the nearer of two findings, if both are on the same side of it.
-    fn move_estimate(&mut self, a: f64, b: f64) {
+    fn move_estimate(&mut self, a: f64, b: f64, now: Instant) {
         let (low, high) = (a.min(b), a.max(b));
         let target = if low > self.estimate {
             low
@@ -243,9 +285,12 @@
             return;
         };
         let ratio = (target / self.estimate).max(self.estimate / target);
-        match ratio >= SUDDEN {
-            true => self.estimate = target,
-            false => self.estimate += (target - self.estimate) / SMOOTHING,
+        if ratio >= SUDDEN {
+            let is_slower = target > self.estimate;
+            self.jump = Some(Jump { at: now, is_slower });
+            self.estimate = target;
+        } else {
+            self.estimate += (target - self.estimate) / SMOOTHING;
         }
         self.update_slowness();
     }
@@ -278,6 +323,7 @@
         self.slowness = 1.0;
         self.is_slow = false;
         self.sampled_at = None;
+        self.jump = None;
         self.witnesses.clear();
     }
 
--- a/crates/tinbank-allocator/src/pace/meter.rs
+++ b/crates/tinbank-allocator/src/pace/meter.rs
@@ -13,7 +13,7 @@
 /// Maximum number of late events reported for one request: two pauses, each when it is noticed and when it has ended.
 const MAX_REPORTS: u32 = 4;
 /// Number of latest events over which the mean time is taken, so that a long request shows the present pace.
-const RECENT: usize = 8;
+pub(super) const RECENT: usize = 8;
 /// Time without reading from the upstream from which the time between two events is not measured: its caller reads slowly, or
 /// the host is busy.
 const MAX_UNREAD: Duration = Duration::from_millis(10);
--- a/crates/tinbank-allocator/src/pace/services.rs
+++ b/crates/tinbank-allocator/src/pace/services.rs
@@ -7,7 +7,7 @@
 
 use tinbank_base::id;
 
-use super::{Pace, Sample, usual::Learned};
+use super::{Pace, Sample, meter, usual::Learned};
 use crate::size::Tokens;
 
 /// Time between two comparisons of the upstreams of a service. Much shorter than the time in which a slow upstream has to be
@@ -130,7 +130,10 @@
         learned.record_interval(load, interval_us, 1.0);
     }
     let slowness = interval_us / learned.usual.interval_us(load);
-    pace.record(observation.by, slowness, now);
+    let covered = Duration::from_micros(sample.interval_us.into());
+    let covered = covered * sample.events.min(meter::RECENT as u32);
+    let since = now.checked_sub(covered).unwrap_or(now);
+    pace.record(observation.by, slowness, since, now);
     learned.record_interval(load, interval_us, pace.estimate);
     if let (Some(unread), true) = (observation.unread, sample.first_event_ms > 0) {
         let first_us = f64::from(sample.first_event_ms) * 1_000.0;
@@ -164,7 +167,7 @@
     let waited = waited.saturating_sub(pace.time_reading(start, now));
     let slowness = waited.as_micros() as f64 / usual_us;
     if slowness > pace.estimate {
-        pace.record(observation.by, slowness, now);
+        pace.record(observation.by, slowness, start, now);
     }
 }
 
--- a/crates/tinbank-allocator/src/placement/first_event.rs
+++ b/crates/tinbank-allocator/src/placement/first_event.rs
@@ -5,6 +5,9 @@
 use super::{Candidate, Cost, Placement};
 use crate::frame::SlotRequest;
 
+/// Cost of each request that an upstream processes, in times between two events. The expected first event alone rises so little
+/// with the load that the fastest upstreams would get all requests until their slots are in use.
+const LOAD_COST: f64 = 1.0;
 /// Ratio of the longest pause between two events to the mean time between them.
 const LONGEST_PAUSE: f64 = 1.5;
 /// Cost of a pause beyond the route's limit, in microseconds: above any expected first event, so that such an upstream is chosen
@@ -25,6 +28,7 @@
         let unread = unread.saturating_sub(candidate.kept_tokens);
         let pace = candidate.pace;
         let mut cost = pace.first_event_us(load, unread, now);
+        cost += LOAD_COST * pace.interval_us(1, now) * candidate.load as f64;
         let pause_us = pace.interval_us(load, now) * LONGEST_PAUSE;
         let max_gap_us = request.max_gap_ms.map(|ms| f64::from(ms) * 1_000.0);
         if max_gap_us.is_some_and(|max| pause_us > max) {
