--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -1,8 +1,10 @@
 //! The allocator: decides at which upstream a request may start.
 
+mod paces;
 mod slot_request;
 
 use std::{
+    collections::VecDeque,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -20,6 +22,7 @@
     leaving::{Decision, Doubt, Evidence, Position, Reports},
     options::Options,
     order::Order,
+    pace,
     placement::{self, Placement},
     prefix::Cache,
     size::Tokens,
@@ -79,6 +82,10 @@
         /// Why the report was not acted on.
         why: Doubt,
     },
+    /// An upstream has become slower than the others of its service, and gets fewer requests.
+    Slowed(id::Instance),
+    /// An upstream is no longer slow.
+    Recovered(id::Instance),
     /// The allocator had been idle, and collects holdings before it grants slots to batch.
     Learning,
     /// A request was denied because no upstream of its service has enough memory. Not reported for each request.
@@ -125,6 +132,10 @@
     oversized: Option<Oversized>,
     /// Until then, no oversized request is reported.
     oversized_quiet_until: Option<Instant>,
+    /// The usual paces of upstreams, if hosts measure them.
+    services: Option<pace::Services>,
+    /// State changes that are yet to be returned.
+    changes: VecDeque<StateChange>,
     /// How much of their allowances customers have used.
     counter: Counter,
     /// The hosts that use this allocator.
@@ -167,6 +178,8 @@
             summary: placement::Summary::default(),
             oversized: None,
             oversized_quiet_until: None,
+            services: options.measures_pace().then(pace::Services::default),
+            changes: VecDeque::new(),
             counter: Counter::new(seed, tolerance),
             reachability: Reachability::default(),
         }
@@ -177,6 +190,7 @@
     pub fn set_upstreams(&mut self, mut upstreams: Vec<Upstream>) -> Outgoing {
         self.has_removed_upstreams = self.reports.withhold(&mut upstreams);
         self.upstreams.replace(upstreams);
+        self.apply_usual_paces();
         let upstreams = &self.upstreams;
         let has_upstream =
             |service: &str| upstreams.iter().any(|it| it.upstream.service == service);
@@ -226,6 +240,7 @@
         now: Instant,
     ) -> (Outgoing, Option<StateChange>) {
         let mut out = Outgoing::new();
+        let has_pace = frame.has_pace();
         let change = match frame {
             Frame::SlotRequest(request) => {
                 let change = self.record_contact(from, now);
@@ -248,17 +263,26 @@
                 self.counter.apply(from, counts, now);
                 None
             }
+            Frame::Pace(report) => {
+                self.apply_pace_report(from, &report, now);
+                None
+            }
             Frame::SlotResponse(_)
             | Frame::Reclaim(_)
             | Frame::HeartbeatReply(_)
             | Frame::Ping
-            | Frame::Pace(_)
             | Frame::Quarantine(_) => {
                 return (out, None);
             }
         };
+        if has_pace {
+            self.refresh_paces(now, &mut out);
+        }
         self.serve_wait_queue(now, &mut out);
-        (out, change)
+        if let Some(change) = change {
+            self.changes.push_front(change);
+        }
+        (out, self.changes.pop_front())
     }
 
     /// Drops all leases and starts learning, for use after a pause of the process, when the state is out of date.
@@ -268,6 +292,7 @@
             entry.state.orphaned = None;
             entry.state.slow_start.reset(now);
             entry.state.cache = Cache::default();
+            entry.state.pace.forget();
         }
         self.order.reset();
         self.learning_until = Some(now + LEARNING_TIME);
@@ -397,7 +422,7 @@
         let may_eject = self.may_eject(index, now);
         let entry = &mut self.upstreams[index];
         let removed = entry.state.grants.remove(from, release.lease);
-        let granted_at = removed.and_then(|grant| grant.granted_at);
+        let granted_at = removed.as_ref().and_then(|grant| grant.granted_at);
         if let (Some(at), Outcome::Served) = (granted_at, release.outcome) {
             self.slot_time.record(now.saturating_duration_since(at));
         }
@@ -405,6 +430,9 @@
             .state
             .health
             .record_outcome(from, release.outcome, may_eject, now);
+        if let (Some(grant), Some(sample)) = (removed, release.pace) {
+            self.record_sample(index, &grant, sample, false, now);
+        }
         ejected.then(|| StateChange::Ejected(release.upstream.clone()))
     }
 
@@ -487,6 +515,7 @@
             expires_at: now + LEASE_DURATION,
             granted_at: None,
             footprint: held.footprint.clone(),
+            unread_tokens: None,
         });
         self.upstreams.add_holder(index, from);
     }
--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -95,18 +95,19 @@
         if let (false, Some(meter)) = (is_known, &request.meter) {
             self.counter.take(&meter.customer, meter.limit, now);
         }
+        let kept_tokens = entry.state.cache.kept_tokens(&request.size, now);
+        let unread_tokens = request.size.prompt_tokens.saturating_sub(kept_tokens);
         if !is_known {
+            entry.state.pace.record_prompt(unread_tokens, now);
             entry.state.slow_start.record_request(now);
         }
         if !is_known && self.prefix_affinity {
             let in_use = entry.state.grants.memory();
             let capacity = entry.upstream.memory_tokens;
             let left = capacity.map(|memory| memory.saturating_sub(in_use));
-            let kept = entry.state.cache.kept_tokens(&request.size, now);
             entry.state.cache.record_sent(&request.size, left, now);
-            let read = request.size.prompt_tokens.saturating_sub(kept);
-            self.summary.kept_tokens += u64::from(kept);
-            self.summary.read_tokens += u64::from(read);
+            self.summary.kept_tokens += u64::from(kept_tokens);
+            self.summary.read_tokens += u64::from(unread_tokens);
         }
         let others = entry.load() - usize::from(is_known);
         let queued = learning || others >= entry.upstream.slots;
@@ -117,11 +118,17 @@
             expires_at: now + LEASE_DURATION,
             granted_at: (!request.class.is_batch()).then_some(now),
             footprint: footprint(request),
+            unread_tokens: Some(unread_tokens),
         });
+        // Further requests may start beside this one.
+        let load = entry.upstream.slots;
+        let pace = &entry.state.pace;
+        let expected = pace.expected(request.class.is_batch(), load, unread_tokens, now);
         let grant = Grant {
             upstream: entry.upstream.instance.clone(),
             address: entry.upstream.address,
             queued,
+            expected,
         };
         self.upstreams.add_holder(index, from);
         grant
@@ -148,7 +155,7 @@
             .iter()
             .filter(|entry| entry.accepts(request, now))
             .filter(|entry| self.suffices(entry, request, now))
-            .map(|entry| entry.upstream.slots)
+            .map(|entry| entry.concurrency(&*self.placement, now))
             .sum();
         if slots == 0 {
             return denied;
@@ -218,7 +225,7 @@
 
     /// Grants free slots to queued requests.
     pub(super) fn serve_wait_queue(&mut self, now: Instant, out: &mut Outgoing) {
-        if self.wait_queue.is_empty() || !self.has_available_slot() {
+        if self.wait_queue.is_empty() || !self.has_available_slot(now) {
             return;
         }
         self.wait_queue.remove_expired(now);
@@ -245,7 +252,7 @@
             if !is_reordered {
                 continue;
             }
-            if !self.has_available_slot() {
+            if !self.has_available_slot(now) {
                 // Sorting the rest would be most of the work of a grant, since slots become free one at a time.
                 break;
             }
@@ -259,9 +266,9 @@
     }
 
     /// Returns whether an upstream has a slot that is free or can be reclaimed from batch.
-    fn has_available_slot(&self) -> bool {
+    fn has_available_slot(&self, now: Instant) -> bool {
         let mut entries = self.upstreams.iter();
-        entries.any(|it| it.load() < it.upstream.slots || it.has_batch())
+        entries.any(|it| it.load() < it.concurrency(&*self.placement, now) || it.has_batch())
     }
 
     /// Chooses a free slot, else one reclaimed from batch, else the least loaded upstream if the request may queue inside
@@ -276,7 +283,7 @@
         if let Some(best) = best.filter(|it| self.has_free_slot(*it, request, now)) {
             return Some(best);
         }
-        if let Some(batch) = self.reclaimable(request, now, |_| true) {
+        if let Some(batch) = self.reclaimable_for_online(request, now) {
             self.reclaim(&batch, out);
             return Some(batch.upstream);
         }
@@ -304,7 +311,7 @@
         if due.late {
             return None;
         }
-        let batch = self.reclaimable(request, now, |due| due.late)?;
+        let batch = self.reclaimable(request, now, |_| true, |due| due.late)?;
         self.reclaim(&batch, out);
         Some(batch.upstream)
     }
@@ -320,6 +327,20 @@
         free > upstreams.min(MAX_HEADROOM)
     }
 
+    /// Reclaims the batch lease of an upstream that is due last.
+    pub(super) fn reclaim_last(&mut self, index: usize, out: &mut Outgoing) {
+        let batch = self.upstreams[index].state.grants.batch();
+        let last = batch.max_by_key(|(_, due)| *due);
+        let last = last.map(|(grant, _)| BatchLease {
+            upstream: index,
+            holder: grant.holder,
+            lease: grant.lease,
+        });
+        if let Some(batch) = last {
+            self.reclaim(&batch, out);
+        }
+    }
+
     fn reclaim(&mut self, batch: &BatchLease, out: &mut Outgoing) {
         let grants = &mut self.upstreams[batch.upstream].state.grants;
         if let Some(grant) = grants.reclaim(batch.holder, batch.lease) {
@@ -360,12 +381,24 @@
         best.map(|position| indices[position])
     }
 
-    /// Returns the lease of a batch item to reclaim for a request: of those that `select` accepts by their due time and whose
-    /// end makes the request fit, one of the customer that is most above its share, and of its leases the one that is due last.
+    /// Returns the lease of a batch item in whose place an online request may run, see [`Self::reclaimable`]. A slow upstream
+    /// whose requests exceed its concurrency is of no use to an online request.
+    fn reclaimable_for_online(&self, request: &SlotRequest, now: Instant) -> Option<BatchLease> {
+        let placement = &*self.placement;
+        let is_usable = |entry: &Entry| {
+            !entry.state.pace.is_slow(now) || entry.load() <= entry.concurrency(placement, now)
+        };
+        self.reclaimable(request, now, is_usable, |_| true)
+    }
+
+    /// Returns the lease of a batch item to reclaim for a request: of those at upstreams that `is_usable` accepts, that
+    /// `select` accepts by their due time and whose end makes the request fit, one at a slow upstream before the others, then
+    /// one of the customer that is most above its share, and of its leases the one that is due last.
     fn reclaimable(
         &self,
         request: &SlotRequest,
         now: Instant,
+        is_usable: impl Fn(&Entry) -> bool,
         select: impl Fn(Due) -> bool,
     ) -> Option<BatchLease> {
         let held = self.batch_work();
@@ -375,18 +408,20 @@
             self.order.excess(customer, work.unwrap_or_default())
         };
         let entries = self.upstreams.iter().enumerate();
-        let accepting = entries.filter(|(_, entry)| entry.accepts(request, now));
+        let accepting =
+            entries.filter(|(_, entry)| is_usable(entry) && entry.accepts(request, now));
         let leases = accepting.flat_map(|(index, entry)| {
             let candidate = entry.candidate(request, now);
+            let is_slow = entry.state.pace.is_slow(now);
             let batch = entry.state.grants.batch();
             let select = &select;
             let suitable = batch.filter(move |(grant, due)| {
                 select(*due) && self.fits_without(grant, &candidate, request, now)
             });
-            suitable.map(move |(grant, due)| (index, grant, due))
+            suitable.map(move |(grant, due)| (index, grant, is_slow, due))
         });
-        let last = leases.max_by_key(|(_, grant, due)| (excess(grant), *due));
-        last.map(|(upstream, grant, _)| BatchLease {
+        let last = leases.max_by_key(|(_, grant, is_slow, due)| (*is_slow, excess(grant), *due));
+        last.map(|(upstream, grant, ..)| BatchLease {
             upstream,
             holder: grant.holder,
             lease: grant.lease,
--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -190,6 +190,8 @@
     pub address: SocketAddr,
     /// All its slots may be in use, so the request may queue inside it at first.
     pub queued: bool,
+    /// The pace to expect there, by which the host notices late events. `None` if it is not known or not measured.
+    pub expected: Option<pace::Expected>,
 }
 
 /// The end of a lease.
--- a/crates/tinbank-allocator/src/options.rs
+++ b/crates/tinbank-allocator/src/options.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     order::{ByExpiry, FairShare, Order},
-    placement::{Affinity, Cost, LeastLoaded, Placement},
+    placement::{Affinity, Cost, FirstEvent, LeastLoaded, Placement},
 };
 
 /// How much later than at the best upstream the first event may be expected where parts of the prompt are kept, in
@@ -41,7 +41,10 @@
     }
 
     pub(crate) fn placement(self) -> Box<dyn Placement> {
-        let placement = Box::new(LeastLoaded);
+        let placement: Box<dyn Placement> = match self.strategy {
+            Strategy::LeastLoaded => Box::new(LeastLoaded),
+            Strategy::ExpectedFirstEvent => Box::new(FirstEvent),
+        };
         if !self.prefix_affinity {
             return placement;
         }
@@ -52,4 +55,9 @@
         };
         Box::new(Affinity::new(placement, max_excess))
     }
+
+    /// Returns whether hosts measure the paces of upstreams and report them.
+    pub fn measures_pace(self) -> bool {
+        self.strategy == Strategy::ExpectedFirstEvent
+    }
 }
--- a/crates/tinbank-allocator/src/placement.rs
+++ b/crates/tinbank-allocator/src/placement.rs
@@ -1,12 +1,13 @@
 //! The choice of the upstream at which a request starts.
 
 mod affinity;
+mod first_event;
 
 use std::{fmt, time::Instant};
 
 use tinbank_base::id;
 
-pub use self::affinity::Affinity;
+pub use self::{affinity::Affinity, first_event::FirstEvent};
 use crate::{frame::SlotRequest, pace::Pace, size::Tokens};
 
 /// Cost of sending a request to an upstream; the lowest wins.
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use tinbank_allocator::{frame::Verdict, lease::Class, leaving::Evidence, placement::Summary};
+use tinbank_allocator::{
+    frame::Verdict, lease::Class, leaving::Evidence, pace::Sample, placement::Summary,
+};
 
 use crate::border::ingress::Reply;
 
@@ -96,6 +98,21 @@
     metrics::histogram!("tinbank_entry_backlog_retry_seconds").record(retry_after);
 }
 
+/// Records an event that is or was later than the allocator expects.
+pub(crate) fn record_late_event(sample: Sample) {
+    let event = if sample.interval_us == 0 {
+        "first"
+    } else {
+        "later"
+    };
+    metrics::counter!("tinbank_entry_late_events_total", "event" => event).increment(1);
+}
+
+/// Sets the number of upstreams that count as slow at the allocator of this host.
+pub(crate) fn set_slow_upstreams(upstreams: usize) {
+    metrics::gauge!("tinbank_entry_slow_upstreams").set(upstreams as f64);
+}
+
 /// Records that an upstream broke a connection, with the outcome of the probe that followed.
 pub(crate) fn record_broken_connection(found: &'static str) {
     metrics::counter!("tinbank_entry_broken_upstreams_total", "found" => found).increment(1);
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -50,6 +50,9 @@
                 state.allocator.set_heartbeat_reply(self.alive(now));
                 let (out, change) = state.allocator.receive(from, frame, now);
                 let summary = state.allocator.take_summary();
+                if let Some(StateChange::Slowed(_) | StateChange::Recovered(_)) = change {
+                    measure::set_slow_upstreams(state.allocator.slow_upstreams(now));
+                }
                 drop(state);
                 measure::record_placements(summary);
                 if change == Some(StateChange::Learning) {
@@ -198,6 +201,12 @@
             measure::record_leaving_report(decision);
             log::warn!(upstream:%, host:% = from, why:?; "report that an upstream leaves not believed");
         }
+        Some(StateChange::Slowed(upstream)) => {
+            log::warn!(upstream:%; "upstream slow compared with the others of its service, gets fewer requests");
+        }
+        Some(StateChange::Recovered(upstream)) => {
+            log::info!(upstream:%; "upstream no longer slow");
+        }
         Some(StateChange::Learning) => {
             log::info!(
                 "allocator collects the leases of other hosts before it grants slots to batch"
