Report free slots of failure domains; shed load of overloaded hosts

Cause: a request that finds no slot at home asks every other failure domain in turn, although most have none; and a host that is overloaded takes as much work as any other.

Change, with `share_room`: allocators report free slots and waiting requests in heartbeat replies, in denials (`Frame::Denial`) and each 200 ms to each other (`Frame::Room`). A host that is denied at home asks one failure domain with room, chosen at random in proportion to it, and those without a report of the last 3 s.

Change, with `shed_load`: each host measures the delay of its timer and of its event loop, its memory and its open calls, and steps down and back: no batch items, `Connection: close`, readiness 503. The allocator of the failure domain permits at most about a fifth of the hosts to withdraw. A delegate that stays overloaded leaves the group that shares the jobs.

Without the settings nothing is sent or measured. The datagram version is 7.

--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -11,14 +11,16 @@
 use tinbank_allowance::{Counter, Counts, Reachability, Tolerance};
 use tinbank_base::id;
 
+use self::slot_request::MAX_HEADROOM;
 use crate::{
     entries::Entries,
-    frame::{Frame, HeartbeatReply, Holdings, Release, SlotResponse, Verdict},
+    frame::{Frame, HeartbeatReply, Holdings, Release, Room, SlotResponse, Verdict},
     grants::{self, Grants},
     lease::{self, Outcome},
     options::Options,
     order::Order,
     placement::Placement,
+    room::{self, Reporter},
     size::Tokens,
     slow_start::ColdStart,
     smoothed_duration::SmoothedDuration,
@@ -95,6 +97,8 @@
     counter: Counter,
     /// The hosts that use this allocator.
     reachability: Reachability,
+    /// Free slots that are reported; `None` if they are not.
+    reporter: Option<Reporter>,
 }
 
 impl Allocator {
@@ -120,6 +124,7 @@
             placement: options.placement(),
             counter: Counter::new(seed, tolerance),
             reachability: Reachability::default(),
+            reporter: options.share_room.then(Reporter::default),
         }
     }
 
@@ -181,7 +186,11 @@
             Frame::Holdings(holdings) => {
                 let change = self.record_contact(from, now);
                 self.apply_holdings(from, &holdings, now);
-                out.push((from, Frame::HeartbeatReply(self.heartbeat_reply.clone())));
+                let reply = HeartbeatReply {
+                    room: self.room(now),
+                    ..self.heartbeat_reply.clone()
+                };
+                out.push((from, Frame::HeartbeatReply(reply)));
                 change
             }
             Frame::Counts(counts) => {
@@ -194,6 +203,9 @@
             | Frame::HeartbeatReply(_)
             | Frame::Ping
             | Frame::Pace(_)
+            | Frame::Denial(_)
+            | Frame::Room(_)
+            | Frame::Overloaded(_)
             | Frame::Quarantine(_) => {
                 return (out, None);
             }
@@ -278,6 +290,20 @@
         Some(StateChange::Learning)
     }
 
+    /// Returns the free slots of the failure domain to report. `None` if they are not reported, or not known because hosts use
+    /// another allocator or have not reported their holdings yet.
+    pub fn room(&mut self, now: Instant) -> Option<Room> {
+        if !self.is_active(now) || self.is_learning(now) {
+            return None;
+        }
+        let reporter = self.reporter.as_mut()?;
+        let waiting = self.wait_queue.waiters();
+        let placement = &*self.placement;
+        Some(reporter.room(now, || {
+            room::measure(&self.upstreams, waiting, placement, MAX_HEADROOM, now)
+        }))
+    }
+
     /// Returns the customer counts to send to other allocators, if this one is active.
     pub fn counts(&mut self, now: Instant) -> Option<Counts> {
         match self.is_active(now) {
--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -14,7 +14,7 @@
 
 /// Maximum number of slots per failure domain that batch leaves free, one per upstream below that, so that an online
 /// request seldom has to reclaim one. Covers the online requests that arrive while a slot is being reclaimed.
-const MAX_HEADROOM: usize = 8;
+pub(super) const MAX_HEADROOM: usize = 8;
 
 impl Allocator {
     /// Responds to a slot request.
--- a/crates/tinbank-allocator/src/directory.rs
+++ b/crates/tinbank-allocator/src/directory.rs
@@ -141,6 +141,14 @@
         self.peers.len()
     }
 
+    /// Returns the number of listed hosts in a failure domain.
+    pub fn host_count_in(&self, failure_domain: &str) -> usize {
+        let peers = self.peers.iter();
+        peers
+            .filter(|it| it.failure_domain == failure_domain)
+            .count()
+    }
+
     /// Returns the failure domains that have hosts, in the order in which a host of `own` sends slot requests to them:
     /// its own first, then the others rotated by `turn`.
     pub fn failure_domains(&self, own: &str, turn: u64) -> SmallVec<[id::FailureDomain; 4]> {
--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -11,7 +11,7 @@
 use crate::{lease, pace, size::Size};
 
 /// First byte of each datagram; a host ignores datagrams of another version.
-const VERSION: u8 = 6;
+const VERSION: u8 = 7;
 /// Maximum datagram size in bytes. Holds the holdings of a host with 200 leases; most datagrams fit in one packet.
 pub const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -54,6 +54,12 @@
     Quarantine(Update),
     /// The pace of an upstream, as measured on a request that still runs there.
     Pace(PaceReport),
+    /// A denial together with what is known of the free slots of failure domains, in place of a [`Frame::SlotResponse`].
+    Denial(Denial),
+    /// Free slots of the sender's failure domain, from its allocator to the others.
+    Room(RoomReport),
+    /// The sending host is overloaded.
+    Overloaded(Overloaded),
 }
 
 /// A request for one slot.
@@ -204,10 +210,39 @@
     pub service: id::Service,
     /// Slots that no online request uses.
     pub free: u32,
+    /// Slots that a batch item may take without reclaiming one.
+    pub free_for_batch: u32,
     /// Online requests that wait for one.
     pub waiting: u32,
 }
 
+/// Free slots of a failure domain, as its allocator knew them some time ago.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoomReport {
+    /// The failure domain.
+    pub failure_domain: id::FailureDomain,
+    /// Age of the report when it was sent, in milliseconds.
+    pub age_ms: u32,
+    /// Its free slots.
+    pub room: Room,
+}
+
+/// Denial of a slot request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Denial {
+    /// The requested lease.
+    pub lease: lease::Id,
+    /// Free slots of the failure domains, of the allocator's own first.
+    pub rooms: SmallVec<[RoomReport; 3]>,
+}
+
+/// Notice of a host that it is overloaded. The allocator's next [`HeartbeatReply`] says whether it may withdraw.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Overloaded {
+    /// It has withdrawn from the load balancer.
+    pub has_withdrawn: bool,
+}
+
 /// Status of a host, sent in reply to a heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeartbeatReply {
@@ -215,6 +250,8 @@
     pub reaches_store: bool,
     /// Free slots of its failure domain, if it is the allocator there and reports them.
     pub room: Option<Room>,
+    /// The receiver may withdraw from the load balancer, or stay withdrawn.
+    pub may_withdraw: bool,
 }
 
 /// All leases that a host holds in one failure domain.
--- a/crates/tinbank-allocator/src/grants.rs
+++ b/crates/tinbank-allocator/src/grants.rs
@@ -96,6 +96,11 @@
         Some(self.0.remove(last))
     }
 
+    /// Returns the number of batch leases.
+    pub fn batch_count(&self) -> usize {
+        self.0.iter().filter(|it| it.class.is_batch()).count()
+    }
+
     /// Returns the latest due time of the batch leases.
     pub fn last_due(&self) -> Option<Due> {
         self.0.iter().filter_map(Grant::due).max()
--- a/crates/tinbank-allocator/tests/harness/mod.rs
+++ b/crates/tinbank-allocator/tests/harness/mod.rs
@@ -7,9 +7,9 @@
 };
 
 use tinbank_allocator::{
-    Allocator,
+    Allocator, Options,
     allocator::{Outgoing, StateChange, Upstream},
-    frame::{Frame, Holdings, Queue, Release, SlotRequest, Verdict},
+    frame::{Frame, Holdings, Queue, Release, Room, SlotRequest, Verdict},
     lease::{Class, Due, Footprint, Held, Id, Outcome},
     size::Size,
 };
@@ -37,6 +37,8 @@
     pub granted: Vec<Id>,
     /// Rank of new requests.
     pub rank: u8,
+    /// Room in the last heartbeat reply.
+    pub reported: Option<Room>,
     held: HashMap<(SocketAddr, Id), (id::Instance, Class)>,
     upstreams: usize,
 }
@@ -70,8 +72,21 @@
 impl Harness {
     /// Creates an allocator that has received heartbeats of all hosts and no longer learns.
     pub fn after_learning(upstreams: u8) -> Self {
+        Self::with_options(upstreams, Options::default())
+    }
+
+    /// The same for an allocator that reports its free slots.
+    pub fn reporting_room(upstreams: u8) -> Self {
+        let options = Options {
+            share_room: true,
+            ..Options::default()
+        };
+        Self::with_options(upstreams, options)
+    }
+
+    fn with_options(upstreams: u8, options: Options) -> Self {
         let mut harness = Self {
-            allocator: Allocator::new(1, Tolerance::default()),
+            allocator: Allocator::with_options(1, Tolerance::default(), options),
             now: Instant::now(),
             next_lease: 0,
             queued: false,
@@ -79,6 +94,7 @@
             pending: HashMap::new(),
             granted: Vec::new(),
             rank: 0,
+            reported: None,
             held: HashMap::new(),
             upstreams: upstreams.into(),
         };
@@ -126,7 +142,10 @@
                     self.reclaimed.push((to, lease));
                     continue;
                 }
-                Frame::HeartbeatReply(_) => continue,
+                Frame::HeartbeatReply(reply) => {
+                    self.reported = reply.room;
+                    continue;
+                }
                 other => panic!("unexpected {other:?}"),
             };
             let key = (to, response.lease);
--- a/crates/tinbank-gateway/src/batch/mod.rs
+++ b/crates/tinbank-gateway/src/batch/mod.rs
@@ -79,6 +79,11 @@
         self.ownership.invalidate();
     }
 
+    /// Stops half of the running items because this host is overloaded, and returns their number.
+    pub fn give_up_half(&self) -> usize {
+        self.runner.stop_half()
+    }
+
     /// Drops all job state when this host stops being a delegate.
     fn reset(&self) {
         self.caught_up.set(false);
--- a/crates/tinbank-gateway/src/batch/ownership.rs
+++ b/crates/tinbank-gateway/src/batch/ownership.rs
@@ -29,6 +29,14 @@
 /// Timeout of a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// How long an overloaded host starts no items before it leaves the group. A shorter overload is over before other members
+/// have taken over.
+const OVERLOAD_TOLERANCE: Duration = Duration::from_secs(3);
+/// Maximum time for which an overloaded host stays out of the group, so that jobs go on if all members have left.
+const MAX_ABSENCE: Duration = Duration::from_secs(15);
+/// Time between two checks whether the overload is over.
+const ABSENCE_CHECK: Duration = Duration::from_millis(100);
+
 /// Membership of the process in the group, and the partitions assigned to it.
 #[derive(Default)]
 pub(super) struct Ownership {
@@ -37,6 +45,8 @@
     generation: Cell<u64>,
     renewed_at: Cell<Option<Instant>>,
     is_member: Cell<bool>,
+    /// When the process began to join the group.
+    member_since: Cell<Option<Instant>>,
 }
 
 impl Ownership {
@@ -51,6 +61,11 @@
         self.is_member.get()
     }
 
+    fn begin_membership(&self) {
+        self.is_member.set(true);
+        self.member_since.set(Some(Instant::now()));
+    }
+
     /// Treats the membership as expired until the next join call.
     pub fn invalidate(&self) {
         self.renewed_at.set(None);
@@ -80,8 +95,12 @@
 pub(super) async fn maintain(node: Rc<Node>) {
     create_topic(&node).await;
     let mut dependency = Dependency::new("group");
-    node.batch.ownership.is_member.set(true);
+    node.batch.ownership.begin_membership();
     while node.batch.ownership.is_member() {
+        if must_leave_items(&node) {
+            leave_while_overloaded(&node).await;
+            continue;
+        }
         let mut pause = ttl(&node) / JOINS_PER_TTL;
         match join(&node).await {
             Ok(revoked) => {
@@ -99,6 +118,36 @@
     }
 }
 
+/// Returns whether this process owns all partitions, so that no other one runs items.
+pub(super) fn is_only_owner(node: &Node) -> bool {
+    let owned = node.batch.ownership.partitions.borrow().iter().count();
+    owned == node.settings.store.partitions as usize
+}
+
+/// Returns whether an overloaded host leaves its items to other members of the group. It stays a member for some time, in which
+/// it learns whether there are others.
+fn must_leave_items(node: &Node) -> bool {
+    let now = Instant::now();
+    let since = node.batch.ownership.member_since.get();
+    let is_settled = since.is_some_and(|since| now >= since + OVERLOAD_TOLERANCE);
+    let is_overloaded = node.overload.has_shed_items_for(OVERLOAD_TOLERANCE, now);
+    is_settled && is_overloaded && !is_only_owner(node)
+}
+
+/// Leaves the group until the overload is over.
+async fn leave_while_overloaded(node: &Node) {
+    log::info!("overloaded, items left to other hosts");
+    super::runner::drain(node).await;
+    leave(node).await;
+    let until = Instant::now() + MAX_ABSENCE;
+    while !node.overload.takes_items() && Instant::now() < until {
+        time::sleep(ABSENCE_CHECK).await;
+    }
+    if !node.stop.is_stopping() {
+        node.batch.ownership.begin_membership();
+    }
+}
+
 /// Stops the items of revoked partitions, and returns whether there are any such partitions. The store assigns them to
 /// another member only after this process has joined again, so the runs can be checkpointed before.
 fn stop_revoked(node: &Node, revoked: &Revoked) -> bool {
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -146,6 +146,13 @@
         stopped.map(|(_, run)| run.stop.notify_one()).count()
     }
 
+    /// Stops half of the items, rounded up, and returns their number.
+    pub fn stop_half(&self) -> usize {
+        let running = self.running.borrow();
+        let stopped = running.values().take(running.len().div_ceil(2));
+        stopped.map(|run| run.stop.notify_one()).count()
+    }
+
     fn drop_run(&self, job: &JobId, index: Index, delay: Duration) {
         let key = (job.clone(), index);
         let run = self.running.borrow_mut().remove(&key);
--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -35,7 +35,7 @@
 
 /// Returns the item that is due first among those that this process owns and that may run now.
 pub(super) fn next_item(node: &Rc<Node>) -> Option<Candidate> {
-    if node.stop.is_stopping() || !node.batch.is_caught_up() {
+    if node.stop.is_stopping() || !node.batch.is_caught_up() || must_shed(node) {
         return None;
     }
     let config = node.view.config()?;
@@ -48,6 +48,13 @@
         .min_by_key(|candidate| candidate.due)
 }
 
+/// Returns whether the host starts no item because it is overloaded. A host that owns all jobs runs one item at a time, since
+/// no other host goes on with them.
+fn must_shed(node: &Node) -> bool {
+    let has_running = !node.batch.runner.running.borrow().is_empty();
+    !node.overload.takes_items() && (has_running || !ownership::is_only_owner(node))
+}
+
 /// Returns the item of a job that is due first, and abandons the items that may no longer run.
 fn next_of_job(node: &Rc<Node>, config: &Config, job: &Job) -> Option<Candidate> {
     let now = Now::read();
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -60,6 +60,14 @@
     metrics::histogram!("tinbank_entry_ask_seconds").record(took);
 }
 
+/// Records a slot request to another failure domain, by whether a recent report of its free slots was known.
+pub(crate) fn record_crossing(has_report: bool, is_granted: bool) {
+    let report = if has_report { "recent" } else { "missing" };
+    let answer = if is_granted { "granted" } else { "not_granted" };
+    metrics::counter!("tinbank_entry_crossings_total", "report" => report, "answer" => answer)
+        .increment(1);
+}
+
 /// Records that an upstream broke a connection, with the outcome of the probe that followed.
 pub(crate) fn record_broken_connection(found: &'static str) {
     metrics::counter!("tinbank_entry_broken_upstreams_total", "found" => found).increment(1);
@@ -75,6 +83,16 @@
     metrics::gauge!("tinbank_entry_evacuated_failure_domains").set(failure_domains as f64);
 }
 
+/// Sets the level of shedding of this host, 0 if it takes all work.
+pub(crate) fn set_overload_level(level: u32) {
+    metrics::gauge!("tinbank_entry_overload_level").set(f64::from(level));
+}
+
+/// Records batch items that this host gave up because it is overloaded.
+pub(crate) fn record_items_given_up(items: usize) {
+    metrics::counter!("tinbank_entry_items_given_up_total").increment(items as u64);
+}
+
 /// Records the end of a run of a batch item at an upstream.
 pub(crate) fn record_item_run(ended: &'static str) {
     metrics::counter!("tinbank_entry_item_runs_total", "ended" => ended).increment(1);
--- a/crates/tinbank-gateway/src/node.rs
+++ b/crates/tinbank-gateway/src/node.rs
@@ -15,6 +15,7 @@
     border::{engine::Engine, ingress::Ingress, store::Store},
     clock::{ClockReading, PauseCount, PauseDetector},
     feed::Feed,
+    overload::Overload,
     quarantine::Quarantine,
     retry::Retry,
     settings::Settings,
@@ -38,6 +39,7 @@
     pub clock: Rc<PauseDetector>,
     pub batch: Batch,
     pub stop: Stop,
+    pub overload: Overload,
     draws: Cell<u64>,
     /// Statistics of routes, by route name.
     route_stats: RefCell<HashMap<String, RouteStats>>,
@@ -77,6 +79,7 @@
             view: View::default(),
             sharing,
             stop: Stop::default(),
+            overload: Overload::default(),
             draws: Cell::new(crate::identity::random_id()),
             route_stats: RefCell::default(),
         }
@@ -146,9 +149,10 @@
     }
 
     /// Returns whether the process can take requests: it has read the configuration and the upstreams, and the jobs if it is
-    /// a delegate. Other hosts forward calls about jobs.
+    /// a delegate, and has not withdrawn because of overload. Other hosts forward calls about jobs.
     pub fn is_ready(&self) -> bool {
         let knows_jobs = self.batch.is_caught_up() || !self.feed.is_delegate();
-        self.view.is_known() && knows_jobs && !self.stop.is_stopping()
+        let takes_calls = !self.stop.is_stopping() && !self.overload.has_withdrawn();
+        self.view.is_known() && knows_jobs && takes_calls
     }
 }
--- a/crates/tinbank-gateway/src/run.rs
+++ b/crates/tinbank-gateway/src/run.rs
@@ -25,7 +25,7 @@
     clock::CHECK_INTERVAL,
     feed, identity,
     node::Node,
-    quarantine, serve,
+    overload, quarantine, serve,
     settings::Settings,
     sharing::{self, Sharing},
     view,
@@ -155,6 +155,12 @@
     task::spawn_local(sharing::receive(Rc::clone(&node.sharing), on_update));
     task::spawn_local(sharing::heartbeat(Rc::clone(node)));
     task::spawn_local(sharing::broadcast_counts(Rc::clone(&node.sharing)));
+    if node.settings.scheduling.shed_load {
+        task::spawn_local(overload::watch(Rc::clone(node)));
+    }
+    if node.settings.scheduling.share_room {
+        task::spawn_local(sharing::broadcast_room(Rc::clone(&node.sharing)));
+    }
     task::spawn_local(feed::follow(Rc::clone(node)));
     task::spawn_local(feed::register_first_delegate(Rc::clone(node)));
     task::spawn_local(sharing::poll_upstream_load(Rc::clone(node)));
--- a/crates/tinbank-gateway/src/serve.rs
+++ b/crates/tinbank-gateway/src/serve.rs
@@ -122,7 +122,7 @@
 ) -> Result<Response<Body>, Infallible> {
     let work = crate::stop::track_work(&node);
     let mut response = respond(&node, request).await;
-    if node.stop.is_stopping() {
+    if node.stop.is_stopping() || node.overload.closes_connections() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -9,6 +9,8 @@
 mod load_poll;
 mod peers;
 mod pending;
+mod room;
+mod withdrawal;
 
 use std::{
     cell::{Cell, RefCell},
@@ -27,7 +29,9 @@
     directory::Peer,
     frame::{Frame, HeartbeatReply, Meter, Queue, Share, Verdict},
     lease::{self, Class, Footprint},
+    room::Rooms,
     size::Size,
+    withdrawal::Withdrawals,
 };
 use tinbank_allowance::{FallbackLimiter, Tolerance};
 use tinbank_base::id;
@@ -42,6 +46,7 @@
     held::Lease,
     load_poll::poll_upstream_load,
     peers::{heartbeat, receive},
+    room::broadcast_room,
 };
 
 /// Age of the last read of the store up to which the store counts as reachable: twice the longest time between two
@@ -54,9 +59,13 @@
     own: Peer,
     state: RefCell<State>,
     next_lease_id: Cell<lease::Id>,
+    /// Whether free slots are reported, and used to choose failure domains.
+    shares_room: bool,
     /// Notified when this host's allocator starts to collect the leases of other hosts.
     learning: Notify,
     store_read_at: Cell<Option<Instant>>,
+    /// Until when this host may withdraw from the load balancer.
+    may_withdraw_until: Cell<Option<Instant>>,
 }
 
 struct State {
@@ -72,6 +81,10 @@
     store_reachable_at: HashMap<SocketAddr, Instant>,
     /// Limits the customers' requests while no allocator answers.
     fallback: FallbackLimiter,
+    /// Free slots of the failure domains.
+    rooms: Rooms,
+    /// Overloaded hosts of the own failure domain, if this host is its allocator.
+    withdrawals: Withdrawals,
 }
 
 /// Requirements for a slot.
@@ -135,6 +148,8 @@
             avoidance: Avoidance::default(),
             store_reachable_at: HashMap::new(),
             fallback: FallbackLimiter::new(seed, tolerance),
+            rooms: Rooms::default(),
+            withdrawals: Withdrawals::default(),
         };
         // Lease ids increase over restarts, so that the holdings of this process end the leases of the previous one.
         let since_1970 = std::time::SystemTime::UNIX_EPOCH.elapsed();
@@ -144,8 +159,10 @@
             own,
             state: RefCell::new(state),
             next_lease_id: Cell::new(first),
+            shares_room: options.share_room,
             learning: Notify::new(),
             store_read_at: Cell::new(None),
+            may_withdraw_until: Cell::new(None),
         })
     }
 
@@ -253,7 +270,7 @@
     fn alive(&self, now: Instant) -> HeartbeatReply {
         HeartbeatReply {
             reaches_store: self.reaches_store(now),
-            room: None,
+            ..HeartbeatReply::default()
         }
     }
 
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -27,7 +27,7 @@
 const FALLBACK_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Result of a request to one allocator.
-enum SlotResult {
+pub(super) enum SlotResult {
     Granted(Lease),
     Denied,
     /// The customer has used up its allowance and may retry after this time.
@@ -39,7 +39,7 @@
 }
 
 impl Sharing {
-    /// Requests a free slot from the host's own failure domain, then from the others. If there is none, an online request
+    /// Requests a free slot from the host's own failure domain, then from one that reports room or from all that report nothing. If there is none, an online request
     /// waits at the first allocator that expects to have one in time, or inside an upstream if it may. If no allocator
     /// answers, this host chooses an upstream itself.
     pub async fn lease(self: &Rc<Self>, node: &Node, spec: &SlotSpec<'_>) -> Allocation {
@@ -51,9 +51,11 @@
             Queue::No => &[Queue::No],
             queue => &[Queue::No, queue],
         };
+        let immediate = self.order_by_room(&domains, spec);
         let mut denied = false;
-        for queue in queues {
-            for domain in &domains {
+        for (index, queue) in queues.iter().enumerate() {
+            let domains = if index == 0 { &immediate } else { &domains };
+            for domain in domains {
                 match self.request_slot(node, spec, domain, *queue).await {
                     SlotResult::Granted(lease) => return Allocation::Granted(lease),
                     SlotResult::Denied => denied = true,
@@ -106,7 +108,10 @@
         queue: Queue,
     ) -> SlotResult {
         for _ in 0..MAX_LEAVING_GRANTS {
-            let lease = match self.request_slot_once(spec, domain, queue).await {
+            let crossing = self.record_crossing(domain, spec);
+            let result = self.request_slot_once(spec, domain, queue).await;
+            self.record_result(domain, spec, crossing, &result);
+            let lease = match result {
                 SlotResult::Granted(lease) => lease,
                 other => return other,
             };
--- a/crates/tinbank-gateway/src/sharing/ask/tests.rs
+++ b/crates/tinbank-gateway/src/sharing/ask/tests.rs
@@ -5,12 +5,16 @@
 use tinbank_allocator::{
     Options,
     directory::Peer,
-    frame::{Frame, Grant, MAX_DATAGRAM_BYTES, Queue, SlotResponse, Verdict},
+    frame::{
+        Denial, Frame, Grant, MAX_DATAGRAM_BYTES, Queue, Room, RoomReport, ServiceRoom,
+        SlotResponse, Verdict,
+    },
     lease::{self, Class},
     size::Size,
 };
 use tinbank_allowance::Tolerance;
 use tokio::{net::UdpSocket, task, time};
+use yare::parameterized;
 
 use super::SlotResult;
 use crate::sharing::{Sharing, SlotSpec, receive};
@@ -26,13 +30,17 @@
 
 impl Fixture {
     async fn new() -> Self {
+        Self::with_options(Options::default()).await
+    }
+
+    async fn with_options(options: Options) -> Self {
         let own = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let own_address = own.local_addr().unwrap();
         drop(own);
         let allocator = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let own = peer(own_address, "south");
         let sharing = Rc::new(
-            Sharing::bind(own, 1, Tolerance::default(), Options::default())
+            Sharing::bind(own, 1, Tolerance::default(), options)
                 .await
                 .unwrap(),
         );
@@ -56,6 +64,10 @@
 
     async fn answer(&self, to: SocketAddr, lease: lease::Id, verdict: Verdict) {
         let frame = Frame::SlotResponse(SlotResponse { lease, verdict });
+        self.send(to, frame).await;
+    }
+
+    async fn send(&self, to: SocketAddr, frame: Frame) {
         let bytes = frame.encode().unwrap();
         self.allocator.send_to(&bytes, to).await.unwrap();
     }
@@ -107,21 +119,42 @@
     task::LocalSet::new().block_on(&runtime, test);
 }
 
+fn spec(queue: Queue, size: &Size) -> SlotSpec<'_> {
+    SlotSpec {
+        class: Class::Online,
+        service: "notes",
+        exclude: &[],
+        queue,
+        rank: 0,
+        meter: None,
+        share: None,
+        size,
+        max_gap: None,
+    }
+}
+
+fn room_report(failure_domain: &str, free: u32, age: Duration) -> RoomReport {
+    let service = ServiceRoom {
+        service: "notes".to_owned(),
+        free,
+        free_for_batch: 0,
+        waiting: 0,
+    };
+    RoomReport {
+        failure_domain: failure_domain.to_owned(),
+        age_ms: age.as_millis() as u32,
+        room: Room {
+            services: [service].into_iter().collect(),
+        },
+    }
+}
+
 /// Requests a slot in the background.
 fn request(fixture: &Fixture, queue: Queue) -> task::JoinHandle<SlotResult> {
     let sharing = Rc::clone(&fixture.sharing);
     task::spawn_local(async move {
-        let spec = SlotSpec {
-            class: Class::Online,
-            service: "notes",
-            exclude: &[],
-            queue,
-            rank: 0,
-            meter: None,
-            share: None,
-            size: &Size::default(),
-            max_gap: None,
-        };
+        let size = Size::default();
+        let spec = spec(queue, &size);
         sharing.request_slot_once(&spec, "north", queue).await
     })
 }
@@ -202,3 +235,39 @@
         assert_eq!(withdrawn, lease);
     });
 }
+
+/// Without reports, each request that is denied at home asks every failure domain.
+#[parameterized(
+    one_has_room = { true, Duration::ZERO, &["south", "west"] },
+    reports_are_old = { true, Duration::from_secs(4), &["south", "north", "west"] },
+    switched_off = { false, Duration::ZERO, &["south", "north", "west"] },
+)]
+fn a_denial_says_which_failure_domains_have_room(
+    share_room: bool,
+    age: Duration,
+    expected: &[&str],
+) {
+    let options = Options {
+        share_room,
+        ..Options::default()
+    };
+    run(async move {
+        let fixture = Fixture::with_options(options).await;
+        let request = request(&fixture, Queue::No);
+        let (lease, host) = fixture.next(slot_request).await.unwrap();
+        let rooms = [room_report("north", 0, age), room_report("west", 3, age)];
+
+        let rooms = rooms.into_iter().collect();
+        let denial = Frame::Denial(Denial { lease, rooms });
+        fixture.send(host, denial).await;
+        let result = request.await.unwrap();
+
+        let domains = ["south", "north", "west"].map(str::to_owned);
+        let size = Size::default();
+        let order = fixture
+            .sharing
+            .order_by_room(&domains.into_iter().collect(), &spec(Queue::No, &size));
+        assert!(matches!(result, SlotResult::Denied));
+        assert_eq!(order.to_vec(), expected);
+    });
+}
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -9,7 +9,7 @@
 use smallvec::SmallVec;
 use tinbank_allocator::{
     allocator::{HEARTBEAT_INTERVAL, Outgoing, StateChange},
-    frame::{self, Frame, Grant, Holdings, MAX_DATAGRAM_BYTES, Release, Verdict},
+    frame::{self, Frame, Grant, HeartbeatReply, Holdings, MAX_DATAGRAM_BYTES, Release, Verdict},
     lease::{self, Held, Outcome},
 };
 use tinbank_quarantine::Update;
@@ -36,9 +36,18 @@
             Frame::SlotResponse(answer) => self.on_answer(from, answer),
             Frame::Ping => self.send(from, &Frame::HeartbeatReply(self.alive(now))),
             Frame::Reclaim(lease) => self.reclaim(lease),
+            Frame::Denial(denial) => self.on_denial(from, denial, now),
+            Frame::Room(report) => self.record_room(report, now),
+            Frame::Overloaded(notice) => self.record_overloaded(from, notice, now),
             Frame::HeartbeatReply(alive) => {
                 let mut state = self.state.borrow_mut();
                 state.directory.record_heartbeat_reply(from, now);
+                if alive.may_withdraw {
+                    self.record_permission(now);
+                }
+                if let Some(room) = alive.room {
+                    state.record_own_room(from, room, now);
+                }
                 match alive.reaches_store {
                     true => state.store_reachable_at.insert(from, now),
                     false => state.store_reachable_at.remove(&from),
@@ -46,8 +55,15 @@
             }
             frame => {
                 let mut state = self.state.borrow_mut();
-                state.allocator.set_heartbeat_reply(self.alive(now));
-                let (out, change) = state.allocator.receive(from, frame, now);
+                let reply = HeartbeatReply {
+                    may_withdraw: state.withdrawals.may_withdraw(from, now),
+                    ..self.alive(now)
+                };
+                state.allocator.set_heartbeat_reply(reply);
+                let (mut out, change) = state.allocator.receive(from, frame, now);
+                if self.shares_room {
+                    state.add_rooms(&mut out, &self.own.failure_domain, now);
+                }
                 drop(state);
                 if change == Some(StateChange::Learning) {
                     self.learning.notify_one();
@@ -64,7 +80,7 @@
         }
     }
 
-    fn on_answer(&self, from: SocketAddr, answer: frame::SlotResponse) {
+    pub(super) fn on_answer(&self, from: SocketAddr, answer: frame::SlotResponse) {
         let frame::SlotResponse { lease, verdict } = answer;
         let state = self.state.borrow();
         let unclaimed = match state.pending.get(&lease) {
--- /dev/null
+++ b/crates/tinbank-gateway/src/sharing/room.rs
@@ -0,0 +1,171 @@
+//! Reports of free slots: which failure domain a request is sent to after the own one, and what allocators tell each other.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use rand::Rng;
+use tinbank_allocator::{
+    allocator::Outgoing,
+    frame::{Denial, Frame, Room, RoomReport, SlotResponse, Verdict},
+    home::{self, Domains},
+};
+use tinbank_base::id;
+use tokio::time;
+
+use super::{Sharing, SlotSpec, State, ask::SlotResult};
+use crate::measure;
+
+/// Time between two reports of an allocator to the others, which pass them on with denials. Demand of a failure domain
+/// doubles within a second, so reports with heartbeats alone would often be too old.
+const BROADCAST_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A slot request to another failure domain.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Crossing {
+    /// Whether a recent report of its free slots is known.
+    has_report: bool,
+}
+
+impl Sharing {
+    /// Returns the failure domains to ask for a free slot, in order, out of those that may be asked: the own one, then those
+    /// that have room or no recent report.
+    pub(super) fn order_by_room(&self, domains: &Domains, spec: &SlotSpec<'_>) -> Domains {
+        if !self.shares_room {
+            return domains.clone();
+        }
+        let own = &self.own.failure_domain;
+        let (mut order, others): (Domains, Domains) =
+            domains.iter().cloned().partition(|it| it == own);
+        let draw = rand::rng().random();
+        let state = self.state.borrow();
+        let rooms = &state.rooms;
+        let now = Instant::now();
+        order.extend(home::order_others(
+            &others,
+            rooms,
+            spec.service,
+            spec.class,
+            draw,
+            now,
+        ));
+        order
+    }
+
+    /// Counts a request against the room that a failure domain has reported. Returns `None` for the own one.
+    pub(super) fn record_crossing(&self, domain: &str, spec: &SlotSpec<'_>) -> Option<Crossing> {
+        if !self.shares_room || domain == self.own.failure_domain {
+            return None;
+        }
+        let now = Instant::now();
+        let rooms = &mut self.state.borrow_mut().rooms;
+        let available = rooms.available(domain, spec.service, spec.class, now);
+        rooms.record_sent(domain, spec.service, now);
+        Some(Crossing {
+            has_report: available.is_some(),
+        })
+    }
+
+    /// Records the result of a slot request. A denial of a request that excludes upstreams says nothing about others.
+    pub(super) fn record_result(
+        &self,
+        domain: &str,
+        spec: &SlotSpec<'_>,
+        crossing: Option<Crossing>,
+        result: &SlotResult,
+    ) {
+        let Some(Crossing { has_report }) = crossing else {
+            return;
+        };
+        let is_granted = matches!(result, SlotResult::Granted(_));
+        measure::record_crossing(has_report, is_granted);
+        if spec.exclude.is_empty() && matches!(result, SlotResult::Denied) {
+            let rooms = &mut self.state.borrow_mut().rooms;
+            rooms.record_denied(domain, spec.service, spec.class);
+        }
+    }
+
+    /// Handles a denial that carries reports.
+    pub(super) fn on_denial(&self, from: SocketAddr, denial: Denial, now: Instant) {
+        for report in denial.rooms {
+            self.record_room(report, now);
+        }
+        let response = SlotResponse {
+            lease: denial.lease,
+            verdict: Verdict::Denied,
+        };
+        self.on_answer(from, response);
+    }
+
+    /// Records a report that another host has made or passed on.
+    pub(super) fn record_room(&self, report: RoomReport, now: Instant) {
+        let age = Duration::from_millis(report.age_ms.into());
+        if let Some(reported_at) = now.checked_sub(age) {
+            let rooms = &mut self.state.borrow_mut().rooms;
+            rooms.record(&report.failure_domain, report.room, reported_at);
+        }
+    }
+
+    /// Sends the free slots of the own failure domain to the other allocators, if this host is an allocator.
+    fn broadcast_room_once(&self, now: Instant) {
+        let mut state = self.state.borrow_mut();
+        let Some(room) = state.allocator.room(now) else {
+            return;
+        };
+        let allocators = state.directory.allocators(now);
+        drop(state);
+        let frame = Frame::Room(RoomReport {
+            failure_domain: self.own.failure_domain.clone(),
+            age_ms: 0,
+            room,
+        });
+        for other in allocators.into_iter().filter(|it| *it != self.own.address) {
+            self.send(other, &frame);
+        }
+    }
+}
+
+impl State {
+    /// Records the room that an allocator reports of its own failure domain.
+    pub(super) fn record_own_room(&mut self, allocator: SocketAddr, room: Room, now: Instant) {
+        if let Some(peer) = self.directory.peer(allocator) {
+            self.rooms.record(&peer.failure_domain, room, now);
+        }
+    }
+
+    /// Adds what is known of free slots to denials: of the own failure domain from the allocator, of the others from their
+    /// reports.
+    pub(super) fn add_rooms(&mut self, out: &mut Outgoing, own: &id::FailureDomain, now: Instant) {
+        for (_, frame) in out.iter_mut() {
+            let Frame::SlotResponse(SlotResponse { lease, verdict }) = frame else {
+                continue;
+            };
+            if *verdict != Verdict::Denied {
+                continue;
+            }
+            let own_room = self.allocator.room(now).map(|room| RoomReport {
+                failure_domain: own.clone(),
+                age_ms: 0,
+                room,
+            });
+            let others = self.rooms.recent(now);
+            let others = others.filter(|it| it.failure_domain != *own);
+            *frame = Frame::Denial(Denial {
+                lease: *lease,
+                rooms: own_room.into_iter().chain(others).collect(),
+            });
+        }
+    }
+}
+
+/// Sends the free slots to the other allocators at each interval, forever.
+pub(crate) async fn broadcast_room(sharing: Rc<Sharing>) {
+    let mut ticks = time::interval(BROADCAST_INTERVAL);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        sharing.broadcast_room_once(Instant::now());
+    }
+}
--- a/crates/tinbank-gateway/src/stop.rs
+++ b/crates/tinbank-gateway/src/stop.rs
@@ -40,6 +40,11 @@
         self.requested_at.get().is_some()
     }
 
+    /// Returns the number of calls and other work in progress.
+    pub fn open_calls(&self) -> usize {
+        self.in_flight.get()
+    }
+
     /// Waits until the process takes no new requests, and idle connections can be closed.
     pub async fn wait_until_closing(&self) {
         while !self.is_closing.get() {
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -171,6 +171,12 @@
         &["found"],
         "Upstreams that broke off connections, by what a look at their address found: ended, listening, or silent.",
     ),
+    counter(
+        "tinbank_entry_crossings_total",
+        "asks",
+        &["report", "answer"],
+        "Slots asked for in another failure domain, by whether a recent report of its free slots was known, and whether it granted one.",
+    ),
     gauge(
         "tinbank_entry_evacuated_failure_domains",
         "failure domains",
@@ -197,6 +203,17 @@
         &["ended"],
         "Runs of batch items, by how they ended.",
     ),
+    counter(
+        "tinbank_entry_items_given_up_total",
+        "items",
+        &[],
+        "Batch items that the host stopped because it was overloaded.",
+    ),
+    gauge(
+        "tinbank_entry_overload_level",
+        "level",
+        "How much work the host sheds: 0 none, 1 batch items, 2 connections of callers, 3 all new calls.",
+    ),
     counter(
         "tinbank_entry_replies_total",
         "answers",
