--- a/crates/tinbank-gateway/src/sharing/room.rs
+++ b/crates/tinbank-gateway/src/sharing/room.rs
@@ -135,10 +135,10 @@
         }
     }
 
-    /// Adds what is known of free slots to denials: of the own failure domain from the allocator, of the others from their
-    /// reports.
+    /// Adds what is known of free slots to denials: of the own failure domain from the allocator, and for hosts of the own
+    /// failure domain also of the others from their reports. Bytes between failure domains have a price.
     pub(super) fn add_rooms(&mut self, out: &mut Outgoing, own: &id::FailureDomain, now: Instant) {
-        for (_, frame) in out.iter_mut() {
+        for (to, frame) in out.iter_mut() {
             let Frame::SlotResponse(SlotResponse { lease, verdict }) = frame else {
                 continue;
             };
@@ -151,7 +151,9 @@
                 room,
             });
             let others = self.rooms.recent(now);
-            let others = others.filter(|it| it.failure_domain != *own);
+            let receiver = self.directory.peer(*to);
+            let is_near = receiver.is_some_and(|it| it.failure_domain == *own);
+            let others = others.filter(|it| is_near && it.failure_domain != *own);
             *frame = Frame::Denial(Denial {
                 lease: *lease,
                 rooms: own_room.into_iter().chain(others).collect(),
--- a/crates/tinbank-gateway/src/sharing/withdrawal.rs
+++ b/crates/tinbank-gateway/src/sharing/withdrawal.rs
@@ -1,5 +1,8 @@
 //! Permissions of overloaded hosts to withdraw from the load balancer, which the allocator of their failure domain gives.
 
+#[cfg(test)]
+mod tests;
+
 use std::{net::SocketAddr, time::Instant};
 
 use tinbank_allocator::{
