--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -22,7 +22,7 @@
 
 /// Maximum number of slots per failure domain that batch leaves free, one per upstream below that, so that an online
 /// request seldom has to reclaim one. Covers the online requests that arrive while a slot is being reclaimed.
-const MAX_HEADROOM: usize = 8;
+pub(super) const MAX_HEADROOM: usize = 8;
 
 /// A queued request is denied if its expected wait exceeds this percentage of the time that it has left. Slots become free
 /// irregularly, so at 100 many requests would be denied that get one in time.
--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -54,6 +54,12 @@
     Quarantine(Update),
     /// The pace of an upstream, as measured on a request that still runs there.
     Pace(PaceReport),
+    /// A denial together with what is known of the free slots of failure domains, in place of a [`Frame::SlotResponse`].
+    Denial(DenialReport),
+    /// Free slots of the sender's failure domain, from its allocator to the others.
+    Room(RoomReport),
+    /// The sending host is overloaded.
+    Overloaded(Overloaded),
 }
 
 /// A request for one slot.
@@ -232,10 +238,41 @@
     pub service: id::Service,
     /// Slots that no online request uses.
     pub free: u32,
+    /// Slots that a batch item may take without reclaiming one.
+    pub free_for_batch: u32,
     /// Online requests that wait for one.
     pub waiting: u32,
 }
 
+/// Free slots of a failure domain, as its allocator knew them some time ago.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoomReport {
+    /// The failure domain.
+    pub failure_domain: id::FailureDomain,
+    /// Age of the report when it was sent, in milliseconds.
+    pub age_ms: u32,
+    /// Its free slots.
+    pub room: Room,
+}
+
+/// A denial together with reports of free slots.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DenialReport {
+    /// The requested lease.
+    pub lease: lease::Id,
+    /// The denial.
+    pub denial: Denial,
+    /// Free slots of the failure domains, of the allocator's own first.
+    pub rooms: SmallVec<[RoomReport; 3]>,
+}
+
+/// Notice of a host that it is overloaded. The allocator's next [`HeartbeatReply`] says whether it may withdraw.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Overloaded {
+    /// It has withdrawn from the load balancer.
+    pub has_withdrawn: bool,
+}
+
 /// Status of a host, sent in reply to a heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeartbeatReply {
@@ -243,6 +280,8 @@
     pub reaches_store: bool,
     /// Free slots of its failure domain, if it is the allocator there and reports them.
     pub room: Option<Room>,
+    /// The receiver may withdraw from the load balancer, or stay withdrawn.
+    pub may_withdraw: bool,
 }
 
 /// All leases that a host holds in one failure domain.
--- a/crates/tinbank-allocator/src/grants.rs
+++ b/crates/tinbank-allocator/src/grants.rs
@@ -112,6 +112,11 @@
         grants.filter_map(|grant| Some((grant, grant.due()?)))
     }
 
+    /// Returns the number of batch leases.
+    pub fn batch_count(&self) -> usize {
+        self.0.iter().filter(|it| it.class.is_batch()).count()
+    }
+
     /// Removes expired leases. Returns when the next one expires.
     pub fn remove_expired(&mut self, now: Instant) -> Option<Instant> {
         self.0.retain(|grant| now < grant.expires_at);
--- a/crates/tinbank-allocator/tests/harness/mod.rs
+++ b/crates/tinbank-allocator/tests/harness/mod.rs
@@ -9,7 +9,7 @@
 use tinbank_allocator::{
     Allocator, Options,
     allocator::{Outgoing, StateChange, Upstream},
-    frame::{Frame, Holdings, Queue, Release, Share, SlotRequest, Verdict},
+    frame::{Frame, Holdings, Queue, Release, Room, Share, SlotRequest, Verdict},
     lease::{Class, Due, Footprint, Held, Id, Outcome},
     size::Size,
 };
@@ -41,6 +41,8 @@
     pub rank: u8,
     /// Whose share new requests take.
     pub share: Option<Share>,
+    /// Room in the last heartbeat reply.
+    pub reported: Option<Room>,
     held: HashMap<(SocketAddr, Id), (id::Instance, Class)>,
     upstreams: usize,
 }
@@ -77,6 +79,15 @@
         Self::with_options(upstreams, Options::default())
     }
 
+    /// The same for an allocator that reports its free slots.
+    pub fn reporting_room(upstreams: u8) -> Self {
+        let options = Options {
+            share_room: true,
+            ..Options::default()
+        };
+        Self::with_options(upstreams, options)
+    }
+
     /// Creates such an allocator with options.
     pub fn with_options(upstreams: u8, options: Options) -> Self {
         let mut harness = Self {
@@ -90,6 +101,7 @@
             retry_after: Vec::new(),
             rank: 0,
             share: None,
+            reported: None,
             held: HashMap::new(),
             upstreams: upstreams.into(),
         };
@@ -137,7 +149,10 @@
                     self.reclaimed.push((to, lease));
                     continue;
                 }
-                Frame::HeartbeatReply(_) => continue,
+                Frame::HeartbeatReply(reply) => {
+                    self.reported = reply.room;
+                    continue;
+                }
                 other => panic!("unexpected {other:?}"),
             };
             let key = (to, response.lease);
--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -57,7 +57,7 @@
 /// Returns the item to run next among those that this process owns and that may run now: the one that is due first, or that
 /// of the customer with the least work so far if shares are fair.
 pub(super) fn next_item(node: &Rc<Node>) -> Option<Candidate> {
-    if node.stop.is_stopping() || !node.batch.is_caught_up() {
+    if node.stop.is_stopping() || !node.batch.is_caught_up() || must_shed(node) {
         return None;
     }
     let config = node.view.config()?;
@@ -77,6 +77,13 @@
     candidates.into_iter().min_by_key(turn)
 }
 
+/// Returns whether the host starts no item because it is overloaded. A host that owns all jobs runs one item at a time, since
+/// no other host goes on with them.
+fn must_shed(node: &Node) -> bool {
+    let has_running = !node.batch.runner.running.borrow().is_empty();
+    !node.overload.takes_items() && (has_running || !ownership::is_only_owner(node))
+}
+
 /// Returns the item of a job that is due first, and abandons the items that may no longer run.
 fn next_of_job(node: &Rc<Node>, config: &Config, job: &Job) -> Option<Candidate> {
     let now = Now::read();
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -9,6 +9,8 @@
 mod load_poll;
 mod peers;
 mod pending;
+mod room;
+mod withdrawal;
 
 use std::{
     cell::{Cell, RefCell},
@@ -30,7 +32,9 @@
     lease::{self, Class, Footprint},
     leaving::Position,
     memory,
+    room::Rooms,
     size::Size,
+    withdrawal::Withdrawals,
 };
 use tinbank_allowance::{FallbackLimiter, Tolerance};
 use tinbank_base::id;
@@ -46,6 +50,7 @@
     held::Lease,
     load_poll::poll_upstream_load,
     peers::{heartbeat, receive},
+    room::broadcast_room,
 };
 use crate::measure;
 
@@ -59,11 +64,15 @@
     own: Peer,
     state: RefCell<State>,
     next_lease_id: Cell<lease::Id>,
+    /// Whether free slots are reported, and used to choose failure domains.
+    shares_room: bool,
     /// Notified when this host's allocator starts to collect the leases of other hosts.
     learning: Notify,
     store_read_at: Cell<Option<Instant>>,
     /// Whether the paces of upstreams are measured and reported.
     measures_pace: bool,
+    /// Until when this host may withdraw from the load balancer.
+    may_withdraw_until: Cell<Option<Instant>>,
 }
 
 struct State {
@@ -79,6 +88,10 @@
     store_reachable_at: HashMap<SocketAddr, Instant>,
     /// Limits the customers' requests while no allocator answers.
     fallback: FallbackLimiter,
+    /// Free slots of the failure domains.
+    rooms: Rooms,
+    /// Overloaded hosts of the own failure domain, if this host is its allocator.
+    withdrawals: Withdrawals,
 }
 
 /// Requirements for a slot.
@@ -144,6 +157,8 @@
             avoidance: Avoidance::default(),
             store_reachable_at: HashMap::new(),
             fallback: FallbackLimiter::new(seed, tolerance),
+            rooms: Rooms::default(),
+            withdrawals: Withdrawals::default(),
         };
         // Lease ids increase over restarts, so that the holdings of this process end the leases of the previous one.
         let since_1970 = std::time::SystemTime::UNIX_EPOCH.elapsed();
@@ -153,9 +168,11 @@
             own,
             state: RefCell::new(state),
             next_lease_id: Cell::new(first),
+            shares_room: options.share_room,
             learning: Notify::new(),
             store_read_at: Cell::new(None),
             measures_pace: options.measures_pace(),
+            may_withdraw_until: Cell::new(None),
         })
     }
 
@@ -292,7 +309,7 @@
     fn alive(&self, now: Instant) -> HeartbeatReply {
         HeartbeatReply {
             reaches_store: self.reaches_store(now),
-            room: None,
+            ..HeartbeatReply::default()
         }
     }
 
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -28,7 +28,7 @@
 const FALLBACK_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Result of a request to one allocator.
-enum SlotResult {
+pub(super) enum SlotResult {
     Granted(Lease),
     Denied(Denied),
     /// The customer has used up its allowance and may retry after this time.
@@ -41,7 +41,7 @@
 
 /// A denial of one allocator.
 #[derive(Clone, Copy, Debug, Default)]
-struct Denied {
+pub(super) struct Denied {
     /// Time after which the caller should retry by the backlog of its customer there.
     retry_after: Option<Duration>,
     /// How long the request has waited there before others displaced it.
@@ -49,9 +49,9 @@
 }
 
 impl Sharing {
-    /// Requests a free slot from the host's own failure domain, then from the others. If there is none, an online request
-    /// waits at the first allocator that expects to have one in time, or inside an upstream if it may. If no allocator
-    /// answers, this host chooses an upstream itself.
+    /// Requests a free slot from the host's own failure domain, then from one that reports room or from all that report
+    /// nothing. If there is none, an online request waits at the first allocator that expects to have one in time, or inside
+    /// an upstream if it may. If no allocator answers, this host chooses an upstream itself.
     pub async fn lease(self: &Rc<Self>, node: &Node, spec: &SlotSpec<'_>) -> Allocation {
         let turn = self.next_lease_id.get();
         let own = &self.own.failure_domain;
@@ -68,11 +68,13 @@
             Queue::No => &[Queue::No],
             queue => &[Queue::No, queue],
         };
+        let immediate = self.order_by_room(&domains, spec);
         let mut denied = false;
         let mut backlog = Backlog::default();
         let mut waited = Duration::ZERO;
-        for queue in queues {
-            for domain in &domains {
+        for (index, queue) in queues.iter().enumerate() {
+            let domains = if index == 0 { &immediate } else { &domains };
+            for domain in domains {
                 let queue = queue.shortened(waited);
                 match self.request_slot(node, spec, domain, queue).await {
                     SlotResult::Granted(lease) => return Allocation::Granted(lease),
@@ -134,7 +136,10 @@
     ) -> SlotResult {
         let mut returned: SmallVec<[id::Instance; 4]> = SmallVec::new();
         for _ in 0..MAX_LEAVING_GRANTS {
-            let lease = match self.request_slot_once(spec, domain, queue, &returned).await {
+            let crossing = self.record_crossing(domain, spec);
+            let result = self.request_slot_once(spec, domain, queue, &returned).await;
+            self.record_result(domain, spec, crossing, &result);
+            let lease = match result {
                 SlotResult::Granted(lease) => lease,
                 other => return other,
             };
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -175,6 +175,12 @@
         &["found"],
         "Upstreams that broke off connections, by what a look at their address found: ended, listening, or silent.",
     ),
+    counter(
+        "tinbank_entry_crossings_total",
+        "asks",
+        &["report", "answer"],
+        "Slots asked for in another failure domain, by whether a recent report of its free slots was known, and whether it granted one.",
+    ),
     counter(
         "tinbank_entry_cut_responses_total",
         "responses",
@@ -207,6 +213,12 @@
         &["ended"],
         "Runs of batch items, by how they ended.",
     ),
+    counter(
+        "tinbank_entry_items_given_up_total",
+        "items",
+        &[],
+        "Batch items that the host stopped because it was overloaded.",
+    ),
     gauge(
         "tinbank_entry_kept_bytes",
         "bytes",
@@ -218,6 +230,11 @@
         &["event"],
         "Events of upstreams that took a multiple of the time expected by the allocator, when noticed and when received: first or later ones.",
     ),
+    gauge(
+        "tinbank_entry_overload_level",
+        "level",
+        "How much work the host sheds: 0 none, 1 batch items, 2 connections of callers, 3 all new calls.",
+    ),
     counter(
         "tinbank_entry_oversized_requests_total",
         "requests",
