--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -19,7 +19,7 @@
     options::Options,
     order::Order,
     placement::{self, Placement},
-    prefix::Cache,
+    prefix::{Cache, Expectation},
     size::Tokens,
     slow_start::ColdStart,
     smoothed_duration::SmoothedDuration,
@@ -368,6 +368,10 @@
         let may_eject = self.may_eject(index, now);
         let entry = &mut self.upstreams[index];
         let removed = entry.state.grants.remove(from, release.lease);
+        if let Some(grant) = &removed {
+            let cache = &mut entry.state.cache;
+            cache.record_end(&grant.expectation, release.outcome, release.pace);
+        }
         let granted_at = removed.and_then(|grant| grant.granted_at);
         if let (Some(at), Outcome::Served) = (granted_at, release.outcome) {
             self.slot_time.record(now.saturating_duration_since(at));
@@ -429,6 +433,7 @@
             expires_at: now + LEASE_DURATION,
             granted_at: None,
             footprint: held.footprint.clone(),
+            expectation: Expectation::default(),
         });
         self.upstreams.add_holder(index, from);
     }
--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -14,6 +14,7 @@
     memory,
     order::Waiter,
     placement::{Candidate, Offer},
+    prefix::Expectation,
 };
 
 /// Maximum number of slots per failure domain that batch leaves free, one per upstream below that, so that an online
@@ -90,14 +91,14 @@
         if !is_known {
             entry.state.slow_start.record_request(now);
         }
+        let mut expectation = Expectation::default();
         if !is_known && self.prefix_affinity {
             let in_use = entry.state.grants.memory();
             let capacity = entry.upstream.memory_tokens;
             let left = capacity.map(|memory| memory.saturating_sub(in_use));
-            let kept = entry.state.cache.kept_tokens(&request.size, now);
-            entry.state.cache.record_sent(&request.size, left, now);
-            let read = request.size.prompt_tokens.saturating_sub(kept);
-            self.summary.kept_tokens += u64::from(kept);
+            expectation = entry.state.cache.record_sent(&request.size, left, now);
+            let read = expectation.prompt_tokens - expectation.kept_tokens;
+            self.summary.kept_tokens += u64::from(expectation.kept_tokens);
             self.summary.read_tokens += u64::from(read);
         }
         let others = entry.load() - usize::from(is_known);
@@ -109,6 +110,7 @@
             expires_at: now + LEASE_DURATION,
             granted_at: (!request.class.is_batch()).then_some(now),
             footprint: footprint(request),
+            expectation,
         });
         let grant = Grant {
             upstream: entry.upstream.instance.clone(),
--- a/crates/tinbank-allocator/src/grants.rs
+++ b/crates/tinbank-allocator/src/grants.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     lease::{self, Class, Due, Footprint},
+    prefix::Expectation,
     size::Tokens,
 };
 
@@ -20,6 +21,8 @@
     /// When this allocator granted an online lease, to measure how long it holds its slot.
     pub granted_at: Option<Instant>,
     pub footprint: Footprint,
+    /// What the upstream was expected to do with the prompt, if this allocator granted the lease.
+    pub expectation: Expectation,
 }
 
 impl Grant {
@@ -69,12 +72,14 @@
         self.0.iter().map(|grant| grant.holder)
     }
 
-    /// Adds or renews a lease. Renewing keeps the original `granted_at`.
+    /// Adds or renews a lease. Renewing keeps the original `granted_at` and `expectation`.
     pub fn add(&mut self, grant: Grant) {
         let known = self.remove(grant.holder, grant.lease);
-        let granted_at = known.and_then(|known| known.granted_at);
+        let known = known.map(|known| (known.granted_at, known.expectation));
+        let (granted_at, expectation) = known.unwrap_or((None, grant.expectation));
         self.0.push(Grant {
             granted_at: granted_at.or(grant.granted_at),
+            expectation,
             ..grant
         });
     }
--- a/crates/tinbank-allocator/src/placement/affinity.rs
+++ b/crates/tinbank-allocator/src/placement/affinity.rs
@@ -20,7 +20,7 @@
 };
 
 /// Load up to which an upstream is preferred, in percent of the mean load of the service's upstreams in the failure domain.
-/// At 125 a tenth more of the shared tokens is read again; at 200 or more first events are no earlier and loads are larger.
+/// At 125 a fifteenth more of the shared tokens is read again; from 200 on the slowest first events are later.
 const LOAD_BOUND_PERCENT: usize = 150;
 /// An upstream that uses at most one in this many of its slots is preferred at any mean load: its steps are still fast, and
 /// the mean of a few requests would spread them over all upstreams.
--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -18,7 +18,7 @@
 use crate::{
     batch::{contents, ownership},
     node::Node,
-    share,
+    prompt, share,
 };
 
 /// An item that may run now.
@@ -124,10 +124,12 @@
     }
     let content = node.batch.contents.of_item(&job.id, index);
     let size = content.map(|it| node.engine.item_size(&it));
+    let mut size = size.unwrap_or_default();
+    prompt::retain_parts(&mut size, node.settings.scheduling, route);
     let customer = job.customer.as_deref();
     Some(Candidate {
         share: customer.and_then(|it| share::of_name(config, it)),
-        size: size.unwrap_or_default(),
+        size,
         key,
         submission: job.submission,
         due,
--- a/crates/tinbank-gateway/src/lib.rs
+++ b/crates/tinbank-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod identity;
 mod measure;
 mod node;
+mod prompt;
 mod quarantine;
 mod relay;
 mod retry;
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -35,7 +35,7 @@
     clock::ClockReading,
     measure,
     node::Node,
-    share,
+    prompt, share,
 };
 
 /// Value of `Retry-After` for a refused request: a free slot or a newer list is likely by then.
@@ -86,9 +86,7 @@
     let mut request = node
         .engine
         .relayed_request(&call.id, (&caller).into(), &head, body);
-    if !node.settings.scheduling.prefix_affinity || !route.session_affinity {
-        request.size.parts.clear();
-    }
+    prompt::retain_parts(&mut request.size, node.settings.scheduling, &route);
     let request = Rc::new(request);
     let arrival = Arrival {
         at,
