--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -13,8 +13,9 @@
     lease::{Class, Due, Footprint},
     memory,
     order::Waiter,
-    placement::{Candidate, Offer},
+    placement::Offer,
     prefix::Expectation,
+    size::Tokens,
 };
 
 /// Maximum number of slots per failure domain that batch leaves free, one per upstream below that, so that an online
@@ -123,7 +124,7 @@
 
     /// Queues a request if a slot is likely to become free for it in time; denies it otherwise.
     fn enqueue(&mut self, from: SocketAddr, request: &SlotRequest, now: Instant) -> Verdict {
-        if self.is_oversized(request, now) {
+        if self.is_oversized(request) {
             self.record_oversized(request, now);
             return Verdict::Denied;
         }
@@ -134,7 +135,7 @@
             .upstreams
             .iter()
             .filter(|entry| entry.accepts(request, now))
-            .filter(|entry| self.suffices(entry, request, now))
+            .filter(|entry| self.has_memory(entry, request, 0))
             .map(|entry| entry.upstream.slots)
             .sum();
         if slots == 0 || !self.order.may_wait(request, self.wait_queue.waiters()) {
@@ -295,25 +296,23 @@
     fn reclaimable(&self, request: &SlotRequest, now: Instant) -> Option<(usize, Due)> {
         (0..self.upstreams.len())
             .filter(|index| self.upstreams[*index].accepts(request, now))
-            .filter_map(|index| Some((index, self.reclaimable_at(index, request, now)?)))
+            .filter_map(|index| Some((index, self.reclaimable_at(index, request)?)))
             .max_by_key(|(_, due)| *due)
     }
 
     /// Returns the latest due time of an upstream's batch items if the request fits once that item has ended.
-    fn reclaimable_at(&self, index: usize, request: &SlotRequest, now: Instant) -> Option<Due> {
+    fn reclaimable_at(&self, index: usize, request: &SlotRequest) -> Option<Due> {
         let entry = &self.upstreams[index];
         let (due, memory) = entry.state.grants.last_batch()?;
-        let mut candidate = entry.candidate(request, now);
-        candidate.memory_in_use = candidate.memory_in_use.saturating_sub(memory);
-        self.placement.cost(request, &candidate, now)?;
-        Some(due)
+        let in_use = entry.state.grants.memory().saturating_sub(memory);
+        self.has_memory(entry, request, in_use).then_some(due)
     }
 
-    /// Returns whether there are upstreams for the request, but none that could process it if it processed nothing else.
-    fn is_oversized(&self, request: &SlotRequest, now: Instant) -> bool {
-        let accepting = self.upstreams.iter().filter(|it| it.accepts(request, now));
-        let mut accepting = accepting.peekable();
-        accepting.peek().is_some() && !accepting.any(|it| self.suffices(it, request, now))
+    /// Returns whether the service has upstreams, but none that could process the request if it processed nothing else.
+    fn is_oversized(&self, request: &SlotRequest) -> bool {
+        let of_service = |entry: &&Entry| entry.upstream.service == request.service;
+        let mut upstreams = self.upstreams.iter().filter(of_service).peekable();
+        upstreams.peek().is_some() && !upstreams.any(|it| self.has_memory(it, request, 0))
     }
 
     fn record_oversized(&mut self, request: &SlotRequest, now: Instant) {
@@ -328,14 +327,10 @@
         });
     }
 
-    /// Returns whether the upstream could process the request if it processed nothing else.
-    fn suffices(&self, entry: &Entry, request: &SlotRequest, now: Instant) -> bool {
-        let empty = Candidate {
-            load: 0,
-            memory_in_use: 0,
-            ..entry.candidate(request, now)
-        };
-        self.placement.cost(request, &empty, now).is_some()
+    /// Returns whether the request fits the upstream, were `in_use` tokens of its memory reserved.
+    fn has_memory(&self, entry: &Entry, request: &SlotRequest, in_use: Tokens) -> bool {
+        let memory = entry.upstream.memory_tokens;
+        !self.prefix_affinity || memory::fits(&request.size, in_use, memory)
     }
 }
 
