--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -1,8 +1,10 @@
 //! The allocator: decides at which upstream a request may start.
 
+mod paces;
 mod slot_request;
 
 use std::{
+    collections::VecDeque,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -13,11 +15,14 @@
 
 use crate::{
     entries::Entries,
-    frame::{Frame, HeartbeatReply, Holdings, Release, SlotResponse, Verdict},
+    entry::Entry,
+    frame::{Denial, Frame, HeartbeatReply, Holdings, Release, SlotResponse, Verdict},
     grants::{self, Grants},
     lease::{self, Outcome},
+    leaving::{Decision, Doubt, Evidence, Position, Reports},
     options::Options,
     order::Order,
+    pace,
     placement::{self, Placement},
     prefix::{Cache, Expectation},
     size::Tokens,
@@ -68,6 +73,19 @@
     Ejected(id::Instance),
     /// A host reported that the upstream is leaving.
     Left(id::Instance),
+    /// A host reported that the upstream is leaving, which was not acted on.
+    ReportRefused {
+        /// The upstream.
+        upstream: id::Instance,
+        /// Which host reported it.
+        from: SocketAddr,
+        /// Why the report was not acted on.
+        why: Doubt,
+    },
+    /// An upstream has become slower than the others of its service, and gets fewer requests.
+    Slowed(id::Instance),
+    /// An upstream is no longer slow.
+    Recovered(id::Instance),
     /// The allocator had been idle, and collects holdings before it grants slots to batch.
     Learning,
     /// A request was denied because no upstream of its service has enough memory. Not reported for each request.
@@ -90,6 +108,7 @@
     upstreams: Entries,
     /// Whether upstreams were removed since the last list, because hosts reported that they are leaving.
     has_removed_upstreams: bool,
+    reports: Reports,
     /// Lower bound of the time at which the next lease expires.
     next_expiry: Option<Instant>,
     last_contact: Option<Instant>,
@@ -113,6 +132,10 @@
     oversized: Option<Oversized>,
     /// Until then, no oversized request is reported.
     oversized_quiet_until: Option<Instant>,
+    /// The usual paces of upstreams, if hosts measure them.
+    services: Option<pace::Services>,
+    /// State changes that are yet to be returned.
+    changes: VecDeque<StateChange>,
     /// How much of their allowances customers have used.
     counter: Counter,
     /// The hosts that use this allocator.
@@ -128,9 +151,20 @@
     /// Creates an allocator without upstreams or leases. `seed` identifies this incarnation of the counter and makes
     /// different hosts start at different upstreams among equally loaded ones.
     pub fn with_options(seed: u64, tolerance: Tolerance, options: Options) -> Self {
+        Self::with_order(seed, tolerance, options.order(), options)
+    }
+
+    /// Creates an allocator with another order than that of its options, see [`Self::with_options`].
+    pub fn with_order(
+        seed: u64,
+        tolerance: Tolerance,
+        order: Box<dyn Order>,
+        options: Options,
+    ) -> Self {
         Self {
             upstreams: Entries::default(),
             has_removed_upstreams: false,
+            reports: Reports::default(),
             next_expiry: None,
             last_contact: None,
             learning_until: None,
@@ -138,12 +172,14 @@
             heartbeat_reply: HeartbeatReply::default(),
             slot_time: SmoothedDuration::default(),
             wait_queue: WaitQueue::default(),
-            order: options.order(),
+            order,
             placement: options.placement(),
             prefix_affinity: options.prefix_affinity,
             summary: placement::Summary::default(),
             oversized: None,
             oversized_quiet_until: None,
+            services: options.measures_pace().then(pace::Services::default),
+            changes: VecDeque::new(),
             counter: Counter::new(seed, tolerance),
             reachability: Reachability::default(),
         }
@@ -151,9 +187,10 @@
 
     /// Sets the upstreams of the failure domain that accept requests. Queued requests for a service without any upstream
     /// left are denied at once, since another failure domain may still serve them in time.
-    pub fn set_upstreams(&mut self, upstreams: Vec<Upstream>) -> Outgoing {
-        self.has_removed_upstreams = false;
+    pub fn set_upstreams(&mut self, mut upstreams: Vec<Upstream>) -> Outgoing {
+        self.has_removed_upstreams = self.reports.withhold(&mut upstreams);
         self.upstreams.replace(upstreams);
+        self.apply_usual_paces();
         let upstreams = &self.upstreams;
         let has_upstream =
             |service: &str| upstreams.iter().any(|it| it.upstream.service == service);
@@ -163,13 +200,18 @@
         let denied = unservable.into_iter().map(|waiter| {
             let response = SlotResponse {
                 lease: waiter.request.lease,
-                verdict: Verdict::Denied,
+                verdict: Verdict::Denied(Denial::default()),
             };
             (waiter.from, Frame::SlotResponse(response))
         });
         denied.collect()
     }
 
+    /// Sets the position up to which the list of upstreams was read. Called before the list is set.
+    pub fn set_list_position(&mut self, position: Position) {
+        self.reports.set_position(position);
+    }
+
     /// Returns whether upstreams of the last list were removed, because hosts reported that they are leaving.
     pub fn has_removed_upstreams(&self) -> bool {
         self.has_removed_upstreams
@@ -198,6 +240,7 @@
         now: Instant,
     ) -> (Outgoing, Option<StateChange>) {
         let mut out = Outgoing::new();
+        let has_pace = frame.has_pace();
         let change = match frame {
             Frame::SlotRequest(request) => {
                 let change = self.record_contact(from, now);
@@ -220,17 +263,26 @@
                 self.counter.apply(from, counts, now);
                 None
             }
+            Frame::Pace(report) => {
+                self.apply_pace_report(from, &report, now);
+                None
+            }
             Frame::SlotResponse(_)
             | Frame::Reclaim(_)
             | Frame::HeartbeatReply(_)
             | Frame::Ping
-            | Frame::Pace(_)
             | Frame::Quarantine(_) => {
                 return (out, None);
             }
         };
+        if has_pace {
+            self.refresh_paces(now, &mut out);
+        }
         self.serve_wait_queue(now, &mut out);
-        (out, change)
+        if let Some(change) = change {
+            self.changes.push_front(change);
+        }
+        (out, self.changes.pop_front())
     }
 
     /// Drops all leases and starts learning, for use after a pause of the process, when the state is out of date.
@@ -240,7 +292,9 @@
             entry.state.orphaned = None;
             entry.state.slow_start.reset(now);
             entry.state.cache = Cache::default();
+            entry.state.pace.forget();
         }
+        self.order.reset();
         self.learning_until = Some(now + LEARNING_TIME);
         self.counter.reset(false, now);
         self.reachability.reset();
@@ -361,8 +415,8 @@
         release: &Release,
         now: Instant,
     ) -> Option<StateChange> {
-        if release.outcome == Outcome::Leaving {
-            return self.remove_leaving(&release.upstream);
+        if let Outcome::Leaving(evidence) = release.outcome {
+            return self.on_leaving(from, release, evidence);
         }
         let index = self.upstreams.index_of(&release.upstream)?;
         let may_eject = self.may_eject(index, now);
@@ -372,7 +426,7 @@
             let cache = &mut entry.state.cache;
             cache.record_end(&grant.expectation, release.outcome, release.pace);
         }
-        let granted_at = removed.and_then(|grant| grant.granted_at);
+        let granted_at = removed.as_ref().and_then(|grant| grant.granted_at);
         if let (Some(at), Outcome::Served) = (granted_at, release.outcome) {
             self.slot_time.record(now.saturating_duration_since(at));
         }
@@ -380,6 +434,9 @@
             .state
             .health
             .record_outcome(from, release.outcome, may_eject, now);
+        if let (Some(grant), Some(sample)) = (removed, release.pace) {
+            self.record_sample(index, &grant, sample, false, now);
+        }
         ejected.then(|| StateChange::Ejected(release.upstream.clone()))
     }
 
@@ -398,12 +455,38 @@
         ejected == 0 || (ejected + 1) * 100 <= same.count() * MAX_EJECTED_PERCENT
     }
 
-    /// Removes an upstream that a host reported as leaving. This host's list may be out of date while it can't reach the
-    /// platform.
-    fn remove_leaving(&mut self, upstream: &id::Instance) -> Option<StateChange> {
-        let is_known = self.upstreams.remove(upstream);
-        self.has_removed_upstreams |= is_known;
-        is_known.then(|| StateChange::Left(upstream.clone()))
+    /// Handles a report that an upstream is leaving. This host's list may be out of date while it can't reach the platform.
+    fn on_leaving(
+        &mut self,
+        from: SocketAddr,
+        release: &Release,
+        evidence: Evidence,
+    ) -> Option<StateChange> {
+        let upstream = &release.upstream;
+        let index = self.upstreams.index_of(upstream)?;
+        self.upstreams[index]
+            .state
+            .grants
+            .remove(from, release.lease);
+        let service = &self.upstreams[index].upstream.service;
+        let same = self.upstreams.iter();
+        let same = same.filter(|it| it.upstream.service == *service);
+        let others = same.count() - 1;
+        match self.reports.decide(upstream, evidence, others) {
+            Decision::Remove => {
+                self.upstreams.remove(upstream);
+                self.has_removed_upstreams = true;
+                Some(StateChange::Left(upstream.clone()))
+            }
+            Decision::Keep(why) => {
+                let is_first = self.reports.is_first_doubt(upstream);
+                is_first.then(|| StateChange::ReportRefused {
+                    upstream: upstream.clone(),
+                    from,
+                    why,
+                })
+            }
+        }
     }
 
     fn apply_holdings(&mut self, from: SocketAddr, holdings: &Holdings, now: Instant) {
@@ -419,10 +502,13 @@
         let Some(index) = self.upstreams.index_of(&held.upstream) else {
             return;
         };
-        let state = &mut self.upstreams[index].state;
-        if !state.grants.contains(from, held.lease)
-            && let Some(orphaned) = &mut state.orphaned
-        {
+        let Entry { upstream, state } = &mut self.upstreams[index];
+        let is_known = state.grants.contains(from, held.lease);
+        if !is_known && !held.class.is_batch() {
+            self.order
+                .record_held(&upstream.service, &held.footprint, now);
+        }
+        if !is_known && let Some(orphaned) = &mut state.orphaned {
             // The request was counted as orphaned until now.
             *orphaned = orphaned.saturating_sub(1);
         }
@@ -434,6 +520,7 @@
             granted_at: None,
             footprint: held.footprint.clone(),
             expectation: Expectation::default(),
+            unread_tokens: None,
         });
         self.upstreams.add_holder(index, from);
     }
--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -1,6 +1,10 @@
 //! Decides on a slot request: grants a slot, queues the request, or denies it.
 
-use std::{collections::VecDeque, net::SocketAddr, time::Instant};
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    time::Instant,
+};
 
 use smallvec::SmallVec;
 use tinbank_allowance::counter;
@@ -8,11 +12,11 @@
 use super::{Allocator, LEASE_DURATION, OVERSIZED_REPORT_INTERVAL, Outgoing, Oversized};
 use crate::{
     entry::Entry,
-    frame::{Frame, Grant, OverLimit, Queue, SlotRequest, SlotResponse, Verdict},
+    frame::{Denial, Frame, Grant, OverLimit, Queue, SlotRequest, SlotResponse, Verdict},
     grants,
-    lease::{Class, Due, Footprint},
+    lease::{self, Class, Due, Footprint},
     memory,
-    order::Waiter,
+    order::{Turnover, Waiter},
     placement::Offer,
     prefix::Expectation,
     size::Tokens,
@@ -22,6 +26,10 @@
 /// request seldom has to reclaim one. Covers the online requests that arrive while a slot is being reclaimed.
 const MAX_HEADROOM: usize = 8;
 
+/// A queued request is denied if its expected wait exceeds this percentage of the time that it has left. Slots become free
+/// irregularly, so at 100 many requests would be denied that get one in time.
+const DISPLACED_PERCENT: u32 = 150;
+
 impl Allocator {
     /// Responds to a slot request.
     pub(super) fn handle_request(
@@ -44,7 +52,7 @@
             self.order.record_grant(&request, now);
             Verdict::Granted(self.grant(index, from, &request, now))
         } else {
-            self.enqueue(from, &request, now)
+            self.enqueue(from, &request, now, out)
         };
         let lease = request.lease;
         out.push((from, Frame::SlotResponse(SlotResponse { lease, verdict })));
@@ -89,7 +97,10 @@
         if let (false, Some(meter)) = (is_known, &request.meter) {
             self.counter.take(&meter.customer, meter.limit, now);
         }
+        let kept_tokens = entry.state.cache.kept_tokens(&request.size, now);
+        let unread_tokens = request.size.prompt_tokens.saturating_sub(kept_tokens);
         if !is_known {
+            entry.state.pace.record_prompt(unread_tokens, now);
             entry.state.slow_start.record_request(now);
         }
         let mut expectation = Expectation::default();
@@ -112,71 +123,127 @@
             granted_at: (!request.class.is_batch()).then_some(now),
             footprint: footprint(request),
             expectation,
+            unread_tokens: Some(unread_tokens),
         });
+        // Further requests may start beside this one.
+        let load = entry.upstream.slots;
+        let pace = &entry.state.pace;
+        let expected = pace.expected(request.class.is_batch(), load, unread_tokens, now);
         let grant = Grant {
             upstream: entry.upstream.instance.clone(),
             address: entry.upstream.address,
             queued,
+            expected,
         };
         self.upstreams.add_holder(index, from);
         grant
     }
 
     /// Queues a request if a slot is likely to become free for it in time; denies it otherwise.
-    fn enqueue(&mut self, from: SocketAddr, request: &SlotRequest, now: Instant) -> Verdict {
+    fn enqueue(
+        &mut self,
+        from: SocketAddr,
+        request: &SlotRequest,
+        now: Instant,
+        out: &mut Outgoing,
+    ) -> Verdict {
+        let denied = Verdict::Denied(Denial::default());
         if self.is_oversized(request) {
             self.record_oversized(request, now);
-            return Verdict::Denied;
+            return denied;
         }
         let Some(max_wait) = request.queue.max_wait() else {
-            return Verdict::Denied;
+            return denied;
         };
         let slots: usize = self
             .upstreams
             .iter()
             .filter(|entry| entry.accepts(request, now))
             .filter(|entry| self.has_memory(entry, request, 0))
-            .map(|entry| entry.upstream.slots)
+            .map(|entry| entry.concurrency(&*self.placement, now))
             .sum();
-        if slots == 0 || !self.order.may_wait(request, self.wait_queue.waiters()) {
-            return Verdict::Denied;
+        if slots == 0 {
+            return denied;
         }
         let waiter = Waiter {
             from,
             request: request.clone(),
             expires_at: now + max_wait,
         };
-        let ahead = self.wait_queue.count_ahead(&waiter, &*self.order);
-        let wait = self.slot_time.get_or_zero() * (ahead + 1) as u32 / slots as u32;
-        if wait > max_wait {
-            return Verdict::Denied;
-        }
         let waiting = self.wait_queue.waiters();
         self.order.record_queued(request, waiting, now);
+        let ahead = self.order.count_ahead(&waiter, waiting);
+        let turnover = Turnover {
+            slot_time: self.slot_time.get(),
+            slots,
+        };
+        let wait = turnover.wait(ahead);
+        if wait > max_wait || !self.order.may_wait(request, waiting, slots) {
+            return self.deny(request, turnover, now);
+        }
+        let is_last = ahead >= waiting.len();
         self.wait_queue.add(waiter);
+        if !is_last {
+            self.deny_displaced(&request.service, turnover, now, out);
+        }
         Verdict::Waiting
     }
 
+    fn deny(&mut self, request: &SlotRequest, turnover: Turnover, now: Instant) -> Verdict {
+        let waiting = self.wait_queue.waiters();
+        let after = self.order.return_after(request, waiting, turnover, now);
+        Verdict::Denied(Denial {
+            retry_after_ms: after.map(|it| it.as_micros().div_ceil(1_000) as u32),
+        })
+    }
+
+    /// Denies queued requests that can't be served in time any more because others came before them, so that they can wait
+    /// elsewhere.
+    fn deny_displaced(
+        &mut self,
+        service: &str,
+        turnover: Turnover,
+        now: Instant,
+        out: &mut Outgoing,
+    ) {
+        let mut places = self.order.places(service, self.wait_queue.waiters());
+        places.sort_by_key(|it| it.ahead);
+        let mut denied = 0;
+        for place in places {
+            let left = place.expires_at.saturating_duration_since(now);
+            let wait = turnover.wait(place.ahead.saturating_sub(denied));
+            if wait * 100 <= left * DISPLACED_PERCENT {
+                continue;
+            }
+            denied += 1;
+            let Some(waiter) = self.wait_queue.remove(place.from, place.lease) else {
+                continue;
+            };
+            let verdict = self.deny(&waiter.request, turnover, now);
+            let response = SlotResponse {
+                lease: place.lease,
+                verdict,
+            };
+            out.push((place.from, Frame::SlotResponse(response)));
+        }
+    }
+
     /// Grants free slots to queued requests.
     pub(super) fn serve_wait_queue(&mut self, now: Instant, out: &mut Outgoing) {
-        if self.wait_queue.is_empty() || !self.has_available_slot() {
+        if self.wait_queue.is_empty() || !self.has_available_slot(now) {
             return;
         }
         self.wait_queue.remove_expired(now);
         let mut left: Vec<Waiter> = Vec::new();
         let mut waiters = VecDeque::from(self.wait_queue.take(&*self.order));
         while let Some(waiter) = waiters.pop_front() {
+            let mut is_reordered = false;
             // Other requests of the customer may have used up its allowance in the meantime.
             let verdict = if let Some(over) = self.check_limit(&waiter.request, now) {
                 Verdict::OverLimit(over)
             } else if let Some(index) = self.choose_upstream(&waiter.request, now, out) {
                 let grant = self.grant(index, waiter.from, &waiter.request, now);
-                if self.order.record_grant(&waiter.request, now) {
-                    let order = &*self.order;
-                    waiters
-                        .make_contiguous()
-                        .sort_by(|a, b| order.compare(a, b));
-                }
+                is_reordered = self.order.record_grant(&waiter.request, now);
                 Verdict::Granted(grant)
             } else {
                 left.push(waiter);
@@ -187,14 +254,26 @@
                 verdict,
             };
             out.push((waiter.from, Frame::SlotResponse(response)));
+            if !is_reordered {
+                continue;
+            }
+            if !self.has_available_slot(now) {
+                // Sorting the rest would be most of the work of a grant, since slots become free one at a time.
+                break;
+            }
+            let order = &*self.order;
+            waiters
+                .make_contiguous()
+                .sort_by(|a, b| order.compare(a, b));
         }
+        left.extend(waiters);
         self.wait_queue.restore(left);
     }
 
     /// Returns whether an upstream has a slot that is free or can be reclaimed from batch.
-    fn has_available_slot(&self) -> bool {
+    fn has_available_slot(&self, now: Instant) -> bool {
         let mut entries = self.upstreams.iter();
-        entries.any(|it| it.load() < it.upstream.slots || it.has_batch())
+        entries.any(|it| it.load() < it.concurrency(&*self.placement, now) || it.has_batch())
     }
 
     /// Chooses a free slot, else one reclaimed from batch, else the least loaded upstream if the request may queue inside
@@ -209,9 +288,9 @@
         if let Some(best) = best.filter(|it| self.has_free_slot(*it, request, now)) {
             return Some(best);
         }
-        if let Some((index, _)) = self.reclaimable(request, now) {
-            self.reclaim(index, out);
-            return Some(index);
+        if let Some(batch) = self.reclaimable_for_online(request, now) {
+            self.reclaim(&batch, out);
+            return Some(batch.upstream);
         }
         best.filter(|_| request.queue == Queue::InUpstream)
     }
@@ -234,12 +313,12 @@
         {
             return Some(best);
         }
-        let (index, last) = self.reclaimable(request, now)?;
-        if due.late || !last.late {
+        if due.late {
             return None;
         }
-        self.reclaim(index, out);
-        Some(index)
+        let batch = self.reclaimable(request, now, |_| true, |due| due.late)?;
+        self.reclaim(&batch, out);
+        Some(batch.upstream)
     }
 
     /// Returns whether more slots are free than batch has to leave free.
@@ -253,8 +332,23 @@
         free > upstreams.min(MAX_HEADROOM)
     }
 
-    fn reclaim(&mut self, index: usize, out: &mut Outgoing) {
-        if let Some(grant) = self.upstreams[index].state.grants.reclaim() {
+    /// Reclaims the batch lease of an upstream that is due last.
+    pub(super) fn reclaim_last(&mut self, index: usize, out: &mut Outgoing) {
+        let batch = self.upstreams[index].state.grants.batch();
+        let last = batch.max_by_key(|(_, due)| *due);
+        let last = last.map(|(grant, _)| BatchLease {
+            upstream: index,
+            holder: grant.holder,
+            lease: grant.lease,
+        });
+        if let Some(batch) = last {
+            self.reclaim(&batch, out);
+        }
+    }
+
+    fn reclaim(&mut self, batch: &BatchLease, out: &mut Outgoing) {
+        let grants = &mut self.upstreams[batch.upstream].state.grants;
+        if let Some(grant) = grants.reclaim(batch.holder, batch.lease) {
             out.push((grant.holder, Frame::Reclaim(grant.lease)));
         }
     }
@@ -292,20 +386,65 @@
         best.map(|position| indices[position])
     }
 
-    /// Returns the upstream that runs the batch item with the latest due time, and that due time.
-    fn reclaimable(&self, request: &SlotRequest, now: Instant) -> Option<(usize, Due)> {
-        (0..self.upstreams.len())
-            .filter(|index| self.upstreams[*index].accepts(request, now))
-            .filter_map(|index| Some((index, self.reclaimable_at(index, request)?)))
-            .max_by_key(|(_, due)| *due)
+    /// Returns the lease of a batch item in whose place an online request may run, see [`Self::reclaimable`]. A slow upstream
+    /// whose requests exceed its concurrency is of no use to an online request.
+    fn reclaimable_for_online(&self, request: &SlotRequest, now: Instant) -> Option<BatchLease> {
+        let placement = &*self.placement;
+        let is_usable = |entry: &Entry| {
+            !entry.state.pace.is_slow(now) || entry.load() <= entry.concurrency(placement, now)
+        };
+        self.reclaimable(request, now, is_usable, |_| true)
+    }
+
+    /// Returns the lease of a batch item to reclaim for a request: of those at upstreams that `is_usable` accepts, that
+    /// `select` accepts by their due time and whose end makes the request fit, one at a slow upstream before the others, then
+    /// one of the customer that is most above its share, and of its leases the one that is due last.
+    fn reclaimable(
+        &self,
+        request: &SlotRequest,
+        now: Instant,
+        is_usable: impl Fn(&Entry) -> bool,
+        select: impl Fn(Due) -> bool,
+    ) -> Option<BatchLease> {
+        let held = self.batch_work();
+        let excess = |grant: &grants::Grant| {
+            let customer = grant.customer();
+            let work = held.get(&customer).copied();
+            self.order.excess(customer, work.unwrap_or_default())
+        };
+        let entries = self.upstreams.iter().enumerate();
+        let accepting =
+            entries.filter(|(_, entry)| is_usable(entry) && entry.accepts(request, now));
+        let leases = accepting.flat_map(|(index, entry)| {
+            let in_use = entry.state.grants.memory();
+            let is_slow = entry.state.pace.is_slow(now);
+            let batch = entry.state.grants.batch();
+            let select = &select;
+            let suitable = batch.filter(move |(grant, due)| {
+                let without = in_use.saturating_sub(grant.footprint.memory);
+                select(*due) && self.has_memory(entry, request, without)
+            });
+            suitable.map(move |(grant, due)| (index, grant, is_slow, due))
+        });
+        let last = leases.max_by_key(|(_, grant, is_slow, due)| (*is_slow, excess(grant), *due));
+        last.map(|(upstream, grant, ..)| BatchLease {
+            upstream,
+            holder: grant.holder,
+            lease: grant.lease,
+        })
     }
 
-    /// Returns the latest due time of an upstream's batch items if the request fits once that item has ended.
-    fn reclaimable_at(&self, index: usize, request: &SlotRequest) -> Option<Due> {
-        let entry = &self.upstreams[index];
-        let (due, memory) = entry.state.grants.last_batch()?;
-        let in_use = entry.state.grants.memory().saturating_sub(memory);
-        self.has_memory(entry, request, in_use).then_some(due)
+    /// Returns the work of the batch items of each customer, if the order of the requests depends on it.
+    fn batch_work(&self) -> HashMap<Option<&str>, u64> {
+        let mut held: HashMap<Option<&str>, u64> = HashMap::new();
+        if !self.order.weighs_customers() {
+            return held;
+        }
+        for (grant, _) in self.upstreams.iter().flat_map(|it| it.state.grants.batch()) {
+            let work = held.entry(grant.customer()).or_default();
+            *work = work.saturating_add(grant.footprint.work);
+        }
+        held
     }
 
     /// Returns whether the service has upstreams, but none that could process the request if it processed nothing else.
@@ -334,6 +473,14 @@
     }
 }
 
+/// A lease of a batch item.
+struct BatchLease {
+    /// Index of its upstream.
+    upstream: usize,
+    holder: SocketAddr,
+    lease: lease::Id,
+}
+
 /// Returns what a request takes of its upstream and of its customer's share.
 fn footprint(request: &SlotRequest) -> Footprint {
     Footprint {
--- a/crates/tinbank-allocator/tests/prompt/allocator.rs
+++ b/crates/tinbank-allocator/tests/prompt/allocator.rs
@@ -8,7 +8,7 @@
 use tinbank_allocator::{
     Allocator, Options,
     allocator::{Outgoing, StateChange, Upstream},
-    frame::{Frame, Holdings, Queue, Release, SlotRequest, Verdict},
+    frame::{Denial, Frame, Holdings, Queue, Release, SlotRequest, Verdict},
     lease::{Class, Due, Footprint, Held, Id, Outcome},
     size::{Prefix, Size, Tokens},
 };
@@ -37,6 +37,10 @@
     upstreams.collect()
 }
 
+fn denied() -> Verdict {
+    Verdict::Denied(Denial::default())
+}
+
 fn sized(first: Prefix, tokens: Tokens) -> Size {
     prompt(&[(first, tokens / 2), (first + 1_000, tokens / 2)])
 }
@@ -147,7 +151,7 @@
 
     let [(first, reported), (second, not_again)] = [request(), request()];
 
-    assert_eq!([first, second], [Verdict::Denied, Verdict::Denied]);
+    assert_eq!([first, second], [denied(), denied()]);
     assert!(matches!(reported, Some(StateChange::Oversized(_))));
     assert_eq!(not_again, None);
     assert_eq!(fixture.allocator.take_summary().oversized, 2);
--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -5,20 +5,25 @@
     time::{Instant, SystemTime},
 };
 
-use tinbank_allocator::{frame::Share, lease, size::Size};
+use tinbank_allocator::{
+    frame::Share,
+    lease,
+    order::virtual_counter::{DEFAULT_WEIGHT, Weight},
+    size::Size,
+};
 use tinbank_base::id;
 use tinbank_jobs::{
     job::Job,
     record::{Index, Item},
     schedule::{self, Decision, Due, Now, State},
 };
-use tinbank_relay::route::Config;
+use tinbank_relay::{region::Allowed, route::Config};
 
-use super::{Key, abandon};
+use super::{Key, abandon, shares::Contender};
 use crate::{
     batch::{contents, ownership},
     node::Node,
-    prompt, share,
+    prompt, region, share,
 };
 
 /// An item that may run now.
@@ -31,9 +36,26 @@
     pub excluded: Vec<id::Instance>,
     pub share: Option<Share>,
     pub size: Size,
+    /// Regions in which it may run.
+    pub allowed: Allowed,
+}
+
+impl Candidate {
+    pub fn contender(&self) -> Contender<'_> {
+        Contender {
+            customer: self.share.as_ref().map(|it| it.customer.as_str()),
+            job: &self.key.0,
+        }
+    }
+
+    /// Returns the weight of its customer.
+    pub fn weight(&self) -> Weight {
+        self.share.as_ref().map_or(DEFAULT_WEIGHT, |it| it.weight)
+    }
 }
 
-/// Returns the item that is due first among those that this process owns and that may run now.
+/// Returns the item to run next among those that this process owns and that may run now: the one that is due first, or that
+/// of the customer with the least work so far if shares are fair.
 pub(super) fn next_item(node: &Rc<Node>) -> Option<Candidate> {
     if node.stop.is_stopping() || !node.batch.is_caught_up() {
         return None;
@@ -42,10 +64,17 @@
     let table = node.batch.table.borrow();
     let owned = table
         .open_jobs()
-        .filter(|job| ownership::may_start(node, &job.id));
-    owned
-        .filter_map(|job| next_of_job(node, &config, job))
-        .min_by_key(|candidate| candidate.due)
+        .filter(|job| ownership::may_start(node, &config, job));
+    let candidates = owned.filter_map(|job| next_of_job(node, &config, job));
+    if !node.settings.scheduling.fair_shares {
+        return candidates.min_by_key(|candidate| candidate.due);
+    }
+    let candidates: Vec<_> = candidates.collect();
+    let contenders: Vec<_> = candidates.iter().map(Candidate::contender).collect();
+    let mut shares = node.batch.runner.shares.borrow_mut();
+    shares.set_contenders(&contenders, Instant::now());
+    let turn = |it: &Candidate| shares.turn(it.contender(), it.due);
+    candidates.into_iter().min_by_key(turn)
 }
 
 /// Returns the item of a job that is due first, and abandons the items that may no longer run.
@@ -128,6 +157,7 @@
     prompt::retain_parts(&mut size, node.settings.scheduling, route);
     let customer = job.customer.as_deref();
     Some(Candidate {
+        allowed: region::of_request(config, route, customer),
         share: customer.and_then(|it| share::of_name(config, it)),
         size,
         key,
--- a/crates/tinbank-gateway/src/lib.rs
+++ b/crates/tinbank-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod node;
 mod prompt;
 mod quarantine;
+mod region;
 mod relay;
 mod retry;
 mod run;
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use tinbank_allocator::{frame::Verdict, lease::Class, placement::Summary};
+use tinbank_allocator::{
+    frame::Verdict, lease::Class, leaving::Evidence, pace::Sample, placement::Summary,
+};
 
 use crate::border::ingress::Reply;
 
@@ -51,7 +53,7 @@
     let answer = match verdict {
         Some(Verdict::Granted(_)) => "granted",
         Some(Verdict::Waiting) => "waiting",
-        Some(Verdict::Denied) => "denied",
+        Some(Verdict::Denied(_)) => "denied",
         Some(Verdict::OverLimit(_)) => "over_limit",
         None => "silent",
     };
@@ -60,6 +62,20 @@
     metrics::histogram!("tinbank_entry_ask_seconds").record(took);
 }
 
+/// Records that this host returned a grant because it takes the upstream for leaving, which the allocator's list has as serving.
+pub(crate) fn record_returned_grant(evidence: Evidence) {
+    let evidence = match evidence {
+        Evidence::Reply => "reply",
+        Evidence::List(_) => "list",
+    };
+    metrics::counter!("tinbank_entry_returned_grants_total", "evidence" => evidence).increment(1);
+}
+
+/// Records that the allocator of this host removed an upstream because of a report, or why it did not.
+pub(crate) fn record_leaving_report(decision: &'static str) {
+    metrics::counter!("tinbank_entry_leaving_reports_total", "decision" => decision).increment(1);
+}
+
 /// Records what the placements of this host's allocator came to.
 pub(crate) fn record_placements(summary: Summary) {
     let Summary {
@@ -77,6 +93,26 @@
     }
 }
 
+/// Records the `Retry-After` of a refusal that follows from the backlog of the caller's customer.
+pub(crate) fn record_backlog_retry(retry_after: Duration) {
+    metrics::histogram!("tinbank_entry_backlog_retry_seconds").record(retry_after);
+}
+
+/// Records an event that is or was later than the allocator expects.
+pub(crate) fn record_late_event(sample: Sample) {
+    let event = if sample.interval_us == 0 {
+        "first"
+    } else {
+        "later"
+    };
+    metrics::counter!("tinbank_entry_late_events_total", "event" => event).increment(1);
+}
+
+/// Sets the number of upstreams that count as slow at the allocator of this host.
+pub(crate) fn set_slow_upstreams(upstreams: usize) {
+    metrics::gauge!("tinbank_entry_slow_upstreams").set(upstreams as f64);
+}
+
 /// Records that an upstream broke a connection, with the outcome of the probe that followed.
 pub(crate) fn record_broken_connection(found: &'static str) {
     metrics::counter!("tinbank_entry_broken_upstreams_total", "found" => found).increment(1);
@@ -92,6 +128,21 @@
     metrics::gauge!("tinbank_entry_evacuated_failure_domains").set(failure_domains as f64);
 }
 
+/// Records a request that found no host in its allowed regions.
+pub(crate) fn record_region_refusal() {
+    metrics::counter!("tinbank_entry_region_refusals_total").increment(1);
+}
+
+/// Sets the bytes that are kept for callers that read slowly.
+pub(crate) fn set_kept_bytes(bytes: usize) {
+    metrics::gauge!("tinbank_entry_kept_bytes").set(bytes as f64);
+}
+
+/// Records a response that was cut because its caller did not read.
+pub(crate) fn record_cut_response(why: &'static str) {
+    metrics::counter!("tinbank_entry_cut_responses_total", "why" => why).increment(1);
+}
+
 /// Records the end of a run of a batch item at an upstream.
 pub(crate) fn record_item_run(ended: &'static str) {
     metrics::counter!("tinbank_entry_item_runs_total", "ended" => ended).increment(1);
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -7,7 +7,7 @@
 
 use http::Response;
 use tinbank_allocator::{
-    admission::Admission,
+    admission::{Admission, Backlog},
     frame::{Meter, Queue, Share},
     lease::{Class, Outcome},
 };
@@ -15,6 +15,7 @@
 use tinbank_relay::{
     attempt::{Attempts, Failure, Next},
     event,
+    region::Allowed,
     route::{Kind, Route},
     timeout::AttemptTimeout,
 };
@@ -55,6 +56,8 @@
     resume_after: Option<event::Id>,
     /// Whether it was refused a slot because all were in use.
     is_overloaded: bool,
+    /// The backlog of its customer when it was refused a slot.
+    backlog: Backlog,
     /// Priority among waiting requests; 0 is the highest.
     rank: u8,
     customer: Option<id::Customer>,
@@ -62,6 +65,8 @@
     meter: Option<Meter>,
     /// Whose share of the slots it takes.
     share: Option<Share>,
+    /// Regions in which it may run.
+    allowed: Allowed,
     /// Time after which the customer may retry, if it has used up its allowance.
     over_limit: Option<Duration>,
     /// End of its quarantine, if it is quarantined because it crashes upstreams.
@@ -94,6 +99,8 @@
     pub meter: Option<Meter>,
     /// Whose share of the slots it takes.
     pub share: Option<Share>,
+    /// Regions in which it may run.
+    pub allowed: Allowed,
 }
 
 impl OnlineRequest {
@@ -119,10 +126,12 @@
             sent_at: None,
             resume_after: arrival.resume_after,
             is_overloaded: false,
+            backlog: Backlog::default(),
             rank: arrival.rank,
             customer: arrival.customer,
             meter: arrival.meter,
             share: arrival.share,
+            allowed: arrival.allowed,
             over_limit: None,
             quarantined_until: None,
             is_finished: false,
@@ -194,6 +203,9 @@
         let upstream = lease.upstream.clone();
         self.log_sent(&lease, resume_after);
         self.sent_at = (!lease.queued).then(Instant::now);
+        if matches!(self.route.kind, Kind::Stream { .. }) {
+            lease.start_meter();
+        }
         let answer_by = self.answer_deadline(lease.queued);
         let sent = attempt::send(
             &self.node,
@@ -235,6 +247,7 @@
             meter: self.meter.as_ref(),
             share: self.share.as_ref(),
             size: &self.request.size,
+            allowed: &self.allowed,
             max_gap: self.route.event_gap,
         };
         match self.node.sharing.lease(&self.node, &spec).await {
@@ -247,8 +260,9 @@
                 self.over_limit = Some(retry_after);
                 Err(self.attempts.give_up())
             }
-            Allocation::Full => {
+            Allocation::Full(backlog) => {
                 self.is_overloaded = true;
+                self.backlog = backlog;
                 Err(self.attempts.give_up())
             }
             Allocation::NoUpstream => Err(self.attempts.give_up()),
@@ -389,12 +403,9 @@
     /// Returns the reply for a request that is neither quarantined nor over its customer's limit.
     fn refusal(&self, next: Next) -> Reply {
         match next {
-            Next::Refuse | Next::Retry if self.is_overloaded => {
-                let usual = self.node.usual(&self.route);
-                Reply::NotRun {
-                    retry_after: self.admission.retry_after(usual, self.node.next_draw()),
-                }
-            }
+            Next::Refuse | Next::Retry if self.is_overloaded => Reply::NotRun {
+                retry_after: self.overload_retry_after(),
+            },
             Next::Refuse | Next::Retry => Reply::NotRun {
                 retry_after: RETRY_AFTER,
             },
@@ -402,4 +413,14 @@
             Next::Fail => Reply::Failed,
         }
     }
+
+    /// Returns when the caller of a request should retry that was refused a slot because all were in use.
+    fn overload_retry_after(&self) -> Duration {
+        if let Some(retry_after) = self.backlog.retry_after() {
+            measure::record_backlog_retry(retry_after);
+            return retry_after;
+        }
+        let usual = self.node.usual(&self.route);
+        self.admission.retry_after(usual, self.node.next_draw())
+    }
 }
--- a/crates/tinbank-gateway/src/serve.rs
+++ b/crates/tinbank-gateway/src/serve.rs
@@ -3,7 +3,7 @@
 use std::{convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, header, request::Parts};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tinbank_jobs::scope;
@@ -24,7 +24,8 @@
     },
     exchange, measure,
     node::Node,
-    relay,
+    region,
+    relay::{self, read_ahead::Hangup},
 };
 
 /// Delay after a failed accept, which is mostly due to a lack of file descriptors.
@@ -97,7 +98,8 @@
     let head_timeout = limits.map_or(DEFAULT_HEAD_TIMEOUT, |it| {
         it.head_timeout.max(it.idle_timeout)
     });
-    let service = service_fn(|request| serve_request(Rc::clone(&node), request));
+    let hangup = Hangup::default();
+    let service = service_fn(|request| serve_request(Rc::clone(&node), request, hangup.clone()));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(head_timeout)
@@ -106,6 +108,8 @@
     let mut connection = pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
+        // Dropping the connection closes it, although its caller does not read.
+        () = hangup.requested() => return,
         () = node.stop.wait_until_closing() => {
             connection.as_mut().graceful_shutdown();
             connection.await
@@ -119,9 +123,10 @@
 async fn serve_request(
     node: Rc<Node>,
     request: Request<Incoming>,
+    hangup: Hangup,
 ) -> Result<Response<Body>, Infallible> {
     let work = crate::stop::track_work(&node);
-    let mut response = respond(&node, request).await;
+    let mut response = respond(&node, request, hangup).await;
     if node.stop.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -129,7 +134,7 @@
     Ok(response.map(|body| relay::with_work_guard(body, work)))
 }
 
-async fn respond(node: &Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+async fn respond(node: &Rc<Node>, request: Request<Incoming>, hangup: Hangup) -> Response<Body> {
     let (head, body) = request.into_parts();
     let call = match node.ingress.decode(&head) {
         Ok(call) => call,
@@ -139,14 +144,13 @@
         }
     };
     let call = match call {
-        Call::Request(call) => return relay::request(node, call, head, body).await,
+        Call::Request(call) => return relay::request(node, call, head, body, hangup).await,
         Call::Job(call) => call,
     };
     node.check_for_pause();
     let reply = job_reply(node, &call).await;
     if reply == Reply::Unsure
-        && let Forwarded::Answered(response) =
-            forward(node, &call.job, &head, Bytes::new(), call.wait()).await
+        && let Forwarded::Answered(response) = forward_job_call(node, &call, &head).await
     {
         return response;
     }
@@ -154,6 +158,19 @@
     node.ingress.encode(reply)
 }
 
+/// Forwards a call about a job to a host that may know better.
+async fn forward_job_call(node: &Node, call: &JobCall, head: &Parts) -> Forwarded {
+    let Some(config) = node.view.config() else {
+        return Forwarded::NotSent;
+    };
+    let is_open = config.has_open_jobs(&call.host);
+    let caller = access::authenticate(node, &config, &call.job, call.key.as_ref(), is_open);
+    let caller = caller.ok();
+    let customer = caller.as_ref().and_then(|it| it.customer());
+    let allowed = region::of_job_call(&config, &call.host, customer.map(|it| &**it));
+    forward(node, &call.job, head, Bytes::new(), call.wait(), &allowed).await
+}
+
 /// Returns this host's reply to a call about a job, or `Reply::Unsure` if another host may know better. A job of another
 /// customer counts as not found.
 async fn job_reply(node: &Node, call: &JobCall) -> Reply {
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -22,17 +22,20 @@
 use smallvec::SmallVec;
 use tinbank_allocator::{
     Allocator, Directory, Options,
+    admission::Backlog,
     allocator::{HEARTBEAT_INTERVAL, Upstream},
     avoidance::Avoidance,
     directory::Peer,
     frame::{Frame, HeartbeatReply, Meter, Queue, Share, Verdict},
     lease::{self, Class, Footprint},
+    leaving::Position,
     memory,
     size::Size,
 };
 use tinbank_allowance::{FallbackLimiter, Tolerance};
 use tinbank_base::id;
 use tinbank_feed::source::{self, Candidates};
+use tinbank_relay::region::{Allowed, Regions};
 use tokio::{
     net::UdpSocket,
     sync::{Notify, mpsc},
@@ -44,6 +47,7 @@
     load_poll::poll_upstream_load,
     peers::{heartbeat, receive},
 };
+use crate::measure;
 
 /// Age of the last read of the store up to which the store counts as reachable: twice the longest time between two
 /// answered reads.
@@ -58,6 +62,8 @@
     /// Notified when this host's allocator starts to collect the leases of other hosts.
     learning: Notify,
     store_read_at: Cell<Option<Instant>>,
+    /// Whether the paces of upstreams are measured and reported.
+    measures_pace: bool,
 }
 
 struct State {
@@ -92,6 +98,8 @@
     pub share: Option<&'a Share>,
     /// Size of the request.
     pub size: &'a Size,
+    /// Regions in which the request may run.
+    pub allowed: &'a Allowed,
     /// Longest pause between two events that the caller accepts.
     pub max_gap: Option<Duration>,
 }
@@ -110,8 +118,8 @@
 /// Result of a slot request.
 pub(crate) enum Allocation {
     Granted(Lease),
-    /// All slots are in use, and the request may not wait.
-    Full,
+    /// All slots are in use, and the request may not wait. Its caller should retry by the backlog of its customer.
+    Full(Backlog),
     /// The customer has used up its allowance and may retry after this time.
     OverLimit(Duration),
     /// No upstream of the service is known.
@@ -147,6 +155,7 @@
             next_lease_id: Cell::new(first),
             learning: Notify::new(),
             store_read_at: Cell::new(None),
+            measures_pace: options.measures_pace(),
         })
     }
 
@@ -157,10 +166,21 @@
 
     /// Sets the upstreams of the host's own failure domain.
     pub fn set_upstreams(&self, upstreams: Vec<Upstream>) {
-        let out = self.state.borrow_mut().allocator.set_upstreams(upstreams);
+        let mut state = self.state.borrow_mut();
+        let out = state.allocator.set_upstreams(upstreams);
+        if self.measures_pace {
+            measure::set_slow_upstreams(state.allocator.slow_upstreams(Instant::now()));
+        }
+        drop(state);
         self.send_all(out);
     }
 
+    /// Sets the position up to which the list of upstreams was read, whether it changed or not.
+    pub fn set_list_position(&self, position: Position) {
+        let mut state = self.state.borrow_mut();
+        state.allocator.set_list_position(position);
+    }
+
     /// Returns whether the allocator has removed listed upstreams because other hosts reported that they are leaving.
     pub fn lacks_upstreams(&self) -> bool {
         self.state.borrow().allocator.has_removed_upstreams()
@@ -238,6 +258,24 @@
         state.directory.allocator(&self.own.failure_domain, now) == Some(self.own.address)
     }
 
+    /// Returns whether this host runs the jobs that are restricted to some regions and hash to `job`: of the delegates in
+    /// these regions, the first by rendezvous hash. Hosts may disagree for a while, and then an item may run twice.
+    pub fn runs_restricted(
+        &self,
+        job: &str,
+        regions: &Regions,
+        allowed: &Allowed,
+        now: Instant,
+    ) -> bool {
+        let state = self.state.borrow();
+        let directory = &state.directory;
+        let domains = directory.failure_domains(&self.own.failure_domain, 0);
+        let permitted = domains.iter().filter(|it| regions.permits(allowed, it));
+        let delegates = permitted.flat_map(|domain| directory.delegates(domain, now));
+        let first = delegates.max_by_key(|it| stable_hash(&(job, it.address)));
+        first.is_some_and(|it| it.address == self.own.address)
+    }
+
     /// Sends a frame to all other hosts.
     pub fn broadcast(&self, frame: &Frame) {
         let hosts = self.state.borrow().directory.addresses();
@@ -266,10 +304,33 @@
     /// Returns the caller addresses of hosts that reach the store according to their last heartbeats. Hosts of the own failure
     /// domain come first. The order is stable for each job, since hosts cache what they read of it.
     pub fn hosts_with_store(&self, job: &str, now: Instant) -> SmallVec<[SocketAddr; 8]> {
+        self.hosts_with_store_if(job, now, |_| true)
+    }
+
+    /// Returns those of [`Self::hosts_with_store`] that a request may be forwarded to.
+    pub fn hosts_with_store_in(
+        &self,
+        job: &str,
+        regions: &Regions,
+        allowed: &Allowed,
+        now: Instant,
+    ) -> SmallVec<[SocketAddr; 8]> {
+        let own = &self.own.failure_domain;
+        let is_permitted = |peer: &Peer| regions.permits_host(allowed, own, &peer.failure_domain);
+        self.hosts_with_store_if(job, now, is_permitted)
+    }
+
+    fn hosts_with_store_if(
+        &self,
+        job: &str,
+        now: Instant,
+        is_permitted: impl Fn(&Peer) -> bool,
+    ) -> SmallVec<[SocketAddr; 8]> {
         let state = self.state.borrow();
         let reports = state.store_reachable_at.iter();
         let fresh = reports.filter(|(_, at)| now < **at + HEARTBEAT_INTERVAL + MAX_STORE_AGE);
         let peers = fresh.filter_map(|(address, _)| state.directory.peer(*address));
+        let peers = peers.filter(|peer| is_permitted(peer));
         let mut peers: SmallVec<[&Peer; 8]> = peers.collect();
         peers.sort_by_cached_key(|peer| {
             let is_far = peer.failure_domain != self.own.failure_domain;
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -11,6 +11,7 @@
 
 use smallvec::SmallVec;
 use tinbank_allocator::{
+    admission::Backlog,
     frame::{Grant, Meter, OverLimit, Queue, SlotRequest, Verdict},
     lease::Outcome,
 };
@@ -29,7 +30,7 @@
 /// Result of a request to one allocator.
 enum SlotResult {
     Granted(Lease),
-    Denied,
+    Denied(Denied),
     /// The customer has used up its allowance and may retry after this time.
     OverLimit(Duration),
     /// No slot became free within the time that the request may wait.
@@ -38,6 +39,15 @@
     Unresponsive,
 }
 
+/// A denial of one allocator.
+#[derive(Clone, Copy, Debug, Default)]
+struct Denied {
+    /// Time after which the caller should retry by the backlog of its customer there.
+    retry_after: Option<Duration>,
+    /// How long the request has waited there before others displaced it.
+    waited: Duration,
+}
+
 impl Sharing {
     /// Requests a free slot from the host's own failure domain, then from the others. If there is none, an online request
     /// waits at the first allocator that expects to have one in time, or inside an upstream if it may. If no allocator
@@ -46,31 +56,48 @@
         let turn = self.next_lease_id.get();
         let own = &self.own.failure_domain;
         let mut domains = self.state.borrow().directory.failure_domains(own, turn);
-        domains.retain(|domain| !node.view.is_evacuated(domain));
+        let regions = &node.settings.regions;
+        domains.retain(|domain| {
+            !node.view.is_evacuated(domain) && regions.permits(spec.allowed, domain)
+        });
+        if domains.is_empty() && !spec.allowed.is_all() {
+            log::info!(service:% = spec.service, allowed:% = spec.allowed; "request refused, no allowed region has hosts");
+            measure::record_region_refusal();
+        }
         let queues: &[Queue] = match spec.queue {
             Queue::No => &[Queue::No],
             queue => &[Queue::No, queue],
         };
         let mut denied = false;
+        let mut backlog = Backlog::default();
+        let mut waited = Duration::ZERO;
         for queue in queues {
             for domain in &domains {
-                match self.request_slot(node, spec, domain, *queue).await {
+                let queue = queue.shortened(waited);
+                match self.request_slot(node, spec, domain, queue).await {
                     SlotResult::Granted(lease) => return Allocation::Granted(lease),
-                    SlotResult::Denied => denied = true,
+                    SlotResult::Denied(denial) => {
+                        denied = true;
+                        waited += denial.waited;
+                        denial
+                            .retry_after
+                            .into_iter()
+                            .for_each(|it| backlog.add(it));
+                    }
                     SlotResult::OverLimit(after) => return Allocation::OverLimit(after),
-                    SlotResult::WaitExpired => return Allocation::Full,
+                    SlotResult::WaitExpired => return Allocation::Full(backlog),
                     SlotResult::Unresponsive => {}
                 }
             }
         }
         if spec.class.is_batch() {
-            return Allocation::Full;
+            return Allocation::Full(backlog);
         }
         // A host that lists only its own failure domain can't rule out upstreams elsewhere.
         let may_exist =
             node.view.is_own_domain_only() || node.view.has_other_upstream(spec.service, &[]);
         if denied && may_exist && spec.queue != Queue::InUpstream {
-            return Allocation::Full;
+            return Allocation::Full(backlog);
         }
         if let Some(meter) = spec.meter
             && !self.try_acquire_fallback(meter)
@@ -105,39 +132,45 @@
         domain: &str,
         queue: Queue,
     ) -> SlotResult {
+        let mut returned: SmallVec<[id::Instance; 4]> = SmallVec::new();
         for _ in 0..MAX_LEAVING_GRANTS {
-            let lease = match self.request_slot_once(spec, domain, queue).await {
+            let lease = match self.request_slot_once(spec, domain, queue, &returned).await {
                 SlotResult::Granted(lease) => lease,
                 other => return other,
             };
             // The failure domain may have been evacuated while the request waited.
             if node.view.is_evacuated(domain) {
                 log::info!(upstream:% = lease.upstream, failure_domain:% = domain; "grant in an evacuated failure domain given back");
-                return SlotResult::Denied;
+                return SlotResult::Denied(Denied::default());
             }
-            if !node.view.is_leaving(&lease.upstream) {
+            let Some(evidence) = node.view.evidence_of_leaving(&lease.upstream) else {
                 return SlotResult::Granted(lease);
-            }
-            log::info!(upstream:% = lease.upstream; "grant of a leaving upstream given back");
-            lease.set_outcome(Outcome::Leaving);
+            };
+            log::info!(upstream:% = lease.upstream, allocator:% = lease.granted_by(), evidence:?; "grant of a leaving upstream given back");
+            measure::record_returned_grant(evidence);
+            lease.set_outcome(Outcome::Leaving(evidence));
+            // The allocator may have reasons not to believe the report.
+            returned.push(lease.upstream.clone());
         }
-        SlotResult::Denied
+        SlotResult::Denied(Denied::default())
     }
 
     /// Sends one slot request to the allocator of a failure domain, and waits there if the allocator expects a free slot in
-    /// time.
+    /// time. Upstreams in `returned` are leaving and are not requested again.
     async fn request_slot_once(
         self: &Rc<Self>,
         spec: &SlotSpec<'_>,
         domain: &str,
         queue: Queue,
+        returned: &[id::Instance],
     ) -> SlotResult {
         let now = Instant::now();
         let Some(allocator) = self.state.borrow().directory.allocator(domain, now) else {
             return SlotResult::Unresponsive;
         };
         let lease = self.new_lease_id();
-        let mut exclude: SmallVec<[id::Instance; 4]> = spec.exclude.iter().cloned().collect();
+        let exclude = spec.exclude.iter().chain(returned);
+        let mut exclude: SmallVec<[id::Instance; 4]> = exclude.cloned().collect();
         // Avoided upstreams are excluded from the search for a free slot, but not if the request would be refused otherwise.
         if queue == Queue::No {
             exclude.extend(self.avoided_upstreams(now));
@@ -159,9 +192,11 @@
             .first_verdict(now, self.response_timeout(allocator))
             .await;
         measure::record_slot_request(spec.class, verdict.as_ref(), now.elapsed());
+        let mut waited = Duration::ZERO;
         if verdict == Some(Verdict::Waiting) {
             let until = now + queue.max_wait().unwrap_or_default();
             verdict = pending.wait(until).await;
+            waited = now.elapsed();
             if pending.is_queued() {
                 return SlotResult::WaitExpired;
             }
@@ -176,7 +211,17 @@
                 log_over_limit(spec, allocator, over);
                 SlotResult::OverLimit(retry_after)
             }
-            Some(Verdict::Denied | Verdict::Waiting) => SlotResult::Denied,
+            Some(Verdict::Denied(denial)) => {
+                let retry_after = denial.retry_after_ms;
+                let retry_after = retry_after.map(|ms| Duration::from_millis(ms.into()));
+                // Without a time, nothing displaced the request: the service has no upstream there any more.
+                let waited = retry_after.map_or(Duration::ZERO, |_| waited);
+                SlotResult::Denied(Denied {
+                    retry_after,
+                    waited,
+                })
+            }
+            Some(Verdict::Waiting) => SlotResult::Denied(Denied::default()),
             None => {
                 self.record_timeout(allocator, "no answer to a slot request");
                 SlotResult::Unresponsive
@@ -189,7 +234,13 @@
         let now = Instant::now();
         let avoided = self.avoided_upstreams(now);
         let mut candidates = node.view.upstreams(spec.service);
-        candidates.retain(|it| !spec.exclude.contains(&it.instance));
+        candidates.retain(|it| {
+            !spec.exclude.contains(&it.instance)
+                && node
+                    .settings
+                    .regions
+                    .permits(spec.allowed, &it.failure_domain)
+        });
         let (fallback, preferred): (Vec<_>, Vec<_>) = candidates
             .into_iter()
             .partition(|it| avoided.contains(&it.instance));
@@ -213,6 +264,7 @@
             address: least.address,
             // Other hosts' requests are not known here, so the upstream may be full.
             queued: true,
+            expected: None,
         };
         let lease = self.new_lease_id();
         Some(self.add_holding(lease, spec, &least.failure_domain, None, grant))
--- a/crates/tinbank-gateway/src/sharing/ask/tests.rs
+++ b/crates/tinbank-gateway/src/sharing/ask/tests.rs
@@ -5,11 +5,14 @@
 use tinbank_allocator::{
     Options,
     directory::Peer,
-    frame::{Frame, Grant, MAX_DATAGRAM_BYTES, Queue, SlotResponse, Verdict},
+    frame::{Denial, Frame, Grant, MAX_DATAGRAM_BYTES, Queue, SlotResponse, Verdict},
     lease::{self, Class},
+    options::Strategy,
+    pace::{Expected, Sample},
     size::Size,
 };
 use tinbank_allowance::Tolerance;
+use tinbank_relay::region::Allowed;
 use tokio::{net::UdpSocket, task, time};
 
 use super::SlotResult;
@@ -26,13 +29,17 @@
 
 impl Fixture {
     async fn new() -> Self {
+        Self::with_options(Options::default()).await
+    }
+
+    async fn with_options(options: Options) -> Self {
         let own = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let own_address = own.local_addr().unwrap();
         drop(own);
         let allocator = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let own = peer(own_address, "south");
         let sharing = Rc::new(
-            Sharing::bind(own, 1, Tolerance::default(), Options::default())
+            Sharing::bind(own, 1, Tolerance::default(), options)
                 .await
                 .unwrap(),
         );
@@ -75,6 +82,10 @@
         upstream: "u1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         queued: false,
+        expected: Some(Expected {
+            first_event_ms: 20,
+            interval_us: 20_000,
+        }),
     })
 }
 
@@ -92,6 +103,14 @@
     }
 }
 
+fn pace(frame: Frame) -> Option<Option<Sample>> {
+    match frame {
+        Frame::Release(release) => Some(release.pace),
+        Frame::Pace(report) => Some(Some(report.sample)),
+        _ => None,
+    }
+}
+
 fn withdrawal(frame: Frame) -> Option<lease::Id> {
     match frame {
         Frame::Withdraw(lease) => Some(lease),
@@ -121,8 +140,9 @@
             share: None,
             size: &Size::default(),
             max_gap: None,
+            allowed: &Allowed::default(),
         };
-        sharing.request_slot_once(&spec, "north", queue).await
+        sharing.request_slot_once(&spec, "north", queue, &[]).await
     })
 }
 
@@ -202,3 +222,76 @@
         assert_eq!(withdrawn, lease);
     });
 }
+
+/// Guards against a request that is displaced at one allocator and then waits for its full time at the next.
+#[test]
+fn a_denial_after_a_wait_states_how_long_the_request_has_waited() {
+    run(async {
+        let fixture = Fixture::new().await;
+        let request = request(&fixture, Queue::Within(2_000));
+        let (lease, host) = fixture.next(slot_request).await.unwrap();
+        fixture.answer(host, lease, Verdict::Waiting).await;
+        time::sleep(DELIVERY_TIME).await;
+
+        let denial = Denial {
+            retry_after_ms: Some(700),
+        };
+        fixture.answer(host, lease, Verdict::Denied(denial)).await;
+
+        let SlotResult::Denied(denied) = request.await.unwrap() else {
+            panic!("expected a denial");
+        };
+        assert_eq!(denied.retry_after, Some(Duration::from_millis(700)));
+        assert!(denied.waited >= DELIVERY_TIME);
+    });
+}
+
+/// Runs a request whose only event arrives after a time. Returns the samples that the allocator gets.
+async fn samples(options: Options, after: Duration) -> Vec<Option<Sample>> {
+    let fixture = Fixture::with_options(options).await;
+    let request = request(&fixture, Queue::No);
+    let (lease, host) = fixture.next(slot_request).await.unwrap();
+    fixture.answer(host, lease, grant()).await;
+    let SlotResult::Granted(lease) = request.await.unwrap() else {
+        panic!("no slot granted");
+    };
+
+    lease.start_meter();
+    lease.receive(time::sleep(after)).await;
+    lease.record_event();
+    drop(lease);
+
+    let mut samples = Vec::new();
+    while let Some((sample, _)) = fixture.next(pace).await {
+        samples.push(sample);
+    }
+    samples
+}
+
+#[test]
+fn a_late_event_is_reported_while_the_request_runs() {
+    run(async {
+        let options = Options {
+            strategy: Strategy::ExpectedFirstEvent,
+            ..Options::default()
+        };
+
+        let late = samples(options, Duration::from_millis(150)).await;
+        let on_time = samples(options, Duration::from_millis(1)).await;
+
+        // When it is noticed, when it arrives and when the request ends.
+        let late: Vec<_> = late.iter().map(|it| it.unwrap().first_event_ms).collect();
+        assert!(late.len() == 3 && late[0] < late[1], "{late:?}");
+        assert_eq!(on_time.len(), 1);
+        assert!(on_time[0].is_some());
+    });
+}
+
+#[test]
+fn nothing_is_measured_without_the_setting() {
+    run(async {
+        let samples = samples(Options::default(), Duration::from_millis(150)).await;
+
+        assert_eq!(samples, [None]);
+    });
+}
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -11,6 +11,7 @@
     allocator::{HEARTBEAT_INTERVAL, Outgoing, Oversized, StateChange},
     frame::{self, Frame, Grant, Holdings, MAX_DATAGRAM_BYTES, Release, Verdict},
     lease::{self, Held, Outcome},
+    leaving::Doubt,
 };
 use tinbank_quarantine::Update;
 use tokio::time;
@@ -49,12 +50,15 @@
                 state.allocator.set_heartbeat_reply(self.alive(now));
                 let (out, change) = state.allocator.receive(from, frame, now);
                 let summary = state.allocator.take_summary();
+                if let Some(StateChange::Slowed(_) | StateChange::Recovered(_)) = change {
+                    measure::set_slow_upstreams(state.allocator.slow_upstreams(now));
+                }
                 drop(state);
                 measure::record_placements(summary);
                 if change == Some(StateChange::Learning) {
                     self.learning.notify_one();
                 }
-                log_change(change);
+                log_change(change, from);
                 self.send_all(out);
             }
         }
@@ -78,7 +82,7 @@
             // The caller has left, so the slot is released at once.
             Some(Verdict::Granted(grant)) => self.release_unused(from, lease, grant),
             Some(Verdict::Waiting) => self.send(from, &Frame::Withdraw(lease)),
-            Some(Verdict::Denied | Verdict::OverLimit(_)) | None => {}
+            Some(Verdict::Denied(_) | Verdict::OverLimit(_)) | None => {}
         }
     }
 
@@ -176,13 +180,32 @@
     }
 }
 
-fn log_change(change: Option<StateChange>) {
+fn log_change(change: Option<StateChange>, from: SocketAddr) {
     match change {
         Some(StateChange::Ejected(upstream)) => {
             log::warn!(upstream:%; "upstream ejected, two hosts reported failures");
         }
         Some(StateChange::Left(upstream)) => {
-            log::info!(upstream:%; "upstream leaves, according to a newer list of another host");
+            measure::record_leaving_report("removed");
+            log::info!(upstream:%, host:% = from; "upstream leaves, according to a newer list of another host");
+        }
+        Some(StateChange::ReportRefused {
+            upstream,
+            from,
+            why,
+        }) => {
+            let decision = match why {
+                Doubt::NotNewer { .. } => "not_newer",
+                Doubt::LastOfService => "last_of_service",
+            };
+            measure::record_leaving_report(decision);
+            log::warn!(upstream:%, host:% = from, why:?; "report that an upstream leaves not believed");
+        }
+        Some(StateChange::Slowed(upstream)) => {
+            log::warn!(upstream:%; "upstream slow compared with the others of its service, gets fewer requests");
+        }
+        Some(StateChange::Recovered(upstream)) => {
+            log::info!(upstream:%; "upstream no longer slow");
         }
         Some(StateChange::Learning) => {
             log::info!(
--- a/crates/tinbank-relay/src/lib.rs
+++ b/crates/tinbank-relay/src/lib.rs
@@ -3,10 +3,12 @@
 //! The crate does no I/O; `tinbank-gateway` does it. See `docs/design/users-platform.md`.
 
 pub mod attempt;
+pub mod buffer;
 pub mod caller_timeout;
 pub mod evacuation;
 pub mod event;
 pub mod listing;
+pub mod region;
 mod remaining;
 pub mod route;
 pub mod timeout;
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -159,6 +159,10 @@
         &["class", "answer"],
         "Slots asked for, online or for batch: granted, waiting, denied, or no answer.",
     ),
+    seconds(
+        "tinbank_entry_backlog_retry_seconds",
+        "`Retry-After` of refusals that follows from the backlog of the caller's customer.",
+    ),
     counter(
         "tinbank_entry_broken_streams_total",
         "streams",
@@ -171,6 +175,12 @@
         &["found"],
         "Upstreams that broke off connections, by what a look at their address found: ended, listening, or silent.",
     ),
+    counter(
+        "tinbank_entry_cut_responses_total",
+        "responses",
+        &["why"],
+        "Responses that were cut because their callers did not read; `host_full` means that the host kept too much.",
+    ),
     gauge(
         "tinbank_entry_evacuated_failure_domains",
         "failure domains",
@@ -197,6 +207,17 @@
         &["ended"],
         "Runs of batch items, by how they ended.",
     ),
+    gauge(
+        "tinbank_entry_kept_bytes",
+        "bytes",
+        "Parts of responses that are kept for callers that read slowly.",
+    ),
+    counter(
+        "tinbank_entry_late_events_total",
+        "events",
+        &["event"],
+        "Events of upstreams that took a multiple of the time expected by the allocator, when noticed and when received: first or later ones.",
+    ),
     counter(
         "tinbank_entry_oversized_requests_total",
         "requests",
@@ -209,12 +230,23 @@
         &["expected"],
         "Prompt tokens of granted requests that their upstreams are expected to have kept, or to read.",
     ),
+    counter(
+        "tinbank_entry_region_refusals_total",
+        "requests",
+        &[],
+        "Requests that no upstream in their allowed regions could run.",
+    ),
     counter(
         "tinbank_entry_replies_total",
         "answers",
         &["reply"],
         "Answers of the entry program's own, by what they say.",
     ),
+    gauge(
+        "tinbank_entry_slow_upstreams",
+        "upstreams",
+        "Upstreams that count as slow at this host's allocator, and get fewer requests.",
+    ),
     Metric {
         name: "tinbank_entry_store_reached",
         kind: Kind::Gauge,
