--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -17,7 +17,9 @@
     lease::{self, Class, Due, Footprint},
     memory,
     order::{Turnover, Waiter},
-    placement::{Candidate, Offer},
+    placement::Offer,
+    prefix::Expectation,
+    size::Tokens,
 };
 
 /// Maximum number of slots per failure domain that batch leaves free, one per upstream below that, so that an online
@@ -101,13 +103,15 @@
             entry.state.pace.record_prompt(unread_tokens, now);
             entry.state.slow_start.record_request(now);
         }
+        let mut expectation = Expectation::default();
         if !is_known && self.prefix_affinity {
             let in_use = entry.state.grants.memory();
             let capacity = entry.upstream.memory_tokens;
             let left = capacity.map(|memory| memory.saturating_sub(in_use));
-            entry.state.cache.record_sent(&request.size, left, now);
-            self.summary.kept_tokens += u64::from(kept_tokens);
-            self.summary.read_tokens += u64::from(unread_tokens);
+            expectation = entry.state.cache.record_sent(&request.size, left, now);
+            let read = expectation.prompt_tokens - expectation.kept_tokens;
+            self.summary.kept_tokens += u64::from(expectation.kept_tokens);
+            self.summary.read_tokens += u64::from(read);
         }
         let others = entry.load() - usize::from(is_known);
         let queued = learning || others >= entry.upstream.slots;
@@ -118,6 +122,7 @@
             expires_at: now + LEASE_DURATION,
             granted_at: (!request.class.is_batch()).then_some(now),
             footprint: footprint(request),
+            expectation,
             unread_tokens: Some(unread_tokens),
         });
         // Further requests may start beside this one.
@@ -143,7 +148,7 @@
         out: &mut Outgoing,
     ) -> Verdict {
         let denied = Verdict::Denied(Denial::default());
-        if self.is_oversized(request, now) {
+        if self.is_oversized(request) {
             self.record_oversized(request, now);
             return denied;
         }
@@ -154,7 +159,7 @@
             .upstreams
             .iter()
             .filter(|entry| entry.accepts(request, now))
-            .filter(|entry| self.suffices(entry, request, now))
+            .filter(|entry| self.has_memory(entry, request, 0))
             .map(|entry| entry.concurrency(&*self.placement, now))
             .sum();
         if slots == 0 {
@@ -411,12 +416,13 @@
         let accepting =
             entries.filter(|(_, entry)| is_usable(entry) && entry.accepts(request, now));
         let leases = accepting.flat_map(|(index, entry)| {
-            let candidate = entry.candidate(request, now);
+            let in_use = entry.state.grants.memory();
             let is_slow = entry.state.pace.is_slow(now);
             let batch = entry.state.grants.batch();
             let select = &select;
             let suitable = batch.filter(move |(grant, due)| {
-                select(*due) && self.fits_without(grant, &candidate, request, now)
+                let without = in_use.saturating_sub(grant.footprint.memory);
+                select(*due) && self.has_memory(entry, request, without)
             });
             suitable.map(move |(grant, due)| (index, grant, is_slow, due))
         });
@@ -441,27 +447,11 @@
         held
     }
 
-    /// Returns whether a request fits an upstream once a lease there has ended.
-    fn fits_without(
-        &self,
-        grant: &grants::Grant,
-        candidate: &Candidate<'_>,
-        request: &SlotRequest,
-        now: Instant,
-    ) -> bool {
-        let in_use = candidate.memory_in_use;
-        let without = Candidate {
-            memory_in_use: in_use.saturating_sub(grant.footprint.memory),
-            ..*candidate
-        };
-        self.placement.cost(request, &without, now).is_some()
-    }
-
-    /// Returns whether there are upstreams for the request, but none that could process it if it processed nothing else.
-    fn is_oversized(&self, request: &SlotRequest, now: Instant) -> bool {
-        let accepting = self.upstreams.iter().filter(|it| it.accepts(request, now));
-        let mut accepting = accepting.peekable();
-        accepting.peek().is_some() && !accepting.any(|it| self.suffices(it, request, now))
+    /// Returns whether the service has upstreams, but none that could process the request if it processed nothing else.
+    fn is_oversized(&self, request: &SlotRequest) -> bool {
+        let of_service = |entry: &&Entry| entry.upstream.service == request.service;
+        let mut upstreams = self.upstreams.iter().filter(of_service).peekable();
+        upstreams.peek().is_some() && !upstreams.any(|it| self.has_memory(it, request, 0))
     }
 
     fn record_oversized(&mut self, request: &SlotRequest, now: Instant) {
@@ -476,14 +466,10 @@
         });
     }
 
-    /// Returns whether the upstream could process the request if it processed nothing else.
-    fn suffices(&self, entry: &Entry, request: &SlotRequest, now: Instant) -> bool {
-        let empty = Candidate {
-            load: 0,
-            memory_in_use: 0,
-            ..entry.candidate(request, now)
-        };
-        self.placement.cost(request, &empty, now).is_some()
+    /// Returns whether the request fits the upstream, were `in_use` tokens of its memory reserved.
+    fn has_memory(&self, entry: &Entry, request: &SlotRequest, in_use: Tokens) -> bool {
+        let memory = entry.upstream.memory_tokens;
+        !self.prefix_affinity || memory::fits(&request.size, in_use, memory)
     }
 }
 
--- a/crates/tinbank-allocator/src/grants.rs
+++ b/crates/tinbank-allocator/src/grants.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     lease::{self, Class, Due, Footprint},
+    prefix::Expectation,
     size::Tokens,
 };
 
@@ -20,6 +21,8 @@
     /// When this allocator granted an online lease, to measure how long it holds its slot.
     pub granted_at: Option<Instant>,
     pub footprint: Footprint,
+    /// What the upstream was expected to do with the prompt, if this allocator granted the lease.
+    pub expectation: Expectation,
     /// Tokens of the prompt that the upstream had to read, if this allocator granted the lease.
     pub unread_tokens: Option<Tokens>,
 }
@@ -81,14 +84,15 @@
         self.0.iter().map(|grant| grant.holder)
     }
 
-    /// Adds or renews a lease. Renewing keeps the original `granted_at` and `unread_tokens`.
+    /// Adds or renews a lease. Renewing keeps the original `granted_at`, `expectation` and `unread_tokens`.
     pub fn add(&mut self, grant: Grant) {
         let known = self.remove(grant.holder, grant.lease);
         let granted_at = known.as_ref().and_then(|known| known.granted_at);
-        let unread_tokens = known.and_then(|known| known.unread_tokens);
+        let unread_tokens = known.as_ref().and_then(|known| known.unread_tokens);
         self.0.push(Grant {
             granted_at: granted_at.or(grant.granted_at),
             unread_tokens: unread_tokens.or(grant.unread_tokens),
+            expectation: known.map_or(grant.expectation, |known| known.expectation),
             ..grant
         });
     }
--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -23,7 +23,7 @@
 use crate::{
     batch::{contents, ownership},
     node::Node,
-    region, share,
+    prompt, region, share,
 };
 
 /// An item that may run now.
@@ -160,11 +160,13 @@
     }
     let content = node.batch.contents.of_item(&job.id, index);
     let size = content.map(|it| node.engine.item_size(&it));
+    let mut size = size.unwrap_or_default();
+    prompt::retain_parts(&mut size, node.settings.scheduling, route);
     let customer = job.customer.as_deref();
     Some(Candidate {
         allowed: region::of_request(config, route, customer),
         share: customer.and_then(|it| share::of_name(config, it)),
-        size: size.unwrap_or_default(),
+        size,
         key,
         submission: job.submission,
         due,
--- a/crates/tinbank-gateway/src/lib.rs
+++ b/crates/tinbank-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod measure;
 mod node;
 mod overload;
+mod prompt;
 mod quarantine;
 mod region;
 mod relay;
