feed, relay: a delegate's list states what is missing and from when on it can be relied on

Cause: a list that another host sent was applied as if its sender had waited for lapsed entries to be renewed. A delegate that has just begun to read the store has not waited, and its short list marked healthy upstreams as gone at its followers. Change: an update names the missing upstreams and the time until absent ones count as gone (message version 5). Until then upstreams absent from it are missing, afterwards those that it does not name as missing are gone. An update of a delegate that has not read the store lately is not relied on. After an update, the next read of the store is a first one. The list of upstreams with its position, history and scope is one value without I/O (tinbank_feed::Replica). A host that loses upstreams by a list logs each one.

--- a/crates/tinbank-feed/src/lib.rs
+++ b/crates/tinbank-feed/src/lib.rs
@@ -8,11 +8,13 @@
 pub mod delegation;
 pub mod history;
 pub mod message;
+pub mod replica;
 pub mod source;
 
 pub use self::{
     backoff::{Backoff, ResponseTimeout},
     delegation::Delegation,
     history::History,
+    replica::Replica,
     source::SourceSelector,
 };
--- a/crates/tinbank-feed/src/message.rs
+++ b/crates/tinbank-feed/src/message.rs
@@ -13,7 +13,7 @@
 pub type Position = u64;
 
 /// First byte of each message. Messages of other versions are rejected.
-const VERSION: u8 = 4;
+const VERSION: u8 = 5;
 
 /// Reason why a message can't be decoded.
 #[derive(Debug, thiserror::Error)]
@@ -69,6 +69,8 @@
     pub upstreams: Option<Delta<Upstream, id::Instance>>,
     /// Position of the last change to the upstreams that no record of the store describes.
     pub settled: Option<Position>,
+    /// How far the upstreams can be relied on.
+    pub reliability: Reliability,
     /// Changes to the hosts.
     pub hosts: Option<Delta<Peer, SocketAddr>>,
     /// The quarantined requests, if they changed.
@@ -79,6 +81,17 @@
     pub age: Age,
 }
 
+/// How far a list of upstreams can be relied on after an outage of the store.
+#[serde_as]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reliability {
+    /// The upstreams in scope whose entries are missing since an outage; they still count as present.
+    pub missing: Vec<id::Instance>,
+    /// Time until upstreams that are absent from the list count as gone; `None` if they do.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub reliable_in: Option<Duration>,
+}
+
 /// What a host lacks of a list at a position of the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta<T, K> {
--- /dev/null
+++ b/crates/tinbank-feed/src/replica.rs
@@ -0,0 +1,311 @@
+//! A host's copy of the list of upstreams: read from the store or received from a delegate, and sent to followers.
+//!
+//! A host may change between all of these at any time, in particular in an outage of the store, in which entries of healthy
+//! upstreams lapse. See `docs/hard-load.md`, part Q.
+
+use std::time::{Duration, Instant};
+
+use tinbank_base::id;
+use tinbank_relay::{
+    listing::{self, Change, Changes, Listing, RENEWAL_TIME, Reading},
+    upstream::Upstream,
+};
+
+use crate::{
+    History,
+    history::{self, Lookup},
+    message::{Delta, Position, Reliability, Scope, Update, UpdateRequest},
+    source::MAX_AGE,
+};
+
+/// The history is limited to the size of the list divided by this number. Followers that lack more changes get the whole list.
+const HISTORY_DIVISOR: usize = 4;
+
+/// A record of the store's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Record {
+    /// The entry of an upstream was written.
+    Listed(Upstream),
+    /// The entry under a name was removed or is unusable.
+    Removed(id::Instance),
+}
+
+/// The list of upstreams, how far it is known, and its changes for hosts that follow this one.
+#[derive(Debug, Default)]
+pub struct Replica {
+    listing: Listing,
+    /// Position after the last record that was applied.
+    position: Option<Position>,
+    /// Position of the last change of the list.
+    changed: Position,
+    /// Position of the last change that no record describes, such as the removal of missing upstreams.
+    settled: Option<Position>,
+    history: History<id::Instance>,
+}
+
+impl Replica {
+    /// Returns the upstreams.
+    pub fn listing(&self) -> &Listing {
+        &self.listing
+    }
+
+    /// Returns the position after the last record that was applied.
+    pub fn position(&self) -> Option<Position> {
+        self.position
+    }
+
+    /// Forgets the position, so that the whole list is read again.
+    pub fn reset(&mut self) {
+        self.position = None;
+    }
+
+    /// Records that an upstream itself reported that it is leaving or gone.
+    pub fn mark_leaving(&mut self, instance: &id::Instance) {
+        self.listing.mark_leaving(instance);
+    }
+
+    /// Records that the store answered a read of the list. Called before the result is applied.
+    pub fn record_store_answer(&mut self, now: Instant) {
+        self.listing.record_store_answer(now);
+    }
+
+    /// Records that a read of the list got no answer.
+    pub fn record_store_failure(&mut self) {
+        self.listing.record_store_failure();
+    }
+
+    /// Applies a page of the whole list while a host reads on, so that it can use these upstreams already. The list of a large
+    /// fleet has many pages.
+    pub fn apply_page(
+        &mut self,
+        records: &[Record],
+        scope: listing::Scope,
+        at: Reading,
+    ) -> Changes {
+        if self.position.is_some() {
+            return Changes::new();
+        }
+        self.listing.set_scope(scope);
+        let listed = records.iter().filter_map(|record| match record {
+            Record::Listed(upstream) => Some(upstream.clone()),
+            Record::Removed(_) => None,
+        });
+        listed.flat_map(|it| self.listing.add(it, at)).collect()
+    }
+
+    /// Applies the whole list as read from the store.
+    pub fn apply_whole(
+        &mut self,
+        records: Vec<Record>,
+        scope: listing::Scope,
+        at: Reading,
+    ) -> Changes {
+        // Before the list is applied: upstreams out of scope are dropped, while those absent from the list count as removed.
+        self.listing.set_scope(scope);
+        let listed = records.into_iter().filter_map(|record| match record {
+            Record::Listed(upstream) => Some(upstream),
+            Record::Removed(_) => None,
+        });
+        let changes = self.listing.replace(listed.collect(), at);
+        self.history.reset(at.position);
+        self.finish_read(changes, at)
+    }
+
+    /// Applies records that were written to the store since the known position.
+    pub fn apply_since(&mut self, records: Vec<Record>, at: Reading) -> Changes {
+        let mut changes = Changes::new();
+        for record in records {
+            match record {
+                Record::Listed(upstream) => changes.extend(self.listing.add(upstream, at)),
+                Record::Removed(name) => changes.extend(self.listing.remove(&name, at)),
+            }
+        }
+        self.finish_read(changes, at)
+    }
+
+    fn finish_read(&mut self, mut changes: Changes, at: Reading) -> Changes {
+        self.record_changes(&changes, at.position);
+        let settled = self.listing.expire_missing(at);
+        if !settled.is_empty() {
+            self.settled = Some(at.position);
+            // At the next position, since followers that know the list up to this one lack these changes as well.
+            self.record_changes(&settled, at.position + 1);
+        }
+        changes.extend(settled);
+        self.advance(at.position, !changes.is_empty());
+        changes
+    }
+
+    /// Adds to the request of an update what this host knows, if it follows upstreams in `scope`.
+    pub fn fill_request(&self, scope: &Scope, request: &mut UpdateRequest) {
+        // Upstreams known for another scope do not count.
+        let is_whole = *self.listing.scope() == listing::Scope::All;
+        let is_same_scope = is_whole == (*scope == Scope::Whole);
+        request.upstreams = self.position.filter(|_| is_same_scope);
+        request.settled = self.settled;
+    }
+
+    /// Returns whether this host tracks all upstreams in the requested scope.
+    fn covers(&self, scope: &Scope) -> bool {
+        match (self.listing.scope(), scope) {
+            (listing::Scope::All, _) => true,
+            (listing::Scope::Domain(own), Scope::Domain(domain)) => own == domain,
+            (listing::Scope::Domain(_), Scope::Whole | Scope::Hosts) => false,
+        }
+    }
+
+    /// Returns whether upstreams in the requested scope changed.
+    pub fn has_changes(&self, request: &UpdateRequest) -> bool {
+        if self.settled > request.settled {
+            return true;
+        }
+        let has_changes = match request.upstreams {
+            None => self.position.is_some(),
+            Some(known) => known < self.changed,
+        };
+        if !has_changes {
+            return false;
+        }
+        let delta = self.delta(request);
+        delta.is_some_and(|it| it.is_whole || !it.entries.is_empty() || !it.gone.is_empty())
+    }
+
+    /// Fills in what the sender of a request lacks of the upstreams. `age` is how long ago they were read.
+    pub fn fill_update(
+        &self,
+        request: &UpdateRequest,
+        age: Option<Duration>,
+        update: &mut Update,
+        now: Instant,
+    ) {
+        if !self.covers(&request.scope) {
+            return;
+        }
+        update.age.upstreams = age;
+        update.settled = self.settled;
+        update.upstreams = self.delta(request);
+        let scoped = self.scoped(&request.scope);
+        let missing = self.listing.missing().filter(|it| scoped.covers(it));
+        update.reliability = Reliability {
+            missing: missing.map(|it| it.instance.clone()).collect(),
+            reliable_in: self.listing.reliable_in(now),
+        };
+    }
+
+    fn delta(&self, request: &UpdateRequest) -> Option<Delta<Upstream, id::Instance>> {
+        let scoped = self.scoped(&request.scope);
+        self.history
+            .delta(request.upstreams, self.position?, &scoped)
+    }
+
+    fn scoped<'a>(&'a self, scope: &'a Scope) -> Scoped<'a> {
+        Scoped {
+            listing: &self.listing,
+            scope,
+        }
+    }
+
+    /// Applies the upstreams in `scope` that a delegate sent, unless this host knows a later position. Returns what changed, or
+    /// `None` if the update does not apply.
+    pub fn apply_update(
+        &mut self,
+        update: &mut Update,
+        scope: listing::Scope,
+        now: Instant,
+    ) -> Option<Changes> {
+        if let Some(settled) = update.settled {
+            self.settled = Some(settled);
+        }
+        let delta = update.upstreams.take()?;
+        if self.position.is_some_and(|known| delta.position < known) {
+            return None;
+        }
+        let at = Reading {
+            position: delta.position,
+            now,
+        };
+        let reliability = std::mem::take(&mut update.reliability);
+        // A delegate that has not read the store lately does not know of an outage.
+        let is_fresh = update.age.upstreams.is_some_and(|age| age <= MAX_AGE);
+        let reliable_in = match is_fresh {
+            true => reliability.reliable_in.unwrap_or_default(),
+            false => RENEWAL_TIME,
+        };
+        let reliability = listing::Reliability {
+            missing: reliability.missing,
+            from: now + reliable_in,
+        };
+        let changes = match delta.is_whole {
+            true => {
+                self.listing.set_scope(scope);
+                self.history.reset(at.position);
+                self.listing.apply_snapshot(delta.entries, reliability, at)
+            }
+            false => self
+                .listing
+                .apply_update(delta.entries, delta.gone, reliability, at),
+        };
+        // At the next position, since the delegate may have sent changes that no record describes.
+        self.record_changes(&changes, at.position + 1);
+        self.advance(at.position, !changes.is_empty());
+        Some(changes)
+    }
+
+    /// Records changes, for hosts that follow this one.
+    fn record_changes(&mut self, changes: &[Change], position: Position) {
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            match change {
+                Change::Listed(upstream) => {
+                    self.history.record(position, upstream.instance.clone());
+                }
+                Change::Gone(instance) => self.history.record(position, instance.clone()),
+                // Still present. Each update has the missing ones.
+                Change::Missing(_) => {}
+            }
+        }
+        let listed = self.listing.present().count();
+        self.history.truncate(listed / HISTORY_DIVISOR);
+    }
+
+    /// Records that the list is known up to a position, and whether it changed.
+    fn advance(&mut self, position: Position, has_changed: bool) {
+        self.position = Some(position);
+        if has_changed {
+            self.changed = position;
+        }
+    }
+}
+
+/// The upstreams, limited to a scope.
+struct Scoped<'a> {
+    listing: &'a Listing,
+    scope: &'a Scope,
+}
+
+impl Scoped<'_> {
+    fn covers(&self, upstream: &Upstream) -> bool {
+        match self.scope {
+            Scope::Whole => true,
+            Scope::Domain(domain) => upstream.failure_domain == *domain,
+            Scope::Hosts => false,
+        }
+    }
+}
+
+impl history::List<Upstream, id::Instance> for Scoped<'_> {
+    fn all(&self) -> Vec<Upstream> {
+        let present = self.listing.present();
+        present.filter(|it| self.covers(it)).cloned().collect()
+    }
+
+    fn find(&self, instance: &id::Instance) -> Lookup<Upstream> {
+        match self.listing.get(instance) {
+            Some(upstream) if self.covers(upstream) => Lookup::InScope(upstream.clone()),
+            Some(_) => Lookup::OutOfScope,
+            None => Lookup::Missing,
+        }
+    }
+}
--- a/crates/tinbank-feed/tests/message.rs
+++ b/crates/tinbank-feed/tests/message.rs
@@ -5,7 +5,7 @@
 use smallvec::smallvec;
 use tinbank_allocator::directory::Peer;
 use tinbank_feed::message::{
-    Age, Delta, Error, Scope, Snapshot, Update, UpdateRequest, decode, encode,
+    Age, Delta, Error, Reliability, Scope, Snapshot, Update, UpdateRequest, decode, encode,
 };
 use tinbank_quarantine::Quarantined;
 use tinbank_relay::{
@@ -72,6 +72,10 @@
             }],
         }),
         settled: Some(39),
+        reliability: Reliability {
+            missing: vec!["i-2".into()],
+            reliable_in: Some(Duration::from_millis(900)),
+        },
         hosts: Some(Delta {
             position: 50,
             is_whole: true,
--- a/crates/tinbank-gateway/src/feed/follower.rs
+++ b/crates/tinbank-gateway/src/feed/follower.rs
@@ -18,7 +18,6 @@
 
 use super::server::max_wait;
 use crate::{
-    border::store::List,
     exchange::{self, Deadlines},
     node::Node,
     view,
@@ -137,19 +136,18 @@
     scope: Scope,
 ) -> Result<Update, Error> {
     let lists = &node.view.lists;
-    let upstreams = lists.of(List::Upstreams);
-    // Upstreams known for another scope do not count.
-    let is_same_scope = node.view.is_own_domain_only() == (scope != Scope::Whole);
     let max_wait = max_wait(&scope);
-    let update_request = UpdateRequest {
+    let mut update_request = UpdateRequest {
         config: node.view.config().map(|config| config.version),
-        scope,
-        upstreams: upstreams.position().filter(|_| is_same_scope),
-        settled: upstreams.settled(),
-        hosts: lists.of(List::Hosts).position(),
-        quarantine: lists.of(List::Quarantine).position(),
+        scope: scope.clone(),
+        hosts: lists.hosts.position(),
+        quarantine: lists.quarantine.position(),
         evacuations: lists.evacuations.position(),
+        ..UpdateRequest::default()
     };
+    node.view
+        .replica()
+        .fill_request(&scope, &mut update_request);
     let body = Bytes::from(message::encode(&update_request)?);
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = Method::POST;
--- a/crates/tinbank-gateway/src/feed/server.rs
+++ b/crates/tinbank-gateway/src/feed/server.rs
@@ -12,17 +12,15 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tinbank_allocator::directory::Peer;
-use tinbank_base::id;
 use tinbank_feed::{
     history::{self, Lookup},
-    message::{self, Delta, Scope, Snapshot, Update, UpdateRequest},
+    message::{self, Age, Delta, Scope, Snapshot, Update, UpdateRequest},
     source::MAX_AGE,
 };
-use tinbank_relay::upstream::Upstream;
 use tokio::{net::TcpListener, task, time};
 
 use crate::{
-    border::{Body, full_body, store::List},
+    border::{Body, full_body},
     node::Node,
     serve::accept,
     view::{View, Watermark},
@@ -105,37 +103,21 @@
 fn has_update(node: &Node, request: &UpdateRequest) -> bool {
     let view = &node.view;
     let version = view.config().map(|config| config.version);
-    let has_hosts = view.lists.of(List::Hosts).has_changes_since(request.hosts);
+    let has_hosts = view.lists.hosts.has_changes_since(request.hosts);
     if request.scope == Scope::Hosts {
         return has_hosts;
     }
     view.is_known()
         && (version > request.config
             || has_hosts
-            || has_upstream_changes(node, request)
-            || view
-                .lists
-                .of(List::Quarantine)
-                .has_changes_since(request.quarantine)
+            || view.replica().has_changes(request)
+            || view.lists.quarantine.has_changes_since(request.quarantine)
             || view
                 .lists
                 .evacuations
                 .has_changes_since(request.evacuations))
 }
 
-/// Returns whether upstreams in the requested scope changed.
-fn has_upstream_changes(node: &Node, request: &UpdateRequest) -> bool {
-    let watermark = node.view.lists.of(List::Upstreams);
-    if watermark.settled() > request.settled {
-        return true;
-    }
-    if !watermark.has_changes_since(request.upstreams) {
-        return false;
-    }
-    let delta = upstreams(&node.view, request);
-    delta.is_some_and(|it| it.is_whole || !it.entries.is_empty() || !it.gone.is_empty())
-}
-
 fn is_stale(node: &Node) -> bool {
     let ages = node.view.age(Instant::now());
     let ages = [ages.config, ages.upstreams];
@@ -152,73 +134,32 @@
         };
     }
     let config = view.config().filter(|it| Some(it.version) > request.config);
-    let mut age = view.age(now);
-    let is_own = |domain| domain == &node.settings.failure_domain;
-    let knows_all =
-        !view.is_own_domain_only() || matches!(&request.scope, Scope::Domain(it) if is_own(it));
-    if !knows_all {
-        age.upstreams = None;
-    }
-    Update {
+    let age = view.age(now);
+    let mut update = Update {
         config: config.map(|it| (*it).clone()),
-        upstreams: upstreams(view, request).filter(|_| knows_all),
-        settled: lists.of(List::Upstreams).settled().filter(|_| knows_all),
         hosts: hosts(view, request),
-        quarantine: snapshot(lists.of(List::Quarantine), request.quarantine, || {
+        quarantine: snapshot(&lists.quarantine, request.quarantine, || {
             node.quarantine.stored()
         }),
         evacuations: snapshot(&lists.evacuations, request.evacuations, || view.evacuated()),
-        age,
-    }
-}
-
-/// Returns the changes to the upstreams in the requested scope.
-fn upstreams(view: &View, request: &UpdateRequest) -> Option<Delta<Upstream, id::Instance>> {
-    let position = view.lists.of(List::Upstreams).position()?;
-    let scope = &request.scope;
-    let history = view.lists.changed_upstreams.borrow();
-    history.delta(request.upstreams, position, &Upstreams { view, scope })
+        age: Age {
+            config: age.config,
+            upstreams: None,
+        },
+        ..Update::default()
+    };
+    view.replica()
+        .fill_update(request, age.upstreams, &mut update, now);
+    update
 }
 
 /// Returns the changes to the hosts.
 fn hosts(view: &View, request: &UpdateRequest) -> Option<Delta<Peer, SocketAddr>> {
-    let position = view.lists.of(List::Hosts).position()?;
+    let position = view.lists.hosts.position()?;
     let history = view.lists.changed_hosts.borrow();
     history.delta(request.hosts, position, &Hosts { view })
 }
 
-/// The upstreams, limited to a scope.
-struct Upstreams<'a> {
-    view: &'a View,
-    scope: &'a Scope,
-}
-
-impl Upstreams<'_> {
-    fn covers(&self, upstream: &Upstream) -> bool {
-        match self.scope {
-            Scope::Whole => true,
-            Scope::Domain(domain) => upstream.failure_domain == *domain,
-            Scope::Hosts => false,
-        }
-    }
-}
-
-impl history::List<Upstream, id::Instance> for Upstreams<'_> {
-    fn all(&self) -> Vec<Upstream> {
-        let mut all = self.view.present();
-        all.retain(|it| self.covers(it));
-        all
-    }
-
-    fn find(&self, instance: &id::Instance) -> Lookup<Upstream> {
-        match self.view.upstream(instance) {
-            Some(upstream) if self.covers(&upstream) => Lookup::InScope(upstream),
-            Some(_) => Lookup::OutOfScope,
-            None => Lookup::Missing,
-        }
-    }
-}
-
 /// All hosts.
 struct Hosts<'a> {
     view: &'a View,
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -7,7 +7,7 @@
 mod watermark;
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, Ref, RefCell},
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
@@ -16,7 +16,7 @@
 
 use tinbank_allocator::{allocator, directory::Peer, leaving::Evidence, slow_start::ColdStart};
 use tinbank_base::id;
-use tinbank_feed::message::Age;
+use tinbank_feed::{Replica, message::Age};
 use tinbank_relay::{
     evacuation::{self, Evacuations},
     listing::{Cause, Listing, Scope},
@@ -27,7 +27,7 @@
 
 use self::watermark::Lists;
 pub(crate) use self::{lists::follow, update::apply_update, watermark::Watermark};
-use crate::border::store::{Error, List};
+use crate::border::store::{Error, List, Offset};
 
 /// How long the store delays the answer to a read until there is a change.
 const READ_WAIT: Duration = Duration::from_millis(1_000);
@@ -43,14 +43,14 @@
 pub(crate) struct View {
     config: RefCell<Option<Rc<Config>>>,
     config_read_at: Cell<Option<Instant>>,
-    upstreams: RefCell<Listing>,
+    upstreams: RefCell<Replica>,
     upstreams_read_at: Cell<Option<Instant>>,
     peers: RefCell<HashMap<SocketAddr, Peer>>,
     peers_read_at: Cell<Option<Instant>>,
     evacuations: RefCell<Evacuations>,
     /// Reinstated failure domains, and until when their upstreams may be cold although their entries do not say so yet.
     reinstated: RefCell<HashMap<id::FailureDomain, Instant>>,
-    /// How far the lists of the store were read.
+    /// How far the other lists of the store were read.
     pub lists: Lists,
     refreshed: Notify,
 }
@@ -74,7 +74,7 @@
 
     /// Waits until the configuration and all upstreams were read.
     pub async fn wait_until_known(&self) {
-        while !self.is_known() || self.lists.of(List::Upstreams).position().is_none() {
+        while !self.is_known() || self.position(List::Upstreams).is_none() {
             self.refreshed.notified().await;
         }
     }
@@ -118,19 +118,30 @@
         self.peers.borrow().get(&address).cloned()
     }
 
-    /// Returns all upstreams, including those that are leaving.
-    pub fn present(&self) -> Vec<Upstream> {
-        self.upstreams.borrow().present().cloned().collect()
+    /// Returns the position after the last record of a list that was applied.
+    pub fn position(&self, list: List) -> Option<Offset> {
+        match self.lists.of(list) {
+            Some(watermark) => watermark.position(),
+            None => self.upstreams.borrow().position(),
+        }
+    }
+
+    /// Forgets the position in a list, so that the whole list is read again.
+    fn reset(&self, list: List) {
+        match self.lists.of(list) {
+            Some(watermark) => watermark.reset(),
+            None => self.upstreams.borrow_mut().reset(),
+        }
     }
 
-    /// Returns an upstream, if it is present.
-    pub fn upstream(&self, instance: &id::Instance) -> Option<Upstream> {
-        self.upstreams.borrow().get(instance).cloned()
+    /// Returns the upstreams, for updates of followers.
+    pub fn replica(&self) -> Ref<'_, Replica> {
+        self.upstreams.borrow()
     }
 
     /// Returns whether only the upstreams of the own failure domain are tracked.
     pub fn is_own_domain_only(&self) -> bool {
-        *self.upstreams.borrow().scope() != Scope::All
+        *self.upstreams.borrow().listing().scope() != Scope::All
     }
 
     /// Returns the evacuated failure domains, whose upstreams get no new requests.
@@ -180,9 +191,11 @@
     /// Returns the upstreams of a service that take requests and are not cold. Used without an allocator, where nobody limits the
     /// rate of requests to a cold upstream.
     pub fn upstreams(&self, service: &str) -> Vec<Upstream> {
-        let listing = self.upstreams.borrow();
+        let replica = self.upstreams.borrow();
         let now = Instant::now();
-        let serving = self.serving(&listing).filter(|it| it.service == service);
+        let serving = self
+            .serving(replica.listing())
+            .filter(|it| it.service == service);
         serving
             .filter(|it| self.cold_start(it, now).is_none())
             .cloned()
@@ -198,15 +211,19 @@
 
     /// Returns whether an upstream of a service takes requests, other than those given.
     pub fn has_other_upstream(&self, service: &str, others: &[id::Instance]) -> bool {
-        let listing = self.upstreams.borrow();
-        let mut serving = self.serving(&listing).filter(|it| it.service == service);
+        let replica = self.upstreams.borrow();
+        let mut serving = self
+            .serving(replica.listing())
+            .filter(|it| it.service == service);
         serving.any(|it| !others.contains(&it.instance))
     }
 
     /// Returns why an upstream counts as leaving or gone, if it does. One that is not listed yet may be new.
     pub fn evidence_of_leaving(&self, instance: &id::Instance) -> Option<Evidence> {
-        let listing = self.upstreams.borrow();
-        let cause = listing.cause_of_leaving(instance, Instant::now())?;
+        let replica = self.upstreams.borrow();
+        let cause = replica
+            .listing()
+            .cause_of_leaving(instance, Instant::now())?;
         Some(match cause {
             Cause::Reply => Evidence::Reply,
             Cause::List(position) => Evidence::List(position),
@@ -223,11 +240,11 @@
         if list != List::Upstreams {
             return;
         }
-        let mut listing = self.upstreams.borrow_mut();
+        let mut replica = self.upstreams.borrow_mut();
         match read {
-            Ok(_) => listing.record_store_answer(Instant::now()),
+            Ok(_) => replica.record_store_answer(Instant::now()),
             Err(Error::NoEffect(_) | Error::Busy(_) | Error::Unknown(_)) => {
-                listing.record_store_failure()
+                replica.record_store_failure()
             }
             Err(Error::Trimmed { .. } | Error::Protocol(_)) => {}
         }
@@ -240,7 +257,7 @@
             List::Quarantine | List::FirstDelegates => return LONG_READ_WAIT,
             List::Upstreams => {}
         }
-        let settles_at = self.upstreams.borrow().missing_expire_at();
+        let settles_at = self.upstreams.borrow().listing().missing_expire_at();
         let left = settles_at.map(|at| at.saturating_duration_since(now));
         left.map_or(READ_WAIT, |left| left.min(READ_WAIT))
     }
@@ -269,11 +286,11 @@
 
     /// Returns the upstreams whose slots the allocator of a failure domain grants.
     pub fn allocatable(&self, failure_domain: &str, now: Instant) -> Vec<allocator::Upstream> {
-        let listing = self.upstreams.borrow();
+        let replica = self.upstreams.borrow();
         let config = self.config();
         let limits = |it: &Upstream| config.as_ref()?.service_limits(&it.service);
         let mut allocatable: Vec<_> = self
-            .serving(&listing)
+            .serving(replica.listing())
             .filter(|it| it.failure_domain == failure_domain)
             .map(|it| allocator::Upstream {
                 instance: it.instance.clone(),
--- a/crates/tinbank-gateway/src/view/entries.rs
+++ b/crates/tinbank-gateway/src/view/entries.rs
@@ -2,14 +2,15 @@
 
 use std::{rc::Rc, time::Instant};
 
+use tinbank_feed::replica::Record;
 use tinbank_relay::{
     evacuation,
-    listing::{Change, Changes, Reading, Scope},
+    listing::{Change, Reading, Scope},
 };
 
 use super::View;
 use crate::{
-    border::store::{Entries, List, ListEntry, Offset},
+    border::store::{Entries, List, ListEntry},
     measure,
     node::Node,
 };
@@ -36,7 +37,9 @@
         // Read only during bootstrap.
         List::FirstDelegates => false,
     };
-    view.lists.of(list).advance(end, changed);
+    if let Some(watermark) = view.lists.of(list) {
+        watermark.advance(end, changed);
+    }
     record_read(node, list, now, changed);
     view.refreshed.notify_waiters();
 }
@@ -48,7 +51,7 @@
         List::Config => view.config_read_at.set(Some(at)),
         List::Upstreams => {
             view.upstreams_read_at.set(Some(at));
-            if let Some(position) = view.lists.of(list).position() {
+            if let Some(position) = view.position(list) {
                 node.sharing.set_list_position(position);
             }
             if changed || node.sharing.lacks_upstreams() {
@@ -119,86 +122,45 @@
 
 /// Returns whether the upstreams changed.
 fn apply_upstreams(node: &Node, read: Entries, whole: bool, now: Instant) -> bool {
-    let view = &node.view;
-    let end = read.end;
-    let at = Reading { position: end, now };
-    let mut listing = view.upstreams.borrow_mut();
-    if whole {
-        // Before the list is applied: upstreams out of scope are dropped, while those absent from the list count as removed.
-        listing.set_scope(scope(node, !node.feed.serves_followers()));
-    }
-    let entries = read.entries.into_iter();
-    let mut changes: Changes = match whole {
-        true => {
-            let listed = entries.filter_map(|written| match written {
-                ListEntry::Upstream(upstream) => Some(upstream),
-                _ => None,
-            });
-            listing.replace(listed.collect(), at)
-        }
-        false => entries
-            .flat_map(|written| match written {
-                ListEntry::Upstream(upstream) => listing.add(upstream, at),
-                ListEntry::UpstreamRemoved(name) => listing.remove(&name, at).into_iter().collect(),
-                _ => Changes::new(),
-            })
-            .collect(),
+    let at = Reading {
+        position: read.end,
+        now,
     };
-    let settled = listing.expire_missing(at);
-    drop(listing);
-    if whole {
-        view.lists.changed_upstreams.borrow_mut().reset(end);
-    }
-    record_changes(view, &changes, end);
-    if !settled.is_empty() {
-        view.lists.of(List::Upstreams).settle(end);
-        // At the next position, since followers that know the list up to `end` lack these changes as well.
-        record_changes(view, &settled, end + 1);
-    }
-    changes.extend(settled);
+    let records = records(read.entries);
+    let mut replica = node.view.upstreams.borrow_mut();
+    let changes = match whole {
+        true => replica.apply_whole(records, scope(node, !node.feed.serves_followers()), at),
+        false => replica.apply_since(records, at),
+    };
+    drop(replica);
     changes.iter().for_each(log_change);
     !changes.is_empty()
 }
 
-/// Applies a page of the upstreams while a starting host reads on, so that it can use these upstreams already. The list of a large
-/// fleet has many pages.
-pub(super) fn apply_page(node: &Node, page: Vec<ListEntry>, end: Offset) {
-    let view = &node.view;
-    if view.lists.of(List::Upstreams).position().is_some() {
-        return;
-    }
+/// Returns the records of upstreams among entries of their list.
+fn records(entries: Vec<ListEntry>) -> Vec<Record> {
+    let records = entries.into_iter().filter_map(|written| match written {
+        ListEntry::Upstream(upstream) => Some(Record::Listed(upstream)),
+        ListEntry::UpstreamRemoved(name) => Some(Record::Removed(name)),
+        _ => None,
+    });
+    records.collect()
+}
+
+/// Applies a page of the upstreams while a starting host reads on.
+pub(super) fn apply_page(node: &Node, page: Entries) {
     let at = Reading {
-        position: end,
+        position: page.end,
         now: Instant::now(),
     };
-    let mut listing = view.upstreams.borrow_mut();
-    listing.set_scope(scope(node, !node.feed.serves_followers()));
-    for written in page {
-        if let ListEntry::Upstream(upstream) = written {
-            listing.add(upstream, at).iter().for_each(log_change);
-        }
-    }
-    drop(listing);
-    record_read(node, List::Upstreams, Instant::now(), true);
-    view.refreshed.notify_waiters();
-}
-
-/// Records changes to the upstreams, for hosts that follow this one.
-pub(super) fn record_changes(view: &View, changes: &[Change], position: Offset) {
-    if changes.is_empty() {
-        return;
-    }
-    let mut history = view.lists.changed_upstreams.borrow_mut();
-    for change in changes {
-        match change {
-            Change::Listed(upstream) => history.record(position, upstream.instance.clone()),
-            Change::Gone(instance) => history.record(position, instance.clone()),
-            // Still present.
-            Change::Missing(_) => {}
-        }
-    }
-    let listed = view.upstreams.borrow().present().count();
-    history.truncate(listed / HISTORY_DIVISOR);
+    let scope = scope(node, !node.feed.serves_followers());
+    let records = records(page.entries);
+    let mut replica = node.view.upstreams.borrow_mut();
+    let changes = replica.apply_page(&records, scope, at);
+    drop(replica);
+    changes.iter().for_each(log_change);
+    record_read(node, List::Upstreams, at.now, true);
+    node.view.refreshed.notify_waiters();
 }
 
 /// Returns whether the hosts changed.
@@ -230,7 +192,7 @@
     changed
 }
 
-fn log_change(change: &Change) {
+pub(super) fn log_change(change: &Change) {
     match change {
         Change::Listed(upstream) => log::info!(
             upstream:% = upstream.instance,
--- a/crates/tinbank-gateway/src/view/lists.rs
+++ b/crates/tinbank-gateway/src/view/lists.rs
@@ -35,7 +35,7 @@
         if list == List::Upstreams && node.feed.serves_followers() && node.view.is_own_domain_only()
         {
             // Followers need the upstreams of all failure domains.
-            node.view.lists.of(list).reset();
+            node.view.reset(list);
         }
         let read = read(&node, list, &mut pages, timeout.duration()).await;
         node.view.record_read_result(list, &read);
@@ -43,7 +43,7 @@
             Ok(Read::Page(entries)) => {
                 timeout.on_response();
                 if list == List::Upstreams {
-                    apply_page(&node, entries.entries, entries.end);
+                    apply_page(&node, entries);
                 }
             }
             Ok(Read::Since(entries)) => {
@@ -63,7 +63,7 @@
             }
             Err(error) => {
                 if matches!(error, Error::Trimmed { .. }) {
-                    node.view.lists.of(list).reset();
+                    node.view.reset(list);
                 }
                 if matches!(error, Error::Unknown(_)) {
                     timeout.on_timeout();
--- a/crates/tinbank-gateway/src/view/pages.rs
+++ b/crates/tinbank-gateway/src/view/pages.rs
@@ -34,7 +34,7 @@
     timeout: Duration,
 ) -> Result<Read, Error> {
     let now = Instant::now();
-    let Some(from) = node.view.lists.of(list).position() else {
+    let Some(from) = node.view.position(list) else {
         return pages.read(node, list, now + timeout).await;
     };
     let max_wait = node.view.max_wait(list, now);
--- a/crates/tinbank-gateway/src/view/update.rs
+++ b/crates/tinbank-gateway/src/view/update.rs
@@ -6,13 +6,12 @@
 };
 
 use tinbank_allocator::directory::Peer;
-use tinbank_base::id;
 use tinbank_feed::message::{Delta, Position, Snapshot, Update};
-use tinbank_relay::{listing::Reading, upstream::Upstream};
+use tinbank_relay::listing::Change;
 
 use super::{
     View,
-    entries::{apply_config, on_evacuation_changes, record_changes, record_read, scope},
+    entries::{apply_config, log_change, on_evacuation_changes, record_read, scope},
     watermark::Watermark,
 };
 use crate::{
@@ -23,36 +22,28 @@
 /// Applies an update from a delegate. `is_own_domain_only` says whether its upstreams are only those of the own failure domain.
 pub(crate) fn apply_update(
     node: &Node,
-    update: Update,
+    mut update: Update,
     received_at: Instant,
     is_own_domain_only: bool,
 ) {
     let view = &node.view;
-    if let Some(snapshot) = newer(&view.lists.evacuations, update.evacuations) {
+    if let Some(snapshot) = newer(&view.lists.evacuations, update.evacuations.take()) {
         let changes = view.evacuations.borrow_mut().replace(snapshot.entries);
         view.lists.evacuations.advance(snapshot.position, true);
         on_evacuation_changes(node, &changes);
     }
-    if let Some(config) = update.config {
+    if let Some(config) = update.config.take() {
         apply_config(node, ListEntry::Config(config));
     }
-    let mut upstreams_changed = false;
-    if let Some(delta) = newer(view.lists.of(List::Upstreams), update.upstreams) {
-        upstreams_changed = apply_upstreams(node, delta, is_own_domain_only);
-    }
-    if let Some(settled) = update.settled {
-        view.lists.of(List::Upstreams).settle(settled);
-    }
-    if let Some(delta) = newer(view.lists.of(List::Hosts), update.hosts) {
+    let upstreams_changed = apply_upstreams(node, &mut update, is_own_domain_only);
+    if let Some(delta) = newer(&view.lists.hosts, update.hosts) {
         let changed = apply_hosts(view, delta);
         record_read(node, List::Hosts, received_at, changed);
     }
-    if let Some(snapshot) = newer(view.lists.of(List::Quarantine), update.quarantine) {
+    if let Some(snapshot) = newer(&view.lists.quarantine, update.quarantine) {
         node.quarantine
             .replace_stored(&snapshot.entries, received_at);
-        view.lists
-            .of(List::Quarantine)
-            .advance(snapshot.position, true);
+        view.lists.quarantine.advance(snapshot.position, true);
     }
     let latest = |known: Option<Instant>, age: Option<Duration>| {
         let read_at = age.and_then(|age| received_at.checked_sub(age));
@@ -68,36 +59,21 @@
 }
 
 /// Returns whether the upstreams changed.
-fn apply_upstreams(
-    node: &Node,
-    delta: Delta<Upstream, id::Instance>,
-    is_own_domain_only: bool,
-) -> bool {
-    let view = &node.view;
-    let position = delta.position;
-    let at = Reading {
-        position,
-        now: Instant::now(),
-    };
-    let mut listing = view.upstreams.borrow_mut();
-    let changes = match delta.is_whole {
-        true => {
-            listing.set_scope(scope(node, is_own_domain_only));
-            view.lists.changed_upstreams.borrow_mut().reset(position);
-            listing.apply_snapshot(delta.entries, at)
-        }
-        false => listing.apply_update(delta.entries, delta.gone, at),
+fn apply_upstreams(node: &Node, update: &mut Update, is_own_domain_only: bool) -> bool {
+    let scope = scope(node, is_own_domain_only);
+    let is_whole = update.upstreams.as_ref().is_some_and(|it| it.is_whole);
+    let mut replica = node.view.upstreams.borrow_mut();
+    let changes = replica.apply_update(update, scope, Instant::now());
+    let position = replica.position();
+    drop(replica);
+    let Some(changes) = changes.filter(|it| !it.is_empty()) else {
+        return false;
     };
-    drop(listing);
-    // At the next position, since the delegate may have sent changes that no record describes.
-    record_changes(view, &changes, position + 1);
-    let watermark = view.lists.of(List::Upstreams);
-    watermark.advance(position, !changes.is_empty());
-    if !changes.is_empty() {
-        // The delegate logs each of them.
-        log::info!(position, whole = delta.is_whole, changes = changes.len(); "upstreams received from a delegate");
-    }
-    !changes.is_empty()
+    // The delegate logs each change of its own, but a host may lose upstreams by its list alone.
+    let lost = changes.iter().filter(|it| !matches!(it, Change::Listed(_)));
+    lost.for_each(log_change);
+    log::info!(position:?, whole = is_whole, changes = changes.len(); "upstreams received from a delegate");
+    true
 }
 
 /// Returns whether the hosts changed.
@@ -123,7 +99,7 @@
             changed = true;
         }
     }
-    view.lists.of(List::Hosts).advance(position, changed);
+    view.lists.hosts.advance(position, changed);
     changed
 }
 
--- a/crates/tinbank-gateway/src/view/watermark.rs
+++ b/crates/tinbank-gateway/src/view/watermark.rs
@@ -5,7 +5,6 @@
     net::SocketAddr,
 };
 
-use tinbank_base::id;
 use tinbank_feed::History;
 
 use crate::border::store::{List, Offset};
@@ -14,14 +13,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct Lists {
     config: Watermark,
-    upstreams: Watermark,
-    hosts: Watermark,
-    quarantine: Watermark,
+    /// Watermark of the hosts.
+    pub hosts: Watermark,
+    /// Watermark of the quarantined requests.
+    pub quarantine: Watermark,
     first_delegates: Watermark,
     /// Watermark of the evacuations. They are stored with the configuration, which followers know by its version.
     pub evacuations: Watermark,
-    /// Changes to the upstreams, for hosts that follow this one.
-    pub changed_upstreams: RefCell<History<id::Instance>>,
     /// Changes to the hosts, for hosts that follow this one.
     pub changed_hosts: RefCell<History<SocketAddr>>,
 }
@@ -33,19 +31,17 @@
     position: Cell<Option<Offset>>,
     /// Position of the last change of the list.
     changed: Cell<Offset>,
-    /// Position of the last change that no record describes, such as the removal of missing upstreams.
-    settled: Cell<Option<Offset>>,
 }
 
 impl Lists {
-    /// Returns the watermark of a list.
-    pub fn of(&self, list: List) -> &Watermark {
+    /// Returns the watermark of a list, except of the upstreams, whose position is that of their replica.
+    pub fn of(&self, list: List) -> Option<&Watermark> {
         match list {
-            List::Config => &self.config,
-            List::Upstreams => &self.upstreams,
-            List::Hosts => &self.hosts,
-            List::Quarantine => &self.quarantine,
-            List::FirstDelegates => &self.first_delegates,
+            List::Config => Some(&self.config),
+            List::Upstreams => None,
+            List::Hosts => Some(&self.hosts),
+            List::Quarantine => Some(&self.quarantine),
+            List::FirstDelegates => Some(&self.first_delegates),
         }
     }
 }
@@ -61,16 +57,6 @@
         self.position.set(None);
     }
 
-    /// Records a change at a position that no record describes.
-    pub fn settle(&self, position: Offset) {
-        self.settled.set(Some(position));
-    }
-
-    /// Returns the position of the last change that no record describes.
-    pub fn settled(&self) -> Option<Offset> {
-        self.settled.get()
-    }
-
     /// Returns whether the list changed after a position.
     pub fn has_changes_since(&self, known: Option<Offset>) -> bool {
         match known {
--- a/crates/tinbank-relay/src/listing.rs
+++ b/crates/tinbank-relay/src/listing.rs
@@ -65,6 +65,16 @@
     }
 }
 
+/// How far the list that another host sent can be relied on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reliability {
+    /// All upstreams in scope whose entries are missing since an outage.
+    pub missing: Vec<id::Instance>,
+    /// From then on, upstreams that are absent from the list are gone. Until then they are missing: a host that has just begun
+    /// to read the store sends a short list while entries lapsed.
+    pub from: Instant,
+}
+
 /// How a host knows that an upstream is leaving or gone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
@@ -159,6 +169,26 @@
     fn is_reliable(&self, now: Instant) -> bool {
         !self.has_failed && self.reliable_from.is_none_or(|from| now >= from)
     }
+
+    /// Returns the time until the list can be relied on, if the store answers from now on.
+    fn reliable_in(&self, now: Instant) -> Option<Duration> {
+        let gap_end = self.last_answer_at.map(|at| at + MAX_ANSWER_GAP);
+        if self.has_failed || gap_end.is_some_and(|end| now > end) {
+            return Some(RENEWAL_TIME);
+        }
+        let left = self.reliable_from?.checked_duration_since(now)?;
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Records that the list was received from another host, and from when on it can be relied on. The next answer of the store
+    /// to this host is then a first one.
+    fn record_received(&mut self, reliable_from: Instant) {
+        *self = Self {
+            last_answer_at: None,
+            has_failed: false,
+            reliable_from: Some(reliable_from),
+        };
+    }
 }
 
 /// Returns whether two entries of an upstream have no difference that has to be reported.
@@ -266,13 +296,27 @@
         Some(Change::Missing(instance.clone()))
     }
 
-    /// Applies the full list of upstreams that another host sent. Upstreams that are not in it are gone: the sender has
-    /// already waited for expired entries to be renewed.
-    pub fn apply_snapshot(&mut self, upstreams: Vec<Upstream>, at: Reading) -> Changes {
+    /// Applies the full list of upstreams that another host sent. Upstreams that are not in it are gone if the list can be
+    /// relied on, otherwise missing.
+    pub fn apply_snapshot(
+        &mut self,
+        upstreams: Vec<Upstream>,
+        reliability: Reliability,
+        at: Reading,
+    ) -> Changes {
         let named: HashSet<&id::Instance> = upstreams.iter().map(|it| &it.instance).collect();
         let known = self.states.keys();
         let unnamed: Vec<_> = known.filter(|it| !named.contains(*it)).cloned().collect();
-        self.apply_update(upstreams, unnamed, at)
+        drop(named);
+        if at.now >= reliability.from {
+            return self.apply_update(upstreams, unnamed, reliability, at);
+        }
+        let mut changes: Changes = unnamed
+            .iter()
+            .filter_map(|it| self.mark_missing(it))
+            .collect();
+        changes.extend(self.apply_update(upstreams, Vec::new(), reliability, at));
+        changes
     }
 
     /// Applies the changes that another host sent. An upstream that is leaving by this host's own knowledge stays so.
@@ -280,14 +324,25 @@
         &mut self,
         upstreams: Vec<Upstream>,
         gone: Vec<id::Instance>,
+        reliability: Reliability,
         at: Reading,
     ) -> Changes {
+        self.store.record_received(reliability.from);
         let gone = gone.into_iter();
         let mut changes: Changes = gone.filter_map(|it| self.mark_gone(it, at)).collect();
         for mut upstream in upstreams {
             upstream.leaving |= self.was_leaving(&upstream.instance);
             changes.extend(self.add(upstream, at));
         }
+        let missing = reliability.missing.iter();
+        changes.extend(missing.filter_map(|it| self.mark_missing(it)));
+        if at.now >= reliability.from {
+            let missing = self.missing().map(|it| it.instance.clone());
+            let unnamed: Vec<_> = missing
+                .filter(|it| !reliability.missing.contains(it))
+                .collect();
+            changes.extend(unnamed.into_iter().filter_map(|it| self.mark_gone(it, at)));
+        }
         self.drop_expired(at.now);
         changes
     }
@@ -377,6 +432,19 @@
         }
     }
 
+    /// Returns the upstreams whose entries are missing since an outage.
+    pub fn missing(&self) -> impl Iterator<Item = &Upstream> {
+        self.states.values().filter_map(|state| match state {
+            State::Missing(upstream) => Some(upstream),
+            State::Listed(_) | State::Gone(_) => None,
+        })
+    }
+
+    /// Returns the time until upstreams that are absent from the list count as gone, or `None` if they do.
+    pub fn reliable_in(&self, now: Instant) -> Option<Duration> {
+        self.store.reliable_in(now)
+    }
+
     /// Returns all upstreams that are not gone, including those that are leaving.
     pub fn present(&self) -> impl Iterator<Item = &Upstream> {
         self.states.values().filter_map(|state| match state {
--- a/crates/tinbank-relay/tests/listing.rs
+++ b/crates/tinbank-relay/tests/listing.rs
@@ -8,7 +8,9 @@
 
 use proptest::prelude::*;
 use tinbank_relay::{
-    listing::{Change, GONE_DURATION, Listing, MAX_ANSWER_GAP, RENEWAL_TIME, Reading, Scope},
+    listing::{
+        Change, GONE_DURATION, Listing, MAX_ANSWER_GAP, RENEWAL_TIME, Reading, Reliability, Scope,
+    },
     upstream::Upstream,
 };
 use tinbank_test_support::property;
@@ -21,6 +23,14 @@
     Reading { position: 7, now }
 }
 
+/// Returns the reliability of a list of a host that has read the store for long.
+fn reliable(from: Instant) -> Reliability {
+    Reliability {
+        missing: Vec::new(),
+        from,
+    }
+}
+
 fn upstream(index: u8) -> Upstream {
     Upstream {
         instance: format!("u{index}").into(),
@@ -120,7 +130,7 @@
 fn entries_absent_from_the_first_read_are_missing_until_the_renewal_time(is_whole: bool) {
     let now = Instant::now();
     let mut listing = Listing::default();
-    listing.apply_snapshot(vec![upstream(0), upstream(1)], at(now));
+    listing.apply_snapshot(vec![upstream(0), upstream(1)], reliable(now), at(now));
 
     listing.record_store_answer(now);
     match is_whole {
@@ -227,7 +237,11 @@
     let now = Instant::now();
     let mut listing = listing(3, now);
 
-    let changes = listing.apply_snapshot(vec![upstream(1), upstream(2), upstream(5)], at(now));
+    let changes = listing.apply_snapshot(
+        vec![upstream(1), upstream(2), upstream(5)],
+        reliable(now),
+        at(now),
+    );
 
     let gone = Change::Gone("u0".into());
     assert_eq!(changes.as_slice(), [gone, Change::Listed(upstream(5))]);
@@ -235,13 +249,63 @@
     assert!(listing.is_leaving(&"u0".into(), now));
 }
 
+/// Guards against a delegate that has just begun to read the store after an outage, and whose list is short.
+#[test]
+fn upstreams_absent_from_a_list_are_missing_until_it_can_be_relied_on() {
+    let now = Instant::now();
+    let mut listing = listing(3, now);
+    let reliable_at = now + SECOND;
+
+    let changes = listing.apply_snapshot(vec![upstream(1)], reliable(reliable_at), at(now));
+    let at_first = serving(&listing);
+    listing.apply_update(vec![upstream(2)], vec![], reliable(reliable_at), at(now));
+    let later = listing.apply_update(vec![], vec![], reliable(reliable_at), at(reliable_at));
+
+    assert!(changes.iter().all(|it| matches!(it, Change::Missing(_))));
+    assert_eq!(at_first, ["u0", "u1", "u2"]);
+    assert_eq!(later.as_slice(), [Change::Gone("u0".into())]);
+    assert_eq!(serving(&listing), ["u1", "u2"]);
+}
+
+#[test]
+fn upstreams_that_the_sender_misses_are_missing_until_it_has_them_as_gone() {
+    let now = Instant::now();
+    let mut listing = listing(2, now);
+    let sent = Reliability {
+        missing: vec!["u0".into()],
+        from: now + SECOND,
+    };
+
+    let changes = listing.apply_update(vec![], vec![], sent.clone(), at(now));
+    listing.apply_update(vec![], vec![], sent, at(now + SECOND));
+    let still_missing = serving(&listing);
+    let gone = listing.apply_update(vec![], vec!["u0".into()], reliable(now), at(now + SECOND));
+
+    assert_eq!(changes.as_slice(), [Change::Missing("u0".into())]);
+    assert_eq!(still_missing, ["u0", "u1"]);
+    assert_eq!(gone.as_slice(), [Change::Gone("u0".into())]);
+}
+
+/// Guards against a host that follows a delegate in an outage and then reads the store itself.
+#[test]
+fn the_first_read_after_an_update_counts_as_a_read_after_an_outage() {
+    let now = Instant::now();
+    let mut listing = listing(2, now);
+    listing.apply_update(vec![], vec![], reliable(now), at(now));
+
+    listing.record_store_answer(now + SECOND);
+    listing.remove(&"u0".into(), at(now + SECOND));
+
+    assert_eq!(serving(&listing), ["u0", "u1"]);
+}
+
 #[test]
 fn a_snapshot_does_not_reinstate_an_upstream_that_reported_leaving_here() {
     let now = Instant::now();
     let mut listing = listing(2, now);
     listing.mark_leaving(&"u1".into());
 
-    listing.apply_snapshot(vec![upstream(0), upstream(1)], at(now));
+    listing.apply_snapshot(vec![upstream(0), upstream(1)], reliable(now), at(now));
 
     assert_eq!(serving(&listing), ["u0"]);
     assert!(listing.is_leaving(&"u1".into(), now));
@@ -254,7 +318,7 @@
     sender.mark_leaving(&"u1".into());
     let mut receiver = Listing::default();
 
-    receiver.apply_snapshot(sender.present().cloned().collect(), at(now));
+    receiver.apply_snapshot(sender.present().cloned().collect(), reliable(now), at(now));
 
     assert_eq!(serving(&receiver), ["u0"]);
     assert!(receiver.is_leaving(&"u1".into(), now));
@@ -302,7 +366,7 @@
     received.mark_leaving(&"u0".into());
 
     read.replace(vec![restarted(0), upstream(1)], at(now));
-    received.apply_snapshot(vec![restarted(0), upstream(1)], at(now));
+    received.apply_snapshot(vec![restarted(0), upstream(1)], reliable(now), at(now));
 
     assert_eq!(serving(&read), ["u0@2", "u1"]);
     assert_eq!(serving(&received), ["u0@2", "u1"]);
@@ -312,10 +376,19 @@
 fn an_update_changes_only_the_named_upstreams() {
     let now = Instant::now();
     let mut listing = Listing::default();
-    listing.apply_snapshot(vec![upstream(0), upstream(1), upstream(2)], at(now));
+    listing.apply_snapshot(
+        vec![upstream(0), upstream(1), upstream(2)],
+        reliable(now),
+        at(now),
+    );
     listing.mark_leaving(&"u1".into());
 
-    let changes = listing.apply_update(vec![upstream(1), upstream(3)], vec!["u0".into()], at(now));
+    let changes = listing.apply_update(
+        vec![upstream(1), upstream(3)],
+        vec!["u0".into()],
+        reliable(now),
+        at(now),
+    );
 
     // u1 reported to this host that it is leaving, so the update does not reinstate it.
     assert_eq!(serving(&listing), ["u2", "u3"]);
@@ -381,9 +454,11 @@
             Event::Read { is_listed: false } => drop(listing.remove(&"u1".into(), at(now))),
             Event::Snapshot { is_listed } => {
                 let upstreams = [upstream(0)].into_iter().chain(is_listed.then(|| far(1)));
-                listing.apply_snapshot(upstreams.collect(), at(now));
+                listing.apply_snapshot(upstreams.collect(), reliable(now), at(now));
+            }
+            Event::Update => {
+                drop(listing.apply_update(vec![], vec!["u1".into()], reliable(now), at(now)))
             }
-            Event::Update => drop(listing.apply_update(vec![], vec!["u1".into()], at(now))),
             Event::Scope(scope) => listing.set_scope(scope()),
         }
     }
