relay: a list can be relied on only as of its last read

Cause: a delegate whose renewal time ended counted as reliable before its next read, so an update between the two sent a list from within the renewal time as reliable. Change: whether the list can be relied on is decided when the store answers or an update is applied. The listing tests record an answer before they let missing upstreams expire, as the gateway does. Run: cargo test -p tinbank-relay -p tinbank-feed.

--- a/crates/tinbank-feed/src/replica.rs
+++ b/crates/tinbank-feed/src/replica.rs
@@ -188,7 +188,10 @@
         let missing = self.listing.missing().filter(|it| scoped.covers(it));
         update.reliability = Reliability {
             missing: missing.map(|it| it.instance.clone()).collect(),
-            reliable_in: self.listing.reliable_in(now),
+            reliable_in: self
+                .listing
+                .unreliable_until(now)
+                .map(|until| until.saturating_duration_since(now)),
         };
     }
 
@@ -228,12 +231,12 @@
         // A delegate that has not read the store lately does not know of an outage.
         let is_fresh = update.age.upstreams.is_some_and(|age| age <= MAX_AGE);
         let reliable_in = match is_fresh {
-            true => reliability.reliable_in.unwrap_or_default(),
-            false => RENEWAL_TIME,
+            true => reliability.reliable_in,
+            false => Some(RENEWAL_TIME),
         };
         let reliability = listing::Reliability {
             missing: reliability.missing,
-            from: now + reliable_in,
+            unreliable_until: reliable_in.map(|it| now + it),
         };
         let changes = match delta.is_whole {
             true => {
--- a/crates/tinbank-relay/src/listing.rs
+++ b/crates/tinbank-relay/src/listing.rs
@@ -70,9 +70,9 @@
 pub struct Reliability {
     /// All upstreams in scope whose entries are missing since an outage.
     pub missing: Vec<id::Instance>,
-    /// From then on, upstreams that are absent from the list are gone. Until then they are missing: a host that has just begun
-    /// to read the store sends a short list while entries lapsed.
-    pub from: Instant,
+    /// Until then, upstreams that are absent from the list are missing and not gone: a host that has just begun to read the
+    /// store sends a short list while entries lapsed.
+    pub unreliable_until: Option<Instant>,
 }
 
 /// How a host knows that an upstream is leaving or gone.
@@ -151,42 +151,49 @@
     has_failed: bool,
     /// From then on, a missing entry means that the upstream is gone.
     reliable_from: Option<Instant>,
+    /// Whether the list, as it was read last, can be relied on. It can't be from a time on at which nobody has read it.
+    is_reliable: bool,
 }
 
 impl StoreContact {
     /// Records an answer. The first one counts as an answer after an outage: a host that begins to read the store does not know
     /// whether entries lapsed before, and most hosts begin because their delegates fell silent in an outage.
     fn record_answer(&mut self, now: Instant) {
-        let gap_end = self.last_answer_at.map(|at| at + MAX_ANSWER_GAP);
-        let was_unavailable = self.has_failed || gap_end.is_none_or(|end| now > end);
+        let was_unavailable = self.has_failed || self.is_gap(now).unwrap_or(true);
         if was_unavailable {
             self.reliable_from = Some(now + RENEWAL_TIME);
         }
         self.has_failed = false;
         self.last_answer_at = Some(now);
+        self.is_reliable = self.reliable_from.is_some_and(|from| now >= from);
     }
 
-    fn is_reliable(&self, now: Instant) -> bool {
-        !self.has_failed && self.reliable_from.is_none_or(|from| now >= from)
+    fn record_failure(&mut self) {
+        self.has_failed = true;
+        self.is_reliable = false;
     }
 
-    /// Returns the time until the list can be relied on, if the store answers from now on.
-    fn reliable_in(&self, now: Instant) -> Option<Duration> {
-        let gap_end = self.last_answer_at.map(|at| at + MAX_ANSWER_GAP);
-        if self.has_failed || gap_end.is_some_and(|end| now > end) {
-            return Some(RENEWAL_TIME);
+    /// Returns whether the last answer is longer ago than a reachable store takes, or `None` if there was none.
+    fn is_gap(&self, now: Instant) -> Option<bool> {
+        self.last_answer_at.map(|at| now > at + MAX_ANSWER_GAP)
+    }
+
+    /// Returns from when on the list can be relied on, if the store answers from now on; `None` if it can be.
+    fn unreliable_until(&self, now: Instant) -> Option<Instant> {
+        if self.has_failed || self.is_gap(now) == Some(true) {
+            return Some(now + RENEWAL_TIME);
         }
-        let left = self.reliable_from?.checked_duration_since(now)?;
-        (!left.is_zero()).then_some(left)
+        let until = self.reliable_from.filter(|_| !self.is_reliable);
+        until.map(|until| until.max(now))
     }
 
-    /// Records that the list was received from another host, and from when on it can be relied on. The next answer of the store
+    /// Records that the list was received from another host, and until when it can't be relied on. The next answer of the store
     /// to this host is then a first one.
-    fn record_received(&mut self, reliable_from: Instant) {
+    fn record_received(&mut self, unreliable_until: Option<Instant>) {
         *self = Self {
-            last_answer_at: None,
-            has_failed: false,
-            reliable_from: Some(reliable_from),
+            reliable_from: unreliable_until,
+            is_reliable: unreliable_until.is_none(),
+            ..Self::default()
         };
     }
 }
@@ -209,7 +216,7 @@
 
     /// Records that a read of the list got no answer.
     pub fn record_store_failure(&mut self) {
-        self.store.has_failed = true;
+        self.store.record_failure();
     }
 
     /// Returns which upstreams are tracked.
@@ -270,7 +277,7 @@
     /// Applies the removal of a name's entry. Nothing is recorded about a name that is unknown or out of scope.
     pub fn remove(&mut self, name: &id::Instance, at: Reading) -> Option<Change> {
         let instance = self.instances.get(name)?.clone();
-        if self.store.is_reliable(at.now) {
+        if self.store.is_reliable {
             return self.mark_gone(instance, at);
         }
         self.mark_missing(&instance)
@@ -308,7 +315,7 @@
         let known = self.states.keys();
         let unnamed: Vec<_> = known.filter(|it| !named.contains(*it)).cloned().collect();
         drop(named);
-        if at.now >= reliability.from {
+        if reliability.unreliable_until.is_none() {
             return self.apply_update(upstreams, unnamed, reliability, at);
         }
         let mut changes: Changes = unnamed
@@ -327,7 +334,7 @@
         reliability: Reliability,
         at: Reading,
     ) -> Changes {
-        self.store.record_received(reliability.from);
+        self.store.record_received(reliability.unreliable_until);
         let gone = gone.into_iter();
         let mut changes: Changes = gone.filter_map(|it| self.mark_gone(it, at)).collect();
         for mut upstream in upstreams {
@@ -336,7 +343,7 @@
         }
         let missing = reliability.missing.iter();
         changes.extend(missing.filter_map(|it| self.mark_missing(it)));
-        if at.now >= reliability.from {
+        if reliability.unreliable_until.is_none() {
             let missing = self.missing().map(|it| it.instance.clone());
             let unnamed: Vec<_> = missing
                 .filter(|it| !reliability.missing.contains(it))
@@ -381,7 +388,7 @@
     /// Marks missing upstreams as gone once the store has answered for [`RENEWAL_TIME`].
     pub fn expire_missing(&mut self, at: Reading) -> Changes {
         self.drop_expired(at.now);
-        if !self.store.is_reliable(at.now) {
+        if !self.store.is_reliable {
             return Changes::new();
         }
         let mut changes = Changes::new();
@@ -440,9 +447,9 @@
         })
     }
 
-    /// Returns the time until upstreams that are absent from the list count as gone, or `None` if they do.
-    pub fn reliable_in(&self, now: Instant) -> Option<Duration> {
-        self.store.reliable_in(now)
+    /// Returns from when on upstreams that are absent from the list count as gone, or `None` if they do.
+    pub fn unreliable_until(&self, now: Instant) -> Option<Instant> {
+        self.store.unreliable_until(now)
     }
 
     /// Returns all upstreams that are not gone, including those that are leaving.
