feed: a position belongs to the source that it came from; property test of the recovery

Cause: a host that had an upstream as gone and then followed another delegate asked for the changes since its position. For a delegate that read only after the upstream's return, the upstream never changed (the store keeps the newest record of each key), so no change was sent, and the position moved past the return. A read that began before an update was applied also took the list and its position back. Change: a request says whether its position is from another source; it then gets the whole list at that position or a later one. Changes of a delegate are applied only to a list from the same delegate, and a read only to the position that it began at. A whole read is recorded at the next position for followers. Run: cargo test -p tinbank-relay -p tinbank-feed -p tinbank-gateway -p tinbank-adapter.

--- a/crates/tinbank-feed/src/message.rs
+++ b/crates/tinbank-feed/src/message.rs
@@ -50,6 +50,8 @@
     pub scope: Scope,
     /// Position up to which the sender knows the upstreams in scope.
     pub upstreams: Option<Position>,
+    /// Whether the sender has that position from another source, so that it needs the whole list at that position or a later one.
+    pub is_other_source: bool,
     /// Position of the last change to the sender's upstreams that no record of the store describes.
     pub settled: Option<Position>,
     /// Position up to which the sender knows the hosts.
--- a/crates/tinbank-feed/src/replica.rs
+++ b/crates/tinbank-feed/src/replica.rs
@@ -3,7 +3,10 @@
 //! A host may change between all of these at any time, in particular in an outage of the store, in which entries of healthy
 //! upstreams lapse. See `docs/hard-load.md`, part Q.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use tinbank_base::id;
 use tinbank_relay::{
@@ -41,6 +44,8 @@
     /// Position of the last change that no record describes, such as the removal of missing upstreams.
     settled: Option<Position>,
     history: History<id::Instance>,
+    /// The delegate that sent the list up to the position; `None` if this host read it itself.
+    source: Option<SocketAddr>,
 }
 
 impl Replica {
@@ -93,13 +98,16 @@
         listed.flat_map(|it| self.listing.add(it, at)).collect()
     }
 
-    /// Applies the whole list as read from the store.
+    /// Applies the whole list as read from the store. Returns what changed, or `None` if a delegate has sent a later one meanwhile.
     pub fn apply_whole(
         &mut self,
         records: Vec<Record>,
         scope: listing::Scope,
         at: Reading,
-    ) -> Changes {
+    ) -> Option<Changes> {
+        if self.position.is_some_and(|known| at.position <= known) {
+            return None;
+        }
         // Before the list is applied: upstreams out of scope are dropped, while those absent from the list count as removed.
         self.listing.set_scope(scope);
         let listed = records.into_iter().filter_map(|record| match record {
@@ -108,11 +116,22 @@
         });
         let changes = self.listing.replace(listed.collect(), at);
         self.history.reset(at.position);
-        self.finish_read(changes, at)
+        // At the next position, since followers may know this one from the source that this host had before.
+        self.record_changes(&changes, at.position + 1);
+        Some(self.finish_read(changes, at))
     }
 
-    /// Applies records that were written to the store since the known position.
-    pub fn apply_since(&mut self, records: Vec<Record>, at: Reading) -> Changes {
+    /// Applies records that were written to the store since the position `from`. Returns what changed, or `None` if the list is
+    /// known up to another position meanwhile: the records don't continue it.
+    pub fn apply_since(
+        &mut self,
+        from: Position,
+        records: Vec<Record>,
+        at: Reading,
+    ) -> Option<Changes> {
+        if self.position != Some(from) {
+            return None;
+        }
         let mut changes = Changes::new();
         for record in records {
             match record {
@@ -120,11 +139,12 @@
                 Record::Removed(name) => changes.extend(self.listing.remove(&name, at)),
             }
         }
-        self.finish_read(changes, at)
+        self.record_changes(&changes, at.position);
+        Some(self.finish_read(changes, at))
     }
 
     fn finish_read(&mut self, mut changes: Changes, at: Reading) -> Changes {
-        self.record_changes(&changes, at.position);
+        self.source = None;
         let settled = self.listing.expire_missing(at);
         if !settled.is_empty() {
             self.settled = Some(at.position);
@@ -136,8 +156,10 @@
         changes
     }
 
-    /// Adds to the request of an update what this host knows, if it follows upstreams in `scope`.
-    pub fn fill_request(&self, scope: &Scope, request: &mut UpdateRequest) {
+    /// Adds what this host knows to a request that it sends to a delegate for an update of upstreams in `scope`.
+    pub fn fill_request(&self, scope: &Scope, delegate: SocketAddr, request: &mut UpdateRequest) {
+        // A delegate for which an upstream never changed sends no change of it, while this host may have it as gone.
+        request.is_other_source = self.source != Some(delegate);
         // Upstreams known for another scope do not count.
         let is_whole = *self.listing.scope() == listing::Scope::All;
         let is_same_scope = is_whole == (*scope == Scope::Whole);
@@ -161,6 +183,7 @@
         }
         let has_changes = match request.upstreams {
             None => self.position.is_some(),
+            Some(known) if request.is_other_source => self.position >= Some(known),
             Some(known) => known < self.changed,
         };
         if !has_changes {
@@ -197,8 +220,12 @@
 
     fn delta(&self, request: &UpdateRequest) -> Option<Delta<Upstream, id::Instance>> {
         let scoped = self.scoped(&request.scope);
-        self.history
-            .delta(request.upstreams, self.position?, &scoped)
+        let position = self.position?;
+        let is_behind = request.upstreams.is_some_and(|known| known > position);
+        let known = request
+            .upstreams
+            .filter(|_| is_behind || !request.is_other_source);
+        self.history.delta(known, position, &scoped)
     }
 
     fn scoped<'a>(&'a self, scope: &'a Scope) -> Scoped<'a> {
@@ -213,6 +240,7 @@
     pub fn apply_update(
         &mut self,
         update: &mut Update,
+        delegate: SocketAddr,
         scope: listing::Scope,
         now: Instant,
     ) -> Option<Changes> {
@@ -223,6 +251,11 @@
         if self.position.is_some_and(|known| delta.position < known) {
             return None;
         }
+        // Changes continue only the list that they were made for, and the source may have changed since the request.
+        let continues = self.position.is_some() && self.source == Some(delegate);
+        if !delta.is_whole && !continues {
+            return None;
+        }
         let at = Reading {
             position: delta.position,
             now,
@@ -251,6 +284,7 @@
         // At the next position, since the delegate may have sent changes that no record describes.
         self.record_changes(&changes, at.position + 1);
         self.advance(at.position, !changes.is_empty());
+        self.source = Some(delegate);
         Some(changes)
     }
 
--- a/crates/tinbank-feed/tests/message.rs
+++ b/crates/tinbank-feed/tests/message.rs
@@ -111,6 +111,7 @@
     let decoded = decode::<Update>(&encode(&update()).unwrap()).unwrap();
     let request = UpdateRequest {
         scope: Scope::Domain("north".to_owned()),
+        is_other_source: true,
         settled: Some(3),
         config: Some(6),
         upstreams: None,
--- /dev/null
+++ b/crates/tinbank-feed/tests/replica/main.rs
@@ -0,0 +1,126 @@
+//! The list of upstreams after outages of the store, at hosts that read it, follow delegates, restart and change their scope.
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{Fleet, Role, Step, UPSTREAMS};
+use proptest::prelude::*;
+use tinbank_test_support::property;
+use yare::parameterized;
+
+use Step::{
+    BeginRead, EndRead, Follow, Outage, Report, Restart, Resume, Rounds, SetRole, Stall, Trim, Wait,
+};
+
+/// Upper bound of the time from the store's return until all hosts have the true list: lapsed entries are back within 2 s, the
+/// first read of a host may be as late as that, and missing entries expire after the renewal time and one read more.
+const RECOVERY_TIME: Duration = Duration::from_millis(2_000 + 2_500 + 1_000);
+
+fn play(steps: &[Step]) -> Fleet {
+    let mut fleet = Fleet::new();
+    for step in steps {
+        fleet.play(*step);
+    }
+    fleet
+}
+
+/// Guards against a delegate for which an upstream never changed: it sends no change of it, but the position after its return.
+#[test]
+fn a_follower_that_changes_its_delegate_ends_with_the_list_of_the_new_one() {
+    let mut fleet = play(&[
+        SetRole(0, Role::Delegate),
+        SetRole(1, Role::Delegate),
+        SetRole(2, Role::Follower),
+    ]);
+    fleet.settle();
+    // Delegate 0 reads before and after the upstream leaves, and delegate 1 only after its return.
+    for step in [Stall(0), BeginRead(0), EndRead(0), Follow(2, 0)] {
+        fleet.play(step);
+    }
+    let while_gone = fleet.serving(2);
+    for step in [Resume(0), BeginRead(1), EndRead(1), Follow(2, 1)] {
+        fleet.play(step);
+    }
+
+    assert_eq!(while_gone, ["u1"]);
+    assert_eq!(fleet.serving(2), ["u0", "u1"]);
+}
+
+/// Guards against the result of a read that began before an update was applied, and takes the list back.
+#[test]
+fn a_read_that_ends_after_an_update_of_a_delegate_is_discarded() {
+    let mut fleet = play(&[SetRole(0, Role::Delegate), SetRole(1, Role::Delegate)]);
+    fleet.settle();
+    for step in [BeginRead(1), Stall(0), BeginRead(0), EndRead(0)] {
+        fleet.play(step);
+    }
+    fleet.play(Follow(1, 0));
+    let position = fleet.position(1);
+    fleet.play(EndRead(1));
+
+    assert_eq!(fleet.position(1), position);
+    assert!(!fleet.serving(1).contains(&"u0".to_owned()));
+}
+
+#[parameterized(
+    follower_reads_the_store = { &[SetRole(2, Role::Reader), Outage(0b1111), BeginRead(2), EndRead(2)] },
+    reader_follows_again = { &[SetRole(2, Role::Reader), Outage(0b1111), BeginRead(2), EndRead(2), SetRole(2, Role::Follower), Follow(2, 0)] },
+    delegate_restarts_in_the_outage = { &[Outage(0b1111), Restart(0), BeginRead(0), EndRead(0), Follow(2, 0)] },
+    delegate_has_not_read_after_its_renewal_time = { &[Outage(0b1111), Restart(0), BeginRead(0), EndRead(0), Wait(750), BeginRead(0), EndRead(0), Wait(1_680), Follow(2, 0)] },
+)]
+fn upstreams_whose_entries_lapsed_are_never_gone(steps: &[Step]) {
+    let mut fleet = play(&[SetRole(0, Role::Delegate), SetRole(2, Role::Follower)]);
+    fleet.settle();
+
+    for step in steps {
+        fleet.play(*step);
+    }
+
+    assert_eq!(fleet.wrongly_gone(), []);
+    assert_eq!(fleet.serving(2), ["u0", "u1"]);
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let host = || 0..fleet::HOSTS;
+    let role = prop_oneof![
+        Just(Role::Follower),
+        Just(Role::Reader),
+        Just(Role::Delegate)
+    ];
+    prop_oneof![
+        2 => (0u8..16).prop_map(Outage),
+        2 => (0..UPSTREAMS).prop_map(Stall),
+        2 => (0..UPSTREAMS).prop_map(Resume),
+        4 => host().prop_map(BeginRead),
+        4 => host().prop_map(EndRead),
+        6 => (host(), host()).prop_map(|(host, delegate)| Follow(host, delegate)),
+        2 => host().prop_map(Restart),
+        4 => (host(), role).prop_map(|(host, role)| SetRole(host, role)),
+        1 => (50u64..1_500).prop_map(Wait),
+        1 => host().prop_map(Trim),
+        8 => (1u8..8).prop_map(Rounds),
+        4 => host().prop_map(Report),
+    ]
+}
+
+proptest! {
+    #![proptest_config(property::config(2_000))]
+    #[test]
+    fn all_hosts_end_with_the_true_list(steps in prop::collection::vec(step(), 1..60)) {
+        let mut fleet = play(&[SetRole(0, Role::Delegate), SetRole(1, Role::Delegate), Rounds(10)]);
+        for step in steps {
+            fleet.play(step);
+            prop_assert_eq!(fleet.wrongly_gone(), [], "after {:?}", step);
+            prop_assert_eq!(fleet.wrongly_removed(), [], "after {:?}", step);
+        }
+        let returned_at = fleet.end_outage();
+        while fleet.now() < returned_at + RECOVERY_TIME {
+            fleet.run_normally();
+        }
+        prop_assert_eq!(fleet.gone_although_serving(), []);
+        for host in 0..fleet::HOSTS {
+            prop_assert_eq!(fleet.serving(host), fleet.expected(), "host {}", host);
+        }
+    }
+}
--- a/crates/tinbank-gateway/src/feed/bootstrap.rs
+++ b/crates/tinbank-gateway/src/feed/bootstrap.rs
@@ -56,9 +56,13 @@
             return;
         }
         match fetch_update(node, delegate, Scope::Hosts).await {
-            Ok(update) => {
-                view::apply_update(node, update, requested_at, node.view.is_own_domain_only())
-            }
+            Ok(update) => view::apply_update(
+                node,
+                update,
+                delegate,
+                requested_at,
+                node.view.is_own_domain_only(),
+            ),
             Err(why) => log::info!(delegate:%, why:%; "list of hosts not received from a delegate"),
         }
         if node.feed.has_hosts() {
--- a/crates/tinbank-gateway/src/feed/follower.rs
+++ b/crates/tinbank-gateway/src/feed/follower.rs
@@ -125,7 +125,7 @@
     }
     // If the process was paused, the response is older than the time at which it was read.
     let received_at = Instant::now().min(requested_at + longest_wait);
-    view::apply_update(node, update, received_at, is_own_domain_only);
+    view::apply_update(node, update, delegate, received_at, is_own_domain_only);
     is_fresh
 }
 
@@ -147,7 +147,7 @@
     };
     node.view
         .replica()
-        .fill_request(&scope, &mut update_request);
+        .fill_request(&scope, delegate, &mut update_request);
     let body = Bytes::from(message::encode(&update_request)?);
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = Method::POST;
--- a/crates/tinbank-gateway/src/view/entries.rs
+++ b/crates/tinbank-gateway/src/view/entries.rs
@@ -10,7 +10,7 @@
 
 use super::View;
 use crate::{
-    border::store::{Entries, List, ListEntry},
+    border::store::{Entries, List, ListEntry, Offset},
     measure,
     node::Node,
 };
@@ -18,13 +18,20 @@
 /// The history of a list is limited to its size divided by this number. Followers that lack more changes get the whole list.
 const HISTORY_DIVISOR: usize = 4;
 
-/// Applies entries of a list that were read from the store: the whole list, or those written since the last read.
-pub(super) fn apply_entries(node: &Node, list: List, entries: Entries, whole: bool) {
+/// Applies entries of a list that were read from the store: those written since a position, or the whole list.
+pub(super) fn apply_entries(node: &Node, list: List, entries: Entries, from: Option<Offset>) {
+    let whole = from.is_none();
     let now = Instant::now();
     let view = &node.view;
     let end = entries.end;
     let changed = match list {
-        List::Upstreams => apply_upstreams(node, entries, whole, now),
+        List::Upstreams => match apply_upstreams(node, entries, from, now) {
+            Some(changed) => changed,
+            None => {
+                log::info!(from:?, position:? = view.position(list); "read of the upstreams discarded, a delegate sent later ones");
+                return;
+            }
+        },
         List::Quarantine => node.quarantine.apply_entries(entries.entries, whole, now),
         List::Config => {
             apply_evacuations(node, &entries, whole);
@@ -120,21 +127,21 @@
     }
 }
 
-/// Returns whether the upstreams changed.
-fn apply_upstreams(node: &Node, read: Entries, whole: bool, now: Instant) -> bool {
+/// Returns whether the upstreams changed, or `None` if the list is known from a delegate up to another position meanwhile.
+fn apply_upstreams(node: &Node, read: Entries, from: Option<Offset>, now: Instant) -> Option<bool> {
     let at = Reading {
         position: read.end,
         now,
     };
     let records = records(read.entries);
     let mut replica = node.view.upstreams.borrow_mut();
-    let changes = match whole {
-        true => replica.apply_whole(records, scope(node, !node.feed.serves_followers()), at),
-        false => replica.apply_since(records, at),
-    };
+    let changes = match from {
+        Some(from) => replica.apply_since(from, records, at),
+        None => replica.apply_whole(records, scope(node, !node.feed.serves_followers()), at),
+    }?;
     drop(replica);
     changes.iter().for_each(log_change);
-    !changes.is_empty()
+    Some(!changes.is_empty())
 }
 
 /// Returns the records of upstreams among entries of their list.
--- a/crates/tinbank-gateway/src/view/lists.rs
+++ b/crates/tinbank-gateway/src/view/lists.rs
@@ -46,11 +46,11 @@
                     apply_page(&node, entries);
                 }
             }
-            Ok(Read::Since(entries)) => {
+            Ok(Read::Since(from, entries)) => {
                 timeout.on_response();
                 dependency.record_success();
                 let has_changes = !entries.entries.is_empty();
-                apply_entries(&node, list, entries, false);
+                apply_entries(&node, list, entries, Some(from));
                 if has_changes {
                     time::sleep(READ_PAUSE).await;
                 }
@@ -58,7 +58,7 @@
             Ok(Read::Whole(entries)) => {
                 timeout.on_response();
                 dependency.record_success();
-                apply_entries(&node, list, entries, true);
+                apply_entries(&node, list, entries, None);
                 time::sleep(READ_PAUSE).await;
             }
             Err(error) => {
--- a/crates/tinbank-gateway/src/view/pages.rs
+++ b/crates/tinbank-gateway/src/view/pages.rs
@@ -23,7 +23,7 @@
     /// The whole list, read in full.
     Whole(Entries),
     /// Records written since a position.
-    Since(Entries),
+    Since(Offset, Entries),
 }
 
 /// Reads what was written since the known position, or the next page of the whole list if there is none.
@@ -41,7 +41,7 @@
     let until = now + max_wait + timeout;
     let wait_ms = max_wait.as_millis() as u64;
     let entries = node.store.read_since(list, from, wait_ms, until).await?;
-    Ok(Read::Since(entries))
+    Ok(Read::Since(from, entries))
 }
 
 impl Pages {
--- a/crates/tinbank-gateway/src/view/update.rs
+++ b/crates/tinbank-gateway/src/view/update.rs
@@ -23,6 +23,7 @@
 pub(crate) fn apply_update(
     node: &Node,
     mut update: Update,
+    delegate: SocketAddr,
     received_at: Instant,
     is_own_domain_only: bool,
 ) {
@@ -35,7 +36,7 @@
     if let Some(config) = update.config.take() {
         apply_config(node, ListEntry::Config(config));
     }
-    let upstreams_changed = apply_upstreams(node, &mut update, is_own_domain_only);
+    let upstreams_changed = apply_upstreams(node, &mut update, delegate, is_own_domain_only);
     if let Some(delta) = newer(&view.lists.hosts, update.hosts) {
         let changed = apply_hosts(view, delta);
         record_read(node, List::Hosts, received_at, changed);
@@ -59,11 +60,16 @@
 }
 
 /// Returns whether the upstreams changed.
-fn apply_upstreams(node: &Node, update: &mut Update, is_own_domain_only: bool) -> bool {
+fn apply_upstreams(
+    node: &Node,
+    update: &mut Update,
+    delegate: SocketAddr,
+    is_own_domain_only: bool,
+) -> bool {
     let scope = scope(node, is_own_domain_only);
     let is_whole = update.upstreams.as_ref().is_some_and(|it| it.is_whole);
     let mut replica = node.view.upstreams.borrow_mut();
-    let changes = replica.apply_update(update, scope, Instant::now());
+    let changes = replica.apply_update(update, delegate, scope, Instant::now());
     let position = replica.position();
     drop(replica);
     let Some(changes) = changes.filter(|it| !it.is_empty()) else {
