--- a/crates/tinbank-gateway/src/view/pages.rs
+++ b/crates/tinbank-gateway/src/view/pages.rs
@@ -23,7 +23,7 @@
     /// The whole list, read in full.
     Whole(Entries),
     /// Records written since a position.
-    Since(Entries),
+    Since(Offset, Entries),
 }
 
 /// Reads what was written since the known position, or the next page of the whole list if there is none.
@@ -34,14 +34,14 @@
     timeout: Duration,
 ) -> Result<Read, Error> {
     let now = Instant::now();
-    let Some(from) = node.view.lists.of(list).position() else {
+    let Some(from) = node.view.position(list) else {
         return pages.read(node, list, now + timeout).await;
     };
     let max_wait = node.view.max_wait(list, now);
     let until = now + max_wait + timeout;
     let wait_ms = max_wait.as_millis() as u64;
     let entries = node.store.read_since(list, from, wait_ms, until).await?;
-    Ok(Read::Since(entries))
+    Ok(Read::Since(from, entries))
 }
 
 impl Pages {
