Denials of customers are counted and logged by the allocator's host

Cause: nothing told an operator whether refusals hit a busy customer or the others. Change: an allocator with fair_shares keeps the denials by customer; its host logs them once a second at most and counts them in tinbank_entry_customer_denials_total{of}.

--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -18,7 +18,7 @@
     grants::{self, Grants},
     lease::{self, Outcome},
     options::Options,
-    order::Order,
+    order::{Denials, Order},
     placement::Placement,
     size::Tokens,
     slow_start::ColdStart,
@@ -310,6 +310,11 @@
         self.reachability.recent_senders(age, now)
     }
 
+    /// Returns the denials since the last call, see [`Order::take_denials`].
+    pub fn take_denials(&mut self) -> Option<Denials> {
+        self.order.take_denials()
+    }
+
     fn is_active(&self, now: Instant) -> bool {
         self.last_contact
             .is_some_and(|at| now < at + ACTIVE_TIMEOUT)
--- a/crates/tinbank-allocator/src/order.rs
+++ b/crates/tinbank-allocator/src/order.rs
@@ -10,6 +10,8 @@
     time::{Duration, Instant},
 };
 
+use tinbank_base::id;
+
 pub use self::fair_share::FairShare;
 use crate::{
     frame::SlotRequest,
@@ -64,6 +66,19 @@
     pub expires_at: Instant,
 }
 
+/// Denials of online requests that may have waited, by customer. They tell whether a busy customer is denied or the others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Denials {
+    /// Number of denials.
+    pub total: u32,
+    /// Number of customers that had one.
+    pub customers: usize,
+    /// The customer with the most.
+    pub busiest: id::Customer,
+    /// Number of its denials.
+    pub of_busiest: u32,
+}
+
 /// Decides which waiting request gets the next free slot.
 pub trait Order: fmt::Debug {
     /// Compares two waiting requests; the lesser one is served first.
@@ -119,6 +134,11 @@
         None
     }
 
+    /// Returns the denials since the last call, if there were any and their customers are known.
+    fn take_denials(&mut self) -> Option<Denials> {
+        None
+    }
+
     /// Discards what was recorded, because it may be out of date.
     fn reset(&mut self) {}
 }
--- a/crates/tinbank-allocator/src/order/fair_share.rs
+++ b/crates/tinbank-allocator/src/order/fair_share.rs
@@ -10,7 +10,7 @@
 use tinbank_base::id;
 
 use super::{
-    Order, Place, Turnover, Waiter,
+    Denials, Order, Place, Turnover, Waiter,
     virtual_counter::{Counters, DEFAULT_WEIGHT, Level, Weight, relative},
 };
 use crate::{frame::SlotRequest, lease::Footprint};
@@ -35,6 +35,8 @@
 pub struct FairShare {
     services: HashMap<id::Service, Service>,
     weights: HashMap<id::Customer, Weight>,
+    /// Denials of each customer that were not reported yet.
+    denied: HashMap<id::Customer, u32>,
 }
 
 /// The customers' shares of one service.
@@ -223,6 +225,7 @@
         now: Instant,
     ) -> Option<Duration> {
         let share = request.share.as_ref()?;
+        *self.denied.entry(share.customer.clone()).or_default() += 1;
         let per_slot = turnover.slot_time? / turnover.slots.max(1) as u32;
         let mut weights: HashMap<&str, Weight> = HashMap::new();
         weights.insert(&share.customer, share.weight);
@@ -248,6 +251,21 @@
         Some(at - now)
     }
 
+    fn take_denials(&mut self) -> Option<Denials> {
+        let denied = std::mem::take(&mut self.denied);
+        let (total, customers) = (denied.values().sum(), denied.len());
+        let busiest = denied
+            .into_iter()
+            .max_by(|a, b| (a.1, &a.0).cmp(&(b.1, &b.0)));
+        let (busiest, of_busiest) = busiest?;
+        Some(Denials {
+            total,
+            customers,
+            busiest,
+            of_busiest,
+        })
+    }
+
     fn reset(&mut self) {
         self.services.clear();
     }
--- a/crates/tinbank-allocator/tests/fair_shares.rs
+++ b/crates/tinbank-allocator/tests/fair_shares.rs
@@ -218,6 +218,9 @@
     let of_busy = [Some(600), Some(800), Some(1_000), Some(1_200)];
     assert_eq!(harness.retry_after[..4], of_busy);
     assert_eq!(harness.retry_after[4..], [Some(800)]);
+    let denials = harness.allocator.take_denials().expect("denials");
+    assert_eq!((denials.total, denials.customers), (5, 2));
+    assert_eq!((denials.busiest.as_str(), denials.of_busiest), ("busy", 4));
 }
 
 fn waiter(now: Instant, lease: Id, late: bool, rank: u8, expires_in_ms: u32, work: u32) -> Waiter {
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tinbank_allocator::{frame::Verdict, lease::Class};
+use tinbank_allocator::{frame::Verdict, lease::Class, order::Denials};
 
 use crate::border::ingress::Reply;
 
@@ -65,6 +65,15 @@
     metrics::histogram!("tinbank_entry_backlog_retry_seconds").record(retry_after);
 }
 
+/// Records denials of this host's allocator, by whether they are those of the customer that had the most.
+pub(crate) fn record_customer_denials(denials: &Denials) {
+    let others = denials.total - denials.of_busiest;
+    for (of, count) in [("busiest", denials.of_busiest), ("others", others)] {
+        metrics::counter!("tinbank_entry_customer_denials_total", "of" => of)
+            .increment(count.into());
+    }
+}
+
 /// Records that an upstream broke a connection, with the outcome of the probe that followed.
 pub(crate) fn record_broken_connection(found: &'static str) {
     metrics::counter!("tinbank_entry_broken_upstreams_total", "found" => found).increment(1);
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -16,7 +16,7 @@
 use tokio::time;
 
 use super::Sharing;
-use crate::node::Node;
+use crate::{measure, node::Node};
 
 impl Sharing {
     pub(super) fn receive(&self, from: SocketAddr, frame: Frame) {
@@ -163,6 +163,21 @@
         }
     }
 
+    /// Reports which customers this host's allocator has denied slots since the last heartbeat.
+    fn report_denials(&self) {
+        let Some(denials) = self.state.borrow_mut().allocator.take_denials() else {
+            return;
+        };
+        log::info!(
+            denied = denials.total,
+            customers = denials.customers,
+            busiest:% = denials.busiest,
+            of_busiest = denials.of_busiest;
+            "customers denied slots"
+        );
+        measure::record_customer_denials(&denials);
+    }
+
     /// Expects a reply from a host before the next heartbeat.
     fn expect_reply(&self, from: SocketAddr, now: Instant) {
         if from == self.own.address {
@@ -225,6 +240,7 @@
         let now = Instant::now();
         sharing.send_holdings(now);
         sharing.ping(now);
+        sharing.report_denials();
         node.feed.update_role(sharing, now);
     }
 }
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -175,6 +175,12 @@
         &["found"],
         "Upstreams that broke off connections, by what a look at their address found: ended, listening, or silent.",
     ),
+    counter(
+        "tinbank_entry_customer_denials_total",
+        "denials",
+        &["of"],
+        "Slots denied to customers by this host's allocator, of the customer with the most in a second or of all others.",
+    ),
     gauge(
         "tinbank_entry_evacuated_failure_domains",
         "failure domains",
