--- a/crates/tinbank-allocator/tests/load/main.rs
+++ b/crates/tinbank-allocator/tests/load/main.rs
@@ -39,6 +39,7 @@
         slow: 0,
         policy: Policy::Admission,
         loss_one_in: None,
+        allocators_lost_after: None,
     }
 }
 
--- a/crates/tinbank-allocator/tests/load/shares.rs
+++ b/crates/tinbank-allocator/tests/load/shares.rs
@@ -15,7 +15,7 @@
 use crate::{
     caller::{CallerResult, CustomerResult, Profile, Rng},
     load, ms,
-    simulation::{Customers, simulate_customers},
+    simulation::{Customers, Load, simulate_customers},
 };
 
 /// Deficit round robin: a customer is served until it has used up its quantum of the round.
@@ -178,9 +178,13 @@
     }
 }
 
-/// Simulates 96 slots in three failure domains, which serve 137 requests per second. Returns how each sender was served.
-fn run(name: &str, order: NewOrder, senders: &[Sender]) -> Vec<Served> {
-    let load = load(3, 4, 8, ms(700), ms(300));
+/// Returns 96 slots in three failure domains, which serve 137 requests per second.
+fn slots() -> Load {
+    load(3, 4, 8, ms(700), ms(300))
+}
+
+/// Runs a simulation. Returns how each sender was served.
+fn run(load: Load, name: &str, order: NewOrder, senders: &[Sender]) -> Vec<Served> {
     let start = Instant::now() + Duration::from_secs(60);
     let (arrivals, profiles) = arrivals(senders, start);
     let customers = Customers {
@@ -208,7 +212,7 @@
     customers_of_low_rank = { &[sender(12, 1, 2.5, 2.5), sender(4, 0, 10.0, 50.0)], 0.25 },
 )]
 fn a_customer_within_its_share_is_served_beside_busy_ones(senders: &[Sender], least: f64) {
-    let all = ORDERS.map(|(name, order)| run(name, order, senders));
+    let all = ORDERS.map(|(name, order)| run(slots(), name, order, senders));
     let [today, _, _, fair] = all;
 
     let mean = fair.iter().map(|it| it.all).sum::<f64>() / fair.len() as f64;
@@ -216,3 +220,15 @@
     assert!(fair.iter().all(|it| it.least >= mean / 4.0), "{fair:?}");
     assert!(fair[0].on_time > today[0].on_time, "{fair:?} {today:?}");
 }
+
+#[parameterized(
+    reports_of_ends_are_lost = { Load { loss_one_in: Some(40), ..slots() } },
+    allocators_are_lost = { Load { allocators_lost_after: Some(ms(8_500)), ..slots() } },
+)]
+fn shares_hold_through_a_failure(load: Load) {
+    let senders = [sender(24, 0, 2.5, 2.5), sender(1, 0, 10.0, 200.0)];
+
+    let fair = run(load, "fair share", ORDERS[3].1, &senders);
+
+    assert!(fair[0].worst_window >= 0.9, "{fair:?}");
+}
--- a/crates/tinbank-allocator/tests/load/simulation.rs
+++ b/crates/tinbank-allocator/tests/load/simulation.rs
@@ -51,6 +51,8 @@
     pub policy: Policy,
     /// One in this many datagrams is lost, if any.
     pub loss_one_in: Option<u64>,
+    /// Time from the first arrival to the replacement of all allocators by new ones, if they are lost.
+    pub allocators_lost_after: Option<Duration>,
 }
 
 /// What hosts do when all slots are in use.
@@ -80,6 +82,7 @@
     Resend(Number, u32),
     NextItem(usize),
     Heartbeat(usize),
+    AllocatorsLost,
 }
 
 /// State of a request or an item.
@@ -123,6 +126,10 @@
     tally: Tally,
 }
 
+fn name(customer: usize) -> String {
+    format!("c{customer}")
+}
+
 fn host(domain: usize) -> SocketAddr {
     SocketAddr::from(([10, domain as u8, 0, 1], 7000))
 }
@@ -165,18 +172,12 @@
             attempts: 0,
             customer: *customer,
         };
-        let allocator = |seed| {
-            let order = (customers.order)();
-            Allocator::with_order(seed, Tolerance::default(), order, Options::default())
-        };
         let mut simulation = Self {
             load,
             customers,
             results: Vec::new(),
             now: start,
-            allocators: (0..load.failure_domains)
-                .map(|it| allocator(it as u64))
-                .collect(),
+            allocators: Vec::new(),
             upstreams: Vec::new(),
             events: BinaryHeap::new(),
             pending: HashMap::new(),
@@ -189,17 +190,8 @@
                 ..Tally::default()
             },
         };
+        simulation.replace_allocators();
         for domain in 0..load.failure_domains {
-            let upstreams = (0..load.upstreams).map(|index| allocator::Upstream {
-                instance: format!("{domain}-{index}").into(),
-                address: address(domain, index),
-                service: "notes".to_owned(),
-                slots: load.slots,
-                memory_tokens: None,
-                max_connections: None,
-                cold: None,
-            });
-            simulation.allocators[domain].set_upstreams(upstreams.collect());
             let all = (0..load.upstreams).map(|index| Upstream::new(load.slots, index < load.slow));
             simulation.upstreams.push(all.collect());
             simulation.schedule(Duration::ZERO, Event::Heartbeat(domain));
@@ -207,12 +199,37 @@
                 simulation.schedule(Duration::from_secs(2), Event::NextItem(domain));
             }
         }
+        if let Some(after) = load.allocators_lost_after {
+            simulation.schedule(arrivals[0].0 + after - start, Event::AllocatorsLost);
+        }
         for (number, (at, _)) in arrivals.iter().enumerate() {
             simulation.schedule(*at - start, Event::Arrival(number));
         }
         simulation
     }
 
+    /// Replaces all allocators by new ones, which know no leases.
+    fn replace_allocators(&mut self) {
+        let load = self.load;
+        let allocators = (0..load.failure_domains).map(|domain| {
+            let order = (self.customers.order)();
+            let (tolerance, options) = (Tolerance::default(), Options::default());
+            let mut allocator = Allocator::with_order(domain as u64, tolerance, order, options);
+            let upstreams = (0..load.upstreams).map(|index| allocator::Upstream {
+                instance: format!("{domain}-{index}").into(),
+                address: address(domain, index),
+                service: "notes".to_owned(),
+                slots: load.slots,
+                memory_tokens: None,
+                max_connections: None,
+                cold: None,
+            });
+            allocator.set_upstreams(upstreams.collect());
+            allocator
+        });
+        self.allocators = allocators.collect();
+    }
+
     fn run(&mut self) {
         let last = self
             .callers
@@ -260,6 +277,7 @@
             Event::Completed(..) | Event::WaitExpired(..) | Event::Resend(..) => {}
             Event::NextItem(domain) => self.next_item(domain),
             Event::Heartbeat(domain) => self.heartbeat(domain),
+            Event::AllocatorsLost => self.replace_allocators(),
         }
     }
 
@@ -362,13 +380,10 @@
             rank: self.profile(number).map_or(0, |(_, it)| it.rank),
             meter: None,
             share: self.profile(number).map(|(customer, it)| Share {
-                customer: format!("c{customer}"),
+                customer: name(customer),
                 weight: it.weight,
             }),
-            size: Size {
-                prompt_tokens: self.profile(number).map_or(0, |(_, it)| it.tokens),
-                ..Size::default()
-            },
+            size: self.size(number),
             max_gap_ms: None,
         };
         let event = Event::ReachesAllocator(
@@ -385,6 +400,13 @@
         Some((customer, self.customers.profiles[customer]))
     }
 
+    fn size(&self, number: Number) -> Size {
+        Size {
+            prompt_tokens: self.profile(number).map_or(0, |(_, it)| it.tokens),
+            ..Size::default()
+        }
+    }
+
     fn record(&mut self, number: Number, result: CallerResult) {
         self.tally.record(result);
         let caller = self.callers[number];
@@ -618,7 +640,11 @@
                     } else {
                         Class::Online
                     },
-                    footprint: Footprint::default(),
+                    footprint: Footprint {
+                        memory: 0,
+                        work: self.size(*number).work(),
+                        customer: self.profile(*number).map(|(customer, _)| name(customer)),
+                    },
                 }
             });
             let held = held.collect();
