--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -22,7 +22,7 @@
     lease::{self, Outcome},
     leaving::{Decision, Doubt, Evidence, Position, Reports},
     options::Options,
-    order::Order,
+    order::{Denials, Order},
     pace,
     placement::{self, Placement},
     prefix::{Cache, Expectation},
@@ -412,6 +412,11 @@
         self.reachability.recent_senders(age, now)
     }
 
+    /// Returns the denials since the last call, see [`Order::take_denials`].
+    pub fn take_denials(&mut self) -> Option<Denials> {
+        self.order.take_denials()
+    }
+
     fn is_active(&self, now: Instant) -> bool {
         self.last_contact
             .is_some_and(|at| now < at + ACTIVE_TIMEOUT)
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -181,6 +181,12 @@
         &["report", "answer"],
         "Slots asked for in another failure domain, by whether a recent report of its free slots was known, and whether it granted one.",
     ),
+    counter(
+        "tinbank_entry_customer_denials_total",
+        "denials",
+        &["of"],
+        "Slots denied to customers by this host's allocator, of the customer with the most in a second or of all others.",
+    ),
     counter(
         "tinbank_entry_cut_responses_total",
         "responses",
