--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -1,8 +1,10 @@
 //! The allocator: decides at which upstream a request may start.
 
+mod paces;
 mod slot_request;
 
 use std::{
+    collections::VecDeque,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -11,16 +13,20 @@
 use tinbank_allowance::{Counter, Counts, Reachability, Tolerance};
 use tinbank_base::id;
 
+use self::slot_request::MAX_HEADROOM;
 use crate::{
     entries::Entries,
-    frame::{Frame, HeartbeatReply, Holdings, Release, SlotResponse, Verdict},
+    entry::Entry,
+    frame::{Denial, Frame, HeartbeatReply, Holdings, Release, Room, SlotResponse, Verdict},
     grants::{self, Grants},
     lease::{self, Outcome},
     leaving::{Decision, Doubt, Evidence, Position, Reports},
     options::Options,
-    order::Order,
+    order::{Denials, Order},
+    pace,
     placement::{self, Placement},
-    prefix::Cache,
+    prefix::{Cache, Expectation},
+    room::{self, Reporter},
     size::Tokens,
     slow_start::ColdStart,
     smoothed_duration::SmoothedDuration,
@@ -78,6 +84,10 @@
         /// Why the report was not acted on.
         why: Doubt,
     },
+    /// An upstream has become slower than the others of its service, and gets fewer requests.
+    Slowed(id::Instance),
+    /// An upstream is no longer slow.
+    Recovered(id::Instance),
     /// The allocator had been idle, and collects holdings before it grants slots to batch.
     Learning,
     /// A request was denied because no upstream of its service has enough memory. Not reported for each request.
@@ -124,10 +134,16 @@
     oversized: Option<Oversized>,
     /// Until then, no oversized request is reported.
     oversized_quiet_until: Option<Instant>,
+    /// The usual paces of upstreams, if hosts measure them.
+    services: Option<pace::Services>,
+    /// State changes that are yet to be returned.
+    changes: VecDeque<StateChange>,
     /// How much of their allowances customers have used.
     counter: Counter,
     /// The hosts that use this allocator.
     reachability: Reachability,
+    /// Free slots that are reported; `None` if they are not.
+    reporter: Option<Reporter>,
 }
 
 impl Allocator {
@@ -139,6 +155,16 @@
     /// Creates an allocator without upstreams or leases. `seed` identifies this incarnation of the counter and makes
     /// different hosts start at different upstreams among equally loaded ones.
     pub fn with_options(seed: u64, tolerance: Tolerance, options: Options) -> Self {
+        Self::with_order(seed, tolerance, options.order(), options)
+    }
+
+    /// Creates an allocator with another order than that of its options, see [`Self::with_options`].
+    pub fn with_order(
+        seed: u64,
+        tolerance: Tolerance,
+        order: Box<dyn Order>,
+        options: Options,
+    ) -> Self {
         Self {
             upstreams: Entries::default(),
             has_removed_upstreams: false,
@@ -150,14 +176,17 @@
             heartbeat_reply: HeartbeatReply::default(),
             slot_time: SmoothedDuration::default(),
             wait_queue: WaitQueue::default(),
-            order: options.order(),
+            order,
             placement: options.placement(),
             prefix_affinity: options.prefix_affinity,
             summary: placement::Summary::default(),
             oversized: None,
             oversized_quiet_until: None,
+            services: options.measures_pace().then(pace::Services::default),
+            changes: VecDeque::new(),
             counter: Counter::new(seed, tolerance),
             reachability: Reachability::default(),
+            reporter: options.share_room.then(Reporter::default),
         }
     }
 
@@ -166,6 +195,7 @@
     pub fn set_upstreams(&mut self, mut upstreams: Vec<Upstream>) -> Outgoing {
         self.has_removed_upstreams = self.reports.withhold(&mut upstreams);
         self.upstreams.replace(upstreams);
+        self.apply_usual_paces();
         let upstreams = &self.upstreams;
         let has_upstream =
             |service: &str| upstreams.iter().any(|it| it.upstream.service == service);
@@ -175,7 +205,7 @@
         let denied = unservable.into_iter().map(|waiter| {
             let response = SlotResponse {
                 lease: waiter.request.lease,
-                verdict: Verdict::Denied,
+                verdict: Verdict::Denied(Denial::default()),
             };
             (waiter.from, Frame::SlotResponse(response))
         });
@@ -215,6 +245,7 @@
         now: Instant,
     ) -> (Outgoing, Option<StateChange>) {
         let mut out = Outgoing::new();
+        let has_pace = frame.has_pace();
         let change = match frame {
             Frame::SlotRequest(request) => {
                 let change = self.record_contact(from, now);
@@ -229,7 +260,11 @@
             Frame::Holdings(holdings) => {
                 let change = self.record_contact(from, now);
                 self.apply_holdings(from, &holdings, now);
-                out.push((from, Frame::HeartbeatReply(self.heartbeat_reply.clone())));
+                let reply = HeartbeatReply {
+                    room: self.room(now),
+                    ..self.heartbeat_reply.clone()
+                };
+                out.push((from, Frame::HeartbeatReply(reply)));
                 change
             }
             Frame::Counts(counts) => {
@@ -237,17 +272,29 @@
                 self.counter.apply(from, counts, now);
                 None
             }
+            Frame::Pace(report) => {
+                self.apply_pace_report(from, &report, now);
+                None
+            }
             Frame::SlotResponse(_)
             | Frame::Reclaim(_)
             | Frame::HeartbeatReply(_)
             | Frame::Ping
-            | Frame::Pace(_)
+            | Frame::Denial(_)
+            | Frame::Room(_)
+            | Frame::Overloaded(_)
             | Frame::Quarantine(_) => {
                 return (out, None);
             }
         };
+        if has_pace {
+            self.refresh_paces(now, &mut out);
+        }
         self.serve_wait_queue(now, &mut out);
-        (out, change)
+        if let Some(change) = change {
+            self.changes.push_front(change);
+        }
+        (out, self.changes.pop_front())
     }
 
     /// Drops all leases and starts learning, for use after a pause of the process, when the state is out of date.
@@ -257,7 +304,9 @@
             entry.state.orphaned = None;
             entry.state.slow_start.reset(now);
             entry.state.cache = Cache::default();
+            entry.state.pace.forget();
         }
+        self.order.reset();
         self.learning_until = Some(now + LEARNING_TIME);
         self.counter.reset(false, now);
         self.reachability.reset();
@@ -329,6 +378,20 @@
         Some(StateChange::Learning)
     }
 
+    /// Returns the free slots of the failure domain to report. `None` if they are not reported, or not known because hosts use
+    /// another allocator or have not reported their holdings yet.
+    pub fn room(&mut self, now: Instant) -> Option<Room> {
+        if !self.is_active(now) || self.is_learning(now) {
+            return None;
+        }
+        let reporter = self.reporter.as_mut()?;
+        let waiting = self.wait_queue.waiters();
+        let placement = &*self.placement;
+        Some(reporter.room(now, || {
+            room::measure(&self.upstreams, waiting, placement, MAX_HEADROOM, now)
+        }))
+    }
+
     /// Returns the customer counts to send to other allocators, if this one is active.
     pub fn counts(&mut self, now: Instant) -> Option<Counts> {
         match self.is_active(now) {
@@ -349,6 +412,11 @@
         self.reachability.recent_senders(age, now)
     }
 
+    /// Returns the denials since the last call, see [`Order::take_denials`].
+    pub fn take_denials(&mut self) -> Option<Denials> {
+        self.order.take_denials()
+    }
+
     fn is_active(&self, now: Instant) -> bool {
         self.last_contact
             .is_some_and(|at| now < at + ACTIVE_TIMEOUT)
@@ -385,7 +453,11 @@
         let may_eject = self.may_eject(index, now);
         let entry = &mut self.upstreams[index];
         let removed = entry.state.grants.remove(from, release.lease);
-        let granted_at = removed.and_then(|grant| grant.granted_at);
+        if let Some(grant) = &removed {
+            let cache = &mut entry.state.cache;
+            cache.record_end(&grant.expectation, release.outcome, release.pace);
+        }
+        let granted_at = removed.as_ref().and_then(|grant| grant.granted_at);
         if let (Some(at), Outcome::Served) = (granted_at, release.outcome) {
             self.slot_time.record(now.saturating_duration_since(at));
         }
@@ -393,6 +465,9 @@
             .state
             .health
             .record_outcome(from, release.outcome, may_eject, now);
+        if let (Some(grant), Some(sample)) = (removed, release.pace) {
+            self.record_sample(index, &grant, sample, false, now);
+        }
         ejected.then(|| StateChange::Ejected(release.upstream.clone()))
     }
 
@@ -458,10 +533,13 @@
         let Some(index) = self.upstreams.index_of(&held.upstream) else {
             return;
         };
-        let state = &mut self.upstreams[index].state;
-        if !state.grants.contains(from, held.lease)
-            && let Some(orphaned) = &mut state.orphaned
-        {
+        let Entry { upstream, state } = &mut self.upstreams[index];
+        let is_known = state.grants.contains(from, held.lease);
+        if !is_known && !held.class.is_batch() {
+            self.order
+                .record_held(&upstream.service, &held.footprint, now);
+        }
+        if !is_known && let Some(orphaned) = &mut state.orphaned {
             // The request was counted as orphaned until now.
             *orphaned = orphaned.saturating_sub(1);
         }
@@ -472,6 +550,8 @@
             expires_at: now + LEASE_DURATION,
             granted_at: None,
             footprint: held.footprint.clone(),
+            expectation: Expectation::default(),
+            unread_tokens: None,
         });
         self.upstreams.add_holder(index, from);
     }
--- a/crates/tinbank-allocator/src/entry.rs
+++ b/crates/tinbank-allocator/src/entry.rs
@@ -74,6 +74,19 @@
         }
     }
 
+    /// Returns how many requests the upstream is given at once now.
+    pub fn concurrency(&self, placement: &dyn Placement, now: Instant) -> usize {
+        let candidate = Candidate {
+            load: self.load(),
+            slots: self.upstream.slots,
+            pace: &self.state.pace,
+            kept_tokens: 0,
+            memory_in_use: self.state.grants.memory(),
+            memory_tokens: self.upstream.memory_tokens,
+        };
+        placement.concurrency(&candidate, now)
+    }
+
     /// Returns how many more requests like this one the upstream is given now.
     pub fn free_slots(
         &self,
@@ -88,7 +101,7 @@
 
     /// Returns whether a slot can be reclaimed from batch.
     pub fn has_batch(&self) -> bool {
-        self.state.grants.last_due().is_some()
+        self.state.grants.batch().next().is_some()
     }
 
     /// Returns whether the request may be sent to this upstream.
--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -54,6 +54,12 @@
     Quarantine(Update),
     /// The pace of an upstream, as measured on a request that still runs there.
     Pace(PaceReport),
+    /// A denial together with what is known of the free slots of failure domains, in place of a [`Frame::SlotResponse`].
+    Denial(DenialReport),
+    /// Free slots of the sender's failure domain, from its allocator to the others.
+    Room(RoomReport),
+    /// The sending host is overloaded.
+    Overloaded(Overloaded),
 }
 
 /// A request for one slot.
@@ -122,6 +128,24 @@
             Self::No | Self::InUpstream => None,
         }
     }
+
+    /// Returns what is left of the wait after some of it has passed.
+    pub fn shortened(self, passed: Duration) -> Self {
+        let left = |max_wait_ms: u32| match max_wait_ms.saturating_sub(passed.as_millis() as u32) {
+            0 => None,
+            left => Some(left),
+        };
+        match self {
+            Self::Within(max_wait_ms) => left(max_wait_ms).map_or(Self::No, Self::Within),
+            Self::LowPriority(max_wait_ms) => left(max_wait_ms).map_or(Self::No, Self::LowPriority),
+            Self::No | Self::InUpstream => self,
+        }
+    }
+
+    /// Returns whether the request waits behind all that can be on time.
+    pub fn is_low_priority(self) -> bool {
+        matches!(self, Self::LowPriority(_))
+    }
 }
 
 /// Response to a [`SlotRequest`].
@@ -141,11 +165,19 @@
     /// The request is queued; another response follows.
     Waiting,
     /// The failure domain has no slot for the request, or none in time.
-    Denied,
+    Denied(Denial),
     /// The customer has used up its allowance.
     OverLimit(OverLimit),
 }
 
+/// A request that gets no slot.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Denial {
+    /// Time in milliseconds after which its caller should retry by the backlog of its customer in this failure domain; `None`
+    /// if that is not known.
+    pub retry_after_ms: Option<u32>,
+}
+
 /// A customer above its limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OverLimit {
@@ -164,6 +196,8 @@
     pub address: SocketAddr,
     /// All its slots may be in use, so the request may queue inside it at first.
     pub queued: bool,
+    /// The pace to expect there, by which the host notices late events. `None` if it is not known or not measured.
+    pub expected: Option<pace::Expected>,
 }
 
 /// The end of a lease.
@@ -204,10 +238,41 @@
     pub service: id::Service,
     /// Slots that no online request uses.
     pub free: u32,
+    /// Slots that a batch item may take without reclaiming one.
+    pub free_for_batch: u32,
     /// Online requests that wait for one.
     pub waiting: u32,
 }
 
+/// Free slots of a failure domain, as its allocator knew them some time ago.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoomReport {
+    /// The failure domain.
+    pub failure_domain: id::FailureDomain,
+    /// Age of the report when it was sent, in milliseconds.
+    pub age_ms: u32,
+    /// Its free slots.
+    pub room: Room,
+}
+
+/// A denial together with reports of free slots.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DenialReport {
+    /// The requested lease.
+    pub lease: lease::Id,
+    /// The denial.
+    pub denial: Denial,
+    /// Free slots of the failure domains, of the allocator's own first.
+    pub rooms: SmallVec<[RoomReport; 3]>,
+}
+
+/// Notice of a host that it is overloaded. The allocator's next [`HeartbeatReply`] says whether it may withdraw.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Overloaded {
+    /// It has withdrawn from the load balancer.
+    pub has_withdrawn: bool,
+}
+
 /// Status of a host, sent in reply to a heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeartbeatReply {
@@ -215,6 +280,8 @@
     pub reaches_store: bool,
     /// Free slots of its failure domain, if it is the allocator there and reports them.
     pub room: Option<Room>,
+    /// The receiver may withdraw from the load balancer, or stay withdrawn.
+    pub may_withdraw: bool,
 }
 
 /// All leases that a host holds in one failure domain.
--- a/crates/tinbank-allocator/src/grants.rs
+++ b/crates/tinbank-allocator/src/grants.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     lease::{self, Class, Due, Footprint},
+    prefix::Expectation,
     size::Tokens,
 };
 
@@ -20,9 +21,17 @@
     /// When this allocator granted an online lease, to measure how long it holds its slot.
     pub granted_at: Option<Instant>,
     pub footprint: Footprint,
+    /// What the upstream was expected to do with the prompt, if this allocator granted the lease.
+    pub expectation: Expectation,
+    /// Tokens of the prompt that the upstream had to read, if this allocator granted the lease.
+    pub unread_tokens: Option<Tokens>,
 }
 
 impl Grant {
+    pub fn customer(&self) -> Option<&str> {
+        self.footprint.customer.as_deref()
+    }
+
     fn due(&self) -> Option<Due> {
         match self.class {
             Class::Online => None,
@@ -59,6 +68,12 @@
         self.0.iter().any(same)
     }
 
+    /// Returns a lease, if it is active here.
+    pub fn get(&self, holder: SocketAddr, lease: lease::Id) -> Option<&Grant> {
+        let mut grants = self.0.iter();
+        grants.find(|it| it.holder == holder && it.lease == lease)
+    }
+
     /// Returns whether a host has a lease here.
     pub fn has_holder(&self, holder: SocketAddr) -> bool {
         self.0.iter().any(|grant| grant.holder == holder)
@@ -69,12 +84,15 @@
         self.0.iter().map(|grant| grant.holder)
     }
 
-    /// Adds or renews a lease. Renewing keeps the original `granted_at`.
+    /// Adds or renews a lease. Renewing keeps the original `granted_at`, `expectation` and `unread_tokens`.
     pub fn add(&mut self, grant: Grant) {
         let known = self.remove(grant.holder, grant.lease);
-        let granted_at = known.and_then(|known| known.granted_at);
+        let granted_at = known.as_ref().and_then(|known| known.granted_at);
+        let unread_tokens = known.as_ref().and_then(|known| known.unread_tokens);
         self.0.push(Grant {
             granted_at: granted_at.or(grant.granted_at),
+            unread_tokens: unread_tokens.or(grant.unread_tokens),
+            expectation: known.map_or(grant.expectation, |known| known.expectation),
             ..grant
         });
     }
@@ -85,27 +103,22 @@
         Some(self.0.swap_remove(index))
     }
 
-    /// Removes the batch lease with the latest due time.
-    pub fn reclaim(&mut self) -> Option<Grant> {
-        let (last, _) = self
-            .0
-            .iter()
-            .enumerate()
-            .filter_map(|(index, grant)| Some((index, grant.due()?)))
-            .max_by_key(|(_, due)| *due)?;
-        Some(self.0.remove(last))
+    /// Removes a lease and keeps the order of the others, which decides between items that are due at the same time.
+    pub fn reclaim(&mut self, holder: SocketAddr, lease: lease::Id) -> Option<Grant> {
+        let same = |grant: &Grant| grant.holder == holder && grant.lease == lease;
+        let index = self.0.iter().position(same)?;
+        Some(self.0.remove(index))
     }
 
-    /// Returns the latest due time of the batch leases.
-    pub fn last_due(&self) -> Option<Due> {
-        self.last_batch().map(|(due, _)| due)
+    /// Returns the leases of batch items, with their due times.
+    pub fn batch(&self) -> impl Iterator<Item = (&Grant, Due)> + Clone {
+        let grants = self.0.iter();
+        grants.filter_map(|grant| Some((grant, grant.due()?)))
     }
 
-    /// Returns the due time and the memory of the lease that [`Self::reclaim`] removes.
-    pub fn last_batch(&self) -> Option<(Due, Tokens)> {
-        let batch = self.0.iter();
-        let batch = batch.filter_map(|grant| Some((grant.due()?, grant.footprint.memory)));
-        batch.max_by_key(|(due, _)| *due)
+    /// Returns the number of batch leases.
+    pub fn batch_count(&self) -> usize {
+        self.0.iter().filter(|it| it.class.is_batch()).count()
     }
 
     /// Removes expired leases. Returns when the next one expires.
--- a/crates/tinbank-allocator/src/options.rs
+++ b/crates/tinbank-allocator/src/options.rs
@@ -1,8 +1,8 @@
 //! Selects the decisions of an allocator.
 
 use crate::{
-    order::{ByExpiry, Order},
-    placement::{Affinity, Cost, LeastLoaded, Placement},
+    order::{ByExpiry, FairShare, Order},
+    placement::{Affinity, Cost, FirstEvent, LeastLoaded, Placement},
 };
 
 /// How much later than at the best upstream the first event may be expected where parts of the prompt are kept, in
@@ -34,11 +34,17 @@
 
 impl Options {
     pub(crate) fn order(self) -> Box<dyn Order> {
-        Box::new(ByExpiry)
+        match self.fair_shares {
+            true => Box::new(FairShare::default()),
+            false => Box::new(ByExpiry),
+        }
     }
 
     pub(crate) fn placement(self) -> Box<dyn Placement> {
-        let placement = Box::new(LeastLoaded);
+        let placement: Box<dyn Placement> = match self.strategy {
+            Strategy::LeastLoaded => Box::new(LeastLoaded),
+            Strategy::ExpectedFirstEvent => Box::new(FirstEvent),
+        };
         if !self.prefix_affinity {
             return placement;
         }
@@ -49,4 +55,9 @@
         };
         Box::new(Affinity::new(placement, max_excess))
     }
+
+    /// Returns whether hosts measure the paces of upstreams and report them.
+    pub fn measures_pace(self) -> bool {
+        self.strategy == Strategy::ExpectedFirstEvent
+    }
 }
--- a/crates/tinbank-allocator/tests/load/main.rs
+++ b/crates/tinbank-allocator/tests/load/main.rs
@@ -2,6 +2,7 @@
 //! sizes.
 
 mod caller;
+mod shares;
 mod simulation;
 mod upstream;
 
@@ -38,6 +39,7 @@
         slow: 0,
         policy: Policy::Admission,
         loss_one_in: None,
+        allocators_lost_after: None,
     }
 }
 
--- a/crates/tinbank-feed/tests/message.rs
+++ b/crates/tinbank-feed/tests/message.rs
@@ -5,7 +5,7 @@
 use smallvec::smallvec;
 use tinbank_allocator::directory::Peer;
 use tinbank_feed::message::{
-    Age, Delta, Error, Scope, Snapshot, Update, UpdateRequest, decode, encode,
+    Age, Delta, Error, Reliability, Scope, Snapshot, Update, UpdateRequest, decode, encode,
 };
 use tinbank_quarantine::Quarantined;
 use tinbank_relay::{
@@ -72,6 +72,10 @@
             }],
         }),
         settled: Some(39),
+        reliability: Reliability {
+            missing: vec!["i-2".into()],
+            reliable_in: Some(Duration::from_millis(900)),
+        },
         hosts: Some(Delta {
             position: 50,
             is_whole: true,
@@ -107,6 +111,7 @@
     let decoded = decode::<Update>(&encode(&update()).unwrap()).unwrap();
     let request = UpdateRequest {
         scope: Scope::Domain("north".to_owned()),
+        is_other_source: true,
         settled: Some(3),
         config: Some(6),
         upstreams: None,
--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -5,7 +5,12 @@
     time::{Instant, SystemTime},
 };
 
-use tinbank_allocator::{frame::Share, lease, size::Size};
+use tinbank_allocator::{
+    frame::Share,
+    lease,
+    order::virtual_counter::{DEFAULT_WEIGHT, Weight},
+    size::Size,
+};
 use tinbank_base::id;
 use tinbank_jobs::{
     job::Job,
@@ -14,11 +19,11 @@
 };
 use tinbank_relay::{region::Allowed, route::Config};
 
-use super::{Key, abandon};
+use super::{Key, abandon, shares::Contender};
 use crate::{
     batch::{contents, ownership},
     node::Node,
-    region, share,
+    prompt, region, share,
 };
 
 /// An item that may run now.
@@ -35,9 +40,24 @@
     pub allowed: Allowed,
 }
 
-/// Returns the item that is due first among those that this process owns and that may run now.
+impl Candidate {
+    pub fn contender(&self) -> Contender<'_> {
+        Contender {
+            customer: self.share.as_ref().map(|it| it.customer.as_str()),
+            job: &self.key.0,
+        }
+    }
+
+    /// Returns the weight of its customer.
+    pub fn weight(&self) -> Weight {
+        self.share.as_ref().map_or(DEFAULT_WEIGHT, |it| it.weight)
+    }
+}
+
+/// Returns the item to run next among those that this process owns and that may run now: the one that is due first, or that
+/// of the customer with the least work so far if shares are fair.
 pub(super) fn next_item(node: &Rc<Node>) -> Option<Candidate> {
-    if node.stop.is_stopping() || !node.batch.is_caught_up() {
+    if node.stop.is_stopping() || !node.batch.is_caught_up() || must_shed(node) {
         return None;
     }
     let config = node.view.config()?;
@@ -45,9 +65,23 @@
     let owned = table
         .open_jobs()
         .filter(|job| ownership::may_start(node, &config, job));
-    owned
-        .filter_map(|job| next_of_job(node, &config, job))
-        .min_by_key(|candidate| candidate.due)
+    let candidates = owned.filter_map(|job| next_of_job(node, &config, job));
+    if !node.settings.scheduling.fair_shares {
+        return candidates.min_by_key(|candidate| candidate.due);
+    }
+    let candidates: Vec<_> = candidates.collect();
+    let contenders: Vec<_> = candidates.iter().map(Candidate::contender).collect();
+    let mut shares = node.batch.runner.shares.borrow_mut();
+    shares.set_contenders(&contenders, Instant::now());
+    let turn = |it: &Candidate| shares.turn(it.contender(), it.due);
+    candidates.into_iter().min_by_key(turn)
+}
+
+/// Returns whether the host starts no item because it is overloaded. A host that owns all jobs runs one item at a time, since
+/// no other host goes on with them.
+fn must_shed(node: &Node) -> bool {
+    let has_running = !node.batch.runner.running.borrow().is_empty();
+    !node.overload.takes_items() && (has_running || !ownership::is_only_owner(node))
 }
 
 /// Returns the item of a job that is due first, and abandons the items that may no longer run.
@@ -126,11 +160,13 @@
     }
     let content = node.batch.contents.of_item(&job.id, index);
     let size = content.map(|it| node.engine.item_size(&it));
+    let mut size = size.unwrap_or_default();
+    prompt::retain_parts(&mut size, node.settings.scheduling, route);
     let customer = job.customer.as_deref();
     Some(Candidate {
         allowed: region::of_request(config, route, customer),
         share: customer.and_then(|it| share::of_name(config, it)),
-        size: size.unwrap_or_default(),
+        size,
         key,
         submission: job.submission,
         due,
--- a/crates/tinbank-gateway/src/lib.rs
+++ b/crates/tinbank-gateway/src/lib.rs
@@ -13,6 +13,8 @@
 mod identity;
 mod measure;
 mod node;
+mod overload;
+mod prompt;
 mod quarantine;
 mod region;
 mod relay;
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use tinbank_allocator::{frame::Verdict, lease::Class, leaving::Evidence, placement::Summary};
+use tinbank_allocator::{
+    frame::Verdict, lease::Class, leaving::Evidence, order::Denials, pace::Sample,
+    placement::Summary,
+};
 
 use crate::border::ingress::Reply;
 
@@ -51,7 +54,7 @@
     let answer = match verdict {
         Some(Verdict::Granted(_)) => "granted",
         Some(Verdict::Waiting) => "waiting",
-        Some(Verdict::Denied) => "denied",
+        Some(Verdict::Denied(_)) => "denied",
         Some(Verdict::OverLimit(_)) => "over_limit",
         None => "silent",
     };
@@ -91,6 +94,43 @@
     }
 }
 
+/// Records the `Retry-After` of a refusal that follows from the backlog of the caller's customer.
+pub(crate) fn record_backlog_retry(retry_after: Duration) {
+    metrics::histogram!("tinbank_entry_backlog_retry_seconds").record(retry_after);
+}
+
+/// Records an event that is or was later than the allocator expects.
+pub(crate) fn record_late_event(sample: Sample) {
+    let event = if sample.interval_us == 0 {
+        "first"
+    } else {
+        "later"
+    };
+    metrics::counter!("tinbank_entry_late_events_total", "event" => event).increment(1);
+}
+
+/// Sets the number of upstreams that count as slow at the allocator of this host.
+pub(crate) fn set_slow_upstreams(upstreams: usize) {
+    metrics::gauge!("tinbank_entry_slow_upstreams").set(upstreams as f64);
+}
+
+/// Records a slot request to another failure domain, by whether a recent report of its free slots was known.
+pub(crate) fn record_crossing(has_report: bool, is_granted: bool) {
+    let report = if has_report { "recent" } else { "missing" };
+    let answer = if is_granted { "granted" } else { "not_granted" };
+    metrics::counter!("tinbank_entry_crossings_total", "report" => report, "answer" => answer)
+        .increment(1);
+}
+
+/// Records denials of this host's allocator, by whether they are those of the customer that had the most.
+pub(crate) fn record_customer_denials(denials: &Denials) {
+    let others = denials.total - denials.of_busiest;
+    for (of, count) in [("busiest", denials.of_busiest), ("others", others)] {
+        metrics::counter!("tinbank_entry_customer_denials_total", "of" => of)
+            .increment(count.into());
+    }
+}
+
 /// Records that an upstream broke a connection, with the outcome of the probe that followed.
 pub(crate) fn record_broken_connection(found: &'static str) {
     metrics::counter!("tinbank_entry_broken_upstreams_total", "found" => found).increment(1);
@@ -121,6 +161,16 @@
     metrics::counter!("tinbank_entry_cut_responses_total", "why" => why).increment(1);
 }
 
+/// Sets the level of shedding of this host, 0 if it takes all work.
+pub(crate) fn set_overload_level(level: u32) {
+    metrics::gauge!("tinbank_entry_overload_level").set(f64::from(level));
+}
+
+/// Records batch items that this host gave up because it is overloaded.
+pub(crate) fn record_items_given_up(items: usize) {
+    metrics::counter!("tinbank_entry_items_given_up_total").increment(items as u64);
+}
+
 /// Records the end of a run of a batch item at an upstream.
 pub(crate) fn record_item_run(ended: &'static str) {
     metrics::counter!("tinbank_entry_item_runs_total", "ended" => ended).increment(1);
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -9,6 +9,8 @@
 mod load_poll;
 mod peers;
 mod pending;
+mod room;
+mod withdrawal;
 
 use std::{
     cell::{Cell, RefCell},
@@ -22,6 +24,7 @@
 use smallvec::SmallVec;
 use tinbank_allocator::{
     Allocator, Directory, Options,
+    admission::Backlog,
     allocator::{HEARTBEAT_INTERVAL, Upstream},
     avoidance::Avoidance,
     directory::Peer,
@@ -29,7 +32,9 @@
     lease::{self, Class, Footprint},
     leaving::Position,
     memory,
+    room::Rooms,
     size::Size,
+    withdrawal::Withdrawals,
 };
 use tinbank_allowance::{FallbackLimiter, Tolerance};
 use tinbank_base::id;
@@ -45,7 +50,9 @@
     held::Lease,
     load_poll::poll_upstream_load,
     peers::{heartbeat, receive},
+    room::broadcast_room,
 };
+use crate::measure;
 
 /// Age of the last read of the store up to which the store counts as reachable: twice the longest time between two
 /// answered reads.
@@ -57,9 +64,15 @@
     own: Peer,
     state: RefCell<State>,
     next_lease_id: Cell<lease::Id>,
+    /// Whether free slots are reported, and used to choose failure domains.
+    shares_room: bool,
     /// Notified when this host's allocator starts to collect the leases of other hosts.
     learning: Notify,
     store_read_at: Cell<Option<Instant>>,
+    /// Whether the paces of upstreams are measured and reported.
+    measures_pace: bool,
+    /// Until when this host may withdraw from the load balancer.
+    may_withdraw_until: Cell<Option<Instant>>,
 }
 
 struct State {
@@ -75,6 +88,10 @@
     store_reachable_at: HashMap<SocketAddr, Instant>,
     /// Limits the customers' requests while no allocator answers.
     fallback: FallbackLimiter,
+    /// Free slots of the failure domains.
+    rooms: Rooms,
+    /// Overloaded hosts of the own failure domain, if this host is its allocator.
+    withdrawals: Withdrawals,
 }
 
 /// Requirements for a slot.
@@ -114,8 +131,8 @@
 /// Result of a slot request.
 pub(crate) enum Allocation {
     Granted(Lease),
-    /// All slots are in use, and the request may not wait.
-    Full,
+    /// All slots are in use, and the request may not wait. Its caller should retry by the backlog of its customer.
+    Full(Backlog),
     /// The customer has used up its allowance and may retry after this time.
     OverLimit(Duration),
     /// No upstream of the service is known.
@@ -140,6 +157,8 @@
             avoidance: Avoidance::default(),
             store_reachable_at: HashMap::new(),
             fallback: FallbackLimiter::new(seed, tolerance),
+            rooms: Rooms::default(),
+            withdrawals: Withdrawals::default(),
         };
         // Lease ids increase over restarts, so that the holdings of this process end the leases of the previous one.
         let since_1970 = std::time::SystemTime::UNIX_EPOCH.elapsed();
@@ -149,8 +168,11 @@
             own,
             state: RefCell::new(state),
             next_lease_id: Cell::new(first),
+            shares_room: options.share_room,
             learning: Notify::new(),
             store_read_at: Cell::new(None),
+            measures_pace: options.measures_pace(),
+            may_withdraw_until: Cell::new(None),
         })
     }
 
@@ -161,7 +183,12 @@
 
     /// Sets the upstreams of the host's own failure domain.
     pub fn set_upstreams(&self, upstreams: Vec<Upstream>) {
-        let out = self.state.borrow_mut().allocator.set_upstreams(upstreams);
+        let mut state = self.state.borrow_mut();
+        let out = state.allocator.set_upstreams(upstreams);
+        if self.measures_pace {
+            measure::set_slow_upstreams(state.allocator.slow_upstreams(Instant::now()));
+        }
+        drop(state);
         self.send_all(out);
     }
 
@@ -282,7 +309,7 @@
     fn alive(&self, now: Instant) -> HeartbeatReply {
         HeartbeatReply {
             reaches_store: self.reaches_store(now),
-            room: None,
+            ..HeartbeatReply::default()
         }
     }
 
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -11,6 +11,7 @@
 
 use smallvec::SmallVec;
 use tinbank_allocator::{
+    admission::Backlog,
     frame::{Grant, Meter, OverLimit, Queue, SlotRequest, Verdict},
     lease::Outcome,
 };
@@ -27,9 +28,9 @@
 const FALLBACK_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Result of a request to one allocator.
-enum SlotResult {
+pub(super) enum SlotResult {
     Granted(Lease),
-    Denied,
+    Denied(Denied),
     /// The customer has used up its allowance and may retry after this time.
     OverLimit(Duration),
     /// No slot became free within the time that the request may wait.
@@ -38,10 +39,19 @@
     Unresponsive,
 }
 
+/// A denial of one allocator.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Denied {
+    /// Time after which the caller should retry by the backlog of its customer there.
+    retry_after: Option<Duration>,
+    /// How long the request has waited there before others displaced it.
+    waited: Duration,
+}
+
 impl Sharing {
-    /// Requests a free slot from the host's own failure domain, then from the others. If there is none, an online request
-    /// waits at the first allocator that expects to have one in time, or inside an upstream if it may. If no allocator
-    /// answers, this host chooses an upstream itself.
+    /// Requests a free slot from the host's own failure domain, then from one that reports room or from all that report
+    /// nothing. If there is none, an online request waits at the first allocator that expects to have one in time, or inside
+    /// an upstream if it may. If no allocator answers, this host chooses an upstream itself.
     pub async fn lease(self: &Rc<Self>, node: &Node, spec: &SlotSpec<'_>) -> Allocation {
         let turn = self.next_lease_id.get();
         let own = &self.own.failure_domain;
@@ -58,26 +68,38 @@
             Queue::No => &[Queue::No],
             queue => &[Queue::No, queue],
         };
+        let immediate = self.order_by_room(&domains, spec);
         let mut denied = false;
-        for queue in queues {
-            for domain in &domains {
-                match self.request_slot(node, spec, domain, *queue).await {
+        let mut backlog = Backlog::default();
+        let mut waited = Duration::ZERO;
+        for (index, queue) in queues.iter().enumerate() {
+            let domains = if index == 0 { &immediate } else { &domains };
+            for domain in domains {
+                let queue = queue.shortened(waited);
+                match self.request_slot(node, spec, domain, queue).await {
                     SlotResult::Granted(lease) => return Allocation::Granted(lease),
-                    SlotResult::Denied => denied = true,
+                    SlotResult::Denied(denial) => {
+                        denied = true;
+                        waited += denial.waited;
+                        denial
+                            .retry_after
+                            .into_iter()
+                            .for_each(|it| backlog.add(it));
+                    }
                     SlotResult::OverLimit(after) => return Allocation::OverLimit(after),
-                    SlotResult::WaitExpired => return Allocation::Full,
+                    SlotResult::WaitExpired => return Allocation::Full(backlog),
                     SlotResult::Unresponsive => {}
                 }
             }
         }
         if spec.class.is_batch() {
-            return Allocation::Full;
+            return Allocation::Full(backlog);
         }
         // A host that lists only its own failure domain can't rule out upstreams elsewhere.
         let may_exist =
             node.view.is_own_domain_only() || node.view.has_other_upstream(spec.service, &[]);
         if denied && may_exist && spec.queue != Queue::InUpstream {
-            return Allocation::Full;
+            return Allocation::Full(backlog);
         }
         if let Some(meter) = spec.meter
             && !self.try_acquire_fallback(meter)
@@ -114,14 +136,17 @@
     ) -> SlotResult {
         let mut returned: SmallVec<[id::Instance; 4]> = SmallVec::new();
         for _ in 0..MAX_LEAVING_GRANTS {
-            let lease = match self.request_slot_once(spec, domain, queue, &returned).await {
+            let crossing = self.record_crossing(domain, spec);
+            let result = self.request_slot_once(spec, domain, queue, &returned).await;
+            self.record_result(domain, spec, crossing, &result);
+            let lease = match result {
                 SlotResult::Granted(lease) => lease,
                 other => return other,
             };
             // The failure domain may have been evacuated while the request waited.
             if node.view.is_evacuated(domain) {
                 log::info!(upstream:% = lease.upstream, failure_domain:% = domain; "grant in an evacuated failure domain given back");
-                return SlotResult::Denied;
+                return SlotResult::Denied(Denied::default());
             }
             let Some(evidence) = node.view.evidence_of_leaving(&lease.upstream) else {
                 return SlotResult::Granted(lease);
@@ -132,7 +157,7 @@
             // The allocator may have reasons not to believe the report.
             returned.push(lease.upstream.clone());
         }
-        SlotResult::Denied
+        SlotResult::Denied(Denied::default())
     }
 
     /// Sends one slot request to the allocator of a failure domain, and waits there if the allocator expects a free slot in
@@ -172,9 +197,11 @@
             .first_verdict(now, self.response_timeout(allocator))
             .await;
         measure::record_slot_request(spec.class, verdict.as_ref(), now.elapsed());
+        let mut waited = Duration::ZERO;
         if verdict == Some(Verdict::Waiting) {
             let until = now + queue.max_wait().unwrap_or_default();
             verdict = pending.wait(until).await;
+            waited = now.elapsed();
             if pending.is_queued() {
                 return SlotResult::WaitExpired;
             }
@@ -189,7 +216,17 @@
                 log_over_limit(spec, allocator, over);
                 SlotResult::OverLimit(retry_after)
             }
-            Some(Verdict::Denied | Verdict::Waiting) => SlotResult::Denied,
+            Some(Verdict::Denied(denial)) => {
+                let retry_after = denial.retry_after_ms;
+                let retry_after = retry_after.map(|ms| Duration::from_millis(ms.into()));
+                // Without a time, nothing displaced the request: the service has no upstream there any more.
+                let waited = retry_after.map_or(Duration::ZERO, |_| waited);
+                SlotResult::Denied(Denied {
+                    retry_after,
+                    waited,
+                })
+            }
+            Some(Verdict::Waiting) => SlotResult::Denied(Denied::default()),
             None => {
                 self.record_timeout(allocator, "no answer to a slot request");
                 SlotResult::Unresponsive
@@ -232,6 +269,7 @@
             address: least.address,
             // Other hosts' requests are not known here, so the upstream may be full.
             queued: true,
+            expected: None,
         };
         let lease = self.new_lease_id();
         Some(self.add_holding(lease, spec, &least.failure_domain, None, grant))
--- a/crates/tinbank-gateway/src/sharing/ask/tests.rs
+++ b/crates/tinbank-gateway/src/sharing/ask/tests.rs
@@ -5,13 +5,19 @@
 use tinbank_allocator::{
     Options,
     directory::Peer,
-    frame::{Frame, Grant, MAX_DATAGRAM_BYTES, Queue, SlotResponse, Verdict},
+    frame::{
+        Denial, DenialReport, Frame, Grant, MAX_DATAGRAM_BYTES, Queue, Room, RoomReport,
+        ServiceRoom, SlotResponse, Verdict,
+    },
     lease::{self, Class},
+    options::Strategy,
+    pace::{Expected, Sample},
     size::Size,
 };
 use tinbank_allowance::Tolerance;
 use tinbank_relay::region::Allowed;
 use tokio::{net::UdpSocket, task, time};
+use yare::parameterized;
 
 use super::SlotResult;
 use crate::sharing::{Sharing, SlotSpec, receive};
@@ -27,13 +33,17 @@
 
 impl Fixture {
     async fn new() -> Self {
+        Self::with_options(Options::default()).await
+    }
+
+    async fn with_options(options: Options) -> Self {
         let own = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let own_address = own.local_addr().unwrap();
         drop(own);
         let allocator = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let own = peer(own_address, "south");
         let sharing = Rc::new(
-            Sharing::bind(own, 1, Tolerance::default(), Options::default())
+            Sharing::bind(own, 1, Tolerance::default(), options)
                 .await
                 .unwrap(),
         );
@@ -57,6 +67,10 @@
 
     async fn answer(&self, to: SocketAddr, lease: lease::Id, verdict: Verdict) {
         let frame = Frame::SlotResponse(SlotResponse { lease, verdict });
+        self.send(to, frame).await;
+    }
+
+    async fn send(&self, to: SocketAddr, frame: Frame) {
         let bytes = frame.encode().unwrap();
         self.allocator.send_to(&bytes, to).await.unwrap();
     }
@@ -76,6 +90,10 @@
         upstream: "u1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         queued: false,
+        expected: Some(Expected {
+            first_event_ms: 20,
+            interval_us: 20_000,
+        }),
     })
 }
 
@@ -93,6 +111,14 @@
     }
 }
 
+fn pace(frame: Frame) -> Option<Option<Sample>> {
+    match frame {
+        Frame::Release(release) => Some(release.pace),
+        Frame::Pace(report) => Some(Some(report.sample)),
+        _ => None,
+    }
+}
+
 fn withdrawal(frame: Frame) -> Option<lease::Id> {
     match frame {
         Frame::Withdraw(lease) => Some(lease),
@@ -108,22 +134,44 @@
     task::LocalSet::new().block_on(&runtime, test);
 }
 
+fn spec<'a>(queue: Queue, size: &'a Size, allowed: &'a Allowed) -> SlotSpec<'a> {
+    SlotSpec {
+        class: Class::Online,
+        service: "notes",
+        exclude: &[],
+        queue,
+        rank: 0,
+        meter: None,
+        share: None,
+        size,
+        max_gap: None,
+        allowed,
+    }
+}
+
+fn room_report(failure_domain: &str, free: u32, age: Duration) -> RoomReport {
+    let service = ServiceRoom {
+        service: "notes".to_owned(),
+        free,
+        free_for_batch: 0,
+        waiting: 0,
+    };
+    RoomReport {
+        failure_domain: failure_domain.to_owned(),
+        age_ms: age.as_millis() as u32,
+        room: Room {
+            services: [service].into_iter().collect(),
+        },
+    }
+}
+
 /// Requests a slot in the background.
 fn request(fixture: &Fixture, queue: Queue) -> task::JoinHandle<SlotResult> {
     let sharing = Rc::clone(&fixture.sharing);
     task::spawn_local(async move {
-        let spec = SlotSpec {
-            class: Class::Online,
-            service: "notes",
-            exclude: &[],
-            queue,
-            rank: 0,
-            meter: None,
-            share: None,
-            size: &Size::default(),
-            max_gap: None,
-            allowed: &Allowed::default(),
-        };
+        let size = Size::default();
+        let allowed = Allowed::default();
+        let spec = spec(queue, &size, &allowed);
         sharing.request_slot_once(&spec, "north", queue, &[]).await
     })
 }
@@ -204,3 +252,117 @@
         assert_eq!(withdrawn, lease);
     });
 }
+
+/// Guards against a request that is displaced at one allocator and then waits for its full time at the next.
+#[test]
+fn a_denial_after_a_wait_states_how_long_the_request_has_waited() {
+    run(async {
+        let fixture = Fixture::new().await;
+        let request = request(&fixture, Queue::Within(2_000));
+        let (lease, host) = fixture.next(slot_request).await.unwrap();
+        fixture.answer(host, lease, Verdict::Waiting).await;
+        time::sleep(DELIVERY_TIME).await;
+
+        let denial = Denial {
+            retry_after_ms: Some(700),
+        };
+        fixture.answer(host, lease, Verdict::Denied(denial)).await;
+
+        let SlotResult::Denied(denied) = request.await.unwrap() else {
+            panic!("expected a denial");
+        };
+        assert_eq!(denied.retry_after, Some(Duration::from_millis(700)));
+        assert!(denied.waited >= DELIVERY_TIME);
+    });
+}
+
+/// Runs a request whose only event arrives after a time. Returns the samples that the allocator gets.
+async fn samples(options: Options, after: Duration) -> Vec<Option<Sample>> {
+    let fixture = Fixture::with_options(options).await;
+    let request = request(&fixture, Queue::No);
+    let (lease, host) = fixture.next(slot_request).await.unwrap();
+    fixture.answer(host, lease, grant()).await;
+    let SlotResult::Granted(lease) = request.await.unwrap() else {
+        panic!("no slot granted");
+    };
+
+    lease.start_meter();
+    lease.receive(time::sleep(after)).await;
+    lease.record_event();
+    drop(lease);
+
+    let mut samples = Vec::new();
+    while let Some((sample, _)) = fixture.next(pace).await {
+        samples.push(sample);
+    }
+    samples
+}
+
+#[test]
+fn a_late_event_is_reported_while_the_request_runs() {
+    run(async {
+        let options = Options {
+            strategy: Strategy::ExpectedFirstEvent,
+            ..Options::default()
+        };
+
+        let late = samples(options, Duration::from_millis(150)).await;
+        let on_time = samples(options, Duration::from_millis(1)).await;
+
+        // When it is noticed, when it arrives and when the request ends.
+        let late: Vec<_> = late.iter().map(|it| it.unwrap().first_event_ms).collect();
+        assert!(late.len() == 3 && late[0] < late[1], "{late:?}");
+        assert_eq!(on_time.len(), 1);
+        assert!(on_time[0].is_some());
+    });
+}
+
+#[test]
+fn nothing_is_measured_without_the_setting() {
+    run(async {
+        let samples = samples(Options::default(), Duration::from_millis(150)).await;
+
+        assert_eq!(samples, [None]);
+    });
+}
+
+/// Without reports, each request that is denied at home asks every failure domain.
+#[parameterized(
+    one_has_room = { true, Duration::ZERO, &["south", "west"] },
+    reports_are_old = { true, Duration::from_secs(4), &["south", "north", "west"] },
+    switched_off = { false, Duration::ZERO, &["south", "north", "west"] },
+)]
+fn a_denial_says_which_failure_domains_have_room(
+    share_room: bool,
+    age: Duration,
+    expected: &[&str],
+) {
+    let options = Options {
+        share_room,
+        ..Options::default()
+    };
+    run(async move {
+        let fixture = Fixture::with_options(options).await;
+        let request = request(&fixture, Queue::No);
+        let (lease, host) = fixture.next(slot_request).await.unwrap();
+        let rooms = [room_report("north", 0, age), room_report("west", 3, age)];
+
+        let rooms = rooms.into_iter().collect();
+        let denial = Frame::Denial(DenialReport {
+            lease,
+            denial: Denial::default(),
+            rooms,
+        });
+        fixture.send(host, denial).await;
+        let result = request.await.unwrap();
+
+        let domains = ["south", "north", "west"].map(str::to_owned);
+        let size = Size::default();
+        let order = fixture.sharing.order_by_room(
+            &domains.into_iter().collect(),
+            &spec(Queue::No, &size, &Allowed::default()),
+        );
+        assert!(matches!(result, SlotResult::Denied(_)));
+        assert_eq!(order.to_vec(), expected);
+    });
+}
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -9,7 +9,7 @@
 use smallvec::SmallVec;
 use tinbank_allocator::{
     allocator::{HEARTBEAT_INTERVAL, Outgoing, Oversized, StateChange},
-    frame::{self, Frame, Grant, Holdings, MAX_DATAGRAM_BYTES, Release, Verdict},
+    frame::{self, Frame, Grant, HeartbeatReply, Holdings, MAX_DATAGRAM_BYTES, Release, Verdict},
     lease::{self, Held, Outcome},
     leaving::Doubt,
 };
@@ -37,9 +37,18 @@
             Frame::SlotResponse(answer) => self.on_answer(from, answer),
             Frame::Ping => self.send(from, &Frame::HeartbeatReply(self.alive(now))),
             Frame::Reclaim(lease) => self.reclaim(lease),
+            Frame::Denial(denial) => self.on_denial(from, denial, now),
+            Frame::Room(report) => self.record_room(report, now),
+            Frame::Overloaded(notice) => self.record_overloaded(from, notice, now),
             Frame::HeartbeatReply(alive) => {
                 let mut state = self.state.borrow_mut();
                 state.directory.record_heartbeat_reply(from, now);
+                if alive.may_withdraw {
+                    self.record_permission(now);
+                }
+                if let Some(room) = alive.room {
+                    state.record_own_room(from, room, now);
+                }
                 match alive.reaches_store {
                     true => state.store_reachable_at.insert(from, now),
                     false => state.store_reachable_at.remove(&from),
@@ -47,9 +56,19 @@
             }
             frame => {
                 let mut state = self.state.borrow_mut();
-                state.allocator.set_heartbeat_reply(self.alive(now));
-                let (out, change) = state.allocator.receive(from, frame, now);
+                let reply = HeartbeatReply {
+                    may_withdraw: state.withdrawals.may_withdraw(from, now),
+                    ..self.alive(now)
+                };
+                state.allocator.set_heartbeat_reply(reply);
+                let (mut out, change) = state.allocator.receive(from, frame, now);
+                if self.shares_room {
+                    state.add_rooms(&mut out, &self.own.failure_domain, now);
+                }
                 let summary = state.allocator.take_summary();
+                if let Some(StateChange::Slowed(_) | StateChange::Recovered(_)) = change {
+                    measure::set_slow_upstreams(state.allocator.slow_upstreams(now));
+                }
                 drop(state);
                 measure::record_placements(summary);
                 if change == Some(StateChange::Learning) {
@@ -67,7 +86,7 @@
         }
     }
 
-    fn on_answer(&self, from: SocketAddr, answer: frame::SlotResponse) {
+    pub(super) fn on_answer(&self, from: SocketAddr, answer: frame::SlotResponse) {
         let frame::SlotResponse { lease, verdict } = answer;
         let state = self.state.borrow();
         let unclaimed = match state.pending.get(&lease) {
@@ -79,7 +98,7 @@
             // The caller has left, so the slot is released at once.
             Some(Verdict::Granted(grant)) => self.release_unused(from, lease, grant),
             Some(Verdict::Waiting) => self.send(from, &Frame::Withdraw(lease)),
-            Some(Verdict::Denied | Verdict::OverLimit(_)) | None => {}
+            Some(Verdict::Denied(_) | Verdict::OverLimit(_)) | None => {}
         }
     }
 
@@ -166,6 +185,21 @@
         }
     }
 
+    /// Reports which customers this host's allocator has denied slots since the last heartbeat.
+    fn report_denials(&self) {
+        let Some(denials) = self.state.borrow_mut().allocator.take_denials() else {
+            return;
+        };
+        log::info!(
+            denied = denials.total,
+            customers = denials.customers,
+            busiest:% = denials.busiest,
+            of_busiest = denials.of_busiest;
+            "customers denied slots"
+        );
+        measure::record_customer_denials(&denials);
+    }
+
     /// Expects a reply from a host before the next heartbeat.
     fn expect_reply(&self, from: SocketAddr, now: Instant) {
         if from == self.own.address {
@@ -198,6 +232,12 @@
             measure::record_leaving_report(decision);
             log::warn!(upstream:%, host:% = from, why:?; "report that an upstream leaves not believed");
         }
+        Some(StateChange::Slowed(upstream)) => {
+            log::warn!(upstream:%; "upstream slow compared with the others of its service, gets fewer requests");
+        }
+        Some(StateChange::Recovered(upstream)) => {
+            log::info!(upstream:%; "upstream no longer slow");
+        }
         Some(StateChange::Learning) => {
             log::info!(
                 "allocator collects the leases of other hosts before it grants slots to batch"
@@ -247,6 +287,7 @@
         let now = Instant::now();
         sharing.send_holdings(now);
         sharing.ping(now);
+        sharing.report_denials();
         node.feed.update_role(sharing, now);
     }
 }
--- a/crates/tinbank-gateway/src/view/entries.rs
+++ b/crates/tinbank-gateway/src/view/entries.rs
@@ -2,9 +2,10 @@
 
 use std::{rc::Rc, time::Instant};
 
+use tinbank_feed::replica::Record;
 use tinbank_relay::{
     evacuation,
-    listing::{Change, Changes, Reading, Scope},
+    listing::{Change, Reading, Scope},
 };
 
 use super::View;
@@ -17,13 +18,20 @@
 /// The history of a list is limited to its size divided by this number. Followers that lack more changes get the whole list.
 const HISTORY_DIVISOR: usize = 4;
 
-/// Applies entries of a list that were read from the store: the whole list, or those written since the last read.
-pub(super) fn apply_entries(node: &Node, list: List, entries: Entries, whole: bool) {
+/// Applies entries of a list that were read from the store: those written since a position, or the whole list.
+pub(super) fn apply_entries(node: &Node, list: List, entries: Entries, from: Option<Offset>) {
+    let whole = from.is_none();
     let now = Instant::now();
     let view = &node.view;
     let end = entries.end;
     let changed = match list {
-        List::Upstreams => apply_upstreams(node, entries, whole, now),
+        List::Upstreams => match apply_upstreams(node, entries, from, now) {
+            Some(changed) => changed,
+            None => {
+                log::info!(from:?, position:? = view.position(list); "read of the upstreams discarded, a delegate sent later ones");
+                return;
+            }
+        },
         List::Quarantine => node.quarantine.apply_entries(entries.entries, whole, now),
         List::Config => {
             apply_evacuations(node, &entries, whole);
@@ -36,7 +44,9 @@
         // Read only during bootstrap.
         List::FirstDelegates => false,
     };
-    view.lists.of(list).advance(end, changed);
+    if let Some(watermark) = view.lists.of(list) {
+        watermark.advance(end, changed);
+    }
     record_read(node, list, now, changed);
     view.refreshed.notify_waiters();
 }
@@ -48,7 +58,7 @@
         List::Config => view.config_read_at.set(Some(at)),
         List::Upstreams => {
             view.upstreams_read_at.set(Some(at));
-            if let Some(position) = view.lists.of(list).position() {
+            if let Some(position) = view.position(list) {
                 node.sharing.set_list_position(position);
             }
             if changed || node.sharing.lacks_upstreams() {
@@ -117,88 +127,47 @@
     }
 }
 
-/// Returns whether the upstreams changed.
-fn apply_upstreams(node: &Node, read: Entries, whole: bool, now: Instant) -> bool {
-    let view = &node.view;
-    let end = read.end;
-    let at = Reading { position: end, now };
-    let mut listing = view.upstreams.borrow_mut();
-    if whole {
-        // Before the list is applied: upstreams out of scope are dropped, while those absent from the list count as removed.
-        listing.set_scope(scope(node, !node.feed.serves_followers()));
-    }
-    let entries = read.entries.into_iter();
-    let mut changes: Changes = match whole {
-        true => {
-            let listed = entries.filter_map(|written| match written {
-                ListEntry::Upstream(upstream) => Some(upstream),
-                _ => None,
-            });
-            listing.replace(listed.collect(), at)
-        }
-        false => entries
-            .flat_map(|written| match written {
-                ListEntry::Upstream(upstream) => listing.add(upstream, at),
-                ListEntry::UpstreamRemoved(name) => listing.remove(&name, at).into_iter().collect(),
-                _ => Changes::new(),
-            })
-            .collect(),
+/// Returns whether the upstreams changed, or `None` if the list is known from a delegate up to another position meanwhile.
+fn apply_upstreams(node: &Node, read: Entries, from: Option<Offset>, now: Instant) -> Option<bool> {
+    let at = Reading {
+        position: read.end,
+        now,
     };
-    let settled = listing.expire_missing(at);
-    drop(listing);
-    if whole {
-        view.lists.changed_upstreams.borrow_mut().reset(end);
-    }
-    record_changes(view, &changes, end);
-    if !settled.is_empty() {
-        view.lists.of(List::Upstreams).settle(end);
-        // At the next position, since followers that know the list up to `end` lack these changes as well.
-        record_changes(view, &settled, end + 1);
-    }
-    changes.extend(settled);
+    let records = records(read.entries);
+    let mut replica = node.view.upstreams.borrow_mut();
+    let changes = match from {
+        Some(from) => replica.apply_since(from, records, at),
+        None => replica.apply_whole(records, scope(node, !node.feed.serves_followers()), at),
+    }?;
+    drop(replica);
     changes.iter().for_each(log_change);
-    !changes.is_empty()
+    Some(!changes.is_empty())
 }
 
-/// Applies a page of the upstreams while a starting host reads on, so that it can use these upstreams already. The list of a large
-/// fleet has many pages.
-pub(super) fn apply_page(node: &Node, page: Vec<ListEntry>, end: Offset) {
-    let view = &node.view;
-    if view.lists.of(List::Upstreams).position().is_some() {
-        return;
-    }
+/// Returns the records of upstreams among entries of their list.
+fn records(entries: Vec<ListEntry>) -> Vec<Record> {
+    let records = entries.into_iter().filter_map(|written| match written {
+        ListEntry::Upstream(upstream) => Some(Record::Listed(upstream)),
+        ListEntry::UpstreamRemoved(name) => Some(Record::Removed(name)),
+        _ => None,
+    });
+    records.collect()
+}
+
+/// Applies a page of the upstreams while a starting host reads on.
+pub(super) fn apply_page(node: &Node, page: Entries) {
     let at = Reading {
-        position: end,
+        position: page.end,
         now: Instant::now(),
     };
-    let mut listing = view.upstreams.borrow_mut();
-    listing.set_scope(scope(node, !node.feed.serves_followers()));
-    for written in page {
-        if let ListEntry::Upstream(upstream) = written {
-            listing.add(upstream, at).iter().for_each(log_change);
-        }
-    }
-    drop(listing);
-    record_read(node, List::Upstreams, Instant::now(), true);
-    view.refreshed.notify_waiters();
-}
-
-/// Records changes to the upstreams, for hosts that follow this one.
-pub(super) fn record_changes(view: &View, changes: &[Change], position: Offset) {
-    if changes.is_empty() {
-        return;
-    }
-    let mut history = view.lists.changed_upstreams.borrow_mut();
-    for change in changes {
-        match change {
-            Change::Listed(upstream) => history.record(position, upstream.instance.clone()),
-            Change::Gone(instance) => history.record(position, instance.clone()),
-            // Still present.
-            Change::Missing(_) => {}
-        }
-    }
-    let listed = view.upstreams.borrow().present().count();
-    history.truncate(listed / HISTORY_DIVISOR);
+    let scope = scope(node, !node.feed.serves_followers());
+    let records = records(page.entries);
+    let mut replica = node.view.upstreams.borrow_mut();
+    let changes = replica.apply_page(&records, scope, at);
+    drop(replica);
+    changes.iter().for_each(log_change);
+    record_read(node, List::Upstreams, at.now, true);
+    node.view.refreshed.notify_waiters();
 }
 
 /// Returns whether the hosts changed.
@@ -230,7 +199,7 @@
     changed
 }
 
-fn log_change(change: &Change) {
+pub(super) fn log_change(change: &Change) {
     match change {
         Change::Listed(upstream) => log::info!(
             upstream:% = upstream.instance,
--- a/crates/tinbank-gateway/src/view/lists.rs
+++ b/crates/tinbank-gateway/src/view/lists.rs
@@ -35,7 +35,7 @@
         if list == List::Upstreams && node.feed.serves_followers() && node.view.is_own_domain_only()
         {
             // Followers need the upstreams of all failure domains.
-            node.view.lists.of(list).reset();
+            node.view.reset(list);
         }
         let read = read(&node, list, &mut pages, timeout.duration()).await;
         node.view.record_read_result(list, &read);
@@ -43,14 +43,14 @@
             Ok(Read::Page(entries)) => {
                 timeout.on_response();
                 if list == List::Upstreams {
-                    apply_page(&node, entries.entries, entries.end);
+                    apply_page(&node, entries);
                 }
             }
-            Ok(Read::Since(entries)) => {
+            Ok(Read::Since(from, entries)) => {
                 timeout.on_response();
                 dependency.record_success();
                 let has_changes = !entries.entries.is_empty();
-                apply_entries(&node, list, entries, false);
+                apply_entries(&node, list, entries, Some(from));
                 if has_changes {
                     time::sleep(READ_PAUSE).await;
                 }
@@ -58,12 +58,12 @@
             Ok(Read::Whole(entries)) => {
                 timeout.on_response();
                 dependency.record_success();
-                apply_entries(&node, list, entries, true);
+                apply_entries(&node, list, entries, None);
                 time::sleep(READ_PAUSE).await;
             }
             Err(error) => {
                 if matches!(error, Error::Trimmed { .. }) {
-                    node.view.lists.of(list).reset();
+                    node.view.reset(list);
                 }
                 if matches!(error, Error::Unknown(_)) {
                     timeout.on_timeout();
--- a/crates/tinbank-relay/src/listing.rs
+++ b/crates/tinbank-relay/src/listing.rs
@@ -65,6 +65,16 @@
     }
 }
 
+/// How far the list that another host sent can be relied on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reliability {
+    /// All upstreams in scope whose entries are missing since an outage.
+    pub missing: Vec<id::Instance>,
+    /// Until then, upstreams that are absent from the list are missing and not gone: a host that has just begun to read the
+    /// store sends a short list while entries lapsed.
+    pub unreliable_until: Option<Instant>,
+}
+
 /// How a host knows that an upstream is leaving or gone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
@@ -141,23 +151,50 @@
     has_failed: bool,
     /// From then on, a missing entry means that the upstream is gone.
     reliable_from: Option<Instant>,
+    /// Whether the list, as it was read last, can be relied on. It can't be from a time on at which nobody has read it.
+    is_reliable: bool,
 }
 
 impl StoreContact {
     /// Records an answer. The first one counts as an answer after an outage: a host that begins to read the store does not know
     /// whether entries lapsed before, and most hosts begin because their delegates fell silent in an outage.
     fn record_answer(&mut self, now: Instant) {
-        let gap_end = self.last_answer_at.map(|at| at + MAX_ANSWER_GAP);
-        let was_unavailable = self.has_failed || gap_end.is_none_or(|end| now > end);
+        let was_unavailable = self.has_failed || self.is_gap(now).unwrap_or(true);
         if was_unavailable {
             self.reliable_from = Some(now + RENEWAL_TIME);
         }
         self.has_failed = false;
         self.last_answer_at = Some(now);
+        self.is_reliable = self.reliable_from.is_some_and(|from| now >= from);
+    }
+
+    fn record_failure(&mut self) {
+        self.has_failed = true;
+        self.is_reliable = false;
+    }
+
+    /// Returns whether the last answer is longer ago than a reachable store takes, or `None` if there was none.
+    fn is_gap(&self, now: Instant) -> Option<bool> {
+        self.last_answer_at.map(|at| now > at + MAX_ANSWER_GAP)
     }
 
-    fn is_reliable(&self, now: Instant) -> bool {
-        !self.has_failed && self.reliable_from.is_none_or(|from| now >= from)
+    /// Returns from when on the list can be relied on, if the store answers from now on; `None` if it can be.
+    fn unreliable_until(&self, now: Instant) -> Option<Instant> {
+        if self.has_failed || self.is_gap(now) == Some(true) {
+            return Some(now + RENEWAL_TIME);
+        }
+        let until = self.reliable_from.filter(|_| !self.is_reliable);
+        until.map(|until| until.max(now))
+    }
+
+    /// Records that the list was received from another host, and until when it can't be relied on. The next answer of the store
+    /// to this host is then a first one.
+    fn record_received(&mut self, unreliable_until: Option<Instant>) {
+        *self = Self {
+            reliable_from: unreliable_until,
+            is_reliable: unreliable_until.is_none(),
+            ..Self::default()
+        };
     }
 }
 
@@ -179,7 +216,7 @@
 
     /// Records that a read of the list got no answer.
     pub fn record_store_failure(&mut self) {
-        self.store.has_failed = true;
+        self.store.record_failure();
     }
 
     /// Returns which upstreams are tracked.
@@ -240,7 +277,7 @@
     /// Applies the removal of a name's entry. Nothing is recorded about a name that is unknown or out of scope.
     pub fn remove(&mut self, name: &id::Instance, at: Reading) -> Option<Change> {
         let instance = self.instances.get(name)?.clone();
-        if self.store.is_reliable(at.now) {
+        if self.store.is_reliable {
             return self.mark_gone(instance, at);
         }
         self.mark_missing(&instance)
@@ -266,13 +303,27 @@
         Some(Change::Missing(instance.clone()))
     }
 
-    /// Applies the full list of upstreams that another host sent. Upstreams that are not in it are gone: the sender has
-    /// already waited for expired entries to be renewed.
-    pub fn apply_snapshot(&mut self, upstreams: Vec<Upstream>, at: Reading) -> Changes {
+    /// Applies the full list of upstreams that another host sent. Upstreams that are not in it are gone if the list can be
+    /// relied on, otherwise missing.
+    pub fn apply_snapshot(
+        &mut self,
+        upstreams: Vec<Upstream>,
+        reliability: Reliability,
+        at: Reading,
+    ) -> Changes {
         let named: HashSet<&id::Instance> = upstreams.iter().map(|it| &it.instance).collect();
         let known = self.states.keys();
         let unnamed: Vec<_> = known.filter(|it| !named.contains(*it)).cloned().collect();
-        self.apply_update(upstreams, unnamed, at)
+        drop(named);
+        if reliability.unreliable_until.is_none() {
+            return self.apply_update(upstreams, unnamed, reliability, at);
+        }
+        let mut changes: Changes = unnamed
+            .iter()
+            .filter_map(|it| self.mark_missing(it))
+            .collect();
+        changes.extend(self.apply_update(upstreams, Vec::new(), reliability, at));
+        changes
     }
 
     /// Applies the changes that another host sent. An upstream that is leaving by this host's own knowledge stays so.
@@ -280,14 +331,25 @@
         &mut self,
         upstreams: Vec<Upstream>,
         gone: Vec<id::Instance>,
+        reliability: Reliability,
         at: Reading,
     ) -> Changes {
+        self.store.record_received(reliability.unreliable_until);
         let gone = gone.into_iter();
         let mut changes: Changes = gone.filter_map(|it| self.mark_gone(it, at)).collect();
         for mut upstream in upstreams {
             upstream.leaving |= self.was_leaving(&upstream.instance);
             changes.extend(self.add(upstream, at));
         }
+        let missing = reliability.missing.iter();
+        changes.extend(missing.filter_map(|it| self.mark_missing(it)));
+        if reliability.unreliable_until.is_none() {
+            let missing = self.missing().map(|it| it.instance.clone());
+            let unnamed: Vec<_> = missing
+                .filter(|it| !reliability.missing.contains(it))
+                .collect();
+            changes.extend(unnamed.into_iter().filter_map(|it| self.mark_gone(it, at)));
+        }
         self.drop_expired(at.now);
         changes
     }
@@ -326,7 +388,7 @@
     /// Marks missing upstreams as gone once the store has answered for [`RENEWAL_TIME`].
     pub fn expire_missing(&mut self, at: Reading) -> Changes {
         self.drop_expired(at.now);
-        if !self.store.is_reliable(at.now) {
+        if !self.store.is_reliable {
             return Changes::new();
         }
         let mut changes = Changes::new();
@@ -377,6 +439,19 @@
         }
     }
 
+    /// Returns the upstreams whose entries are missing since an outage.
+    pub fn missing(&self) -> impl Iterator<Item = &Upstream> {
+        self.states.values().filter_map(|state| match state {
+            State::Missing(upstream) => Some(upstream),
+            State::Listed(_) | State::Gone(_) => None,
+        })
+    }
+
+    /// Returns from when on upstreams that are absent from the list count as gone, or `None` if they do.
+    pub fn unreliable_until(&self, now: Instant) -> Option<Instant> {
+        self.store.unreliable_until(now)
+    }
+
     /// Returns all upstreams that are not gone, including those that are leaving.
     pub fn present(&self) -> impl Iterator<Item = &Upstream> {
         self.states.values().filter_map(|state| match state {
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -159,6 +159,10 @@
         &["class", "answer"],
         "Slots asked for, online or for batch: granted, waiting, denied, or no answer.",
     ),
+    seconds(
+        "tinbank_entry_backlog_retry_seconds",
+        "`Retry-After` of refusals that follows from the backlog of the caller's customer.",
+    ),
     counter(
         "tinbank_entry_broken_streams_total",
         "streams",
@@ -171,6 +175,18 @@
         &["found"],
         "Upstreams that broke off connections, by what a look at their address found: ended, listening, or silent.",
     ),
+    counter(
+        "tinbank_entry_crossings_total",
+        "asks",
+        &["report", "answer"],
+        "Slots asked for in another failure domain, by whether a recent report of its free slots was known, and whether it granted one.",
+    ),
+    counter(
+        "tinbank_entry_customer_denials_total",
+        "denials",
+        &["of"],
+        "Slots denied to customers by this host's allocator, of the customer with the most in a second or of all others.",
+    ),
     counter(
         "tinbank_entry_cut_responses_total",
         "responses",
@@ -203,11 +219,28 @@
         &["ended"],
         "Runs of batch items, by how they ended.",
     ),
+    counter(
+        "tinbank_entry_items_given_up_total",
+        "items",
+        &[],
+        "Batch items that the host stopped because it was overloaded.",
+    ),
     gauge(
         "tinbank_entry_kept_bytes",
         "bytes",
         "Parts of responses that are kept for callers that read slowly.",
     ),
+    counter(
+        "tinbank_entry_late_events_total",
+        "events",
+        &["event"],
+        "Events of upstreams that took a multiple of the time expected by the allocator, when noticed and when received: first or later ones.",
+    ),
+    gauge(
+        "tinbank_entry_overload_level",
+        "level",
+        "How much work the host sheds: 0 none, 1 batch items, 2 connections of callers, 3 all new calls.",
+    ),
     counter(
         "tinbank_entry_oversized_requests_total",
         "requests",
@@ -232,6 +265,11 @@
         &["reply"],
         "Answers of the entry program's own, by what they say.",
     ),
+    gauge(
+        "tinbank_entry_slow_upstreams",
+        "upstreams",
+        "Upstreams that count as slow at this host's allocator, and get fewer requests.",
+    ),
     Metric {
         name: "tinbank_entry_store_reached",
         kind: Kind::Gauge,
