allocator: a slow upstream that one host finds fast is tried again soon

Cause: the first sample of the usual pace restarted the time in which the slowness is forgotten for costs, so the second host that has to find it came more than 2 s later and confirmed nothing.

--- a/crates/tinbank-allocator/src/pace.rs
+++ b/crates/tinbank-allocator/src/pace.rs
@@ -45,7 +45,7 @@
 const MIN_READING: Duration = Duration::from_millis(10);
 /// Number of latest times of reading that are kept for an upstream: more than begin within one late event.
 const MAX_READINGS: usize = 4;
-/// Time without samples in which half of an upstream's slowness is forgotten for costs, so that it is tried again.
+/// Time without confirming samples in which half of an upstream's slowness is forgotten for costs, so that it is tried again.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 /// Time without samples after which an upstream counts as typical.
 const MAX_AGE: Duration = Duration::from_secs(10);
@@ -115,6 +115,8 @@
     /// Whether the upstream was slow when [`Pace::take_change`] was last called.
     was_slow: bool,
     sampled_at: Option<Instant>,
+    /// When a host last found the upstream about as slow as the estimate, or slower.
+    confirmed_at: Option<Instant>,
     /// When the pace last changed suddenly.
     jump: Option<Jump>,
     witnesses: SmallVec<[Witness; MAX_WITNESSES]>,
@@ -132,6 +134,7 @@
             is_slow: false,
             was_slow: false,
             sampled_at: None,
+            confirmed_at: None,
             jump: None,
             witnesses: SmallVec::new(),
             readings: SmallVec::new(),
@@ -232,6 +235,9 @@
         if let Some(other) = self.confirmation(by, now) {
             self.move_estimate(slowness, other, now);
         }
+        if slowness * SUDDEN >= self.estimate {
+            self.confirmed_at = Some(now);
+        }
         let latest = Finding { slowness, at: now };
         let earlier = match self.witnesses.iter().position(|it| it.by == by) {
             Some(index) => {
@@ -323,26 +329,24 @@
         self.slowness = 1.0;
         self.is_slow = false;
         self.sampled_at = None;
+        self.confirmed_at = None;
         self.jump = None;
         self.witnesses.clear();
     }
 
-    /// Returns the slowness for costs. It falls while no samples arrive, so that a slow upstream gets a request now and then.
+    /// Returns the slowness for costs. It falls while no sample confirms it, so that a slow upstream gets a request now and then,
+    /// and another one soon if the first was fast.
     fn aged_slowness(&self, now: Instant) -> f64 {
         if self.slowness == 1.0 || self.is_outdated(now) {
             return 1.0;
         }
-        let age = self.age(now).unwrap_or_default();
+        let confirmed_at = self.confirmed_at.unwrap_or(now);
+        let age = now.saturating_duration_since(confirmed_at);
         let excess = (self.slowness - 1.0) * (-age.div_duration_f64(HALF_LIFE)).exp2();
         1.0 + excess
     }
 
     fn is_outdated(&self, now: Instant) -> bool {
-        self.age(now).is_none_or(|age| age >= MAX_AGE)
-    }
-
-    fn age(&self, now: Instant) -> Option<Duration> {
-        let at = self.sampled_at?;
-        Some(now.saturating_duration_since(at))
+        self.sampled_at.is_none_or(|at| now >= at + MAX_AGE)
     }
 }
--- a/crates/tinbank-allocator/tests/pace/estimate.rs
+++ b/crates/tinbank-allocator/tests/pace/estimate.rs
@@ -173,6 +173,20 @@
     assert!(!fixture.is_slow(0));
 }
 
+/// Guards against a long wait for the second of the two requests that find out that an upstream has recovered.
+#[test]
+fn a_slow_upstream_that_one_host_finds_fast_is_tried_again_soon() {
+    let mut fixture = Fixture::new(3);
+    (0..4).for_each(|by| fixture.finish(0, by % 2, 200));
+    fixture.now += ms(3_000);
+    let before = fixture.cost(&online(None), 0, 0);
+
+    fixture.finish(0, 1, 40);
+
+    assert!(fixture.is_slow(0));
+    assert!(fixture.cost(&online(None), 0, 0) <= before);
+}
+
 #[parameterized(
     a_fifth_of_the_speed = { 200, 1 },
     a_third_of_the_speed = { 120, 2 },
