--- a/crates/tinbank-allocator/tests/harness/mod.rs
+++ b/crates/tinbank-allocator/tests/harness/mod.rs
@@ -41,6 +41,8 @@
     pub rank: u8,
     /// Whose share new requests take.
     pub share: Option<Share>,
+    /// Size of new requests.
+    pub size: Size,
     held: HashMap<(SocketAddr, Id), (id::Instance, Class)>,
     upstreams: usize,
 }
@@ -90,6 +92,7 @@
             retry_after: Vec::new(),
             rank: 0,
             share: None,
+            size: Size::default(),
             held: HashMap::new(),
             upstreams: upstreams.into(),
         };
@@ -115,7 +118,7 @@
             rank: self.rank,
             meter: None,
             share: self.share.clone(),
-            size: Size::default(),
+            size: self.size.clone(),
             max_gap_ms: None,
         };
         let (out, _) = self
