--- a/crates/tinbank-allocator/tests/prompt/allocator.rs
+++ b/crates/tinbank-allocator/tests/prompt/allocator.rs
@@ -63,15 +63,22 @@
     assert_eq!(harness.allocator.take_summary().kept_tokens, kept);
 }
 
-/// A new instance has an empty memory; while an allocator is idle, another one sends requests.
+/// A new instance has an empty memory, and a refused request is not read; while an allocator is idle, another one sends requests.
 #[parameterized(
-    same = { 0, READ, 100 },
-    restarted = { 1, READ, 0 },
-    idle_allocator = { 0, Duration::from_secs(10), 0 },
+    same = { 0, READ, Outcome::Served, 100 },
+    restarted = { 1, READ, Outcome::Served, 0 },
+    idle_allocator = { 0, Duration::from_secs(10), Outcome::Served, 0 },
+    refused = { 0, READ, Outcome::Refused, 0 },
 )]
-fn what_an_upstream_kept_is_forgotten_in_time(index: u8, after: Duration, kept: u64) {
+fn what_an_upstream_kept_is_forgotten_in_time(
+    index: u8,
+    after: Duration,
+    outcome: Outcome,
+    kept: u64,
+) {
     let mut harness = harness(true, 1);
     place(&mut harness, sized(1, 100), Queue::No);
+    harness.release(0, 0, outcome);
 
     harness.now += after;
     list(&mut harness, index..index + 1);
