--- a/crates/tinbank-allocator/tests/harness/mod.rs
+++ b/crates/tinbank-allocator/tests/harness/mod.rs
@@ -43,6 +43,8 @@
     pub share: Option<Share>,
     /// Room in the last heartbeat reply.
     pub reported: Option<Room>,
+    /// Size of new requests.
+    pub size: Size,
     held: HashMap<(SocketAddr, Id), (id::Instance, Class)>,
     upstreams: usize,
 }
@@ -102,6 +104,7 @@
             rank: 0,
             share: None,
             reported: None,
+            size: Size::default(),
             held: HashMap::new(),
             upstreams: upstreams.into(),
         };
@@ -127,7 +130,7 @@
             rank: self.rank,
             meter: None,
             share: self.share.clone(),
-            size: Size::default(),
+            size: self.size.clone(),
             max_gap_ms: None,
         };
         let (out, _) = self
