Without customers, fair_shares changes neither denials nor the rotation of upstreams; shorter tests

Cause: two allocators side by side, with and without fair_shares, differed without any customer: queued requests that others displaced were denied, and the rotation among equal upstreams went on differently after a grant. The weight of a customer with batch items only was not known when a lease was reclaimed. Change: requests without a customer are never denied early; a grant reorders the queue only once a customer is known; weights are taken from granted requests too.

--- a/crates/tinbank-allocator/src/order.rs
+++ b/crates/tinbank-allocator/src/order.rs
@@ -93,8 +93,7 @@
             .count()
     }
 
-    /// Returns the places of the queued requests of a service; none if requests that join the queue do not delay those that
-    /// wait.
+    /// Returns the places of those queued requests of a service that are denied once others have displaced them.
     fn places(&self, _service: &str, _waiting: &[Waiter]) -> Vec<Place> {
         Vec::new()
     }
--- a/crates/tinbank-allocator/src/order/fair_share.rs
+++ b/crates/tinbank-allocator/src/order/fair_share.rs
@@ -147,7 +147,8 @@
             positions.into_iter().map(move |it| ahead(&it))
         };
         let both = count(Turn::Rank).zip(count(Turn::Counter));
-        let places = waiters.iter().zip(both);
+        let has_share = |it: &(&&Waiter, _)| it.0.request.share.is_some();
+        let places = waiters.iter().zip(both).filter(has_share);
         let places = places.map(|(waiter, (by_rank, by_counter))| Place {
             from: waiter.from,
             lease: waiter.request.lease,
@@ -168,11 +169,7 @@
     }
 
     fn record_queued(&mut self, request: &SlotRequest, waiting: &[Waiter], now: Instant) {
-        if let Some(share) = &request.share
-            && self.weights.get(&share.customer) != Some(&share.weight)
-        {
-            self.weights.insert(share.customer.clone(), share.weight);
-        }
+        self.record_weight(request);
         let service = self.services.entry(request.service.clone()).or_default();
         service.counters.age(now);
         if waiting.iter().any(|it| is_same_share(&it.request, request)) {
@@ -194,6 +191,7 @@
     }
 
     fn record_grant(&mut self, request: &SlotRequest, now: Instant) -> bool {
+        self.record_weight(request);
         if request.class.is_batch() {
             return false;
         }
@@ -203,7 +201,8 @@
         service
             .counters
             .charge(customer(request), work, weight(request), now);
-        true
+        // Without customers there is one counter, which all requests share.
+        !self.weights.is_empty()
     }
 
     fn record_held(&mut self, service: &str, footprint: &Footprint, now: Instant) {
@@ -272,6 +271,14 @@
 }
 
 impl FairShare {
+    fn record_weight(&mut self, request: &SlotRequest) {
+        if let Some(share) = &request.share
+            && self.weights.get(&share.customer) != Some(&share.weight)
+        {
+            self.weights.insert(share.customer.clone(), share.weight);
+        }
+    }
+
     fn weight(&self, customer: Option<&str>) -> Weight {
         let known = customer.and_then(|it| self.weights.get(it));
         known.copied().unwrap_or(DEFAULT_WEIGHT)
--- a/crates/tinbank-gateway/src/batch/runner/shares/tests.rs
+++ b/crates/tinbank-gateway/src/batch/runner/shares/tests.rs
@@ -3,108 +3,70 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use tinbank_jobs::schedule::Due;
+use yare::parameterized;
 
 use super::{Contender, Shares};
 
 /// A job with items that may run.
-#[derive(Clone, Copy)]
 struct Job {
-    customer: Option<&'static str>,
-    name: &'static str,
+    contender: Contender<'static>,
     items: usize,
-    is_late: bool,
-    due_s: u64,
+    due: Due,
 }
 
-const fn job(customer: Option<&'static str>, name: &'static str, items: usize, due_s: u64) -> Job {
+fn job(customer: Option<&'static str>, job: &'static str, items: usize, due_s: u64) -> Job {
+    let at = SystemTime::UNIX_EPOCH + Duration::from_secs(due_s);
     Job {
-        customer,
-        name,
+        contender: Contender { customer, job },
         items,
-        is_late: false,
-        due_s,
+        due: Due { is_late: false, at },
     }
 }
 
-/// Starts `count` items one after the other. Returns their jobs, in order.
-fn start(shares: &mut Shares, jobs: &mut [Job], count: usize) -> Vec<&'static str> {
+fn late(job: Job) -> Job {
+    let is_late = true;
+    let due = Due { is_late, ..job.due };
+    Job { due, ..job }
+}
+
+/// Starts `count` items one after the other. Returns the names of their jobs, in order.
+fn start(shares: &mut Shares, jobs: &mut [Job], count: usize) -> String {
     let now = Instant::now();
-    let mut started = Vec::new();
-    for _ in 0..count {
-        let open = jobs.iter().filter(|it| it.items > 0);
-        let contender = |it: &Job| Contender {
-            customer: it.customer,
-            job: it.name,
-        };
-        let contenders: Vec<_> = open.map(contender).collect();
-        shares.set_contenders(&contenders, now);
-        let turn = |it: &Job| {
-            let at = SystemTime::UNIX_EPOCH + Duration::from_secs(it.due_s);
-            let is_late = it.is_late;
-            shares.turn(contender(it), Due { is_late, at })
-        };
+    let mut start_next = || {
         let open = jobs.iter_mut().filter(|it| it.items > 0);
-        let next = open.min_by_key(|it| turn(it)).expect("an open job");
+        let open: Vec<_> = open.collect();
+        let contenders: Vec<_> = open.iter().map(|it| it.contender).collect();
+        shares.set_contenders(&contenders, now);
+        let open = open.into_iter();
+        let next = open.min_by_key(|it| shares.turn(it.contender, it.due));
+        let next = next.expect("an open job");
         next.items -= 1;
-        started.push(next.name);
-        shares.record_start(contender(next), 1_000, 1_000, now);
-    }
-    started
+        shares.record_start(next.contender, 1_000, 1_000, now);
+        next.contender.job
+    };
+    (0..count).map(|_| start_next()).collect()
 }
 
-fn count(started: &[&str], job: &str) -> usize {
-    started.iter().filter(|it| **it == job).count()
+#[parameterized(
+    a_large_job_does_not_hold_up_a_small_one = { vec![job(Some("a"), "L", 200, 10), job(Some("b"), "s", 5, 20)], "LsLsLsLsLsLL" },
+    the_jobs_of_one_customer_count_as_one = { vec![job(Some("a"), "1", 9, 10), job(Some("a"), "2", 9, 11), job(Some("b"), "b", 9, 12)], "1b2b1b2b" },
+    an_item_that_can_be_on_time_runs_before_late_ones = { vec![job(Some("a"), "i", 4, 10), late(job(Some("b"), "l", 4, 5))], "iiiil" },
+    jobs_without_a_customer_run_in_order_of_their_due_times = { vec![job(None, "2", 3, 20), job(None, "1", 3, 10)], "1112" },
+)]
+fn the_customer_with_the_least_work_is_served_next(jobs: Vec<Job>, expected: &str) {
+    let mut jobs = jobs;
+
+    let started = start(&mut Shares::default(), &mut jobs, expected.len());
+
+    assert_eq!(started, expected);
 }
 
 #[test]
-fn a_job_of_200_items_does_not_hold_up_one_of_5() {
+fn a_job_that_arrives_later_takes_turns_with_those_that_were_served_before() {
     let mut shares = Shares::default();
-    let mut jobs = [
-        job(Some("a"), "large", 200, 10),
-        job(Some("b"), "small", 0, 20),
-    ];
+    let mut jobs = [job(Some("a"), "a", 50, 10), job(Some("b"), "b", 0, 9)];
     start(&mut shares, &mut jobs, 20);
     jobs[1].items = 5;
 
-    let started = start(&mut shares, &mut jobs, 10);
-
-    assert_eq!((count(&started, "small"), jobs[0].items), (5, 175));
-}
-
-#[test]
-fn the_jobs_of_one_customer_count_as_one() {
-    let mut jobs = [
-        job(Some("a"), "a1", 50, 10),
-        job(Some("a"), "a2", 50, 11),
-        job(Some("a"), "a3", 50, 12),
-        job(Some("b"), "b1", 50, 13),
-    ];
-
-    let started = start(&mut Shares::default(), &mut jobs, 12);
-
-    let counts = ["a1", "a2", "a3", "b1"].map(|it| count(&started, it));
-    assert_eq!(counts, [2, 2, 2, 6]);
-}
-
-#[test]
-fn an_item_that_can_be_on_time_runs_before_late_ones() {
-    let mut jobs = [
-        job(Some("a"), "in time", 4, 10),
-        job(Some("b"), "late", 4, 5),
-    ];
-    jobs[1].is_late = true;
-
-    let started = start(&mut Shares::default(), &mut jobs, 5);
-
-    assert_eq!(started[..4], ["in time"; 4]);
-}
-
-/// Guards against a change of behaviour where the configuration has no customers.
-#[test]
-fn jobs_without_a_customer_run_in_order_of_their_due_times() {
-    let mut jobs = [job(None, "second", 3, 20), job(None, "first", 3, 10)];
-
-    let started = start(&mut Shares::default(), &mut jobs, 4);
-
-    assert_eq!(started, ["first", "first", "first", "second"]);
+    assert_eq!(start(&mut shares, &mut jobs, 6), "bababa");
 }
