overload: measure at random times, with a bound of 25 ms; room: count skipped failure domains as denials

Cause: a process that was stopped for 85 ms of each 100 ms, as by a limit of its processor time, changed no level: the timer of 100 ms fell into step with the stops. And where the own allocator did not answer and the others had reported no room, a request without a wait counted as denied by nobody, so its host would have chosen an upstream itself.

Change: ticks come 50 to 150 ms apart, at random; a tick is late from 25 ms on, as long as an allocator's answer is awaited. A failure domain that is not asked because of its report counts as a denial.

--- a/crates/tinbank-gateway/src/overload/level.rs
+++ b/crates/tinbank-gateway/src/overload/level.rs
@@ -8,11 +8,10 @@
 /// Number of measurements that a decision is based on: those of a second. A process that was paused, or handles one large
 /// call, has one late tick among them.
 const WINDOW: usize = 10;
-/// Delay from which on a tick counts as late. Each step of a request waits for a turn of the event loop, and a caller expects
-/// the first event within 300 ms, of which an upstream takes most.
-const LATE: Duration = Duration::from_millis(50);
+/// Delay from which on a tick counts as late. A host that is late by more takes an answer of a nearby allocator for lost.
+const LATE: Duration = Duration::from_millis(25);
 /// Delay up to which a tick counts as punctual.
-const PUNCTUAL: Duration = Duration::from_millis(25);
+const PUNCTUAL: Duration = Duration::from_millis(10);
 /// Late ticks in the window from which on the host is overloaded.
 const MIN_LATE: usize = 5;
 /// Ticks in the window that may not be punctual if the host is to take up work again.
--- a/crates/tinbank-gateway/src/overload/mod.rs
+++ b/crates/tinbank-gateway/src/overload/mod.rs
@@ -7,21 +7,21 @@
 
 use std::{
     cell::Cell,
+    ops::Range,
     rc::Rc,
     time::{Duration, Instant},
 };
 
+use rand::Rng;
 use tinbank_allocator::allocator::HEARTBEAT_INTERVAL;
-use tokio::{
-    task,
-    time::{self, MissedTickBehavior},
-};
+use tokio::{task, time};
 
 use self::level::{Level, Sample, Shedding};
 use crate::{measure, node::Node};
 
-/// Time between two measurements.
-const TICK: Duration = Duration::from_millis(100);
+/// Time between two measurements, in milliseconds. Random, since a process that exceeds its share of the processor is stopped
+/// for a part of each 100 ms: a regular timer falls into step with that and is always due while the process runs.
+const TICK_MS: Range<u64> = 50..150;
 
 /// The level of shedding that is in force.
 #[derive(Debug, Default)]
@@ -64,14 +64,12 @@
 
 /// Measures the load of this host and sets the level, forever.
 pub(crate) async fn watch(node: Rc<Node>) {
-    let mut ticks = time::interval(TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut shedding = Shedding::default();
     let mut pauses = node.check_for_pause();
     let mut usage = Usage::default();
     loop {
-        let due = Instant::now() + TICK;
-        ticks.tick().await;
+        let due = Instant::now() + next_interval(&mut rand::rng());
+        time::sleep_until(due.into()).await;
         let delay = Instant::now().saturating_duration_since(due);
         let turn = event_loop_turn().await;
         let now = Instant::now();
@@ -93,6 +91,10 @@
     }
 }
 
+fn next_interval(draw: &mut impl Rng) -> Duration {
+    Duration::from_millis(draw.random_range(TICK_MS))
+}
+
 /// Returns how long the event loop takes to run all tasks that are ready.
 async fn event_loop_turn() -> Duration {
     let start = Instant::now();
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -52,7 +52,8 @@
             queue => &[Queue::No, queue],
         };
         let immediate = self.order_by_room(&domains, spec);
-        let mut denied = false;
+        // A failure domain that is not asked has reported that it would deny.
+        let mut denied = immediate.len() < domains.len();
         for (index, queue) in queues.iter().enumerate() {
             let domains = if index == 0 { &immediate } else { &domains };
             for domain in domains {
