entry: soak with outages in which entries of engines lapse

Engines are in both failure domains now. One more random fault lets the entries of some engines lapse in an outage and return within two seconds.

--- a/crates/tinbank-entry/tests/soak/deployment.rs
+++ b/crates/tinbank-entry/tests/soak/deployment.rs
@@ -25,9 +25,9 @@
     },
 };
 
-/// Failure domain of some hosts and of all engines.
+/// Failure domain of some hosts and engines.
 const NORTH: &str = "north";
-/// Failure domain of the other hosts.
+/// Failure domain of the others.
 const SOUTH: &str = "south";
 /// Failure domain of each host, where every host is a delegate.
 const FEW_HOSTS: [&str; 3] = [NORTH, SOUTH, NORTH];
@@ -35,6 +35,8 @@
 const MANY_HOSTS: [&str; 7] = [NORTH, NORTH, NORTH, SOUTH, NORTH, NORTH, NORTH];
 /// Number of engines.
 pub const ENGINES: usize = 3;
+/// Failure domain of each engine.
+const ENGINE_DOMAINS: [&str; ENGINES] = [NORTH, NORTH, SOUTH];
 /// How long a process may take to stop before it is killed.
 const GRACE: Duration = Duration::from_secs(4);
 
@@ -46,6 +48,8 @@
     pub crashing_service: Rc<CrashingService>,
     /// The proxy of each engine.
     pub engine_proxies: Vec<Rc<Proxy>>,
+    /// Address of the proxy of each engine.
+    engine_addresses: Vec<SocketAddr>,
     config_version: Cell<u64>,
     folder: PathBuf,
 }
@@ -69,11 +73,13 @@
         let (store, store_address) = Store::start().await;
         let mut engines = Vec::new();
         let mut engine_proxies = Vec::new();
-        for index in 0..ENGINES {
+        let mut engine_addresses = Vec::new();
+        for (index, domain) in ENGINE_DOMAINS.into_iter().enumerate() {
             let name = format!("e{index}");
             let (engine, address) = Engine::start(&name).await;
             let (proxy, address) = Proxy::start(address).await;
-            store.put_engine(&name, address, "ready");
+            store.put_engine_in(domain, &name, address);
+            engine_addresses.push(address);
             engines.push(engine);
             engine_proxies.push(proxy);
         }
@@ -93,6 +99,7 @@
             hosts,
             crashing_service,
             engine_proxies,
+            engine_addresses,
             config_version: Cell::new(0),
             folder,
         };
@@ -117,9 +124,23 @@
         self.store.configure(&manifest(self.config_version.get()));
     }
 
+    /// Writes the entry of an engine, which returns after an outage.
+    pub fn put_engine(&self, index: usize) {
+        let name = &self.engines[index].name;
+        let address = self.engine_addresses[index];
+        self.store
+            .put_engine_in(ENGINE_DOMAINS[index], name, address);
+    }
+
+    /// Removes the entry of an engine, which lapses in an outage.
+    pub fn remove_engine(&self, index: usize) {
+        self.store.remove_engine(&self.engines[index].name);
+    }
+
     /// Ends all faults, and waits until every host is ready.
     pub async fn heal(&self) {
         self.store.mode.set(store::Mode::Up);
+        (0..ENGINES).for_each(|index| self.put_engine(index));
         for (engine, proxy) in self.engines.iter().zip(&self.engine_proxies) {
             engine.mode.set(engine::Mode::Serves);
             proxy.set(proxy::Mode::Pass);
--- a/crates/tinbank-entry/tests/soak/faults.rs
+++ b/crates/tinbank-entry/tests/soak/faults.rs
@@ -1,6 +1,6 @@
 //! Random faults, which may overlap and repeat.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use rand::{Rng, rngs::StdRng};
 use rustix::process::Signal;
@@ -8,12 +8,12 @@
 
 use crate::{
     deployment::Deployment,
-    proxy,
+    lapse, proxy,
     standin::{engine, store},
 };
 
 /// Injects faults until `until`.
-pub async fn inject(deployment: &Deployment, mut random: StdRng, until: Instant) {
+pub async fn inject(deployment: &Rc<Deployment>, mut random: StdRng, until: Instant) {
     while Instant::now() < until {
         inject_one(deployment, &mut random).await;
         let pause = random.random_range(20..220);
@@ -22,10 +22,10 @@
 }
 
 /// Starts or ends one fault. Each fault sets a state that a later one may reset.
-async fn inject_one(deployment: &Deployment, random: &mut StdRng) {
+async fn inject_one(deployment: &Rc<Deployment>, random: &mut StdRng) {
     let host = &deployment.hosts[random.random_range(0..deployment.hosts.len())];
     let index = random.random_range(0..deployment.engines.len());
-    match random.random_range(0..15) {
+    match random.random_range(0..16) {
         0 => host.kill(),
         1 => host.stop().await,
         2 | 3 => deployment.hosts.iter().for_each(|host| host.start()),
@@ -39,6 +39,7 @@
         7 => deployment.store.mode.set(store::Mode::Up),
         8 => host.store_proxy.set(proxy_mode(random)),
         9 => deployment.engine_proxies[index].set(proxy_mode(random)),
+        14 => lapse::inject(deployment, random).await,
         10..=13 => deployment.engines[index].mode.set(engine_mode(random)),
         _ => deployment.configure(),
     }
--- a/crates/tinbank-entry/tests/soak/main.rs
+++ b/crates/tinbank-entry/tests/soak/main.rs
@@ -9,6 +9,7 @@
 mod deployment;
 mod faults;
 mod invariants;
+mod lapse;
 mod proxy;
 #[path = "../../../../platform/tests/standin/mod.rs"]
 #[allow(dead_code, reason = "the stand-ins are shared with other tests")]
@@ -42,7 +43,7 @@
 
 fn soak(seed: u64) {
     run_local(async move {
-        let deployment = Deployment::start(seed).await;
+        let deployment = Rc::new(Deployment::start(seed).await);
         let until = tokio::time::Instant::now() + FAULT_DURATION;
         let crashing_service = Rc::clone(&deployment.crashing_service);
         let crashing =
