--- a/crates/tinbank-entry/tests/soak/deployment.rs
+++ b/crates/tinbank-entry/tests/soak/deployment.rs
@@ -26,7 +26,7 @@
 };
 
 /// Failure domain of some hosts and engines.
-const NORTH: &str = "north";
+pub const NORTH: &str = "north";
 /// Failure domain of the others.
 const SOUTH: &str = "south";
 /// Failure domain of each host, where every host is a delegate.
@@ -211,6 +211,18 @@
         *process = Some(child.unwrap());
     }
 
+    /// Returns whether the host reads the store for others, by its log.
+    pub fn is_delegate(&self) -> bool {
+        let log = fs::read_to_string(&self.log).unwrap();
+        let mut roles = log.lines().filter(|it| {
+            it.contains("list of hosts read for the first time")
+                || it.contains("delegate role of this host changed")
+        });
+        roles
+            .next_back()
+            .is_some_and(|it| it.contains("delegate=true"))
+    }
+
     /// Kills the process and waits until it has exited.
     pub fn kill(&self) {
         if let Some(mut child) = self.process.borrow_mut().take() {
