allocator: prompts excuse late events for a second; items reclaimed where the request is on time

Cause: an upstream that hangs was excused for as long as the prompts that it was sent would take at its estimated pace, without a bound. An online request that reclaims an item could be sent to a slow upstream at which it is expected to be late, with items at others.

Change: a bound of one second; an online request reclaims an item where it is not expected to be late, and of these from a slow upstream first.

The test of the bound failed before.

--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -10,6 +10,7 @@
     grants,
     lease::{Class, Due, Footprint},
     order::Waiter,
+    placement::LATE,
 };
 
 /// Maximum number of slots per failure domain that batch leaves free, one per upstream below that, so that an online
@@ -273,16 +274,21 @@
         cheapest.map(|(index, _)| index)
     }
 
-    /// Returns an upstream with a batch item in whose place an online request may run: a slow one before the others. A slow
-    /// upstream whose requests exceed its concurrency is of no use to an online request.
+    /// Returns an upstream with a batch item in whose place an online request may run: one where it is not expected to be late, and
+    /// of these a slow one before the others. A slow upstream whose requests exceed its concurrency is of no use to it.
     fn reclaimable_for_online(&self, request: &SlotRequest, now: Instant) -> Option<usize> {
         let reclaimable = (0..self.upstreams.len()).filter_map(|index| {
             let entry = &self.upstreams[index];
             let is_slow = entry.state.pace.is_slow(now);
             let is_full = is_slow && entry.load() > entry.concurrency(&*self.placement, now);
             let due = entry.state.grants.last_due()?;
-            let is_candidate = !is_full && entry.accepts(request, now);
-            is_candidate.then_some((index, (is_slow, due)))
+            if is_full || !entry.accepts(request, now) {
+                return None;
+            }
+            let candidate = entry.candidate(request, now);
+            let cost = self.placement.cost(request, &candidate, now);
+            let is_on_time = cost.is_none_or(|it| it < LATE);
+            Some((index, (is_on_time, is_slow, due)))
         });
         let (index, _) = reclaimable.max_by_key(|(_, key)| *key)?;
         Some(index)
--- a/crates/tinbank-allocator/src/pace.rs
+++ b/crates/tinbank-allocator/src/pace.rs
@@ -45,6 +45,8 @@
 const MIN_READING: Duration = Duration::from_millis(10);
 /// Number of latest times of reading that are kept for an upstream: more than begin within one late event.
 const MAX_READINGS: usize = 4;
+/// Longest time that an upstream is expected to read prompts from now on. If it takes longer, it is slow.
+const MAX_READING: Duration = Duration::from_secs(1);
 /// Time without confirming samples in which half of an upstream's slowness is forgotten for costs, so that it is tried again.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 /// Time without samples after which an upstream counts as typical.
@@ -192,7 +194,7 @@
         let reading_us = self.online.reading_us(unread) * self.slowness;
         let reading = Duration::from_micros(reading_us as u64);
         match self.readings.last_mut() {
-            Some(last) if now < last.end => last.end += reading,
+            Some(last) if now < last.end => last.end = (last.end + reading).min(now + MAX_READING),
             _ if reading < MIN_READING => {}
             _ => {
                 if self.readings.len() == MAX_READINGS {
@@ -200,7 +202,7 @@
                 }
                 self.readings.push(Reading {
                     start: now,
-                    end: now + reading,
+                    end: now + reading.min(MAX_READING),
                 });
             }
         }
--- a/crates/tinbank-allocator/src/placement.rs
+++ b/crates/tinbank-allocator/src/placement.rs
@@ -11,6 +11,9 @@
 /// Cost of sending a request to an upstream; the lowest wins.
 pub type Cost = u64;
 
+/// Cost from which a request is expected to be late at an upstream. [`LeastLoaded`] knows of no such upstream.
+pub const LATE: Cost = 10_000_000;
+
 /// An upstream that accepts a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate<'a> {
--- a/crates/tinbank-allocator/src/placement/first_event.rs
+++ b/crates/tinbank-allocator/src/placement/first_event.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use super::{Candidate, Cost, Placement};
+use super::{Candidate, Cost, LATE, Placement};
 use crate::frame::SlotRequest;
 
 /// Cost of each request that an upstream processes, in times between two events. The expected first event alone rises so little
@@ -10,12 +10,11 @@
 const LOAD_COST: f64 = 1.0;
 /// Ratio of the longest pause between two events to the mean time between them.
 const LONGEST_PAUSE: f64 = 1.5;
-/// Cost of a pause beyond the route's limit, in microseconds: above any expected first event, so that such an upstream is chosen
-/// only if there is no other.
-const PAUSE_PENALTY: f64 = 10e6;
-/// Cost of a slow upstream for a batch item, in microseconds. Slow upstreams get what can wait, but only if no other upstream has
-/// a free slot.
-const BATCH_PENALTY: f64 = 20e6;
+/// Cost of a pause beyond the route's limit: above any expected first event, so that such an upstream is chosen only if there is
+/// no other.
+const PAUSE_PENALTY: f64 = LATE as f64;
+/// Cost of a slow upstream for a batch item. Slow upstreams get what can wait, but only if no other upstream has a free slot.
+const BATCH_PENALTY: f64 = 2.0 * LATE as f64;
 
 /// Sends a request to the upstream where its first event is expected soonest, at a pace within the route's longest pause.
 #[derive(Debug, Default)]
--- a/crates/tinbank-allocator/tests/pace/estimate.rs
+++ b/crates/tinbank-allocator/tests/pace/estimate.rs
@@ -213,6 +213,18 @@
     assert!(!fixture.is_slow(0));
 }
 
+/// Guards against an upstream that hangs being excused for the prompts that it was sent.
+#[test]
+fn long_prompts_excuse_late_events_for_a_second_at_most() {
+    let mut fixture = Fixture::new(3);
+
+    (0..60).for_each(|_| fixture.paces[0].record_prompt(17_000, fixture.now));
+    fixture.now += ms(2_000);
+    (0..3).for_each(|by| fixture.record(0, by, true, 2_000));
+
+    assert!(fixture.is_slow(0));
+}
+
 #[test]
 fn at_equal_paces_the_choice_is_that_of_least_loaded() {
     let mut fixture = Fixture::new(3);
--- a/crates/tinbank-allocator/tests/pace/uneven.rs
+++ b/crates/tinbank-allocator/tests/pace/uneven.rs
@@ -317,7 +317,7 @@
 }
 
 #[test]
-fn items_at_upstreams_that_become_slow_are_reclaimed() {
+fn items_at_slow_upstreams_are_reclaimed_first() {
     let mut simulation = Simulation::new(Strategy::ExpectedFirstEvent, Fault::None);
     simulation.run(100, SLOW.start - 2_000);
     simulation.class = Class::Batch(Due {
@@ -326,10 +326,14 @@
     });
 
     simulation.run(300, SLOW.start + 1_000);
+    let excess = std::mem::take(&mut simulation.reclaimed);
+    simulation.class = Class::Online;
+    simulation.run(300, SLOW.start + 1_200);
 
-    let reclaimed = &simulation.reclaimed;
-    assert!(reclaimed.len() >= 8);
-    assert!(reclaimed.iter().all(|it| it % 3 == 1), "{reclaimed:?}");
+    let first = &simulation.reclaimed[..8];
+    assert!(excess.len() >= 8);
+    assert!(excess.iter().all(|it| it % 3 == 1), "{excess:?}");
+    assert!(first.iter().all(|it| it % 3 == 1), "{first:?}");
 }
 
 /// A restarted upstream may keep its name, but not its pace.
