allocator: the test of a host with a bad link is about one upstream

Cause: with the same findings at all upstreams the median hid them, and the test passed without the rule of two hosts. Run: the test fails on a scratch copy without the rule; clippy and the pace tests of tinbank-allocator.

--- a/crates/tinbank-allocator/tests/pace/estimate.rs
+++ b/crates/tinbank-allocator/tests/pace/estimate.rs
@@ -109,10 +109,10 @@
 fn a_host_with_a_bad_link_makes_no_upstream_slow() {
     let mut fixture = Fixture::new(3);
 
-    for round in 0..60 {
-        fixture.finish(round % 3, 9, 400);
-        fixture.finish(round % 3, 1, 40);
-        fixture.record(round % 3, 9, true, 400);
+    for _ in 0..20 {
+        fixture.finish(0, 9, 400);
+        (0..3).for_each(|index| fixture.finish(index, 1, 40));
+        fixture.record(0, 9, true, 400);
     }
 
     assert!((0..3).all(|index| !fixture.is_slow(index)));
