--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -17,7 +17,7 @@
     lease::{self, Class, Due, Footprint},
     memory,
     order::{Turnover, Waiter},
-    placement::Offer,
+    placement::{LATE, Offer},
     prefix::Expectation,
     size::Tokens,
 };
@@ -392,8 +392,9 @@
     }
 
     /// Returns the lease of a batch item to reclaim for a request: of those at upstreams that `is_usable` accepts, that
-    /// `select` accepts by their due time and whose end makes the request fit, one at a slow upstream before the others, then
-    /// one of the customer that is most above its share, and of its leases the one that is due last.
+    /// `select` accepts by their due time and whose end makes the request fit, one where the request is not expected to be late
+    /// and at an upstream that is not slow, then one of the customer that is most above its share, and of its leases the one that
+    /// is due last.
     fn reclaimable(
         &self,
         request: &SlotRequest,
@@ -412,16 +413,20 @@
             entries.filter(|(_, entry)| is_usable(entry) && entry.accepts(request, now));
         let leases = accepting.flat_map(|(index, entry)| {
             let in_use = entry.state.grants.memory();
-            let is_slow = entry.state.pace.is_slow(now);
+            let cost = self
+                .placement
+                .cost(request, &entry.candidate(request, now), now);
+            let is_on_time = cost.is_none_or(|it| it < LATE);
+            let place = (is_on_time, !entry.state.pace.is_slow(now));
             let batch = entry.state.grants.batch();
             let select = &select;
             let suitable = batch.filter(move |(grant, due)| {
                 let without = in_use.saturating_sub(grant.footprint.memory);
                 select(*due) && self.has_memory(entry, request, without)
             });
-            suitable.map(move |(grant, due)| (index, grant, is_slow, due))
+            suitable.map(move |(grant, due)| (index, grant, place, due))
         });
-        let last = leases.max_by_key(|(_, grant, is_slow, due)| (*is_slow, excess(grant), *due));
+        let last = leases.max_by_key(|(_, grant, place, due)| (*place, excess(grant), *due));
         last.map(|(upstream, grant, ..)| BatchLease {
             upstream,
             holder: grant.holder,
