--- a/crates/tinbank-allocator/src/placement/affinity.rs
+++ b/crates/tinbank-allocator/src/placement/affinity.rs
@@ -20,11 +20,8 @@
 };
 
 /// Load up to which an upstream is preferred, in percent of the mean load of the service's upstreams in the failure domain.
-/// At 125 a fifteenth more of the shared tokens is read again; from 200 on the slowest first events are later.
+/// At 125 a tenth more of the shared tokens is read again; from 200 on the slowest first events are later.
 const LOAD_BOUND_PERCENT: usize = 150;
-/// An upstream that uses at most one in this many of its slots is preferred at any mean load: its steps are still fast, and
-/// the mean of a few requests would spread them over all upstreams.
-const LIGHT_LOAD_PART: usize = 4;
 
 /// Prefers upstreams that keep more of a prompt, and leaves the rest to another placement. Requests that do not fit into the
 /// memory of an upstream are not sent to it.
@@ -120,6 +117,6 @@
     fn allows(&self, candidate: &Candidate<'_>) -> bool {
         let share = self.load * candidate.slots * LOAD_BOUND_PERCENT;
         let max_load = share.div_ceil(self.slots.max(1) * 100);
-        candidate.load < max_load.max(candidate.slots / LIGHT_LOAD_PART)
+        candidate.load < max_load
     }
 }
