overload: members leave the job group only with permission; the others run one item at a time

Cause: in a trial in which all seven hosts of a deployment were overloaded, all members left the group that shares the jobs within a second, and none was a member for 15 s.

Change: a member leaves only while it closes connections and has the allocator's permission to withdraw. One that stays overloaded without it runs one item at a time after 3 s.

--- a/crates/tinbank-gateway/src/batch/ownership.rs
+++ b/crates/tinbank-gateway/src/batch/ownership.rs
@@ -29,10 +29,10 @@
 /// Timeout of a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// How long an overloaded host starts no items before it leaves the group. A shorter overload is over before other members
-/// have taken over.
-const OVERLOAD_TOLERANCE: Duration = Duration::from_secs(3);
-/// Maximum time for which an overloaded host stays out of the group, so that jobs go on if all members have left.
+/// How long an overloaded host starts no items before it leaves the group, or runs one at a time. A shorter overload is over
+/// before other members have taken over.
+pub(super) const OVERLOAD_TOLERANCE: Duration = Duration::from_secs(3);
+/// Maximum time for which an overloaded host stays out of the group, so that another one may leave.
 const MAX_ABSENCE: Duration = Duration::from_secs(15);
 /// Time between two checks whether the overload is over.
 const ABSENCE_CHECK: Duration = Duration::from_millis(100);
@@ -119,19 +119,22 @@
 }
 
 /// Returns whether this process owns all partitions, so that no other one runs items.
-pub(super) fn is_only_owner(node: &Node) -> bool {
+fn is_only_owner(node: &Node) -> bool {
     let owned = node.batch.ownership.partitions.borrow().iter().count();
     owned == node.settings.store.partitions as usize
 }
 
-/// Returns whether an overloaded host leaves its items to other members of the group. It stays a member for some time, in which
-/// it learns whether there are others.
+/// Returns whether an overloaded host leaves its items to other members of the group. It needs the permission to withdraw, so
+/// that the members do not leave all at once, and stays for some time, in which it learns whether there are others.
 fn must_leave_items(node: &Node) -> bool {
     let now = Instant::now();
     let since = node.batch.ownership.member_since.get();
     let is_settled = since.is_some_and(|since| now >= since + OVERLOAD_TOLERANCE);
-    let is_overloaded = node.overload.has_shed_items_for(OVERLOAD_TOLERANCE, now);
-    is_settled && is_overloaded && !is_only_owner(node)
+    // A host that already returns from the deeper levels keeps its items, although its permission still lasts.
+    let is_overloaded = node.overload.closes_connections()
+        && node.overload.has_shed_items_for(OVERLOAD_TOLERANCE, now);
+    let may_leave = node.sharing.may_withdraw(now) && !is_only_owner(node);
+    is_settled && is_overloaded && may_leave
 }
 
 /// Leaves the group until the overload is over.
--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -48,11 +48,13 @@
         .min_by_key(|candidate| candidate.due)
 }
 
-/// Returns whether the host starts no item because it is overloaded. A host that owns all jobs runs one item at a time, since
-/// no other host goes on with them.
+/// Returns whether the host starts no item because it is overloaded. One that stays overloaded and still owns jobs runs one
+/// item at a time: if all hosts were overloaded, no item would run.
 fn must_shed(node: &Node) -> bool {
+    let overload = &node.overload;
+    let is_lasting = overload.has_shed_items_for(ownership::OVERLOAD_TOLERANCE, Instant::now());
     let has_running = !node.batch.runner.running.borrow().is_empty();
-    !node.overload.takes_items() && (has_running || !ownership::is_only_owner(node))
+    !overload.takes_items() && (has_running || !is_lasting)
 }
 
 /// Returns the item of a job that is due first, and abandons the items that may no longer run.
