gateway: the bound on what is kept for slow callers holds between rounds

Cause: cuts were made every 250 ms only. 1,000 callers that stop reading at once could each keep a 64th of the bound until then, that is 15 times the bound. Change: excess is cut whenever a part is kept. Unit tests of read_ahead; the first kept 1,024,000 bytes with a bound of 65,536 before the change.

--- a/crates/tinbank-gateway/src/relay/read_ahead.rs
+++ b/crates/tinbank-gateway/src/relay/read_ahead.rs
@@ -3,6 +3,9 @@
 //! A caller that does not read must not make its upstream keep the response: upstreams abort such responses, and crash when
 //! they keep too many. What is read ahead counts against a budget of the host, see [`tinbank_relay::buffer`].
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, VecDeque},
@@ -116,10 +119,7 @@
         }
         let count = responses.len();
         drop(responses);
-        let cuts = self.budget.borrow_mut().take_cuts(now);
-        for cut in cuts {
-            self.cut(cut);
-        }
+        self.cut_beyond_bounds(now);
         measure::set_kept_bytes(self.budget.borrow().total());
         count
     }
@@ -146,6 +146,19 @@
             let kept = response.kept_bytes.get();
             let mut budget = self.budget.borrow_mut();
             budget.record_kept(id, kept, Instant::now());
+            let is_exceeded = budget.is_exceeded();
+            drop(budget);
+            // Many callers may stop reading at once, and keep far more than the bound until the next round.
+            if is_exceeded {
+                self.cut_beyond_bounds(Instant::now());
+            }
+        }
+    }
+
+    fn cut_beyond_bounds(&self, now: Instant) {
+        let cuts = self.budget.borrow_mut().take_cuts(now);
+        for cut in cuts {
+            self.cut(cut);
         }
     }
 
--- a/crates/tinbank-relay/src/buffer.rs
+++ b/crates/tinbank-relay/src/buffer.rs
@@ -80,6 +80,11 @@
         self.total
     }
 
+    /// Returns whether more is kept than the host may keep.
+    pub fn is_exceeded(&self) -> bool {
+        self.total > self.max_bytes
+    }
+
     /// Returns whether more of a response may be read from its upstream.
     pub fn may_read(&self, response: ResponseId) -> bool {
         let kept = self.responses.get(&response);
@@ -129,7 +134,7 @@
         for response in stuck {
             cuts.extend(self.cut(response, Reason::ResponseFull));
         }
-        while self.total > self.max_bytes {
+        while self.is_exceeded() {
             let oldest = self.responses.iter().min_by_key(|(_, kept)| kept.taken_at);
             let Some(response) = oldest.map(|(response, _)| *response) else {
                 break;
