gateway, relay: a response that ends at its bound is not cut

Cause: reading stopped at the bound, so the end of the response was not seen, and 1 s later the response counted as one that makes its upstream wait. Change: one part beyond the bound is read, and a response that has ended is cut only for the host's bound.

--- a/crates/tinbank-gateway/src/relay/read_ahead.rs
+++ b/crates/tinbank-gateway/src/relay/read_ahead.rs
@@ -134,10 +134,14 @@
         *reader = Some(task::spawn_local(reading).abort_handle());
     }
 
-    /// Keeps what an upstream sends of a response, up to the bound for one response.
+    /// Keeps what an upstream sends of a response, up to the bound for one response and one part beyond it, which shows
+    /// whether the response has ended.
     async fn read(self: Rc<Self>, id: ResponseId, response: Rc<Shared>) {
-        while self.budget.borrow().may_read(id) {
+        let mut may_read = true;
+        while may_read {
+            may_read = self.budget.borrow().may_read(id);
             let Some(read) = poll_fn(|context| response.poll_body(context)).await else {
+                self.budget.borrow_mut().record_ended(id);
                 return;
             };
             let bytes = read.as_ref().map_or(0, Bytes::len);
--- a/crates/tinbank-gateway/src/relay/read_ahead/tests.rs
+++ b/crates/tinbank-gateway/src/relay/read_ahead/tests.rs
@@ -1,6 +1,9 @@
 //! Tests reading ahead for callers that do not poll their responses.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body::Frame;
@@ -67,3 +70,19 @@
         assert_eq!(read.unwrap().to_bytes(), Bytes::from(expected));
     });
 }
+
+/// Guards against a complete response that is cut because its last part reaches the bound, although no upstream waits.
+#[test]
+fn a_response_that_ends_at_its_bound_is_not_cut() {
+    run_local(async {
+        let registry = Rc::new(ReadAhead::new(MAX_BYTES));
+        let frames = MAX_BYTES / 64 / FRAME_BYTES;
+        let responses = read_ahead(&registry, 1, frames).await;
+
+        registry.run_round(Instant::now() + Duration::from_secs(2));
+        let read = responses.into_iter().next().unwrap().collect().await;
+
+        let read = read.map(|it| it.to_bytes().len()).ok();
+        assert_eq!(read, Some(frames * FRAME_BYTES));
+    });
+}
--- a/crates/tinbank-relay/src/buffer.rs
+++ b/crates/tinbank-relay/src/buffer.rs
@@ -55,6 +55,8 @@
     taken_at: Instant,
     /// Since when it has been at its bound.
     full_since: Option<Instant>,
+    /// Whether its upstream has sent all of it.
+    has_ended: bool,
 }
 
 /// The bytes that are kept for callers.
@@ -98,15 +100,24 @@
             bytes: 0,
             taken_at: now,
             full_since: None,
+            has_ended: false,
         });
         self.total = self.total - kept.bytes + bytes;
         kept.bytes = bytes;
-        kept.full_since = match bytes >= max_bytes {
+        kept.full_since = match bytes >= max_bytes && !kept.has_ended {
             true => kept.full_since.or(Some(now)),
             false => None,
         };
     }
 
+    /// Records that the upstream has sent all of a response, so that no upstream waits for its caller.
+    pub fn record_ended(&mut self, response: ResponseId) {
+        if let Some(kept) = self.responses.get_mut(&response) {
+            kept.has_ended = true;
+            kept.full_since = None;
+        }
+    }
+
     /// Records that the caller took a part of a response, of which `bytes` are still kept.
     pub fn record_taken(&mut self, response: ResponseId, bytes: usize, now: Instant) {
         if bytes == 0 {
