--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -236,6 +236,12 @@
         &["event"],
         "Events of upstreams that took a multiple of the time expected by the allocator, when noticed and when received: first or later ones.",
     ),
+    counter(
+        "tinbank_entry_leaving_reports_total",
+        "reports",
+        &["decision"],
+        "Reports of hosts that an upstream leaves, at this host's allocator: removed, or not believed and why.",
+    ),
     gauge(
         "tinbank_entry_overload_level",
         "level",
@@ -265,6 +271,12 @@
         &["reply"],
         "Answers of the entry program's own, by what they say.",
     ),
+    counter(
+        "tinbank_entry_returned_grants_total",
+        "grants",
+        &["evidence"],
+        "Grants that the host gave back because it takes their upstream for leaving, by whether the upstream said so or a list.",
+    ),
     gauge(
         "tinbank_entry_slow_upstreams",
         "upstreams",
