--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -17,7 +17,7 @@
     lease::{self, Class, Due, Footprint},
     memory,
     order::{Turnover, Waiter},
-    placement::Offer,
+    placement::{LATE, Offer},
     prefix::Expectation,
     size::Tokens,
 };
@@ -30,6 +30,10 @@
 /// irregularly, so at 100 many requests would be denied that get one in time.
 const DISPLACED_PERCENT: u32 = 150;
 
+/// Queued requests for which no upstream is found before the rest of the queue is left for the next datagram. Slots that few of
+/// the requests can use, at slow upstreams or with little memory, would otherwise make each datagram cost the whole queue.
+const MAX_FAILED_CHOICES: usize = 4;
+
 impl Allocator {
     /// Responds to a slot request.
     pub(super) fn handle_request(
@@ -160,7 +164,7 @@
             .iter()
             .filter(|entry| entry.accepts(request, now))
             .filter(|entry| self.has_memory(entry, request, 0))
-            .map(|entry| entry.concurrency(&*self.placement, now))
+            .map(|entry| entry.concurrency(request.max_gap_ms, &*self.placement, now))
             .sum();
         if slots == 0 {
             return denied;
@@ -247,6 +251,9 @@
                 Verdict::Granted(grant)
             } else {
                 left.push(waiter);
+                if left.len() >= MAX_FAILED_CHOICES {
+                    break;
+                }
                 continue;
             };
             let response = SlotResponse {
@@ -273,7 +280,8 @@
     /// Returns whether an upstream has a slot that is free or can be reclaimed from batch.
     fn has_available_slot(&self, now: Instant) -> bool {
         let mut entries = self.upstreams.iter();
-        entries.any(|it| it.load() < it.concurrency(&*self.placement, now) || it.has_batch())
+        let placement = &*self.placement;
+        entries.any(|it| it.load() < it.concurrency(None, placement, now) || it.has_batch())
     }
 
     /// Chooses a free slot, else one reclaimed from batch, else the least loaded upstream if the request may queue inside
@@ -332,20 +340,6 @@
         free > upstreams.min(MAX_HEADROOM)
     }
 
-    /// Reclaims the batch lease of an upstream that is due last.
-    pub(super) fn reclaim_last(&mut self, index: usize, out: &mut Outgoing) {
-        let batch = self.upstreams[index].state.grants.batch();
-        let last = batch.max_by_key(|(_, due)| *due);
-        let last = last.map(|(grant, _)| BatchLease {
-            upstream: index,
-            holder: grant.holder,
-            lease: grant.lease,
-        });
-        if let Some(batch) = last {
-            self.reclaim(&batch, out);
-        }
-    }
-
     fn reclaim(&mut self, batch: &BatchLease, out: &mut Outgoing) {
         let grants = &mut self.upstreams[batch.upstream].state.grants;
         if let Some(grant) = grants.reclaim(batch.holder, batch.lease) {
@@ -391,14 +385,16 @@
     fn reclaimable_for_online(&self, request: &SlotRequest, now: Instant) -> Option<BatchLease> {
         let placement = &*self.placement;
         let is_usable = |entry: &Entry| {
-            !entry.state.pace.is_slow(now) || entry.load() <= entry.concurrency(placement, now)
+            let concurrency = entry.concurrency(request.max_gap_ms, placement, now);
+            !entry.state.pace.is_slow(now) || entry.load() <= concurrency
         };
         self.reclaimable(request, now, is_usable, |_| true)
     }
 
     /// Returns the lease of a batch item to reclaim for a request: of those at upstreams that `is_usable` accepts, that
-    /// `select` accepts by their due time and whose end makes the request fit, one at a slow upstream before the others, then
-    /// one of the customer that is most above its share, and of its leases the one that is due last.
+    /// `select` accepts by their due time and whose end makes the request fit, one where the request is not expected to be late
+    /// and at an upstream that is not slow, then one of the customer that is most above its share, and of its leases the one that
+    /// is due last.
     fn reclaimable(
         &self,
         request: &SlotRequest,
@@ -417,16 +413,20 @@
             entries.filter(|(_, entry)| is_usable(entry) && entry.accepts(request, now));
         let leases = accepting.flat_map(|(index, entry)| {
             let in_use = entry.state.grants.memory();
-            let is_slow = entry.state.pace.is_slow(now);
+            let cost = self
+                .placement
+                .cost(request, &entry.candidate(request, now), now);
+            let is_on_time = cost.is_none_or(|it| it < LATE);
+            let place = (is_on_time, !entry.state.pace.is_slow(now));
             let batch = entry.state.grants.batch();
             let select = &select;
             let suitable = batch.filter(move |(grant, due)| {
                 let without = in_use.saturating_sub(grant.footprint.memory);
                 select(*due) && self.has_memory(entry, request, without)
             });
-            suitable.map(move |(grant, due)| (index, grant, is_slow, due))
+            suitable.map(move |(grant, due)| (index, grant, place, due))
         });
-        let last = leases.max_by_key(|(_, grant, is_slow, due)| (*is_slow, excess(grant), *due));
+        let last = leases.max_by_key(|(_, grant, place, due)| (*place, excess(grant), *due));
         last.map(|(upstream, grant, ..)| BatchLease {
             upstream,
             holder: grant.holder,
--- a/crates/tinbank-allocator/src/placement.rs
+++ b/crates/tinbank-allocator/src/placement.rs
@@ -13,6 +13,9 @@
 /// Cost of sending a request to an upstream; the lowest wins.
 pub type Cost = u64;
 
+/// Cost from which a request is expected to be late at an upstream. [`LeastLoaded`] knows of no such upstream.
+pub const LATE: Cost = 10_000_000;
+
 /// An upstream that accepts a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate<'a> {
@@ -58,8 +61,14 @@
     /// processes now.
     fn cost(&self, request: &SlotRequest, candidate: &Candidate<'_>, now: Instant) -> Option<Cost>;
 
-    /// Returns how many requests an upstream is given at once, at most its slots.
-    fn concurrency(&self, candidate: &Candidate<'_>, now: Instant) -> usize;
+    /// Returns how many requests an upstream is given at once, at most its slots, if no pause between their events may be longer
+    /// than `max_gap_ms`.
+    fn concurrency(
+        &self,
+        max_gap_ms: Option<u32>,
+        candidate: &Candidate<'_>,
+        now: Instant,
+    ) -> usize;
 
     /// Returns the position of the upstream at which a request starts, or `None` if no upstream can process it beside what it
     /// processes now. Among equals the first one is chosen.
@@ -82,7 +91,7 @@
 ) -> Option<usize> {
     let costs = offers.iter().enumerate().filter_map(|(index, offer)| {
         let candidate = &offer.candidate;
-        let is_full = placement.concurrency(candidate, now) <= candidate.load;
+        let is_full = placement.concurrency(request.max_gap_ms, candidate, now) <= candidate.load;
         let cost = placement.cost(request, candidate, now)?;
         Some((index, (is_full, cost)))
     });
@@ -99,7 +108,7 @@
         Some(candidate.load as Cost)
     }
 
-    fn concurrency(&self, candidate: &Candidate<'_>, _: Instant) -> usize {
+    fn concurrency(&self, _: Option<u32>, candidate: &Candidate<'_>, _: Instant) -> usize {
         candidate.slots
     }
 }
--- a/crates/tinbank-allocator/src/placement/first_event.rs
+++ b/crates/tinbank-allocator/src/placement/first_event.rs
@@ -2,20 +2,20 @@
 
 use std::time::Instant;
 
-use super::{Candidate, Cost, Placement};
+use super::{Candidate, Cost, LATE, Placement};
 use crate::frame::SlotRequest;
 
 /// Cost of each request that an upstream processes, in times between two events. The expected first event alone rises so little
 /// with the load that the fastest upstreams would get all requests until their slots are in use.
 const LOAD_COST: f64 = 1.0;
-/// Ratio of the longest pause between two events to the mean time between them.
-const LONGEST_PAUSE: f64 = 1.5;
-/// Cost of a pause beyond the route's limit, in microseconds: above any expected first event, so that such an upstream is chosen
-/// only if there is no other.
-const PAUSE_PENALTY: f64 = 10e6;
-/// Cost of a slow upstream for a batch item, in microseconds. Slow upstreams get what can wait, but only if no other upstream has
-/// a free slot.
-const BATCH_PENALTY: f64 = 20e6;
+/// Ratio of the longest pause between two events to the mean time between them. Prompts that are read between two events lengthen
+/// a pause by a tenth to a third.
+const LONGEST_PAUSE: f64 = 1.3;
+/// Cost of a pause beyond the route's limit: above any expected first event, so that such an upstream is chosen only if there is
+/// no other.
+const PAUSE_PENALTY: f64 = LATE as f64;
+/// Cost of a slow upstream for a batch item. Slow upstreams get what can wait, but only if no other upstream has a free slot.
+const BATCH_PENALTY: f64 = 2.0 * LATE as f64;
 
 /// Sends a request to the upstream where its first event is expected soonest, at a pace within the route's longest pause.
 #[derive(Debug, Default)]
@@ -40,10 +40,22 @@
         Some(cost as Cost)
     }
 
-    /// Returns the slots of an upstream in proportion to its speed if it counts as slow. At least one request finds out when it
-    /// no longer is.
-    fn concurrency(&self, candidate: &Candidate<'_>, now: Instant) -> usize {
-        let slots = candidate.slots as f64 / candidate.pace.slowdown(now);
-        (slots as usize).max(1).min(candidate.slots)
+    /// Returns the largest number of requests at which the pauses are expected to be within the limit. Fewer would serve nobody
+    /// earlier, since steps take nearly as long with one request as with many. At least one request finds out when a slow
+    /// upstream is well again.
+    fn concurrency(
+        &self,
+        max_gap_ms: Option<u32>,
+        candidate: &Candidate<'_>,
+        now: Instant,
+    ) -> usize {
+        let pace = candidate.pace;
+        let slots = candidate.slots.max(1);
+        let Some(max_gap_ms) = max_gap_ms.filter(|_| pace.is_slow(now)) else {
+            return slots;
+        };
+        let max_gap_us = f64::from(max_gap_ms) * 1_000.0;
+        let fits = |load: &usize| pace.measured_interval_us(*load) * LONGEST_PAUSE <= max_gap_us;
+        (2..=slots).rev().find(fits).unwrap_or(1)
     }
 }
--- a/crates/tinbank-gateway/src/relay/read_ahead.rs
+++ b/crates/tinbank-gateway/src/relay/read_ahead.rs
@@ -3,6 +3,9 @@
 //! A caller that does not read must not make its upstream keep the response: upstreams abort such responses, and crash when
 //! they keep too many. What is read ahead counts against a budget of the host, see [`tinbank_relay::buffer`].
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, VecDeque},
@@ -116,10 +119,7 @@
         }
         let count = responses.len();
         drop(responses);
-        let cuts = self.budget.borrow_mut().take_cuts(now);
-        for cut in cuts {
-            self.cut(cut);
-        }
+        self.cut_beyond_bounds(now);
         measure::set_kept_bytes(self.budget.borrow().total());
         count
     }
@@ -134,10 +134,14 @@
         *reader = Some(task::spawn_local(reading).abort_handle());
     }
 
-    /// Keeps what an upstream sends of a response, up to the bound for one response.
+    /// Keeps what an upstream sends of a response, up to the bound for one response and one part beyond it, which shows
+    /// whether the response has ended.
     async fn read(self: Rc<Self>, id: ResponseId, response: Rc<Shared>) {
-        while self.budget.borrow().may_read(id) {
+        let mut may_read = true;
+        while may_read {
+            may_read = self.budget.borrow().may_read(id);
             let Some(read) = poll_fn(|context| response.poll_body(context)).await else {
+                self.budget.borrow_mut().record_ended(id);
                 return;
             };
             let bytes = read.as_ref().map_or(0, Bytes::len);
@@ -146,6 +150,19 @@
             let kept = response.kept_bytes.get();
             let mut budget = self.budget.borrow_mut();
             budget.record_kept(id, kept, Instant::now());
+            let is_exceeded = budget.is_exceeded();
+            drop(budget);
+            // Many callers may stop reading at once, and keep far more than the bound until the next round.
+            if is_exceeded {
+                self.cut_beyond_bounds(Instant::now());
+            }
+        }
+    }
+
+    fn cut_beyond_bounds(&self, now: Instant) {
+        let cuts = self.budget.borrow_mut().take_cuts(now);
+        for cut in cuts {
+            self.cut(cut);
         }
     }
 
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -69,7 +69,8 @@
             queue => &[Queue::No, queue],
         };
         let immediate = self.order_by_room(&domains, spec);
-        let mut denied = false;
+        // A failure domain that is not asked has reported that it would deny.
+        let mut denied = immediate.len() < domains.len();
         let mut backlog = Backlog::default();
         let mut waited = Duration::ZERO;
         for (index, queue) in queues.iter().enumerate() {
--- a/crates/tinbank-relay/src/buffer.rs
+++ b/crates/tinbank-relay/src/buffer.rs
@@ -55,6 +55,8 @@
     taken_at: Instant,
     /// Since when it has been at its bound.
     full_since: Option<Instant>,
+    /// Whether its upstream has sent all of it.
+    has_ended: bool,
 }
 
 /// The bytes that are kept for callers.
@@ -80,6 +82,11 @@
         self.total
     }
 
+    /// Returns whether more is kept than the host may keep.
+    pub fn is_exceeded(&self) -> bool {
+        self.total > self.max_bytes
+    }
+
     /// Returns whether more of a response may be read from its upstream.
     pub fn may_read(&self, response: ResponseId) -> bool {
         let kept = self.responses.get(&response);
@@ -93,15 +100,24 @@
             bytes: 0,
             taken_at: now,
             full_since: None,
+            has_ended: false,
         });
         self.total = self.total - kept.bytes + bytes;
         kept.bytes = bytes;
-        kept.full_since = match bytes >= max_bytes {
+        kept.full_since = match bytes >= max_bytes && !kept.has_ended {
             true => kept.full_since.or(Some(now)),
             false => None,
         };
     }
 
+    /// Records that the upstream has sent all of a response, so that no upstream waits for its caller.
+    pub fn record_ended(&mut self, response: ResponseId) {
+        if let Some(kept) = self.responses.get_mut(&response) {
+            kept.has_ended = true;
+            kept.full_since = None;
+        }
+    }
+
     /// Records that the caller took a part of a response, of which `bytes` are still kept.
     pub fn record_taken(&mut self, response: ResponseId, bytes: usize, now: Instant) {
         if bytes == 0 {
@@ -129,7 +145,7 @@
         for response in stuck {
             cuts.extend(self.cut(response, Reason::ResponseFull));
         }
-        while self.total > self.max_bytes {
+        while self.is_exceeded() {
             let oldest = self.responses.iter().min_by_key(|(_, kept)| kept.taken_at);
             let Some(response) = oldest.map(|(response, _)| *response) else {
                 break;
