--- a/crates/tinbank-entry/tests/command.rs
+++ b/crates/tinbank-entry/tests/command.rs
@@ -57,6 +57,9 @@
 #[parameterized(
     unknown = { "unknown", "\"grace_s\": 8", "\"grace_s\": 8, \"grase_s\": 9", "grase_s" },
     missing = { "missing", "\"host\": \"host-1\",", "", "host" },
+    unknown_decision = { "unknown-decision", "\"grace_s\": 8", "\"grace_s\": 8, \"scheduling\": {\"fare_shares\": true}", "scheduling.fare_shares" },
+    unknown_placement = { "unknown-placement", "\"grace_s\": 8", "\"grace_s\": 8, \"scheduling\": {\"placement\": \"random\"}", "scheduling.placement" },
+    no_buffer = { "no-buffer", "\"grace_s\": 8", "\"grace_s\": 8, \"scheduling\": {\"buffer_kb\": 0}", "scheduling.buffer_kb" },
     no_address = { "no-address", "127.0.0.11:8161", "nowhere", "listen.callers" },
     negative = { "negative", "\"balancer_s\": 3.2", "\"balancer_s\": -1", "balancer_s" },
     no_json = { "no-json", "\"store\": {", "\"store\": [", "" },
--- a/crates/tinbank-entry/tests/soak/deployment.rs
+++ b/crates/tinbank-entry/tests/soak/deployment.rs
@@ -64,6 +64,18 @@
     process: RefCell<Option<Child>>,
 }
 
+/// Returns the settings of the decisions under load: all on for every second seed, so that what must always hold is checked with
+/// and without them.
+fn scheduling(seed: u64) -> Value {
+    if seed % 2 == 1 {
+        return json!({});
+    }
+    json!({
+        "fair_shares": true, "placement": "expected_first_event", "prefix_affinity": true,
+        "share_room": true, "shed_load": true, "buffer_kb": 8192,
+    })
+}
+
 impl Deployment {
     pub async fn start(seed: u64) -> Self {
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
@@ -90,7 +102,13 @@
             _ => FEW_HOSTS.as_slice(),
         };
         for (index, failure_domain) in failure_domains.iter().enumerate() {
-            let host = Host::prepare(&folder, index, failure_domain, store_address);
+            let host = Host::prepare(
+                &folder,
+                index,
+                failure_domain,
+                store_address,
+                scheduling(seed),
+            );
             hosts.push(host.await);
         }
         let deployment = Self {
@@ -166,7 +184,13 @@
 }
 
 impl Host {
-    async fn prepare(folder: &Path, index: usize, failure_domain: &str, store: SocketAddr) -> Self {
+    async fn prepare(
+        folder: &Path,
+        index: usize,
+        failure_domain: &str,
+        store: SocketAddr,
+        scheduling: Value,
+    ) -> Self {
         let (store_proxy, store) = Proxy::start(store).await;
         let own = unique_address();
         let tcp = || TcpListener::bind((own, 0)).unwrap();
@@ -180,6 +204,7 @@
             "store": {"address": store, "partitions": PARTITIONS, "record_bytes": 1024, "call_bytes": 65536,
                 "least_member_ttl_ms": 1000},
             "grace_s": GRACE.as_secs(), "balancer_s": 0.5, "allowance": {"window_s": 5, "overshoot": 0.1, "slack": 20}, "job_readable_s": 120,
+            "scheduling": scheduling,
         });
         let path = folder.join(format!("host-{index}.jsonc"));
         fs::write(&path, settings.to_string()).unwrap();
