Restricted jobs: routes of items bind, a host without the store does not keep them, allowed upstreams run them again

Both routes bind now, and the customer. - An item that had failed at all allowed upstreams was run by nobody, since an upstream in another region had not been tried. - The first delegate by rendezvous hash kept restricted items although it did not reach the store. - A job that may run nowhere was accepted. It is refused as not run, unless it is known.

--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -154,8 +154,9 @@
     let waiting = waiting.get(&key);
     let failed_upstreams = waiting.map(|waiting| waiting.failed_upstreams.clone());
     let mut excluded = failed_upstreams.unwrap_or_default();
-    // If it has failed at all upstreams, any of them may run it again.
-    if !node.view.has_other_upstream(&service, &excluded) {
+    let allowed = region::of_job(config, job);
+    // If it has failed at all upstreams that may run it, any of them may run it again.
+    if !excluded.is_empty() && !has_other_upstream(node, &service, &allowed, &excluded) {
         excluded.clear();
     }
     let content = node.batch.contents.of_item(&job.id, index);
@@ -164,7 +165,7 @@
     prompt::retain_parts(&mut size, node.settings.scheduling, route);
     let customer = job.customer.as_deref();
     Some(Candidate {
-        allowed: region::of_request(config, route, customer),
+        allowed,
         share: customer.and_then(|it| share::of_name(config, it)),
         size,
         key,
@@ -175,6 +176,24 @@
     })
 }
 
+/// Returns whether an upstream in an allowed region takes requests, other than those given.
+fn has_other_upstream(
+    node: &Node,
+    service: &str,
+    allowed: &Allowed,
+    others: &[id::Instance],
+) -> bool {
+    if allowed.is_all() {
+        return node.view.has_other_upstream(service, others);
+    }
+    let regions = &node.settings.regions;
+    let upstreams = node.view.upstreams(service);
+    let mut permitted = upstreams
+        .iter()
+        .filter(|it| regions.permits(allowed, &it.failure_domain));
+    permitted.any(|it| !others.contains(&it.instance))
+}
+
 /// Converts the due time of an item for the allocator.
 pub(super) fn lease_due(due: Due) -> lease::Due {
     let at = due.at.duration_since(SystemTime::UNIX_EPOCH);
--- a/crates/tinbank-gateway/src/batch/submission.rs
+++ b/crates/tinbank-gateway/src/batch/submission.rs
@@ -18,9 +18,8 @@
         ingress::{Reply, Request},
         store::{Error, Offset},
     },
-    identity,
+    identity, measure,
     node::Node,
-    region,
     relay::RETRY_AFTER,
 };
 
@@ -67,6 +66,7 @@
     caller: &Caller,
     call: &Request,
     body: &[u8],
+    allowed: &Allowed,
     deadline: Instant,
 ) -> Reply {
     let customer = caller.name().cloned();
@@ -75,6 +75,10 @@
         log::info!(job:% = call.id; "job already accepted");
         return Reply::Accepted;
     }
+    if !node.settings.regions.permits_any(allowed) {
+        measure::record_region_refusal();
+        return refuse(call, "no failure domain is in its regions");
+    }
     let items = match node.ingress.items(body) {
         Ok(items) => items,
         Err(malformed) => return Reply::Malformed(malformed),
@@ -83,10 +87,9 @@
         return refuse(call, "log of jobs not read to its end");
     }
     let number = identity::random_id();
-    let allowed = region::of_customer(route, caller.customer().map(|it| &**it));
     let listed = items.iter().map(|it| it.item.clone()).collect();
     let contents = Contents(items.into_iter().map(|it| it.content).collect());
-    let Some(contents) = attach(node, contents, &allowed, deadline).await else {
+    let Some(contents) = attach(node, contents, allowed, deadline).await else {
         return refuse(call, "contents not written");
     };
     let submission = Submission {
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -20,7 +20,7 @@
 use tinbank_customer::Caller;
 use tinbank_relay::{
     region::Allowed,
-    route::{Kind, Route},
+    route::{Config, Kind, Route},
 };
 use tokio::time;
 
@@ -90,6 +90,7 @@
     };
     let allowed = region::of_customer(&route, caller.customer().map(|it| &**it));
     if route.kind == Kind::Batch {
+        let allowed = allowed_for_job(node, &config, &call, &body, allowed);
         let job = Submitted {
             route: &route,
             caller: &caller,
@@ -158,6 +159,23 @@
     deadline: Instant,
 }
 
+/// Restricts the regions of a job to those that the routes of its items allow.
+fn allowed_for_job(
+    node: &Node,
+    config: &Config,
+    call: &ingress::Request,
+    body: &[u8],
+    allowed: Allowed,
+) -> Allowed {
+    // Bodies are decoded only where that can change anything. The host that accepts the job refuses a malformed one.
+    if !region::is_any_route_restricted(config) {
+        return allowed;
+    }
+    let items = node.ingress.items(body).unwrap_or_default();
+    let paths = items.iter().map(|it| it.item.path.as_str());
+    region::of_items(config, &call.host, paths, allowed)
+}
+
 /// Submits a job, here or at another host that follows the job log and reaches the store if this one can't.
 async fn submit(node: &Node, job: Submitted<'_>) -> Response<Body> {
     let Submitted {
@@ -171,8 +189,11 @@
     } = job;
     let mut refused = None;
     if node.feed.is_delegate() {
-        let reply = batch::submission::submit(node, route, caller, call, &body, deadline).await;
-        if !matches!(reply, Reply::NotRun { .. }) {
+        let submitted =
+            batch::submission::submit(node, route, caller, call, &body, allowed, deadline);
+        let reply = submitted.await;
+        let may_forward = node.settings.regions.permits_any(allowed);
+        if !may_forward || !matches!(reply, Reply::NotRun { .. }) {
             return reply_with(node, reply);
         }
         refused = Some(reply);
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -94,6 +94,14 @@
     withdrawals: Withdrawals,
 }
 
+impl State {
+    /// Returns whether another host reaches the store according to its last heartbeat.
+    fn is_store_reachable_at(&self, host: SocketAddr, now: Instant) -> bool {
+        let reported = self.store_reachable_at.get(&host);
+        reported.is_some_and(|at| now < *at + HEARTBEAT_INTERVAL + MAX_STORE_AGE)
+    }
+}
+
 /// Requirements for a slot.
 #[derive(Clone, Debug)]
 pub(crate) struct SlotSpec<'a> {
@@ -276,7 +284,8 @@
     }
 
     /// Returns whether this host runs the jobs that are restricted to some regions and hash to `job`: of the delegates in
-    /// these regions, the first by rendezvous hash. Hosts may disagree for a while, and then an item may run twice.
+    /// these regions that reach the store, the first by rendezvous hash. If none is known to reach it, the first of all goes
+    /// on. Hosts may disagree for a while, and then an item may run twice.
     pub fn runs_restricted(
         &self,
         job: &str,
@@ -289,7 +298,12 @@
         let domains = directory.failure_domains(&self.own.failure_domain, 0);
         let permitted = domains.iter().filter(|it| regions.permits(allowed, it));
         let delegates = permitted.flat_map(|domain| directory.delegates(domain, now));
-        let first = delegates.max_by_key(|it| stable_hash(&(job, it.address)));
+        let own = self.own.address;
+        let reaches_store = |peer: &Peer| match peer.address == own {
+            true => self.reaches_store(now),
+            false => state.is_store_reachable_at(peer.address, now),
+        };
+        let first = delegates.max_by_key(|it| (reaches_store(it), stable_hash(&(job, it.address))));
         first.is_some_and(|it| it.address == self.own.address)
     }
 
@@ -344,9 +358,9 @@
         is_permitted: impl Fn(&Peer) -> bool,
     ) -> SmallVec<[SocketAddr; 8]> {
         let state = self.state.borrow();
-        let reports = state.store_reachable_at.iter();
-        let fresh = reports.filter(|(_, at)| now < **at + HEARTBEAT_INTERVAL + MAX_STORE_AGE);
-        let peers = fresh.filter_map(|(address, _)| state.directory.peer(*address));
+        let reports = state.store_reachable_at.keys();
+        let fresh = reports.filter(|address| state.is_store_reachable_at(**address, now));
+        let peers = fresh.filter_map(|address| state.directory.peer(*address));
         let peers = peers.filter(|peer| is_permitted(peer));
         let mut peers: SmallVec<[&Peer; 8]> = peers.collect();
         peers.sort_by_cached_key(|peer| {
--- a/crates/tinbank-relay/src/region.rs
+++ b/crates/tinbank-relay/src/region.rs
@@ -68,6 +68,11 @@
         Self(regions.into_iter().collect())
     }
 
+    /// Returns whether a request may run in any failure domain.
+    pub fn permits_any(&self, allowed: &Allowed) -> bool {
+        allowed.is_all() || self.0.values().any(|region| allowed.permits(Some(region)))
+    }
+
     /// Returns whether a request may run and be stored in a failure domain.
     pub fn permits(&self, allowed: &Allowed, failure_domain: &str) -> bool {
         allowed.permits(self.0.get(failure_domain))
