membership: a process that has just started probes seeds that it does not know yet

Cause: a process that hears from another newcomer before its first tick has somebody to probe, and did not probe its seeds until tick 40. Change: until tick 40 a seed that is not a known member is probed with each tick. Run: processes_that_hear_of_each_other_first_still_join_their_seeds, red without the change; tests of the crate.

--- a/crates/tinbank-membership/src/state/probe.rs
+++ b/crates/tinbank-membership/src/state/probe.rs
@@ -1,6 +1,9 @@
 //! Failure detection: chooses the processes to probe, and suspects those that do not answer.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use rand::{
     Rng,
@@ -44,6 +47,8 @@
         }
         if next.is_none() || self.ticks.is_multiple_of(SEED_PROBE_TICKS) {
             self.probe_seed(actions);
+        } else if self.ticks < SEED_PROBE_TICKS {
+            self.probe_unknown_seed(actions);
         }
         if self.ticks.is_multiple_of(FORGET_TICKS) {
             self.table.remove_expired(now);
@@ -115,6 +120,18 @@
         actions.push(Action::Send { to, heartbeat });
     }
 
+    /// Probes a seed that is not known as a member yet. A process that has just started may hear first of one that knows nobody
+    /// else either; without this, both would stay apart from the rest until the next probe of a seed.
+    fn probe_unknown_seed(&mut self, actions: &mut Vec<Action>) {
+        let table = &self.table;
+        let is_known = |seed: &SocketAddr| table.iter().any(|(_, row)| row.record.peer == *seed);
+        let Some(to) = self.seeds.iter().copied().find(|seed| !is_known(seed)) else {
+            return;
+        };
+        let heartbeat = self.heartbeat(None, true);
+        actions.push(Action::Send { to, heartbeat });
+    }
+
     pub(super) fn mark_suspect(
         &mut self,
         process: id::Process,
--- a/crates/tinbank-membership/tests/failures.rs
+++ b/crates/tinbank-membership/tests/failures.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use network::{DOMAINS, Network, domain, processes};
+use network::{DOMAINS, Network, address, domain, processes};
 use tinbank_base::{
     frame::heartbeat::{Health, Leaving, Phase},
     id::{Process, Role},
@@ -178,3 +178,23 @@
     let member = network.view(online(1)).get(online(6)).cloned();
     assert_eq!(member.map(|member| member.health), Some(Health::Dead));
 }
+
+/// Guards against processes that start together and hear of each other first: they have somebody to probe, and stayed apart from
+/// the rest until the next regular probe of a seed.
+#[test]
+fn processes_that_hear_of_each_other_first_still_join_their_seeds() {
+    let limit = Duration::from_secs(5);
+    let slowest = (0..20).map(|seed| {
+        let mut network = Network::new(seed);
+        network.seeds = vec![address(online(1))];
+        network.start(online(1));
+        network.start(online(2));
+        network.seeds = vec![address(online(2))];
+        network.start(online(3));
+        network.until(2 * limit, |network| {
+            network.view(online(1)).members.len() == 3
+        })
+    });
+
+    assert!(slowest.max() <= Some(limit));
+}
