gateway: send buffers of callers' connections are small where what callers keep is bounded

Cause: the system keeps up to 4 MB (tcp_wmem) for each caller that does not read. This memory counts as the host's, and the bound of buffer_kb did not cover it. Change: 32 KiB for each connection of a caller if buffer_kb is set.

--- a/crates/tinbank-gateway/src/serve.rs
+++ b/crates/tinbank-gateway/src/serve.rs
@@ -6,6 +6,7 @@
 use http::{HeaderValue, Request, Response, header, request::Parts};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tinbank_jobs::scope;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -35,9 +36,18 @@
 /// Largest head of a request before the configuration is known, in bytes. Lower limits in the configuration are raised to it.
 const MIN_HEAD_BYTES: usize = 16 << 10;
 
+/// Size of the send buffer of a caller's connection, if what callers have yet to read is bounded. The system would keep some MB
+/// for each caller that does not read, and they count as the host's memory.
+const SEND_BUFFER_BYTES: usize = 32 << 10;
+
 /// Serves callers until the process takes no new requests.
 pub(crate) async fn serve_callers(node: Rc<Node>, listener: TcpListener) {
     let accepting = accept(listener, |stream, peer| {
+        if node.read_ahead.is_some()
+            && let Err(error) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES)
+        {
+            log::debug!(error:%; "failed to set the size of the send buffer");
+        }
         task::spawn_local(serve_connection(Rc::clone(&node), stream, peer));
     });
     // Dropping the listener makes later connects fail, so that those callers know that nothing was sent.
