--- a/crates/tinbank-gateway/src/sharing/room.rs
+++ b/crates/tinbank-gateway/src/sharing/room.rs
@@ -21,6 +21,8 @@
 /// Time between two reports of an allocator to the others, which pass them on with denials. Demand of a failure domain
 /// doubles within a second, so reports with heartbeats alone would often be too old.
 const BROADCAST_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after which a host that is no allocator checks whether it has become one. Each wake-up costs processor time on every host.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// A slot request to another failure domain.
 #[derive(Clone, Copy, Debug)]
@@ -108,11 +110,12 @@
         }
     }
 
-    /// Sends the free slots of the own failure domain to the other allocators, if this host is an allocator.
-    fn broadcast_room_once(&self, now: Instant) {
+    /// Sends the free slots of the own failure domain to the other allocators, if this host is an allocator. Returns when to do
+    /// so again.
+    fn broadcast_room_once(&self, now: Instant) -> Instant {
         let mut state = self.state.borrow_mut();
         let Some(room) = state.allocator.room(now) else {
-            return;
+            return now + ROLE_CHECK_INTERVAL;
         };
         let allocators = state.directory.allocators(now);
         drop(state);
@@ -124,6 +127,7 @@
         for other in allocators.into_iter().filter(|it| *it != self.own.address) {
             self.send(other, &frame);
         }
+        now + BROADCAST_INTERVAL
     }
 }
 
@@ -165,10 +169,8 @@
 
 /// Sends the free slots to the other allocators at each interval, forever.
 pub(crate) async fn broadcast_room(sharing: Rc<Sharing>) {
-    let mut ticks = time::interval(BROADCAST_INTERVAL);
-    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
-        sharing.broadcast_room_once(Instant::now());
+        let next = sharing.broadcast_room_once(Instant::now());
+        time::sleep_until(next.into()).await;
     }
 }
