--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -1,6 +1,9 @@
 //! The allocator: decides at which upstream a request may start.
 
+mod choice;
 mod paces;
+mod queue;
+mod reclaim;
 mod slot_request;
 
 use std::{
@@ -13,7 +16,7 @@
 use tinbank_allowance::{Counter, Counts, Reachability, Tolerance};
 use tinbank_base::id;
 
-use self::slot_request::MAX_HEADROOM;
+use self::choice::MAX_HEADROOM;
 use crate::{
     entries::Entries,
     entry::Entry,
