Restricted items: abandoned by the owner of their partition if no region is left, and run one at a time by an overloaded host

An overloaded host started no restricted items, although no other host runs them; what it sheds is a decision of its own now, with a test.

--- a/crates/tinbank-gateway/src/batch/ownership.rs
+++ b/crates/tinbank-gateway/src/batch/ownership.rs
@@ -82,16 +82,20 @@
     ownership.is_renewed(ttl(node)) && ownership.partitions.borrow().owns(partition)
 }
 
-/// Returns whether this process may start items of a job now. The owner of a partition may be in any region, so the items of
-/// a job that is restricted to some regions are run by a delegate there.
+/// Returns whether this process is responsible for the items of a job now. The owner of a partition may be in any region, so
+/// the items of a job that is restricted to some regions are run by a delegate there. If there is none, the owner abandons
+/// them when they expire.
 pub(super) fn may_start(node: &Node, config: &Config, job: &Job) -> bool {
     let allowed = region::of_job(config, job);
     if !allowed.is_all() {
         let now = Instant::now();
         let regions = &node.settings.regions;
-        return node
+        let runs = node
             .sharing
             .runs_restricted(&job.id, regions, &allowed, now);
+        if let Some(runs) = runs {
+            return runs;
+        }
     }
     let partition = partition(&job.id, node.settings.store.partitions);
     let ownership = &node.batch.ownership;
--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -1,5 +1,8 @@
 //! Selects the item to run next.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     rc::Rc,
     time::{Instant, SystemTime},
@@ -57,14 +60,18 @@
 /// Returns the item to run next among those that this process owns and that may run now: the one that is due first, or that
 /// of the customer with the least work so far if shares are fair.
 pub(super) fn next_item(node: &Rc<Node>) -> Option<Candidate> {
-    if node.stop.is_stopping() || !node.batch.is_caught_up() || must_shed(node) {
+    if node.stop.is_stopping() || !node.batch.is_caught_up() {
         return None;
     }
     let config = node.view.config()?;
     let table = node.batch.table.borrow();
-    let owned = table
-        .open_jobs()
-        .filter(|job| ownership::may_start(node, &config, job));
+    let shedding = shedding(node);
+    let taken = table.open_jobs().filter(|job| match shedding {
+        Shedding::None => true,
+        Shedding::UnrestrictedJobs => !region::of_job(&config, job).is_all(),
+        Shedding::All => false,
+    });
+    let owned = taken.filter(|job| ownership::may_start(node, &config, job));
     let candidates = owned.filter_map(|job| next_of_job(node, &config, job));
     if !node.settings.scheduling.fair_shares {
         return candidates.min_by_key(|candidate| candidate.due);
@@ -77,11 +84,32 @@
     candidates.into_iter().min_by_key(turn)
 }
 
-/// Returns whether the host starts no item because it is overloaded. A host that owns all jobs runs one item at a time, since
-/// no other host goes on with them.
-fn must_shed(node: &Node) -> bool {
+/// The jobs of which an overloaded host starts no item.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Shedding {
+    None,
+    /// All but those that are restricted to some regions.
+    UnrestrictedJobs,
+    All,
+}
+
+impl Shedding {
+    /// Decides what a host sheds. Where no other host goes on with the items, an overloaded host runs one at a time: that of any
+    /// job if it owns all, and otherwise those of restricted jobs, which do not change hosts when their host is overloaded.
+    fn new(is_overloaded: bool, has_running: bool, is_only_owner: bool) -> Self {
+        match (is_overloaded, has_running) {
+            (false, _) => Self::None,
+            (true, true) => Self::All,
+            (true, false) if is_only_owner => Self::None,
+            (true, false) => Self::UnrestrictedJobs,
+        }
+    }
+}
+
+fn shedding(node: &Node) -> Shedding {
     let has_running = !node.batch.runner.running.borrow().is_empty();
-    !node.overload.takes_items() && (has_running || !ownership::is_only_owner(node))
+    let is_overloaded = !node.overload.takes_items();
+    Shedding::new(is_overloaded, has_running, ownership::is_only_owner(node))
 }
 
 /// Returns the item of a job that is due first, and abandons the items that may no longer run.
@@ -108,6 +136,11 @@
         }
     }
     let (index, due) = first?;
+    let regions = &node.settings.regions;
+    if !regions.permits(&region::of_job(config, job), &node.settings.failure_domain) {
+        // The contents of the job must not be read here.
+        return None;
+    }
     if !node.batch.contents.has(&job.id) {
         contents::load(node, job);
         return None;
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -285,14 +285,14 @@
 
     /// Returns whether this host runs the jobs that are restricted to some regions and hash to `job`: of the delegates in
     /// these regions that reach the store, the first by rendezvous hash. If none is known to reach it, the first of all goes
-    /// on. Hosts may disagree for a while, and then an item may run twice.
+    /// on. Hosts may disagree for a while, and then an item may run twice. Returns `None` if these regions have no delegate.
     pub fn runs_restricted(
         &self,
         job: &str,
         regions: &Regions,
         allowed: &Allowed,
         now: Instant,
-    ) -> bool {
+    ) -> Option<bool> {
         let state = self.state.borrow();
         let directory = &state.directory;
         let domains = directory.failure_domains(&self.own.failure_domain, 0);
@@ -304,7 +304,7 @@
             false => state.is_store_reachable_at(peer.address, now),
         };
         let first = delegates.max_by_key(|it| (reaches_store(it), stable_hash(&(job, it.address))));
-        first.is_some_and(|it| it.address == self.own.address)
+        first.map(|it| it.address == self.own.address)
     }
 
     /// Sends a frame to all other hosts.
