--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -1,5 +1,8 @@
 //! Selects the item to run next.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     rc::Rc,
     time::{Instant, SystemTime},
@@ -57,14 +60,18 @@
 /// Returns the item to run next among those that this process owns and that may run now: the one that is due first, or that
 /// of the customer with the least work so far if shares are fair.
 pub(super) fn next_item(node: &Rc<Node>) -> Option<Candidate> {
-    if node.stop.is_stopping() || !node.batch.is_caught_up() || must_shed(node) {
+    if node.stop.is_stopping() || !node.batch.is_caught_up() {
         return None;
     }
     let config = node.view.config()?;
     let table = node.batch.table.borrow();
-    let owned = table
-        .open_jobs()
-        .filter(|job| ownership::may_start(node, &config, job));
+    let shedding = shedding(node);
+    let taken = table.open_jobs().filter(|job| match shedding {
+        Shedding::None => true,
+        Shedding::UnrestrictedJobs => !region::of_job(&config, job).is_all(),
+        Shedding::All => false,
+    });
+    let owned = taken.filter(|job| ownership::may_start(node, &config, job));
     let candidates = owned.filter_map(|job| next_of_job(node, &config, job));
     if !node.settings.scheduling.fair_shares {
         return candidates.min_by_key(|candidate| candidate.due);
@@ -77,13 +84,34 @@
     candidates.into_iter().min_by_key(turn)
 }
 
-/// Returns whether the host starts no item because it is overloaded. One that stays overloaded and still owns jobs runs one
-/// item at a time: if all hosts were overloaded, no item would run.
-fn must_shed(node: &Node) -> bool {
+/// The jobs of which an overloaded host starts no item.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Shedding {
+    None,
+    /// All but those that are restricted to some regions.
+    UnrestrictedJobs,
+    All,
+}
+
+impl Shedding {
+    /// Decides what a host sheds. Restricted jobs do not change hosts when their host is overloaded, so it runs one of their
+    /// items at a time. One that stays overloaded and still owns jobs does so with any item: if all hosts were overloaded, no
+    /// item would run.
+    fn new(is_overloaded: bool, has_running: bool, is_lasting: bool) -> Self {
+        match (is_overloaded, has_running) {
+            (false, _) => Self::None,
+            (true, true) => Self::All,
+            (true, false) if is_lasting => Self::None,
+            (true, false) => Self::UnrestrictedJobs,
+        }
+    }
+}
+
+fn shedding(node: &Node) -> Shedding {
     let overload = &node.overload;
     let is_lasting = overload.has_shed_items_for(ownership::OVERLOAD_TOLERANCE, Instant::now());
     let has_running = !node.batch.runner.running.borrow().is_empty();
-    !overload.takes_items() && (has_running || !is_lasting)
+    Shedding::new(!overload.takes_items(), has_running, is_lasting)
 }
 
 /// Returns the item of a job that is due first, and abandons the items that may no longer run.
@@ -110,6 +138,11 @@
         }
     }
     let (index, due) = first?;
+    let regions = &node.settings.regions;
+    if !regions.permits(&region::of_job(config, job), &node.settings.failure_domain) {
+        // The contents of the job must not be read here.
+        return None;
+    }
     if !node.batch.contents.has(&job.id) {
         contents::load(node, job);
         return None;
