--- a/crates/tinbank-entry/tests/slow_callers.rs
+++ b/crates/tinbank-entry/tests/slow_callers.rs
@@ -22,8 +22,7 @@
     unique_address,
 };
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpSocket, TcpStream},
+    io::AsyncReadExt,
     task,
     time::{self, Instant},
 };
@@ -133,22 +132,10 @@
     store.configure(&manifest);
 }
 
-async fn request(to: SocketAddr, path: &str, id: &str) -> std::io::Result<TcpStream> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_recv_buffer_size(4 << 10)?;
-    let mut stream = socket.connect(to).await?;
-    let head = format!(
-        "GET {path} HTTP/1.1\r\nHost: one.example\r\nTinbank-Attempt-Id: {id}\r\n\
-         Tinbank-Time-Remaining: 20000\r\nConnection: close\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).await?;
-    Ok(stream)
-}
-
 /// Returns how long the first event of a response takes, or `None` if there is none.
 async fn first_event(to: SocketAddr, id: String) -> Option<Duration> {
     let started_at = Instant::now();
-    let mut stream = request(to, "/quick/x", &id).await.ok()?;
+    let mut stream = client::request_unread(to, "/quick/x", &id).await.ok()?;
     let mut read = Vec::new();
     let mut first = None;
     while stream.read_buf(&mut read).await.ok()? > 0 {
@@ -224,7 +211,8 @@
 
         let mut slow = Vec::new();
         for number in 0..SLOW_CALLERS {
-            let stream = request(process.callers, "/slow/x", &format!("slow-{number}")).await;
+            let stream =
+                client::request_unread(process.callers, "/slow/x", &format!("slow-{number}")).await;
             let mut stream = stream.unwrap();
             if reads {
                 task::spawn_local(async move {
