allocator: a pass over the wait queue goes past requests that no free slot suits

Cause: a pass ended after four requests without a slot, so four waiting requests of a full service kept those of other services from free slots until they expired. Found by reading; a_free_slot_goes_past_the_requests_that_cannot_use_it failed before. The pass still makes few choices: it skips requests that need at least as much as one without a slot.

--- a/crates/tinbank-allocator/src/allocator/queue.rs
+++ b/crates/tinbank-allocator/src/allocator/queue.rs
@@ -2,19 +2,68 @@
 
 use std::{collections::VecDeque, time::Instant};
 
+use smallvec::SmallVec;
+use tinbank_base::id;
+
 use super::{Allocator, Outgoing};
 use crate::{
-    frame::{Frame, SlotResponse, Verdict},
+    frame::{Frame, SlotRequest, SlotResponse, Verdict},
+    memory,
     order::{Turnover, Waiter},
+    size::Tokens,
 };
 
 /// A queued request is denied if its expected wait exceeds this percentage of the time that it has left. Slots become free
 /// irregularly, so at 100 many requests would be denied that get one in time.
 const DISPLACED_PERCENT: u32 = 150;
 
-/// Queued requests for which no upstream is found before the rest of the queue is left for the next datagram. Slots that few of
-/// the requests can use, at slow upstreams or with little memory, would otherwise make each datagram cost the whole queue.
-const MAX_FAILED_CHOICES: usize = 4;
+/// Requests for which a pass over the queue has found no upstream. Slots that few requests can use, at slow upstreams or with
+/// little memory, would make each datagram cost a choice for the whole queue if all were tried.
+#[derive(Default)]
+struct Unserved(SmallVec<[Needs; 8]>);
+
+/// What an upstream must have for a request.
+struct Needs {
+    service: id::Service,
+    exclude: SmallVec<[id::Instance; 4]>,
+    max_gap_ms: Option<u32>,
+    prompt_tokens: Tokens,
+    memory: Tokens,
+}
+
+impl Needs {
+    fn of(request: &SlotRequest) -> Self {
+        Self {
+            service: request.service.clone(),
+            exclude: request.exclude.clone(),
+            max_gap_ms: request.max_gap_ms,
+            prompt_tokens: request.size.prompt_tokens,
+            memory: memory::reservation(&request.size),
+        }
+    }
+
+    /// Returns whether a request needs at least this much.
+    fn are_implied_by(&self, request: &SlotRequest) -> bool {
+        let is_as_quick = |max| request.max_gap_ms.is_some_and(|it| it <= max);
+        self.service == request.service
+            && self.max_gap_ms.is_none_or(is_as_quick)
+            && request.size.prompt_tokens >= self.prompt_tokens
+            && memory::reservation(&request.size) >= self.memory
+            && self.exclude.iter().all(|it| request.exclude.contains(it))
+    }
+}
+
+impl Unserved {
+    /// Returns whether no upstream can be found for a request, because it needs at least as much as an unserved one. Grants since
+    /// then have only used up slots.
+    fn includes(&self, request: &SlotRequest) -> bool {
+        self.0.iter().any(|it| it.are_implied_by(request))
+    }
+
+    fn add(&mut self, request: &SlotRequest) {
+        self.0.push(Needs::of(request));
+    }
+}
 
 impl Allocator {
     /// Grants free slots to queued requests.
@@ -24,21 +73,23 @@
         }
         self.wait_queue.remove_expired(now);
         let mut left: Vec<Waiter> = Vec::new();
+        let mut unserved = Unserved::default();
         let mut waiters = VecDeque::from(self.wait_queue.take(&*self.order));
         while let Some(waiter) = waiters.pop_front() {
             let mut is_reordered = false;
             // Other requests of the customer may have used up its allowance in the meantime.
             let verdict = if let Some(over) = self.check_limit(&waiter.request, now) {
                 Verdict::OverLimit(over)
+            } else if unserved.includes(&waiter.request) {
+                left.push(waiter);
+                continue;
             } else if let Some(index) = self.choose_upstream(&waiter.request, now, out) {
                 let grant = self.grant(index, waiter.from, &waiter.request, now);
                 is_reordered = self.order.record_grant(&waiter.request, now);
                 Verdict::Granted(grant)
             } else {
+                unserved.add(&waiter.request);
                 left.push(waiter);
-                if left.len() >= MAX_FAILED_CHOICES {
-                    break;
-                }
                 continue;
             };
             let response = SlotResponse {
--- a/crates/tinbank-allocator/tests/harness/mod.rs
+++ b/crates/tinbank-allocator/tests/harness/mod.rs
@@ -45,6 +45,8 @@
     pub reported: Option<Room>,
     /// Size of new requests.
     pub size: Size,
+    /// Service of new requests.
+    pub service: id::Service,
     held: HashMap<(SocketAddr, Id), (id::Instance, Class)>,
     upstreams: usize,
 }
@@ -105,6 +107,7 @@
             share: None,
             reported: None,
             size: Size::default(),
+            service: "notes".to_owned(),
             held: HashMap::new(),
             upstreams: upstreams.into(),
         };
@@ -124,7 +127,7 @@
         let request = SlotRequest {
             lease,
             class,
-            service: "notes".to_owned(),
+            service: self.service.clone(),
             exclude: Default::default(),
             queue,
             rank: self.rank,
--- a/crates/tinbank-allocator/tests/waiting.rs
+++ b/crates/tinbank-allocator/tests/waiting.rs
@@ -5,8 +5,9 @@
 
 use std::time::Duration;
 
-use harness::{Harness, SLOTS, batch};
+use harness::{Harness, SLOTS, batch, upstream};
 use tinbank_allocator::{
+    allocator::Upstream,
     frame::{Denial, Frame, Queue, SlotResponse, Verdict},
     lease::{Class, Id, Outcome},
 };
@@ -166,3 +167,29 @@
 
     assert_eq!(harness.granted, [in_time, late]);
 }
+
+/// Guards against requests of a busy service that keep others behind them from slots of another service.
+#[test]
+fn a_free_slot_goes_past_the_requests_that_cannot_use_it() {
+    let (mut harness, _) = full(1);
+    let other = Upstream {
+        service: "mail".to_owned(),
+        ..upstream(1)
+    };
+    harness.allocator.set_upstreams(vec![upstream(0), other]);
+    harness.service = "mail".to_owned();
+    let mail: Vec<_> = (0..SLOTS)
+        .map(|_| harness.request_granted(0, Class::Online))
+        .collect();
+    harness.service = "notes".to_owned();
+    for _ in 0..6 {
+        request_without_grant(&mut harness, 0, Queue::Within(1_990));
+    }
+    harness.service = "mail".to_owned();
+    harness.granted.clear();
+    let waiting = request_without_grant(&mut harness, 0, Queue::Within(2_000));
+
+    harness.release(0, mail[0], Outcome::Served);
+
+    assert_eq!(harness.granted, [waiting]);
+}
