Regions: finished items of a job keep restricting it

Cause: only pending items were asked for their routes, so a job became unrestricted once its restricted items were completed, and its contents could be read in any region. Found by reading.

--- a/crates/tinbank-gateway/src/region.rs
+++ b/crates/tinbank-gateway/src/region.rs
@@ -14,7 +14,7 @@
 }
 
 /// Returns the regions allowed for the items of a job. The customer, the route that the job was submitted to and the routes of
-/// all items bind, since the contents of all items are stored together. A customer or route that is gone no longer restricts.
+/// all items bind, finished ones too, since the contents of all items are stored together. A customer or route that is gone no longer restricts.
 pub(crate) fn of_job(config: &Config, job: &Job) -> Allowed {
     let customers = config.customers.as_ref();
     let customer = customers
@@ -24,7 +24,7 @@
     let mut routes = config.routes.iter();
     let route = routes.find(|it| it.name == job.route);
     let route = route.and_then(|it| it.allowed_regions.as_ref());
-    let paths = job.pending().map(|(_, item)| item.path.as_str());
+    let paths = job.items().map(|item| item.path.as_str());
     of_items(config, &job.host, paths, Allowed::new(route, customer))
 }
 
--- a/crates/tinbank-jobs/src/job.rs
+++ b/crates/tinbank-jobs/src/job.rs
@@ -145,6 +145,11 @@
         })
     }
 
+    /// Returns all items, in the order in which they were submitted.
+    pub fn items(&self) -> impl Iterator<Item = &Item> {
+        self.entries.iter().map(|entry| &entry.item)
+    }
+
     /// Returns the items without a result, in the order in which they were submitted.
     pub fn pending(&self) -> impl Iterator<Item = (Index, &Item)> {
         (0..)
