--- a/crates/tinbank-gateway/src/sharing/ask/tests.rs
+++ b/crates/tinbank-gateway/src/sharing/ask/tests.rs
@@ -1,6 +1,10 @@
 //! Tests slot requests to an allocator whose datagrams are delayed, duplicated or lost.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use tinbank_allocator::{
     Options,
@@ -50,7 +54,18 @@
                 .await
                 .unwrap(),
         );
-        sharing.set_hosts(vec![peer(allocator.local_addr().unwrap(), "north")]);
+        let allocator_address = allocator.local_addr().unwrap();
+        sharing.set_hosts(vec![peer(allocator_address, "north")]);
+        // As for a distant host, which has 150 ms to answer. With the 25 ms of others, tests failed on a loaded machine.
+        let now = Instant::now();
+        let mut state = sharing.state.borrow_mut();
+        state
+            .directory
+            .record_heartbeat_sent(allocator_address, now);
+        state
+            .directory
+            .record_heartbeat_reply(allocator_address, now + Duration::from_millis(50));
+        drop(state);
         task::spawn_local(receive(Rc::clone(&sharing), |_, _| {}));
         Self { sharing, allocator }
     }
