listing: a list from a delegate keeps this host's own contact with the store

What callers saw: a host that reads the store and also receives a list of a delegate sends requests to a removed upstream for 2.5 s and a read longer. The upstream has to be left alone after 2 s (DRAIN).

Cause: Listing::apply_update replaced what the host knew of the store by what the delegate sent, without a last answer of its own. So the next answer counted as the first one after an outage, whether the list was reliable or not, and removals were "missing" for the renewal time.

Mend: the periods in which the store answered this host and others are kept apart (tinbank-relay, contact). A list is judged by the period at whose end it was read, joined with the others that overlap it, so a host's own contact ends only with a failure or a gap of its own, and a list from a host that has just begun to read does not replace better knowledge. Periods that do not overlap are never joined: with an outage of the store between them nobody knows more than before.

Tests: a_reader_that_receives_a_list_leaves_a_removed_upstream_alone_in_time fails before. The table in listing.rs is new; with the old rule put back its three rows of readers that receive a list fail. the_first_read_after_an_update_counts_as_a_read_after_an_outage asserted this very fault: its host had an unbroken view of its own, one second old. Its replacement, the_first_read_of_a_follower_..., has the host that its comment names, one that followed and never read. Fixtures state when a list was read instead of until when it is unreliable; no other assertion changed. all_hosts_end_with_the_true_list passes unchanged.

--- a/crates/tinbank-feed/src/replica.rs
+++ b/crates/tinbank-feed/src/replica.rs
@@ -10,6 +10,7 @@
 
 use tinbank_base::id;
 use tinbank_relay::{
+    contact::Period,
     listing::{self, Change, Changes, Listing, RENEWAL_TIME, Reading},
     upstream::Upstream,
 };
@@ -145,15 +146,20 @@
 
     fn finish_read(&mut self, mut changes: Changes, at: Reading) -> Changes {
         self.source = None;
+        changes.extend(self.settle(at));
+        self.advance(at.position, !changes.is_empty());
+        changes
+    }
+
+    /// Removes the missing upstreams if the list can be relied on. Returns what changed.
+    fn settle(&mut self, at: Reading) -> Changes {
         let settled = self.listing.expire_missing(at);
         if !settled.is_empty() {
             self.settled = Some(at.position);
             // At the next position, since followers that know the list up to this one lack these changes as well.
             self.record_changes(&settled, at.position + 1);
         }
-        changes.extend(settled);
-        self.advance(at.position, !changes.is_empty());
-        changes
+        settled
     }
 
     /// Adds what this host knows to a request that it sends to a delegate for an update of upstreams in `scope`.
@@ -211,13 +217,15 @@
         let missing = self.listing.missing().filter(|it| scoped.covers(it));
         update.reliability = Reliability {
             missing: missing.map(|it| it.instance.clone()).collect(),
-            reliable_in: self
-                .listing
-                .unreliable_until(now)
-                .map(|until| until.saturating_duration_since(now)),
+            reliable_in: self.reliable_in(now),
         };
     }
 
+    fn reliable_in(&self, now: Instant) -> Option<Duration> {
+        let until = self.listing.unreliable_until(now);
+        until.map(|until| until.saturating_duration_since(now))
+    }
+
     fn delta(&self, request: &UpdateRequest) -> Option<Delta<Upstream, id::Instance>> {
         let scoped = self.scoped(&request.scope);
         let position = self.position?;
@@ -235,8 +243,20 @@
         }
     }
 
-    /// Applies the upstreams in `scope` that a delegate sent, unless this host knows a later position. Returns what changed, or
-    /// `None` if the update does not apply.
+    /// Records a period in which the store answered another host without a gap. Returns the upstreams that are gone, as far as they
+    /// were missing only because this host had no contact with the store for a while.
+    fn record_contact(&mut self, period: Period, now: Instant) -> Changes {
+        self.listing.record_reported_contact(period);
+        let Some(position) = self.position else {
+            return Changes::new();
+        };
+        let settled = self.settle(Reading { position, now });
+        self.advance(position, !settled.is_empty());
+        settled
+    }
+
+    /// Applies the upstreams in `scope` that a delegate sent and this host received at `now`, unless it knows a later position.
+    /// Returns what changed, or `None` if the update does not apply.
     pub fn apply_update(
         &mut self,
         update: &mut Update,
@@ -247,6 +267,23 @@
         if let Some(settled) = update.settled {
             self.settled = Some(settled);
         }
+        let contact = contact(update, now);
+        let mut changes = contact.map_or_else(Changes::new, |it| self.record_contact(it, now));
+        if let Some(received) = self.apply_list(update, contact, delegate, scope, now) {
+            changes.extend(received);
+            return Some(changes);
+        }
+        (!changes.is_empty()).then_some(changes)
+    }
+
+    fn apply_list(
+        &mut self,
+        update: &mut Update,
+        contact: Option<Period>,
+        delegate: SocketAddr,
+        scope: listing::Scope,
+        now: Instant,
+    ) -> Option<Changes> {
         let delta = update.upstreams.take()?;
         if self.position.is_some_and(|known| delta.position < known) {
             return None;
@@ -260,16 +297,9 @@
             position: delta.position,
             now,
         };
-        let reliability = std::mem::take(&mut update.reliability);
-        // A delegate that has not read the store lately does not know of an outage.
-        let is_fresh = update.age.upstreams.is_some_and(|age| age <= MAX_AGE);
-        let reliable_in = match is_fresh {
-            true => reliability.reliable_in,
-            false => Some(RENEWAL_TIME),
-        };
         let reliability = listing::Reliability {
-            missing: reliability.missing,
-            unreliable_until: reliable_in.map(|it| now + it),
+            missing: std::mem::take(&mut update.reliability.missing),
+            contact,
         };
         let changes = match delta.is_whole {
             true => {
@@ -316,6 +346,18 @@
     }
 }
 
+/// Returns the period up to the sender's read of the store in which the store had answered without a gap, or `None` if the sender
+/// has not read it lately. Times are moved to this host's clock by the time of receipt.
+fn contact(update: &Update, now: Instant) -> Option<Period> {
+    let age = update.age.upstreams.filter(|age| *age <= MAX_AGE)?;
+    let until = now.checked_sub(age)?;
+    let since = match update.reliability.reliable_in {
+        None => until.checked_sub(RENEWAL_TIME)?,
+        Some(reliable_in) => (now + reliable_in).checked_sub(RENEWAL_TIME)?,
+    };
+    (since <= until).then_some(Period { since, until })
+}
+
 /// The upstreams, limited to a scope.
 struct Scoped<'a> {
     listing: &'a Listing,
--- a/crates/tinbank-feed/tests/replica/main.rs
+++ b/crates/tinbank-feed/tests/replica/main.rs
@@ -81,6 +81,25 @@
     assert_eq!(fleet.serving(2), ["u0", "u1"]);
 }
 
+/// Longest time until a removed upstream has to be left alone: the bound of the platform.
+const MAX_LEAVING_TIME: Duration = Duration::from_secs(2);
+
+/// Guards against a host that forgets its own contact with the store when it receives a list.
+#[test]
+fn a_reader_that_receives_a_list_leaves_a_removed_upstream_alone_in_time() {
+    let mut fleet = play(&[SetRole(0, Role::Delegate), SetRole(1, Role::Reader)]);
+    fleet.settle();
+    fleet.play(Follow(1, 0));
+
+    fleet.play(Stall(0));
+    let removed_at = fleet.now();
+    while fleet.now() < removed_at + MAX_LEAVING_TIME {
+        fleet.run_normally();
+    }
+
+    assert_eq!(fleet.serving(1), ["u1"]);
+}
+
 fn step() -> impl Strategy<Value = Step> {
     let host = || 0..fleet::HOSTS;
     let role = prop_oneof![
--- a/crates/tinbank-gateway/src/view/update.rs
+++ b/crates/tinbank-gateway/src/view/update.rs
@@ -36,7 +36,8 @@
     if let Some(config) = update.config.take() {
         apply_config(node, ListEntry::Config(config));
     }
-    let upstreams_changed = apply_upstreams(node, &mut update, delegate, is_own_domain_only);
+    let upstreams_changed =
+        apply_upstreams(node, &mut update, delegate, is_own_domain_only, received_at);
     if let Some(delta) = newer(&view.lists.hosts, update.hosts) {
         let changed = apply_hosts(view, delta);
         record_read(node, List::Hosts, received_at, changed);
@@ -65,11 +66,12 @@
     update: &mut Update,
     delegate: SocketAddr,
     is_own_domain_only: bool,
+    received_at: Instant,
 ) -> bool {
     let scope = scope(node, is_own_domain_only);
     let is_whole = update.upstreams.as_ref().is_some_and(|it| it.is_whole);
     let mut replica = node.view.upstreams.borrow_mut();
-    let changes = replica.apply_update(update, delegate, scope, Instant::now());
+    let changes = replica.apply_update(update, delegate, scope, received_at);
     let position = replica.position();
     drop(replica);
     let Some(changes) = changes.filter(|it| !it.is_empty()) else {
--- a/crates/tinbank-relay/src/lib.rs
+++ b/crates/tinbank-relay/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod attempt;
 pub mod buffer;
 pub mod caller_timeout;
+pub mod contact;
 pub mod evacuation;
 pub mod event;
 pub mod listing;
--- a/crates/tinbank-relay/src/listing.rs
+++ b/crates/tinbank-relay/src/listing.rs
@@ -5,7 +5,8 @@
 //! Entries that disappear in that period are therefore kept as missing until the upstreams have had time to renew them. Otherwise
 //! each outage costs the requests of these seconds: two outages within 12 s made hosts refuse 348 of some 2,900 requests although
 //! all upstreams ran.
-//! An entry that is removed while the store answers without a gap means that the upstream is gone.
+//! An entry that is removed while the store answers without a gap means that the upstream is gone. Whether it does, hosts know
+//! together, see [`crate::contact`].
 //!
 //! An upstream that restarts under the same name is a new instance; no state of the previous instance applies to it.
 
@@ -17,16 +18,15 @@
 use smallvec::SmallVec;
 use tinbank_base::id;
 
-use crate::upstream::Upstream;
+use crate::{
+    contact::{Period, StoreContact},
+    upstream::Upstream,
+};
 
 /// Time for which the store has to answer without a failure before missing upstreams count as gone. The platform restores
 /// the entries of running upstreams within about two seconds; the rest is for reading them.
 pub const RENEWAL_TIME: Duration = Duration::from_millis(2_500);
 
-/// Longest time between two answers of a reachable store: a read that waits for changes, its answer and the pause before the
-/// next read.
-pub const MAX_ANSWER_GAP: Duration = Duration::from_millis(2_200);
-
 /// Smallest extension of a cold period that counts as a change. Entries state the time left and are read with a delay, so the
 /// computed end of the period varies.
 const COLD_TOLERANCE: Duration = Duration::from_millis(1_500);
@@ -72,9 +72,10 @@
 pub struct Reliability {
     /// All upstreams in scope whose entries are missing since an outage.
     pub missing: Vec<id::Instance>,
-    /// Until then, upstreams that are absent from the list are missing and not gone: a host that has just begun to read the
-    /// store sends a short list while entries lapsed.
-    pub unreliable_until: Option<Instant>,
+    /// The period in which the store had answered without a gap when the list was read, which was at its end; `None` if the sender
+    /// does not know. Upstreams that are absent from the list are missing and not gone if it is too short: a host that has just
+    /// begun to read the store sends a short list while entries lapsed.
+    pub contact: Option<Period>,
 }
 
 /// How a host knows that an upstream is leaving or gone.
@@ -146,60 +147,6 @@
     }
 }
 
-/// Availability of the store, by its answers to reads of the list.
-#[derive(Debug, Default)]
-struct StoreContact {
-    last_answer_at: Option<Instant>,
-    has_failed: bool,
-    /// From then on, a missing entry means that the upstream is gone.
-    reliable_from: Option<Instant>,
-    /// Whether the list, as it was read last, can be relied on. It can't be from a time on at which nobody has read it.
-    is_reliable: bool,
-}
-
-impl StoreContact {
-    /// Records an answer. The first one counts as an answer after an outage: a host that begins to read the store does not know
-    /// whether entries lapsed before, and most hosts begin because their delegates fell silent in an outage.
-    fn record_answer(&mut self, now: Instant) {
-        let was_unavailable = self.has_failed || self.is_gap(now).unwrap_or(true);
-        if was_unavailable {
-            self.reliable_from = Some(now + RENEWAL_TIME);
-        }
-        self.has_failed = false;
-        self.last_answer_at = Some(now);
-        self.is_reliable = self.reliable_from.is_some_and(|from| now >= from);
-    }
-
-    fn record_failure(&mut self) {
-        self.has_failed = true;
-        self.is_reliable = false;
-    }
-
-    /// Returns whether the last answer is longer ago than a reachable store takes, or `None` if there was none.
-    fn is_gap(&self, now: Instant) -> Option<bool> {
-        self.last_answer_at.map(|at| now > at + MAX_ANSWER_GAP)
-    }
-
-    /// Returns from when on the list can be relied on, if the store answers from now on; `None` if it can be.
-    fn unreliable_until(&self, now: Instant) -> Option<Instant> {
-        if self.has_failed || self.is_gap(now) == Some(true) {
-            return Some(now + RENEWAL_TIME);
-        }
-        let until = self.reliable_from.filter(|_| !self.is_reliable);
-        until.map(|until| until.max(now))
-    }
-
-    /// Records that the list was received from another host, and until when it can't be relied on. The next answer of the store
-    /// to this host is then a first one.
-    fn record_received(&mut self, unreliable_until: Option<Instant>) {
-        *self = Self {
-            reliable_from: unreliable_until,
-            is_reliable: unreliable_until.is_none(),
-            ..Self::default()
-        };
-    }
-}
-
 /// Returns whether two entries of an upstream have no difference that has to be reported.
 fn is_equivalent(before: &Upstream, now: &Upstream) -> bool {
     let is_colder = match (before.cold_until, now.cold_until) {
@@ -221,6 +168,11 @@
         self.store.record_failure();
     }
 
+    /// Records a period in which the store answered other hosts without a gap.
+    pub fn record_reported_contact(&mut self, period: Period) {
+        self.store.record_report(period);
+    }
+
     /// Returns which upstreams are tracked.
     pub fn scope(&self) -> &Scope {
         &self.scope
@@ -279,7 +231,7 @@
     /// Applies the removal of a name's entry. Nothing is recorded about a name that is unknown or out of scope.
     pub fn remove(&mut self, name: &id::Instance, at: Reading) -> Option<Change> {
         let instance = self.instances.get(name)?.clone();
-        if self.store.is_reliable {
+        if self.store.is_list_reliable() {
             return self.mark_gone(instance, at);
         }
         self.mark_missing(&instance)
@@ -306,7 +258,7 @@
     }
 
     /// Applies the full list of upstreams that another host sent. Upstreams that are not in it are gone if the list can be
-    /// relied on, otherwise missing.
+    /// relied on by what both hosts know of the store, otherwise missing.
     pub fn apply_snapshot(
         &mut self,
         upstreams: Vec<Upstream>,
@@ -317,7 +269,8 @@
         let known = self.states.keys();
         let unnamed: Vec<_> = known.filter(|it| !named.contains(*it)).cloned().collect();
         drop(named);
-        if reliability.unreliable_until.is_none() {
+        self.store.record_received_list(reliability.contact);
+        if self.store.is_list_reliable() {
             return self.apply_update(upstreams, unnamed, reliability, at);
         }
         let mut changes: Changes = unnamed
@@ -328,7 +281,8 @@
         changes
     }
 
-    /// Applies the changes that another host sent. An upstream that is leaving by this host's own knowledge stays so.
+    /// Applies the changes that another host sent. An upstream that is leaving by this host's own knowledge stays so, and one that
+    /// is gone stays gone if the sender has it as missing.
     pub fn apply_update(
         &mut self,
         upstreams: Vec<Upstream>,
@@ -336,16 +290,20 @@
         reliability: Reliability,
         at: Reading,
     ) -> Changes {
-        self.store.record_received(reliability.unreliable_until);
+        self.store.record_received_list(reliability.contact);
         let gone = gone.into_iter();
         let mut changes: Changes = gone.filter_map(|it| self.mark_gone(it, at)).collect();
         for mut upstream in upstreams {
+            let instance = &upstream.instance;
+            if self.is_gone(instance) && reliability.missing.contains(instance) {
+                continue;
+            }
             upstream.leaving |= self.was_leaving(&upstream.instance);
             changes.extend(self.add(upstream, at));
         }
         let missing = reliability.missing.iter();
         changes.extend(missing.filter_map(|it| self.mark_missing(it)));
-        if reliability.unreliable_until.is_none() {
+        if self.store.is_list_reliable() {
             let missing = self.missing().map(|it| it.instance.clone());
             let unnamed: Vec<_> = missing
                 .filter(|it| !reliability.missing.contains(it))
@@ -356,6 +314,10 @@
         changes
     }
 
+    fn is_gone(&self, instance: &id::Instance) -> bool {
+        matches!(self.states.get(instance), Some(State::Gone(_)))
+    }
+
     /// Drops the marks of upstreams that are gone for longer than [`GONE_DURATION`].
     fn drop_expired(&mut self, now: Instant) {
         let before = self.states.len();
@@ -387,10 +349,10 @@
         changes
     }
 
-    /// Marks missing upstreams as gone once the store has answered for [`RENEWAL_TIME`].
+    /// Marks missing upstreams as gone once the store has answered for [`RENEWAL_TIME`], this host or others.
     pub fn expire_missing(&mut self, at: Reading) -> Changes {
         self.drop_expired(at.now);
-        if !self.store.is_reliable {
+        if !self.store.is_list_reliable() {
             return Changes::new();
         }
         let mut changes = Changes::new();
@@ -407,7 +369,7 @@
     pub fn missing_expire_at(&self) -> Option<Instant> {
         let mut states = self.states.values();
         let is_missing = states.any(|state| matches!(state, State::Missing(_)));
-        self.store.reliable_from.filter(|_| is_missing)
+        self.store.reliable_from().filter(|_| is_missing)
     }
 
     /// Records that the upstream itself reported that it is leaving or gone.
@@ -449,6 +411,17 @@
         })
     }
 
+    /// Returns the period in which the store answered without a gap before the list was read, which was at its end; `None` if that
+    /// is not known.
+    pub fn contact(&self) -> Option<Period> {
+        self.store.before_list()
+    }
+
+    /// Returns whether upstreams that are absent from the list count as gone.
+    pub fn is_reliable(&self) -> bool {
+        self.store.is_list_reliable()
+    }
+
     /// Returns from when on upstreams that are absent from the list count as gone, or `None` if they do.
     pub fn unreliable_until(&self, now: Instant) -> Option<Instant> {
         self.store.unreliable_until(now)
--- a/crates/tinbank-relay/tests/listing.rs
+++ b/crates/tinbank-relay/tests/listing.rs
@@ -8,9 +8,8 @@
 
 use proptest::prelude::*;
 use tinbank_relay::{
-    listing::{
-        Change, GONE_DURATION, Listing, MAX_ANSWER_GAP, RENEWAL_TIME, Reading, Reliability, Scope,
-    },
+    contact::{MAX_ANSWER_GAP, Period},
+    listing::{Change, GONE_DURATION, Listing, RENEWAL_TIME, Reading, Reliability, Scope},
     upstream::Upstream,
 };
 use tinbank_test_support::property;
@@ -24,18 +23,19 @@
 }
 
 /// Returns the reliability of a list of a host that has read the store for long.
-fn reliable() -> Reliability {
-    Reliability {
-        missing: Vec::new(),
-        unreliable_until: None,
-    }
+fn reliable(now: Instant) -> Reliability {
+    read_by_others(now - RENEWAL_TIME, now)
 }
 
 /// Returns the reliability of a list of a host that has just begun to read the store.
 fn unreliable(now: Instant) -> Reliability {
+    read_by_others(now, now)
+}
+
+fn read_by_others(since: Instant, until: Instant) -> Reliability {
     Reliability {
-        unreliable_until: Some(now + SECOND),
-        ..reliable()
+        missing: Vec::new(),
+        contact: Some(Period { since, until }),
     }
 }
 
@@ -146,7 +146,7 @@
 fn entries_absent_from_the_first_read_are_missing_until_the_renewal_time(is_whole: bool) {
     let now = Instant::now();
     let mut listing = Listing::default();
-    listing.apply_snapshot(vec![upstream(0), upstream(1)], reliable(), at(now));
+    listing.apply_snapshot(vec![upstream(0), upstream(1)], reliable(now), at(now));
 
     listing.record_store_answer(now);
     match is_whole {
@@ -258,7 +258,7 @@
 
     let changes = listing.apply_snapshot(
         vec![upstream(1), upstream(2), upstream(5)],
-        reliable(),
+        reliable(now),
         at(now),
     );
 
@@ -277,7 +277,7 @@
     let changes = listing.apply_snapshot(vec![upstream(1)], unreliable(now), at(now));
     let at_first = serving(&listing);
     listing.apply_update(vec![upstream(2)], vec![], unreliable(now), at(now));
-    let later = listing.apply_update(vec![], vec![], reliable(), at(now + SECOND));
+    let later = listing.apply_update(vec![], vec![], reliable(now + SECOND), at(now + SECOND));
 
     assert!(changes.iter().all(|it| matches!(it, Change::Missing(_))));
     assert_eq!(at_first, ["u0", "u1", "u2"]);
@@ -291,13 +291,18 @@
     let mut listing = listing(2, now);
     let sent = Reliability {
         missing: vec!["u0".into()],
-        ..reliable()
+        ..reliable(now)
     };
 
     let changes = listing.apply_update(vec![], vec![], sent.clone(), at(now));
     listing.apply_update(vec![], vec![], sent, at(now + SECOND));
     let still_missing = serving(&listing);
-    let gone = listing.apply_update(vec![], vec!["u0".into()], reliable(), at(now + SECOND));
+    let gone = listing.apply_update(
+        vec![],
+        vec!["u0".into()],
+        reliable(now + SECOND),
+        at(now + SECOND),
+    );
 
     assert_eq!(changes.as_slice(), [Change::Missing("u0".into())]);
     assert_eq!(still_missing, ["u0", "u1"]);
@@ -306,10 +311,10 @@
 
 /// Guards against a host that follows a delegate in an outage and then reads the store itself.
 #[test]
-fn the_first_read_after_an_update_counts_as_a_read_after_an_outage() {
+fn the_first_read_of_a_follower_counts_as_a_read_after_an_outage() {
     let now = Instant::now();
-    let mut listing = listing(2, now);
-    listing.apply_update(vec![], vec![], reliable(), at(now));
+    let mut listing = Listing::default();
+    listing.apply_snapshot(vec![upstream(0), upstream(1)], reliable(now), at(now));
 
     listing.record_store_answer(now + SECOND);
     listing.remove(&"u0".into(), at(now + SECOND));
@@ -317,13 +322,100 @@
     assert_eq!(serving(&listing), ["u0", "u1"]);
 }
 
+/// What happens at a host that reads the store, and at others.
+#[derive(Clone, Copy, Debug)]
+enum Contact {
+    /// This host reads, so long after the last event.
+    Read(Duration),
+    /// A read of this host fails, so long after the last event.
+    Failure(Duration),
+    /// Another host reports a moment later that the store has answered it for this long.
+    Report(Duration),
+    /// A delegate sends a list that it has read a moment later, and that the store has answered it for this long.
+    List(Duration),
+}
+
+const MOMENT: Duration = Duration::from_millis(100);
+
+use Contact::{Failure, List, Read, Report};
+
+/// Guards against a host that takes a pause or a refusal of its own for an outage of the store, and against one that forgets its
+/// contact with the store when it receives a list.
+#[parameterized(
+    reader_receives_a_list = { &[Read(SECOND), List(TWO), Read(SECOND)], &["u1"] },
+    reader_receives_a_list_of_a_host_that_has_begun_to_read = { &[Read(SECOND), List(Duration::ZERO), Read(SECOND)], &["u1"] },
+    refused_host_follows_a_delegate = { &[Failure(SECOND), Failure(TWO), List(TWO * 3), Read(SECOND), Report(TWO * 3)], &["u1"] },
+    refused_host_reads_again = { &[Failure(SECOND), Failure(TWO), Read(SECOND), Report(TWO * 3)], &["u1"] },
+    paused_host_reads_again = { &[Read(TWO * 2), Report(TWO * 3)], &["u1"] },
+    paused_host_reads_and_receives_a_list = { &[Read(TWO * 2), List(TWO * 3), Read(SECOND)], &["u1"] },
+    others_have_read_for_the_renewal_time_only = { &[Failure(SECOND), Read(TWO), Report(RENEWAL_TIME + MOMENT)], &["u1"] },
+    others_have_begun_to_read_as_well = { &[Failure(SECOND), Failure(TWO), Read(SECOND), Report(SECOND)], &["u0", "u1"] },
+    nobody_else_is_there = { &[Failure(SECOND), Failure(TWO), Read(SECOND)], &["u0", "u1"] },
+    report_from_before_the_first_read = { &[Failure(SECOND), Report(TWO * 3), Failure(TWO), Read(SECOND)], &["u0", "u1"] },
+    report_of_the_moment_of_the_first_read = { &[Failure(SECOND), Report(TWO * 3), Read(Duration::ZERO)], &["u0", "u1"] },
+    list_from_before_the_first_read = { &[Failure(SECOND), List(TWO * 3), Failure(TWO), Read(SECOND)], &["u0", "u1"] },
+)]
+fn an_upstream_is_gone_at_once_if_the_store_has_answered_some_host(
+    events: &[Contact],
+    expected: &[&str],
+) {
+    let mut now = Instant::now();
+    let mut listing = listing(2, now);
+    for event in events {
+        match *event {
+            Read(after) => {
+                now += after;
+                listing.record_store_answer(now);
+            }
+            Failure(after) => {
+                now += after;
+                listing.record_store_failure();
+            }
+            Report(answering_for) => {
+                now += MOMENT;
+                listing.record_reported_contact(Period {
+                    since: now - answering_for,
+                    until: now,
+                });
+            }
+            List(answering_for) => {
+                now += MOMENT;
+                let reliability = read_by_others(now - answering_for, now);
+                listing.apply_update(vec![], vec![], reliability, at(now));
+            }
+        }
+    }
+
+    listing.remove(&"u0".into(), at(now));
+    listing.expire_missing(at(now));
+
+    assert_eq!(serving(&listing), expected);
+}
+
+/// Guards against a delegate that was refused, and sends a whole list with what it keeps as missing.
+#[test]
+fn an_upstream_that_is_gone_here_stays_gone_if_the_sender_misses_it() {
+    let now = Instant::now();
+    let mut listing = listing(2, now);
+    listing.remove(&"u0".into(), at(now));
+    let sent = Reliability {
+        missing: vec!["u0".into()],
+        ..unreliable(now)
+    };
+
+    listing.apply_snapshot(vec![upstream(0), upstream(1)], sent, at(now));
+
+    assert_eq!(serving(&listing), ["u1"]);
+    assert!(listing.is_leaving(&"u0".into(), now));
+}
+
 #[test]
 fn a_snapshot_does_not_reinstate_an_upstream_that_reported_leaving_here() {
     let now = Instant::now();
     let mut listing = listing(2, now);
     listing.mark_leaving(&"u1".into());
 
-    listing.apply_snapshot(vec![upstream(0), upstream(1)], reliable(), at(now));
+    listing.apply_snapshot(vec![upstream(0), upstream(1)], reliable(now), at(now));
 
     assert_eq!(serving(&listing), ["u0"]);
     assert!(listing.is_leaving(&"u1".into(), now));
@@ -336,7 +428,7 @@
     sender.mark_leaving(&"u1".into());
     let mut receiver = Listing::default();
 
-    receiver.apply_snapshot(sender.present().cloned().collect(), reliable(), at(now));
+    receiver.apply_snapshot(sender.present().cloned().collect(), reliable(now), at(now));
 
     assert_eq!(serving(&receiver), ["u0"]);
     assert!(receiver.is_leaving(&"u1".into(), now));
@@ -384,7 +476,7 @@
     received.mark_leaving(&"u0".into());
 
     read.replace(vec![restarted(0), upstream(1)], at(now));
-    received.apply_snapshot(vec![restarted(0), upstream(1)], reliable(), at(now));
+    received.apply_snapshot(vec![restarted(0), upstream(1)], reliable(now), at(now));
 
     assert_eq!(serving(&read), ["u0@2", "u1"]);
     assert_eq!(serving(&received), ["u0@2", "u1"]);
@@ -396,7 +488,7 @@
     let mut listing = Listing::default();
     listing.apply_snapshot(
         vec![upstream(0), upstream(1), upstream(2)],
-        reliable(),
+        reliable(now),
         at(now),
     );
     listing.mark_leaving(&"u1".into());
@@ -404,7 +496,7 @@
     let changes = listing.apply_update(
         vec![upstream(1), upstream(3)],
         vec!["u0".into()],
-        reliable(),
+        reliable(now),
         at(now),
     );
 
@@ -472,10 +564,10 @@
             Event::Read { is_listed: false } => drop(listing.remove(&"u1".into(), at(now))),
             Event::Snapshot { is_listed } => {
                 let upstreams = [upstream(0)].into_iter().chain(is_listed.then(|| far(1)));
-                listing.apply_snapshot(upstreams.collect(), reliable(), at(now));
+                listing.apply_snapshot(upstreams.collect(), reliable(now), at(now));
             }
             Event::Update => {
-                drop(listing.apply_update(vec![], vec!["u1".into()], reliable(), at(now)))
+                drop(listing.apply_update(vec![], vec!["u1".into()], reliable(now), at(now)))
             }
             Event::Scope(scope) => listing.set_scope(scope()),
         }
