feed: hosts confirm each other's contact with the store

What callers saw: after a refusal by the store (429, 503, reset), a pause of the process or a lost path of one host, requests go for 2.5 s to upstreams that leave then, by that host, by those that follow it, and if it is the allocator by its whole failure domain. Upstreams that crash then are kept as well, which costs attempts.

Cause: a host takes its own silence for an outage of the store. In an outage entries of healthy upstreams lapse, so it keeps each removed upstream as missing until it has read for the renewal time, while hosts that read all along know that the store was not away. The same for a follower that begins to read, and for a host that restarts.

A period that overlaps the host's own proves that the store was not away, and the missing upstreams are gone at once. In an outage of the whole store nobody has such a period, and the renewal time holds as before; the same for a host that is alone or when all are refused.

--- a/crates/tinbank-feed/src/message.rs
+++ b/crates/tinbank-feed/src/message.rs
@@ -1,13 +1,16 @@
 //! Messages between a follower and the delegate that it follows.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 use tinbank_allocator::directory::Peer;
 use tinbank_base::id;
 use tinbank_quarantine::Quarantined;
-use tinbank_relay::{route::Config, upstream::Upstream};
+use tinbank_relay::{contact, route::Config, upstream::Upstream};
 
 /// Position in a list of the store.
 pub type Position = u64;
@@ -39,6 +42,8 @@
     Domain(id::FailureDomain),
     /// Only the hosts, to find a delegate to follow.
     Hosts,
+    /// Only since when the store has answered the receiver, to tell an outage of the store from a fault of the sender's own.
+    Contact,
 }
 
 /// Request for an update, with what the sender knows already. The response is delayed until there is a change or the wait ends.
@@ -83,6 +88,34 @@
     pub age: Age,
 }
 
+/// Response to a request for [`Scope::Contact`]: the period in which the store answered without a gap, up to the last read of the
+/// upstreams, as far as the sender knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact(pub Option<Period>);
+
+/// A period, as how long ago it began and ended when the message was sent.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Period {
+    /// Age of the first answer.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub since: Duration,
+    /// Age of the last answer.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub until: Duration,
+}
+
+impl Contact {
+    /// Returns the period by the clock of a host that received the message at `now`.
+    pub fn period(&self, now: Instant) -> Option<contact::Period> {
+        let period = self.0?;
+        Some(contact::Period {
+            since: now.checked_sub(period.since)?,
+            until: now.checked_sub(period.until)?,
+        })
+    }
+}
+
 /// How far a list of upstreams can be relied on after an outage of the store.
 #[serde_as]
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/tinbank-feed/src/replica.rs
+++ b/crates/tinbank-feed/src/replica.rs
@@ -18,7 +18,7 @@
 use crate::{
     History,
     history::{self, Lookup},
-    message::{Delta, Position, Reliability, Scope, Update, UpdateRequest},
+    message::{self, Contact, Delta, Position, Reliability, Scope, Update, UpdateRequest},
     source::MAX_AGE,
 };
 
@@ -178,7 +178,7 @@
         match (self.listing.scope(), scope) {
             (listing::Scope::All, _) => true,
             (listing::Scope::Domain(own), Scope::Domain(domain)) => own == domain,
-            (listing::Scope::Domain(_), Scope::Whole | Scope::Hosts) => false,
+            (listing::Scope::Domain(_), Scope::Whole | Scope::Hosts | Scope::Contact) => false,
         }
     }
 
@@ -221,11 +221,26 @@
         };
     }
 
+    /// Returns the period in which the store answered before the list was read, for hosts that ask for it.
+    pub fn contact(&self, now: Instant) -> Contact {
+        let period = self.listing.contact();
+        let age = |at: Instant| now.saturating_duration_since(at);
+        Contact(period.map(|it| message::Period {
+            since: age(it.since),
+            until: age(it.until),
+        }))
+    }
+
     fn reliable_in(&self, now: Instant) -> Option<Duration> {
         let until = self.listing.unreliable_until(now);
         until.map(|until| until.saturating_duration_since(now))
     }
 
+    /// Returns whether this host has read the list itself, and can't rely on it by what it knows of the store.
+    pub fn needs_contact(&self) -> bool {
+        self.source.is_none() && self.position.is_some() && !self.listing.is_reliable()
+    }
+
     fn delta(&self, request: &UpdateRequest) -> Option<Delta<Upstream, id::Instance>> {
         let scoped = self.scoped(&request.scope);
         let position = self.position?;
@@ -245,7 +260,7 @@
 
     /// Records a period in which the store answered another host without a gap. Returns the upstreams that are gone, as far as they
     /// were missing only because this host had no contact with the store for a while.
-    fn record_contact(&mut self, period: Period, now: Instant) -> Changes {
+    pub fn record_contact(&mut self, period: Period, now: Instant) -> Changes {
         self.listing.record_reported_contact(period);
         let Some(position) = self.position else {
             return Changes::new();
@@ -369,7 +384,7 @@
         match self.scope {
             Scope::Whole => true,
             Scope::Domain(domain) => upstream.failure_domain == *domain,
-            Scope::Hosts => false,
+            Scope::Hosts | Scope::Contact => false,
         }
     }
 }
--- a/crates/tinbank-feed/tests/replica/fleet.rs
+++ b/crates/tinbank-feed/tests/replica/fleet.rs
@@ -48,6 +48,13 @@
     Delegate,
 }
 
+/// A fault of single hosts while the store serves all others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    Refused,
+    Frozen,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub enum Step {
     /// The store is away. The entries of the upstreams in the mask lapse.
@@ -71,6 +78,12 @@
     Trim(usize),
     /// A host returns grants of all upstreams that it takes for leaving.
     Report(usize),
+    /// A host asks another one since when the store has answered it.
+    Ask(usize, usize),
+    /// The store refuses the hosts in the mask for a number of rounds and serves the others.
+    Refuse(u8, u8),
+    /// The processes of the hosts in the mask stand still for a number of rounds.
+    Freeze(u8, u8),
 }
 
 struct Entry {
@@ -97,6 +110,8 @@
     role: Role,
     /// Which host it followed last.
     follows: usize,
+    /// Which host it asks next for its contact with the store.
+    asks: usize,
     read_at: Option<Instant>,
     answer: Option<Answer>,
 }
@@ -107,6 +122,7 @@
             replica: Replica::default(),
             role,
             follows: 0,
+            asks: 0,
             read_at: None,
             answer: None,
         }
@@ -207,6 +223,13 @@
             Step::Rounds(rounds) => (0..rounds).for_each(|_| self.run_normally()),
             Step::Trim(host) => self.hosts[host].replica.reset(),
             Step::Report(host) => self.report(host),
+            Step::Ask(host, other) => self.ask(host, other),
+            Step::Refuse(mask, rounds) => {
+                (0..rounds).for_each(|_| self.run_round(mask, Trouble::Refused))
+            }
+            Step::Freeze(mask, rounds) => {
+                (0..rounds).for_each(|_| self.run_round(mask, Trouble::Frozen))
+            }
         }
     }
 
@@ -354,6 +377,19 @@
         }
     }
 
+    fn ask(&mut self, index: usize, other: usize) {
+        if index == other {
+            return;
+        }
+        let contact = self.hosts[other].replica.contact(self.now);
+        let Some(period) = contact.period(self.now) else {
+            return;
+        };
+        let replica = &mut self.hosts[index].replica;
+        let changes = replica.record_contact(period, self.now);
+        self.on_changes(index, &changes);
+    }
+
     /// Passes the list to the allocator.
     fn on_changes(&mut self, index: usize, changes: &[Change]) {
         if index != ALLOCATOR {
@@ -465,18 +501,53 @@
 
     /// Lets half a second pass in which each host gets the list as its role says.
     pub fn run_normally(&mut self) {
+        self.run_round(0, Trouble::Refused);
+    }
+
+    /// Lets half a second pass in which the hosts in the mask are in trouble.
+    fn run_round(&mut self, mask: u8, trouble: Trouble) {
         for index in 0..HOSTS {
+            if mask & (1 << index) != 0 {
+                self.suffer(index, trouble);
+                continue;
+            }
             match self.hosts[index].role {
                 Role::Follower => self.play(Step::Follow(index, self.hosts[index].follows)),
                 Role::Reader | Role::Delegate => {
                     self.play(Step::BeginRead(index));
                     self.play(Step::EndRead(index));
+                    self.confirm_contact(index, mask, trouble);
                 }
             }
         }
         self.advance(Duration::from_millis(300));
     }
 
+    fn suffer(&mut self, index: usize, trouble: Trouble) {
+        let host = &mut self.hosts[index];
+        host.answer = None;
+        match trouble {
+            Trouble::Frozen => {}
+            Trouble::Refused if host.role == Role::Follower => {
+                self.play(Step::Follow(index, self.hosts[index].follows));
+            }
+            Trouble::Refused => host.replica.record_store_failure(),
+        }
+    }
+
+    /// Asks a host that is not frozen, the next one each time, if this host needs to know whether the store was away.
+    fn confirm_contact(&mut self, index: usize, mask: u8, trouble: Trouble) {
+        if !self.hosts[index].replica.needs_contact() {
+            return;
+        }
+        let other = (self.hosts[index].asks + 1) % HOSTS;
+        self.hosts[index].asks = other;
+        let is_frozen = trouble == Trouble::Frozen && mask & (1 << other) != 0;
+        if !is_frozen {
+            self.play(Step::Ask(index, other));
+        }
+    }
+
     /// Runs until all lists can be relied on.
     pub fn settle(&mut self) {
         for _ in 0..10 {
--- a/crates/tinbank-feed/tests/replica/main.rs
+++ b/crates/tinbank-feed/tests/replica/main.rs
@@ -10,7 +10,8 @@
 use yare::parameterized;
 
 use Step::{
-    BeginRead, EndRead, Follow, Outage, Report, Restart, Resume, Rounds, SetRole, Stall, Trim, Wait,
+    Ask, BeginRead, EndRead, Follow, Freeze, Outage, Refuse, Report, Restart, Resume, Rounds,
+    SetRole, Stall, Trim, Wait,
 };
 
 /// Upper bound of the time from the store's return until all hosts have the true list: lapsed entries are back within 2 s, the
@@ -120,9 +121,59 @@
         1 => host().prop_map(Trim),
         8 => (1u8..8).prop_map(Rounds),
         4 => host().prop_map(Report),
+        4 => (host(), host()).prop_map(|(host, other)| Ask(host, other)),
+        2 => (0u8..16, 1u8..8).prop_map(|(mask, rounds)| Refuse(mask, rounds)),
+        2 => (0u8..16, 1u8..8).prop_map(|(mask, rounds)| Freeze(mask, rounds)),
     ]
 }
 
+/// Guards against hosts that take a refusal or a pause of their own for an outage of the store, and keep an upstream as missing
+/// that was removed right after it. Host 0 has an unbroken view of the store, and the others have none at times.
+#[parameterized(
+    reader_was_refused = { &[SetRole(1, Role::Reader), Refuse(0b0010, 6)] },
+    reader_was_frozen = { &[SetRole(1, Role::Reader), Freeze(0b0010, 8)] },
+    all_other_readers_were_refused = { &[SetRole(1, Role::Delegate), SetRole(2, Role::Reader), SetRole(3, Role::Delegate), Refuse(0b1110, 6)] },
+    delegate_of_others_was_refused = { &[SetRole(1, Role::Delegate), Follow(2, 1), Follow(3, 1), Refuse(0b0010, 6)] },
+    follower_begins_to_read = { &[SetRole(1, Role::Delegate), Rounds(1)] },
+    refused_host_follows_and_reads_again = { &[SetRole(1, Role::Delegate), Refuse(0b0010, 4), Follow(1, 0), Refuse(0b0010, 1), Follow(1, 0), Rounds(1)] },
+    restarted_reader = { &[SetRole(1, Role::Delegate), Rounds(8), Restart(1), Rounds(1)] },
+    refused_one_after_the_other = { &[SetRole(1, Role::Delegate), SetRole(2, Role::Delegate), Rounds(8), Refuse(0b0010, 6), Refuse(0b0100, 6)] },
+)]
+fn a_removed_upstream_is_left_alone_in_time_after_trouble_of_single_hosts(steps: &[Step]) {
+    let mut fleet = play(&[SetRole(0, Role::Delegate)]);
+    fleet.settle();
+    for step in steps {
+        fleet.play(*step);
+    }
+
+    fleet.play(Stall(0));
+    let removed_at = fleet.now();
+    while fleet.now() < removed_at + MAX_LEAVING_TIME {
+        fleet.run_normally();
+    }
+
+    for host in 0..fleet::HOSTS {
+        assert_eq!(fleet.serving(host), ["u1"], "host {host}");
+    }
+}
+
+/// Guards against hosts that confirm each other's contact although the store was away for all.
+#[test]
+fn nobody_confirms_contact_after_an_outage() {
+    let all = [0, 1, 2, 3].map(|host| SetRole(host, Role::Delegate));
+    let mut fleet = play(&all);
+    fleet.settle();
+
+    fleet.play(Outage(0b1111));
+    for _ in 0..3 {
+        fleet.run_normally();
+        for (host, other) in (0..4).flat_map(|host| (0..4).map(move |other| (host, other))) {
+            fleet.play(Ask(host, other));
+        }
+        assert_eq!(fleet.wrongly_gone(), []);
+    }
+}
+
 proptest! {
     #![proptest_config(property::config(2_000))]
     #[test]
--- a/crates/tinbank-gateway/src/feed.rs
+++ b/crates/tinbank-gateway/src/feed.rs
@@ -1,6 +1,7 @@
 //! How this process gets the lists of the store: it reads them on behalf of other hosts, or follows a host that does.
 
 mod bootstrap;
+mod contact;
 mod follower;
 mod server;
 
@@ -14,6 +15,7 @@
 
 pub(crate) use self::{
     bootstrap::{bootstrap, register_first_delegate},
+    contact::confirm as confirm_contact,
     follower::follow,
     server::serve,
 };
--- a/crates/tinbank-gateway/src/feed/follower.rs
+++ b/crates/tinbank-gateway/src/feed/follower.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::{Method, Request};
 use http_body_util::Full;
+use serde::de::DeserializeOwned;
 use tinbank_feed::{
     Backoff, SourceSelector,
     message::{self, Scope, Update, UpdateRequest},
@@ -136,7 +137,6 @@
     scope: Scope,
 ) -> Result<Update, Error> {
     let lists = &node.view.lists;
-    let max_wait = max_wait(&scope);
     let mut update_request = UpdateRequest {
         config: node.view.config().map(|config| config.version),
         scope: scope.clone(),
@@ -148,7 +148,16 @@
     node.view
         .replica()
         .fill_request(&scope, delegate, &mut update_request);
-    let body = Bytes::from(message::encode(&update_request)?);
+    post(delegate, &update_request).await
+}
+
+/// Sends a request to a host that serves followers.
+pub(super) async fn post<T: DeserializeOwned>(
+    host: SocketAddr,
+    update_request: &UpdateRequest,
+) -> Result<T, Error> {
+    let max_wait = max_wait(&update_request.scope);
+    let body = Bytes::from(message::encode(update_request)?);
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = Method::POST;
     let now = Instant::now();
@@ -156,7 +165,7 @@
         connect: now + CONNECT_TIMEOUT,
         response: now + max_wait + ANSWER_TIMEOUT,
     };
-    let (response, _guard) = exchange::send(delegate, request, until).await?;
+    let (response, _guard) = exchange::send(host, request, until).await?;
     let status = response.status();
     let body = exchange::read_body(response.into_body(), MAX_RESPONSE, STALL_TIMEOUT).await?;
     if !status.is_success() {
--- a/crates/tinbank-gateway/src/feed/server.rs
+++ b/crates/tinbank-gateway/src/feed/server.rs
@@ -63,6 +63,10 @@
         Err(error) => Err(error.to_string()),
     };
     let response = match update_request {
+        Ok(request) if request.scope == Scope::Contact => {
+            let contact = node.view.replica().contact(Instant::now());
+            message::encode(&contact).map_err(|it| it.to_string())
+        }
         Ok(request) => {
             wait_for_update(&node, &request).await;
             message::encode(&update(&node, &request, Instant::now())).map_err(|it| it.to_string())
@@ -97,6 +101,7 @@
     match scope {
         Scope::Whole => DELEGATE_WAIT,
         Scope::Domain(_) | Scope::Hosts => FOLLOWER_WAIT,
+        Scope::Contact => Duration::ZERO,
     }
 }
 
--- a/crates/tinbank-gateway/src/run.rs
+++ b/crates/tinbank-gateway/src/run.rs
@@ -165,6 +165,7 @@
         task::spawn_local(sharing::broadcast_room(Rc::clone(&node.sharing)));
     }
     task::spawn_local(feed::follow(Rc::clone(node)));
+    task::spawn_local(feed::confirm_contact(Rc::clone(node)));
     task::spawn_local(feed::register_first_delegate(Rc::clone(node)));
     task::spawn_local(sharing::poll_upstream_load(Rc::clone(node)));
     for list in [List::Config, List::Upstreams, List::Hosts, List::Quarantine] {
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -26,7 +26,11 @@
 use tokio::{sync::Notify, time};
 
 use self::watermark::Lists;
-pub(crate) use self::{lists::follow, update::apply_update, watermark::Watermark};
+pub(crate) use self::{
+    lists::follow,
+    update::{apply_contact, apply_update},
+    watermark::Watermark,
+};
 use crate::border::store::{Error, List, Offset};
 
 /// How long the store delays the answer to a read until there is a change.
@@ -56,6 +60,18 @@
 }
 
 impl View {
+    /// Returns whether this host has read the upstreams itself and does not know whether the store was away before.
+    pub fn needs_contact(&self) -> bool {
+        self.upstreams.borrow().needs_contact()
+    }
+
+    /// Waits until this host needs to know since when the store has answered others.
+    pub async fn wait_until_contact_needed(&self) {
+        while !self.needs_contact() {
+            self.refreshed.notified().await;
+        }
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> Option<Rc<Config>> {
         self.config.borrow().clone()
@@ -236,7 +252,15 @@
         }
         let mut replica = self.upstreams.borrow_mut();
         match read {
-            Ok(_) => replica.record_store_answer(Instant::now()),
+            Ok(_) => {
+                let was_reliable = replica.listing().is_reliable();
+                replica.record_store_answer(Instant::now());
+                if was_reliable && !replica.listing().is_reliable() {
+                    log::info!(
+                        "first read of the upstreams after a gap, their list is not reliable yet"
+                    );
+                }
+            }
             Err(Error::NoEffect(_) | Error::Busy(_) | Error::Unknown(_)) => {
                 replica.record_store_failure()
             }
--- a/crates/tinbank-gateway/src/view/update.rs
+++ b/crates/tinbank-gateway/src/view/update.rs
@@ -6,7 +6,7 @@
 };
 
 use tinbank_allocator::directory::Peer;
-use tinbank_feed::message::{Delta, Position, Snapshot, Update};
+use tinbank_feed::message::{Contact, Delta, Position, Snapshot, Update};
 use tinbank_relay::listing::Change;
 
 use super::{
@@ -60,6 +60,27 @@
     view.refreshed.notify_waiters();
 }
 
+/// Applies since when the store has answered another host.
+pub(crate) fn apply_contact(node: &Node, contact: Contact, host: SocketAddr) {
+    let now = Instant::now();
+    let Some(period) = contact.period(now) else {
+        return;
+    };
+    let mut replica = node.view.upstreams.borrow_mut();
+    let changes = replica.record_contact(period, now);
+    let is_reliable = replica.listing().is_reliable();
+    drop(replica);
+    if !is_reliable {
+        return;
+    }
+    log::info!(host:%, answering_for:? = now - period.since, gone = changes.len(); "store contact confirmed, the store was not away");
+    changes.iter().for_each(log_change);
+    if !changes.is_empty() {
+        node.update_allocator();
+        node.view.refreshed.notify_waiters();
+    }
+}
+
 /// Returns whether the upstreams changed.
 fn apply_upstreams(
     node: &Node,
