allocator: a list that misses an upstream does not outweigh a report

What callers saw: hosts that know that an upstream is gone give its grants back, and the allocator grants it again to others until its own list can be relied on, because it was refused by the store for a while.

Cause: Reports::decide compared positions only. A list at the same position that has the upstream as missing counted like one that has its entry.

Mend: the allocator knows which upstreams its list misses, and at which position it last had their entry. A report that is newer than that counts, and the upstream stays removed for as long as it is missing. A host marks an upstream as gone only while it can rely on its list, so in an outage of the whole store there are no such reports. Marks from before the last entry are refused as before.

Tests: an_allocator_that_was_refused_believes_reports_of_an_upstream_that_it_misses (feed), and in leaving.rs a_report_of_a_missing_upstream_is_acted_on_if_it_is_newer_than_the_entry and a_reported_upstream_stays_removed_for_as_long_as_it_is_missing; all fail with the comparison as it was. all_hosts_end_with_the_true_list now reports to an allocator that knows what it misses, and passes.

--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -23,7 +23,7 @@
     frame::{Denial, Frame, HeartbeatReply, Holdings, Release, Room, SlotResponse, Verdict},
     grants::{self, Grants},
     lease::{self, Outcome},
-    leaving::{Decision, Doubt, Evidence, Position, Reports},
+    leaving::{Decision, Doubt, Evidence, Missing, Position, Reports},
     options::Options,
     order::{Denials, Order},
     pace,
@@ -218,7 +218,13 @@
 
     /// Sets the position up to which the list of upstreams was read. Called before the list is set.
     pub fn set_list_position(&mut self, position: Position) {
-        self.reports.set_position(position);
+        self.set_list(position, Vec::new());
+    }
+
+    /// Sets the position up to which the list of upstreams was read, and which of them it has as missing since the store may have
+    /// been away. Hosts that know that it was not report them. Called before the list is set.
+    pub fn set_list(&mut self, position: Position, missing: Vec<Missing>) {
+        self.reports.set_list(position, missing);
     }
 
     /// Returns whether upstreams of the last list were removed, because hosts reported that they are leaving.
--- a/crates/tinbank-allocator/src/leaving.rs
+++ b/crates/tinbank-allocator/src/leaving.rs
@@ -23,10 +23,19 @@
     List(Position),
 }
 
+/// An upstream that the allocator's list has as missing: its entry was absent from the store, which may have been away.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Missing {
+    /// The upstream.
+    pub upstream: id::Instance,
+    /// Position of the last list that had its entry.
+    pub listed_at: Position,
+}
+
 /// Why a report is not acted on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Doubt {
-    /// The allocator's own list, at this position, is as new as the one of the report and has the upstream.
+    /// The allocator's own list, at this position, is as new as the one of the report and has the upstream's entry.
     NotNewer {
         /// Position of the allocator's list.
         own: Position,
@@ -47,6 +56,7 @@
 pub(crate) struct Reports {
     /// Position of the allocator's own list; `None` until it was read.
     position: Option<Position>,
+    missing: Vec<Missing>,
     /// Upstreams that the lists up to a position must not bring back.
     withheld: HashMap<id::Instance, Position>,
     /// Upstreams of which a refused report was logged since the last list.
@@ -54,15 +64,26 @@
 }
 
 impl Reports {
-    /// Sets the position of the allocator's list. Reports up to it are decided by the list.
-    pub fn set_position(&mut self, position: Position) {
-        if self.position.replace(position) == Some(position) {
+    /// Sets the position of the allocator's list, and which upstreams it has as missing. Reports up to the position are decided by
+    /// the list, except those of missing upstreams.
+    pub fn set_list(&mut self, position: Position, missing: Vec<Missing>) {
+        let is_same = self.position.replace(position) == Some(position);
+        if is_same && self.missing == missing {
             return;
         }
-        self.withheld.retain(|_, reported| *reported > position);
+        self.missing = missing;
+        let mut withheld = std::mem::take(&mut self.withheld);
+        withheld.retain(|upstream, reported| self.listed_at(upstream) < Some(*reported));
+        self.withheld = withheld;
         self.doubted.clear();
     }
 
+    /// Returns the position of the last own list that had the entry of an upstream, if it is in the list.
+    fn listed_at(&self, upstream: &id::Instance) -> Option<Position> {
+        let missing = self.missing.iter().find(|it| it.upstream == *upstream);
+        missing.map(|it| it.listed_at).or(self.position)
+    }
+
     /// Decides on a report of an upstream, of whose service `others` more upstreams are known.
     pub fn decide(
         &mut self,
@@ -70,7 +91,7 @@
         evidence: Evidence,
         others: usize,
     ) -> Decision {
-        if let (Evidence::List(reported), Some(own)) = (evidence, self.position)
+        if let (Evidence::List(reported), Some(own)) = (evidence, self.listed_at(upstream))
             && reported <= own
         {
             return Decision::Keep(Doubt::NotNewer { own });
--- a/crates/tinbank-allocator/tests/leaving.rs
+++ b/crates/tinbank-allocator/tests/leaving.rs
@@ -11,6 +11,7 @@
     leaving::{
         Doubt,
         Evidence::{self, List, Reply},
+        Missing,
     },
 };
 use tinbank_base::id;
@@ -79,6 +80,57 @@
     assert_eq!(slots.count(), 2 * SLOTS);
 }
 
+fn missing(upstream: &id::Instance) -> Vec<Missing> {
+    Vec::from([Missing {
+        upstream: upstream.clone(),
+        listed_at: OWN - 3,
+    }])
+}
+
+/// Guards against an allocator that was refused by the store and takes what it missed for an outage, while other hosts know better.
+#[parameterized(
+    read_since_it_was_listed = { OWN - 2, true },
+    read_while_it_was_listed = { OWN - 3, false },
+)]
+fn a_report_of_a_missing_upstream_is_acted_on_if_it_is_newer_than_the_entry(
+    position: u64,
+    is_believed: bool,
+) {
+    let mut harness = harness(2);
+    let upstreams: Vec<_> = (0..2).map(|index| upstream(index).instance).collect();
+    let all_missing = upstreams.iter().flat_map(missing).collect();
+    harness.allocator.set_list(OWN, all_missing);
+
+    let (reported, change) = report(&mut harness, List(position));
+
+    let why = Doubt::NotNewer { own: OWN - 3 };
+    let expected = match is_believed {
+        true => Some(StateChange::Left(reported.clone())),
+        false => refused(&reported, why),
+    };
+    assert_eq!(change, expected);
+    assert_eq!(!granted(&mut harness).contains(&reported), is_believed);
+}
+
+#[test]
+fn a_reported_upstream_stays_removed_for_as_long_as_it_is_missing() {
+    let mut harness = harness(2);
+    let listed = || (0..2).map(upstream).collect();
+    let all_missing = || (0..2).flat_map(|it| missing(&upstream(it).instance));
+    harness.allocator.set_list(OWN, all_missing().collect());
+    let (leaving, _) = report(&mut harness, List(OWN));
+
+    harness.allocator.set_list(OWN + 1, all_missing().collect());
+    harness.allocator.set_upstreams(listed());
+    let while_missing = granted(&mut harness);
+    harness.allocator.set_list(OWN + 2, Vec::new());
+    harness.allocator.set_upstreams(listed());
+    let when_listed_again = granted(&mut harness);
+
+    assert!(!while_missing.contains(&leaving));
+    assert!(when_listed_again.contains(&leaving));
+}
+
 #[test]
 fn an_allocator_without_a_list_position_believes_reports() {
     let mut harness = Harness::after_learning(2);
--- a/crates/tinbank-feed/src/replica.rs
+++ b/crates/tinbank-feed/src/replica.rs
@@ -4,10 +4,12 @@
 //! upstreams lapse. See `docs/hard-load.md`, part Q.
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
+use tinbank_allocator::leaving::Missing;
 use tinbank_base::id;
 use tinbank_relay::{
     contact::Period,
@@ -45,6 +47,8 @@
     /// Position of the last change that no record describes, such as the removal of missing upstreams.
     settled: Option<Position>,
     history: History<id::Instance>,
+    /// Position of the last list that had the entry of an upstream, for those that are missing.
+    listed_at: HashMap<id::Instance, Position>,
     /// The delegate that sent the list up to the position; `None` if this host read it itself.
     source: Option<SocketAddr>,
 }
@@ -55,6 +59,19 @@
         &self.listing
     }
 
+    /// Returns the missing upstreams, and which reports about them are newer than their entries.
+    pub fn missing(&self) -> Vec<Missing> {
+        let missing = self.listing.missing().map(|it| it.instance.clone());
+        let missing = missing.filter_map(|upstream| {
+            let listed_at = *self.listed_at.get(&upstream)?;
+            Some(Missing {
+                upstream,
+                listed_at,
+            })
+        });
+        missing.collect()
+    }
+
     /// Returns the position after the last record that was applied.
     pub fn position(&self) -> Option<Position> {
         self.position
@@ -342,10 +359,17 @@
             match change {
                 Change::Listed(upstream) => {
                     self.history.record(position, upstream.instance.clone());
+                    self.listed_at.remove(&upstream.instance);
+                }
+                Change::Gone(instance) => {
+                    self.history.record(position, instance.clone());
+                    self.listed_at.remove(instance);
                 }
-                Change::Gone(instance) => self.history.record(position, instance.clone()),
                 // Still present. Each update has the missing ones.
-                Change::Missing(_) => {}
+                Change::Missing(instance) => {
+                    let listed_at = self.position.unwrap_or(position);
+                    self.listed_at.insert(instance.clone(), listed_at);
+                }
             }
         }
         let listed = self.listing.present().count();
--- a/crates/tinbank-feed/tests/replica/fleet.rs
+++ b/crates/tinbank-feed/tests/replica/fleet.rs
@@ -29,7 +29,7 @@
 /// Upstreams; the first half are in `north`, the others in `south`.
 pub const UPSTREAMS: usize = 4;
 /// Host with the allocator of `north`.
-const ALLOCATOR: usize = 3;
+pub const ALLOCATOR: usize = 3;
 /// Duration of an outage, long enough that entries lapse.
 const OUTAGE: Duration = Duration::from_millis(2_500);
 /// Longest time from the return of the store to that of a lapsed entry.
@@ -397,7 +397,7 @@
         }
         let replica = &self.hosts[index].replica;
         if let Some(position) = replica.position() {
-            self.allocator.set_list_position(position);
+            self.allocator.set_list(position, replica.missing());
         }
         if changes.is_empty() && !self.allocator.has_removed_upstreams() {
             return;
@@ -442,6 +442,14 @@
         }
     }
 
+    /// Returns the upstreams of which the allocator grants slots.
+    pub fn allocated(&self) -> Vec<String> {
+        let upstreams = self.allocator.upstreams_to_poll();
+        let mut names: Vec<_> = upstreams.map(|it| it.instance.to_string()).collect();
+        names.sort();
+        names
+    }
+
     /// Returns the upstreams that an allocator gave up although its own list has their latest return.
     pub fn wrongly_removed(&self) -> &[id::Instance] {
         &self.wrongly_removed
--- a/crates/tinbank-feed/tests/replica/main.rs
+++ b/crates/tinbank-feed/tests/replica/main.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use fleet::{Fleet, Role, Step, UPSTREAMS};
+use fleet::{ALLOCATOR, Fleet, Role, Step, UPSTREAMS};
 use proptest::prelude::*;
 use tinbank_test_support::property;
 use yare::parameterized;
@@ -157,6 +157,38 @@
     }
 }
 
+/// Guards against an allocator that does not believe hosts with an unbroken view of the store, since its list is as new as theirs.
+#[test]
+fn an_allocator_that_was_refused_believes_reports_of_an_upstream_that_it_misses() {
+    let mut fleet = play(&[
+        SetRole(0, Role::Delegate),
+        SetRole(ALLOCATOR, Role::Delegate),
+    ]);
+    fleet.settle();
+    for step in [
+        Refuse(1 << ALLOCATOR, 6),
+        Stall(0),
+        BeginRead(0),
+        EndRead(0),
+    ] {
+        fleet.play(step);
+    }
+    for step in [BeginRead(ALLOCATOR), EndRead(ALLOCATOR)] {
+        fleet.play(step);
+    }
+    let by_its_list = fleet.allocated();
+
+    fleet.play(Report(0));
+    let by_the_report = fleet.allocated();
+    for step in [BeginRead(ALLOCATOR), EndRead(ALLOCATOR)] {
+        fleet.play(step);
+    }
+
+    assert_eq!(by_its_list, ["u0", "u1"]);
+    assert_eq!(by_the_report, ["u1"]);
+    assert_eq!(fleet.allocated(), ["u1"]);
+}
+
 /// Guards against hosts that confirm each other's contact although the store was away for all.
 #[test]
 fn nobody_confirms_contact_after_an_outage() {
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -30,7 +30,7 @@
     directory::Peer,
     frame::{Frame, HeartbeatReply, Meter, Queue, Share, Verdict},
     lease::{self, Class, Footprint},
-    leaving::Position,
+    leaving::{Missing, Position},
     memory,
     room::Rooms,
     size::Size,
@@ -200,10 +200,10 @@
         self.send_all(out);
     }
 
-    /// Sets the position up to which the list of upstreams was read, whether it changed or not.
-    pub fn set_list_position(&self, position: Position) {
+    /// Sets the position up to which the list of upstreams was read, whether it changed or not, and which of them are missing.
+    pub fn set_list(&self, position: Position, missing: Vec<Missing>) {
         let mut state = self.state.borrow_mut();
-        state.allocator.set_list_position(position);
+        state.allocator.set_list(position, missing);
     }
 
     /// Returns whether the allocator has removed listed upstreams because other hosts reported that they are leaving.
--- a/crates/tinbank-gateway/src/view/entries.rs
+++ b/crates/tinbank-gateway/src/view/entries.rs
@@ -58,9 +58,11 @@
         List::Config => view.config_read_at.set(Some(at)),
         List::Upstreams => {
             view.upstreams_read_at.set(Some(at));
-            if let Some(position) = view.position(list) {
-                node.sharing.set_list_position(position);
+            let replica = view.replica();
+            if let Some(position) = replica.position() {
+                node.sharing.set_list(position, replica.missing());
             }
+            drop(replica);
             if changed || node.sharing.lacks_upstreams() {
                 node.update_allocator();
             }
--- a/crates/tinbank-gateway/src/view/update.rs
+++ b/crates/tinbank-gateway/src/view/update.rs
@@ -76,6 +76,11 @@
     log::info!(host:%, answering_for:? = now - period.since, gone = changes.len(); "store contact confirmed, the store was not away");
     changes.iter().for_each(log_change);
     if !changes.is_empty() {
+        let replica = node.view.replica();
+        if let Some(position) = replica.position() {
+            node.sharing.set_list(position, replica.missing());
+        }
+        drop(replica);
         node.update_allocator();
         node.view.refreshed.notify_waiters();
     }
