feed: a pause of the process ends the contact with the store

What callers would see: a host that was suspended while the store was away refuses requests for healthy upstreams whose entries lapsed. Found by reading, not played: the monotonic clock stands while a host is suspended, so the reads before and after followed each other without a gap, and lapsed entries counted as removed. A frozen host sees the gap, and a read in flight fails.

Mend: a pause that is noticed ends the period in which the store answered. Other hosts say whether the store was away.

Test: entries_that_lapsed_while_the_host_was_suspended_are_missing fails without it (u0 and u1 gone at host 1).

--- a/crates/tinbank-feed/src/replica.rs
+++ b/crates/tinbank-feed/src/replica.rs
@@ -97,6 +97,12 @@
         self.listing.record_store_failure();
     }
 
+    /// Records that the process did not run for a while, which its clock need not count. The store may have been away meanwhile,
+    /// although the reads before and after seem to follow each other without a gap.
+    pub fn record_pause(&mut self) {
+        self.listing.record_store_failure();
+    }
+
     /// Applies a page of the whole list while a host reads on, so that it can use these upstreams already. The list of a large
     /// fleet has many pages.
     pub fn apply_page(
--- a/crates/tinbank-feed/tests/replica/fleet.rs
+++ b/crates/tinbank-feed/tests/replica/fleet.rs
@@ -276,13 +276,22 @@
 
     /// The store is away. Each host that reads it notices.
     fn outage(&mut self, lapsing: u8) {
-        for host in &mut self.hosts {
+        self.begin_outage(None);
+        self.now += OUTAGE;
+        self.lapse(lapsing);
+    }
+
+    fn begin_outage(&mut self, suspended: Option<usize>) {
+        for (index, host) in self.hosts.iter_mut().enumerate() {
             host.answer = None;
-            if host.role != Role::Follower {
+            if host.role != Role::Follower && suspended != Some(index) {
                 host.replica.record_store_failure();
             }
         }
-        self.now += OUTAGE;
+    }
+
+    /// Removes the entries of the upstreams in the mask, which return after the outage.
+    fn lapse(&mut self, lapsing: u8) {
         self.returned_at = self.now;
         for index in 0..UPSTREAMS {
             if self.entries[index].is_stalled {
@@ -299,6 +308,13 @@
         }
     }
 
+    /// The store is away while a host is suspended. Its clock stands, and it notices the pause when it runs again.
+    pub fn suspend_in_outage(&mut self, index: usize, lapsing: u8) {
+        self.begin_outage(Some(index));
+        self.lapse(lapsing);
+        self.hosts[index].replica.record_pause();
+    }
+
     fn begin_read(&mut self, index: usize) {
         let host = &mut self.hosts[index];
         if host.role == Role::Follower {
--- a/crates/tinbank-feed/tests/replica/main.rs
+++ b/crates/tinbank-feed/tests/replica/main.rs
@@ -101,6 +101,22 @@
     assert_eq!(fleet.serving(1), ["u1"]);
 }
 
+/// Guards against a host that was suspended, with its clock, during an outage: the reads before and after seem to follow each other
+/// without a gap, and lapsed entries count as removed.
+#[test]
+fn entries_that_lapsed_while_the_host_was_suspended_are_missing() {
+    let mut fleet = play(&[SetRole(1, Role::Delegate)]);
+    fleet.settle();
+
+    fleet.suspend_in_outage(1, 0b0011);
+    for step in [BeginRead(1), EndRead(1)] {
+        fleet.play(step);
+    }
+
+    assert_eq!(fleet.wrongly_gone(), []);
+    assert_eq!(fleet.serving(1), ["u0", "u1"]);
+}
+
 fn step() -> impl Strategy<Value = Step> {
     let host = || 0..fleet::HOSTS;
     let role = prop_oneof![
--- a/crates/tinbank-gateway/src/node.rs
+++ b/crates/tinbank-gateway/src/node.rs
@@ -104,6 +104,7 @@
         };
         log::warn!(pause_ms = pause.as_millis() as u64; "process was paused, reading everything again");
         self.view.invalidate_config();
+        self.view.record_pause();
         self.batch.invalidate_membership();
         self.sharing.reset_after_pause(now.monotonic);
         pauses
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Records that the process was paused.
+    pub fn record_pause(&self) {
+        self.upstreams.borrow_mut().record_pause();
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> Option<Rc<Config>> {
         self.config.borrow().clone()
