gateway: a caller that reads nothing for some seconds keeps its connection

What callers saw: a caller that reads nothing for 2 s with a full receive window gets a reset in the middle of its response, uncounted.

Cause: TCP_USER_TIMEOUT of 2 s on all connections. Linux applies it to peers that answer zero window probes as well.

Mend: for callers, whose responses are read ahead, the limit is the idle timeout of the configuration, and a connection that ends by it counts as a cut. Without buffer_kb the limit stays.

--- a/crates/tinbank-gateway/src/exchange.rs
+++ b/crates/tinbank-gateway/src/exchange.rs
@@ -166,8 +166,13 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:%; "failed to set TCP_NODELAY");
     }
-    let timeout = SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
-    if let Err(error) = timeout {
+    set_user_timeout(stream, USER_TIMEOUT);
+}
+
+/// Sets how long the peer of a connection may take nothing of what is sent, whether it is lost or does not read.
+pub fn set_user_timeout(stream: &TcpStream, timeout: Duration) {
+    let result = SockRef::from(stream).set_tcp_user_timeout(Some(timeout));
+    if let Err(error) = result {
         log::debug!(error:%; "failed to set TCP_USER_TIMEOUT");
     }
 }
--- a/crates/tinbank-gateway/src/serve.rs
+++ b/crates/tinbank-gateway/src/serve.rs
@@ -2,7 +2,9 @@
 
 mod stream;
 
-use std::{convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{
+    convert::Infallible, error::Error, io, net::SocketAddr, pin::pin, rc::Rc, time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, Version, header, request::Parts};
@@ -111,6 +113,11 @@
     let head_timeout = limits.map_or(DEFAULT_HEAD_TIMEOUT, |it| {
         it.head_timeout.max(it.idle_timeout)
     });
+    // What the caller has yet to read is kept, so it holds up no upstream. Keep-alive probes would not tell a slow caller from a lost
+    // one: the system sends none while data waits to be sent.
+    if let Some(limits) = limits.filter(|_| node.read_ahead.is_some()) {
+        exchange::set_user_timeout(&stream, limits.idle_timeout);
+    }
     let hangup = Hangup::default();
     let ending = Ending::default();
     let stream = CallerStream::new(stream, ending.clone());
@@ -135,11 +142,23 @@
             connection.await
         }
     };
-    if let Err(error) = ended {
+    let Err(error) = ended else {
+        return;
+    };
+    if is_timeout(&error) {
+        log::warn!(peer:%, reason = "caller_timeout"; "response cut, its caller does not read");
+        measure::record_cut_response("caller_timeout");
+    } else {
         log::debug!(peer:%, error:%; "caller's connection ended");
     }
 }
 
+/// Returns whether a connection was closed because its peer took nothing of what was sent.
+fn is_timeout(error: &hyper::Error) -> bool {
+    let cause = error.source().and_then(|it| it.downcast_ref::<io::Error>());
+    cause.is_some_and(|it| it.kind() == io::ErrorKind::TimedOut)
+}
+
 async fn serve_request(
     node: Rc<Node>,
     request: Request<Incoming>,
