--- a/crates/tinbank-allocator/tests/load/main.rs
+++ b/crates/tinbank-allocator/tests/load/main.rs
@@ -154,6 +154,34 @@
     );
 }
 
+/// Guards against items that keep their slots while online requests are refused or late.
+#[parameterized(
+    bursts_of_twice_the_capacity = { Pattern::OnOff, 200, 0 },
+    bursts_of_three_times_the_capacity = { Pattern::OnOff, 300, 0 },
+    jump_to_three_times_the_capacity = { Pattern::Jump, 300, 0 },
+    retries_and_slow_upstreams = { Pattern::RetryBurst, 300, 1 },
+    steady_overload = { Pattern::Steady, 150, 0 },
+)]
+fn batch_costs_online_requests_nothing_under_overload(pattern: Pattern, percent: u32, slow: usize) {
+    let alone = Load {
+        slow,
+        ..load(4, 3, 8, ms(700), ms(300))
+    };
+    let beside = Load {
+        has_batch: true,
+        ..alone
+    };
+
+    let (alone, _) = run(alone, pattern, percent);
+    let (beside, _) = run(beside, pattern, percent);
+
+    assert!(beside.items > 0, "{beside:?}");
+    assert!(
+        beside.on_time * 100 >= alone.on_time * 97,
+        "{beside:?} against {alone:?}"
+    );
+}
+
 /// Guards against headroom that grows with the number of upstreams.
 #[test]
 fn batch_uses_nearly_all_idle_slots_of_many_upstreams() {
