gateway: a cut response ends its connection while the host stops

What callers saw: none; operators see a host that stops only at the end of its grace period, although the only response left was cut. Cause: the connection's task waited for the cut until the stop began. Mend: it waits for it after that as well. Test: a_host_that_stops_ends_with_the_responses_that_it_cuts failed before (not ended 5 s after the stop, grace period 8 s).

--- a/crates/tinbank-gateway/src/serve.rs
+++ b/crates/tinbank-gateway/src/serve.rs
@@ -139,7 +139,10 @@
         () = hangup.requested() => return,
         () = node.stop.wait_until_closing() => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                ended = connection.as_mut() => ended,
+                () = hangup.requested() => return,
+            }
         }
     };
     let Err(error) = ended else {
