--- a/crates/tinbank-feed/src/replica.rs
+++ b/crates/tinbank-feed/src/replica.rs
@@ -259,9 +259,11 @@
         until.map(|until| until.saturating_duration_since(now))
     }
 
-    /// Returns whether this host has read the list itself, and can't rely on it by what it knows of the store.
+    /// Returns whether this host has read the list itself, with the last read answered, and can't rely on it by what it knows of the
+    /// store.
     pub fn needs_contact(&self) -> bool {
-        self.source.is_none() && self.position.is_some() && !self.listing.is_reliable()
+        let has_read = self.source.is_none() && self.position.is_some();
+        has_read && self.listing.is_store_answering() && !self.listing.is_reliable()
     }
 
     fn delta(&self, request: &UpdateRequest) -> Option<Delta<Upstream, id::Instance>> {
--- a/crates/tinbank-gateway/src/feed/contact.rs
+++ b/crates/tinbank-gateway/src/feed/contact.rs
@@ -18,15 +18,20 @@
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// Asks one host after the other whenever this host has read the upstreams after a gap, for as long as the process runs.
+///
+/// Only hosts that read the lists on behalf of others ask. The others learn it with the updates that they request, and in a large
+/// fleet that starts all of them would ask the same few hosts.
 pub(crate) async fn confirm(node: Rc<Node>) {
     node.feed.wait_for_hosts().await;
     loop {
-        node.view.wait_until_contact_needed().await;
+        while !needs_contact(&node) {
+            node.view.wait_for_refresh().await;
+        }
         // The first delegates of other failure domains come last and are asked first: near delegates may follow this host.
         let candidates = node.sharing.delegate_candidates(Instant::now());
         for host in candidates.iter().rev() {
             request_contact(&node, *host).await;
-            if !node.view.needs_contact() {
+            if !needs_contact(&node) {
                 break;
             }
             time::sleep(PAUSE).await;
@@ -35,6 +40,10 @@
     }
 }
 
+fn needs_contact(node: &Node) -> bool {
+    node.feed.reads_lists() && node.view.replica().needs_contact()
+}
+
 async fn request_contact(node: &Node, host: SocketAddr) {
     let request = UpdateRequest {
         scope: Scope::Contact,
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -60,18 +60,6 @@
 }
 
 impl View {
-    /// Returns whether this host has read the upstreams itself and does not know whether the store was away before.
-    pub fn needs_contact(&self) -> bool {
-        self.upstreams.borrow().needs_contact()
-    }
-
-    /// Waits until this host needs to know since when the store has answered others.
-    pub async fn wait_until_contact_needed(&self) {
-        while !self.needs_contact() {
-            self.refreshed.notified().await;
-        }
-    }
-
     /// Records that the process was paused.
     pub fn record_pause(&self) {
         self.upstreams.borrow_mut().record_pause();
--- a/crates/tinbank-relay/src/contact.rs
+++ b/crates/tinbank-relay/src/contact.rs
@@ -75,6 +75,11 @@
         self.has_failed = true;
     }
 
+    /// Returns whether the last read of this host was answered.
+    pub fn is_answered(&self) -> bool {
+        self.own.is_some() && !self.has_failed
+    }
+
     /// Records a period that another host reported. One that ended before the latest known one adds nothing to it.
     pub fn record_report(&mut self, period: Period) {
         self.reported = Some(match self.reported {
--- a/crates/tinbank-relay/src/listing.rs
+++ b/crates/tinbank-relay/src/listing.rs
@@ -417,6 +417,11 @@
         self.store.before_list()
     }
 
+    /// Returns whether the store answered the last read of this host.
+    pub fn is_store_answering(&self) -> bool {
+        self.store.is_answered()
+    }
+
     /// Returns whether upstreams that are absent from the list count as gone.
     pub fn is_reliable(&self) -> bool {
         self.store.is_list_reliable()
