--- a/crates/tinbank-gateway/src/readiness.rs
+++ b/crates/tinbank-gateway/src/readiness.rs
@@ -59,6 +59,8 @@
     wait_until: Cell<Option<Instant>>,
     /// Set once the host knows all but the jobs, or does without. It stays set.
     is_informed: Cell<bool>,
+    /// Whether an allocator has granted this host a slot.
+    has_slot: Cell<bool>,
     /// Since when each requirement is fulfilled.
     fulfilled: RefCell<SmallVec<[Fulfilled; 5]>>,
 }
@@ -69,6 +71,7 @@
             started_at: Instant::now(),
             wait_until: Cell::default(),
             is_informed: Cell::default(),
+            has_slot: Cell::default(),
             fulfilled: RefCell::default(),
         }
     }
@@ -137,6 +140,14 @@
 }
 
 impl Readiness {
+    /// Records that an allocator granted this host a slot, and logs how long after the start the first one was.
+    pub fn record_slot(&self) {
+        if !self.has_slot.replace(true) {
+            let after_ms = self.started_at.elapsed().as_millis() as u64;
+            log::info!(after_ms; "first slot granted");
+        }
+    }
+
     /// Records what is missing. A host that becomes a delegate lacks the jobs, which it did not need before.
     fn record(&self, missing: &Requirements) {
         let mut fulfilled = self.fulfilled.borrow_mut();
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -150,6 +150,7 @@
                 return SlotResult::Denied(Denied::default());
             }
             let Some(evidence) = node.view.evidence_of_leaving(&lease.upstream) else {
+                node.readiness.record_slot();
                 return SlotResult::Granted(lease);
             };
             log::info!(upstream:% = lease.upstream, allocator:% = lease.granted_by(), evidence:?; "grant of a leaving upstream given back");
