--- a/crates/tinbank-feed/tests/replica/main.rs
+++ b/crates/tinbank-feed/tests/replica/main.rs
@@ -222,8 +222,42 @@
     }
 }
 
+/// Returns trouble of hosts other than host 0, and changes of role. Hosts 0 and 1 are delegates.
+fn trouble() -> impl Strategy<Value = Step> {
+    let mask = || (0u8..8).prop_map(|mask| mask << 1);
+    let role = prop_oneof![
+        Just(Role::Follower),
+        Just(Role::Reader),
+        Just(Role::Delegate)
+    ];
+    prop_oneof![
+        3 => (mask(), 1u8..8).prop_map(|(mask, rounds)| Refuse(mask, rounds)),
+        3 => (mask(), 1u8..8).prop_map(|(mask, rounds)| Freeze(mask, rounds)),
+        2 => (2..fleet::HOSTS, role).prop_map(|(host, role)| SetRole(host, role)),
+        2 => (1..fleet::HOSTS, 0usize..2).prop_map(|(host, delegate)| Follow(host, delegate)),
+        1 => (1..fleet::HOSTS).prop_map(Restart),
+        1 => (1u8..8).prop_map(Rounds),
+    ]
+}
+
 proptest! {
     #![proptest_config(property::config(2_000))]
+    #[test]
+    fn a_removed_upstream_is_left_alone_in_time_if_one_host_has_read_all_along(steps in prop::collection::vec(trouble(), 1..12)) {
+        let mut fleet = play(&[SetRole(0, Role::Delegate), SetRole(1, Role::Delegate), Rounds(10)]);
+        for step in steps {
+            fleet.play(step);
+        }
+        fleet.play(Stall(0));
+        let removed_at = fleet.now();
+        while fleet.now() < removed_at + MAX_LEAVING_TIME {
+            fleet.run_normally();
+        }
+        for host in 0..fleet::HOSTS {
+            prop_assert_eq!(fleet.serving(host), ["u1"], "host {}", host);
+        }
+    }
+
     #[test]
     fn all_hosts_end_with_the_true_list(steps in prop::collection::vec(step(), 1..60)) {
         let mut fleet = play(&[SetRole(0, Role::Delegate), SetRole(1, Role::Delegate), Rounds(10)]);
