feed: delegates of the simulated fleet ask as often as real ones

With 12,000 cases instead of 2,000 the property of removed upstreams failed: SetRole(2, Delegate), Rounds(3), Refuse(4, 1), Restart(1), SetRole(3, Reader). Three hosts that need to know whether the store was away each asked one host in half a second, mostly each other. A real delegate asks five in that time.

--- a/crates/tinbank-feed/tests/replica/fleet.rs
+++ b/crates/tinbank-feed/tests/replica/fleet.rs
@@ -559,16 +559,22 @@
         }
     }
 
-    /// Asks a host that is not frozen, the next one each time, if this host needs to know whether the store was away. A host that
-    /// reads for itself alone requests updates instead.
+    /// Asks the hosts that are not frozen, one after the other, if this host needs to know whether the store was away. A host that
+    /// reads for itself alone requests an update of the next host instead.
     fn confirm_contact(&mut self, index: usize, mask: u8, trouble: Trouble) {
-        if !self.hosts[index].replica.needs_contact() {
-            return;
-        }
-        let other = (self.hosts[index].asks + 1) % HOSTS;
-        self.hosts[index].asks = other;
-        let is_frozen = trouble == Trouble::Frozen && mask & (1 << other) != 0;
-        if !is_frozen {
+        let requests = match self.hosts[index].role {
+            Role::Delegate => HOSTS,
+            Role::Reader | Role::Follower => 1,
+        };
+        for _ in 0..requests {
+            if !self.hosts[index].replica.needs_contact() {
+                return;
+            }
+            let other = (self.hosts[index].asks + 1) % HOSTS;
+            self.hosts[index].asks = other;
+            if trouble == Trouble::Frozen && mask & (1 << other) != 0 {
+                continue;
+            }
             self.play(match self.hosts[index].role {
                 Role::Delegate => Step::Ask(index, other),
                 Role::Reader | Role::Follower => Step::Follow(index, other),
