--- a/crates/tinbank-feed/src/message.rs
+++ b/crates/tinbank-feed/src/message.rs
@@ -106,13 +106,13 @@
 }
 
 impl Contact {
-    /// Returns the period by the clock of a host that received the message at `now`.
-    pub fn period(&self, now: Instant) -> Option<contact::Period> {
+    /// Returns the period by the clock of a host that requested the message and received it at these times. It was sent in between,
+    /// so the result is at most as long as the period: the time on the way must not bridge an outage.
+    pub fn period(&self, requested_at: Instant, received_at: Instant) -> Option<contact::Period> {
         let period = self.0?;
-        Some(contact::Period {
-            since: now.checked_sub(period.since)?,
-            until: now.checked_sub(period.until)?,
-        })
+        let since = received_at.checked_sub(period.since)?;
+        let until = requested_at.checked_sub(period.until)?;
+        (since <= until).then_some(contact::Period { since, until })
     }
 }
 
--- a/crates/tinbank-feed/tests/message.rs
+++ b/crates/tinbank-feed/tests/message.rs
@@ -1,19 +1,50 @@
 //! Encoding of messages between hosts.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use smallvec::smallvec;
 use tinbank_allocator::directory::Peer;
 use tinbank_feed::message::{
-    Age, Delta, Error, Reliability, Scope, Snapshot, Update, UpdateRequest, decode, encode,
+    Age, Contact, Delta, Error, Period, Reliability, Scope, Snapshot, Update, UpdateRequest,
+    decode, encode,
 };
 use tinbank_quarantine::Quarantined;
 use tinbank_relay::{
+    contact,
     route::{Batch, Config, Kind, Limits, Route, Share},
     upstream::Upstream,
 };
 use yare::parameterized;
 
+/// Guards against a period that reaches over an outage, by the time that the message took.
+#[test]
+fn a_contact_is_never_longer_for_its_receiver_than_for_its_sender() {
+    let ms = Duration::from_millis;
+    let period = Period {
+        since: ms(5_000),
+        until: ms(300),
+    };
+    let requested_at = Instant::now();
+    let received_at = requested_at + ms(400);
+
+    let received = Contact(Some(period)).period(requested_at, received_at);
+    let too_short = Contact(Some(Period {
+        since: ms(500),
+        ..period
+    }));
+
+    let expected = contact::Period {
+        since: received_at - ms(5_000),
+        until: requested_at - ms(300),
+    };
+    assert_eq!(received, Some(expected));
+    assert_eq!(too_short.period(requested_at, received_at), None);
+}
+
 fn address(index: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, index], 7000))
 }
--- a/crates/tinbank-feed/tests/replica/fleet.rs
+++ b/crates/tinbank-feed/tests/replica/fleet.rs
@@ -398,7 +398,7 @@
             return;
         }
         let contact = self.hosts[other].replica.contact(self.now);
-        let Some(period) = contact.period(self.now) else {
+        let Some(period) = contact.period(self.now, self.now) else {
             return;
         };
         let replica = &mut self.hosts[index].replica;
--- a/crates/tinbank-gateway/src/feed/contact.rs
+++ b/crates/tinbank-gateway/src/feed/contact.rs
@@ -49,12 +49,13 @@
         scope: Scope::Contact,
         ..UpdateRequest::default()
     };
+    let requested_at = Instant::now();
     let answer = post::<Contact>(host, &request);
     let Some(answer) = node.clock.discard_if_paused(answer).await else {
         return;
     };
     match answer {
-        Ok(contact) => view::apply_contact(node, contact, host),
+        Ok(contact) => view::apply_contact(node, contact, host, requested_at),
         Err(why) => log::info!(host:%, why:%; "store contact not confirmed, no answer"),
     }
 }
--- a/crates/tinbank-gateway/src/view/entries.rs
+++ b/crates/tinbank-gateway/src/view/entries.rs
@@ -58,11 +58,7 @@
         List::Config => view.config_read_at.set(Some(at)),
         List::Upstreams => {
             view.upstreams_read_at.set(Some(at));
-            let replica = view.replica();
-            if let Some(position) = replica.position() {
-                node.sharing.set_list(position, replica.missing());
-            }
-            drop(replica);
+            update_allocator_list(node);
             if changed || node.sharing.lacks_upstreams() {
                 node.update_allocator();
             }
@@ -78,6 +74,14 @@
     }
 }
 
+/// Passes the position of the list of upstreams to the allocator of this host, and which of them are missing.
+pub(super) fn update_allocator_list(node: &Node) {
+    let replica = node.view.replica();
+    if let Some(position) = replica.position() {
+        node.sharing.set_list(position, replica.missing());
+    }
+}
+
 /// Applies which failure domains are evacuated.
 fn apply_evacuations(node: &Node, read: &Entries, whole: bool) {
     let mut evacuations = node.view.evacuations.borrow_mut();
--- a/crates/tinbank-gateway/src/view/update.rs
+++ b/crates/tinbank-gateway/src/view/update.rs
@@ -11,7 +11,9 @@
 
 use super::{
     View,
-    entries::{apply_config, log_change, on_evacuation_changes, record_read, scope},
+    entries::{
+        apply_config, log_change, on_evacuation_changes, record_read, scope, update_allocator_list,
+    },
     watermark::Watermark,
 };
 use crate::{
@@ -60,10 +62,15 @@
     view.refreshed.notify_waiters();
 }
 
-/// Applies since when the store has answered another host.
-pub(crate) fn apply_contact(node: &Node, contact: Contact, host: SocketAddr) {
+/// Applies since when the store has answered another host, as requested at `requested_at`.
+pub(crate) fn apply_contact(
+    node: &Node,
+    contact: Contact,
+    host: SocketAddr,
+    requested_at: Instant,
+) {
     let now = Instant::now();
-    let Some(period) = contact.period(now) else {
+    let Some(period) = contact.period(requested_at, now) else {
         return;
     };
     let mut replica = node.view.upstreams.borrow_mut();
@@ -75,15 +82,12 @@
     }
     log::info!(host:%, answering_for:? = now - period.since, gone = changes.len(); "store contact confirmed, the store was not away");
     changes.iter().for_each(log_change);
-    if !changes.is_empty() {
-        let replica = node.view.replica();
-        if let Some(position) = replica.position() {
-            node.sharing.set_list(position, replica.missing());
-        }
-        drop(replica);
-        node.update_allocator();
-        node.view.refreshed.notify_waiters();
+    if changes.is_empty() {
+        return;
     }
+    update_allocator_list(node);
+    node.update_allocator();
+    node.view.refreshed.notify_waiters();
 }
 
 /// Returns whether the upstreams changed.
