gateway: a failed read of any list interrupts the contact with the store

Cause: a read of the upstreams waits up to a second for records. One that began just before a short outage is answered after it, with the lapsed entries. No read of this list has failed and there is no gap, so the entries count as removed.

Refusals begin 0.75 s after the outage, when the first read is 2.5 s old, which is what an unbroken period gives.

Mend: reads of the configuration, the hosts and the quarantine are out of step with that of the upstreams, and fail in such an outage. A failure of any of them ends the period. Hosts that read all along confirm that the store was not away, so a failure of one call costs half a second.

The test is unchanged.

--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -238,14 +238,12 @@
         self.upstreams.borrow_mut().mark_leaving(instance);
     }
 
-    /// Records whether the store answered a read of a list.
+    /// Records whether the store answered a read of a list. A failed read of any list interrupts the contact with the store: a read
+    /// of the upstreams may wait for records throughout a short outage, and be answered after it.
     fn record_read_result<T>(&self, list: List, read: &Result<T, Error>) {
-        if list != List::Upstreams {
-            return;
-        }
         let mut replica = self.upstreams.borrow_mut();
         match read {
-            Ok(_) => {
+            Ok(_) if list == List::Upstreams => {
                 let was_reliable = replica.listing().is_reliable();
                 replica.record_store_answer(Instant::now());
                 if was_reliable && !replica.listing().is_reliable() {
@@ -257,7 +255,7 @@
             Err(Error::NoEffect(_) | Error::Busy(_) | Error::Unknown(_)) => {
                 replica.record_store_failure()
             }
-            Err(Error::Trimmed { .. } | Error::Protocol(_)) => {}
+            Ok(_) | Err(Error::Trimmed { .. } | Error::Protocol(_)) => {}
         }
     }
 
