gateway: logs name the build of an upstream, and the attempt that a caller resumes

The build of an entry now goes with the upstream, the allocator's grant and the lease, and stands in the lines 'upstream listed', 'request sent to an upstream', 'stream began' (new), 'stream resumed' and 'item sent to an upstream'; the attempt named in Resumes is decoded and logged. An entry whose build alone changed counts as changed. No decision uses any of it yet.

Datagrams are of version 8 and messages of the feed of version 6.

--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -59,6 +59,8 @@
     pub address: SocketAddr,
     /// Service it runs.
     pub service: id::Service,
+    /// Build of its software.
+    pub build: id::Build,
     /// How many requests it processes concurrently.
     pub slots: usize,
     /// Memory for requests and kept prompts, in tokens; `None` if the configuration does not say.
--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -104,6 +104,7 @@
         let grant = Grant {
             upstream: entry.upstream.instance.clone(),
             address: entry.upstream.address,
+            build: entry.upstream.build.clone(),
             queued,
             expected,
         };
--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -11,7 +11,7 @@
 use crate::{lease, pace, size::Size};
 
 /// First byte of each datagram; a host ignores datagrams of another version.
-const VERSION: u8 = 7;
+const VERSION: u8 = 8;
 /// Maximum datagram size in bytes. Holds the holdings of a host with 200 leases; most datagrams fit in one packet.
 pub const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -194,6 +194,8 @@
     pub upstream: id::Instance,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Build of its software.
+    pub build: id::Build,
     /// All its slots may be in use, so the request may queue inside it at first.
     pub queued: bool,
     /// The pace to expect there, by which the host notices late events. `None` if it is not known or not measured.
--- a/crates/tinbank-allocator/tests/cold.rs
+++ b/crates/tinbank-allocator/tests/cold.rs
@@ -37,6 +37,7 @@
         instance: format!("u{index}").into(),
         address: SocketAddr::from(([10, 1, 0, index as u8], 8000)),
         service: "notes".to_owned(),
+        build: "v1".into(),
         slots: 8,
         memory_tokens: None,
         max_connections: None,
--- a/crates/tinbank-allocator/tests/harness/mod.rs
+++ b/crates/tinbank-allocator/tests/harness/mod.rs
@@ -73,6 +73,7 @@
         slots: SLOTS,
         memory_tokens: None,
         max_connections: None,
+        build: "v1".into(),
         cold: None,
     }
 }
--- a/crates/tinbank-allocator/tests/load/simulation.rs
+++ b/crates/tinbank-allocator/tests/load/simulation.rs
@@ -222,6 +222,7 @@
                 slots: load.slots,
                 memory_tokens: None,
                 max_connections: None,
+                build: "v1".into(),
                 cold: None,
             });
             allocator.set_upstreams(upstreams.collect());
--- a/crates/tinbank-allocator/tests/pace/uneven.rs
+++ b/crates/tinbank-allocator/tests/pace/uneven.rs
@@ -104,6 +104,7 @@
         slots: 8,
         memory_tokens: None,
         max_connections: None,
+        build: "v1".into(),
         cold: None,
     };
     (0..UPSTREAMS).map(upstream).collect()
--- a/crates/tinbank-base/src/id.rs
+++ b/crates/tinbank-base/src/id.rs
@@ -11,6 +11,8 @@
 pub type Upstream = u32;
 /// Unique name of one start of an upstream, on platforms that identify upstreams by name.
 pub type Instance = Arc<str>;
+/// Build of an upstream's software. What two builds write does not fit together.
+pub type Build = Arc<str>;
 /// Name of a failure domain, as given by the platform.
 pub type FailureDomain = String;
 /// Name of a region, which has one or more failure domains.
--- a/crates/tinbank-feed/src/message.rs
+++ b/crates/tinbank-feed/src/message.rs
@@ -16,7 +16,7 @@
 pub type Position = u64;
 
 /// First byte of each message. Messages of other versions are rejected.
-const VERSION: u8 = 5;
+const VERSION: u8 = 6;
 
 /// Reason why a message can't be decoded.
 #[derive(Debug, thiserror::Error)]
--- a/crates/tinbank-feed/tests/history.rs
+++ b/crates/tinbank-feed/tests/history.rs
@@ -73,6 +73,7 @@
         failure_domain: format!("d{}", index % 5),
         slots: 8,
         leaving: false,
+        build: "v1".into(),
         cold_until: None,
     }
 }
--- a/crates/tinbank-feed/tests/message.rs
+++ b/crates/tinbank-feed/tests/message.rs
@@ -99,6 +99,7 @@
                 failure_domain: "north".to_owned(),
                 slots: 7,
                 leaving: true,
+                build: "v1".into(),
                 cold_until: None,
             }],
         }),
--- a/crates/tinbank-feed/tests/replica/fleet.rs
+++ b/crates/tinbank-feed/tests/replica/fleet.rs
@@ -166,6 +166,7 @@
         .to_owned(),
         slots: 4,
         leaving: false,
+        build: "v1".into(),
         cold_until: None,
     }
 }
@@ -427,6 +428,7 @@
             slots: it.slots,
             memory_tokens: None,
             max_connections: None,
+            build: "v1".into(),
             cold: None,
         });
         self.allocator.set_upstreams(upstreams.collect());
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -308,9 +308,10 @@
 impl Task {
     async fn run(mut self, lease: Lease, request: Rc<Request>) {
         let upstream = lease.upstream.clone();
+        let build = lease.build.clone();
         let number = self.node.batch.runner.new_run();
         let after = self.state.last_event;
-        log::info!(job:% = self.key.0, item = self.key.1, upstream:%, run = number, after; "item sent to an upstream");
+        log::info!(job:% = self.key.0, item = self.key.1, upstream:%, build:%, run = number, after; "item sent to an upstream");
         let started_at = Instant::now();
         let received = RefCell::new(Received::new(number, after));
         let ended = tokio::select! {
--- a/crates/tinbank-gateway/src/batch/runner/shares/simulation.rs
+++ b/crates/tinbank-gateway/src/batch/runner/shares/simulation.rs
@@ -133,6 +133,7 @@
             slots: SLOTS,
             memory_tokens: None,
             max_connections: None,
+            build: "v1".into(),
             cold: None,
         };
         let upstreams: Vec<_> = (0..count).map(upstream).collect();
--- a/crates/tinbank-gateway/src/border/ingress.rs
+++ b/crates/tinbank-gateway/src/border/ingress.rs
@@ -75,6 +75,8 @@
     pub time_left: Option<Duration>,
     /// Last event that the caller received of the stream it resumes.
     pub resume_after: Option<event::Id>,
+    /// Id of the attempt that brought the first event of that stream.
+    pub resumes: Option<String>,
 }
 
 /// A call that can't be decoded.
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -120,6 +120,7 @@
         deadline,
         is_first_try: node.is_first_try(&route, time),
         resume_after: call.resume_after,
+        resumes: call.resumes,
         rank: rank(&caller, &route),
         customer: caller.name().cloned(),
         meter: meter(&caller),
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -54,6 +54,8 @@
     sent_at: Option<Instant>,
     /// Last event that the caller already has, if it resumes an answer.
     resume_after: Option<event::Id>,
+    /// The attempt that brought the first event of that answer, as the caller says.
+    resumes: Option<String>,
     /// Whether it was refused a slot because all were in use.
     is_overloaded: bool,
     /// The backlog of its customer when it was refused a slot.
@@ -92,6 +94,8 @@
     pub is_first_try: bool,
     /// Last event that the caller already has, if it resumes an answer.
     pub resume_after: Option<event::Id>,
+    /// The attempt that brought the first event of that answer, as the caller says.
+    pub resumes: Option<String>,
     /// Priority among waiting requests; 0 is the highest.
     pub rank: u8,
     pub customer: Option<id::Customer>,
@@ -125,6 +129,7 @@
             suspension_checked_at: arrival.at,
             sent_at: None,
             resume_after: arrival.resume_after,
+            resumes: arrival.resumes,
             is_overloaded: false,
             backlog: Backlog::default(),
             rank: arrival.rank,
@@ -278,12 +283,14 @@
             customer:% = self.customer.as_deref().unwrap_or_default(),
             config = view.config().map_or(0, |config| config.version),
             upstream:% = lease.upstream,
+            build:% = lease.build,
             allocator:% = lease.granted_by(),
             list_age_ms = view.upstreams_age(now).map_or(0, |age| age.as_millis() as u64),
             queued = lease.queued,
             late = self.admission.is_retry,
             waited_ms = now.saturating_duration_since(self.admission.received).as_millis() as u64,
             after = resume_after.unwrap_or(0),
+            resumes:% = self.resumes.as_deref().unwrap_or_default(),
             left_ms = self.admission.deadline.saturating_duration_since(now).as_millis() as u64;
             "request sent to an upstream"
         );
--- a/crates/tinbank-gateway/src/relay/stream.rs
+++ b/crates/tinbank-gateway/src/relay/stream.rs
@@ -144,6 +144,7 @@
     fn record_event(&mut self) {
         if !std::mem::replace(&mut self.has_begun, true) {
             self.relay.record_first_event();
+            self.log_begin();
         }
         if let Some(source) = &self.source {
             source.lease.record_event();
@@ -151,6 +152,14 @@
         self.idle_timeout.record_event(Instant::now());
     }
 
+    fn log_begin(&self) {
+        let Some(source) = &self.source else {
+            return;
+        };
+        let lease = &source.lease;
+        log::info!(request:% = self.relay.request.id, upstream:% = lease.upstream, build:% = lease.build; "stream began");
+    }
+
     /// Returns when the upstream counts as unresponsive, if another one may resume the stream.
     fn idle_deadline(&self) -> Option<Instant> {
         self.is_resumable().then(|| self.idle_timeout.deadline())
@@ -189,7 +198,7 @@
                 started.lease.set_outcome(Outcome::Failed);
                 return Err(self.abort("the next upstream failed"));
             }
-            log::info!(request:% = self.relay.request.id, upstream:% = started.lease.upstream, after = self.last_event.unwrap_or(0); "stream resumed");
+            log::info!(request:% = self.relay.request.id, upstream:% = started.lease.upstream, build:% = started.lease.build, after = self.last_event.unwrap_or(0); "stream resumed");
             self.idle_timeout.restart(Instant::now());
             self.source = Some(Source {
                 lease: started.lease,
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -269,6 +269,7 @@
         let grant = Grant {
             upstream: least.instance,
             address: least.address,
+            build: least.build,
             // Other hosts' requests are not known here, so the upstream may be full.
             queued: true,
             expected: None,
--- a/crates/tinbank-gateway/src/sharing/ask/tests.rs
+++ b/crates/tinbank-gateway/src/sharing/ask/tests.rs
@@ -115,6 +115,7 @@
     Verdict::Granted(Grant {
         upstream: "u1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        build: "v1".into(),
         queued: false,
         expected: Some(Expected {
             first_event_ms: 20,
--- a/crates/tinbank-gateway/src/sharing/held.rs
+++ b/crates/tinbank-gateway/src/sharing/held.rs
@@ -24,6 +24,8 @@
 pub(crate) struct Lease {
     pub upstream: id::Instance,
     pub address: SocketAddr,
+    /// Build of the upstream.
+    pub build: id::Build,
     /// Whether all slots of the upstream are in use, so that the request first waits inside it.
     pub queued: bool,
     sharing: Rc<Sharing>,
@@ -156,6 +158,7 @@
         Lease {
             upstream: grant.upstream,
             address: grant.address,
+            build: grant.build,
             queued: grant.queued,
             sharing: Rc::clone(self),
             id,
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -305,6 +305,7 @@
                 instance: it.instance.clone(),
                 address: it.address,
                 service: it.service.clone(),
+                build: it.build.clone(),
                 slots: it.slots,
                 cold: self.cold_start(it, now),
                 memory_tokens: limits(it).and_then(|it| it.memory_tokens),
--- a/crates/tinbank-gateway/src/view/entries.rs
+++ b/crates/tinbank-gateway/src/view/entries.rs
@@ -210,6 +210,7 @@
         Change::Listed(upstream) => log::info!(
             upstream:% = upstream.instance,
             address:% = upstream.address,
+            build:% = upstream.build,
             leaving = upstream.leaving,
             cold = upstream.cold_until.is_some();
             "upstream listed"
--- a/crates/tinbank-relay/src/listing.rs
+++ b/crates/tinbank-relay/src/listing.rs
@@ -154,7 +154,7 @@
         (None, Some(_)) => true,
         (_, None) => false,
     };
-    before.leaving == now.leaving && !is_colder
+    before.leaving == now.leaving && before.build == now.build && !is_colder
 }
 
 impl Listing {
--- a/crates/tinbank-relay/src/upstream.rs
+++ b/crates/tinbank-relay/src/upstream.rs
@@ -15,6 +15,8 @@
     pub address: SocketAddr,
     pub service: id::Service,
     pub failure_domain: id::FailureDomain,
+    /// Build of its software; empty if its entry names none.
+    pub build: id::Build,
     /// Number of requests that it runs at once.
     pub slots: usize,
     /// Whether it is shutting down and accepts no new requests.
--- a/crates/tinbank-relay/tests/listing.rs
+++ b/crates/tinbank-relay/tests/listing.rs
@@ -56,6 +56,7 @@
         failure_domain: "north".to_owned(),
         slots: 4,
         leaving: false,
+        build: "v1".into(),
         cold_until: None,
     }
 }
