gateway: a broken stream is resumed only at the build that sent its first event

What callers saw: one answer with events of two software versions of an upstream (ORDER). Cause: version skew; a slot request names a service, and every upstream of it is taken for equal. Class: session pinning to a release. Change: the first event pins a request to the service and build of its lease; later attempts name the build in their slot request, and the allocator, and the host that chooses without one, offer only its upstreams. Why it works: the build is that of the entry under which the allocator granted the slot, and the instance check refuses any other start.

--- a/crates/tinbank-allocator/src/allocator/queue.rs
+++ b/crates/tinbank-allocator/src/allocator/queue.rs
@@ -25,6 +25,7 @@
 /// What an upstream must have for a request.
 struct Needs {
     service: id::Service,
+    build: Option<id::Build>,
     exclude: SmallVec<[id::Instance; 4]>,
     max_gap_ms: Option<u32>,
     prompt_tokens: Tokens,
@@ -35,6 +36,7 @@
     fn of(request: &SlotRequest) -> Self {
         Self {
             service: request.service.clone(),
+            build: request.build.clone(),
             exclude: request.exclude.clone(),
             max_gap_ms: request.max_gap_ms,
             prompt_tokens: request.size.prompt_tokens,
@@ -46,6 +48,7 @@
     fn are_implied_by(&self, request: &SlotRequest) -> bool {
         let is_as_quick = |max| request.max_gap_ms.is_some_and(|it| it <= max);
         self.service == request.service
+            && (self.build.is_none() || self.build == request.build)
             && self.max_gap_ms.is_none_or(is_as_quick)
             && request.size.prompt_tokens >= self.prompt_tokens
             && memory::reservation(&request.size) >= self.memory
--- a/crates/tinbank-allocator/src/entry.rs
+++ b/crates/tinbank-allocator/src/entry.rs
@@ -112,7 +112,9 @@
     /// Returns whether the request may be sent to this upstream.
     pub fn accepts(&self, request: &SlotRequest, now: Instant) -> bool {
         let connections = self.upstream.max_connections;
+        let build = request.build.as_ref();
         self.upstream.service == request.service
+            && build.is_none_or(|it| *it == self.upstream.build)
             && connections.is_none_or(|max| self.load() < max as usize)
             && !request.exclude.contains(&self.upstream.instance)
             && !self.state.health.is_ejected(now)
--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -71,6 +71,8 @@
     pub class: lease::Class,
     /// Service whose upstreams can process the request.
     pub service: id::Service,
+    /// Build that the upstream must have, for a request that goes on with a text; `None` if any will do.
+    pub build: Option<id::Build>,
     /// Upstreams that must not be granted.
     pub exclude: SmallVec<[id::Instance; 4]>,
     /// What to do if all slots are in use.
--- a/crates/tinbank-allocator/src/room.rs
+++ b/crates/tinbank-allocator/src/room.rs
@@ -106,6 +106,7 @@
         meter: None,
         share: None,
         size: Size::default(),
+        build: None,
         max_gap_ms: None,
     }
 }
--- a/crates/tinbank-allocator/tests/cold.rs
+++ b/crates/tinbank-allocator/tests/cold.rs
@@ -56,6 +56,7 @@
         meter: None,
         share: None,
         size: Size::default(),
+        build: None,
         max_gap_ms: None,
     }
 }
--- a/crates/tinbank-allocator/tests/frame.rs
+++ b/crates/tinbank-allocator/tests/frame.rs
@@ -23,6 +23,7 @@
         }),
         share: None,
         size: Size::default(),
+        build: Some("v1".into()),
         max_gap_ms: Some(250),
     })
 }
--- a/crates/tinbank-allocator/tests/harness/mod.rs
+++ b/crates/tinbank-allocator/tests/harness/mod.rs
@@ -47,6 +47,8 @@
     pub size: Size,
     /// Service of new requests.
     pub service: id::Service,
+    /// Build that new requests must get.
+    pub build: Option<id::Build>,
     held: HashMap<(SocketAddr, Id), (id::Instance, Class)>,
     upstreams: usize,
 }
@@ -109,6 +111,7 @@
             reported: None,
             size: Size::default(),
             service: "notes".to_owned(),
+            build: None,
             held: HashMap::new(),
             upstreams: upstreams.into(),
         };
@@ -135,6 +138,7 @@
             meter: None,
             share: self.share.clone(),
             size: self.size.clone(),
+            build: self.build.clone(),
             max_gap_ms: None,
         };
         let (out, _) = self
--- a/crates/tinbank-allocator/tests/load/simulation.rs
+++ b/crates/tinbank-allocator/tests/load/simulation.rs
@@ -385,6 +385,7 @@
                 weight: it.weight,
             }),
             size: self.size(number),
+            build: None,
             max_gap_ms: None,
         };
         let event = Event::ReachesAllocator(
--- a/crates/tinbank-allocator/tests/pace/main.rs
+++ b/crates/tinbank-allocator/tests/pace/main.rs
@@ -34,6 +34,7 @@
             prompt_tokens,
             ..Size::default()
         },
+        build: None,
         max_gap_ms,
     }
 }
--- a/crates/tinbank-allocator/tests/prompt/main.rs
+++ b/crates/tinbank-allocator/tests/prompt/main.rs
@@ -34,6 +34,7 @@
         meter: None,
         share: None,
         size,
+        build: None,
         max_gap_ms: None,
     }
 }
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -200,6 +200,7 @@
         let wanted = SlotSpec {
             class: Class::Batch(selection::lease_due(candidate.due)),
             service: &candidate.service,
+            build: None,
             exclude: &candidate.excluded,
             queue: Queue::No,
             rank: 0,
@@ -308,7 +309,7 @@
 impl Task {
     async fn run(mut self, lease: Lease, request: Rc<Request>) {
         let upstream = lease.upstream.clone();
-        let build = lease.build.clone();
+        let build = lease.origin.build.clone();
         let number = self.node.batch.runner.new_run();
         let after = self.state.last_event;
         log::info!(job:% = self.key.0, item = self.key.1, upstream:%, build:%, run = number, after; "item sent to an upstream");
--- a/crates/tinbank-gateway/src/batch/runner/shares/simulation.rs
+++ b/crates/tinbank-gateway/src/batch/runner/shares/simulation.rs
@@ -233,6 +233,7 @@
             meter: None,
             share,
             size: Size::default(),
+            build: None,
             max_gap_ms: None,
         };
         let frame = Frame::SlotRequest(request);
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -12,6 +12,7 @@
     lease::{Class, Outcome},
 };
 use tinbank_base::id;
+use tinbank_origin::Origin;
 use tinbank_relay::{
     attempt::{Attempts, Failure, Next},
     event,
@@ -56,6 +57,8 @@
     resume_after: Option<event::Id>,
     /// The attempt that brought the first event of that answer, as the caller says.
     resumes: Option<String>,
+    /// Where its events come from, once there are any. Further ones come from upstreams of the same build.
+    origin: Option<Origin>,
     /// Whether it was refused a slot because all were in use.
     is_overloaded: bool,
     /// The backlog of its customer when it was refused a slot.
@@ -130,6 +133,7 @@
             sent_at: None,
             resume_after: arrival.resume_after,
             resumes: arrival.resumes,
+            origin: None,
             is_overloaded: false,
             backlog: Backlog::default(),
             rank: arrival.rank,
@@ -196,7 +200,7 @@
         if self.quarantined_until.is_some() {
             return Err(self.attempts.give_up());
         }
-        let Some(service) = self.route.service(self.node.next_draw()).cloned() else {
+        let Some(service) = self.service() else {
             return Err(self.attempts.give_up());
         };
         let pauses = self.node.check_for_pause();
@@ -229,6 +233,15 @@
         }
     }
 
+    /// Returns the service for an attempt: the one that the events come from, if the route still has it.
+    fn service(&self) -> Option<id::Service> {
+        let services = &self.route.services;
+        let known = self.origin.as_ref().map(|it| &it.service);
+        let known = known.filter(|known| services.iter().any(|it| it.service == **known));
+        let service = known.or_else(|| self.route.service(self.node.next_draw()));
+        service.cloned()
+    }
+
     /// Moves the deadline forward by the time that the host was suspended, which the monotonic clock does not count. Otherwise
     /// an upstream would work on the request after its caller has left.
     fn subtract_suspension(&mut self) {
@@ -246,6 +259,7 @@
         let spec = SlotSpec {
             class: Class::Online,
             service,
+            build: self.origin.as_ref().map(|it| &it.build),
             exclude: self.attempts.tried(),
             queue,
             rank: self.rank,
@@ -283,7 +297,7 @@
             customer:% = self.customer.as_deref().unwrap_or_default(),
             config = view.config().map_or(0, |config| config.version),
             upstream:% = lease.upstream,
-            build:% = lease.build,
+            build:% = lease.origin.build,
             allocator:% = lease.granted_by(),
             list_age_ms = view.upstreams_age(now).map_or(0, |age| age.as_millis() as u64),
             queued = lease.queued,
@@ -305,8 +319,11 @@
         self.admission.queue(usual, Instant::now())
     }
 
-    /// Records that the first event of the answer was received.
-    pub fn record_first_event(&self) {
+    /// Records that the first event of the answer was received, with the lease of its upstream.
+    pub fn record_first_event(&mut self, lease: Option<&Lease>) {
+        if let Some(lease) = lease {
+            self.origin.get_or_insert_with(|| lease.origin.clone());
+        }
         if let Some(at) = self.sent_at {
             self.node.record_first_event(&self.route, at.elapsed());
         }
@@ -374,7 +391,7 @@
             true => Stream::new(self, lease, guard, body, resume_after).into_body(),
             false => {
                 self.is_finished = true;
-                self.record_first_event();
+                self.record_first_event(None);
                 self.record_completion();
                 let outcome = match verdict {
                     Verdict::Failed => Outcome::Failed,
--- a/crates/tinbank-gateway/src/relay/stream.rs
+++ b/crates/tinbank-gateway/src/relay/stream.rs
@@ -143,7 +143,8 @@
 
     fn record_event(&mut self) {
         if !std::mem::replace(&mut self.has_begun, true) {
-            self.relay.record_first_event();
+            let lease = self.source.as_ref().map(|it| &it.lease);
+            self.relay.record_first_event(lease);
             self.log_begin();
         }
         if let Some(source) = &self.source {
@@ -157,7 +158,7 @@
             return;
         };
         let lease = &source.lease;
-        log::info!(request:% = self.relay.request.id, upstream:% = lease.upstream, build:% = lease.build; "stream began");
+        log::info!(request:% = self.relay.request.id, upstream:% = lease.upstream, build:% = lease.origin.build; "stream began");
     }
 
     /// Returns when the upstream counts as unresponsive, if another one may resume the stream.
@@ -198,7 +199,7 @@
                 started.lease.set_outcome(Outcome::Failed);
                 return Err(self.abort("the next upstream failed"));
             }
-            log::info!(request:% = self.relay.request.id, upstream:% = started.lease.upstream, build:% = started.lease.build, after = self.last_event.unwrap_or(0); "stream resumed");
+            log::info!(request:% = self.relay.request.id, upstream:% = started.lease.upstream, build:% = started.lease.origin.build, after = self.last_event.unwrap_or(0); "stream resumed");
             self.idle_timeout.restart(Instant::now());
             self.source = Some(Source {
                 lease: started.lease,
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -107,6 +107,8 @@
 pub(crate) struct SlotSpec<'a> {
     pub class: Class,
     pub service: &'a str,
+    /// Build that the upstream must have; `None` if any will do.
+    pub build: Option<&'a id::Build>,
     /// Upstreams that must not be granted.
     pub exclude: &'a [id::Instance],
     /// Whether the request may wait for a slot, and where.
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -186,6 +186,7 @@
             lease,
             class: spec.class,
             service: spec.service.to_owned(),
+            build: spec.build.cloned(),
             exclude,
             queue,
             rank: spec.rank,
@@ -243,6 +244,7 @@
         let mut candidates = node.view.upstreams(spec.service);
         candidates.retain(|it| {
             !spec.exclude.contains(&it.instance)
+                && spec.build.is_none_or(|build| *build == it.build)
                 && node
                     .settings
                     .regions
--- a/crates/tinbank-gateway/src/sharing/ask/tests.rs
+++ b/crates/tinbank-gateway/src/sharing/ask/tests.rs
@@ -171,6 +171,7 @@
         meter: None,
         share: None,
         size,
+        build: None,
         max_gap: None,
         allowed,
     }
--- a/crates/tinbank-gateway/src/sharing/held.rs
+++ b/crates/tinbank-gateway/src/sharing/held.rs
@@ -15,6 +15,7 @@
     pace::{Expected, Meter, Sample},
 };
 use tinbank_base::id;
+use tinbank_origin::Origin;
 use tokio::{sync::Notify, time};
 
 use super::{Sharing, SlotSpec};
@@ -24,8 +25,8 @@
 pub(crate) struct Lease {
     pub upstream: id::Instance,
     pub address: SocketAddr,
-    /// Build of the upstream.
-    pub build: id::Build,
+    /// Service and build of the upstream.
+    pub origin: Origin,
     /// Whether all slots of the upstream are in use, so that the request first waits inside it.
     pub queued: bool,
     sharing: Rc<Sharing>,
@@ -158,7 +159,10 @@
         Lease {
             upstream: grant.upstream,
             address: grant.address,
-            build: grant.build,
+            origin: Origin {
+                service: spec.service.to_owned(),
+                build: grant.build,
+            },
             queued: grant.queued,
             sharing: Rc::clone(self),
             id,
