gateway: a caller's stream goes on only at the build that began it, at any host

What callers saw: a stream taken up at another host, or at one that has restarted, went on at an upstream of another software version. A host reports with the first event which service and build sent it, to a few hosts chosen by a hash of the attempt; a host to which a caller comes asks them. Where nobody knows, the stream goes on if only one build can have begun it, by the store's new list of builds that serve or left within the last minute, and a fresh list of upstreams. Else it is refused at once and not run; Retry-After is short only where a wait can help. Why it works: what is reported is the build of the lease; a table that is lost, cut off or full makes a host refuse, never choose. Streams go on after a loss of all hosts while one version has served, as before.

--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -295,7 +295,10 @@
             | Frame::Denial(_)
             | Frame::Room(_)
             | Frame::Overloaded(_)
-            | Frame::Quarantine(_) => {
+            | Frame::Quarantine(_)
+            | Frame::Origins(_)
+            | Frame::OriginQuery(_)
+            | Frame::OriginReply(_) => {
                 return (out, None);
             }
         };
--- a/crates/tinbank-allocator/src/directory.rs
+++ b/crates/tinbank-allocator/src/directory.rs
@@ -186,6 +186,26 @@
         counters.map(|peer| peer.address).collect()
     }
 
+    /// Returns the hosts that keep what belongs to a key, `count` of each failure domain: of the responsive hosts, the first by
+    /// rendezvous hash. Hosts that know different ones as responsive mostly agree on one of two.
+    pub fn keepers(
+        &self,
+        key: u64,
+        count: impl Fn(&str) -> usize,
+        now: Instant,
+    ) -> SmallVec<[SocketAddr; 8]> {
+        let mut keepers = SmallVec::new();
+        for domain in &self.failure_domains {
+            let candidates = self.candidates(domain, now);
+            let mut ranked: SmallVec<[(u64, SocketAddr); 8]> = candidates
+                .map(|it| (keeper_hash(key, it.address), it.address))
+                .collect();
+            ranked.sort_unstable();
+            keepers.extend(ranked.into_iter().take(count(domain)).map(|it| it.1));
+        }
+        keepers
+    }
+
     fn candidates(&self, failure_domain: &str, now: Instant) -> impl Iterator<Item = &Peer> {
         let peers = self.peers.iter();
         let of_domain = peers.filter(move |peer| peer.failure_domain == failure_domain);
@@ -267,6 +287,12 @@
     }
 }
 
+fn keeper_hash(key: u64, address: SocketAddr) -> u64 {
+    let mut hasher = SipHasher13::new();
+    (key, address).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Delegates of a failure domain, the allocator first.
 pub type Delegates<'a> = SmallVec<[&'a Peer; DELEGATES]>;
 
--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 use tinbank_allowance::{Counts, Limit};
 use tinbank_base::id;
+use tinbank_origin::{Answer, Origin, origin};
 use tinbank_quarantine::Update;
 
 use crate::{lease, pace, size::Size};
@@ -60,6 +61,39 @@
     Room(RoomReport),
     /// The sending host is overloaded.
     Overloaded(Overloaded),
+    /// Where streams began that run at the sending host.
+    Origins(Vec<OriginReport>),
+    /// Requests the origin of a stream.
+    OriginQuery(OriginQuery),
+    /// Reply to [`Frame::OriginQuery`].
+    OriginReply(OriginReply),
+}
+
+/// Where a stream began.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginReport {
+    /// The stream.
+    pub key: origin::Key,
+    /// Service and build of the upstream that sent its first event.
+    pub origin: Origin,
+}
+
+/// Request for the origin of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginQuery {
+    /// Number that the reply repeats.
+    pub query: u64,
+    /// The stream.
+    pub key: origin::Key,
+}
+
+/// What a host knows of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginReply {
+    /// Number of the query.
+    pub query: u64,
+    /// What the host knows.
+    pub answer: Answer,
 }
 
 /// A request for one slot.
--- a/crates/tinbank-feed/src/message.rs
+++ b/crates/tinbank-feed/src/message.rs
@@ -9,6 +9,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 use tinbank_allocator::directory::Peer;
 use tinbank_base::id;
+use tinbank_origin::history;
 use tinbank_quarantine::Quarantined;
 use tinbank_relay::{contact, route::Config, upstream::Upstream};
 
@@ -63,6 +64,8 @@
     pub hosts: Option<Position>,
     /// Position up to which the sender knows the quarantined requests.
     pub quarantine: Option<Position>,
+    /// Position up to which the sender knows the builds that serve or have served.
+    pub builds: Option<Position>,
     /// Position up to which the sender knows the evacuated failure domains.
     pub evacuations: Option<Position>,
 }
@@ -82,6 +85,8 @@
     pub hosts: Option<Delta<Peer, SocketAddr>>,
     /// The quarantined requests, if they changed.
     pub quarantine: Option<Snapshot<Quarantined>>,
+    /// The builds that serve or have served, if they changed.
+    pub builds: Option<Snapshot<history::Entry>>,
     /// The evacuated failure domains, if they changed.
     pub evacuations: Option<Snapshot<id::FailureDomain>>,
     /// How long ago the delegate read the store.
--- a/crates/tinbank-gateway/src/border/ingress.rs
+++ b/crates/tinbank-gateway/src/border/ingress.rs
@@ -147,6 +147,11 @@
         /// When the caller may retry.
         retry_after: Duration,
     },
+    /// No upstream may go on with the stream that the caller resumes. The request has not run and never will.
+    CannotResume {
+        /// When the caller may retry.
+        retry_after: Duration,
+    },
     /// This host can't answer now; another one may.
     Unsure,
     /// The request failed; it may have run.
--- a/crates/tinbank-gateway/src/border/store.rs
+++ b/crates/tinbank-gateway/src/border/store.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use tinbank_allocator::directory::Peer;
 use tinbank_feed::source::FirstDelegate;
+use tinbank_origin::history;
 use tinbank_quarantine::{Fingerprint, Quarantined};
 use tinbank_relay::{route::Config, upstream::Upstream};
 
@@ -118,6 +119,10 @@
     Quarantined(Quarantined),
     /// The quarantine of a request was lifted.
     QuarantineLifted(Fingerprint),
+    /// A build serves in a failure domain, or has served there.
+    Build(history::Entry),
+    /// What was known of a build in a failure domain was removed.
+    BuildRemoved(history::Place),
     /// A failure domain is evacuated: its upstreams get no new requests.
     Evacuated(tinbank_base::id::FailureDomain),
     /// The evacuation of a failure domain was lifted.
@@ -137,6 +142,8 @@
     Hosts,
     /// The requests that are quarantined because they crash upstreams.
     Quarantine,
+    /// The builds that serve or have served.
+    Builds,
     /// The first delegates of the failure domains.
     FirstDelegates,
 }
@@ -205,6 +212,8 @@
     async fn quarantine(&self, quarantined: &Quarantined, until: Instant) -> Result<(), Error>;
     /// Lifts the quarantine of a request.
     async fn lift_quarantine(&self, request: Fingerprint, until: Instant) -> Result<(), Error>;
+    /// Writes a change of the builds that serve or have served.
+    async fn record_build(&self, change: &history::Change, until: Instant) -> Result<(), Error>;
     /// Joins a group, or renews the membership.
     async fn join(&self, membership: &Membership, until: Instant) -> Result<Assignment, Error>;
     /// Leaves a group, so that the member's partitions are reassigned at once.
--- a/crates/tinbank-gateway/src/feed.rs
+++ b/crates/tinbank-gateway/src/feed.rs
@@ -96,7 +96,7 @@
         let by_role = match list {
             // They change with each heartbeat of an upstream, so each reader is a high load on the store.
             List::Upstreams | List::Hosts => self.reads_lists(),
-            List::Config | List::Quarantine => self.is_delegate(),
+            List::Config | List::Quarantine | List::Builds => self.is_delegate(),
             List::FirstDelegates => false,
         };
         let is_bootstrapping = self.is_registered.get() && !self.has_hosts.get();
--- a/crates/tinbank-gateway/src/feed/follower.rs
+++ b/crates/tinbank-gateway/src/feed/follower.rs
@@ -142,6 +142,7 @@
         scope: scope.clone(),
         hosts: lists.hosts.position(),
         quarantine: lists.quarantine.position(),
+        builds: lists.builds.position(),
         evacuations: lists.evacuations.position(),
         ..UpdateRequest::default()
     };
--- a/crates/tinbank-gateway/src/feed/server.rs
+++ b/crates/tinbank-gateway/src/feed/server.rs
@@ -117,6 +117,7 @@
             || has_hosts
             || view.replica().has_changes(request)
             || view.lists.quarantine.has_changes_since(request.quarantine)
+            || view.lists.builds.has_changes_since(request.builds)
             || view
                 .lists
                 .evacuations
@@ -146,6 +147,9 @@
         quarantine: snapshot(&lists.quarantine, request.quarantine, || {
             node.quarantine.stored()
         }),
+        builds: snapshot(&lists.builds, request.builds, || {
+            node.origins.builds.history().entries()
+        }),
         evacuations: snapshot(&lists.evacuations, request.evacuations, || view.evacuated()),
         age: Age {
             config: age.config,
--- a/crates/tinbank-gateway/src/lib.rs
+++ b/crates/tinbank-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod identity;
 mod measure;
 mod node;
+mod origin;
 mod overload;
 mod prompt;
 mod quarantine;
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -16,6 +16,7 @@
         Reply::OverQuota { .. } => "over_quota",
         Reply::NotRun { .. } => "not_run",
         Reply::HeldBack { .. } => "held_back",
+        Reply::CannotResume { .. } => "cannot_resume",
         Reply::Unsure => "unsure",
         Reply::Failed => "failed",
         Reply::TimedOut => "timed_out",
@@ -43,6 +44,17 @@
     metrics::counter!("tinbank_entry_broken_streams_total", "resumable" => resumable).increment(1);
 }
 
+/// Records a search for the origin of a stream that a caller resumes.
+pub(crate) fn record_origin_lookup(outcome: &'static str, took: Duration) {
+    metrics::counter!("tinbank_entry_resumed_streams_total", "origin" => outcome).increment(1);
+    metrics::histogram!("tinbank_entry_origin_lookup_seconds").record(took);
+}
+
+/// Records of how many streams this host knows the origin.
+pub(crate) fn set_known_origins(streams: usize) {
+    metrics::gauge!("tinbank_entry_known_origins").set(streams as f64);
+}
+
 /// Records an attempt that got no usable response from its upstream.
 pub(crate) fn record_failed_attempt(why: &'static str) {
     metrics::counter!("tinbank_entry_failed_attempts_total", "why" => why).increment(1);
--- /dev/null
+++ b/crates/tinbank-gateway/src/origin/builds.rs
@@ -0,0 +1,105 @@
+//! Keeps in the store which builds have served, so that hosts know it after all of them were killed.
+
+use std::{
+    cell::{Ref, RefCell},
+    rc::Rc,
+    time::{Duration, Instant, SystemTime},
+};
+
+use tinbank_origin::{
+    History, Origin,
+    history::{Change, Entry},
+};
+use tokio::time;
+
+use crate::{
+    border::store::{List, ListEntry},
+    node::Node,
+};
+
+/// Interval at which an allocator compares the entries of its failure domain with the list of upstreams.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// The same for a host that is no allocator. Each wake-up costs processor time on every host.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Timeout of a write.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The builds that have served, as the store keeps them.
+#[derive(Default)]
+pub(crate) struct Builds(RefCell<History>);
+
+impl Builds {
+    /// Returns what is known of the builds.
+    pub fn history(&self) -> Ref<'_, History> {
+        self.0.borrow()
+    }
+
+    /// Replaces what is known by all entries of the store.
+    pub fn replace(&self, entries: Vec<Entry>) {
+        self.0.borrow_mut().replace(entries);
+    }
+
+    /// Applies entries that were read from the store. Returns whether there were any.
+    pub fn apply_entries(&self, entries: Vec<ListEntry>, is_whole: bool) -> bool {
+        let has_entries = is_whole || !entries.is_empty();
+        let mut history = self.0.borrow_mut();
+        if is_whole {
+            history.replace([]);
+        }
+        for written in entries {
+            match written {
+                ListEntry::Build(entry) => history.apply(Change::Put(entry)),
+                ListEntry::BuildRemoved(place) => history.apply(Change::Remove(place)),
+                _ => {}
+            }
+        }
+        has_entries
+    }
+
+    /// Returns whether upstreams of an origin are listed in any failure domain.
+    pub fn is_listed(&self, origin: &Origin) -> bool {
+        self.0.borrow().is_listed(origin)
+    }
+}
+
+/// Writes which builds of the own failure domain appear and disappear, for as long as the process runs. Only allocators do so.
+pub(crate) async fn write_to_store(node: Rc<Node>) {
+    loop {
+        let is_allocator = node.sharing.is_allocator(Instant::now());
+        if is_allocator && let Some(changes) = pending_writes(&node) {
+            for change in changes {
+                write(&node, change).await;
+            }
+        }
+        time::sleep(match is_allocator {
+            true => CHECK_INTERVAL,
+            false => ROLE_CHECK_INTERVAL,
+        })
+        .await;
+    }
+}
+
+/// Returns what the store lacks, if both lists were read.
+fn pending_writes(node: &Node) -> Option<Vec<Change>> {
+    let view = &node.view;
+    view.position(List::Upstreams)?;
+    view.position(List::Builds)?;
+    let domain = &node.settings.failure_domain;
+    let listed = view.builds_in(domain);
+    let history = node.origins.builds.history();
+    Some(history.changes(domain, &listed, SystemTime::now()))
+}
+
+async fn write(node: &Node, change: Change) {
+    let until = Instant::now() + WRITE_TIMEOUT;
+    match node.store.record_build(&change, until).await {
+        Ok(()) => {
+            log::info!(change:?; "builds that have served written to the store");
+            node.origins.builds.0.borrow_mut().apply(change);
+        }
+        Err(error) => {
+            log::info!(change:?, error:%; "builds that have served not written to the store yet");
+            node.retry.backoff().await;
+        }
+    }
+}
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 use tinbank_allocator::frame::{Meter, Share};
 use tinbank_customer::Caller;
+use tinbank_origin::origin;
 use tinbank_relay::{
     region::Allowed,
     route::{Config, Kind, Route},
@@ -96,6 +97,7 @@
         Ok(body) => body,
         Err(reply) => return reply_with(node, reply),
     };
+    let stream = stream_key(&call, &caller);
     let allowed = region::of_customer(&route, caller.customer().map(|it| &**it));
     if route.kind == Kind::Batch {
         let allowed = allowed_for_job(node, &config, &call, &body, allowed);
@@ -121,6 +123,7 @@
         is_first_try: node.is_first_try(&route, time),
         resume_after: call.resume_after,
         resumes: call.resumes,
+        stream,
         rank: rank(&caller, &route),
         customer: caller.name().cloned(),
         meter: meter(&caller),
@@ -136,6 +139,16 @@
     }
 }
 
+/// Returns the key of the stream that answers a call. One that resumes a stream names the attempt that began it.
+fn stream_key(call: &ingress::Request, caller: &Caller) -> origin::Key {
+    let resumed = call
+        .resumes
+        .as_ref()
+        .filter(|_| call.resume_after.is_some());
+    let customer = caller.customer().map(|it| it.name.as_str());
+    origin::key(customer, &call.host, resumed.unwrap_or(&call.id))
+}
+
 /// Returns the rank of a request: that of its customer, or else that of its route.
 fn rank(caller: &Caller, route: &Route) -> u8 {
     let of_customer = caller.customer().and_then(|customer| customer.rank);
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -6,13 +6,14 @@
 };
 
 use http::Response;
+use smallvec::SmallVec;
 use tinbank_allocator::{
     admission::{Admission, Backlog},
     frame::{Meter, Queue, Share},
     lease::{Class, Outcome},
 };
 use tinbank_base::id;
-use tinbank_origin::Origin;
+use tinbank_origin::{Choice, Key, Origin};
 use tinbank_relay::{
     attempt::{Attempts, Failure, Next},
     event,
@@ -36,6 +37,7 @@
     clock::ClockReading,
     measure,
     node::Node,
+    origin::{self, RunningStream},
     sharing::{Allocation, Lease, SlotSpec},
 };
 
@@ -57,8 +59,14 @@
     resume_after: Option<event::Id>,
     /// The attempt that brought the first event of that answer, as the caller says.
     resumes: Option<String>,
+    /// Identifies the stream that answers it, in all attempts of its caller.
+    stream: Key,
     /// Where its events come from, once there are any. Further ones come from upstreams of the same build.
     origin: Option<Origin>,
+    /// Set while the stream that answers it runs.
+    running: Option<RunningStream>,
+    /// Why the caller can't resume its stream, if so.
+    refused: Option<Refused>,
     /// Whether it was refused a slot because all were in use.
     is_overloaded: bool,
     /// The backlog of its customer when it was refused a slot.
@@ -80,6 +88,14 @@
     pub is_finished: bool,
 }
 
+/// Until when a caller's stream can't be resumed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Refused {
+    /// Until this host knows more.
+    ForNow,
+    ForGood,
+}
+
 impl Drop for OnlineRequest {
     fn drop(&mut self) {
         if !self.is_finished {
@@ -99,6 +115,8 @@
     pub resume_after: Option<event::Id>,
     /// The attempt that brought the first event of that answer, as the caller says.
     pub resumes: Option<String>,
+    /// Identifies the stream that answers the request, in all attempts of its caller.
+    pub stream: Key,
     /// Priority among waiting requests; 0 is the highest.
     pub rank: u8,
     pub customer: Option<id::Customer>,
@@ -133,7 +151,10 @@
             sent_at: None,
             resume_after: arrival.resume_after,
             resumes: arrival.resumes,
+            stream: arrival.stream,
             origin: None,
+            running: None,
+            refused: None,
             is_overloaded: false,
             backlog: Backlog::default(),
             rank: arrival.rank,
@@ -155,6 +176,9 @@
     /// Sends the request to upstreams until one answers or no attempt is left.
     pub async fn run(mut self) -> Response<Body> {
         let resume_after = self.resume_after;
+        if resume_after.is_some() && self.is_stream() && !self.find_origin().await {
+            return self.respond_without_answer(Next::Refuse);
+        }
         loop {
             let started = match self.open(resume_after).await {
                 Ok(started) => started,
@@ -169,6 +193,43 @@
         }
     }
 
+    fn is_stream(&self) -> bool {
+        matches!(self.route.kind, Kind::Stream { .. })
+    }
+
+    /// Finds out at which upstreams the caller's stream goes on, and returns whether it does.
+    async fn find_origin(&mut self) -> bool {
+        let services = self.route.services.iter().map(|it| it.service.as_str());
+        let services: SmallVec<[&str; 2]> = services.collect();
+        let choice = origin::find(&self.node, self.stream, &services).await;
+        let build = match &choice {
+            Choice::At(origin, _) => origin.build.clone(),
+            Choice::Build(build) => build.clone(),
+            Choice::Refused(_) => id::Build::default(),
+        };
+        let now = Instant::now();
+        log::info!(
+            request:% = self.request.id,
+            resumes:% = self.resumes.as_deref().unwrap_or_default(),
+            after = self.resume_after.unwrap_or(0),
+            origin = choice.label(),
+            build:%,
+            list_age_ms = self.node.view.upstreams_age(now).map_or(0, |age| age.as_millis() as u64),
+            waited_ms = now.saturating_duration_since(self.admission.received).as_millis() as u64;
+            "caller resumes a stream"
+        );
+        match choice {
+            Choice::At(origin, _) => self.origin = Some(origin),
+            Choice::Build(build) => {
+                let service = self.service().unwrap_or_default();
+                self.origin = Some(Origin { service, build });
+            }
+            Choice::Refused(why) if why.is_temporary() => self.refused = Some(Refused::ForNow),
+            Choice::Refused(_) => self.refused = Some(Refused::ForGood),
+        }
+        self.refused.is_none()
+    }
+
     /// Tries upstreams until one starts to answer. Returns what to report to the caller if none does.
     async fn open(&mut self, resume_after: Option<u64>) -> Result<StartedAnswer, Next> {
         let mut refusals = 0;
@@ -284,7 +345,13 @@
                 self.backlog = backlog;
                 Err(self.attempts.give_up())
             }
-            Allocation::NoUpstream => Err(self.attempts.give_up()),
+            Allocation::NoUpstream => {
+                let origin = self.origin.as_ref();
+                if origin.is_some_and(|it| !self.node.origins.builds.is_listed(it)) {
+                    self.refused = Some(Refused::ForGood);
+                }
+                Err(self.attempts.give_up())
+            }
         }
     }
 
@@ -322,7 +389,10 @@
     /// Records that the first event of the answer was received, with the lease of its upstream.
     pub fn record_first_event(&mut self, lease: Option<&Lease>) {
         if let Some(lease) = lease {
-            self.origin.get_or_insert_with(|| lease.origin.clone());
+            let origin = self.origin.get_or_insert_with(|| lease.origin.clone());
+            if self.route.kind == (Kind::Stream { resumable: true }) {
+                self.running = Some(origin::begin(&self.node, self.stream, origin));
+            }
         }
         if let Some(at) = self.sent_at {
             self.node.record_first_event(&self.route, at.elapsed());
@@ -427,6 +497,11 @@
     /// Returns the reply for a request that is neither quarantined nor over its customer's limit.
     fn refusal(&self, next: Next) -> Reply {
         match next {
+            Next::Refuse | Next::Retry if self.refused == Some(Refused::ForGood) => {
+                Reply::CannotResume {
+                    retry_after: self.time_left(),
+                }
+            }
             Next::Refuse | Next::Retry if self.is_overloaded => Reply::NotRun {
                 retry_after: self.overload_retry_after(),
             },
@@ -438,6 +513,12 @@
         }
     }
 
+    /// Returns how long the caller waits. One whose retry would be refused as well is told not to retry before.
+    fn time_left(&self) -> Duration {
+        let deadline = self.admission.deadline;
+        deadline.saturating_duration_since(Instant::now())
+    }
+
     /// Returns when the caller of a request should retry that was refused a slot because all were in use.
     fn overload_retry_after(&self) -> Duration {
         if let Some(retry_after) = self.backlog.retry_after() {
--- a/crates/tinbank-gateway/src/run.rs
+++ b/crates/tinbank-gateway/src/run.rs
@@ -7,7 +7,7 @@
 };
 
 use http::Response;
-use tinbank_allocator::directory::Peer;
+use tinbank_allocator::{directory::Peer, frame::Frame};
 use tokio::{
     net::TcpListener,
     task::{self, LocalSet},
@@ -25,7 +25,7 @@
     clock::CHECK_INTERVAL,
     feed, identity,
     node::Node,
-    overload, quarantine, readiness,
+    origin, overload, quarantine, readiness,
     relay::read_ahead::read_ahead,
     serve,
     settings::Settings,
@@ -153,8 +153,8 @@
     let respond = move || serve::readiness_response(&checked);
     task::spawn_local(serve::serve_endpoint(readiness, Rc::new(respond)));
     let receiver = Rc::clone(node);
-    let on_update = move |from, update| quarantine::apply_update(&receiver, from, update);
-    task::spawn_local(sharing::receive(Rc::clone(&node.sharing), on_update));
+    let on_other = move |from, frame| on_frame(&receiver, from, frame);
+    task::spawn_local(sharing::receive(Rc::clone(&node.sharing), on_other));
     task::spawn_local(sharing::heartbeat(Rc::clone(node)));
     task::spawn_local(readiness::report(Rc::clone(node)));
     task::spawn_local(sharing::broadcast_counts(Rc::clone(&node.sharing)));
@@ -168,17 +168,37 @@
     task::spawn_local(feed::confirm_contact(Rc::clone(node)));
     task::spawn_local(feed::register_first_delegate(Rc::clone(node)));
     task::spawn_local(sharing::poll_upstream_load(Rc::clone(node)));
-    for list in [List::Config, List::Upstreams, List::Hosts, List::Quarantine] {
+    let lists = [
+        List::Config,
+        List::Upstreams,
+        List::Hosts,
+        List::Quarantine,
+        List::Builds,
+    ];
+    for list in lists {
         task::spawn_local(view::follow(Rc::clone(node), list));
     }
     task::spawn_local(quarantine::write_to_store(Rc::clone(node)));
     task::spawn_local(quarantine::broadcast(Rc::clone(node)));
+    task::spawn_local(origin::refresh(Rc::clone(node)));
+    task::spawn_local(origin::write_to_store(Rc::clone(node)));
     batch::start(node);
     task::spawn_local(read_ahead(Rc::clone(node)));
     task::spawn_local(keep_registered(Rc::clone(node)));
     task::spawn_local(check_for_pauses(Rc::clone(node)));
 }
 
+/// Handles a frame of another host that is not about slots.
+fn on_frame(node: &Node, from: SocketAddr, frame: Frame) {
+    match frame {
+        Frame::Quarantine(update) => quarantine::apply_update(node, from, update),
+        Frame::Origins(reports) => origin::apply_reports(node, reports),
+        Frame::OriginQuery(query) => origin::answer_query(node, from, query),
+        Frame::OriginReply(reply) => origin::apply_reply(node, from, reply),
+        _ => {}
+    }
+}
+
 /// Registers the host, so that others request slots from it, and registers it again whenever its entry disappears: the store
 /// may apply the unregister call of an earlier start seconds late, after the host has restarted.
 async fn keep_registered(node: Rc<Node>) {
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -7,6 +7,7 @@
 mod counts;
 mod held;
 mod load_poll;
+mod origins;
 mod peers;
 mod pending;
 mod room;
@@ -49,6 +50,7 @@
     counts::broadcast_counts,
     held::Lease,
     load_poll::poll_upstream_load,
+    origins::Keepers,
     peers::{heartbeat, receive},
     room::broadcast_room,
 };
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -13,7 +13,6 @@
     lease::{self, Held, Outcome},
     leaving::Doubt,
 };
-use tinbank_quarantine::Update;
 use tokio::time;
 
 use super::Sharing;
@@ -253,8 +252,8 @@
     }
 }
 
-/// Receives datagrams, forever. Updates about requests that crash upstreams are passed to `on_quarantine`.
-pub(crate) async fn receive(sharing: Rc<Sharing>, on_quarantine: impl Fn(SocketAddr, Update)) {
+/// Receives datagrams, forever. Those about crashing requests and about the origins of streams are passed to `on_other`.
+pub(crate) async fn receive(sharing: Rc<Sharing>, on_other: impl Fn(SocketAddr, Frame)) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let (length, from) = match sharing.socket.recv_from(&mut buffer).await {
@@ -266,7 +265,12 @@
             }
         };
         match Frame::decode(&buffer[..length]) {
-            Ok(Frame::Quarantine(update)) => on_quarantine(from, update),
+            Ok(
+                frame @ (Frame::Quarantine(_)
+                | Frame::Origins(_)
+                | Frame::OriginQuery(_)
+                | Frame::OriginReply(_)),
+            ) => on_other(from, frame),
             Ok(frame) => sharing.receive(from, frame),
             Err(error) => log::warn!(peer:% = from, error:%; "datagram ignored"),
         }
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -8,7 +8,7 @@
 
 use std::{
     cell::{Cell, Ref, RefCell},
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -17,6 +17,7 @@
 use tinbank_allocator::{allocator, directory::Peer, leaving::Evidence, slow_start::ColdStart};
 use tinbank_base::id;
 use tinbank_feed::{Replica, message::Age};
+use tinbank_origin::Origin;
 use tinbank_relay::{
     evacuation::{self, Evacuations},
     listing::{Cause, Listing, Scope},
@@ -221,6 +222,26 @@
         serving.any(|it| !others.contains(&it.instance))
     }
 
+    /// Returns the builds of some services that are listed.
+    pub fn builds(&self, services: &[&str]) -> BTreeSet<Origin> {
+        self.builds_of(|it| services.contains(&it.service.as_str()))
+    }
+
+    /// Returns the builds that are listed in a failure domain.
+    pub fn builds_in(&self, failure_domain: &str) -> BTreeSet<Origin> {
+        self.builds_of(|it| it.failure_domain == failure_domain)
+    }
+
+    fn builds_of(&self, matches: impl Fn(&Upstream) -> bool) -> BTreeSet<Origin> {
+        let replica = self.upstreams.borrow();
+        let present = replica.listing().present().filter(|it| matches(it));
+        let origins = present.map(|it| Origin {
+            service: it.service.clone(),
+            build: it.build.clone(),
+        });
+        origins.collect()
+    }
+
     /// Returns why an upstream counts as leaving or gone, if it does. One that is not listed yet may be new.
     pub fn evidence_of_leaving(&self, instance: &id::Instance) -> Option<Evidence> {
         let replica = self.upstreams.borrow();
@@ -263,7 +284,7 @@
     fn max_wait(&self, list: List, now: Instant) -> Duration {
         match list {
             List::Config | List::Hosts => return READ_WAIT,
-            List::Quarantine | List::FirstDelegates => return LONG_READ_WAIT,
+            List::Quarantine | List::Builds | List::FirstDelegates => return LONG_READ_WAIT,
             List::Upstreams => {}
         }
         let settles_at = self.upstreams.borrow().listing().missing_expire_at();
--- a/crates/tinbank-gateway/src/view/entries.rs
+++ b/crates/tinbank-gateway/src/view/entries.rs
@@ -33,6 +33,7 @@
             }
         },
         List::Quarantine => node.quarantine.apply_entries(entries.entries, whole, now),
+        List::Builds => node.origins.builds.apply_entries(entries.entries, whole),
         List::Config => {
             apply_evacuations(node, &entries, whole);
             let has_entries = !entries.entries.is_empty();
@@ -70,7 +71,7 @@
             }
             node.feed.on_hosts_read(&node.sharing, Instant::now());
         }
-        List::Quarantine | List::FirstDelegates => {}
+        List::Quarantine | List::Builds | List::FirstDelegates => {}
     }
 }
 
--- a/crates/tinbank-gateway/src/view/lists.rs
+++ b/crates/tinbank-gateway/src/view/lists.rs
@@ -1,4 +1,4 @@
-//! Follows the lists of the platform's store: configuration, upstreams, hosts and quarantine.
+//! Follows the lists of the platform's store: configuration, upstreams, hosts, quarantine and builds.
 
 use std::{rc::Rc, time::Duration};
 
@@ -83,6 +83,7 @@
         List::Upstreams => "upstreams",
         List::Hosts => "hosts",
         List::Quarantine => "quarantine",
+        List::Builds => "builds",
         List::FirstDelegates => "leads",
     }
 }
--- a/crates/tinbank-gateway/src/view/update.rs
+++ b/crates/tinbank-gateway/src/view/update.rs
@@ -49,6 +49,10 @@
             .replace_stored(&snapshot.entries, received_at);
         view.lists.quarantine.advance(snapshot.position, true);
     }
+    if let Some(snapshot) = newer(&view.lists.builds, update.builds) {
+        node.origins.builds.replace(snapshot.entries);
+        view.lists.builds.advance(snapshot.position, true);
+    }
     let latest = |known: Option<Instant>, age: Option<Duration>| {
         let read_at = age.and_then(|age| received_at.checked_sub(age));
         known.max(read_at)
--- a/crates/tinbank-gateway/src/view/watermark.rs
+++ b/crates/tinbank-gateway/src/view/watermark.rs
@@ -17,6 +17,8 @@
     pub hosts: Watermark,
     /// Watermark of the quarantined requests.
     pub quarantine: Watermark,
+    /// Watermark of the builds.
+    pub builds: Watermark,
     first_delegates: Watermark,
     /// Watermark of the evacuations. They are stored with the configuration, which followers know by its version.
     pub evacuations: Watermark,
@@ -41,6 +43,7 @@
             List::Upstreams => None,
             List::Hosts => Some(&self.hosts),
             List::Quarantine => Some(&self.quarantine),
+            List::Builds => Some(&self.builds),
             List::FirstDelegates => Some(&self.first_delegates),
         }
     }
--- a/crates/tinbank-gateway/src/watch.rs
+++ b/crates/tinbank-gateway/src/watch.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use tinbank_allocator::directory::Peer;
 use tinbank_feed::source::FirstDelegate;
+use tinbank_origin::history;
 use tinbank_quarantine::{Fingerprint, Quarantined};
 use tokio::sync::Notify;
 
@@ -187,6 +188,10 @@
         self.call(self.store.lift_quarantine(request, until)).await
     }
 
+    async fn record_build(&self, change: &history::Change, until: Instant) -> Result<(), Error> {
+        self.call(self.store.record_build(change, until)).await
+    }
+
     async fn join(&self, membership: &Membership, until: Instant) -> Result<Assignment, Error> {
         self.read_call(self.store.join(membership, until)).await
     }
