jobs: the text of an item goes on only at the build that began it, or begins anew

What callers saw: a result with events of two software versions of an upstream. Cause: version skew, the third place: a text in the log is continued by another run, host or owner, and neither the log nor the runner knows the build. Change: a run writes RunStarted with its build before its first piece; the fold applies it only after the text that it names, and to resume only at the same build. The runner asks for slots of that build, and begins anew where none is listed or none gives it a slot for 5 s while other builds serve; other items pass meanwhile. Why it works: the start names what it follows (run and event), so a late or repeated one discards nothing, and a run that lost a race conflicts before its text. A property test plays starts and pieces of five runs in any order: no text of two builds; it failed first for pieces after a refused start, which the fold took for those of an earlier release.

--- a/crates/tinbank-gateway/src/batch/follower.rs
+++ b/crates/tinbank-gateway/src/batch/follower.rs
@@ -209,7 +209,7 @@
                 log::info!(job:%, item = index, offset = joined.offset; "item finished");
             }
         }
-        Change::Checkpointed { job, index, run } => {
+        Change::Checkpointed { job, index, run } | Change::RunStarted { job, index, run } => {
             node.batch.runner.on_checkpointed(&job, index, run)
         }
         Change::Conflict { job, index, run } => {
--- a/crates/tinbank-gateway/src/batch/item.rs
+++ b/crates/tinbank-gateway/src/batch/item.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use tinbank_allocator::lease::Outcome;
 use tinbank_jobs::record::{Piece, RunId, Stored};
+use tinbank_origin::Origin;
 use tinbank_relay::event::{self, Event, Splitter};
 use tokio::time;
 
@@ -33,7 +34,11 @@
 /// The events that a run has received.
 #[derive(Debug)]
 pub(super) struct Received {
-    run: RunId,
+    pub run: RunId,
+    /// Service and build of the upstream.
+    pub origin: Origin,
+    /// Whether the start of the run was passed to the writer.
+    pub is_announced: bool,
     /// Event after which the run was asked to resume; 0 for a run from the start.
     started_after: event::Id,
     pub last_event: event::Id,
@@ -76,9 +81,11 @@
 
 impl Received {
     /// Creates the state of a run that resumes after an event.
-    pub fn new(run: RunId, started_after: event::Id) -> Self {
+    pub fn new(run: RunId, started_after: event::Id, origin: Origin) -> Self {
         Self {
             run,
+            origin,
+            is_announced: false,
             started_after,
             last_event: started_after,
             written: started_after,
@@ -91,6 +98,11 @@
         self.last_event > self.written
     }
 
+    /// Returns whether any events were passed to the writer.
+    pub fn has_written(&self) -> bool {
+        self.written > self.started_after
+    }
+
     /// Returns the events that were not passed to the writer, and their data. The writer sets the location of the text.
     pub fn take_piece(&mut self) -> (Piece, Bytes) {
         let piece = Piece {
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -2,6 +2,7 @@
 
 mod selection;
 mod shares;
+mod start;
 
 use std::{
     cell::{Cell, RefCell},
@@ -15,11 +16,12 @@
 use tinbank_base::id;
 use tinbank_jobs::{
     estimate::Estimator,
-    record::{Checkpoint, Failure, Finish, Index, JobId, Outcome, Reason, Record, RunId},
+    job::Progress,
+    record::{Checkpoint, Failure, Finish, Index, JobId, Outcome, Reason, Record, RunId, RunStart},
 };
 use tokio::{sync::Notify, task, time};
 
-use self::{selection::Candidate, shares::Shares};
+use self::{selection::Candidate, shares::Shares, start::Start};
 use super::item::{self, Ended, Received};
 use crate::{
     border::engine::{self, Request, Sender},
@@ -68,8 +70,10 @@
 /// State of an item between two runs.
 #[derive(Clone, Default)]
 struct Waiting {
-    /// Last event that is in the log or being written.
-    last_event: u64,
+    /// Progress that is in the log or being written.
+    progress: Progress,
+    /// Since when it gets no slot at the build that its text needs.
+    denied_since: Option<Instant>,
     /// The item must not run before this time.
     until: Option<Instant>,
     /// Number of failed runs, on any host.
@@ -200,7 +204,7 @@
         let wanted = SlotSpec {
             class: Class::Batch(selection::lease_due(candidate.due)),
             service: &candidate.service,
-            build: None,
+            build: candidate.start.build(),
             exclude: &candidate.excluded,
             queue: Queue::No,
             rank: 0,
@@ -211,6 +215,7 @@
             allowed: &candidate.allowed,
         };
         let Allocation::Granted(lease) = node.sharing.lease(&node, &wanted).await else {
+            start::record_denial(&node, &candidate);
             time::sleep(IDLE_DELAY).await;
             continue;
         };
@@ -266,7 +271,13 @@
         return runner.delay_quarantined(key, until);
     }
     let max_attempts = job.max_attempts;
-    let logged = job.progress(key.1).last_event;
+    let waiting = runner.waiting.borrow();
+    let progress = start::progress(waiting.get(&key), job.progress(key.1));
+    if *progress != candidate.start.previous {
+        // The log has moved on while the item waited for its slot.
+        return;
+    }
+    drop(waiting);
     let failures = job.failure_count(key.1);
     drop(table);
     if node.settings.scheduling.fair_shares {
@@ -276,8 +287,8 @@
     }
     let waiting = runner.waiting.borrow_mut().remove(&key);
     let mut state = waiting.unwrap_or_default();
-    state.last_event = state.last_event.max(logged);
     state.failures = state.failures.max(failures);
+    state.denied_since = None;
     let run = Rc::new(Run {
         stop: Notify::new(),
     });
@@ -291,6 +302,7 @@
         submission,
         max_attempts,
         state,
+        start: candidate.start,
         run,
     };
     task::spawn_local(task.run(lease, Rc::new(request)));
@@ -303,18 +315,23 @@
     submission: u64,
     max_attempts: u32,
     state: Waiting,
+    start: Start,
     run: Rc<Run>,
 }
 
 impl Task {
     async fn run(mut self, lease: Lease, request: Rc<Request>) {
         let upstream = lease.upstream.clone();
-        let build = lease.origin.build.clone();
+        let origin = lease.origin.clone();
         let number = self.node.batch.runner.new_run();
-        let after = self.state.last_event;
-        log::info!(job:% = self.key.0, item = self.key.1, upstream:%, build:%, run = number, after; "item sent to an upstream");
+        let after = self.start.after();
+        let restarts = after < self.start.previous.last_event;
+        log::info!(job:% = self.key.0, item = self.key.1, upstream:%, build:% = origin.build, run = number, after, restarts; "item sent to an upstream");
+        if restarts {
+            measure::record_restarted_item();
+        }
         let started_at = Instant::now();
-        let received = RefCell::new(Received::new(number, after));
+        let received = RefCell::new(Received::new(number, after, origin.clone()));
         let ended = tokio::select! {
             ended = item::run(&self.node, lease, &request, &received) => ended,
             () = self.run.stop.notified() => Ended::Stopped,
@@ -332,8 +349,7 @@
         measure::record_item_run(ended.label());
         match ended {
             Ended::Completed => {
-                let (piece, data) = received.take_piece();
-                return self.finish(Outcome::Completed(piece), data);
+                return self.complete(&mut received);
             }
             Ended::Impossible => return self.abandon(Reason::Impossible),
             Ended::Failed => {
@@ -352,7 +368,13 @@
         if received.has_unwritten() {
             self.write_checkpoint(&mut received);
         }
-        self.state.last_event = last;
+        if received.has_written() {
+            self.state.progress = Progress {
+                last_event: last,
+                run: number,
+                origin: Some(origin),
+            };
+        }
         let delay = match ended {
             Ended::Failed | Ended::Broken => RETRY_DELAY,
             _ => Duration::ZERO,
@@ -382,7 +404,40 @@
         run.is_some_and(|run| Rc::ptr_eq(run, &self.run))
     }
 
+    /// Writes the result of a run that has received all events. A run that begins the text and writes it in one piece needs no record
+    /// of its start.
+    fn complete(&self, received: &mut Received) {
+        if !self.is_current() {
+            return;
+        }
+        if self.start.previous.last_event > 0 {
+            self.announce(received);
+        }
+        let (piece, data) = received.take_piece();
+        self.finish(Outcome::Completed(piece), data);
+    }
+
+    /// Writes the start of the run before its first piece.
+    fn announce(&self, received: &mut Received) {
+        if std::mem::replace(&mut received.is_announced, true) {
+            return;
+        }
+        let previous = &self.start.previous;
+        let record = Record::RunStarted(RunStart {
+            job: self.key.0.clone(),
+            submission: self.submission,
+            index: self.key.1,
+            run: received.run,
+            origin: received.origin.clone(),
+            previous_run: previous.run,
+            previous_event: previous.last_event,
+            resumes: self.start.resumes,
+        });
+        self.node.batch.writer.add(record, Bytes::new());
+    }
+
     fn write_checkpoint(&self, received: &mut Received) {
+        self.announce(received);
         let (piece, data) = received.take_piece();
         let record = Record::Checkpointed(Checkpoint {
             job: self.key.0.clone(),
--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -26,6 +26,7 @@
 use super::{
     Key, abandon,
     shares::{Contender, Supply},
+    start::Start,
 };
 use crate::{
     batch::{contents, ownership},
@@ -39,6 +40,8 @@
     pub submission: u64,
     pub due: Due,
     pub service: id::Service,
+    /// Where its run begins.
+    pub start: Start,
     /// Upstreams that it must not be sent to, because it has failed there.
     pub excluded: Vec<id::Instance>,
     pub share: Option<Share>,
@@ -178,7 +181,7 @@
     let key = (job.id.clone(), index);
     let waiting = runner.waiting.borrow();
     let waiting = waiting.get(&key);
-    let last_event = waiting.map_or(0, |waiting| waiting.last_event);
+    let last_event = waiting.map_or(0, |waiting| waiting.progress.last_event);
     State {
         is_running: runner.running.borrow().contains_key(&key),
         paused_until: waiting.and_then(|waiting| waiting.until),
@@ -206,9 +209,10 @@
     let key = (job.id.clone(), index);
     let item = job.runnable(index)?;
     let route = config.route(&job.host, &item.path)?;
-    let service = route.service(node.next_draw())?.clone();
     let waiting = node.batch.runner.waiting.borrow();
     let waiting = waiting.get(&key);
+    let start = Start::new(node, waiting, job.progress(index));
+    let service = start.service(route, node.next_draw())?.clone();
     let failed_upstreams = waiting.map(|waiting| waiting.failed_upstreams.clone());
     let mut excluded = failed_upstreams.unwrap_or_default();
     let allowed = region::of_job(config, job);
@@ -229,6 +233,7 @@
         submission: job.submission,
         due,
         service,
+        start,
         excluded,
     })
 }
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -50,6 +50,11 @@
     metrics::histogram!("tinbank_entry_origin_lookup_seconds").record(took);
 }
 
+/// Records that the text of an item begins anew, because no upstream of its build takes the item.
+pub(crate) fn record_restarted_item() {
+    metrics::counter!("tinbank_entry_restarted_items_total").increment(1);
+}
+
 /// Records of how many streams this host knows the origin.
 pub(crate) fn set_known_origins(streams: usize) {
     metrics::gauge!("tinbank_entry_known_origins").set(streams as f64);
--- a/crates/tinbank-gateway/src/origin/builds.rs
+++ b/crates/tinbank-gateway/src/origin/builds.rs
@@ -60,6 +60,11 @@
     pub fn is_listed(&self, origin: &Origin) -> bool {
         self.0.borrow().is_listed(origin)
     }
+
+    /// Returns whether upstreams of the same service and another build are listed.
+    pub fn lists_others(&self, origin: &Origin) -> bool {
+        self.0.borrow().lists_others(origin)
+    }
 }
 
 /// Writes which builds of the own failure domain appear and disappear, for as long as the process runs. Only allocators do so.
--- a/crates/tinbank-jobs/src/change.rs
+++ b/crates/tinbank-jobs/src/change.rs
@@ -30,6 +30,15 @@
         /// The run that produced the piece.
         run: RunId,
     },
+    /// A run of an item is the one whose pieces continue its text from now on.
+    RunStarted {
+        /// The job.
+        job: JobId,
+        /// The item.
+        index: Index,
+        /// The run.
+        run: RunId,
+    },
     /// A run does not continue the item's text, so its output is discarded.
     Conflict {
         /// The job.
--- a/crates/tinbank-jobs/src/job.rs
+++ b/crates/tinbank-jobs/src/job.rs
@@ -4,9 +4,10 @@
 
 use smallvec::SmallVec;
 use tinbank_base::id;
+use tinbank_origin::Origin;
 
 use crate::record::{
-    Attachment, Index, Item, JobId, Outcome, Piece, Reason, RunId, Stored, Submission,
+    Attachment, Index, Item, JobId, Outcome, Piece, Reason, RunId, RunStart, Stored, Submission,
 };
 
 /// A job.
@@ -54,6 +55,8 @@
     item: Item,
     progress: Progress,
     text: Vec<Stored>,
+    /// Whether the log has the start of any run, so that a text is continued only by a run whose start was applied.
+    needs_start: bool,
     failed_runs: SmallVec<[RunId; 2]>,
     result: Option<ItemResult>,
 }
@@ -68,12 +71,23 @@
 }
 
 /// Position up to which an item's text is in the log.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Progress {
     /// Last event of the text; 0 if there is none.
     pub last_event: u64,
     /// The run that produced it; 0 if there is none.
     pub run: RunId,
+    /// Service and build of the upstream that produced it, if they are known.
+    pub origin: Option<Origin>,
+}
+
+impl Progress {
+    /// The progress of an item of which the log has no text.
+    pub const NONE: Self = Self {
+        last_event: 0,
+        run: 0,
+        origin: None,
+    };
 }
 
 /// The effect of a piece or a result on its item.
@@ -159,9 +173,9 @@
     }
 
     /// Returns up to which event an item's text is in the log.
-    pub fn progress(&self, index: Index) -> Progress {
+    pub fn progress(&self, index: Index) -> &Progress {
         let entry = self.entries.get(index as usize);
-        entry.map(|entry| entry.progress).unwrap_or_default()
+        entry.map_or(&Progress::NONE, |entry| &entry.progress)
     }
 
     /// Returns an item if it may still run.
@@ -205,6 +219,14 @@
         }
     }
 
+    /// Records that a run of an item is about to produce text.
+    pub(crate) fn start_run(&mut self, start: RunStart) -> Effect {
+        match self.pending_entry(start.index) {
+            Some(entry) => entry.start_run(start),
+            None => Effect::Dropped,
+        }
+    }
+
     /// Returns the number of runs of an item that failed at an upstream.
     pub fn failure_count(&self, index: Index) -> u32 {
         let entry = self.entries.get(index as usize);
@@ -262,24 +284,57 @@
             item,
             progress: Progress::default(),
             text: Vec::new(),
+            needs_start: false,
             failed_runs: SmallVec::new(),
             result: None,
         }
     }
 
     fn append(&mut self, piece: Piece) -> Effect {
-        let Progress { last_event, run } = self.progress;
+        let Progress {
+            last_event, run, ..
+        } = self.progress;
         if piece.run == run && piece.last <= last_event && piece.after < piece.last {
             return Effect::Dropped;
         }
-        let continues = piece.run == run || piece.started_after == last_event;
+        let is_same_run = piece.run == run;
+        let takes_any_run = !self.needs_start || last_event == 0;
+        let continues = is_same_run || takes_any_run && piece.started_after == last_event;
         if piece.after != last_event || !continues {
             return Effect::Conflict;
         }
         self.text.push(piece.text);
+        let origin = self.progress.origin.take();
         self.progress = Progress {
             last_event: piece.last,
             run: piece.run,
+            origin: origin.filter(|_| is_same_run),
+        };
+        Effect::Applied
+    }
+
+    fn start_run(&mut self, start: RunStart) -> Effect {
+        self.needs_start = true;
+        let known = &self.progress;
+        if start.run == known.run {
+            return Effect::Dropped;
+        }
+        let follows = (start.previous_run, start.previous_event) == (known.run, known.last_event);
+        let is_same_build = known.last_event == 0 || known.origin.as_ref() == Some(&start.origin);
+        if !follows || start.resumes && !is_same_build {
+            return Effect::Conflict;
+        }
+        let last_event = match start.resumes {
+            true => known.last_event,
+            false => 0,
+        };
+        if last_event == 0 {
+            self.text.clear();
+        }
+        self.progress = Progress {
+            last_event,
+            run: start.run,
+            origin: Some(start.origin),
         };
         Effect::Applied
     }
--- a/crates/tinbank-jobs/src/record.rs
+++ b/crates/tinbank-jobs/src/record.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_with::{DurationMilliSeconds, TimestampMilliSeconds, serde_as};
 use tinbank_base::id;
+use tinbank_origin::Origin;
 
 /// Internal name of a job, see [`crate::scope`].
 pub type JobId = String;
@@ -52,6 +53,8 @@
     SubmittedBy(id::Customer, Submission),
     /// A run of an item failed at an upstream. Logged so that the bound on failures holds over all hosts that run the item.
     Failed(Failure),
+    /// A run of an item is about to produce text, at an upstream of a build.
+    RunStarted(RunStart),
 }
 
 /// A job with all its items, so that one append accepts all of it or nothing.
@@ -166,6 +169,28 @@
     pub run: RunId,
 }
 
+/// The start of a run of an item, written before its first piece. Without it, what is in the log of an item's text could be continued
+/// at an upstream of any build. See `docs/design/mixed-builds.md`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunStart {
+    /// Job of the item.
+    pub job: JobId,
+    /// Offset of the job's submission.
+    pub submission: u64,
+    /// The item.
+    pub index: Index,
+    /// The run.
+    pub run: RunId,
+    /// Service and build of the upstream that runs it.
+    pub origin: Origin,
+    /// The last run before it whose text is in the log; 0 if there is none.
+    pub previous_run: RunId,
+    /// Last event of that text. The run is a conflict if the text in the log is another one.
+    pub previous_event: u64,
+    /// Whether the run goes on with that text, which needs the same build. Otherwise it begins anew, and the text is discarded.
+    pub resumes: bool,
+}
+
 /// A piece of the text of an item that is still running.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename = "Advance")]
@@ -183,7 +208,7 @@
 /// Consecutive events of an item's text, from one run at an upstream.
 ///
 /// Runs of one item may produce different texts, so a piece is applied only if its run continues the text in the log: it
-/// is the run of the last piece, or it was asked to resume after that piece.
+/// is the run of the last piece or of the last [`RunStart`], or, as long as the log has no [`RunStart`] of the item, it was asked to resume after that piece.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Piece {
     /// The run.
@@ -261,7 +286,11 @@
                     piece.text = text;
                 }
             }
-            Self::Submitted(_) | Self::SubmittedBy(..) | Self::Cancelled(_) | Self::Failed(_) => {}
+            Self::Submitted(_)
+            | Self::SubmittedBy(..)
+            | Self::Cancelled(_)
+            | Self::Failed(_)
+            | Self::RunStarted(_) => {}
         }
     }
 
@@ -277,9 +306,11 @@
     pub fn submission(&self) -> Option<&Submission> {
         match self {
             Self::Submitted(submission) | Self::SubmittedBy(_, submission) => Some(submission),
-            Self::Finished(_) | Self::Cancelled(_) | Self::Checkpointed(_) | Self::Failed(_) => {
-                None
-            }
+            Self::Finished(_)
+            | Self::Cancelled(_)
+            | Self::Checkpointed(_)
+            | Self::Failed(_)
+            | Self::RunStarted(_) => None,
         }
     }
 }
--- a/crates/tinbank-jobs/src/table.rs
+++ b/crates/tinbank-jobs/src/table.rs
@@ -10,7 +10,7 @@
 use crate::{
     change::{Change, Verdict},
     job::{Effect, Job},
-    record::{Checkpoint, Failure, Finish, JobId, Outcome, Record, Submission},
+    record::{Checkpoint, Failure, Finish, JobId, Outcome, Record, RunStart, Submission},
 };
 
 /// The jobs of all routes.
@@ -31,6 +31,7 @@
             Record::Cancelled(job) => self.cancel(job),
             Record::Checkpointed(checkpoint) => self.checkpoint(checkpoint),
             Record::Failed(failure) => self.fail(failure),
+            Record::RunStarted(start) => self.start_run(start),
         }
     }
 
@@ -119,6 +120,26 @@
         }
     }
 
+    fn start_run(&mut self, start: RunStart) -> Change {
+        let Some(job) = self.job_of(&start.job, start.submission) else {
+            return Change::Dropped;
+        };
+        let (id, index, run) = (start.job.clone(), start.index, start.run);
+        match job.start_run(start) {
+            Effect::Applied => Change::RunStarted {
+                job: id,
+                index,
+                run,
+            },
+            Effect::Dropped => Change::Dropped,
+            Effect::Conflict => Change::Conflict {
+                job: id,
+                index,
+                run,
+            },
+        }
+    }
+
     fn finish(&mut self, finish: Finish) -> Change {
         let Some(job) = self.job_of(&finish.job, finish.submission) else {
             return Change::Dropped;
--- a/crates/tinbank-jobs/tests/model/mod.rs
+++ b/crates/tinbank-jobs/tests/model/mod.rs
@@ -39,7 +39,10 @@
             return;
         }
         match record {
-            Record::Submitted(_) | Record::SubmittedBy(..) | Record::Failed(_) => {}
+            Record::Submitted(_)
+            | Record::SubmittedBy(..)
+            | Record::Failed(_)
+            | Record::RunStarted(_) => {}
             Record::Cancelled(_) => self.cancelled = true,
             Record::Checkpointed(checkpoint) => {
                 self.append(checkpoint.index, &checkpoint.piece);
--- a/crates/tinbank-jobs/tests/replay.rs
+++ b/crates/tinbank-jobs/tests/replay.rs
@@ -11,10 +11,11 @@
     change::{Change, Verdict},
     job::ItemResult,
     record::{
-        Attachment, Checkpoint, Failure, Finish, Item, Outcome, Piece, Reason, Record, Stored,
-        Submission,
+        Attachment, Checkpoint, Failure, Finish, Item, Outcome, Piece, Reason, Record, RunStart,
+        Stored, Submission,
     },
 };
+use tinbank_origin::Origin;
 use tinbank_test_support::property;
 
 fn submission(job: &str, quota: Option<u64>) -> Record {
@@ -101,6 +102,31 @@
     })
 }
 
+/// Returns the start of a run that follows event `previous.1` of run `previous.0`.
+fn started(run: u64, build: &str, previous: (u64, u64), resumes: bool) -> Record {
+    Record::RunStarted(RunStart {
+        job: "job".to_owned(),
+        submission: 0,
+        index: 0,
+        run,
+        origin: Origin {
+            service: "notes".to_owned(),
+            build: build.into(),
+        },
+        previous_run: previous.0,
+        previous_event: previous.1,
+        resumes,
+    })
+}
+
+fn conflict(run: u64) -> Change {
+    Change::Conflict {
+        job: "job".to_owned(),
+        index: 0,
+        run,
+    }
+}
+
 #[test]
 fn each_failed_run_of_an_item_is_counted_once() {
     let mut table = table();
@@ -187,6 +213,58 @@
     );
 }
 
+#[test]
+fn a_text_begins_anew_with_a_run_at_another_build() {
+    let mut table = table();
+    table.apply(1, started(7, "v1", (0, 0), true));
+    table.apply(2, checkpointed(0, piece(7, 0, 0, 2)));
+
+    table.apply(3, started(8, "v2", (7, 2), false));
+    let stale = table.apply(4, checkpointed(0, piece(7, 0, 2, 4)));
+    table.apply(5, completed(0, piece(8, 0, 0, 3)));
+
+    assert_eq!(stale, conflict(7));
+    assert_eq!(
+        texts(&table),
+        [("item-0".to_owned(), Some("8.1\n8.2\n8.3".to_owned()))]
+    );
+}
+
+#[test]
+fn a_text_is_not_continued_by_a_run_at_another_build() {
+    let mut table = table();
+    table.apply(1, started(7, "v1", (0, 0), true));
+    table.apply(2, checkpointed(0, piece(7, 0, 0, 2)));
+
+    let other_build = table.apply(3, started(8, "v2", (7, 2), true));
+    let its_piece = table.apply(4, checkpointed(0, piece(8, 2, 2, 3)));
+    let same_build = table.apply(5, started(9, "v1", (7, 2), true));
+    table.apply(6, completed(0, piece(9, 2, 2, 3)));
+
+    assert_eq!([other_build, its_piece], [conflict(8), conflict(8)]);
+    assert_ne!(same_build, conflict(9));
+    assert_eq!(
+        texts(&table),
+        [("item-0".to_owned(), Some("7.1\n7.2\n9.3".to_owned()))]
+    );
+}
+
+/// Guards against a start that is appended again, or late, and discards the text of a later run.
+#[test]
+fn a_late_or_repeated_start_of_a_run_discards_nothing() {
+    let mut table = table();
+    table.apply(1, started(7, "v1", (0, 0), true));
+    table.apply(2, checkpointed(0, piece(7, 0, 0, 2)));
+    table.apply(3, started(8, "v1", (7, 2), true));
+    table.apply(4, checkpointed(0, piece(8, 2, 2, 4)));
+
+    let repeated = table.apply(5, started(7, "v1", (0, 0), true));
+    let late = table.apply(6, started(9, "v2", (7, 2), false));
+
+    assert_eq!([repeated, late], [conflict(7), conflict(9)]);
+    assert_eq!(table.job("job").unwrap().progress(0).last_event, 4);
+}
+
 #[test]
 fn a_run_that_does_not_continue_the_text_is_a_conflict() {
     let mut table = table();
@@ -197,13 +275,8 @@
     let stale = table.apply(3, checkpointed(0, piece(7, 0, 2, 4)));
     let completed_later = table.apply(4, completed(0, piece(7, 0, 4, 5)));
 
-    let conflict = Change::Conflict {
-        job: "job".to_owned(),
-        index: 0,
-        run: 7,
-    };
-    assert_eq!(stale, conflict);
-    assert_eq!(completed_later, conflict);
+    assert_eq!(stale, conflict(7));
+    assert_eq!(completed_later, conflict(7));
     assert!(texts(&table).is_empty());
 }
 
@@ -276,9 +349,67 @@
     ]
 }
 
+/// Returns the build at which a run of [`run_record`] runs.
+fn build_of(run: u64) -> &'static str {
+    ["v1", "v2"][run as usize % 2]
+}
+
+/// Returns the start or a piece of one of some runs of an item, in any order.
+fn run_record() -> impl Strategy<Value = Record> {
+    let previous = (0..6u64, 0..4u64);
+    let start = (1..6u64, previous, any::<bool>())
+        .prop_map(|(run, previous, resumes)| started(run, build_of(run), previous, resumes));
+    let piece =
+        (1..6u64, 0..4u64, 0..4u64, 1..3u64).prop_map(|(run, started_after, after, more)| {
+            piece(run, started_after.min(after), after, after + more)
+        });
+    prop_oneof![
+        3 => start,
+        4 => piece.clone().prop_map(|piece| checkpointed(0, piece)),
+        1 => piece.prop_map(|piece| completed(0, piece)),
+    ]
+}
+
+/// Returns whether a host may write a record: it writes the start of a run before a piece of it, unless the run begins the text and
+/// completes it.
+fn is_written(record: &Record, started: &[u64]) -> bool {
+    match record {
+        Record::Checkpointed(it) => started.contains(&it.piece.run),
+        Record::Finished(it) => match &it.result {
+            Outcome::Completed(piece) => piece.after == 0 || started.contains(&piece.run),
+            Outcome::Abandoned(_) => true,
+        },
+        _ => true,
+    }
+}
+
 proptest! {
     #![proptest_config(property::config(1500))]
 
+    #[test]
+    fn no_sequence_of_records_joins_the_texts_of_two_builds(
+        records in prop::collection::vec(run_record(), 1..60),
+    ) {
+        let mut table = table();
+        let mut runs = Vec::new();
+
+        for (offset, record) in (1..).zip(records) {
+            if let Record::RunStarted(start) = &record {
+                runs.push(start.run);
+            }
+            if is_written(&record, &runs) {
+                table.apply(offset, record);
+            }
+        }
+
+        for (_, text) in texts(&table) {
+            let text = text.unwrap_or_default();
+            let runs = text.lines().filter_map(|line| line.split_once('.'));
+            let builds: Vec<_> = runs.map(|(run, _)| build_of(run.parse().unwrap())).collect();
+            prop_assert!(builds.windows(2).all(|pair| pair[0] == pair[1]), "{}", text);
+        }
+    }
+
     /// The model validates each text as a whole, so it also checks that no text joins runs that don't continue each other.
     #[test]
     fn any_sequence_of_records_gives_the_results_of_the_model_at_fixed_positions(
