quarantine: a suspect is not resumed before the probe of its last upstream has ended

A stream whose upstream crashes is resumed within a millisecond, and the probe that shows the crash takes 30 ms: so a suspect that needs one crash more to be quarantined takes two. Change: an attempt of a suspect waits while an upstream is probed that closed one of its connections. Other requests, and the first crash, go on at once; the wait ends with the probe or the caller's deadline.

--- a/crates/tinbank-gateway/src/quarantine/mod.rs
+++ b/crates/tinbank-gateway/src/quarantine/mod.rs
@@ -16,7 +16,7 @@
     CrashReport, Fingerprint, Position, Quarantined, Table, Update, fingerprint::short,
     table::Change,
 };
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time};
 
 pub(crate) use self::{
     broadcast::broadcast, probe::record_broken_connection, store::write_to_store,
@@ -35,6 +35,8 @@
     table: RefCell<Table>,
     /// Requests whose connections an upstream closed, while the upstream is being probed.
     interrupted: RefCell<HashMap<id::Instance, probe::Interrupted>>,
+    /// Notified when the probe of an upstream has ended.
+    probed: Notify,
     /// Notified when there may be pending writes to the store.
     changed: Notify,
     /// Pending updates to other hosts.
@@ -53,6 +55,27 @@
         table.quarantined_until(request.fingerprint(), now)
     }
 
+    /// Waits until the upstreams are probed that closed a connection of this request, if it is a suspect: the crash of one may be what
+    /// it is quarantined for. Other requests go on at once.
+    pub async fn wait_for_probes(&self, request: &Request, until: Instant) {
+        loop {
+            let probed = self.probed.notified();
+            if !self.is_probed(request) || time::timeout_at(until.into(), probed).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn is_probed(&self, request: &Request) -> bool {
+        let interrupted = self.interrupted.borrow();
+        if interrupted.is_empty() || self.table.borrow().is_empty() {
+            return false;
+        }
+        let request = request.fingerprint();
+        let mut requests = interrupted.values().flatten();
+        self.is_suspect(request) && requests.any(|it| it.request == request)
+    }
+
     /// Returns the requests that the store has, as last read or written by this host.
     pub fn stored(&self) -> Vec<Quarantined> {
         self.table.borrow().stored()
--- a/crates/tinbank-gateway/src/quarantine/probe.rs
+++ b/crates/tinbank-gateway/src/quarantine/probe.rs
@@ -61,6 +61,7 @@
         node.quarantine
             .report_crash(CrashReport { upstream, requests });
     }
+    node.quarantine.probed.notify_waiters();
 }
 
 async fn probe_address(address: SocketAddr) -> ProbeOutcome {
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -252,6 +252,9 @@
         resume_after: Option<u64>,
     ) -> Result<Option<StartedAnswer>, Next> {
         self.subtract_suspension();
+        let quarantine = &self.node.quarantine;
+        let deadline = self.admission.deadline;
+        quarantine.wait_for_probes(&self.request, deadline).await;
         let now = Instant::now();
         if now >= self.admission.deadline {
             return Err(self.attempts.give_up());
