soak: engines of two versions with releases, callers that resume streams, and no text of two versions

Each engine has four instances, every other one of the other version; a new fault replaces the listed one. Callers of resumable streams come back at other hosts, up to four times, and name the attempt that began the stream; their texts, whole or not, and those of items may hold events of one version only.

--- a/crates/tinbank-entry/tests/soak/caller.rs
+++ b/crates/tinbank-entry/tests/soak/caller.rs
@@ -24,12 +24,17 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(6);
 /// Most attempts to submit a job.
 const MAX_SUBMISSIONS: usize = 8;
+/// Most attempts to resume a stream.
+const MAX_RESUMES: usize = 4;
 
 /// A streaming request and its response.
 pub struct Stream {
     pub id: String,
+    /// Ids of the attempts that resumed it.
+    pub retries: Vec<String>,
     pub resumable: bool,
     pub sender: Sender,
+    /// The response, with the events of all attempts.
     pub response: Option<Response>,
 }
 
@@ -82,6 +87,8 @@
 #[derive(Default)]
 pub struct Observations {
     pub streams: RefCell<Vec<Stream>>,
+    /// Attempts that went on with a stream.
+    pub resumed: Cell<usize>,
     pub jobs: RefCell<BTreeMap<String, Job>>,
     /// Results by job and position, as they were first read.
     pub results: RefCell<BTreeMap<(String, usize), Value>>,
@@ -207,16 +214,54 @@
                 .await
                 .ok()
                 .flatten();
-            self.observed.streams.borrow_mut().push(Stream {
+            let mut stream = Stream {
                 id,
+                retries: Vec::new(),
                 resumable,
                 sender: Sender::Anonymous,
                 response,
-            });
+            };
+            if resumable {
+                self.resume(&mut stream, path).await;
+            }
+            self.observed.streams.borrow_mut().push(stream);
             self.pause(60).await;
         }
     }
 
+    /// Resumes a stream that broke after its first event at other hosts, a few times.
+    async fn resume(&mut self, stream: &mut Stream, path: &str) {
+        for retry in 0..MAX_RESUMES {
+            let Some(response) = &mut stream.response else {
+                return;
+            };
+            if response.is_complete {
+                return;
+            }
+            // A caller drops an event that was cut.
+            let end = response.body.rfind("\n\n").map_or(0, |at| at + 2);
+            response.body.truncate(end);
+            let last = response.body.matches("id: ").count() as u64;
+            if last == 0 {
+                return;
+            }
+            let id = format!("{}-{retry}", stream.id);
+            let host = self.random_host();
+            let request = client::try_resume(host, path, &id, &stream.id, last);
+            let rest = time::timeout(RESPONSE_TIMEOUT, request)
+                .await
+                .ok()
+                .flatten();
+            stream.retries.push(id);
+            if let Some(rest) = rest.filter(|it| it.status == 200) {
+                response.body.push_str(&rest.body);
+                response.is_complete = rest.is_complete;
+                self.observed.resumed.set(self.observed.resumed.get() + 1);
+            }
+            self.pause(40).await;
+        }
+    }
+
     async fn send_keyed_streams(mut self, sender: Sender, until: Instant) {
         let key = sender.key().unwrap_or_default();
         let max_pause_ms = if sender == Sender::OverLimit { 20 } else { 120 };
@@ -229,6 +274,7 @@
                 .flatten();
             self.observed.streams.borrow_mut().push(Stream {
                 id,
+                retries: Vec::new(),
                 resumable: true,
                 sender,
                 response,
--- a/crates/tinbank-entry/tests/soak/deployment.rs
+++ b/crates/tinbank-entry/tests/soak/deployment.rs
@@ -37,23 +37,64 @@
 pub const ENGINES: usize = 3;
 /// Failure domain of each engine.
 const ENGINE_DOMAINS: [&str; ENGINES] = [NORTH, NORTH, SOUTH];
+/// Instances of each engine that releases start one after the other, each of the other software version.
+const INSTANCES: usize = 4;
+/// Software versions of the engines.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// How long a process may take to stop before it is killed.
 const GRACE: Duration = Duration::from_secs(4);
 
 /// A deployment on one machine.
 pub struct Deployment {
     pub store: Rc<Store>,
-    pub engines: Vec<Rc<Engine>>,
+    engines: Vec<Releases>,
     pub hosts: Vec<Host>,
     pub crashing_service: Rc<CrashingService>,
-    /// The proxy of each engine.
-    pub engine_proxies: Vec<Rc<Proxy>>,
-    /// Address of the proxy of each engine.
-    engine_addresses: Vec<SocketAddr>,
     config_version: Cell<u64>,
     folder: PathBuf,
 }
 
+/// The instances of an engine, of which one is listed.
+struct Releases {
+    failure_domain: &'static str,
+    instances: Vec<Instance>,
+    current: Cell<usize>,
+}
+
+/// An engine and its proxy.
+pub struct Instance {
+    pub engine: Rc<Engine>,
+    pub proxy: Rc<Proxy>,
+    address: SocketAddr,
+}
+
+impl Releases {
+    /// Starts the instances of an engine, the first of which is of one of the versions.
+    async fn start(store: &Store, index: usize, failure_domain: &'static str) -> Self {
+        let mut instances = Vec::new();
+        for release in 0..INSTANCES {
+            let name = format!("e{index}r{release}");
+            store.set_version(&name, VERSIONS[(index + release) % VERSIONS.len()]);
+            let (engine, address) = Engine::start(&name).await;
+            let (proxy, address) = Proxy::start(address).await;
+            instances.push(Instance {
+                engine,
+                proxy,
+                address,
+            });
+        }
+        Self {
+            failure_domain,
+            instances,
+            current: Cell::new(0),
+        }
+    }
+
+    fn current(&self) -> &Instance {
+        &self.instances[self.current.get()]
+    }
+}
+
 /// A host: its process, its settings, and its proxy to the store.
 pub struct Host {
     pub callers: SocketAddr,
@@ -84,16 +125,8 @@
         fs::create_dir_all(&folder).unwrap();
         let (store, store_address) = Store::start().await;
         let mut engines = Vec::new();
-        let mut engine_proxies = Vec::new();
-        let mut engine_addresses = Vec::new();
         for (index, domain) in ENGINE_DOMAINS.into_iter().enumerate() {
-            let name = format!("e{index}");
-            let (engine, address) = Engine::start(&name).await;
-            let (proxy, address) = Proxy::start(address).await;
-            store.put_engine_in(domain, &name, address);
-            engine_addresses.push(address);
-            engines.push(engine);
-            engine_proxies.push(proxy);
+            engines.push(Releases::start(&store, index, domain).await);
         }
         let crashing_service = CrashingService::start(&store).await;
         let mut hosts = Vec::new();
@@ -116,11 +149,10 @@
             engines,
             hosts,
             crashing_service,
-            engine_proxies,
-            engine_addresses,
             config_version: Cell::new(0),
             folder,
         };
+        (0..ENGINES).for_each(|index| deployment.put_engine(index));
         deployment.configure();
         deployment.hosts.iter().for_each(Host::start);
         deployment.wait_until_ready().await;
@@ -144,24 +176,46 @@
 
     /// Writes the entry of an engine, which returns after an outage.
     pub fn put_engine(&self, index: usize) {
-        let name = &self.engines[index].name;
-        let address = self.engine_addresses[index];
+        let releases = &self.engines[index];
+        let Instance {
+            engine, address, ..
+        } = releases.current();
         self.store
-            .put_engine_in(ENGINE_DOMAINS[index], name, address);
+            .put_engine_in(releases.failure_domain, &engine.name, *address);
+    }
+
+    /// Replaces an engine by one of the other software version. The old one leaves the list and runs on.
+    pub fn release(&self, index: usize) {
+        let current = &self.engines[index].current;
+        if current.get() + 1 < INSTANCES {
+            self.remove_engine(index);
+            current.set(current.get() + 1);
+            self.put_engine(index);
+        }
+    }
+
+    /// Returns the listed instance of an engine.
+    pub fn engine(&self, index: usize) -> &Instance {
+        self.engines[index].current()
+    }
+
+    /// Returns all instances of all engines.
+    pub fn instances(&self) -> impl Iterator<Item = &Instance> {
+        self.engines.iter().flat_map(|it| &it.instances)
     }
 
     /// Removes the entry of an engine, which lapses in an outage.
     pub fn remove_engine(&self, index: usize) {
-        self.store.remove_engine(&self.engines[index].name);
+        self.store.remove_engine(&self.engine(index).engine.name);
     }
 
     /// Ends all faults, and waits until every host is ready.
     pub async fn heal(&self) {
         self.store.mode.set(store::Mode::Up);
         (0..ENGINES).for_each(|index| self.put_engine(index));
-        for (engine, proxy) in self.engines.iter().zip(&self.engine_proxies) {
-            engine.mode.set(engine::Mode::Serves);
-            proxy.set(proxy::Mode::Pass);
+        for instance in self.instances() {
+            instance.engine.mode.set(engine::Mode::Serves);
+            instance.proxy.set(proxy::Mode::Pass);
         }
         for host in &self.hosts {
             host.store_proxy.set(proxy::Mode::Pass);
--- a/crates/tinbank-entry/tests/soak/faults.rs
+++ b/crates/tinbank-entry/tests/soak/faults.rs
@@ -7,7 +7,7 @@
 use tokio::time::{self, Instant};
 
 use crate::{
-    deployment::Deployment,
+    deployment::{Deployment, ENGINES},
     lapse, proxy,
     standin::{engine, store},
 };
@@ -24,8 +24,8 @@
 /// Starts or ends one fault. Each fault sets a state that a later one may reset.
 async fn inject_one(deployment: &Rc<Deployment>, random: &mut StdRng) {
     let host = &deployment.hosts[random.random_range(0..deployment.hosts.len())];
-    let index = random.random_range(0..deployment.engines.len());
-    match random.random_range(0..16) {
+    let index = random.random_range(0..ENGINES);
+    match random.random_range(0..17) {
         0 => host.kill(),
         1 => host.stop().await,
         2 | 3 => deployment.hosts.iter().for_each(|host| host.start()),
@@ -38,9 +38,14 @@
         6 => deployment.store.mode.set(store_mode(random)),
         7 => deployment.store.mode.set(store::Mode::Up),
         8 => host.store_proxy.set(proxy_mode(random)),
-        9 => deployment.engine_proxies[index].set(proxy_mode(random)),
+        9 => deployment.engine(index).proxy.set(proxy_mode(random)),
+        16 => deployment.release(index),
         14 => lapse::inject(deployment, random).await,
-        10..=13 => deployment.engines[index].mode.set(engine_mode(random)),
+        10..=13 => deployment
+            .engine(index)
+            .engine
+            .mode
+            .set(engine_mode(random)),
         _ => deployment.configure(),
     }
 }
--- a/crates/tinbank-entry/tests/soak/invariants.rs
+++ b/crates/tinbank-entry/tests/soak/invariants.rs
@@ -65,7 +65,7 @@
 }
 
 fn runs(deployment: &Deployment, id: &str) -> Vec<EngineRun> {
-    let engines = deployment.engines.iter();
+    let engines = deployment.instances().map(|it| &it.engine);
     let runs = engines.flat_map(|engine| {
         let runs = engine.runs_of(id).into_iter();
         runs.map(|run| EngineRun {
@@ -118,7 +118,11 @@
 
 fn stream_violation(deployment: &Deployment, stream: &Stream) -> Option<String> {
     let id = &stream.id;
-    let runs = runs(deployment, id);
+    let retries = stream.retries.iter();
+    let runs: Vec<EngineRun> = std::iter::once(id)
+        .chain(retries)
+        .flat_map(|id| runs(deployment, id))
+        .collect();
     if !stream.resumable && runs.len() > 1 {
         return Some(format!(
             "{id} may run only once, but ran {} times",
@@ -126,22 +130,34 @@
         ));
     }
     let response = stream.response.as_ref()?;
+    if let Some(mixed) = version_violation(deployment, id, &data(&response.body)) {
+        return Some(mixed);
+    }
     match response.status {
         503 | 429 if !stream.resumable && !runs.is_empty() => {
             Some(format!("{id} was answered as not run, but ran"))
         }
-        200 if response.is_complete => {
-            let data: Vec<&str> = response
-                .body
-                .lines()
-                .filter_map(|line| line.strip_prefix("data: "))
-                .collect();
-            text_violation(id, &data, &runs)
-        }
+        200 if response.is_complete => text_violation(id, &data(&response.body), &runs),
         _ => None,
     }
 }
 
+/// Returns the data of the events in a body.
+fn data(body: &str) -> Vec<&str> {
+    let lines = body.lines();
+    lines.filter_map(|it| it.strip_prefix("data: ")).collect()
+}
+
+/// Checks that all events of a text are from engines of one software version.
+fn version_violation(deployment: &Deployment, id: &str, data: &[&str]) -> Option<String> {
+    let engines = data.iter().filter_map(|line| line.split_once('.'));
+    let versions: BTreeSet<String> = engines
+        .map(|(engine, _)| deployment.store.version(engine))
+        .collect();
+    let is_mixed = versions.len() > 1;
+    is_mixed.then(|| format!("{id} has events of {versions:?}: {data:?}"))
+}
+
 /// Checks that a text contains each event once, and that each engine resumed where it was requested to.
 fn text_violation(id: &str, data: &[&str], runs: &[EngineRun]) -> Option<String> {
     if data.len() as u64 != EVENTS {
@@ -181,7 +197,8 @@
         return Some(format!("{item} was abandoned, although it can complete"));
     }
     let data: Vec<&str> = result["message"].as_str()?.lines().collect();
-    text_violation(item, &data, &runs(deployment, item))
+    version_violation(deployment, item, &data)
+        .or_else(|| text_violation(item, &data, &runs(deployment, item)))
 }
 
 fn cancel_violation(deployment: &Deployment, id: &str, job: &Job) -> Option<String> {
--- a/crates/tinbank-entry/tests/soak/main.rs
+++ b/crates/tinbank-entry/tests/soak/main.rs
@@ -61,8 +61,9 @@
                 .await,
         );
         println!(
-            "seed {seed}: {} streams, {} jobs, {} engine crashes, {} violations",
+            "seed {seed}: {} streams, {} resumed, {} jobs, {} engine crashes, {} violations",
             observed.streams(),
+            observed.resumed.get(),
             observed.jobs(),
             deployment.crashing_service.crashes(),
             violations.len()
