--- a/crates/tinbank-feed/tests/message.rs
+++ b/crates/tinbank-feed/tests/message.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     rc::Rc,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
 use smallvec::smallvec;
@@ -12,6 +12,7 @@
     Age, Contact, Delta, Error, Period, Reliability, Scope, Snapshot, Update, UpdateRequest,
     decode, encode,
 };
+use tinbank_origin::{Origin, history};
 use tinbank_quarantine::Quarantined;
 use tinbank_relay::{
     contact,
@@ -119,6 +120,19 @@
                 capacity: Default::default(),
             }],
         }),
+        builds: Some(Snapshot {
+            position: 4,
+            entries: vec![history::Entry {
+                place: history::Place {
+                    failure_domain: "north".to_owned(),
+                    origin: Origin {
+                        service: "notes".to_owned(),
+                        build: "v1".into(),
+                    },
+                },
+                gone_at: Some(SystemTime::UNIX_EPOCH + Duration::from_millis(1_234)),
+            }],
+        }),
         quarantine: Some(Snapshot {
             position: 3,
             entries: vec![Quarantined {
@@ -149,6 +163,7 @@
         upstreams: None,
         hosts: Some(9),
         quarantine: Some(2),
+        builds: Some(3),
         evacuations: Some(4),
     };
 
--- a/crates/tinbank-origin/tests/fleet/simulation.rs
+++ b/crates/tinbank-origin/tests/fleet/simulation.rs
@@ -159,7 +159,11 @@
             self.write_history();
             self.read_store();
             self.begin_streams();
-            if self.now.as_millis() % REFRESH_INTERVAL.as_millis() == 0 {
+            if self
+                .now
+                .as_millis()
+                .is_multiple_of(REFRESH_INTERVAL.as_millis())
+            {
                 self.refresh();
             }
             self.inject();
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -230,6 +230,11 @@
         "bytes",
         "Parts of responses that are kept for callers that read slowly.",
     ),
+    gauge(
+        "tinbank_entry_known_origins",
+        "streams",
+        "Streams of which the host knows the service and the build that began them.",
+    ),
     counter(
         "tinbank_entry_late_events_total",
         "events",
@@ -242,6 +247,10 @@
         &["decision"],
         "Reports of hosts that an upstream leaves, at this host's allocator: removed, or not believed and why.",
     ),
+    seconds(
+        "tinbank_entry_origin_lookup_seconds",
+        "Time until it was known at which build a stream that its caller resumes goes on, or that it does not.",
+    ),
     gauge(
         "tinbank_entry_overload_level",
         "level",
@@ -271,6 +280,18 @@
         &["reply"],
         "Answers of the entry program's own, by what they say.",
     ),
+    counter(
+        "tinbank_entry_restarted_items_total",
+        "runs",
+        &[],
+        "Runs of items that began a text anew, because no upstream of its build took the item.",
+    ),
+    counter(
+        "tinbank_entry_resumed_streams_total",
+        "requests",
+        &["origin"],
+        "Streams that callers resume, by who knew the build that began them (this host, another one, only one build has served) or why nobody did.",
+    ),
     counter(
         "tinbank_entry_returned_grants_total",
         "grants",
