origin: one answer to whether a build may serve, from the store's list and the own one

A request whose build was listed here a moment ago, and not yet in the store's list of builds, was told that the build is gone; items asked both lists already. Builds of thousands of upstreams are named without a copy of each.

--- a/crates/tinbank-gateway/src/batch/runner/start.rs
+++ b/crates/tinbank-gateway/src/batch/runner/start.rs
@@ -11,7 +11,7 @@
 use tinbank_relay::route::Route;
 
 use super::{RETRY_DELAY, Waiting, selection::Candidate};
-use crate::{border::store::List, node::Node};
+use crate::{node::Node, origin};
 
 /// How long an item waits for a slot at its build while others serve. Short of the time that most items take to run again.
 const SLOT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -31,10 +31,10 @@
         let previous = progress(waiting, logged).clone();
         let denied_since = waiting.and_then(|it| it.denied_since);
         let has_waited = denied_since.is_some_and(|since| since.elapsed() > SLOT_TIMEOUT);
-        let origin = previous.origin.as_ref();
+        let known = previous.origin.as_ref();
         let resumes = match previous.last_event {
             0 => true,
-            _ => origin.is_some_and(|it| serves(node, it)) && !has_waited,
+            _ => known.is_some_and(|it| origin::may_serve(node, it)) && !has_waited,
         };
         Self { previous, resumes }
     }
@@ -88,14 +88,6 @@
     waiting.until = Some(now + RETRY_DELAY);
 }
 
-/// Returns whether upstreams of a build serve, as far as this host knows.
-fn serves(node: &Node, origin: &Origin) -> bool {
-    let is_history_known = node.view.position(List::Builds).is_some();
-    !is_history_known
-        || node.origins.builds.is_listed(origin)
-        || node.view.builds(&[&origin.service]).contains(origin)
-}
-
 /// Returns whether upstreams of other builds of the service serve.
 fn serves_other_builds(node: &Node, origin: &Origin) -> bool {
     let listed = node.view.builds(&[&origin.service]);
--- a/crates/tinbank-gateway/src/origin/builds.rs
+++ b/crates/tinbank-gateway/src/origin/builds.rs
@@ -67,6 +67,14 @@
     }
 }
 
+/// Returns whether upstreams of a build may serve, as far as this host knows.
+pub(crate) fn may_serve(node: &Node, origin: &Origin) -> bool {
+    let is_known = node.view.position(List::Builds).is_some();
+    !is_known
+        || node.origins.builds.is_listed(origin)
+        || node.view.builds(&[&origin.service]).contains(origin)
+}
+
 /// Writes which builds of the own failure domain appear and disappear, for as long as the process runs. Only allocators do so.
 pub(crate) async fn write_to_store(node: Rc<Node>) {
     loop {
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -350,7 +350,7 @@
             }
             Allocation::NoUpstream => {
                 let origin = self.origin.as_ref();
-                if origin.is_some_and(|it| !self.node.origins.builds.is_listed(it)) {
+                if origin.is_some_and(|it| !origin::may_serve(&self.node, it)) {
                     self.refused = Some(Refused::ForGood);
                 }
                 Err(self.attempts.give_up())
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -235,9 +235,11 @@
     fn builds_of(&self, matches: impl Fn(&Upstream) -> bool) -> BTreeSet<Origin> {
         let replica = self.upstreams.borrow();
         let present = replica.listing().present().filter(|it| matches(it));
-        let origins = present.map(|it| Origin {
-            service: it.service.clone(),
-            build: it.build.clone(),
+        // Thousands of upstreams have few builds.
+        let named: BTreeSet<_> = present.map(|it| (&it.service, &it.build)).collect();
+        let origins = named.into_iter().map(|(service, build)| Origin {
+            service: service.clone(),
+            build: build.clone(),
         });
         origins.collect()
     }
