quarantine: logs say when a request is sent while upstreams that may have crashed on it are probed

Logs had the breaks, the probes' ends and the resumed streams, on three lines of two kinds of id. The new line has what tells the hypotheses apart at the one place through which requests, resumed streams and items go: how many crashes of the content are known, and how many upstreams are being probed for it. No logic is changed.

--- a/crates/tinbank-gateway/src/quarantine/mod.rs
+++ b/crates/tinbank-gateway/src/quarantine/mod.rs
@@ -76,6 +76,29 @@
         self.is_suspect(request) && requests.any(|it| it.request == request)
     }
 
+    /// Logs that a request is sent while upstreams that may have crashed on it are being probed.
+    pub fn log_unproven(&self, request: &Request, upstream: &id::Instance) {
+        if self.interrupted.borrow().is_empty() {
+            return;
+        }
+        let fingerprint = request.fingerprint();
+        let probed = self.probed_upstreams(fingerprint);
+        if probed == 0 {
+            return;
+        }
+        let crashed = self.table.borrow().crashes(fingerprint);
+        log::info!(request:% = request.id, content:% = short(fingerprint), upstream:%, crashed, probed; "request sent while upstreams that may have crashed on it are probed");
+    }
+
+    /// Returns the number of upstreams that closed a connection of the request and are being probed.
+    fn probed_upstreams(&self, request: Fingerprint) -> usize {
+        let interrupted = self.interrupted.borrow();
+        let probed = interrupted.values();
+        probed
+            .filter(|requests| requests.iter().any(|it| it.request == request))
+            .count()
+    }
+
     /// Returns the requests that the store has, as last read or written by this host.
     pub fn stored(&self) -> Vec<Quarantined> {
         self.table.borrow().stored()
--- a/crates/tinbank-gateway/src/relay/attempt.rs
+++ b/crates/tinbank-gateway/src/relay/attempt.rs
@@ -65,6 +65,7 @@
     if node.quarantine.quarantined_until(request, now).is_some() {
         return Err(quarantined(request, &lease));
     }
+    node.quarantine.log_unproven(request, &lease.upstream);
     let attempt = Attempt {
         instance: &lease.upstream,
         time_left: deadline.saturating_duration_since(now),
--- a/crates/tinbank-quarantine/src/table.rs
+++ b/crates/tinbank-quarantine/src/table.rs
@@ -99,6 +99,11 @@
         self.suspects.contains_key(&request)
     }
 
+    /// Returns the number of upstreams that are known to have crashed while they ran a request.
+    pub fn crashes(&self, request: Fingerprint) -> u32 {
+        self.suspects.get(&request).map_or(0, |it| it.ended)
+    }
+
     /// Returns whether any request is quarantined.
     pub fn has_quarantined(&self) -> bool {
         !self.quarantined.is_empty()
