--- a/crates/tinbank-gateway/src/quarantine/probe.rs
+++ b/crates/tinbank-gateway/src/quarantine/probe.rs
@@ -1,7 +1,7 @@
 //! Probes whether an upstream that closed a connection has crashed, and with which requests in flight.
 //!
 //! A crash closes the upstream's connections, and so do resets on the way and upstreams that abort an answer. Only a crashed upstream
-//! refuses new connections, so the probe tries to connect.
+//! refuses new connections, so the probe tries to connect. A request that one more crash would quarantine waits for the probe.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -431,7 +431,7 @@
 
     fn record_failure(&mut self, upstream: &id::Instance, error: AttemptError) {
         let failure = match error {
-            // The upstream may be tried once the probes have ended.
+            // Nothing was sent, so the upstream is not excluded.
             AttemptError::Postponed => return,
             AttemptError::NotRun | AttemptError::Quarantined => Failure::NotRun,
             AttemptError::Lost | AttemptError::Unresponsive => Failure::Unknown,
