quarantine: logs name the shared parts of the prompts of interrupted requests

Hypotheses: the crashes share a part of the prompt, which nothing counts; verdicts are reached but late at other hosts; contents are wrongly cleared; the upstreams crash without a request being the cause. The first and the last can't be told apart, since no line names the parts of a prompt.

Adds one line for each interrupted request with its shared parts. No decision is changed.

--- a/crates/tinbank-gateway/src/border/engine.rs
+++ b/crates/tinbank-gateway/src/border/engine.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, header};
 use http_body_util::Full;
+use smallvec::SmallVec;
 use tinbank_allocator::size::Size;
 use tinbank_base::id;
 use tinbank_customer::Caller;
@@ -12,6 +13,9 @@
 use tinbank_quarantine::{Content, Fingerprint};
 use tinbank_relay::event;
 
+/// Id of a part of a prompt, as callers name it.
+pub type PartId = String;
+
 /// A request that attempts send to upstreams.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -29,6 +33,8 @@
     pub body: Bytes,
     /// Its size, as far as its sender says.
     pub size: Size,
+    /// The parts of its prompt that other requests may share, in order.
+    pub shared_parts: SmallVec<[PartId; 2]>,
     /// Fingerprint, computed on first use.
     pub fingerprint_cache: OnceCell<Fingerprint>,
 }
--- a/crates/tinbank-gateway/src/relay/answer.rs
+++ b/crates/tinbank-gateway/src/relay/answer.rs
@@ -12,7 +12,7 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use tinbank_base::id;
-use tinbank_quarantine::InFlight;
+use tinbank_quarantine::{InFlight, fingerprint::short};
 use tinbank_relay::event;
 
 use crate::{border::engine::Request, node::Node, quarantine};
@@ -34,6 +34,7 @@
             request: self.request.fingerprint(),
             reached: self.last_event.get(),
         };
+        log::info!(request:% = self.request.id, content:% = short(blamed.request), reached = blamed.reached, parts:% = self.request.shared_parts.join(","), upstream:% = self.upstream; "upstream broke an answer off");
         quarantine::record_broken_connection(&self.node, &self.upstream, self.address, blamed);
     }
 }
