--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -12,7 +12,7 @@
 use crate::{lease, pace, size::Size};
 
 /// First byte of each datagram; a host ignores datagrams of another version.
-const VERSION: u8 = 8;
+const VERSION: u8 = 9;
 /// Maximum datagram size in bytes. Holds the holdings of a host with 200 leases; most datagrams fit in one packet.
 pub const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -51,7 +51,7 @@
     Counts(Counts),
     /// Requests a heartbeat reply from a host that is not sent any holdings.
     Ping,
-    /// A host's observations of requests that crash upstreams.
+    /// A host's observations of requests, and parts of prompts, that crash upstreams.
     Quarantine(Update),
     /// The pace of an upstream, as measured on a request that still runs there.
     Pace(PaceReport),
--- a/crates/tinbank-feed/src/message.rs
+++ b/crates/tinbank-feed/src/message.rs
@@ -17,7 +17,7 @@
 pub type Position = u64;
 
 /// First byte of each message. Messages of other versions are rejected.
-const VERSION: u8 = 6;
+const VERSION: u8 = 7;
 
 /// Reason why a message can't be decoded.
 #[derive(Debug, thiserror::Error)]
@@ -83,7 +83,7 @@
     pub reliability: Reliability,
     /// Changes to the hosts.
     pub hosts: Option<Delta<Peer, SocketAddr>>,
-    /// The quarantined requests, if they changed.
+    /// The quarantined requests and parts of prompts, if they changed.
     pub quarantine: Option<Snapshot<Quarantined>>,
     /// The builds that serve or have served, if they changed.
     pub builds: Option<Snapshot<history::Entry>>,
--- a/crates/tinbank-feed/tests/message.rs
+++ b/crates/tinbank-feed/tests/message.rs
@@ -13,7 +13,7 @@
     decode, encode,
 };
 use tinbank_origin::{Origin, history};
-use tinbank_quarantine::Quarantined;
+use tinbank_quarantine::{self as quarantine, Quarantined};
 use tinbank_relay::{
     contact,
     route::{Batch, Config, Kind, Limits, Route, Share},
@@ -136,9 +136,11 @@
         quarantine: Some(Snapshot {
             position: 3,
             entries: vec![Quarantined {
-                request: 1 << 100,
+                subject: 1 << 100,
+                kind: quarantine::Kind::Part,
                 ended: 3,
                 reached: 1,
+                failed_trials: 2,
             }],
         }),
         evacuations: Some(Snapshot {
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -19,6 +19,7 @@
     job::Progress,
     record::{Checkpoint, Failure, Finish, Index, JobId, Outcome, Reason, Record, RunId, RunStart},
 };
+use tinbank_quarantine::table::Denial;
 use tokio::{sync::Notify, task, time};
 
 use self::{selection::Candidate, shares::Shares, start::Start};
@@ -175,9 +176,10 @@
     }
 
     /// Delays a quarantined item. It is checked again before the quarantine ends, since it may be released early.
-    fn delay_quarantined(&self, key: Key, until: Instant) {
-        let recheck_at = until.min(Instant::now() + QUARANTINE_RECHECK);
-        log::info!(job:% = key.0, item = key.1; "item quarantined, upstreams crash while running it");
+    fn delay_quarantined(&self, key: Key, request: &Request, denial: Denial) {
+        let recheck_at = denial.until.min(Instant::now() + QUARANTINE_RECHECK);
+        let part = request.part_id(denial.subject).map_or("", |it| it.as_str());
+        log::info!(job:% = key.0, item = key.1, part:%; "item quarantined, upstreams crash while running it");
         let mut waiting = self.waiting.borrow_mut();
         waiting.entry(key).or_default().until = Some(recheck_at);
     }
@@ -267,8 +269,8 @@
         path: &item.path,
         content: &content,
     });
-    if let Some(until) = node.quarantine.quarantined_until(&request, Instant::now()) {
-        return runner.delay_quarantined(key, until);
+    if let Some(denial) = node.quarantine.denial(&request, Instant::now()) {
+        return runner.delay_quarantined(key, &request, denial);
     }
     let max_attempts = job.max_attempts;
     let waiting = runner.waiting.borrow();
--- a/crates/tinbank-gateway/src/border/engine.rs
+++ b/crates/tinbank-gateway/src/border/engine.rs
@@ -10,7 +10,7 @@
 use tinbank_base::id;
 use tinbank_customer::Caller;
 use tinbank_jobs::record;
-use tinbank_quarantine::{Content, Fingerprint};
+use tinbank_quarantine::{Content, Fingerprint, SharedPart};
 use tinbank_relay::event;
 
 /// Id of a part of a prompt, as callers name it.
@@ -37,6 +37,8 @@
     pub shared_parts: SmallVec<[PartId; 2]>,
     /// Fingerprint, computed on first use.
     pub fingerprint_cache: OnceCell<Fingerprint>,
+    /// Fingerprints of the shared parts, computed on first use.
+    pub part_fingerprint_cache: OnceCell<SmallVec<[Fingerprint; 2]>>,
 }
 
 impl Request {
@@ -47,6 +49,24 @@
             .get_or_init(|| self.compute_fingerprint())
     }
 
+    /// Returns the fingerprints of the shared parts of the prompt, in order.
+    pub fn part_fingerprints(&self) -> &SmallVec<[Fingerprint; 2]> {
+        self.part_fingerprint_cache.get_or_init(|| {
+            let parts = self.shared_parts.iter().map(|id| SharedPart {
+                customer: self.customer.as_deref(),
+                id,
+            });
+            parts.map(|part| part.fingerprint()).collect()
+        })
+    }
+
+    /// Returns the id of the shared part with a fingerprint.
+    pub fn part_id(&self, fingerprint: Fingerprint) -> Option<&PartId> {
+        let mut parts = self.part_fingerprints().iter().zip(&self.shared_parts);
+        let (_, id) = parts.find(|(part, _)| **part == fingerprint)?;
+        Some(id)
+    }
+
     fn compute_fingerprint(&self) -> Fingerprint {
         let host = self.headers.get(header::HOST);
         let content = Content {
--- a/crates/tinbank-gateway/src/border/ingress.rs
+++ b/crates/tinbank-gateway/src/border/ingress.rs
@@ -7,7 +7,7 @@
 use tinbank_jobs::record::{self, Content, Index, ItemId, Reason};
 use tinbank_relay::event;
 
-use super::Body;
+use super::{Body, engine::PartId};
 
 /// A decoded call.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -142,10 +142,12 @@
         /// When the caller should retry.
         retry_after: Duration,
     },
-    /// The request is quarantined because it crashes upstreams. It has not run and never will.
+    /// The request is quarantined because it or a part of its prompt crashes upstreams. It has not run and never will.
     HeldBack {
         /// When the caller may retry.
         retry_after: Duration,
+        /// The part, if it is the cause.
+        part: Option<PartId>,
     },
     /// No upstream may go on with the stream that the caller resumes. The request has not run and never will.
     CannotResume {
--- a/crates/tinbank-gateway/src/border/store.rs
+++ b/crates/tinbank-gateway/src/border/store.rs
@@ -118,9 +118,9 @@
     FirstDelegate(FirstDelegate),
     /// A host of the system was unregistered.
     HostRemoved(SocketAddr),
-    /// A request is quarantined.
+    /// A request or a part of prompts is quarantined.
     Quarantined(Quarantined),
-    /// The quarantine of a request was lifted.
+    /// The quarantine of a request or a part was lifted.
     QuarantineLifted(Fingerprint),
     /// A build serves in a failure domain, or has served there.
     Build(history::Entry),
@@ -143,7 +143,7 @@
     Upstreams,
     /// The hosts of the system.
     Hosts,
-    /// The requests that are quarantined because they crash upstreams.
+    /// The requests and parts of prompts that are quarantined because they crash upstreams.
     Quarantine,
     /// The builds that serve or have served.
     Builds,
@@ -211,10 +211,10 @@
         lead: &FirstDelegate,
         until: Instant,
     ) -> Result<(), Error>;
-    /// Quarantines a request.
+    /// Quarantines a request or a part of prompts.
     async fn quarantine(&self, quarantined: &Quarantined, until: Instant) -> Result<(), Error>;
-    /// Lifts the quarantine of a request.
-    async fn lift_quarantine(&self, request: Fingerprint, until: Instant) -> Result<(), Error>;
+    /// Lifts the quarantine of a request or a part.
+    async fn lift_quarantine(&self, subject: Fingerprint, until: Instant) -> Result<(), Error>;
     /// Writes a change of the builds that serve or have served.
     async fn record_build(&self, change: &history::Change, until: Instant) -> Result<(), Error>;
     /// Joins a group, or renews the membership.
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -163,6 +163,16 @@
     metrics::gauge!("tinbank_entry_held_requests").set(requests as f64);
 }
 
+/// Sets the number of quarantined parts of prompts.
+pub(crate) fn set_quarantined_parts(parts: usize) {
+    metrics::gauge!("tinbank_entry_held_parts").set(parts as f64);
+}
+
+/// Records a request that was sent to try a quarantined part of its prompt.
+pub(crate) fn record_part_trial() {
+    metrics::counter!("tinbank_entry_part_trials_total").increment(1);
+}
+
 /// Sets the number of evacuated failure domains.
 pub(crate) fn set_evacuated_failure_domains(failure_domains: usize) {
     metrics::gauge!("tinbank_entry_evacuated_failure_domains").set(failure_domains as f64);
--- a/crates/tinbank-gateway/src/quarantine/broadcast.rs
+++ b/crates/tinbank-gateway/src/quarantine/broadcast.rs
@@ -1,4 +1,4 @@
-//! Broadcasts this host's observations of requests that crash upstreams.
+//! Broadcasts this host's observations of requests, and parts of prompts, that crash upstreams.
 
 use std::{rc::Rc, time::Duration};
 
@@ -31,7 +31,7 @@
     }
 }
 
-/// Removes requests from a crash report that were cleared in the meantime. Returns None if there are none left.
+/// Removes requests and parts from a crash report that were cleared in the meantime. Returns None if there are no requests left.
 fn still_relevant(node: &Node, update: Update) -> Option<Update> {
     let Update::Crashed(mut report) = update else {
         return Some(update);
@@ -39,5 +39,10 @@
     report
         .requests
         .retain(|it| node.quarantine.is_suspect(it.request));
+    for request in &mut report.requests {
+        request
+            .parts
+            .retain(|part| node.quarantine.is_suspect(*part));
+    }
     (!report.requests.is_empty()).then_some(Update::Crashed(report))
 }
--- a/crates/tinbank-gateway/src/quarantine/mod.rs
+++ b/crates/tinbank-gateway/src/quarantine/mod.rs
@@ -1,4 +1,4 @@
-//! Detection and quarantine of requests that crash upstreams.
+//! Detection and quarantine of requests, and parts of prompts, that crash upstreams.
 //!
 //! Hosts broadcast which requests were in flight when an upstream crashed. Each host counts by itself, so that checking a request
 //! costs no round trip. The store keeps the quarantined requests, and a host reads them when it starts. See
@@ -8,15 +8,15 @@
 mod probe;
 mod store;
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Instant};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Instant};
 
 use log::Level;
 use smallvec::SmallVec;
 use tinbank_base::id;
 use tinbank_quarantine::{
-    CrashReport, Fingerprint, Position, Quarantined, Table, Update,
+    CrashReport, Fingerprint, InFlight, Kind, Position, Quarantined, Table, Update,
     fingerprint::short,
-    table::{Change, Interruption},
+    table::{Change, Denial, Interruption, Permission},
 };
 use tokio::{sync::Notify, time};
 
@@ -49,24 +49,57 @@
 }
 
 impl Quarantine {
-    /// Returns the end of a request's quarantine, if it is quarantined. Checked before each send.
-    pub fn quarantined_until(&self, request: &Request, now: Instant) -> Option<Instant> {
+    /// Returns whether a request may be sent. Checked before each send.
+    pub fn permission(&self, request: &Request, now: Instant) -> Permission {
         let table = self.table.borrow();
         if !table.has_quarantined() {
-            return None;
+            return Permission::Granted;
         }
-        table.quarantined_until(request.fingerprint(), now)
+        table.permission(request.fingerprint(), request.part_fingerprints(), now)
     }
 
-    /// Returns whether a request must not be sent before the upstreams that interrupted it are probed.
+    /// Returns why a request must not be sent, if so.
+    pub fn denial(&self, request: &Request, now: Instant) -> Option<Denial> {
+        match self.permission(request, now) {
+            Permission::Denied(denial) => Some(denial),
+            Permission::Granted | Permission::Trial => None,
+        }
+    }
+
+    /// Records that a request is sent as the trial of its quarantined parts. Other hosts wait for what comes of it.
+    pub fn begin_trial(&self, request: &Request, now: Instant) {
+        let parts = request.part_fingerprints();
+        let tried = self.table.borrow_mut().begin_trial(parts, now);
+        for part in tried {
+            let id = request.part_id(part).map_or("", |it| it.as_str());
+            log::info!(request:% = request.id, id:%, part:% = short(part); "request sent to try a quarantined part of its prompt");
+            measure::record_part_trial();
+            self.post(Update::TrialStarted(part));
+        }
+    }
+
+    /// Returns whether a request must not be sent before the upstreams that interrupted it, or others with parts of its prompt, are
+    /// probed.
     pub fn must_wait_for_probes(&self, request: &Request) -> bool {
-        if self.interrupted.borrow().is_empty() {
+        let interrupted = self.interrupted.borrow();
+        if interrupted.is_empty() {
             return false;
         }
-        let request = request.fingerprint();
-        let interruptions = self.interruptions(request);
+        let content = request.fingerprint();
+        let interruptions = self.interruptions(content);
         let table = self.table.borrow();
-        table.must_wait_for_probes(request, interruptions)
+        if table.must_wait_for_probes(content, interruptions) {
+            return true;
+        }
+        let in_flight = InFlight {
+            request: content,
+            reached: 0,
+            parts: request.part_fingerprints().clone(),
+        };
+        let probed = interrupted.iter();
+        let probed = probed.flat_map(|(upstream, all)| all.iter().map(move |it| (upstream, it)));
+        let probed: SmallVec<[(&id::Instance, &InFlight); 8]> = probed.collect();
+        table.parts_must_wait_for_probes(&in_flight, &probed, Instant::now())
     }
 
     /// Waits as long as a request must not be sent, at most until its deadline.
@@ -171,6 +204,12 @@
         self.table.borrow().is_suspect(request)
     }
 
+    fn measure(&self) {
+        let table = self.table.borrow();
+        measure::set_quarantined_requests(table.quarantined(Kind::Content));
+        measure::set_quarantined_parts(table.quarantined(Kind::Part));
+    }
+
     fn post(&self, update: Update) {
         self.outbox.borrow_mut().push(update);
         self.posted.notify_one();
@@ -185,19 +224,38 @@
 }
 
 /// Records that the answer to a request was completed. A suspect is cleared, here and at the other hosts.
-pub(crate) fn record_completion(node: &Rc<Node>, request: &Request) {
+pub(crate) fn record_completion(node: &Node, request: &Request) {
     clear_if(node, request, |table, request| table.clear(request));
 }
 
+/// Records that the answer to a request got beyond its start. The parts of its prompt are cleared, here and at the other hosts.
+pub(crate) fn record_sound_start(node: &Node, request: &Request, sent_at: Instant) {
+    if request.shared_parts.is_empty() || node.quarantine.table.borrow().is_empty() {
+        return;
+    }
+    let parts = request.part_fingerprints();
+    let changes = node
+        .quarantine
+        .table
+        .borrow_mut()
+        .record_sound_parts(parts, sent_at);
+    for change in changes {
+        if let Change::PartCleared(part) = change {
+            node.quarantine.post(Update::Cleared(part));
+        }
+        node.quarantine.record_changes([change], OWN);
+    }
+}
+
 /// Records how far an interrupted answer got. A suspect is cleared if that is beyond the earlier crashes.
-pub(crate) fn record_progress(node: &Rc<Node>, request: &Request, reached: Position) {
+pub(crate) fn record_progress(node: &Node, request: &Request, reached: Position) {
     clear_if(node, request, |table, request| {
         table.record_progress(request, reached)
     });
 }
 
 fn clear_if(
-    node: &Rc<Node>,
+    node: &Node,
     request: &Request,
     clear: impl FnOnce(&mut Table, Fingerprint) -> Option<Change>,
 ) {
@@ -218,10 +276,14 @@
     let by = from.to_string();
     match update {
         Update::Crashed(report) => node.quarantine.record_crash(&report, &by),
-        Update::Cleared(request) => {
-            let change = node.quarantine.table.borrow_mut().clear(request);
+        Update::Cleared(subject) => {
+            let change = node.quarantine.table.borrow_mut().clear(subject);
             node.quarantine.record_changes(change, &by);
         }
+        Update::TrialStarted(part) => {
+            let mut table = node.quarantine.table.borrow_mut();
+            table.record_trial(part, Instant::now());
+        }
     }
 }
 
@@ -232,19 +294,30 @@
         _ => Level::Debug,
     };
     match change {
+        Change::Suspected(it) if it.kind == Kind::Part => {
+            log::log!(level, part:% = short(it.subject), ended = it.ended, by; "upstream crashed as it began to answer a prompt with a part");
+        }
+        Change::Quarantined(it) if it.kind == Kind::Part => {
+            log::warn!(part:% = short(it.subject), ended = it.ended, failed_trials = it.failed_trials, by; "part of prompts quarantined, it crashes upstreams");
+        }
+        Change::PartCleared(part) => {
+            log::log!(level, part:% = short(part), by; "part of prompts cleared, it does not crash upstreams");
+        }
         Change::Suspected(Quarantined {
-            request,
+            subject,
             ended,
             reached,
+            ..
         }) => {
-            log::log!(level, content:% = short(request), ended, reached, by; "upstream crashed with a request in flight");
+            log::log!(level, content:% = short(subject), ended, reached, by; "upstream crashed with a request in flight");
         }
         Change::Quarantined(Quarantined {
-            request,
+            subject,
             ended,
             reached,
+            ..
         }) => {
-            log::warn!(content:% = short(request), ended, reached, by; "request quarantined, it crashes upstreams");
+            log::warn!(content:% = short(subject), ended, reached, by; "request quarantined, it crashes upstreams");
         }
         Change::Cleared(request) => {
             log::log!(level, content:% = short(request), by; "request cleared, it does not crash upstreams");
--- a/crates/tinbank-gateway/src/quarantine/store.rs
+++ b/crates/tinbank-gateway/src/quarantine/store.rs
@@ -8,21 +8,21 @@
 use tinbank_quarantine::{fingerprint::short, table::Write};
 use tokio::time;
 
-use crate::{measure, node::Node};
+use crate::node::Node;
 
 /// Interval at which pending writes are checked in addition to each change, to notice expired quarantines and a new allocator.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout of a write.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Writes pending changes to the store for as long as the process runs. Only allocators do so: a request is written at most once for
+/// Writes pending changes to the store for as long as the process runs. Only allocators do so: a request or part is written at most once for
 /// each failure domain, however many hosts quarantine it.
 pub(crate) async fn write_to_store(node: Rc<Node>) {
     loop {
         let _ = time::timeout(CHECK_INTERVAL, node.quarantine.changed.notified()).await;
         let now = Instant::now();
         let writes = node.quarantine.table.borrow_mut().pending_writes(now);
-        measure::set_quarantined_requests(node.quarantine.table.borrow().quarantined());
+        node.quarantine.measure();
         if !node.sharing.is_allocator(now) {
             continue;
         }
@@ -36,19 +36,19 @@
     let until = Instant::now() + WRITE_TIMEOUT;
     let written = match write {
         Write::Quarantine(quarantined) => node.store.quarantine(&quarantined, until).await,
-        Write::Release(request) => node.store.lift_quarantine(request, until).await,
+        Write::Release(subject) => node.store.lift_quarantine(subject, until).await,
     };
-    let (request, held) = match write {
-        Write::Quarantine(quarantined) => (quarantined.request, true),
-        Write::Release(request) => (request, false),
+    let (subject, held) = match write {
+        Write::Quarantine(quarantined) => (quarantined.subject, true),
+        Write::Release(subject) => (subject, false),
     };
     match written {
         Ok(()) => {
-            log::info!(content:% = short(request), held; "change of the quarantine written to the store");
+            log::info!(content:% = short(subject), held; "change of the quarantine written to the store");
             node.quarantine.table.borrow_mut().confirm_write(write);
         }
         Err(error) => {
-            log::info!(content:% = short(request), held, error:%; "change of the quarantine not written to the store yet");
+            log::info!(content:% = short(subject), held, error:%; "change of the quarantine not written to the store yet");
             node.retry.backoff().await;
         }
     }
--- a/crates/tinbank-gateway/src/relay/answer.rs
+++ b/crates/tinbank-gateway/src/relay/answer.rs
@@ -6,37 +6,77 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
+use http::{header, response::Parts};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
+use smallvec::SmallVec;
 use tinbank_base::id;
 use tinbank_quarantine::{InFlight, fingerprint::short};
 use tinbank_relay::event;
 
 use crate::{border::engine::Request, node::Node, quarantine};
 
+/// Events and time after which an answer is beyond its start. Upstreams that crash as they begin to answer some request do so before
+/// both, and events on the way are lost with them.
+const START_EVENTS: event::Id = 5;
+const START_TIME: Duration = Duration::from_millis(200);
+
 /// An attempt in progress at an upstream.
 pub(crate) struct AttemptContext {
     pub node: Rc<Node>,
     pub request: Rc<Request>,
     pub upstream: id::Instance,
     pub address: SocketAddr,
+    pub sent_at: Instant,
+    /// Event after which the upstream was asked to resume; 0 for the start.
+    pub started_after: event::Id,
     /// Number of the last event that the caller has, including events from earlier attempts.
     pub last_event: Cell<event::Id>,
+    /// When the first event of this attempt was received.
+    pub first_event_at: Cell<Option<Instant>>,
+    /// Whether the upstream got beyond the start of its answer.
+    pub is_beyond_start: Cell<bool>,
 }
 
 impl AttemptContext {
     /// Records that the connection was lost before the answer was complete. The request may have crashed the upstream.
     pub fn record_broken_connection(&self) {
+        let parts = match self.is_beyond_start.get() {
+            true => SmallVec::new(),
+            false => self.request.part_fingerprints().clone(),
+        };
         let blamed = InFlight {
             request: self.request.fingerprint(),
             reached: self.last_event.get(),
+            parts,
         };
         log::info!(request:% = self.request.id, content:% = short(blamed.request), reached = blamed.reached, parts:% = self.request.shared_parts.join(","), upstream:% = self.upstream; "upstream broke an answer off");
         quarantine::record_broken_connection(&self.node, &self.upstream, self.address, blamed);
     }
+
+    fn record_event(&self, event: event::Id) {
+        self.last_event.set(event);
+        if self.is_beyond_start.get() {
+            return;
+        }
+        let now = Instant::now();
+        let first_at = self.first_event_at.get().unwrap_or(now);
+        self.first_event_at.set(Some(first_at));
+        if event > self.started_after + START_EVENTS && now >= first_at + START_TIME {
+            self.record_sound_start();
+        }
+    }
+
+    /// Records that no part of the prompt crashed the upstream.
+    fn record_sound_start(&self) {
+        if !self.is_beyond_start.replace(true) {
+            quarantine::record_sound_start(&self.node, &self.request, self.sent_at);
+        }
+    }
 }
 
 /// The body of an answer. It reports broken connections and completed answers to the quarantine.
@@ -44,6 +84,9 @@
     body: Incoming,
     attempt: AttemptContext,
     is_complete: Cell<bool>,
+    /// Whether its end shows that the upstream has answered. A failure may come before the upstream begins to, and a crash may end a body
+    /// of unknown length in order.
+    is_end_proof: bool,
 }
 
 impl Drop for AnswerBody {
@@ -55,24 +98,30 @@
             ..
         } = &self.attempt;
         match self.is_complete.get() {
-            true => quarantine::record_completion(node, request),
+            true => {
+                quarantine::record_completion(node, request);
+                if self.is_end_proof {
+                    self.attempt.record_sound_start();
+                }
+            }
             false => quarantine::record_progress(node, request, last_event.get()),
         }
     }
 }
 
 impl AnswerBody {
-    pub fn new(body: Incoming, attempt: AttemptContext) -> Self {
+    pub fn new(head: &Parts, body: Incoming, attempt: AttemptContext) -> Self {
         Self {
             body,
             attempt,
             is_complete: Cell::new(false),
+            is_end_proof: head.status.is_success() && has_marked_end(head),
         }
     }
 
     /// Records that an event of the answer was received.
     pub fn record_event(&self, event: event::Id) {
-        self.attempt.last_event.set(event);
+        self.attempt.record_event(event);
     }
 
     /// Marks the answer as complete.
@@ -109,3 +158,9 @@
         self.body.is_end_stream()
     }
 }
+
+/// Returns whether the end of a body differs from a lost connection.
+fn has_marked_end(head: &Parts) -> bool {
+    head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING)
+}
--- a/crates/tinbank-gateway/src/relay/attempt.rs
+++ b/crates/tinbank-gateway/src/relay/attempt.rs
@@ -8,7 +8,10 @@
 
 use http::response::Parts;
 use tinbank_allocator::lease::Outcome;
-use tinbank_quarantine::fingerprint::short;
+use tinbank_quarantine::{
+    fingerprint::short,
+    table::{Denial, Permission},
+};
 use tinbank_relay::event;
 
 use super::answer::{AnswerBody, AttemptContext};
@@ -64,12 +67,16 @@
 ) -> Result<StartedAnswer, AttemptError> {
     let now = Instant::now();
     // All requests, resumed streams and items pass here. The request may have been quarantined while it waited for a slot.
-    if node.quarantine.quarantined_until(request, now).is_some() {
-        return Err(quarantined(request, &lease));
+    let permission = node.quarantine.permission(request, now);
+    if let Permission::Denied(denial) = permission {
+        return Err(quarantined(request, &lease, denial));
     }
     if node.quarantine.must_wait_for_probes(request) {
         return Err(postponed(request, &lease));
     }
+    if permission == Permission::Trial {
+        node.quarantine.begin_trial(request, now);
+    }
     node.quarantine.log_unproven(request, &lease.upstream);
     let attempt = Attempt {
         instance: &lease.upstream,
@@ -92,7 +99,11 @@
         request: Rc::clone(request),
         upstream: lease.upstream.clone(),
         address: lease.address,
+        sent_at: now,
+        started_after: resume_after.unwrap_or_default(),
         last_event: Cell::new(resume_after.unwrap_or_default()),
+        first_event_at: Cell::default(),
+        is_beyond_start: Cell::default(),
     };
     let (answer, guard) = match sent {
         Ok(answered) => answered,
@@ -104,7 +115,7 @@
         }
     };
     let (head, body) = answer.into_parts();
-    let body = AnswerBody::new(body, context);
+    let body = AnswerBody::new(&head, body, context);
     let verdict = node.engine.classify(request, &head);
     match verdict {
         Verdict::Answer | Verdict::Failed | Verdict::Unprocessable => Ok(StartedAnswer {
@@ -141,9 +152,10 @@
 }
 
 /// Records that a quarantined request was not sent.
-fn quarantined(request: &Request, lease: &Lease) -> AttemptError {
+fn quarantined(request: &Request, lease: &Lease, denial: Denial) -> AttemptError {
     let content = short(request.fingerprint());
-    log::info!(request:% = request.id, content:%, upstream:% = lease.upstream; "request not sent, quarantined because upstreams crash under it");
+    let part = request.part_id(denial.subject).map_or("", |it| it.as_str());
+    log::info!(request:% = request.id, content:%, part:%, upstream:% = lease.upstream; "request not sent, quarantined because upstreams crash under it");
     measure::record_failed_attempt("held_back");
     AttemptError::Quarantined
 }
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -14,6 +14,7 @@
 };
 use tinbank_base::id;
 use tinbank_origin::{Choice, Key, Origin};
+use tinbank_quarantine::table::Denial;
 use tinbank_relay::{
     attempt::{Attempts, Failure, Next},
     event,
@@ -82,8 +83,8 @@
     allowed: Allowed,
     /// Time after which the customer may retry, if it has used up its allowance.
     over_limit: Option<Duration>,
-    /// End of its quarantine, if it is quarantined because it crashes upstreams.
-    quarantined_until: Option<Instant>,
+    /// Why it must not be sent, if it is quarantined because it or a part of its prompt crashes upstreams.
+    quarantined: Option<Denial>,
     /// Whether the caller has its full answer or an error.
     pub is_finished: bool,
 }
@@ -163,7 +164,7 @@
             share: arrival.share,
             allowed: arrival.allowed,
             over_limit: None,
-            quarantined_until: None,
+            quarantined: None,
             is_finished: false,
         }
     }
@@ -260,8 +261,8 @@
             return Err(self.attempts.give_up());
         }
         // Checked again in `attempt::send`; this check avoids the wait for a slot.
-        self.quarantined_until = self.node.quarantine.quarantined_until(&self.request, now);
-        if self.quarantined_until.is_some() {
+        self.quarantined = self.node.quarantine.denial(&self.request, now);
+        if self.quarantined.is_some() {
             return Err(self.attempts.give_up());
         }
         let Some(service) = self.service() else {
@@ -485,12 +486,16 @@
         self.is_finished = true;
         let id = &self.request.id;
         let tried = self.attempts.tried().len();
-        let quarantined_for = self
-            .quarantined_until
-            .map(|until| until.saturating_duration_since(Instant::now()));
-        let reply = match (next, quarantined_for, self.over_limit) {
+        let reply = match (next, self.quarantined, self.over_limit) {
             (Next::Fail, ..) | (_, None, None) => self.refusal(next),
-            (_, Some(retry_after), _) => Reply::HeldBack { retry_after },
+            (_, Some(denial), _) => Reply::HeldBack {
+                // Only one of the requests with a part is sent then.
+                retry_after: denial
+                    .until
+                    .saturating_duration_since(Instant::now())
+                    .max(RETRY_AFTER),
+                part: self.request.part_id(denial.subject).cloned(),
+            },
             (_, None, Some(retry_after)) => Reply::OverQuota { retry_after },
         };
         let late = self.admission.is_retry;
--- a/crates/tinbank-gateway/src/watch.rs
+++ b/crates/tinbank-gateway/src/watch.rs
@@ -184,8 +184,8 @@
         self.call(self.store.quarantine(quarantined, until)).await
     }
 
-    async fn lift_quarantine(&self, request: Fingerprint, until: Instant) -> Result<(), Error> {
-        self.call(self.store.lift_quarantine(request, until)).await
+    async fn lift_quarantine(&self, subject: Fingerprint, until: Instant) -> Result<(), Error> {
+        self.call(self.store.lift_quarantine(subject, until)).await
     }
 
     async fn record_build(&self, change: &history::Change, until: Instant) -> Result<(), Error> {
--- a/crates/tinbank-quarantine/src/fingerprint.rs
+++ b/crates/tinbank-quarantine/src/fingerprint.rs
@@ -37,7 +37,31 @@
     }
 }
 
-/// Returns the first 64 bits in hexadecimal, which are enough to find a request in logs.
+/// A part of a prompt that requests share.
+#[derive(Clone, Copy, Debug)]
+pub struct SharedPart<'a> {
+    /// The customer, if any, as in [`Content`].
+    pub customer: Option<&'a str>,
+    /// How callers name the part. Neither the model nor the parts before it count, since upstreams may crash on it whatever else a
+    /// request holds.
+    pub id: &'a str,
+}
+
+impl SharedPart<'_> {
+    /// Returns the fingerprint of the part, which no content has.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let customer = self.customer.map(str::as_bytes);
+        let digest = digest::of_fields(&[
+            b"part",
+            &[u8::from(customer.is_some())],
+            customer.unwrap_or_default(),
+            self.id.as_bytes(),
+        ]);
+        digest::prefix(&digest)
+    }
+}
+
+/// Returns the first 64 bits in hexadecimal, which are enough to find a request or a part in logs.
 pub fn short(fingerprint: Fingerprint) -> String {
     format!("{:016x}", fingerprint >> 64)
 }
--- /dev/null
+++ b/crates/tinbank-quarantine/src/part.rs
@@ -0,0 +1,150 @@
+//! Evidence that a shared part of prompts crashes upstreams, whatever else the requests hold.
+//!
+//! The requests are no two alike, so none of them is suspected twice, but their part is. What tells it from the other parts that were
+//! present is that crashes follow it into different continuations, and that no answer to it gets beyond its start. See
+//! `docs/design/quarantine.md`, "A part of prompts".
+
+use std::time::{Duration, Instant};
+
+use smallvec::SmallVec;
+use tinbank_base::id;
+
+use crate::Fingerprint;
+
+/// Weight of the continuations after which upstreams have to crash before a part is quarantined.
+pub(crate) const PROOF: u32 = 3;
+/// Largest weight of one request that follows a part and crashed several upstreams. It may be the cause by itself.
+const MAX_WEIGHT_OF_CONTENT: u32 = 2;
+/// Number of upstreams and of continuations that are kept for each part. Proof needs fewer.
+const MAX_KEPT: usize = 8;
+/// Delay before a quarantined part is tried by one request. Multiplied with each trial that crashes an upstream.
+const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(2);
+/// By how much the delay grows.
+const TRIAL_BACKOFF: u32 = 8;
+/// Longest delay. Shorter than the time for which a part stays quarantined without a crash, so that it is tried before that ends.
+const MAX_TRIAL_DELAY: Duration = Duration::from_secs(12 * 60 * 60);
+
+/// What follows a part in a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Continuation {
+    /// The next shared part.
+    Part(Fingerprint),
+    /// The rest of one request, known by the fingerprint of its whole content.
+    Content(Fingerprint),
+}
+
+/// Crashes of upstreams that had just begun to answer requests with a part.
+#[derive(Clone, Debug)]
+pub(crate) struct Evidence {
+    /// When the first of these crashes became known. Answers to requests that were sent earlier prove nothing, since upstreams may
+    /// crash on the part only since then.
+    since: Instant,
+    /// Number of upstreams that crashed.
+    pub crashes: u32,
+    /// The latest of these upstreams.
+    upstreams: SmallVec<[id::Instance; 4]>,
+    /// What followed the part, and how many upstreams crashed then.
+    continuations: SmallVec<[(Continuation, u32); 4]>,
+}
+
+impl Evidence {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            crashes: 0,
+            upstreams: SmallVec::new(),
+            continuations: SmallVec::new(),
+        }
+    }
+
+    /// Adds the crash of an upstream. Returns false if it is known.
+    pub(crate) fn add(&mut self, upstream: &id::Instance, continuation: Continuation) -> bool {
+        if self.upstreams.contains(upstream) {
+            return false;
+        }
+        if self.upstreams.len() == MAX_KEPT {
+            self.upstreams.remove(0);
+        }
+        self.upstreams.push(upstream.clone());
+        self.crashes += 1;
+        let is_full = self.continuations.len() == MAX_KEPT;
+        let mut known = self.continuations.iter_mut();
+        match known.find(|(it, _)| *it == continuation) {
+            Some((_, crashes)) => *crashes += 1,
+            None if is_full => {}
+            None => self.continuations.push((continuation, 1)),
+        }
+        true
+    }
+
+    /// Returns whether the part is the cause of the crashes, rather than a later part or a whole request that came with it each time.
+    pub(crate) fn is_proof(&self) -> bool {
+        let weights = self.continuations.iter().map(weight);
+        self.continuations.len() > 1 && weights.sum::<u32>() >= PROOF
+    }
+
+    /// Returns whether an answer to a request that was sent at a time shows that the part does not crash upstreams.
+    pub(crate) fn is_refuted_by(&self, sent_at: Instant) -> bool {
+        sent_at >= self.since
+    }
+}
+
+fn weight((continuation, crashes): &(Continuation, u32)) -> u32 {
+    match continuation {
+        // A later part that crashed several upstreams explains them better than the parts before it.
+        Continuation::Part(_) => 1,
+        Continuation::Content(_) => (*crashes).min(MAX_WEIGHT_OF_CONTENT),
+    }
+}
+
+/// Trials of a quarantined part: one request at a time may show that it is sound, or that its upstreams were mended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Trials {
+    /// Number of trials that crashed an upstream.
+    pub failed: u32,
+    /// When the next trial may begin.
+    pub next_at: Instant,
+    /// Whether one has begun since the last crash.
+    is_running: bool,
+}
+
+impl Trials {
+    pub(crate) fn new(failed: u32, now: Instant) -> Self {
+        Self {
+            failed,
+            next_at: now + delay(failed),
+            is_running: false,
+        }
+    }
+
+    /// Records that a trial begins, here or at another host. The next one follows later if nothing is heard of this one.
+    pub(crate) fn begin(&mut self, now: Instant) {
+        self.is_running = true;
+        self.next_at = now + delay(self.failed);
+    }
+
+    /// Records one more crash. Returns whether it was a trial, as opposed to a request that was sent before the quarantine.
+    pub(crate) fn record_crash(&mut self, now: Instant) -> bool {
+        // Another host may have begun a trial without this one knowing.
+        let was_trial = self.is_running || now >= self.next_at;
+        self.failed += u32::from(was_trial);
+        self.is_running = false;
+        self.next_at = self.next_at.max(now + delay(self.failed));
+        was_trial
+    }
+
+    /// Applies the number of failed trials that another host has stored.
+    pub(crate) fn merge(&mut self, failed: u32, now: Instant) {
+        if failed > self.failed {
+            self.failed = failed;
+            self.next_at = self.next_at.max(now + delay(failed));
+        }
+    }
+}
+
+fn delay(failed: u32) -> Duration {
+    let factor = TRIAL_BACKOFF.saturating_pow(failed);
+    FIRST_TRIAL_DELAY
+        .saturating_mul(factor)
+        .min(MAX_TRIAL_DELAY)
+}
--- a/crates/tinbank-quarantine/src/report.rs
+++ b/crates/tinbank-quarantine/src/report.rs
@@ -20,12 +20,24 @@
 }
 
 /// A request that an upstream was running when it crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InFlight {
     /// The request.
     pub request: Fingerprint,
     /// Last event of its answer that was received before the crash; 0 if there was none.
     pub reached: Position,
+    /// The shared parts of its prompt, in order. Empty if the upstream had got beyond the start of its answer, since parts crash
+    /// upstreams as they begin.
+    pub parts: SmallVec<[Fingerprint; 2]>,
+}
+
+/// What is suspected of crashing upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// A request, known by its content.
+    Content,
+    /// A shared part of prompts.
+    Part,
 }
 
 /// An observation that a host sends to the other hosts.
@@ -33,17 +45,23 @@
 pub enum Update {
     /// An upstream crashed with requests in flight.
     Crashed(CrashReport),
-    /// A suspected request completed, or got further than where upstreams had crashed.
+    /// A suspected request completed, or got further than where upstreams had crashed. A suspected part was answered beyond the start.
     Cleared(Fingerprint),
+    /// The host sends a request with a quarantined part, to try it. Others wait for what comes of it.
+    TrialStarted(Fingerprint),
 }
 
-/// A quarantined request, as the store keeps it. No upstream gets it.
+/// A quarantined request or part, as the store keeps it. No upstream gets it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Quarantined {
-    /// The request.
-    pub request: Fingerprint,
+    /// The content of the request, or the part.
+    pub subject: Fingerprint,
+    /// Which of the two it is.
+    pub kind: Kind,
     /// Number of upstreams that crashed while they ran it.
     pub ended: u32,
-    /// Last event of its answer before the crashes.
+    /// Last event of a request's answer before the crashes; 0 for a part.
     pub reached: Position,
+    /// Number of trials of a part that crashed an upstream; 0 for a request.
+    pub failed_trials: u32,
 }
--- a/crates/tinbank-quarantine/src/table.rs
+++ b/crates/tinbank-quarantine/src/table.rs
@@ -1,10 +1,13 @@
-//! The requests that one host suspects of crashing upstreams.
+//! The requests, and parts of prompts, that one host suspects of crashing upstreams.
 //!
 //! The cause of a crash can't be told among all requests that the upstream was running, so each of them becomes a suspect, and a
 //! suspect is quarantined once enough upstreams have crashed while they ran it. A request that crashes upstreams does so at the
 //! same event of its answer each time, mostly before the first. One that gets further than before did not cause the earlier
 //! crashes, and one that completes caused none. Without that rule, crashes with other causes would quarantine long-running items
 //! of jobs, which are retried until they complete.
+//!
+//! Requests that are no two alike may share a part of their prompts that crashes upstreams as they begin to answer. The parts of such
+//! requests become suspects too, see [`crate::part`].
 
 use std::{
     collections::{HashMap, HashSet},
@@ -16,7 +19,8 @@
 
 use crate::{
     Fingerprint,
-    report::{CrashReport, InFlight, Position, Quarantined},
+    part::{Continuation, Evidence, Trials},
+    report::{CrashReport, InFlight, Kind, Position, Quarantined},
 };
 
 /// Number of upstreams that have to crash while they run a request before it is quarantined. With fewer, frequent
@@ -48,14 +52,38 @@
     Quarantined(Quarantined),
     /// The request is no longer a suspect.
     Cleared(Fingerprint),
+    /// The part is no longer a suspect.
+    PartCleared(Fingerprint),
+}
+
+/// Whether a request may be sent to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Permission {
+    /// Nothing speaks against it.
+    Granted,
+    /// As the only one with a quarantined part, to find out whether that still crashes upstreams.
+    Trial,
+    /// The request or a part of its prompt is quarantined.
+    Denied(Denial),
+}
+
+/// Why a request must not be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Denial {
+    /// What is quarantined.
+    pub subject: Fingerprint,
+    /// Whether that is the request or a part of its prompt.
+    pub kind: Kind,
+    /// When a request may be tried again.
+    pub until: Instant,
 }
 
 /// A pending write to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Write {
-    /// Adds a quarantined request.
+    /// Adds a quarantined request or part.
     Quarantine(Quarantined),
-    /// Removes a request that is no longer quarantined.
+    /// Removes one that is no longer quarantined.
     Release(Fingerprint),
 }
 
@@ -65,17 +93,30 @@
     suspects: HashMap<Fingerprint, Suspect>,
     /// The quarantined suspects. Each request checks whether there are any, and suspects stay for a day.
     quarantined: HashSet<Fingerprint>,
-    /// Requests that are in the store and no longer quarantined here.
+    /// Suspects that are in the store and no longer quarantined here.
     to_release: HashSet<Fingerprint>,
 }
 
 #[derive(Debug)]
 struct Suspect {
-    crashes: Crashes,
+    blame: Blame,
     last_crash_at: Instant,
     quarantined_until: Option<Instant>,
     /// Whether the store has it.
     is_stored: bool,
+    /// Whether the store has an earlier state of it.
+    is_outdated: bool,
+}
+
+/// What a suspect is blamed for.
+#[derive(Debug)]
+enum Blame {
+    Content(Crashes),
+    Part {
+        evidence: Box<Evidence>,
+        /// Set while it is quarantined.
+        trials: Option<Trials>,
+    },
 }
 
 /// The crashes that a request is blamed for.
@@ -116,7 +157,7 @@
 
     /// Returns the number of upstreams that are known to have crashed while they ran a request.
     pub fn crashes(&self, request: Fingerprint) -> u32 {
-        self.suspects.get(&request).map_or(0, |it| it.crashes.count)
+        self.content(request).map_or(0, |it| it.count)
     }
 
     /// Returns whether a request must not be sent before the upstreams that interrupted its answers are probed: if all of them have
@@ -129,8 +170,7 @@
         if interruptions.is_empty() {
             return false;
         }
-        let suspect = self.suspects.get(&request);
-        let mut crashes = suspect.map_or_else(Crashes::default, |it| it.crashes.clone());
+        let mut crashes = self.content(request).cloned().unwrap_or_default();
         // An answer that got further clears the request of the crashes before, whatever becomes known first.
         interruptions.sort_unstable_by_key(|it| it.reached);
         for Interruption { upstream, reached } in interruptions {
@@ -142,20 +182,45 @@
         crashes.count + 1 >= CRASH_THRESHOLD
     }
 
+    /// Returns whether a request must not be sent before the upstreams that broke answers off are probed: if those that had just begun to
+    /// answer requests with a part of its prompt have crashed, one more crash would quarantine the part.
+    pub fn parts_must_wait_for_probes(
+        &self,
+        request: &InFlight,
+        interrupted: &[(&id::Instance, &InFlight)],
+        now: Instant,
+    ) -> bool {
+        request.continuations().any(|(part, continuation)| {
+            let mut evidence = self.evidence(part, now);
+            let known = evidence.crashes;
+            for (upstream, interrupted) in interrupted {
+                let mut continuations = interrupted.continuations();
+                if let Some((_, other)) = continuations.find(|(it, _)| *it == part) {
+                    evidence.add(upstream, other);
+                }
+            }
+            let is_probed = evidence.crashes > known;
+            evidence.add(&id::Instance::from(""), continuation);
+            is_probed && evidence.is_proof()
+        })
+    }
+
     /// Returns whether any request is quarantined.
     pub fn has_quarantined(&self) -> bool {
         !self.quarantined.is_empty()
     }
 
-    /// Returns the number of quarantined requests.
-    pub fn quarantined(&self) -> usize {
-        self.quarantined.len()
+    /// Returns the number of quarantined requests or parts.
+    pub fn quarantined(&self, kind: Kind) -> usize {
+        let suspects = self.suspects.values();
+        let quarantined = suspects.filter(|it| it.quarantined_until.is_some());
+        quarantined.filter(|it| it.kind() == kind).count()
     }
 
-    /// Returns the requests that the store has.
+    /// Returns the requests and parts that the store has.
     pub fn stored(&self) -> Vec<Quarantined> {
         let stored = self.suspects.iter().filter(|(_, it)| it.is_stored);
-        stored.map(|(request, it)| it.summary(*request)).collect()
+        stored.map(|(subject, it)| it.summary(*subject)).collect()
     }
 
     /// Returns the end of a request's quarantine, if it is quarantined.
@@ -164,166 +229,270 @@
         suspect.quarantined_until.filter(|until| now < *until)
     }
 
+    /// Returns whether a request with shared parts of its prompt may be sent.
+    pub fn permission(
+        &self,
+        request: Fingerprint,
+        parts: &[Fingerprint],
+        now: Instant,
+    ) -> Permission {
+        if let Some(until) = self.quarantined_until(request, now) {
+            return Permission::Denied(Denial {
+                subject: request,
+                kind: Kind::Content,
+                until,
+            });
+        }
+        let mut permission = Permission::Granted;
+        for part in parts {
+            let Some(trials) = self.suspects.get(part).and_then(Suspect::trials) else {
+                continue;
+            };
+            if now < trials.next_at {
+                return Permission::Denied(Denial {
+                    subject: *part,
+                    kind: Kind::Part,
+                    until: trials.next_at,
+                });
+            }
+            permission = Permission::Trial;
+        }
+        permission
+    }
+
+    /// Records that a request with quarantined parts is sent as a trial. Returns these parts.
+    pub fn begin_trial(
+        &mut self,
+        parts: &[Fingerprint],
+        now: Instant,
+    ) -> SmallVec<[Fingerprint; 2]> {
+        let mut tried = SmallVec::new();
+        for part in parts {
+            if self.record_trial(*part, now) {
+                tried.push(*part);
+            }
+        }
+        tried
+    }
+
+    /// Records that a request is sent as a trial of a part, here or at another host. Returns whether the part is quarantined.
+    pub fn record_trial(&mut self, part: Fingerprint, now: Instant) -> bool {
+        let trials = self.suspects.get_mut(&part).and_then(Suspect::trials_mut);
+        trials.map(|it| it.begin(now)).is_some()
+    }
+
     /// Records a crash of an upstream, seen here or reported by another host.
     pub fn record_crash(&mut self, report: &CrashReport, now: Instant) -> Vec<Change> {
+        let upstream = &report.upstream;
         let mut changes = Vec::new();
         for in_flight in &report.requests {
             changes.extend(self.record_progress(in_flight.request, in_flight.reached));
-            changes.extend(self.blame(*in_flight, &report.upstream, now));
+            let request = in_flight.request;
+            changes.extend(self.blame(request, Kind::Content, now, |suspect| {
+                suspect.add_crash(upstream, in_flight.reached, now)
+            }));
+            for (part, continuation) in in_flight.continuations() {
+                changes.extend(self.blame(part, Kind::Part, now, |suspect| {
+                    suspect.add_crash_of_part(upstream, continuation, now)
+                }));
+            }
         }
         changes
     }
 
+    /// Adds a crash to a suspect. `add` returns whether it counts.
     fn blame(
         &mut self,
-        in_flight: InFlight,
-        upstream: &id::Instance,
+        subject: Fingerprint,
+        kind: Kind,
         now: Instant,
+        add: impl FnOnce(&mut Suspect) -> bool,
     ) -> Option<Change> {
-        let InFlight { request, reached } = in_flight;
-        self.evict_if_full(request);
-        let suspect = self.suspects.entry(request);
-        let suspect = suspect.or_insert_with(|| Suspect::new(now));
-        if !suspect.crashes.add(upstream, reached) {
+        self.evict_if_full(subject);
+        let suspect = self.suspects.entry(subject);
+        let suspect = suspect.or_insert_with(|| Suspect::new(kind, now));
+        if !add(suspect) {
             return None;
         }
         suspect.last_crash_at = now;
-        if suspect.crashes.count < CRASH_THRESHOLD {
-            return Some(Change::Suspected(suspect.summary(request)));
+        let summary = suspect.summary(subject);
+        if suspect.quarantined_until.is_none() {
+            return Some(Change::Suspected(summary));
         }
-        suspect.quarantine(now);
-        self.quarantined.insert(request);
-        self.to_release.remove(&request);
-        Some(Change::Quarantined(suspect.summary(request)))
+        self.quarantined.insert(subject);
+        self.to_release.remove(&subject);
+        Some(Change::Quarantined(summary))
     }
 
     /// Records that the answer to a request reached an event. Clears the request if upstreams had crashed before that event.
     pub fn record_progress(&mut self, request: Fingerprint, reached: Position) -> Option<Change> {
-        let suspect = self.suspects.get(&request)?;
-        match suspect.crashes.are_passed_at(reached) {
+        match self.content(request)?.are_passed_at(reached) {
             true => self.clear(request),
             false => None,
         }
     }
 
-    /// Clears a request whose answer was completed, here or at another host. Returns None if it was no suspect.
-    pub fn clear(&mut self, request: Fingerprint) -> Option<Change> {
-        self.remove(&request).then_some(Change::Cleared(request))
+    /// Records that the answer to a request got beyond its start, or was completed, which clears the parts of its prompt.
+    pub fn record_sound_parts(&mut self, parts: &[Fingerprint], sent_at: Instant) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for part in parts {
+            let blame = self.suspects.get(part).map(|it| &it.blame);
+            if let Some(Blame::Part { evidence, .. }) = blame
+                && evidence.is_refuted_by(sent_at)
+            {
+                changes.extend(self.clear(*part));
+            }
+        }
+        changes
     }
 
-    /// Returns whether the request was a suspect.
-    fn remove(&mut self, request: &Fingerprint) -> bool {
-        let Some(suspect) = self.suspects.remove(request) else {
-            return false;
-        };
-        self.quarantined.remove(request);
+    /// Clears a request whose answer was completed, or a part that is sound, here or at another host. Returns None if it was no suspect.
+    pub fn clear(&mut self, subject: Fingerprint) -> Option<Change> {
+        match self.remove(&subject)? {
+            Kind::Content => Some(Change::Cleared(subject)),
+            Kind::Part => Some(Change::PartCleared(subject)),
+        }
+    }
+
+    /// Returns what the subject was, if it was a suspect.
+    fn remove(&mut self, subject: &Fingerprint) -> Option<Kind> {
+        let suspect = self.suspects.remove(subject)?;
+        self.quarantined.remove(subject);
         if suspect.is_stored {
-            self.to_release.insert(*request);
+            self.to_release.insert(*subject);
         }
-        true
+        Some(suspect.kind())
     }
 
-    /// Applies a quarantined request that was read from the store.
+    /// Applies a quarantined request or part that was read from the store.
     pub fn apply_stored(&mut self, stored: Quarantined, now: Instant) -> Option<Change> {
-        if self.to_release.contains(&stored.request) {
+        let subject = stored.subject;
+        if self.to_release.contains(&subject) {
             return None;
         }
-        self.evict_if_full(stored.request);
-        let suspect = self.suspects.entry(stored.request);
-        let suspect = suspect.or_insert_with(|| Suspect::new(now));
+        self.evict_if_full(subject);
+        let suspect = self.suspects.entry(subject);
+        let suspect = suspect.or_insert_with(|| Suspect::new(stored.kind, now));
         suspect.is_stored = true;
-        let crashes = &mut suspect.crashes;
-        crashes.count = crashes.count.max(stored.ended);
-        crashes.reached = crashes.reached.max(stored.reached);
+        suspect.merge(stored, now);
         if suspect.quarantined_until.is_some() {
             return None;
         }
-        suspect.quarantine(now);
-        self.quarantined.insert(stored.request);
-        Some(Change::Quarantined(suspect.summary(stored.request)))
+        suspect.quarantine(stored.failed_trials, now);
+        self.quarantined.insert(subject);
+        Some(Change::Quarantined(suspect.summary(subject)))
     }
 
-    /// Applies the removal of a request from the store, after its quarantine expired or it was cleared. The request may be tried
+    /// Applies the removal of a request or part from the store, after its quarantine expired or it was cleared. It may be tried
     /// again, and is quarantined again after one more crash.
-    pub fn apply_removal(&mut self, request: Fingerprint) {
-        self.to_release.remove(&request);
-        if let Some(suspect) = self.suspects.get_mut(&request) {
+    pub fn apply_removal(&mut self, subject: Fingerprint) {
+        self.to_release.remove(&subject);
+        if let Some(suspect) = self.suspects.get_mut(&subject) {
             suspect.release();
-            self.quarantined.remove(&request);
+            self.quarantined.remove(&subject);
         }
     }
 
-    /// Applies all requests that the store has. Those that were stored before and are missing now are released.
+    /// Applies all requests and parts that the store has. Those that were stored before and are missing now are released.
     pub fn replace_stored(&mut self, stored: &[Quarantined], now: Instant) -> Vec<Change> {
-        let requests: HashSet<Fingerprint> = stored.iter().map(|it| it.request).collect();
-        self.to_release.retain(|request| requests.contains(request));
-        for (request, suspect) in &mut self.suspects {
-            if suspect.is_stored && !requests.contains(request) {
+        let subjects: HashSet<Fingerprint> = stored.iter().map(|it| it.subject).collect();
+        self.to_release.retain(|subject| subjects.contains(subject));
+        for (subject, suspect) in &mut self.suspects {
+            if suspect.is_stored && !subjects.contains(subject) {
                 suspect.release();
-                self.quarantined.remove(request);
+                self.quarantined.remove(subject);
             }
         }
         let changes = stored.iter().filter_map(|it| self.apply_stored(*it, now));
         changes.collect()
     }
 
-    /// Returns the pending writes to the store. Releases requests whose quarantine has expired, and drops suspects without a
+    /// Returns the pending writes to the store. Releases what has been quarantined for long enough, and drops suspects without a
     /// recent crash.
     pub fn pending_writes(&mut self, now: Instant) -> Vec<Write> {
-        for (request, suspect) in &mut self.suspects {
+        for (subject, suspect) in &mut self.suspects {
             if suspect.quarantined_until.is_some_and(|until| now >= until) {
                 if suspect.is_stored {
-                    self.to_release.insert(*request);
+                    self.to_release.insert(*subject);
                 }
                 suspect.release();
-                self.quarantined.remove(request);
+                self.quarantined.remove(subject);
             }
         }
         self.suspects.retain(|_, it| {
             it.quarantined_until.is_some() || now < it.last_crash_at + MAX_QUARANTINE
         });
         let suspects = self.suspects.iter();
-        let unstored = suspects.filter(|(_, it)| it.quarantined_until.is_some() && !it.is_stored);
-        let additions = unstored.map(|(request, it)| Write::Quarantine(it.summary(*request)));
+        let unstored = suspects.filter(|(_, it)| it.has_to_be_stored());
+        let additions = unstored.map(|(subject, it)| Write::Quarantine(it.summary(*subject)));
         let releases = self
             .to_release
             .iter()
-            .map(|request| Write::Release(*request));
+            .map(|subject| Write::Release(*subject));
         additions.chain(releases).collect()
     }
 
     /// Records that the store has acknowledged a write.
     pub fn confirm_write(&mut self, write: Write) {
         match write {
-            Write::Release(request) => {
-                self.to_release.remove(&request);
+            Write::Release(subject) => {
+                self.to_release.remove(&subject);
             }
-            Write::Quarantine(stored) => match self.suspects.get_mut(&stored.request) {
-                Some(suspect) if suspect.quarantined_until.is_some() => suspect.is_stored = true,
-                // The request was cleared during the write.
+            Write::Quarantine(stored) => match self.suspects.get_mut(&stored.subject) {
+                Some(suspect) if suspect.quarantined_until.is_some() => {
+                    suspect.is_stored = true;
+                    let current = suspect.summary(stored.subject);
+                    suspect.is_outdated = current.failed_trials != stored.failed_trials;
+                }
+                // It was cleared during the write.
                 _ => {
-                    self.to_release.insert(stored.request);
+                    self.to_release.insert(stored.subject);
                 }
             },
         }
     }
 
-    /// Evicts the suspects with the oldest crashes if the table is full and `request` is not in it. Quarantined suspects go last.
-    fn evict_if_full(&mut self, request: Fingerprint) {
-        if self.suspects.len() < CAPACITY || self.suspects.contains_key(&request) {
+    /// Evicts the suspects with the oldest crashes if the table is full and `subject` is not in it. Quarantined suspects go last.
+    fn evict_if_full(&mut self, subject: Fingerprint) {
+        if self.suspects.len() < CAPACITY || self.suspects.contains_key(&subject) {
             return;
         }
         let suspects = self.suspects.iter();
         let by_age = suspects
-            .map(|(request, it)| (it.quarantined_until.is_some(), it.last_crash_at, *request));
+            .map(|(subject, it)| (it.quarantined_until.is_some(), it.last_crash_at, *subject));
         let mut by_age: Vec<_> = by_age.collect();
         by_age.select_nth_unstable(EVICTION_BATCH);
-        for (_, _, request) in &by_age[..EVICTION_BATCH] {
-            self.remove(request);
+        for (_, _, subject) in &by_age[..EVICTION_BATCH] {
+            self.remove(subject);
+        }
+    }
+
+    /// Returns the crashes that a request is blamed for.
+    fn content(&self, request: Fingerprint) -> Option<&Crashes> {
+        match &self.suspects.get(&request)?.blame {
+            Blame::Content(crashes) => Some(crashes),
+            Blame::Part { .. } => None,
+        }
+    }
+
+    /// Returns the evidence against a part, none if it is no suspect.
+    fn evidence(&self, part: Fingerprint, now: Instant) -> Evidence {
+        match self.suspects.get(&part).map(|it| &it.blame) {
+            Some(Blame::Part { evidence, .. }) => Evidence::clone(evidence),
+            _ => Evidence::new(now),
         }
     }
 }
 
+impl InFlight {
+    /// Returns each part with what follows it in the prompt.
+    fn continuations(&self) -> impl Iterator<Item = (Fingerprint, Continuation)> {
+        let next = self.parts.iter().skip(1).copied().map(Continuation::Part);
+        let rest = std::iter::once(Continuation::Content(self.request));
+        self.parts.iter().copied().zip(next.chain(rest))
+    }
+}
+
 impl Crashes {
     /// Adds the crash of an upstream after an event of the answer. Returns false if it is known or has another cause.
     fn add(&mut self, upstream: &id::Instance, reached: Position) -> bool {
@@ -341,6 +510,17 @@
         true
     }
 
+    /// Returns the duration of the quarantine after so many crashes.
+    fn quarantine_time(&self) -> Duration {
+        let doublings = self
+            .count
+            .saturating_sub(CRASH_THRESHOLD)
+            .min(u32::BITS - 1);
+        FIRST_QUARANTINE
+            .saturating_mul(1 << doublings)
+            .min(MAX_QUARANTINE)
+    }
+
     /// Returns whether an answer that reached an event got beyond these crashes.
     fn are_passed_at(&self, reached: Position) -> bool {
         reached > self.reached + POSITION_TOLERANCE
@@ -348,37 +528,133 @@
 }
 
 impl Suspect {
-    fn new(now: Instant) -> Self {
+    fn new(kind: Kind, now: Instant) -> Self {
+        let blame = match kind {
+            Kind::Content => Blame::Content(Crashes::default()),
+            Kind::Part => Blame::Part {
+                evidence: Box::new(Evidence::new(now)),
+                trials: None,
+            },
+        };
         Self {
-            crashes: Crashes::default(),
+            blame,
             last_crash_at: now,
             quarantined_until: None,
             is_stored: false,
+            is_outdated: false,
+        }
+    }
+
+    fn kind(&self) -> Kind {
+        match self.blame {
+            Blame::Content(_) => Kind::Content,
+            Blame::Part { .. } => Kind::Part,
+        }
+    }
+
+    fn trials(&self) -> Option<&Trials> {
+        match &self.blame {
+            Blame::Part { trials, .. } => trials.as_ref(),
+            Blame::Content(_) => None,
+        }
+    }
+
+    fn trials_mut(&mut self) -> Option<&mut Trials> {
+        match &mut self.blame {
+            Blame::Part { trials, .. } => trials.as_mut(),
+            Blame::Content(_) => None,
         }
     }
 
-    fn summary(&self, request: Fingerprint) -> Quarantined {
+    fn summary(&self, subject: Fingerprint) -> Quarantined {
+        let (ended, reached) = match &self.blame {
+            Blame::Content(crashes) => (crashes.count, crashes.reached),
+            Blame::Part { evidence, .. } => (evidence.crashes, 0),
+        };
         Quarantined {
-            request,
-            ended: self.crashes.count,
-            reached: self.crashes.reached,
+            subject,
+            kind: self.kind(),
+            ended,
+            reached,
+            failed_trials: self.trials().map_or(0, |it| it.failed),
         }
     }
 
-    fn quarantine(&mut self, now: Instant) {
-        let doublings = self
-            .crashes
-            .count
-            .saturating_sub(CRASH_THRESHOLD)
-            .min(u32::BITS - 1);
-        let time = FIRST_QUARANTINE
-            .saturating_mul(1 << doublings)
-            .min(MAX_QUARANTINE);
+    /// Adds a crash that a request is blamed for, and quarantines it if there were enough. Returns whether it counts.
+    fn add_crash(&mut self, upstream: &id::Instance, reached: Position, now: Instant) -> bool {
+        let Blame::Content(crashes) = &mut self.blame else {
+            return false;
+        };
+        if !crashes.add(upstream, reached) {
+            return false;
+        }
+        if crashes.count >= CRASH_THRESHOLD {
+            self.quarantine(0, now);
+        }
+        true
+    }
+
+    /// Adds a crash that a part is blamed for, and quarantines it if that is proof. Returns whether it counts.
+    fn add_crash_of_part(
+        &mut self,
+        upstream: &id::Instance,
+        continuation: Continuation,
+        now: Instant,
+    ) -> bool {
+        let Blame::Part { evidence, trials } = &mut self.blame else {
+            return false;
+        };
+        if !evidence.add(upstream, continuation) {
+            return false;
+        }
+        match trials {
+            Some(trials) => {
+                self.is_outdated |= trials.record_crash(now);
+                self.quarantined_until = Some(now + MAX_QUARANTINE);
+            }
+            None if evidence.is_proof() => self.quarantine(0, now),
+            None => {}
+        }
+        true
+    }
+
+    /// Applies what the store has of it.
+    fn merge(&mut self, stored: Quarantined, now: Instant) {
+        match &mut self.blame {
+            Blame::Content(crashes) => {
+                crashes.count = crashes.count.max(stored.ended);
+                crashes.reached = crashes.reached.max(stored.reached);
+            }
+            Blame::Part { evidence, trials } => {
+                evidence.crashes = evidence.crashes.max(stored.ended);
+                if let Some(trials) = trials {
+                    trials.merge(stored.failed_trials, now);
+                }
+            }
+        }
+    }
+
+    fn quarantine(&mut self, failed_trials: u32, now: Instant) {
+        let time = match &mut self.blame {
+            Blame::Content(crashes) => crashes.quarantine_time(),
+            Blame::Part { trials, .. } => {
+                *trials = Some(Trials::new(failed_trials, now));
+                MAX_QUARANTINE
+            }
+        };
         self.quarantined_until = Some(now + time);
     }
 
     fn release(&mut self) {
         self.quarantined_until = None;
         self.is_stored = false;
+        self.is_outdated = false;
+        if let Blame::Part { trials, .. } = &mut self.blame {
+            *trials = None;
+        }
+    }
+
+    fn has_to_be_stored(&self) -> bool {
+        self.quarantined_until.is_some() && (!self.is_stored || self.is_outdated)
     }
 }
--- a/crates/tinbank-quarantine/tests/fleet/simulation.rs
+++ b/crates/tinbank-quarantine/tests/fleet/simulation.rs
@@ -278,6 +278,7 @@
                 match update {
                     Update::Crashed(report) => drop(host.table.record_crash(&report, at)),
                     Update::Cleared(request) => drop(host.table.clear(request)),
+                    Update::TrialStarted(part) => drop(host.table.record_trial(part, at)),
                 }
             }
             let (due, later) = host.reads.drain(..).partition(|(time, _)| *time <= now);
@@ -318,6 +319,7 @@
                 report.requests.push(InFlight {
                     request: run.request.name,
                     reached: run.reached(self.now),
+                    parts: Default::default(),
                 });
                 if run.request.name == POISON {
                     self.resume(&run);
@@ -432,7 +434,7 @@
             for write in self.hosts[host].table.pending_writes(at) {
                 self.hosts[host].table.confirm_write(write);
                 match write {
-                    Write::Quarantine(stored) => self.stored.insert(stored.request, stored),
+                    Write::Quarantine(stored) => self.stored.insert(stored.subject, stored),
                     Write::Release(request) => self.stored.remove(&request),
                 };
                 let read_at = self.now + self.rng.random_range(10..STORE_READ_DELAY);
--- a/crates/tinbank-quarantine/tests/table.rs
+++ b/crates/tinbank-quarantine/tests/table.rs
@@ -9,7 +9,7 @@
 use smallvec::smallvec;
 use tinbank_base::id;
 use tinbank_quarantine::{
-    CrashReport, Fingerprint, InFlight, Position, Quarantined, Table,
+    CrashReport, Fingerprint, InFlight, Kind, Position, Quarantined, Table,
     table::{CAPACITY, CRASH_THRESHOLD, Change, Interruption, Write},
 };
 use tinbank_test_support::property;
@@ -26,7 +26,15 @@
 fn report_at(upstream: usize, request: Fingerprint, reached: Position) -> CrashReport {
     CrashReport {
         upstream: id::Instance::from(format!("u{upstream}")),
-        requests: smallvec![InFlight { request, reached }],
+        requests: smallvec![in_flight(request, reached)],
+    }
+}
+
+fn in_flight(request: Fingerprint, reached: Position) -> InFlight {
+    InFlight {
+        request,
+        reached,
+        parts: smallvec![],
     }
 }
 
@@ -49,9 +57,11 @@
 
 fn quarantined(ended: u32) -> Quarantined {
     Quarantined {
-        request: REQUEST,
+        subject: REQUEST,
+        kind: Kind::Content,
         ended,
         reached: 0,
+        failed_trials: 0,
     }
 }
 
@@ -332,7 +342,7 @@
                 prop_assert_eq!(is_quarantined, crashes >= CRASH_THRESHOLD as usize);
             }
             let quarantined = naive.crashed.values().filter(|it| it.len() >= CRASH_THRESHOLD as usize);
-            prop_assert_eq!(table.quarantined(), quarantined.count());
+            prop_assert_eq!(table.quarantined(Kind::Content), quarantined.count());
         }
     }
 
@@ -359,7 +369,7 @@
                 }
                 Some(index) if index < probed.len() => {
                     let Interruption { upstream, reached } = probed.remove(index);
-                    let requests = smallvec![InFlight { request: REQUEST, reached }];
+                    let requests = smallvec![in_flight(REQUEST, reached)];
                     table.record_crash(&CrashReport { upstream, requests }, now);
                 }
                 Some(_) => {}
@@ -381,7 +391,7 @@
 
         let waits = table.must_wait_for_probes(REQUEST, interruptions.clone().collect());
         for Interruption { upstream, reached } in interruptions {
-            let requests = smallvec![InFlight { request: REQUEST, reached }];
+            let requests = smallvec![in_flight(REQUEST, reached)];
             table.record_crash(&CrashReport { upstream, requests }, now);
         }
 
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -208,6 +208,11 @@
         "tinbank_entry_first_answer_seconds",
         "Time from a request to the head of its upstream's answer.",
     ),
+    gauge(
+        "tinbank_entry_held_parts",
+        "parts",
+        "Parts of prompts that no upstream gets but for single trials, because upstreams crashed as they began to answer.",
+    ),
     gauge(
         "tinbank_entry_held_requests",
         "requests",
@@ -262,6 +267,12 @@
         &[],
         "Slot requests denied because no upstream of the failure domain has the memory for their prompt.",
     ),
+    counter(
+        "tinbank_entry_part_trials_total",
+        "requests",
+        &[],
+        "Requests that were sent to try a quarantined part of their prompts.",
+    ),
     seconds(
         "tinbank_entry_probe_wait_seconds",
         "Time for which requests waited for probes of upstreams that they may have crashed.",
