quarantine: answers under way clear a part, and a simulated fleet of parts

An answer that gets beyond its start after the crash now clears its parts whenever its request was sent: it began at most some 200 ms earlier. Answers of which only the end is seen still have to be to requests sent after the first crash.

The simulated fleet has sound requests beside those with a guilty part, a guilty first part, two of them, frequent and rare ones, loss, partitions, restarts of all hosts, crash storms, 12 and 300 hosts.

--- a/crates/tinbank-gateway/src/quarantine/mod.rs
+++ b/crates/tinbank-gateway/src/quarantine/mod.rs
@@ -228,8 +228,9 @@
     clear_if(node, request, |table, request| table.clear(request));
 }
 
-/// Records that the answer to a request got beyond its start. The parts of its prompt are cleared, here and at the other hosts.
-pub(crate) fn record_sound_start(node: &Node, request: &Request, sent_at: Instant) {
+/// Records that an upstream began the answer to a request and did not crash. The parts of its prompt are cleared, here and at the other
+/// hosts. See [`Table::record_sound_parts`].
+pub(crate) fn record_sound_start(node: &Node, request: &Request, began_at: Instant) {
     if request.shared_parts.is_empty() || node.quarantine.table.borrow().is_empty() {
         return;
     }
@@ -238,7 +239,7 @@
         .quarantine
         .table
         .borrow_mut()
-        .record_sound_parts(parts, sent_at);
+        .record_sound_parts(parts, began_at);
     for change in changes {
         if let Change::PartCleared(part) = change {
             node.quarantine.post(Update::Cleared(part));
--- a/crates/tinbank-gateway/src/relay/answer.rs
+++ b/crates/tinbank-gateway/src/relay/answer.rs
@@ -67,14 +67,14 @@
         let first_at = self.first_event_at.get().unwrap_or(now);
         self.first_event_at.set(Some(first_at));
         if event > self.started_after + START_EVENTS && now >= first_at + START_TIME {
-            self.record_sound_start();
+            self.record_sound_start(now);
         }
     }
 
     /// Records that no part of the prompt crashed the upstream.
-    fn record_sound_start(&self) {
+    fn record_sound_start(&self, began_at: Instant) {
         if !self.is_beyond_start.replace(true) {
-            quarantine::record_sound_start(&self.node, &self.request, self.sent_at);
+            quarantine::record_sound_start(&self.node, &self.request, began_at);
         }
     }
 }
@@ -101,7 +101,7 @@
             true => {
                 quarantine::record_completion(node, request);
                 if self.is_end_proof {
-                    self.attempt.record_sound_start();
+                    self.attempt.record_sound_start(self.attempt.sent_at);
                 }
             }
             false => quarantine::record_progress(node, request, last_event.get()),
--- a/crates/tinbank-quarantine/src/part.rs
+++ b/crates/tinbank-quarantine/src/part.rs
@@ -36,8 +36,8 @@
 /// Crashes of upstreams that had just begun to answer requests with a part.
 #[derive(Clone, Debug)]
 pub(crate) struct Evidence {
-    /// When the first of these crashes became known. Answers to requests that were sent earlier prove nothing, since upstreams may
-    /// crash on the part only since then.
+    /// When the first of these crashes became known. Answers that began earlier prove nothing, since upstreams may crash on the part only
+    /// since then.
     since: Instant,
     /// Number of upstreams that crashed.
     pub crashes: u32,
@@ -83,9 +83,9 @@
         self.continuations.len() > 1 && weights.sum::<u32>() >= PROOF
     }
 
-    /// Returns whether an answer to a request that was sent at a time shows that the part does not crash upstreams.
-    pub(crate) fn is_refuted_by(&self, sent_at: Instant) -> bool {
-        sent_at >= self.since
+    /// Returns whether an answer that began at a time shows that the part does not crash upstreams.
+    pub(crate) fn is_refuted_by(&self, began_at: Instant) -> bool {
+        began_at >= self.since
     }
 }
 
--- a/crates/tinbank-quarantine/src/table.rs
+++ b/crates/tinbank-quarantine/src/table.rs
@@ -332,13 +332,14 @@
         }
     }
 
-    /// Records that the answer to a request got beyond its start, or was completed, which clears the parts of its prompt.
-    pub fn record_sound_parts(&mut self, parts: &[Fingerprint], sent_at: Instant) -> Vec<Change> {
+    /// Records that an upstream began an answer and did not crash, which clears the parts of its prompt. `began_at` is when the answer got
+    /// beyond its start or, if only its end was seen, when the request was sent.
+    pub fn record_sound_parts(&mut self, parts: &[Fingerprint], began_at: Instant) -> Vec<Change> {
         let mut changes = Vec::new();
         for part in parts {
             let blame = self.suspects.get(part).map(|it| &it.blame);
             if let Some(Blame::Part { evidence, .. }) = blame
-                && evidence.is_refuted_by(sent_at)
+                && evidence.is_refuted_by(began_at)
             {
                 changes.extend(self.clear(*part));
             }
--- a/crates/tinbank-quarantine/tests/fleet/main.rs
+++ b/crates/tinbank-quarantine/tests/fleet/main.rs
@@ -3,8 +3,10 @@
 //! Comparison of strategies, for `docs/design/quarantine.md`:
 //! `cargo test --release -p tinbank-quarantine --test fleet -- --ignored --nocapture`.
 
+mod parts;
 mod simulation;
 
+use parts::Guilt;
 use simulation::{Outcome, Scenario, Strategy, Wait};
 use tinbank_quarantine::table::CRASH_THRESHOLD;
 use yare::parameterized;
@@ -78,6 +80,151 @@
     }
 }
 
+/// Requests with a part that crashes upstreams, no two alike, in a fleet of 12 hosts.
+const PARTS: parts::Scenario = parts::Scenario {
+    seed: 1,
+    hosts: 12,
+    guilt: Guilt::SecondPart,
+    guilty_rate: 8.0,
+    loss_percent: 1,
+    is_partitioned: false,
+    restarts_all: false,
+    has_crash_storm: false,
+};
+
+#[parameterized(
+    twelve_hosts = { PARTS },
+    many_hosts = { parts::Scenario { hosts: 300, ..PARTS } },
+    frequent = { parts::Scenario { guilty_rate: 20.0, ..PARTS } },
+    rare = { parts::Scenario { guilty_rate: 0.5, ..PARTS } },
+    first_part = { parts::Scenario { guilt: Guilt::FirstPart, ..PARTS } },
+    two_parts = { parts::Scenario { guilt: Guilt::TwoSecondParts, ..PARTS } },
+    packet_loss = { parts::Scenario { loss_percent: 30, ..PARTS } },
+    partition = { parts::Scenario { is_partitioned: true, ..PARTS } },
+    restarts_all = { parts::Scenario { restarts_all: true, ..PARTS } },
+    crash_storm = { parts::Scenario { has_crash_storm: true, ..PARTS } },
+)]
+fn a_part_is_sent_no_further_and_requests_beside_it_are_served(scenario: parts::Scenario) {
+    for seed in 1..=4 {
+        let outcome = parts::Scenario { seed, ..scenario }.run();
+
+        let of_each_part = if scenario.guilt == Guilt::TwoSecondParts {
+            2
+        } else {
+            1
+        };
+        assert!(
+            outcome.late <= MAX_RETRIES * of_each_part,
+            "seed {seed}: {outcome:?}"
+        );
+        assert!(
+            2 * outcome.refused_beside <= outcome.sound_beside,
+            "seed {seed}: {outcome:?}"
+        );
+    }
+}
+
+#[test]
+#[ignore = "prints the table of parts of the design note"]
+fn parts_of_prompts() {
+    let scenarios = [
+        ("12 hosts", PARTS),
+        (
+            "300 hosts",
+            parts::Scenario {
+                hosts: 300,
+                ..PARTS
+            },
+        ),
+        (
+            "20 a second",
+            parts::Scenario {
+                guilty_rate: 20.0,
+                ..PARTS
+            },
+        ),
+        (
+            "one each 2 s",
+            parts::Scenario {
+                guilty_rate: 0.5,
+                ..PARTS
+            },
+        ),
+        (
+            "a first part",
+            parts::Scenario {
+                guilt: Guilt::FirstPart,
+                ..PARTS
+            },
+        ),
+        (
+            "two parts",
+            parts::Scenario {
+                guilt: Guilt::TwoSecondParts,
+                ..PARTS
+            },
+        ),
+        (
+            "3 of 10 datagrams lost",
+            parts::Scenario {
+                loss_percent: 30,
+                ..PARTS
+            },
+        ),
+        (
+            "a third partitioned, 15 s",
+            parts::Scenario {
+                is_partitioned: true,
+                ..PARTS
+            },
+        ),
+        (
+            "all hosts restart, three times",
+            parts::Scenario {
+                restarts_all: true,
+                ..PARTS
+            },
+        ),
+        (
+            "a third of the upstreams crash for other reasons each 2 s",
+            parts::Scenario {
+                has_crash_storm: true,
+                ..PARTS
+            },
+        ),
+        (
+            "the same, nothing guilty",
+            parts::Scenario {
+                has_crash_storm: true,
+                guilt: Guilt::Nothing,
+                ..PARTS
+            },
+        ),
+    ];
+    println!(
+        "| fault | upstreams crashed, mean and most | late, most | sound refused, mean and worst | beside, worst |"
+    );
+    for (name, scenario) in scenarios {
+        let seeds = (1..=SEEDS).map(|seed| parts::Scenario { seed, ..scenario }.run());
+        let all: Vec<parts::Outcome> = seeds.collect();
+        let crashes = all.iter().map(|it| it.crashes);
+        let mean = crashes.clone().sum::<usize>() as f64 / SEEDS as f64;
+        let most = crashes.max().unwrap_or_default();
+        let late = all.iter().map(|it| it.late).max().unwrap_or_default();
+        let share = |refused: usize, all: usize| refused as f64 / all.max(1) as f64;
+        let refused = all.iter().map(|it| share(it.refused, it.sound));
+        let worst = refused.clone().fold(0.0, f64::max);
+        let refused = refused.sum::<f64>() / SEEDS as f64;
+        let beside = all
+            .iter()
+            .map(|it| share(it.refused_beside, it.sound_beside));
+        let beside = beside.fold(0.0, f64::max);
+        println!(
+            "| {name} | {mean:.1}, {most} | {late} | {refused:.4}, {worst:.4} | {beside:.3} |"
+        );
+    }
+}
+
 #[test]
 #[ignore = "prints the table of waits of the design note"]
 fn waits() {
