quarantine: upstreams that crash at one moment blame a part only if most of them had it; hosts begin trials apart

The failure domain of an upstream, or a third of all upstreams, may end at one instant under many sound requests with a popular part. Crashes within 200 ms now prove something only about a part that was present at three quarters of them.

--- a/crates/tinbank-gateway/src/node.rs
+++ b/crates/tinbank-gateway/src/node.rs
@@ -78,7 +78,7 @@
         Self {
             read_ahead,
             feed: Feed::default(),
-            quarantine: Quarantine::default(),
+            quarantine: Quarantine::new(crate::identity::random_id()),
             origins: Origins::default(),
             clock,
             retry,
--- a/crates/tinbank-gateway/src/quarantine/mod.rs
+++ b/crates/tinbank-gateway/src/quarantine/mod.rs
@@ -49,6 +49,15 @@
 }
 
 impl Quarantine {
+    /// Creates the quarantine of a host. `draw` is a random number, by which its trials differ in time from those of others.
+    pub fn new(draw: u64) -> Self {
+        let jitter = draw as f64 / u64::MAX as f64;
+        Self {
+            table: RefCell::new(Table::with_trial_jitter(jitter)),
+            ..Self::default()
+        }
+    }
+
     /// Returns whether a request may be sent. Checked before each send.
     pub fn permission(&self, request: &Request, now: Instant) -> Permission {
         let table = self.table.borrow();
--- a/crates/tinbank-quarantine/src/part.rs
+++ b/crates/tinbank-quarantine/src/part.rs
@@ -15,12 +15,17 @@
 pub(crate) const PROOF: u32 = 3;
 /// Largest weight of one request that follows a part and crashed several upstreams. It may be the cause by itself.
 const MAX_WEIGHT_OF_CONTENT: u32 = 2;
+/// Crashes within this time count as one moment: it covers the time that all hosts take to learn of them, and upstreams to get beyond the
+/// start of answers under way. Upstreams that crash at one moment, as with their failure domain, may have another cause.
+pub(crate) const ONE_MOMENT: Duration = Duration::from_millis(200);
 /// Number of upstreams and of continuations that are kept for each part. Proof needs fewer.
 const MAX_KEPT: usize = 8;
 /// Delay before a quarantined part is tried by one request. Multiplied with each trial that crashes an upstream.
 const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(2);
 /// By how much the delay grows.
 const TRIAL_BACKOFF: u32 = 8;
+/// Largest part of the delay that a host adds to it, so that not all hosts begin a trial at once.
+const MAX_JITTER: f64 = 0.25;
 /// Longest delay. Shorter than the time for which a part stays quarantined without a crash, so that it is tried before that ends.
 const MAX_TRIAL_DELAY: Duration = Duration::from_secs(12 * 60 * 60);
 
@@ -39,6 +44,8 @@
     /// When the first of these crashes became known. Answers that began earlier prove nothing, since upstreams may crash on the part only
     /// since then.
     since: Instant,
+    /// When the latest of them became known.
+    last_at: Instant,
     /// Number of upstreams that crashed.
     pub crashes: u32,
     /// The latest of these upstreams.
@@ -51,6 +58,7 @@
     pub(crate) fn new(now: Instant) -> Self {
         Self {
             since: now,
+            last_at: now,
             crashes: 0,
             upstreams: SmallVec::new(),
             continuations: SmallVec::new(),
@@ -58,10 +66,16 @@
     }
 
     /// Adds the crash of an upstream. Returns false if it is known.
-    pub(crate) fn add(&mut self, upstream: &id::Instance, continuation: Continuation) -> bool {
+    pub(crate) fn add(
+        &mut self,
+        upstream: &id::Instance,
+        continuation: Continuation,
+        now: Instant,
+    ) -> bool {
         if self.upstreams.contains(upstream) {
             return false;
         }
+        self.last_at = now;
         if self.upstreams.len() == MAX_KEPT {
             self.upstreams.remove(0);
         }
@@ -77,10 +91,16 @@
         true
     }
 
-    /// Returns whether the part is the cause of the crashes, rather than a later part or a whole request that came with it each time.
-    pub(crate) fn is_proof(&self) -> bool {
+    /// Returns whether the part is the cause of the crashes, rather than a later part or a whole request that came with it each time, or
+    /// something that ended several upstreams together. `recent_crashes` is the number of all upstreams that crashed at this moment.
+    pub(crate) fn is_proof(&self, recent_crashes: usize) -> bool {
         let weights = self.continuations.iter().map(weight);
-        self.continuations.len() > 1 && weights.sum::<u32>() >= PROOF
+        if self.continuations.len() == 1 || weights.sum::<u32>() < PROOF {
+            return false;
+        }
+        let is_one_moment = self.last_at < self.since + ONE_MOMENT;
+        let explains_most = 4 * self.crashes as usize >= 3 * recent_crashes;
+        !is_one_moment || explains_most
     }
 
     /// Returns whether an answer that began at a time shows that the part does not crash upstreams.
@@ -106,21 +126,27 @@
     pub next_at: Instant,
     /// Whether one has begun since the last crash.
     is_running: bool,
+    /// This host's share of the largest jitter.
+    jitter: f64,
 }
 
 impl Trials {
-    pub(crate) fn new(failed: u32, now: Instant) -> Self {
-        Self {
+    /// Creates the trials of a host after some that failed. `jitter` is its share of the largest jitter, from 0 to 1.
+    pub(crate) fn new(failed: u32, jitter: f64, now: Instant) -> Self {
+        let mut trials = Self {
             failed,
-            next_at: now + delay(failed),
+            next_at: now,
             is_running: false,
-        }
+            jitter,
+        };
+        trials.postpone(now);
+        trials
     }
 
     /// Records that a trial begins, here or at another host. The next one follows later if nothing is heard of this one.
     pub(crate) fn begin(&mut self, now: Instant) {
         self.is_running = true;
-        self.next_at = now + delay(self.failed);
+        self.postpone(now);
     }
 
     /// Records one more crash. Returns whether it was a trial, as opposed to a request that was sent before the quarantine.
@@ -129,7 +155,7 @@
         let was_trial = self.is_running || now >= self.next_at;
         self.failed += u32::from(was_trial);
         self.is_running = false;
-        self.next_at = self.next_at.max(now + delay(self.failed));
+        self.postpone(now);
         was_trial
     }
 
@@ -137,14 +163,16 @@
     pub(crate) fn merge(&mut self, failed: u32, now: Instant) {
         if failed > self.failed {
             self.failed = failed;
-            self.next_at = self.next_at.max(now + delay(failed));
+            self.postpone(now);
         }
     }
-}
 
-fn delay(failed: u32) -> Duration {
-    let factor = TRIAL_BACKOFF.saturating_pow(failed);
-    FIRST_TRIAL_DELAY
-        .saturating_mul(factor)
-        .min(MAX_TRIAL_DELAY)
+    /// Puts the next trial off for as long as the failed ones demand.
+    fn postpone(&mut self, now: Instant) {
+        let factor = TRIAL_BACKOFF.saturating_pow(self.failed);
+        let delay = FIRST_TRIAL_DELAY.saturating_mul(factor);
+        let delay = delay.min(MAX_TRIAL_DELAY);
+        let next_at = now + delay.mul_f64(1.0 + MAX_JITTER * self.jitter);
+        self.next_at = self.next_at.max(next_at);
+    }
 }
--- a/crates/tinbank-quarantine/src/table.rs
+++ b/crates/tinbank-quarantine/src/table.rs
@@ -10,7 +10,7 @@
 //! requests become suspects too, see [`crate::part`].
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{HashMap, HashSet, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -19,7 +19,7 @@
 
 use crate::{
     Fingerprint,
-    part::{Continuation, Evidence, Trials},
+    part::{Continuation, Evidence, ONE_MOMENT, Trials},
     report::{CrashReport, InFlight, Kind, Position, Quarantined},
 };
 
@@ -95,6 +95,10 @@
     quarantined: HashSet<Fingerprint>,
     /// Suspects that are in the store and no longer quarantined here.
     to_release: HashSet<Fingerprint>,
+    /// Upstreams that crashed at the present moment, and when that became known.
+    recent_crashes: VecDeque<(Instant, id::Instance)>,
+    /// This host's share of the largest jitter of trials, from 0 to 1.
+    trial_jitter: f64,
 }
 
 #[derive(Debug)]
@@ -116,6 +120,7 @@
         evidence: Box<Evidence>,
         /// Set while it is quarantined.
         trials: Option<Trials>,
+        trial_jitter: f64,
     },
 }
 
@@ -140,6 +145,15 @@
 }
 
 impl Table {
+    /// Creates the table of a host whose trials of quarantined parts begin later than those of others, by a share of the largest jitter
+    /// from 0 to 1.
+    pub fn with_trial_jitter(trial_jitter: f64) -> Self {
+        Self {
+            trial_jitter,
+            ..Self::default()
+        }
+    }
+
     /// Returns whether there are no suspects, in which case fingerprints need not be computed.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
@@ -196,12 +210,12 @@
             for (upstream, interrupted) in interrupted {
                 let mut continuations = interrupted.continuations();
                 if let Some((_, other)) = continuations.find(|(it, _)| *it == part) {
-                    evidence.add(upstream, other);
+                    evidence.add(upstream, other, now);
                 }
             }
             let is_probed = evidence.crashes > known;
-            evidence.add(&id::Instance::from(""), continuation);
-            is_probed && evidence.is_proof()
+            evidence.add(&id::Instance::from(""), continuation, now);
+            is_probed && evidence.is_proof(self.recent_crashes.len())
         })
     }
 
@@ -284,6 +298,7 @@
     /// Records a crash of an upstream, seen here or reported by another host.
     pub fn record_crash(&mut self, report: &CrashReport, now: Instant) -> Vec<Change> {
         let upstream = &report.upstream;
+        let recent_crashes = self.count_crash(upstream, now);
         let mut changes = Vec::new();
         for in_flight in &report.requests {
             changes.extend(self.record_progress(in_flight.request, in_flight.reached));
@@ -293,13 +308,28 @@
             }));
             for (part, continuation) in in_flight.continuations() {
                 changes.extend(self.blame(part, Kind::Part, now, |suspect| {
-                    suspect.add_crash_of_part(upstream, continuation, now)
+                    suspect.add_crash_of_part(upstream, continuation, recent_crashes, now)
                 }));
             }
         }
         changes
     }
 
+    /// Returns the number of upstreams that crashed at this moment, this one included.
+    fn count_crash(&mut self, upstream: &id::Instance, now: Instant) -> usize {
+        let recent = &mut self.recent_crashes;
+        while recent
+            .front()
+            .is_some_and(|(at, _)| now >= *at + ONE_MOMENT)
+        {
+            recent.pop_front();
+        }
+        if !recent.iter().any(|(_, it)| it == upstream) {
+            recent.push_back((now, upstream.clone()));
+        }
+        recent.len()
+    }
+
     /// Adds a crash to a suspect. `add` returns whether it counts.
     fn blame(
         &mut self,
@@ -310,7 +340,8 @@
     ) -> Option<Change> {
         self.evict_if_full(subject);
         let suspect = self.suspects.entry(subject);
-        let suspect = suspect.or_insert_with(|| Suspect::new(kind, now));
+        let jitter = self.trial_jitter;
+        let suspect = suspect.or_insert_with(|| Suspect::new(kind, jitter, now));
         if !add(suspect) {
             return None;
         }
@@ -373,7 +404,8 @@
         }
         self.evict_if_full(subject);
         let suspect = self.suspects.entry(subject);
-        let suspect = suspect.or_insert_with(|| Suspect::new(stored.kind, now));
+        let jitter = self.trial_jitter;
+        let suspect = suspect.or_insert_with(|| Suspect::new(stored.kind, jitter, now));
         suspect.is_stored = true;
         suspect.merge(stored, now);
         if suspect.quarantined_until.is_some() {
@@ -529,12 +561,13 @@
 }
 
 impl Suspect {
-    fn new(kind: Kind, now: Instant) -> Self {
+    fn new(kind: Kind, trial_jitter: f64, now: Instant) -> Self {
         let blame = match kind {
             Kind::Content => Blame::Content(Crashes::default()),
             Kind::Part => Blame::Part {
                 evidence: Box::new(Evidence::new(now)),
                 trials: None,
+                trial_jitter,
             },
         };
         Self {
@@ -600,12 +633,16 @@
         &mut self,
         upstream: &id::Instance,
         continuation: Continuation,
+        recent_crashes: usize,
         now: Instant,
     ) -> bool {
-        let Blame::Part { evidence, trials } = &mut self.blame else {
+        let Blame::Part {
+            evidence, trials, ..
+        } = &mut self.blame
+        else {
             return false;
         };
-        if !evidence.add(upstream, continuation) {
+        if !evidence.add(upstream, continuation, now) {
             return false;
         }
         match trials {
@@ -613,7 +650,7 @@
                 self.is_outdated |= trials.record_crash(now);
                 self.quarantined_until = Some(now + MAX_QUARANTINE);
             }
-            None if evidence.is_proof() => self.quarantine(0, now),
+            None if evidence.is_proof(recent_crashes) => self.quarantine(0, now),
             None => {}
         }
         true
@@ -626,7 +663,9 @@
                 crashes.count = crashes.count.max(stored.ended);
                 crashes.reached = crashes.reached.max(stored.reached);
             }
-            Blame::Part { evidence, trials } => {
+            Blame::Part {
+                evidence, trials, ..
+            } => {
                 evidence.crashes = evidence.crashes.max(stored.ended);
                 if let Some(trials) = trials {
                     trials.merge(stored.failed_trials, now);
@@ -638,8 +677,12 @@
     fn quarantine(&mut self, failed_trials: u32, now: Instant) {
         let time = match &mut self.blame {
             Blame::Content(crashes) => crashes.quarantine_time(),
-            Blame::Part { trials, .. } => {
-                *trials = Some(Trials::new(failed_trials, now));
+            Blame::Part {
+                trials,
+                trial_jitter,
+                ..
+            } => {
+                *trials = Some(Trials::new(failed_trials, *trial_jitter, now));
                 MAX_QUARANTINE
             }
         };
