--- a/crates/tinbank-quarantine/tests/fleet/parts.rs
+++ b/crates/tinbank-quarantine/tests/fleet/parts.rs
@@ -175,7 +175,8 @@
         let was_cut =
             self.scenario.is_partitioned && cut.contains(&self.now) && host.is_multiple_of(3);
         let after = |at: &u64| (*at..at + CONVERGENCE_TIME).contains(&self.now);
-        !was_cut && !(self.scenario.restarts_all && RESTARTS_AT.iter().any(after))
+        let has_restarted = self.scenario.restarts_all && RESTARTS_AT.iter().any(after);
+        !was_cut && !has_restarted
     }
 
     fn step(&mut self) {
