quarantine: an answer without a length that ends at its start may be a crash

What callers would see: an upstream whose answers have neither a length nor chunks ends them with their connection, and so does its crash. Such an answer counted as whole: nobody was blamed, and the request was cleared.

Mend: an answer without a marked end that ended within its start (five events, 0.2 s) clears nothing, and its upstream is probed as after a lost connection. One that got further still counts as whole, as the protocol has no other sign. An answer of that kind costs one connection for the probe; those with a length or chunks cost nothing.

--- a/crates/tinbank-gateway/src/relay/answer.rs
+++ b/crates/tinbank-gateway/src/relay/answer.rs
@@ -84,9 +84,10 @@
     body: Incoming,
     attempt: AttemptContext,
     is_complete: Cell<bool>,
-    /// Whether its end shows that the upstream has answered. A failure may come before the upstream begins to, and a crash may end a body
-    /// of unknown length in order.
-    is_end_proof: bool,
+    /// Whether the answer is a success. A failure may come before the upstream begins to answer.
+    is_success: bool,
+    /// Whether the end of the body differs from a lost connection.
+    has_marked_end: bool,
 }
 
 impl Drop for AnswerBody {
@@ -100,7 +101,7 @@
         match self.is_complete.get() {
             true => {
                 quarantine::record_completion(node, request);
-                if self.is_end_proof {
+                if self.is_success {
                     self.attempt.record_sound_start(self.attempt.sent_at);
                 }
             }
@@ -111,11 +112,13 @@
 
 impl AnswerBody {
     pub fn new(head: &Parts, body: Incoming, attempt: AttemptContext) -> Self {
+        let is_empty = body.is_end_stream();
         Self {
             body,
             attempt,
             is_complete: Cell::new(false),
-            is_end_proof: head.status.is_success() && has_marked_end(head),
+            is_success: head.status.is_success(),
+            has_marked_end: is_empty || has_marked_end(head),
         }
     }
 
@@ -124,9 +127,13 @@
         self.attempt.record_event(event);
     }
 
-    /// Marks the answer as complete.
+    /// Marks the answer as complete. If its end is not marked, an upstream that crashed at the start of the answer may have caused it, so
+    /// the upstream is probed.
     pub fn mark_complete(&self) {
-        self.is_complete.set(true);
+        match self.has_marked_end || self.attempt.is_beyond_start.get() {
+            true => self.is_complete.set(true),
+            false => self.attempt.record_broken_connection(),
+        }
     }
 
     /// Records that the body ended within an event, which is how a crash shows if the body has no length.
