quarantine: a part that several customers use is quarantined for all of them

Each shared part is now known twice: as one of its customer, and before that as one of all customers, whose continuations are the customers. The rule for continuations does the rest: crashes under three different customers quarantine it for all, and a single one can't have the requests of others refused, which a second test shows.

--- a/crates/tinbank-gateway/src/border/engine.rs
+++ b/crates/tinbank-gateway/src/border/engine.rs
@@ -49,22 +49,25 @@
             .get_or_init(|| self.compute_fingerprint())
     }
 
-    /// Returns the fingerprints of the shared parts of the prompt, in order.
+    /// Returns the fingerprints of the shared parts of the prompt, in order. A part of a customer follows the same part of all customers,
+    /// so that it takes the requests of several to have the latter quarantined.
     pub fn part_fingerprints(&self) -> &SmallVec<[Fingerprint; 2]> {
         self.part_fingerprint_cache.get_or_init(|| {
-            let parts = self.shared_parts.iter().map(|id| SharedPart {
-                customer: self.customer.as_deref(),
-                id,
-            });
-            parts.map(|part| part.fingerprint()).collect()
+            let parts = self.shared_parts.iter();
+            parts.flat_map(|id| self.fingerprints_of_part(id)).collect()
         })
     }
 
     /// Returns the id of the shared part with a fingerprint.
     pub fn part_id(&self, fingerprint: Fingerprint) -> Option<&PartId> {
-        let mut parts = self.part_fingerprints().iter().zip(&self.shared_parts);
-        let (_, id) = parts.find(|(part, _)| **part == fingerprint)?;
-        Some(id)
+        let mut parts = self.shared_parts.iter();
+        parts.find(|id| self.fingerprints_of_part(id).any(|it| it == fingerprint))
+    }
+
+    fn fingerprints_of_part<'a>(&'a self, id: &'a str) -> impl Iterator<Item = Fingerprint> + 'a {
+        let of_customer = self.customer.as_deref().map(Some);
+        let customers = std::iter::once(None).chain(of_customer);
+        customers.map(move |customer| SharedPart { customer, id }.fingerprint())
     }
 
     fn compute_fingerprint(&self) -> Fingerprint {
--- a/crates/tinbank-quarantine/src/fingerprint.rs
+++ b/crates/tinbank-quarantine/src/fingerprint.rs
@@ -40,7 +40,7 @@
 /// A part of a prompt that requests share.
 #[derive(Clone, Copy, Debug)]
 pub struct SharedPart<'a> {
-    /// The customer, if any, as in [`Content`].
+    /// The customer whose requests are meant; `None` for those of all.
     pub customer: Option<&'a str>,
     /// How callers name the part. Neither the model nor the parts before it count, since upstreams may crash on it whatever else a
     /// request holds.
--- a/crates/tinbank-quarantine/src/report.rs
+++ b/crates/tinbank-quarantine/src/report.rs
@@ -26,7 +26,7 @@
     pub request: Fingerprint,
     /// Last event of its answer that was received before the crash; 0 if there was none.
     pub reached: Position,
-    /// The shared parts of its prompt, in order. Empty if the upstream had got beyond the start of its answer, since parts crash
+    /// The shared parts of its prompt, in order, each first as a part of all customers and then as one of its customer. Empty if the upstream had got beyond the start of its answer, since parts crash
     /// upstreams as they begin.
     pub parts: SmallVec<[Fingerprint; 2]>,
 }
--- a/crates/tinbank-quarantine/tests/parts.rs
+++ b/crates/tinbank-quarantine/tests/parts.rs
@@ -15,7 +15,7 @@
 /// Time between two crashes, so that three are no single moment.
 const INTERVAL: Duration = Duration::from_millis(100);
 const DAY: Duration = Duration::from_secs(24 * 3_600);
-/// A first part, the parts behind it, and contents.
+/// A first part, or a part of all customers; the parts behind it, or those of its customers; and contents.
 const FIRST: Fingerprint = 1;
 const BAD: Fingerprint = 10;
 const OTHER: Fingerprint = 11;
@@ -91,9 +91,9 @@
     three_requests = { &[(&[BAD], 100), (&[BAD], 101), (&[BAD], 102)], [false, true, false] },
     one_request_repeated = { &[(&[BAD], 100), (&[BAD], 100), (&[BAD], 100), (&[BAD], 100)], [false, false, false] },
     one_request_repeated_and_another = { &[(&[BAD], 100), (&[BAD], 100), (&[BAD], 101)], [false, true, false] },
-    behind_one_first_part = { &[(&[FIRST, BAD], 100), (&[FIRST, BAD], 101), (&[FIRST, BAD], 102), (&[FIRST, BAD], 103)], [false, true, false] },
+    behind_one_first_part_or_of_one_customer = { &[(&[FIRST, BAD], 100), (&[FIRST, BAD], 101), (&[FIRST, BAD], 102), (&[FIRST, BAD], 103)], [false, true, false] },
     two_behind_one_first_part = { &[(&[FIRST, BAD], 100), (&[FIRST, OTHER], 101), (&[FIRST, BAD], 102), (&[FIRST, OTHER], 103), (&[FIRST, BAD], 104), (&[FIRST, OTHER], 105)], [false, true, true] },
-    a_first_part = { &[(&[FIRST, BAD], 100), (&[FIRST, OTHER], 101), (&[FIRST, 12], 102)], [true, false, false] },
+    a_first_part_or_several_customers = { &[(&[FIRST, BAD], 100), (&[FIRST, OTHER], 101), (&[FIRST, 12], 102)], [true, false, false] },
     behind_other_parts = { &[(&[2, BAD], 100), (&[3, BAD], 101), (&[4, BAD], 102)], [false, true, false] },
 )]
 fn a_part_is_quarantined_after_crashes_with_different_continuations(
