--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -194,6 +194,8 @@
     """Runs a case and ends with its exit code. `case(deployment, record, trouble)` returns whether the rule held."""
     folder = Path(sys.argv[1])
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # The processes are ended also if the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     started_at = time.monotonic()
     with open(folder / "record.txt", "w") as file, tempfile.TemporaryDirectory() as scratch:
 
@@ -201,10 +203,12 @@
             file.write(f"{time.monotonic() - started_at:8.3f} {text}\n")
             file.flush()
 
+        verdicts = []
+
         async def play():
             deployment = Deployment(scratch)
             try:
-                return await asyncio.wait_for(case(deployment, record, trouble), 110)
+                verdicts.append(await asyncio.wait_for(case(deployment, record, trouble), 110))
             finally:
                 deployment.end()
                 keep = os.environ.get("KEEP_LOGS")
@@ -214,11 +218,14 @@
 
         record(f"disruption: {'on' if trouble else 'off'}")
         try:
-            held = asyncio.run(play())
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
-            record(f"the case could not run: {error!r}")
-            print(f"could not run: {error!r}")
-            sys.exit(2)
+            asyncio.run(play())
+        except Exception as error:
+            # What goes wrong while the stand-ins end changes no verdict.
+            if not verdicts:
+                record(f"the case could not run: {error!r}")
+                print(f"could not run: {error!r}")
+                sys.exit(2)
+        held = verdicts[0]
         record("the rule held" if held else "THE RULE WAS BROKEN")
         print("held" if held else "broken")
         sys.exit(0 if held else 1)
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -23,7 +23,8 @@
 class Store:
     def __init__(self):
         self.partitions = {}
-        self.changed = asyncio.Condition()
+        # Set, and replaced by a new one, when records are added.
+        self.changed = asyncio.Event()
         self.members = {}
         self.generation = 0
         self.target = {}
@@ -66,8 +67,8 @@
             await asyncio.sleep(APPEND_S)
             first = len(partition.records)
             partition.records += records
-        async with self.changed:
-            self.changed.notify_all()
+        self.changed.set()
+        self.changed = asyncio.Event()
         return first, len(partition.records)
 
     async def append(self, request):
@@ -109,11 +110,10 @@
             left = until - time.monotonic()
             if left <= 0:
                 break
-            async with self.changed:
-                try:
-                    await asyncio.wait_for(self.changed.wait(), left)
-                except asyncio.TimeoutError:
-                    break
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                break
         body = bytearray(struct.pack(">QQ", len(partition.records), 0))
         for index, record in enumerate(partition.records[start:]):
             if index > 0 and len(body) + 4 + len(record) > limit:
