jobs: a late copy of a refused submission is not accepted

Cause: an append without an answer is repeated, and the store may do the first copy seconds later. The table kept nothing of a refusal, so each copy was decided by the quota at its own offset.

Evidence: the line 'job submitted' names the call now.

Change: a submission names the position of the log at which its call began, and the table keeps the last decision on each job. A submission that began before a refusal of its job is outdated. So is one 65,536 records after its position, or from before the first record that the host could read: verdicts depend on the log alone, and what is kept is bounded. A host that had not read a refusal yet appends a new attempt again by itself. Earlier versions ignore the position.

--- a/crates/tinbank-gateway/src/batch/follower.rs
+++ b/crates/tinbank-gateway/src/batch/follower.rs
@@ -65,6 +65,7 @@
             Err(Error::Trimmed { first }) => {
                 log::warn!(offset = from, first; "records of jobs were trimmed, continuing after them");
                 joiner.reset();
+                node.batch.table.borrow_mut().skip_to(first);
                 node.batch.next_offset.set(first);
             }
             Err(error) => {
@@ -190,7 +191,7 @@
     match change {
         Change::Submitted { call, job, verdict } => {
             let level = log_level(node, &job);
-            log::log!(level, job:%, offset = joined.offset, verdict:?; "job submitted");
+            log::log!(level, job:%, call, offset = joined.offset, verdict:?; "job submitted");
             if let Some(contents) = contents
                 && verdict == Verdict::Accepted
                 && ownership::owns(node, &job)
--- a/crates/tinbank-gateway/src/batch/submission.rs
+++ b/crates/tinbank-gateway/src/batch/submission.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant, SystemTime};
 
+use tinbank_base::id;
 use tinbank_customer::Caller;
 use tinbank_jobs::{
     change::Verdict,
@@ -23,7 +24,8 @@
     relay::RETRY_AFTER,
 };
 
-/// Timeout of an append, after which it is retried. Duplicate records have no effect.
+/// Timeout of an append, after which it is retried. Each attempt may append a copy of the record, also seconds later; the table gives
+/// no copy of a submission another verdict than the first one, and a job can be cancelled once.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(500);
 /// Limit on the time until a submission is decided. Well below what callers wait, so that they can retry at another
 /// host, which may reach the store when this one does not. Several times what an append takes at a slow store.
@@ -86,7 +88,6 @@
     if !is_log_reachable(node, route).await {
         return refuse(call, "log of jobs not read to its end");
     }
-    let number = identity::random_id();
     let listed = items.iter().map(|it| it.item.clone()).collect();
     let contents = Contents(items.into_iter().map(|it| it.content).collect());
     let Some(contents) = attach(node, contents, allowed, deadline).await else {
@@ -94,7 +95,8 @@
     };
     let submission = Submission {
         job,
-        call: number,
+        call: 0,
+        position: None,
         host: call.host.clone(),
         route: route.name.clone(),
         quota: quota(route, caller),
@@ -105,12 +107,8 @@
         items: listed,
         contents,
     };
-    let record = Record::submitted(customer, submission);
-    let (sender, receiver) = oneshot::channel();
-    node.batch.verdicts.borrow_mut().insert(number, sender);
     let until = deadline.min(Instant::now() + VERDICT_TIMEOUT);
-    let reply = write_and_decide(node, call, &record, receiver, until).await;
-    node.batch.verdicts.borrow_mut().remove(&number);
+    let reply = append_submission(node, call, customer, submission, until).await;
     log::info!(job:% = call.id, route:% = route.name, reply:?; "submission answered");
     reply
 }
@@ -174,35 +172,66 @@
     None
 }
 
+/// Appends a submission and returns the reply by its verdict. One that is outdated, because this host had not applied an earlier refusal
+/// of the job, is appended anew from the position that is known by then.
+async fn append_submission(
+    node: &Node,
+    call: &Request,
+    customer: Option<id::Customer>,
+    submission: Submission,
+    deadline: Instant,
+) -> Reply {
+    loop {
+        let number = identity::random_id();
+        let attempt = Submission {
+            call: number,
+            position: Some(node.batch.next_offset.get()),
+            ..submission.clone()
+        };
+        let record = Record::submitted(customer.clone(), attempt);
+        let (sender, receiver) = oneshot::channel();
+        node.batch.verdicts.borrow_mut().insert(number, sender);
+        let decided = write_and_decide(node, call, &record, receiver, deadline).await;
+        node.batch.verdicts.borrow_mut().remove(&number);
+        match decided {
+            Err(reply) => return reply,
+            Ok(Verdict::Accepted | Verdict::Known) => return Reply::Accepted,
+            Ok(Verdict::OverQuota { .. }) => {
+                return Reply::OverQuota {
+                    retry_after: RETRY_AFTER,
+                };
+            }
+            Ok(Verdict::Outdated) if Instant::now() >= deadline => {
+                return refuse(call, "log of jobs read too late");
+            }
+            Ok(Verdict::Outdated) => {
+                log::info!(job:% = call.id; "submission began before a refusal of its job, appended anew");
+            }
+        }
+    }
+}
+
+/// Appends a submission and waits for its verdict. Returns the reply if there is none.
 async fn write_and_decide(
     node: &Node,
     call: &Request,
     record: &Record,
     mut receiver: oneshot::Receiver<Verdict>,
     deadline: Instant,
-) -> Reply {
+) -> Result<Verdict, Reply> {
     let written = tokio::select! {
         // The verdict comes first if the answer to the append is lost or late.
-        verdict = &mut receiver => return verdict.map_or(Reply::Failed, reply_to),
+        verdict = &mut receiver => return verdict.map_err(|_| Reply::Failed),
         written = write(node, record, deadline) => written,
     };
     match written {
-        Written::No => return refuse(call, "store not reached"),
-        Written::Unknown => return Reply::TimedOut,
+        Written::No => return Err(refuse(call, "store not reached")),
+        Written::Unknown => return Err(Reply::TimedOut),
         Written::At(offset) => node.batch.mark_awaited(offset + 1),
     }
     match time::timeout_at(deadline.into(), receiver).await {
-        Ok(Ok(verdict)) => reply_to(verdict),
-        _ => Reply::TimedOut,
-    }
-}
-
-fn reply_to(verdict: Verdict) -> Reply {
-    match verdict {
-        Verdict::Accepted | Verdict::Known => Reply::Accepted,
-        Verdict::OverQuota { .. } => Reply::OverQuota {
-            retry_after: RETRY_AFTER,
-        },
+        Ok(Ok(verdict)) => Ok(verdict),
+        _ => Err(Reply::TimedOut),
     }
 }
 
--- a/crates/tinbank-jobs/src/change.rs
+++ b/crates/tinbank-jobs/src/change.rs
@@ -76,4 +76,7 @@
         /// Tokens that the customer has waiting on the route.
         waiting: u64,
     },
+    /// The call began before another submission of the job was refused, or too long ago to tell, so the record may be a late copy of
+    /// one that its caller knows to be refused. The job will not run by this record, but a new call may submit it.
+    Outdated,
 }
--- a/crates/tinbank-jobs/src/lib.rs
+++ b/crates/tinbank-jobs/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod backlog;
 pub mod change;
+mod decisions;
 pub mod estimate;
 pub mod fragment;
 pub mod job;
--- a/crates/tinbank-jobs/src/record.rs
+++ b/crates/tinbank-jobs/src/record.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, TimestampMilliSeconds, serde_as};
 use tinbank_base::id;
 use tinbank_origin::Origin;
@@ -18,6 +18,9 @@
 /// Unique number of a run of an item at an upstream.
 pub type RunId = u64;
 
+/// Offset in the job log.
+pub type Offset = u64;
+
 /// First byte of each record. Records of another version are skipped and logged.
 const VERSION: u8 = 2;
 
@@ -86,6 +89,10 @@
     pub items: Vec<Item>,
     /// The contents of the items.
     pub contents: Attachment,
+    /// Position of the log when the submit call began: its host had applied all records before. `None` in records of versions that did
+    /// not write it. Encoded after the record, where those versions ignore it.
+    #[serde(skip)]
+    pub position: Option<Offset>,
 }
 
 /// The part of an item that every host reads.
@@ -257,24 +264,35 @@
 
     /// Encodes the contents as a record.
     pub fn encode(&self) -> Result<Bytes, Error> {
-        encode(self)
+        Ok(encode_to_vec(self)?.into())
     }
 
     /// Decodes contents.
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
-        decode(bytes)
+        Ok(postcard::from_bytes(content(bytes)?)?)
     }
 }
 
 impl Record {
     /// Encodes the record.
     pub fn encode(&self) -> Result<Bytes, Error> {
-        encode(self)
+        let record = encode_to_vec(self)?;
+        let position = self.submission().and_then(|it| it.position);
+        match position {
+            Some(position) => Ok(postcard::to_extend(&position, record)?.into()),
+            None => Ok(record.into()),
+        }
     }
 
     /// Decodes a record.
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
-        decode(bytes)
+        let (mut record, rest): (Self, _) = postcard::take_from_bytes(content(bytes)?)?;
+        if !rest.is_empty()
+            && let Some(submission) = record.submission_mut()
+        {
+            submission.position = Some(postcard::from_bytes(rest)?);
+        }
+        Ok(record)
     }
 
     /// Sets the location of the text if the record has one.
@@ -313,16 +331,28 @@
             | Self::RunStarted(_) => None,
         }
     }
+
+    fn submission_mut(&mut self) -> Option<&mut Submission> {
+        match self {
+            Self::Submitted(submission) | Self::SubmittedBy(_, submission) => Some(submission),
+            Self::Finished(_)
+            | Self::Cancelled(_)
+            | Self::Checkpointed(_)
+            | Self::Failed(_)
+            | Self::RunStarted(_) => None,
+        }
+    }
 }
 
-fn encode(value: &impl Serialize) -> Result<Bytes, Error> {
+fn encode_to_vec(value: &impl Serialize) -> Result<Vec<u8>, Error> {
     let head = Vec::from([VERSION]);
-    Ok(Bytes::from(postcard::to_extend(value, head)?))
+    Ok(postcard::to_extend(value, head)?)
 }
 
-fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+/// Returns the bytes after the version.
+fn content(bytes: &[u8]) -> Result<&[u8], Error> {
     match bytes.split_first() {
-        Some((&VERSION, rest)) => Ok(postcard::from_bytes(rest)?),
+        Some((&VERSION, rest)) => Ok(rest),
         other => Err(Error::Version {
             found: other.map(|(version, _)| *version),
         }),
--- a/crates/tinbank-jobs/src/table.rs
+++ b/crates/tinbank-jobs/src/table.rs
@@ -9,19 +9,24 @@
 
 use crate::{
     change::{Change, Verdict},
+    decisions::{Decisions, Prior},
     job::{Effect, Job},
-    record::{Checkpoint, Failure, Finish, JobId, Outcome, Record, RunStart, Submission},
+    record::{Checkpoint, Failure, Finish, JobId, Offset, Outcome, Record, RunStart, Submission},
 };
 
 /// The jobs of all routes.
 #[derive(Debug, Default)]
 pub struct Table {
     jobs: HashMap<JobId, Job>,
+    decisions: Decisions,
+    /// Offset of the last record that was applied.
+    offset: Offset,
 }
 
 impl Table {
     /// Applies the record at an offset.
-    pub fn apply(&mut self, offset: u64, record: Record) -> Change {
+    pub fn apply(&mut self, offset: Offset, record: Record) -> Change {
+        self.offset = offset;
         match record {
             Record::Submitted(submission) => self.submit(offset, None, submission),
             Record::SubmittedBy(customer, submission) => {
@@ -35,6 +40,11 @@
         }
     }
 
+    /// Notes that the records before an offset were trimmed before they could be applied.
+    pub fn skip_to(&mut self, first: Offset) {
+        self.decisions.skip_to(first);
+    }
+
     /// Returns a job by its internal name.
     pub fn job(&self, id: &str) -> Option<&Job> {
         self.jobs.get(id)
@@ -66,28 +76,45 @@
     pub fn prune(&mut self, retention: Duration, now: SystemTime) {
         self.jobs
             .retain(|_, job| !job.can_be_pruned(retention, now));
+        self.decisions.prune(self.offset);
     }
 
     fn submit(
         &mut self,
-        offset: u64,
+        offset: Offset,
         customer: Option<id::Customer>,
         submission: Submission,
     ) -> Change {
-        let verdict = self.decide(customer.as_ref(), &submission);
+        let verdict = self.decide(offset, customer.as_ref(), &submission);
         let call = submission.call;
         let job = submission.job.clone();
-        if verdict == Verdict::Accepted {
-            let new = Job::new(offset, customer, submission);
-            self.jobs.insert(job.clone(), new);
+        match verdict {
+            Verdict::Accepted => {
+                self.decisions.record(job.clone(), offset, true);
+                let new = Job::new(offset, customer, submission);
+                self.jobs.insert(job.clone(), new);
+            }
+            Verdict::OverQuota { .. } => self.decisions.record(job.clone(), offset, false),
+            Verdict::Known | Verdict::Outdated => {}
         }
         Change::Submitted { call, job, verdict }
     }
 
-    fn decide(&self, customer: Option<&id::Customer>, submission: &Submission) -> Verdict {
+    fn decide(
+        &self,
+        offset: Offset,
+        customer: Option<&id::Customer>,
+        submission: &Submission,
+    ) -> Verdict {
         if self.jobs.contains_key(&submission.job) {
             return Verdict::Known;
         }
+        let decisions = &self.decisions;
+        match decisions.prior(&submission.job, offset, submission.position) {
+            Prior::None => {}
+            Prior::Accepted => return Verdict::Known,
+            Prior::Outdated => return Verdict::Outdated,
+        }
         let Some(quota) = submission.quota else {
             return Verdict::Accepted;
         };
--- a/crates/tinbank-jobs/tests/replay.rs
+++ b/crates/tinbank-jobs/tests/replay.rs
@@ -19,6 +19,11 @@
 use tinbank_test_support::property;
 
 fn submission(job: &str, quota: Option<u64>) -> Record {
+    submission_at(None, job, quota)
+}
+
+/// Returns a submission whose call began at a position of the log.
+fn submission_at(position: Option<u64>, job: &str, quota: Option<u64>) -> Record {
     Record::Submitted(Submission {
         job: job.to_owned(),
         call: 1,
@@ -31,6 +36,7 @@
         target: Duration::from_secs(18),
         items: (0..3).map(item).collect(),
         contents: Attachment::Stored(Stored::default()),
+        position,
     })
 }
 
@@ -186,6 +192,76 @@
     assert_eq!(verdict(fits), Verdict::Accepted);
 }
 
+/// Guards against a refused job that runs because an append without an answer was done after its quota had room again.
+#[test]
+fn a_late_copy_of_a_refused_submission_is_not_accepted() {
+    let mut table = table();
+    let refused = submission_at(Some(1), "other", Some(30));
+    let first = table.apply(1, refused.clone());
+    table.apply(2, Record::Cancelled("job".to_owned()));
+
+    let copy = table.apply(3, refused);
+    let new_attempt = table.apply(4, submission_at(Some(4), "other", Some(30)));
+
+    assert_eq!(verdict(first), Verdict::OverQuota { waiting: 30 });
+    assert_eq!(verdict(copy), Verdict::Outdated);
+    assert_eq!(verdict(new_attempt), Verdict::Accepted);
+}
+
+/// Guards against an attempt that got no answer and is appended after a later attempt of its caller was refused.
+#[test]
+fn an_attempt_that_began_before_a_refusal_of_its_job_is_not_accepted() {
+    let mut table = table();
+    table.apply(1, submission_at(Some(1), "other", Some(30)));
+    table.apply(2, Record::Cancelled("job".to_owned()));
+
+    let earlier = table.apply(3, submission_at(Some(0), "other", Some(30)));
+    let of_another_job = table.apply(4, submission_at(Some(0), "another", Some(30)));
+
+    assert_eq!(verdict(earlier), Verdict::Outdated);
+    assert_eq!(verdict(of_another_job), Verdict::Accepted);
+}
+
+/// Guards against verdicts that depend on when a host began to read the log.
+#[test]
+fn a_submission_that_began_before_the_first_kept_record_is_not_accepted() {
+    let mut table = Table::default();
+    table.skip_to(10);
+
+    let earlier = table.apply(10, submission_at(Some(9), "one", None));
+    let later = table.apply(11, submission_at(Some(10), "two", None));
+
+    assert_eq!(verdict(earlier), Verdict::Outdated);
+    assert_eq!(verdict(later), Verdict::Accepted);
+}
+
+/// Guards against decisions that are kept for good, and against late copies after they are dropped.
+#[test]
+fn a_submission_is_outdated_once_decisions_of_its_time_are_dropped() {
+    let far = 1 << 20;
+    let mut table = table();
+    let refused = submission_at(Some(1), "other", Some(30));
+    table.apply(1, refused.clone());
+    table.apply(far, Record::Cancelled("job".to_owned()));
+    table.prune(Duration::from_secs(120), SystemTime::UNIX_EPOCH);
+
+    let copy = table.apply(far + 1, refused);
+
+    assert_eq!(verdict(copy), Verdict::Outdated);
+}
+
+#[test]
+fn the_position_of_a_submission_is_encoded() {
+    let positioned = submission_at(Some(300), "job", None);
+    let earlier_version = submission("job", None);
+
+    let encoded = [&positioned, &earlier_version].map(|it| it.encode().unwrap());
+
+    assert!(encoded[0].starts_with(&encoded[1]));
+    assert_eq!(Record::decode(&encoded[0]).unwrap(), positioned);
+    assert_eq!(Record::decode(&encoded[1]).unwrap(), earlier_version);
+}
+
 #[test]
 fn only_the_first_result_of_an_item_is_recorded() {
     let mut table = table();
@@ -383,9 +459,65 @@
     }
 }
 
+/// Names of the jobs of [`job_record`].
+const JOBS: [&str; 3] = ["one", "two", "three"];
+
+/// Returns a record about one of some jobs, of which about two fit the quota. Submissions began some records before their offset.
+fn job_record() -> impl Strategy<Value = (Record, u64)> {
+    let job = (0..JOBS.len()).prop_map(|index| JOBS[index]);
+    let submitted = job
+        .clone()
+        .prop_map(|job| submission_at(Some(0), job, Some(70)));
+    let cancelled = job.prop_map(|job| Record::Cancelled(job.to_owned()));
+    (prop_oneof![3 => submitted, 1 => cancelled], 0..12u64)
+}
+
+/// Sets the position of a submission.
+fn set_position(record: &mut Record, position: u64) {
+    if let Record::Submitted(submission) = record {
+        submission.position = Some(position);
+    }
+}
+
+/// Returns whether a host may write a record: it cancels only jobs that it knows.
+fn may_write(table: &Table, record: &Record) -> bool {
+    match record {
+        Record::Cancelled(job) => table.job(job).is_some(),
+        _ => true,
+    }
+}
+
 proptest! {
     #![proptest_config(property::config(1500))]
 
+    /// Guards against verdicts that a late copy of a record changes, however late it is.
+    #[test]
+    fn copies_of_records_change_no_verdict(
+        records in prop::collection::vec(job_record(), 1..40),
+        copies in prop::collection::vec((any::<prop::sample::Index>(), any::<prop::sample::Index>()), 0..6),
+        gap in prop_oneof![Just(2), Just(1 << 15), Just(1 << 17)],
+    ) {
+        let mut written: Vec<Record> = Vec::new();
+        let mut expected = Table::default();
+        let mut copied = Table::default();
+
+        for (offset, (mut record, lag)) in (0u64..).step_by(gap).zip(records) {
+            if !may_write(&expected, &record) {
+                continue;
+            }
+            set_position(&mut record, offset.saturating_sub(lag));
+            prop_assert_eq!(copied.apply(offset, record.clone()), expected.apply(offset, record.clone()));
+            written.push(record);
+            copied.prune(Duration::from_secs(120), SystemTime::UNIX_EPOCH);
+            let late = copies.iter().filter(|(_, after)| after.index(40) == written.len());
+            for (original, _) in late {
+                let change = copied.apply(offset + 1, original.get(&written).clone());
+                let is_accepted = matches!(change, Change::Submitted { verdict: Verdict::Accepted, .. });
+                prop_assert!(!is_accepted);
+            }
+        }
+    }
+
     #[test]
     fn no_sequence_of_records_joins_the_texts_of_two_builds(
         records in prop::collection::vec(run_record(), 1..60),
--- a/crates/tinbank-jobs/tests/schedule.rs
+++ b/crates/tinbank-jobs/tests/schedule.rs
@@ -37,6 +37,7 @@
         target: TARGET,
         items: vec![item],
         contents: Attachment::Stored(Stored::default()),
+        position: None,
     };
     let mut table = Table::default();
     table.apply(0, Record::Submitted(submission));
--- a/crates/tinbank-jobs/tests/scope.rs
+++ b/crates/tinbank-jobs/tests/scope.rs
@@ -29,6 +29,7 @@
         target: Duration::from_secs(18),
         items: vec![item],
         contents: Attachment::Stored(Stored::default()),
+        position: None,
     };
     Record::submitted(customer.map(str::to_owned), submission)
 }
