batch: an item without a slot holds up no items that could run

Cause: the host requests a slot for the item that is due first, and chose the same one again after each denial. Any lasting denial did it: a service without an upstream, or one with all slots in use beside one with free slots.

Evidence: the allocator denied the one item throughout, and got no request for another.

Change: a denial of a batch item says what it lacks: a slot, memory, an upstream of its size, or any upstream. The host requests no slot for items that need at least as much, and goes on with those that need less. An item that takes more than half of an upstream's memory reclaims that of items that are due later, so that small ones that pass it do not starve it. A denial for size or memory no longer marks a failure domain as full, and the item is requested in all of them. Datagrams have version 10.

--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -18,6 +18,7 @@
 
 use self::choice::MAX_HEADROOM;
 use crate::{
+    cause::Cause,
     entries::Entries,
     entry::Entry,
     frame::{Denial, Frame, HeartbeatReply, Holdings, Release, Room, SlotResponse, Verdict},
@@ -211,7 +212,10 @@
         let denied = unservable.into_iter().map(|waiter| {
             let response = SlotResponse {
                 lease: waiter.request.lease,
-                verdict: Verdict::Denied(Denial::default()),
+                verdict: Verdict::Denied(Denial {
+                    retry_after_ms: None,
+                    cause: Cause::Upstream,
+                }),
             };
             (waiter.from, Frame::SlotResponse(response))
         });
--- a/crates/tinbank-allocator/src/allocator/choice.rs
+++ b/crates/tinbank-allocator/src/allocator/choice.rs
@@ -51,7 +51,7 @@
     }
 
     /// Chooses a slot that leaves the headroom for online requests free. An item that can still be on time takes the slot
-    /// of a late one.
+    /// of a late one, and a large one takes the memory of items that are due later.
     fn choose_batch(
         &mut self,
         request: &SlotRequest,
@@ -71,13 +71,15 @@
         if due.late {
             return None;
         }
-        let batch = self.reclaimable(request, now, |_| true, |due| due.late)?;
+        let Some(batch) = self.reclaimable(request, now, |_| true, |due| due.late) else {
+            return self.reclaim_memory(request, due, now, out);
+        };
         self.reclaim(&batch, out);
         Some(batch.upstream)
     }
 
     /// Returns whether more slots are free than batch has to leave free.
-    fn has_slot_beyond_headroom(&self, request: &SlotRequest, now: Instant) -> bool {
+    pub(super) fn has_slot_beyond_headroom(&self, request: &SlotRequest, now: Instant) -> bool {
         let eligible = self.upstreams.iter().filter(|it| it.accepts(request, now));
         let (mut upstreams, mut free) = (0, 0);
         for entry in eligible {
--- a/crates/tinbank-allocator/src/allocator/reclaim.rs
+++ b/crates/tinbank-allocator/src/allocator/reclaim.rs
@@ -1,6 +1,8 @@
 //! Reclaims slots of batch items for requests that go before them.
 
-use std::{collections::HashMap, net::SocketAddr, time::Instant};
+use std::{cmp::Reverse, collections::HashMap, net::SocketAddr, time::Instant};
+
+use smallvec::SmallVec;
 
 use super::{Allocator, Outgoing};
 use crate::{
@@ -94,6 +96,73 @@
         }
     }
 
+    /// Reclaims slots of batch items for one that can be on time and takes more than half of an upstream's memory, and returns the upstream. Smaller
+    /// items would take the memory that becomes free there before it is enough. Only items that are due later are reclaimed,
+    /// at the upstream where they are the fewest.
+    pub(super) fn reclaim_memory(
+        &mut self,
+        request: &SlotRequest,
+        due: Due,
+        now: Instant,
+        out: &mut Outgoing,
+    ) -> Option<usize> {
+        if !self.prefix_affinity {
+            return None;
+        }
+        let entries = self.upstreams.iter().enumerate();
+        let cleared = entries.filter_map(|(index, entry)| {
+            let memory = entry.upstream.memory_tokens?;
+            let is_large = memory::reservation(&request.size) > memory / 2;
+            // An upstream may refuse a request whose output may not fit.
+            let is_taken = is_large && request.size.memory() <= memory;
+            if !is_taken || !entry.accepts(request, now) {
+                return None;
+            }
+            Some((index, self.reclaimable_memory(entry, request, due, now)?))
+        });
+        let (upstream, leases) = cleared.min_by_key(|(_, leases)| leases.len())?;
+        for (holder, lease) in leases {
+            let batch = BatchLease {
+                upstream,
+                holder,
+                lease,
+            };
+            self.reclaim(&batch, out);
+        }
+        Some(upstream)
+    }
+
+    /// Returns the leases of an upstream to reclaim until a request fits, those that are due last first. `None` if it does not fit
+    /// in place of all items that are due later, or lacks no memory.
+    fn reclaimable_memory(
+        &self,
+        entry: &Entry,
+        request: &SlotRequest,
+        due: Due,
+        now: Instant,
+    ) -> Option<SmallVec<[(SocketAddr, lease::Id); 8]>> {
+        let is_later = |it: &Due| it.late || it.at_ms / DUE_STEP_MS > due.at_ms / DUE_STEP_MS;
+        let batch = entry.state.grants.batch();
+        let mut later: SmallVec<[(&grants::Grant, Due); 8]> =
+            batch.filter(|(_, due)| is_later(due)).collect();
+        later.sort_by_key(|(_, due)| Reverse(*due));
+        let concurrency = entry.concurrency(request.max_gap_ms, &*self.placement, now);
+        let mut in_use = entry.state.grants.memory();
+        if self.has_memory(entry, request, in_use) {
+            return None;
+        }
+        let mut reclaimed = SmallVec::new();
+        for (grant, _) in later {
+            reclaimed.push((grant.holder, grant.lease));
+            in_use = in_use.saturating_sub(grant.footprint.memory);
+            let has_slot = entry.load() - reclaimed.len() < concurrency;
+            if has_slot && self.has_memory(entry, request, in_use) {
+                return Some(reclaimed);
+            }
+        }
+        None
+    }
+
     /// Returns the work of the batch items of each customer, if the order of the requests depends on it.
     fn batch_work(&self) -> HashMap<Option<&str>, u64> {
         let mut held: HashMap<Option<&str>, u64> = HashMap::new();
--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -6,6 +6,7 @@
 
 use super::{Allocator, LEASE_DURATION, OVERSIZED_REPORT_INTERVAL, Outgoing, Oversized};
 use crate::{
+    cause::Cause,
     entry::Entry,
     frame::{Denial, Frame, Grant, OverLimit, SlotRequest, SlotResponse, Verdict},
     grants,
@@ -120,7 +121,10 @@
         now: Instant,
         out: &mut Outgoing,
     ) -> Verdict {
-        let denied = Verdict::Denied(Denial::default());
+        let denied = Verdict::Denied(Denial {
+            retry_after_ms: None,
+            cause: self.cause_of_denial(request, now),
+        });
         if self.is_oversized(request) {
             self.record_oversized(request, now);
             return denied;
@@ -172,9 +176,29 @@
         let after = self.order.return_after(request, waiting, turnover, now);
         Verdict::Denied(Denial {
             retry_after_ms: after.map(|it| it.as_micros().div_ceil(1_000) as u32),
+            cause: Cause::default(),
         })
     }
 
+    /// Returns what a batch item lacks that is denied.
+    fn cause_of_denial(&self, request: &SlotRequest, now: Instant) -> Cause {
+        if !request.class.is_batch() {
+            return Cause::default();
+        }
+        let upstreams = self.upstreams.iter().filter(|it| it.can_process(request));
+        let mut upstreams = upstreams.peekable();
+        if upstreams.peek().is_none() {
+            return Cause::Upstream;
+        }
+        if !upstreams.any(|it| self.has_memory(it, request, 0)) {
+            return Cause::Size;
+        }
+        match !self.is_learning(now) && self.has_slot_beyond_headroom(request, now) {
+            true => Cause::Memory,
+            false => Cause::Slot,
+        }
+    }
+
     /// Returns whether the service has upstreams, but none that could process the request if it processed nothing else.
     fn is_oversized(&self, request: &SlotRequest) -> bool {
         let of_service = |entry: &&Entry| entry.upstream.service == request.service;
--- a/crates/tinbank-allocator/src/entry.rs
+++ b/crates/tinbank-allocator/src/entry.rs
@@ -109,14 +109,19 @@
         self.state.grants.batch().next().is_some()
     }
 
-    /// Returns whether the request may be sent to this upstream.
-    pub fn accepts(&self, request: &SlotRequest, now: Instant) -> bool {
-        let connections = self.upstream.max_connections;
+    /// Returns whether the upstream is one of those that the request needs, whatever its state.
+    pub fn can_process(&self, request: &SlotRequest) -> bool {
         let build = request.build.as_ref();
         self.upstream.service == request.service
             && build.is_none_or(|it| *it == self.upstream.build)
-            && connections.is_none_or(|max| self.load() < max as usize)
             && !request.exclude.contains(&self.upstream.instance)
+    }
+
+    /// Returns whether the request may be sent to this upstream.
+    pub fn accepts(&self, request: &SlotRequest, now: Instant) -> bool {
+        let connections = self.upstream.max_connections;
+        self.can_process(request)
+            && connections.is_none_or(|max| self.load() < max as usize)
             && !self.state.health.is_ejected(now)
             && self
                 .state
--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -9,10 +9,10 @@
 use tinbank_origin::{Answer, Origin, origin};
 use tinbank_quarantine::Update;
 
-use crate::{lease, pace, size::Size};
+use crate::{cause::Cause, lease, pace, size::Size};
 
 /// First byte of each datagram; a host ignores datagrams of another version.
-const VERSION: u8 = 9;
+const VERSION: u8 = 10;
 /// Maximum datagram size in bytes. Holds the holdings of a host with 200 leases; most datagrams fit in one packet.
 pub const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -212,6 +212,8 @@
     /// Time in milliseconds after which its caller should retry by the backlog of its customer in this failure domain; `None`
     /// if that is not known.
     pub retry_after_ms: Option<u32>,
+    /// What a batch item lacks.
+    pub cause: Cause,
 }
 
 /// A customer above its limit.
--- a/crates/tinbank-allocator/src/lib.rs
+++ b/crates/tinbank-allocator/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod allocator;
 pub mod avoidance;
+pub mod cause;
 pub mod directory;
 mod entries;
 mod entry;
--- a/crates/tinbank-allocator/tests/harness/mod.rs
+++ b/crates/tinbank-allocator/tests/harness/mod.rs
@@ -9,6 +9,7 @@
 use tinbank_allocator::{
     Allocator, Options,
     allocator::{Outgoing, StateChange, Upstream},
+    cause::Cause,
     frame::{Frame, Holdings, Queue, Release, Room, Share, SlotRequest, Verdict},
     lease::{Class, Due, Footprint, Held, Id, Outcome},
     size::Size,
@@ -37,6 +38,8 @@
     pub granted: Vec<Id>,
     /// Retry times of denials, in milliseconds, in order.
     pub retry_after: Vec<Option<u32>>,
+    /// What denied requests lacked, in order.
+    pub causes: Vec<Cause>,
     /// Rank of new requests.
     pub rank: u8,
     /// Whose share new requests take.
@@ -106,6 +109,7 @@
             pending: HashMap::new(),
             granted: Vec::new(),
             retry_after: Vec::new(),
+            causes: Vec::new(),
             rank: 0,
             share: None,
             reported: None,
@@ -171,6 +175,7 @@
                 Verdict::Waiting => {}
                 Verdict::Denied(denial) => {
                     self.retry_after.push(denial.retry_after_ms);
+                    self.causes.push(denial.cause);
                     self.pending.remove(&key);
                 }
                 Verdict::OverLimit(_) => drop(self.pending.remove(&key)),
--- a/crates/tinbank-allocator/tests/prompt/allocator.rs
+++ b/crates/tinbank-allocator/tests/prompt/allocator.rs
@@ -5,6 +5,7 @@
 use tinbank_allocator::{
     Options,
     allocator::{StateChange, Upstream},
+    cause::Cause,
     frame::{Frame, Queue, SlotRequest},
     lease::{Class, Footprint, Held, Outcome},
     size::{Prefix, Size, Tokens},
@@ -137,6 +138,74 @@
     assert_eq!((too_large, fits.is_some()), (None, true));
 }
 
+/// Returns a harness with an upstream that runs items of a size, due at these times.
+fn running_items(tokens: Tokens, dues_ms: &[u64]) -> Harness {
+    let mut harness = harness(true, 1);
+    harness.size = sized(1, tokens);
+    for due_ms in dues_ms {
+        harness.request(0, batch(*due_ms), Queue::No).unwrap();
+    }
+    harness
+}
+
+/// Guards against a host that can't tell whether other items would be denied as well.
+#[parameterized(
+    slots_in_use = { 100, "notes", &[1, 1, 1], Cause::Slot },
+    memory_in_use = { 950, "notes", &[1], Cause::Memory },
+    larger_than_the_memory = { MEMORY + 2, "notes", &[], Cause::Size },
+    no_upstream_of_the_service = { 100, "drafts", &[], Cause::Upstream },
+)]
+fn a_denied_item_is_told_what_it_lacks(
+    tokens: Tokens,
+    service: &str,
+    running: &[u64],
+    expected: Cause,
+) {
+    let mut harness = running_items(100, running);
+    harness.size = sized(2, tokens);
+    harness.service = service.to_owned();
+
+    let granted = harness.request(1, batch(1), Queue::No);
+
+    assert_eq!((granted, &harness.causes[..]), (None, &[expected][..]));
+}
+
+/// Guards against a large item that never runs, because small ones take all memory that becomes free.
+#[test]
+fn a_large_item_reclaims_the_memory_of_items_that_are_due_later() {
+    let mut harness = running_items(100, &[1_000, 90_000, 60_000]);
+    harness.size = sized(2, 850);
+
+    let granted = harness.request(1, batch(30_000), Queue::No);
+
+    assert!(granted.is_some());
+    assert_eq!(harness.reclaimed, [(host(0), 1), (host(0), 2)]);
+}
+
+#[parameterized(
+    that_are_due_earlier = { 100, &[1_000, 20_000], 850, 0 },
+    that_are_due_at_about_the_same_time = { 100, &[30_100, 30_500], 850, 0 },
+    that_would_not_be_enough = { 100, &[60_000, 90_000], 850, 200 },
+    if_it_is_small = { 250, &[60_000, 70_000, 80_000], 400, 0 },
+)]
+fn an_item_reclaims_no_memory_of_items(
+    running_tokens: Tokens,
+    running: &[u64],
+    tokens: Tokens,
+    online_tokens: Tokens,
+) {
+    let mut harness = running_items(running_tokens, running);
+    if online_tokens > 0 {
+        place(&mut harness, sized(3, online_tokens), Queue::No).unwrap();
+    }
+    harness.size = sized(2, tokens);
+
+    let granted = harness.request(1, batch(30_000), Queue::No);
+
+    assert_eq!(granted, None);
+    assert!(harness.reclaimed.is_empty());
+}
+
 /// The successor of a lost allocator must not overfill upstreams.
 #[test]
 fn memory_of_reported_leases_counts() {
--- a/crates/tinbank-allocator/tests/waiting.rs
+++ b/crates/tinbank-allocator/tests/waiting.rs
@@ -8,6 +8,7 @@
 use harness::{Harness, SLOTS, batch, upstream};
 use tinbank_allocator::{
     allocator::Upstream,
+    cause::Cause,
     frame::{Denial, Frame, Queue, SlotResponse, Verdict},
     lease::{Class, Id, Outcome},
 };
@@ -110,7 +111,8 @@
         responses[0].1,
         Frame::SlotResponse(SlotResponse {
             verdict: Verdict::Denied(Denial {
-                retry_after_ms: None
+                retry_after_ms: None,
+                cause: Cause::Upstream,
             }),
             ..
         })
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -1,5 +1,6 @@
 //! Runs the items of the jobs that this process owns, as far as the allocator grants slots.
 
+mod denials;
 mod selection;
 mod shares;
 mod start;
@@ -12,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use tinbank_allocator::{frame::Queue, lease::Class};
+use tinbank_allocator::{cause::Cause, frame::Queue, lease::Class};
 use tinbank_base::id;
 use tinbank_jobs::{
     estimate::Estimator,
@@ -22,7 +23,12 @@
 use tinbank_quarantine::table::Denial;
 use tokio::{sync::Notify, task, time};
 
-use self::{selection::Candidate, shares::Shares, start::Start};
+use self::{
+    denials::{Denials, Needs},
+    selection::Candidate,
+    shares::Shares,
+    start::Start,
+};
 use super::item::{self, Ended, Received};
 use crate::{
     border::engine::{self, Request, Sender},
@@ -37,6 +43,10 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay before this host may run an item that another host is running.
 const OTHER_RUN_DELAY: Duration = Duration::from_secs(2);
+/// How long an item that lacks memory is tried before other items of its service.
+const MEMORY_WAIT: Duration = Duration::from_millis(500);
+/// Delay before a slot is requested again for an item that lacks more than a slot, while other items go first.
+const DENIAL_RECHECK: Duration = Duration::from_millis(500);
 /// Delay before a quarantined item is checked again, since each check takes a slot for a moment.
 const QUARANTINE_RECHECK: Duration = Duration::from_secs(5);
 /// Interval of checkpoints; bounds the work that is lost with a host. Each checkpoint is one more record in the store.
@@ -57,6 +67,7 @@
     waiting: RefCell<HashMap<Key, Waiting>>,
     /// Jobs whose route is missing, and since when.
     missing_routes: RefCell<HashMap<JobId, Instant>>,
+    denials: RefCell<Denials>,
     estimator: RefCell<Estimator>,
     /// Work done for each customer, by which the next item is selected if shares are fair.
     shares: RefCell<Shares>,
@@ -75,6 +86,8 @@
     progress: Progress,
     /// Since when it gets no slot at the build that its text needs.
     denied_since: Option<Instant>,
+    /// Since when it is denied for its memory, while no other item of its service is tried.
+    lacks_memory_since: Option<Instant>,
     /// The item must not run before this time.
     until: Option<Instant>,
     /// Number of failed runs, on any host.
@@ -90,6 +103,7 @@
             running: RefCell::default(),
             waiting: RefCell::default(),
             missing_routes: RefCell::default(),
+            denials: RefCell::default(),
             estimator: RefCell::default(),
             shares: RefCell::default(),
             first_run,
@@ -184,6 +198,23 @@
         waiting.entry(key).or_default().until = Some(recheck_at);
     }
 
+    /// Returns whether an item that lacks memory holds up the others of its service. It does so for a while, since smaller items would
+    /// take the memory that becomes free.
+    fn waits_for_memory(&self, key: &Key, now: Instant) -> bool {
+        let mut waiting = self.waiting.borrow_mut();
+        let waiting = waiting.entry(key.clone()).or_default();
+        let since = *waiting.lacks_memory_since.get_or_insert(now);
+        now < since + MEMORY_WAIT
+    }
+
+    /// Requests no slot for an item before a time.
+    fn set_aside(&self, key: &Key, until: Instant) {
+        let mut waiting = self.waiting.borrow_mut();
+        let waiting = waiting.entry(key.clone()).or_default();
+        waiting.lacks_memory_since = None;
+        waiting.until = Some(until);
+    }
+
     fn is_own(&self, run: RunId) -> bool {
         run / RUNS_PER_PROCESS * RUNS_PER_PROCESS == self.first_run
     }
@@ -205,21 +236,26 @@
         };
         let wanted = SlotSpec {
             class: Class::Batch(selection::lease_due(candidate.due)),
-            service: &candidate.service,
-            build: candidate.start.build(),
-            exclude: &candidate.excluded,
+            service: &candidate.needs.service,
+            build: candidate.needs.build.as_ref(),
+            exclude: &candidate.needs.exclude,
             queue: Queue::No,
             rank: 0,
             meter: None,
             share: candidate.share.as_ref(),
             size: &candidate.size,
             max_gap: None,
-            allowed: &candidate.allowed,
+            allowed: &candidate.needs.allowed,
         };
-        let Allocation::Granted(lease) = node.sharing.lease(&node, &wanted).await else {
-            start::record_denial(&node, &candidate);
-            time::sleep(IDLE_DELAY).await;
-            continue;
+        let lease = match node.sharing.lease(&node, &wanted).await {
+            Allocation::Granted(lease) => lease,
+            denied => {
+                if let Allocation::Lacking(cause) = denied {
+                    record_denial(&node, &candidate, cause);
+                }
+                time::sleep(IDLE_DELAY).await;
+                continue;
+            }
         };
         if node.check_for_pause() != pauses {
             // The process was paused, so another host may own the item now.
@@ -229,6 +265,39 @@
     }
 }
 
+/// Records that an item got no slot, so that slots are requested for others that could run.
+fn record_denial(node: &Node, candidate: &Candidate, cause: Cause) {
+    let now = Instant::now();
+    let runner = &node.batch.runner;
+    let Candidate { key, needs, .. } = candidate;
+    start::record_denial(node, candidate, now);
+    let mut denials = runner.denials.borrow_mut();
+    match cause {
+        // It lets others pass that may use more upstreams.
+        Cause::Slot if needs.is_restricted() => runner.set_aside(key, now + RETRY_DELAY),
+        Cause::Slot => denials.record_full(needs),
+        Cause::Memory if runner.waits_for_memory(key, now) => denials.record_full(needs),
+        Cause::Memory | Cause::Size | Cause::Upstream => {
+            let memory = match cause {
+                Cause::Upstream => 0,
+                _ => needs.memory,
+            };
+            let until = now + DENIAL_RECHECK;
+            log::info!(job:% = key.0, item = key.1, service:% = needs.service, cause = cause.label(), memory; "no slot for an item, others go first");
+            measure::record_passed_item(cause);
+            denials.record_lasting(
+                Needs {
+                    memory,
+                    ..needs.clone()
+                },
+                until,
+                now,
+            );
+            runner.set_aside(key, until);
+        }
+    }
+}
+
 /// Stops all items and waits until their checkpoints are written, at most for the grace period.
 pub(super) async fn drain(node: &Node) {
     let runner = &node.batch.runner;
@@ -291,6 +360,7 @@
     let mut state = waiting.unwrap_or_default();
     state.failures = state.failures.max(failures);
     state.denied_since = None;
+    state.lacks_memory_since = None;
     let run = Rc::new(Run {
         stop: Notify::new(),
     });
--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -4,13 +4,15 @@
 mod tests;
 
 use std::{
+    cell::LazyCell,
     rc::Rc,
     time::{Instant, SystemTime},
 };
 
+use smallvec::SmallVec;
 use tinbank_allocator::{
     frame::Share,
-    lease,
+    lease, memory,
     order::virtual_counter::{DEFAULT_WEIGHT, Weight},
     size::Size,
 };
@@ -21,10 +23,14 @@
     record::{Index, Item},
     schedule::{self, Decision, Due, Now, State},
 };
-use tinbank_relay::{region::Allowed, route::Config};
+use tinbank_relay::{
+    region::Allowed,
+    route::{Config, Route},
+};
 
 use super::{
     Key, abandon,
+    denials::{Coverage, Needs},
     shares::{Contender, Supply},
     start::Start,
 };
@@ -34,20 +40,22 @@
     prompt, region, share,
 };
 
+/// Maximum number of items of a job that are examined for one choice.
+const MAX_EXAMINED: usize = 8;
+
 /// An item that may run now.
 pub(super) struct Candidate {
     pub key: Key,
     pub submission: u64,
     pub due: Due,
-    pub service: id::Service,
     /// Where its run begins.
     pub start: Start,
-    /// Upstreams that it must not be sent to, because it has failed there.
-    pub excluded: Vec<id::Instance>,
+    /// What an upstream must have for it.
+    pub needs: Needs,
     pub share: Option<Share>,
     pub size: Size,
-    /// Regions in which it may run.
-    pub allowed: Allowed,
+    /// Whether its service had no free slot in this round.
+    pub is_denied: bool,
 }
 
 impl Candidate {
@@ -80,15 +88,22 @@
     let candidates = owned
         .iter()
         .filter_map(|job| next_of_job(node, &config, job));
+    let candidates: Vec<Candidate> = candidates.collect();
+    let is_round_over = candidates.iter().all(|it| it.is_denied);
+    if is_round_over {
+        node.batch.runner.denials.borrow_mut().end_round();
+    }
+    let is_tried = |it: &Candidate| is_round_over || !it.is_denied;
     if !node.settings.scheduling.fair_shares {
-        return candidates.min_by_key(|candidate| candidate.due);
+        let tried = candidates.into_iter().filter(is_tried);
+        return tried.min_by_key(|it| it.due);
     }
-    let candidates: Vec<_> = candidates.collect();
     let contenders: Vec<_> = candidates.iter().map(Candidate::contender).collect();
     let mut shares = node.batch.runner.shares.borrow_mut();
     shares.set_contenders(&contenders, supply(node, &owned), Instant::now());
     let turn = |it: &Candidate| shares.turn(it.contender(), it.due);
-    candidates.into_iter().min_by_key(turn)
+    let tried = candidates.into_iter().filter(is_tried);
+    tried.min_by_key(turn)
 }
 
 /// Returns whether the items of jobs can all be on time at the rate at which this host runs items.
@@ -139,12 +154,17 @@
     Shedding::new(!overload.takes_items(), has_running, is_lasting)
 }
 
-/// Returns the item of a job that is due first, and abandons the items that may no longer run.
+/// Returns the item of a job that is due first among those that may get a slot, and abandons the items that may no longer run. If the
+/// service of all of them had no free slot in this round, returns the first of them as denied.
 fn next_of_job(node: &Rc<Node>, config: &Config, job: &Job) -> Option<Candidate> {
     let now = Now::read();
     let runner = &node.batch.runner;
-    let mut first: Option<(Index, Due)> = None;
+    let mut search = Search::default();
+    let readable = LazyCell::new(|| is_readable(node, config, job));
     for (index, item) in job.pending() {
+        if search.has_denied(config, item) {
+            continue;
+        }
         let key = (job.id.clone(), index);
         let state = item_state(node, config, job, index, item);
         let due = match schedule::decide(job, state, &runner.estimator.borrow(), now) {
@@ -155,24 +175,126 @@
                 continue;
             }
         };
-        if first.is_none_or(|(_, earliest)| due < earliest) {
-            first = Some((index, due));
+        if !*readable {
+            return None;
+        }
+        if due.is_late {
+            search.late.push((index, due));
+            continue;
         }
-        if !due.is_late {
+        if let Some(found) = search.examine(node, config, job, index, due) {
+            return Some(found);
+        }
+        if search.is_over() {
             break;
         }
     }
-    let (index, due) = first?;
+    for (index, due) in std::mem::take(&mut search.late) {
+        if search.is_over() {
+            break;
+        }
+        let item = job.runnable(index);
+        if item.is_none_or(|it| search.has_denied(config, it)) {
+            continue;
+        }
+        if let Some(found) = search.examine(node, config, job, index, due) {
+            return Some(found);
+        }
+    }
+    search.denied
+}
+
+/// Returns whether the contents of a job are loaded here, and loads them if that is permitted.
+fn is_readable(node: &Rc<Node>, config: &Config, job: &Job) -> bool {
     let regions = &node.settings.regions;
     if !regions.permits(&region::of_job(config, job), &node.settings.failure_domain) {
-        // The contents of the job must not be read here.
-        return None;
+        return false;
     }
-    if !node.batch.contents.has(&job.id) {
+    let is_loaded = node.batch.contents.has(&job.id);
+    if !is_loaded {
         contents::load(node, job);
-        return None;
     }
-    candidate(node, config, job, index, due)
+    is_loaded
+}
+
+/// Search for an item of a job that may get a slot.
+#[derive(Default)]
+struct Search {
+    /// Items that can't be on time, which are examined last.
+    late: SmallVec<[(Index, Due); MAX_EXAMINED]>,
+    examined: usize,
+    /// The first item whose service had no free slot in this round, and its route.
+    denied: Option<Candidate>,
+    denied_route: Option<DeniedRoute>,
+}
+
+/// The route of an item that was denied.
+struct DeniedRoute {
+    route: Rc<Route>,
+    /// Whether other routes begin with its prefix.
+    has_nested: bool,
+}
+
+impl DeniedRoute {
+    fn new(config: &Config, route: &Rc<Route>) -> Self {
+        let mut others = config.routes.iter();
+        let is_nested =
+            |it: &Rc<Route>| it.name != route.name && it.prefix.starts_with(&route.prefix);
+        Self {
+            route: Rc::clone(route),
+            has_nested: others.any(is_nested),
+        }
+    }
+
+    /// Returns whether a path of the same host name belongs to the route.
+    fn includes(&self, config: &Config, path: &str) -> bool {
+        let route = &self.route;
+        let is_same = |it: &Rc<Route>| it.name == route.name;
+        path.starts_with(&route.prefix)
+            && (!self.has_nested || config.route(&route.host, path).is_some_and(is_same))
+    }
+}
+
+impl Search {
+    /// Returns whether an item of the same route was denied in this round, so that this one would be as well. While all slots are in use,
+    /// this is asked of most items of a host.
+    fn has_denied(&self, config: &Config, item: &Item) -> bool {
+        let denied = self.denied_route.as_ref();
+        denied.is_some_and(|it| it.includes(config, &item.path))
+    }
+
+    /// Returns whether enough items were examined: each costs a read of its contents, and the choice is made often.
+    fn is_over(&self) -> bool {
+        self.examined >= MAX_EXAMINED
+    }
+
+    /// Returns an item if no denial covers it, and sets it aside if one that lasts does.
+    fn examine(
+        &mut self,
+        node: &Node,
+        config: &Config,
+        job: &Job,
+        index: Index,
+        due: Due,
+    ) -> Option<Candidate> {
+        self.examined += 1;
+        let mut candidate = candidate(node, config, job, index, due)?;
+        let runner = &node.batch.runner;
+        let denials = runner.denials.borrow();
+        match denials.coverage(&candidate.needs, Instant::now()) {
+            Coverage::None => return Some(candidate),
+            Coverage::Until(until) => runner.set_aside(&candidate.key, until),
+            Coverage::Full if self.denied.is_none() => {
+                candidate.is_denied = true;
+                let item = job.runnable(index)?;
+                let route = config.route(&job.host, &item.path);
+                self.denied_route = route.map(|it| DeniedRoute::new(config, it));
+                self.denied = Some(candidate);
+            }
+            Coverage::Full => {}
+        }
+        None
+    }
 }
 
 /// Returns the local state of an item.
@@ -225,16 +347,22 @@
     let mut size = size.unwrap_or_default();
     prompt::retain_parts(&mut size, node.settings.scheduling, route);
     let customer = job.customer.as_deref();
-    Some(Candidate {
+    let needs = Needs {
+        service,
+        build: start.build().cloned(),
+        exclude: excluded.into(),
         allowed,
+        memory: memory::reservation(&size),
+    };
+    Some(Candidate {
+        needs,
         share: customer.and_then(|it| share::of_name(config, it)),
         size,
         key,
         submission: job.submission,
         due,
-        service,
         start,
-        excluded,
+        is_denied: false,
     })
 }
 
--- a/crates/tinbank-gateway/src/batch/runner/start.rs
+++ b/crates/tinbank-gateway/src/batch/runner/start.rs
@@ -10,7 +10,7 @@
 use tinbank_origin::Origin;
 use tinbank_relay::route::Route;
 
-use super::{RETRY_DELAY, Waiting, selection::Candidate};
+use super::{Waiting, selection::Candidate};
 use crate::{node::Node, origin};
 
 /// How long an item waits for a slot at its build while others serve. Short of the time that most items take to run again.
@@ -73,19 +73,17 @@
         .unwrap_or(logged)
 }
 
-/// Records that an item got no slot. One that needs a build while others serve lets other items pass.
-pub(super) fn record_denial(node: &Node, candidate: &Candidate) {
+/// Records since when an item gets no slot at the build that its text needs, while others serve.
+pub(super) fn record_denial(node: &Node, candidate: &Candidate, now: Instant) {
     let Some(origin) = candidate.start.origin() else {
         return;
     };
     if !serves_other_builds(node, origin) {
         return;
     }
-    let now = Instant::now();
     let mut waiting = node.batch.runner.waiting.borrow_mut();
     let waiting = waiting.entry(candidate.key.clone()).or_default();
     waiting.denied_since.get_or_insert(now);
-    waiting.until = Some(now + RETRY_DELAY);
 }
 
 /// Returns whether upstreams of other builds of the service serve.
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use tinbank_allocator::{
-    frame::Verdict, lease::Class, leaving::Evidence, order::Denials, pace::Sample,
+    cause::Cause, frame::Verdict, lease::Class, leaving::Evidence, order::Denials, pace::Sample,
     placement::Summary,
 };
 
@@ -55,6 +55,11 @@
     metrics::counter!("tinbank_entry_restarted_items_total").increment(1);
 }
 
+/// Records that other items go before one that was denied for more than a slot.
+pub(crate) fn record_passed_item(cause: Cause) {
+    metrics::counter!("tinbank_entry_passed_items_total", "cause" => cause.label()).increment(1);
+}
+
 /// Records of how many streams this host knows the origin.
 pub(crate) fn set_known_origins(streams: usize) {
     metrics::gauge!("tinbank_entry_known_origins").set(streams as f64);
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -349,6 +349,8 @@
                 self.backlog = backlog;
                 Err(self.attempts.give_up())
             }
+            // Only batch items are told what they lack.
+            Allocation::Lacking(_) => Err(self.attempts.give_up()),
             Allocation::NoUpstream => {
                 let origin = self.origin.as_ref();
                 if origin.is_some_and(|it| !origin::may_serve(&self.node, it)) {
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -28,6 +28,7 @@
     admission::Backlog,
     allocator::{HEARTBEAT_INTERVAL, Upstream},
     avoidance::Avoidance,
+    cause::Cause,
     directory::Peer,
     frame::{Frame, HeartbeatReply, Meter, Queue, Share, Verdict},
     lease::{self, Class, Footprint},
@@ -143,6 +144,8 @@
 /// Result of a slot request.
 pub(crate) enum Allocation {
     Granted(Lease),
+    /// A batch item gets no slot, for lack of this.
+    Lacking(Cause),
     /// All slots are in use, and the request may not wait. Its caller should retry by the backlog of its customer.
     Full(Backlog),
     /// The customer has used up its allowance and may retry after this time.
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -12,7 +12,9 @@
 use smallvec::SmallVec;
 use tinbank_allocator::{
     admission::Backlog,
+    cause::{self, Cause},
     frame::{Grant, Meter, OverLimit, Queue, SlotRequest, Verdict},
+    home::Domains,
     lease::Outcome,
 };
 use tinbank_base::id;
@@ -46,12 +48,21 @@
     retry_after: Option<Duration>,
     /// How long the request has waited there before others displaced it.
     waited: Duration,
+    /// What a batch item lacks there.
+    cause: Cause,
+}
+
+impl Denied {
+    /// Returns whether all slots are in use, as far as the denial says.
+    pub(super) fn lacks_slot(&self) -> bool {
+        self.cause == Cause::Slot
+    }
 }
 
 impl Sharing {
     /// Requests a free slot from the host's own failure domain, then from one that reports room or from all that report
-    /// nothing. If there is none, an online request waits at the first allocator that expects to have one in time, or inside
-    /// an upstream if it may. If no allocator answers, this host chooses an upstream itself.
+    /// nothing. If there is none, a batch item is told what it lacks. An online request waits at the first allocator that expects
+    /// to have one in time, or inside an upstream if it may. If no allocator answers, this host chooses an upstream itself.
     pub async fn lease(self: &Rc<Self>, node: &Node, spec: &SlotSpec<'_>) -> Allocation {
         let turn = self.next_lease_id.get();
         let own = &self.own.failure_domain;
@@ -69,6 +80,9 @@
             queue => &[Queue::No, queue],
         };
         let immediate = self.order_by_room(&domains, spec);
+        if spec.class.is_batch() {
+            return self.lease_for_batch(node, spec, &domains, &immediate).await;
+        }
         // A failure domain that is not asked has reported that it would deny.
         let mut denied = immediate.len() < domains.len();
         let mut backlog = Backlog::default();
@@ -93,9 +107,6 @@
                 }
             }
         }
-        if spec.class.is_batch() {
-            return Allocation::Full(backlog);
-        }
         // A host that lists only its own failure domain can't rule out upstreams elsewhere.
         let may_exist =
             node.view.is_own_domain_only() || node.view.has_other_upstream(spec.service, &[]);
@@ -113,6 +124,31 @@
         }
     }
 
+    /// Requests a free slot for a batch item from the failure domains in `immediate`. If it lacks more than a slot there, it requests
+    /// one from the others as well, since they report room for items without particular needs.
+    async fn lease_for_batch(
+        self: &Rc<Self>,
+        node: &Node,
+        spec: &SlotSpec<'_>,
+        domains: &Domains,
+        immediate: &Domains,
+    ) -> Allocation {
+        let mut causes: SmallVec<[Option<Cause>; 4]> = SmallVec::new();
+        let others = domains.iter().filter(|it| !immediate.contains(it));
+        for domain in immediate.iter().chain(others) {
+            if !immediate.contains(domain) && cause::combine(&causes) == Cause::Slot {
+                causes.push(None);
+                continue;
+            }
+            match self.request_slot(node, spec, domain, Queue::No).await {
+                SlotResult::Granted(lease) => return Allocation::Granted(lease),
+                SlotResult::Denied(denial) => causes.push(Some(denial.cause)),
+                _ => causes.push(None),
+            }
+        }
+        Allocation::Lacking(cause::combine(&causes))
+    }
+
     /// Counts a request that no allocator has counted against this host's share of the customer's limit. Returns whether the
     /// request is admitted.
     fn try_acquire_fallback(&self, meter: &Meter) -> bool {
@@ -227,6 +263,7 @@
                 SlotResult::Denied(Denied {
                     retry_after,
                     waited,
+                    cause: denial.cause,
                 })
             }
             Some(Verdict::Waiting) => SlotResult::Denied(Denied::default()),
--- a/crates/tinbank-gateway/src/sharing/ask/tests.rs
+++ b/crates/tinbank-gateway/src/sharing/ask/tests.rs
@@ -293,6 +293,7 @@
 
         let denial = Denial {
             retry_after_ms: Some(700),
+            ..Denial::default()
         };
         fixture.answer(host, lease, Verdict::Denied(denial)).await;
 
--- a/crates/tinbank-relay/src/region.rs
+++ b/crates/tinbank-relay/src/region.rs
@@ -38,6 +38,15 @@
         self.0.is_none()
     }
 
+    /// Returns whether all regions allowed here are allowed by another restriction as well.
+    pub fn is_within(&self, other: &Self) -> bool {
+        match (&self.0, &other.0) {
+            (_, None) => true,
+            (None, Some(_)) => false,
+            (Some(names), Some(others)) => names.iter().all(|it| others.contains(it)),
+        }
+    }
+
     /// Returns whether a region is allowed. An unknown region is not, if there is any restriction.
     pub fn permits(&self, region: Option<&id::Region>) -> bool {
         match (&self.0, region) {
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -273,6 +273,12 @@
         &[],
         "Requests that were sent to try a quarantined part of their prompts.",
     ),
+    counter(
+        "tinbank_entry_passed_items_total",
+        "denials",
+        &["cause"],
+        "Items denied for more than a free slot, which others go before, by what they lack: memory that is in use, an upstream of their size, or any that they may be sent to.",
+    ),
     seconds(
         "tinbank_entry_probe_wait_seconds",
         "Time for which requests waited for probes of upstreams that they may have crashed.",
