batch: a text goes on only while its route has its service

Of 20 items that online requests had interrupted at the old service, none ran again at either.

Cause: an item goes on with its text as long as upstreams of its service and build serve anywhere. That its route still leads there was not asked, so the run was requested at the new service with the build of the old one. Where the new service lacks the build, each slot is denied; where it has it, the log refuses each run, since the text is of another service.

Change: a text goes on only while the route of its item has its service; else the item begins anew at a service of the route. A stream that a caller resumes after its route has moved is refused for good, and nothing of it runs.

--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -398,7 +398,7 @@
         let number = self.node.batch.runner.new_run();
         let after = self.start.after();
         let restarts = after < self.start.previous.last_event;
-        log::info!(job:% = self.key.0, item = self.key.1, upstream:%, build:% = origin.build, run = number, after, restarts; "item sent to an upstream");
+        log::info!(job:% = self.key.0, item = self.key.1, upstream:%, service:% = origin.service, build:% = origin.build, run = number, after, restarts; "item sent to an upstream");
         if restarts {
             measure::record_restarted_item();
         }
--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -48,6 +48,7 @@
     pub key: Key,
     pub submission: u64,
     pub due: Due,
+    pub route: Rc<Route>,
     /// Where its run begins.
     pub start: Start,
     /// What an upstream must have for it.
@@ -286,9 +287,7 @@
             Coverage::Until(until) => runner.set_aside(&candidate.key, until),
             Coverage::Full if self.denied.is_none() => {
                 candidate.is_denied = true;
-                let item = job.runnable(index)?;
-                let route = config.route(&job.host, &item.path);
-                self.denied_route = route.map(|it| DeniedRoute::new(config, it));
+                self.denied_route = Some(DeniedRoute::new(config, &candidate.route));
                 self.denied = Some(candidate);
             }
             Coverage::Full => {}
@@ -333,7 +332,7 @@
     let route = config.route(&job.host, &item.path)?;
     let waiting = node.batch.runner.waiting.borrow();
     let waiting = waiting.get(&key);
-    let start = Start::new(node, waiting, job.progress(index));
+    let start = Start::new(node, route, waiting, job.progress(index));
     let service = start.service(route, node.next_draw())?.clone();
     let failed_upstreams = waiting.map(|waiting| waiting.failed_upstreams.clone());
     let mut excluded = failed_upstreams.unwrap_or_default();
@@ -361,6 +360,7 @@
         key,
         submission: job.submission,
         due,
+        route: Rc::clone(route),
         start,
         is_denied: false,
     })
--- a/crates/tinbank-gateway/src/batch/runner/start.rs
+++ b/crates/tinbank-gateway/src/batch/runner/start.rs
@@ -1,10 +1,11 @@
 //! Where a run of an item begins: after the text that is known of it, or anew.
 //!
-//! A text goes on only at the build that began it. Nothing is lost if it begins anew, so it does once its build has no upstream left, or
-//! has given it no slot for a while.
+//! A text goes on only at the service and build that began it. Nothing is lost if it begins anew, so it does once its route has left the
+//! service, its build has no upstream left, or has given it no slot for a while.
 
 use std::time::{Duration, Instant};
 
+use smallvec::SmallVec;
 use tinbank_base::id;
 use tinbank_jobs::job::Progress;
 use tinbank_origin::Origin;
@@ -27,14 +28,15 @@
 
 impl Start {
     /// Decides where the next run of an item begins.
-    pub fn new(node: &Node, waiting: Option<&Waiting>, logged: &Progress) -> Self {
+    pub fn new(node: &Node, route: &Route, waiting: Option<&Waiting>, logged: &Progress) -> Self {
         let previous = progress(waiting, logged).clone();
         let denied_since = waiting.and_then(|it| it.denied_since);
         let has_waited = denied_since.is_some_and(|since| since.elapsed() > SLOT_TIMEOUT);
-        let known = previous.origin.as_ref();
+        let may_resume =
+            |it: &Origin| route.has_service(&it.service) && origin::may_serve(node, it);
         let resumes = match previous.last_event {
             0 => true,
-            _ => known.is_some_and(|it| origin::may_serve(node, it)) && !has_waited,
+            _ => previous.origin.as_ref().is_some_and(may_resume) && !has_waited,
         };
         Self { previous, resumes }
     }
@@ -52,12 +54,10 @@
         self.origin().map(|it| &it.build)
     }
 
-    /// Returns the service to run at: that of the text, if the route still has it.
-    pub fn service<'a>(&self, route: &'a Route, draw: u64) -> Option<&'a id::Service> {
+    /// Returns the service to run at: that of the text if the run goes on with it, else one of the route.
+    pub fn service<'a>(&'a self, route: &'a Route, draw: u64) -> Option<&'a id::Service> {
         let known = self.origin().map(|it| &it.service);
-        let mut services = route.services.iter().map(|it| &it.service);
-        let same = services.find(|it| Some(*it) == known);
-        same.or_else(|| route.service(draw))
+        known.or_else(|| route.service(draw))
     }
 
     fn origin(&self) -> Option<&Origin> {
@@ -73,12 +73,12 @@
         .unwrap_or(logged)
 }
 
-/// Records since when an item gets no slot at the build that its text needs, while others serve.
+/// Records since when an item gets no slot at the build that its text needs, while others of its route serve.
 pub(super) fn record_denial(node: &Node, candidate: &Candidate, now: Instant) {
     let Some(origin) = candidate.start.origin() else {
         return;
     };
-    if !serves_other_builds(node, origin) {
+    if !has_alternative(node, &candidate.route, origin) {
         return;
     }
     let mut waiting = node.batch.runner.waiting.borrow_mut();
@@ -86,8 +86,9 @@
     waiting.denied_since.get_or_insert(now);
 }
 
-/// Returns whether upstreams of other builds of the service serve.
-fn serves_other_builds(node: &Node, origin: &Origin) -> bool {
-    let listed = node.view.builds(&[&origin.service]);
-    listed.iter().any(|it| it != origin) || node.origins.builds.lists_others(origin)
+/// Returns whether upstreams of a route's services serve, other than those of an origin.
+fn has_alternative(node: &Node, route: &Route, origin: &Origin) -> bool {
+    let services: SmallVec<[&str; 2]> = route.services.iter().map(|it| &*it.service).collect();
+    let listed = node.view.builds(&services);
+    listed.iter().any(|it| it != origin) || node.origins.builds.lists_others(&services, origin)
 }
--- a/crates/tinbank-gateway/src/origin/builds.rs
+++ b/crates/tinbank-gateway/src/origin/builds.rs
@@ -61,9 +61,9 @@
         self.0.borrow().is_listed(origin)
     }
 
-    /// Returns whether upstreams of the same service and another build are listed.
-    pub fn lists_others(&self, origin: &Origin) -> bool {
-        self.0.borrow().lists_others(origin)
+    /// Returns whether upstreams of some services are listed, other than those of an origin.
+    pub fn lists_others(&self, services: &[&str], origin: &Origin) -> bool {
+        self.0.borrow().lists_others(services, origin)
     }
 }
 
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -203,10 +203,10 @@
         let services = self.route.services.iter().map(|it| it.service.as_str());
         let services: SmallVec<[&str; 2]> = services.collect();
         let choice = origin::find(&self.node, self.stream, &services).await;
-        let build = match &choice {
-            Choice::At(origin, _) => origin.build.clone(),
-            Choice::Build(build) => build.clone(),
-            Choice::Refused(_) => id::Build::default(),
+        let (service, build) = match &choice {
+            Choice::At(origin, _) => (origin.service.as_str(), origin.build.clone()),
+            Choice::Build(build) => ("", build.clone()),
+            Choice::Refused(_) => ("", id::Build::default()),
         };
         let now = Instant::now();
         log::info!(
@@ -214,12 +214,17 @@
             resumes:% = self.resumes.as_deref().unwrap_or_default(),
             after = self.resume_after.unwrap_or(0),
             origin = choice.label(),
+            service:%,
             build:%,
             list_age_ms = self.node.view.upstreams_age(now).map_or(0, |age| age.as_millis() as u64),
             waited_ms = now.saturating_duration_since(self.admission.received).as_millis() as u64;
             "caller resumes a stream"
         );
         match choice {
+            // What another service would write does not continue the stream.
+            Choice::At(origin, _) if !self.route.has_service(&origin.service) => {
+                self.refused = Some(Refused::ForGood);
+            }
             Choice::At(origin, _) => self.origin = Some(origin),
             Choice::Build(build) => {
                 let service = self.service().unwrap_or_default();
@@ -298,11 +303,9 @@
         }
     }
 
-    /// Returns the service for an attempt: the one that the events come from, if the route still has it.
+    /// Returns the service for an attempt: the one that the events come from, if there are any.
     fn service(&self) -> Option<id::Service> {
-        let services = &self.route.services;
         let known = self.origin.as_ref().map(|it| &it.service);
-        let known = known.filter(|known| services.iter().any(|it| it.service == **known));
         let service = known.or_else(|| self.route.service(self.node.next_draw()));
         service.cloned()
     }
--- a/crates/tinbank-origin/src/history.rs
+++ b/crates/tinbank-origin/src/history.rs
@@ -95,11 +95,11 @@
         entries.any(|(place, gone_at)| place.origin == *origin && gone_at.is_none())
     }
 
-    /// Returns whether upstreams of the same service and another build are listed in any failure domain.
-    pub fn lists_others(&self, origin: &Origin) -> bool {
+    /// Returns whether upstreams of some services are listed in any failure domain, other than those of an origin.
+    pub fn lists_others(&self, services: &[&str], origin: &Origin) -> bool {
         let listed = self.entries.iter().filter(|(_, gone_at)| gone_at.is_none());
         let mut origins = listed.map(|(place, _)| &place.origin);
-        origins.any(|it| it.service == origin.service && it.build != origin.build)
+        origins.any(|it| services.contains(&&*it.service) && it != origin)
     }
 
     /// Returns what to write for a failure domain in which these builds are listed.
--- a/crates/tinbank-relay/src/route.rs
+++ b/crates/tinbank-relay/src/route.rs
@@ -156,6 +156,11 @@
 }
 
 impl Route {
+    /// Returns whether requests may be sent to a service.
+    pub fn has_service(&self, service: &str) -> bool {
+        self.services.iter().any(|it| it.service == service)
+    }
+
     /// Returns the service for a request, chosen by weight with the sequence or random number `draw`.
     pub fn service(&self, draw: u64) -> Option<&id::Service> {
         let total: u64 = self.services.iter().map(|it| u64::from(it.weight)).sum();
