soak: late appends without an answer, and a quota

A second sequence of faults makes up to two appends to the log of jobs late, and the batch route lets 60 tokens wait.

--- a/crates/tinbank-allocator/src/allocator/reclaim.rs
+++ b/crates/tinbank-allocator/src/allocator/reclaim.rs
@@ -96,9 +96,9 @@
         }
     }
 
-    /// Reclaims slots of batch items for one that can be on time and takes more than half of an upstream's memory, and returns the upstream. Smaller
-    /// items would take the memory that becomes free there before it is enough. Only items that are due later are reclaimed,
-    /// at the upstream where they are the fewest.
+    /// Reclaims slots of batch items for one that can be on time and takes more than half of an upstream's memory, and returns the
+    /// upstream. Smaller items would take the memory that becomes free there before it is enough. Only items that are due later are
+    /// reclaimed, at the upstream where they are the fewest.
     pub(super) fn reclaim_memory(
         &mut self,
         request: &SlotRequest,
@@ -114,8 +114,8 @@
             let memory = entry.upstream.memory_tokens?;
             let is_large = memory::reservation(&request.size) > memory / 2;
             // An upstream may refuse a request whose output may not fit.
-            let is_taken = is_large && request.size.memory() <= memory;
-            if !is_taken || !entry.accepts(request, now) {
+            let is_certain_to_fit = request.size.memory() <= memory;
+            if !is_large || !is_certain_to_fit || !entry.accepts(request, now) {
                 return None;
             }
             Some((index, self.reclaimable_memory(entry, request, due, now)?))
--- a/crates/tinbank-entry/tests/soak/deployment.rs
+++ b/crates/tinbank-entry/tests/soak/deployment.rs
@@ -41,6 +41,8 @@
 const INSTANCES: usize = 4;
 /// Software versions of the engines.
 const VERSIONS: [&str; 2] = ["v1", "v2"];
+/// Tokens that may wait on the batch route, so that some jobs are refused. Items have 10 each.
+const QUOTA: u64 = 60;
 /// How long a process may take to stop before it is killed.
 const GRACE: Duration = Duration::from_secs(4);
 
@@ -362,6 +364,9 @@
         if route["name"] == crash::SERVICE {
             route["service"] = json!(crash::SERVICE);
         }
+        if route["name"] == "batch" {
+            route["max_queued_tokens"] = json!(QUOTA);
+        }
     }
     let open = ["plain", "resumable", "batch", crash::SERVICE];
     store::with_customers(manifest, &customers, &open)
--- a/crates/tinbank-entry/tests/soak/faults.rs
+++ b/crates/tinbank-entry/tests/soak/faults.rs
@@ -21,6 +21,19 @@
     }
 }
 
+/// Makes the store do some appends to the job log late and without an answer, until `until`.
+pub async fn delay_appends(deployment: &Rc<Deployment>, mut random: StdRng, until: Instant) {
+    let store = &deployment.store;
+    while Instant::now() < until {
+        let delay = random.random_range(700..3_000);
+        store.append_delay.set(Duration::from_millis(delay));
+        store.late_appends.set(random.random_range(0..3));
+        let pause = random.random_range(100..900);
+        time::sleep(Duration::from_millis(pause)).await;
+    }
+    store.late_appends.set(0);
+}
+
 /// Starts or ends one fault. Each fault sets a state that a later one may reset.
 async fn inject_one(deployment: &Rc<Deployment>, random: &mut StdRng) {
     let host = &deployment.hosts[random.random_range(0..deployment.hosts.len())];
--- a/crates/tinbank-entry/tests/soak/main.rs
+++ b/crates/tinbank-entry/tests/soak/main.rs
@@ -50,7 +50,11 @@
         let crashing =
             task::spawn_local(crashing_service.send_requests(deployment.callers(), until));
         let callers = caller::start(&deployment, StdRng::seed_from_u64(seed), until);
-        faults::inject(&deployment, StdRng::seed_from_u64(!seed), until).await;
+        let late_appends = StdRng::seed_from_u64(seed.rotate_left(32));
+        tokio::join!(
+            faults::inject(&deployment, StdRng::seed_from_u64(!seed), until),
+            faults::delay_appends(&deployment, late_appends, until),
+        );
         deployment.heal().await;
         let observed = callers.finish().await;
         crashing.await.unwrap();
--- a/crates/tinbank-gateway/src/batch/submission.rs
+++ b/crates/tinbank-gateway/src/batch/submission.rs
@@ -95,6 +95,7 @@
     };
     let submission = Submission {
         job,
+        // Both are set with each append.
         call: 0,
         position: None,
         host: call.host.clone(),
