jobs: a name is free again for a new call once its job was dropped

The decision on an accepted job made its name known for 65,536 records, also to a call that begins after the job was dropped, which was then answered 202 and never ran.

Test: a_late_copy_of_a_submission_is_known_after_its_job_was_dropped.

--- a/crates/tinbank-jobs/src/decisions.rs
+++ b/crates/tinbank-jobs/src/decisions.rs
@@ -34,7 +34,7 @@
 pub(crate) enum Prior {
     /// They don't decide it.
     None,
-    /// Its job was accepted.
+    /// Its job was accepted after its call began.
     Accepted,
     /// It may be a late copy of a submission that was refused.
     Outdated,
@@ -58,30 +58,23 @@
     /// Returns what earlier decisions say about a submission at an offset, whose call began at a position of the log. Submissions
     /// written by earlier versions have no position, and count as new attempts.
     pub fn prior(&self, job: &str, offset: Offset, position: Option<Offset>) -> Prior {
-        let last = self.last.get(job).filter(|it| it.is_recent(offset));
-        if last.is_some_and(|it| it.is_accepted) {
-            return Prior::Accepted;
-        }
         let Some(position) = position else {
             return Prior::None;
         };
-        let is_refused = last.is_some_and(|it| it.offset >= position);
-        let is_unknown = position < self.first_known || offset > position + MAX_LAG;
-        match is_refused || is_unknown {
-            true => Prior::Outdated,
-            false => Prior::None,
+        if position < self.first_known || offset > position + MAX_LAG {
+            return Prior::Outdated;
+        }
+        let later = self.last.get(job).filter(|it| it.offset >= position);
+        match later {
+            None => Prior::None,
+            Some(decision) if decision.is_accepted => Prior::Accepted,
+            Some(_) => Prior::Outdated,
         }
     }
 
-    /// Drops the decisions that no longer matter at an offset. The time of the call has no effect on verdicts.
+    /// Drops the decisions before which no submission at an offset, or later, can have begun without being outdated. When this is done has
+    /// no effect on verdicts.
     pub fn prune(&mut self, offset: Offset) {
-        self.last.retain(|_, it| it.is_recent(offset));
-    }
-}
-
-impl Decision {
-    /// Returns whether a submission at an offset may have begun before this decision without being outdated.
-    fn is_recent(&self, offset: Offset) -> bool {
-        offset <= self.offset + MAX_LAG
+        self.last.retain(|_, it| offset <= it.offset + MAX_LAG);
     }
 }
--- a/crates/tinbank-jobs/tests/replay.rs
+++ b/crates/tinbank-jobs/tests/replay.rs
@@ -250,6 +250,23 @@
     assert_eq!(verdict(copy), Verdict::Outdated);
 }
 
+/// Guards against a job that runs again because a copy of its submission is appended after hosts have dropped it.
+#[test]
+fn a_late_copy_of_a_submission_is_known_after_its_job_was_dropped() {
+    let mut table = Table::default();
+    let accepted = submission_at(Some(0), "one", None);
+    table.apply(0, accepted.clone());
+    table.apply(1, Record::Cancelled("one".to_owned()));
+    let after_retention = SystemTime::UNIX_EPOCH + Duration::from_secs(121);
+    table.prune(Duration::from_secs(120), after_retention);
+
+    let copy = table.apply(2, accepted);
+    let new_attempt = table.apply(3, submission_at(Some(3), "one", None));
+
+    assert_eq!(verdict(copy), Verdict::Known);
+    assert_eq!(verdict(new_attempt), Verdict::Accepted);
+}
+
 #[test]
 fn the_position_of_a_submission_is_encoded() {
     let positioned = submission_at(Some(300), "job", None);
