batch: the build of a text is no restriction while no other one serves

Nearly every interrupted item names a build. Each of them that got no slot was set aside for 100 ms, so that items that are due later went before it in overload, against the order of due times.

An item that lacks memory is no longer requested in failure domains that report no room; one that no upstream can process still is.

--- a/crates/tinbank-allocator/src/cause.rs
+++ b/crates/tinbank-allocator/src/cause.rs
@@ -27,7 +27,8 @@
         }
     }
 
-    fn is_lasting(self) -> bool {
+    /// Returns whether the item is denied for as long as the upstreams and their states are the same.
+    pub fn is_lasting(self) -> bool {
         matches!(self, Self::Size | Self::Upstream)
     }
 }
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -270,11 +270,12 @@
     let now = Instant::now();
     let runner = &node.batch.runner;
     let Candidate { key, needs, .. } = candidate;
-    start::record_denial(node, candidate, now);
+    // The build of a text is no restriction while no other one serves.
+    let is_restricted = start::record_denial(node, candidate, now) || !needs.exclude.is_empty();
     let mut denials = runner.denials.borrow_mut();
     match cause {
         // It lets others pass that may use more upstreams.
-        Cause::Slot if needs.is_restricted() => runner.set_aside(key, now + RETRY_DELAY),
+        Cause::Slot if is_restricted => runner.set_aside(key, now + RETRY_DELAY),
         Cause::Slot => denials.record_full(needs),
         Cause::Memory if runner.waits_for_memory(key, now) => denials.record_full(needs),
         Cause::Memory | Cause::Size | Cause::Upstream => {
--- a/crates/tinbank-gateway/src/batch/runner/denials.rs
+++ b/crates/tinbank-gateway/src/batch/runner/denials.rs
@@ -31,11 +31,6 @@
 }
 
 impl Needs {
-    /// Returns whether only some of the service's upstreams will do.
-    pub fn is_restricted(&self) -> bool {
-        self.build.is_some() || !self.exclude.is_empty()
-    }
-
     /// Returns whether an item with other needs needs at least this much.
     fn are_implied_by(&self, other: &Self) -> bool {
         self.service == other.service
--- a/crates/tinbank-gateway/src/batch/runner/start.rs
+++ b/crates/tinbank-gateway/src/batch/runner/start.rs
@@ -73,17 +73,18 @@
         .unwrap_or(logged)
 }
 
-/// Records since when an item gets no slot at the build that its text needs, while others of its route serve.
-pub(super) fn record_denial(node: &Node, candidate: &Candidate, now: Instant) {
+/// Records since when an item gets no slot at the build that its text needs, while others of its route serve. Returns whether that is so.
+pub(super) fn record_denial(node: &Node, candidate: &Candidate, now: Instant) -> bool {
     let Some(origin) = candidate.start.origin() else {
-        return;
+        return false;
     };
     if !has_alternative(node, &candidate.route, origin) {
-        return;
+        return false;
     }
     let mut waiting = node.batch.runner.waiting.borrow_mut();
     let waiting = waiting.entry(candidate.key.clone()).or_default();
     waiting.denied_since.get_or_insert(now);
+    true
 }
 
 /// Returns whether upstreams of a route's services serve, other than those of an origin.
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -53,9 +53,9 @@
 }
 
 impl Denied {
-    /// Returns whether all slots are in use, as far as the denial says.
-    pub(super) fn lacks_slot(&self) -> bool {
-        self.cause == Cause::Slot
+    /// Returns whether items of the usual size would be denied as well.
+    pub(super) fn is_usual(&self) -> bool {
+        !self.cause.is_lasting()
     }
 }
 
@@ -124,8 +124,8 @@
         }
     }
 
-    /// Requests a free slot for a batch item from the failure domains in `immediate`. If it lacks more than a slot there, it requests
-    /// one from the others as well, since they report room for items without particular needs.
+    /// Requests a free slot for a batch item from the failure domains in `immediate`. If no upstream there can process it, it requests one
+    /// from the others as well, since they report room for items without particular needs.
     async fn lease_for_batch(
         self: &Rc<Self>,
         node: &Node,
@@ -136,7 +136,7 @@
         let mut causes: SmallVec<[Option<Cause>; 4]> = SmallVec::new();
         let others = domains.iter().filter(|it| !immediate.contains(it));
         for domain in immediate.iter().chain(others) {
-            if !immediate.contains(domain) && cause::combine(&causes) == Cause::Slot {
+            if !immediate.contains(domain) && !cause::combine(&causes).is_lasting() {
                 causes.push(None);
                 continue;
             }
--- a/crates/tinbank-gateway/src/sharing/room.rs
+++ b/crates/tinbank-gateway/src/sharing/room.rs
@@ -70,8 +70,8 @@
         })
     }
 
-    /// Records the result of a slot request. A denial of a request that can't use all upstreams, or lacks more than a slot, says nothing
-    /// about others.
+    /// Records the result of a slot request. A denial of a request that can't use all upstreams, or that none of them can process,
+    /// says nothing about others.
     pub(super) fn record_result(
         &self,
         domain: &str,
@@ -85,7 +85,7 @@
         let is_granted = matches!(result, SlotResult::Granted(_));
         measure::record_crossing(has_report, is_granted);
         let takes_any = spec.exclude.is_empty() && spec.build.is_none();
-        if takes_any && matches!(result, SlotResult::Denied(denied) if denied.lacks_slot()) {
+        if takes_any && matches!(result, SlotResult::Denied(denied) if denied.is_usual()) {
             let rooms = &mut self.state.borrow_mut().rooms;
             rooms.record_denied(domain, spec.service, spec.class);
         }
