--- a/crates/tinbank-entry/tests/soak/deployment.rs
+++ b/crates/tinbank-entry/tests/soak/deployment.rs
@@ -355,7 +355,10 @@
         route("keyed", "streaming", 2, true),
         route(crash::SERVICE, "streaming", 2, true),
         // Engines fail at random here. The high limit on attempts keeps items from being abandoned as always failing.
-        route("batch", "batch", 1000, false),
+        Route {
+            quota: QUOTA,
+            ..route("batch", "batch", 1000, false)
+        },
     ];
     let customers = [("cool", &["cool"], 100), ("hot", &["hot"], 2)];
     let customers = customers.map(|(name, keys, rate)| Customer { name, keys, rate });
@@ -364,9 +367,6 @@
         if route["name"] == crash::SERVICE {
             route["service"] = json!(crash::SERVICE);
         }
-        if route["name"] == "batch" {
-            route["max_queued_tokens"] = json!(QUOTA);
-        }
     }
     let open = ["plain", "resumable", "batch", crash::SERVICE];
     store::with_customers(manifest, &customers, &open)
