batch: log and measure what pending items wait for

The line of a quarantined item named neither its content, nor what of it is quarantined, nor when it may be tried. Nothing told an item that never runs again from one that waits its turn, one whose result is being written, or one that no host owns. No logic is changed.

--- a/crates/tinbank-gateway/src/batch/mod.rs
+++ b/crates/tinbank-gateway/src/batch/mod.rs
@@ -139,6 +139,7 @@
     tokio::select! {
         () = ownership::maintain(Rc::clone(node)) => {}
         () = runner::run(Rc::clone(node)) => {}
+        () = runner::report(Rc::clone(node)) => {}
         () = node.feed.wait_until_not_delegate() => {}
     }
     if node.stop.is_stopping() {
--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -4,6 +4,7 @@
 mod selection;
 mod shares;
 mod start;
+mod summary;
 
 use std::{
     cell::{Cell, RefCell},
@@ -20,9 +21,10 @@
     job::Progress,
     record::{Checkpoint, Failure, Finish, Index, JobId, Outcome, Reason, Record, RunId, RunStart},
 };
-use tinbank_quarantine::table::Denial;
+use tinbank_quarantine::{Kind, fingerprint::short, table::Denial};
 use tokio::{sync::Notify, task, time};
 
+pub(super) use self::summary::report;
 use self::{
     denials::{Denials, Needs},
     selection::Candidate,
@@ -77,6 +79,16 @@
 
 struct Run {
     stop: Notify,
+    started_at: Instant,
+}
+
+impl Run {
+    fn new() -> Self {
+        Self {
+            stop: Notify::new(),
+            started_at: Instant::now(),
+        }
+    }
 }
 
 /// State of an item between two runs.
@@ -90,6 +102,8 @@
     lacks_memory_since: Option<Instant>,
     /// The item must not run before this time.
     until: Option<Instant>,
+    /// What was quarantined when the item was last about to run: its content or a part of its prompt.
+    quarantined: Option<Kind>,
     /// Number of failed runs, on any host.
     failures: u32,
     /// Upstreams at which runs of this host failed.
@@ -191,11 +205,16 @@
 
     /// Delays a quarantined item. It is checked again before the quarantine ends, since it may be released early.
     fn delay_quarantined(&self, key: Key, request: &Request, denial: Denial) {
-        let recheck_at = denial.until.min(Instant::now() + QUARANTINE_RECHECK);
+        let now = Instant::now();
+        let recheck_at = denial.until.min(now + QUARANTINE_RECHECK);
         let part = request.part_id(denial.subject).map_or("", |it| it.as_str());
-        log::info!(job:% = key.0, item = key.1, part:%; "item quarantined, upstreams crash while running it");
+        let content = short(request.fingerprint());
+        let left_ms = denial.until.saturating_duration_since(now).as_millis() as u64;
+        log::info!(job:% = key.0, item = key.1, content:%, part:%, left_ms; "item quarantined, upstreams crash while running it");
         let mut waiting = self.waiting.borrow_mut();
-        waiting.entry(key).or_default().until = Some(recheck_at);
+        let waiting = waiting.entry(key).or_default();
+        waiting.until = Some(recheck_at);
+        waiting.quarantined = Some(denial.kind);
     }
 
     /// Returns whether an item that lacks memory holds up the others of its service. It does so for a while, since smaller items would
@@ -362,9 +381,8 @@
     state.failures = state.failures.max(failures);
     state.denied_since = None;
     state.lacks_memory_since = None;
-    let run = Rc::new(Run {
-        stop: Notify::new(),
-    });
+    state.quarantined = None;
+    let run = Rc::new(Run::new());
     runner
         .running
         .borrow_mut()
@@ -548,9 +566,7 @@
 /// Abandons an item that is not running.
 fn abandon(node: &Node, key: Key, submission: u64, reason: Reason) {
     log::info!(job:% = key.0, item = key.1, reason:?; "item abandoned");
-    let run = Rc::new(Run {
-        stop: Notify::new(),
-    });
+    let run = Rc::new(Run::new());
     let record = finish_record(&key, submission, Outcome::Abandoned(reason));
     node.batch.writer.add(record, Bytes::new());
     node.batch.runner.running.borrow_mut().insert(key, run);
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -60,6 +60,13 @@
     metrics::counter!("tinbank_entry_passed_items_total", "cause" => cause.label()).increment(1);
 }
 
+/// Records how many pending items of this host are in each state.
+pub(crate) fn set_pending_items(states: &[(&'static str, usize)]) {
+    for (state, items) in states {
+        metrics::gauge!("tinbank_entry_pending_items", "state" => *state).set(*items as f64);
+    }
+}
+
 /// Records of how many streams this host knows the origin.
 pub(crate) fn set_known_origins(streams: usize) {
     metrics::gauge!("tinbank_entry_known_origins").set(streams as f64);
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -279,6 +279,13 @@
         &["cause"],
         "Items denied for more than a free slot, which others go before, by what they lack: memory that is in use, an upstream of their size, or any that they may be sent to.",
     ),
+    Metric {
+        name: "tinbank_entry_pending_items",
+        kind: Kind::Gauge,
+        unit: "items",
+        labels: &["state"],
+        help: "Batch items without a result that this host is to run, by what they wait for: running includes the write of the result, quarantined is their content, quarantined_part a part of their prompt, delayed until a time, due for a slot.",
+    },
     seconds(
         "tinbank_entry_probe_wait_seconds",
         "Time for which requests waited for probes of upstreams that they may have crashed.",
