quarantine: an item under which upstreams crashed is tried again within seconds

Callers saw: an accepted item is neither done nor abandoned, though upstreams have room. After a burst of crashes it was never sent again, and was abandoned when its job expired.

Cause: a content under which three upstreams crash at about one event was held back for an hour, without a trial before that. Items run for seconds and go on where they broke off, so upstreams that crash by themselves one after the other break them within the five events that count as one place. Class: a verdict from correlated failures that nothing can refute.

The users' record has a content with ended=3 and reached=34, 26 s before the item is found open.

Items are suspects of their own kind now: quarantined only between trials, 2 s after the third crash and at most 10 s (12.5 s with the jitter of a host) apart. A trial that gets further clears the item. Their contents are not those of callers' requests, so neither is held back for crashes under the other. Datagrams have version 11.

Fixtures of existing tests name the source of a request.

--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -12,7 +12,7 @@
 use crate::{cause::Cause, lease, pace, size::Size};
 
 /// First byte of each datagram; a host ignores datagrams of another version.
-const VERSION: u8 = 10;
+const VERSION: u8 = 11;
 /// Maximum datagram size in bytes. Holds the holdings of a host with 200 leases; most datagrams fit in one packet.
 pub const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
--- a/crates/tinbank-gateway/src/border/engine.rs
+++ b/crates/tinbank-gateway/src/border/engine.rs
@@ -10,7 +10,7 @@
 use tinbank_base::id;
 use tinbank_customer::Caller;
 use tinbank_jobs::record;
-use tinbank_quarantine::{Content, Fingerprint, SharedPart};
+use tinbank_quarantine::{Content, Fingerprint, InFlight, Position, SharedPart, Source};
 use tinbank_relay::event;
 
 /// Id of a part of a prompt, as callers name it.
@@ -21,6 +21,8 @@
 pub struct Request {
     /// Id of the request, which an upstream repeats in its response.
     pub id: String,
+    /// What sent the request.
+    pub source: Source,
     /// The customer that sent the request, if any.
     pub customer: Option<id::Customer>,
     /// Method.
@@ -70,9 +72,20 @@
         customers.map(move |customer| SharedPart { customer, id }.fingerprint())
     }
 
+    /// Returns what the quarantine records of the request if its answer breaks off after an event.
+    pub fn in_flight(&self, reached: Position) -> InFlight {
+        InFlight {
+            request: self.fingerprint(),
+            source: self.source,
+            reached,
+            parts: self.part_fingerprints().clone(),
+        }
+    }
+
     fn compute_fingerprint(&self) -> Fingerprint {
         let host = self.headers.get(header::HOST);
         let content = Content {
+            source: self.source,
             customer: self.customer.as_deref(),
             method: self.method.as_str(),
             host: host.map_or(&[], HeaderValue::as_bytes),
--- a/crates/tinbank-gateway/src/quarantine/mod.rs
+++ b/crates/tinbank-gateway/src/quarantine/mod.rs
@@ -75,15 +75,23 @@
         }
     }
 
-    /// Records that a request is sent as the trial of its quarantined parts. Other hosts wait for what comes of it.
+    /// Records that a request is sent as the trial of itself, if it is an item, and of the quarantined parts of its prompt. Other hosts
+    /// wait for what comes of it.
     pub fn begin_trial(&self, request: &Request, now: Instant) {
-        let parts = request.part_fingerprints();
-        let tried = self.table.borrow_mut().begin_trial(parts, now);
-        for part in tried {
-            let id = request.part_id(part).map_or("", |it| it.as_str());
-            log::info!(request:% = request.id, id:%, part:% = short(part); "request sent to try a quarantined part of its prompt");
-            measure::record_part_trial();
-            self.post(Update::TrialStarted(part));
+        let content = request.fingerprint();
+        let mut subjects = request.part_fingerprints().clone();
+        subjects.push(content);
+        let tried = self.table.borrow_mut().begin_trial(&subjects, now);
+        for subject in tried {
+            if subject == content {
+                log::info!(request:% = request.id, content:% = short(content); "quarantined item sent to try it");
+                measure::record_item_trial();
+            } else {
+                let id = request.part_id(subject).map_or("", |it| it.as_str());
+                log::info!(request:% = request.id, id:%, part:% = short(subject); "request sent to try a quarantined part of its prompt");
+                measure::record_part_trial();
+            }
+            self.post(Update::TrialStarted(subject));
         }
     }
 
@@ -100,11 +108,7 @@
         if table.must_wait_for_probes(content, interruptions) {
             return true;
         }
-        let in_flight = InFlight {
-            request: content,
-            reached: 0,
-            parts: request.part_fingerprints().clone(),
-        };
+        let in_flight = request.in_flight(0);
         let probed = interrupted.iter();
         let probed = probed.flat_map(|(upstream, all)| all.iter().map(move |it| (upstream, it)));
         let probed: SmallVec<[(&id::Instance, &InFlight); 8]> = probed.collect();
@@ -290,9 +294,9 @@
             let change = node.quarantine.table.borrow_mut().clear(subject);
             node.quarantine.record_changes(change, &by);
         }
-        Update::TrialStarted(part) => {
+        Update::TrialStarted(subject) => {
             let mut table = node.quarantine.table.borrow_mut();
-            table.record_trial(part, Instant::now());
+            table.record_trial(subject, Instant::now());
         }
     }
 }
@@ -313,6 +317,9 @@
         Change::PartCleared(part) => {
             log::log!(level, part:% = short(part), by; "part of prompts cleared, it does not crash upstreams");
         }
+        Change::Quarantined(it) if it.kind == Kind::Item => {
+            log::warn!(content:% = short(it.subject), ended = it.ended, reached = it.reached, failed_trials = it.failed_trials, by; "item quarantined between trials, upstreams crashed while they ran it");
+        }
         Change::Suspected(Quarantined {
             subject,
             ended,
--- a/crates/tinbank-gateway/src/relay/answer.rs
+++ b/crates/tinbank-gateway/src/relay/answer.rs
@@ -13,9 +13,8 @@
 use http::{header, response::Parts};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-use smallvec::SmallVec;
 use tinbank_base::id;
-use tinbank_quarantine::{InFlight, fingerprint::short};
+use tinbank_quarantine::fingerprint::short;
 use tinbank_relay::event;
 
 use crate::{border::engine::Request, node::Node, quarantine};
@@ -45,15 +44,10 @@
 impl AttemptContext {
     /// Records that the connection was lost before the answer was complete. The request may have crashed the upstream.
     pub fn record_broken_connection(&self) {
-        let parts = match self.is_beyond_start.get() {
-            true => SmallVec::new(),
-            false => self.request.part_fingerprints().clone(),
-        };
-        let blamed = InFlight {
-            request: self.request.fingerprint(),
-            reached: self.last_event.get(),
-            parts,
-        };
+        let mut blamed = self.request.in_flight(self.last_event.get());
+        if self.is_beyond_start.get() {
+            blamed.parts.clear();
+        }
         log::info!(request:% = self.request.id, content:% = short(blamed.request), reached = blamed.reached, parts:% = self.request.shared_parts.join(","), upstream:% = self.upstream; "upstream broke an answer off");
         quarantine::record_broken_connection(&self.node, &self.upstream, self.address, blamed);
     }
--- a/crates/tinbank-quarantine/src/fingerprint.rs
+++ b/crates/tinbank-quarantine/src/fingerprint.rs
@@ -2,6 +2,8 @@
 
 use tinbank_base::digest;
 
+use crate::Source;
+
 /// Identifies the content of a request: 128 bits of a SHA-256 digest. Nobody can craft a request with another request's
 /// fingerprint, and it reveals neither bodies nor customers.
 pub type Fingerprint = u128;
@@ -9,6 +11,8 @@
 /// The parts of a request that make up its identity.
 #[derive(Clone, Copy, Debug)]
 pub struct Content<'a> {
+    /// What sent it, so that items and the requests of callers are not blamed for each other's crashes.
+    pub source: Source,
     /// The customer, if any, so that no customer can get another customer's request quarantined.
     pub customer: Option<&'a str>,
     /// The method.
@@ -25,8 +29,9 @@
     /// Returns the fingerprint of a request with this content.
     pub fn fingerprint(&self) -> Fingerprint {
         let customer = self.customer.map(str::as_bytes);
+        let is_item = self.source == Source::Item;
         let digest = digest::of_fields(&[
-            &[u8::from(customer.is_some())],
+            &[u8::from(customer.is_some()) | u8::from(is_item) << 1],
             customer.unwrap_or_default(),
             self.method.as_bytes(),
             self.host,
--- a/crates/tinbank-quarantine/src/lib.rs
+++ b/crates/tinbank-quarantine/src/lib.rs
@@ -8,7 +8,8 @@
 mod part;
 pub mod report;
 pub mod table;
+mod trial;
 
 pub use fingerprint::{Content, Fingerprint, SharedPart};
-pub use report::{CrashReport, InFlight, Kind, Position, Quarantined, Update};
+pub use report::{CrashReport, InFlight, Kind, Position, Quarantined, Source, Update};
 pub use table::Table;
--- a/crates/tinbank-quarantine/src/part.rs
+++ b/crates/tinbank-quarantine/src/part.rs
@@ -20,15 +20,6 @@
 pub(crate) const ONE_MOMENT: Duration = Duration::from_millis(200);
 /// Number of upstreams and of continuations that are kept for each part. Proof needs fewer.
 const MAX_KEPT: usize = 8;
-/// Delay before a quarantined part is tried by one request. Multiplied with each trial that crashes an upstream.
-const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(2);
-/// By how much the delay grows.
-const TRIAL_BACKOFF: u32 = 8;
-/// Largest part of the delay that a host adds to it, so that not all hosts begin a trial at once.
-const MAX_JITTER: f64 = 0.25;
-/// Longest delay. Shorter than the time for which a part stays quarantined without a crash, so that it is tried before that ends.
-const MAX_TRIAL_DELAY: Duration = Duration::from_secs(12 * 60 * 60);
-
 /// What follows a part in a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Continuation {
@@ -116,63 +107,3 @@
         Continuation::Content(_) => (*crashes).min(MAX_WEIGHT_OF_CONTENT),
     }
 }
-
-/// Trials of a quarantined part: one request at a time may show that it is sound, or that its upstreams were mended.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Trials {
-    /// Number of trials that crashed an upstream.
-    pub failed: u32,
-    /// When the next trial may begin.
-    pub next_at: Instant,
-    /// Whether one has begun since the last crash.
-    is_running: bool,
-    /// This host's share of the largest jitter.
-    jitter: f64,
-}
-
-impl Trials {
-    /// Creates the trials of a host after some that failed. `jitter` is its share of the largest jitter, from 0 to 1.
-    pub(crate) fn new(failed: u32, jitter: f64, now: Instant) -> Self {
-        let mut trials = Self {
-            failed,
-            next_at: now,
-            is_running: false,
-            jitter,
-        };
-        trials.postpone(now);
-        trials
-    }
-
-    /// Records that a trial begins, here or at another host. The next one follows later if nothing is heard of this one.
-    pub(crate) fn begin(&mut self, now: Instant) {
-        self.is_running = true;
-        self.postpone(now);
-    }
-
-    /// Records one more crash. Returns whether it was a trial, as opposed to a request that was sent before the quarantine.
-    pub(crate) fn record_crash(&mut self, now: Instant) -> bool {
-        // Another host may have begun a trial without this one knowing.
-        let was_trial = self.is_running || now >= self.next_at;
-        self.failed += u32::from(was_trial);
-        self.is_running = false;
-        self.postpone(now);
-        was_trial
-    }
-
-    /// Applies the number of failed trials that another host has stored.
-    pub(crate) fn merge(&mut self, failed: u32, now: Instant) {
-        if failed > self.failed {
-            self.failed = failed;
-            self.postpone(now);
-        }
-    }
-
-    /// Puts the next trial off for as long as the failed ones demand.
-    fn postpone(&mut self, now: Instant) {
-        let factor = TRIAL_BACKOFF.saturating_pow(self.failed);
-        let delay = FIRST_TRIAL_DELAY.saturating_mul(factor);
-        let delay = delay.min(MAX_TRIAL_DELAY);
-        let next_at = now + delay.mul_f64(1.0 + MAX_JITTER * self.jitter);
-        self.next_at = self.next_at.max(next_at);
-    }
-}
--- a/crates/tinbank-quarantine/src/report.rs
+++ b/crates/tinbank-quarantine/src/report.rs
@@ -19,11 +19,22 @@
     pub requests: SmallVec<[InFlight; 2]>,
 }
 
+/// What sends a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Source {
+    /// A caller, which may give up or be refused.
+    Caller,
+    /// A job, whose items are owed once they are accepted.
+    Item,
+}
+
 /// A request that an upstream was running when it crashed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InFlight {
     /// The request.
     pub request: Fingerprint,
+    /// What sent it.
+    pub source: Source,
     /// Last event of its answer that was received before the crash; 0 if there was none.
     pub reached: Position,
     /// The shared parts of its prompt, in order, each first as a part of all customers and then as one of its customer. Empty if the upstream had got beyond the start of its answer, since parts crash
@@ -31,6 +42,16 @@
     pub parts: SmallVec<[Fingerprint; 2]>,
 }
 
+impl Source {
+    /// Returns what a request of this source is suspected as.
+    pub(crate) fn kind(self) -> Kind {
+        match self {
+            Self::Caller => Kind::Content,
+            Self::Item => Kind::Item,
+        }
+    }
+}
+
 /// What is suspected of crashing upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
@@ -38,6 +59,8 @@
     Content,
     /// A shared part of prompts.
     Part,
+    /// An item of a job, known by its content.
+    Item,
 }
 
 /// An observation that a host sends to the other hosts.
@@ -47,7 +70,7 @@
     Crashed(CrashReport),
     /// A suspected request completed, or got further than where upstreams had crashed. A suspected part was answered beyond the start.
     Cleared(Fingerprint),
-    /// The host sends a request with a quarantined part, to try it. Others wait for what comes of it.
+    /// The host sends a quarantined item, or a request with a quarantined part, to try it. Others wait for what comes of it.
     TrialStarted(Fingerprint),
 }
 
@@ -62,6 +85,6 @@
     pub ended: u32,
     /// Last event of a request's answer before the crashes; 0 for a part.
     pub reached: Position,
-    /// Number of trials of a part that crashed an upstream; 0 for a request.
+    /// Number of trials of a part or an item that crashed an upstream; 0 for a request.
     pub failed_trials: u32,
 }
--- a/crates/tinbank-quarantine/src/table.rs
+++ b/crates/tinbank-quarantine/src/table.rs
@@ -19,8 +19,9 @@
 
 use crate::{
     Fingerprint,
-    part::{Continuation, Evidence, ONE_MOMENT, Trials},
+    part::{Continuation, Evidence, ONE_MOMENT},
     report::{CrashReport, InFlight, Kind, Position, Quarantined},
+    trial::{Schedule, Trials},
 };
 
 /// Number of upstreams that have to crash while they run a request before it is quarantined. With fewer, frequent
@@ -61,7 +62,7 @@
 pub enum Permission {
     /// Nothing speaks against it.
     Granted,
-    /// As the only one with a quarantined part, to find out whether that still crashes upstreams.
+    /// As the only one with a quarantined part, or as a quarantined item, to find out whether that still crashes upstreams.
     Trial,
     /// The request or a part of its prompt is quarantined.
     Denied(Denial),
@@ -72,7 +73,7 @@
 pub struct Denial {
     /// What is quarantined.
     pub subject: Fingerprint,
-    /// Whether that is the request or a part of its prompt.
+    /// Whether that is the request, the item or a part of its prompt.
     pub kind: Kind,
     /// When a request may be tried again.
     pub until: Instant,
@@ -116,6 +117,12 @@
 #[derive(Debug)]
 enum Blame {
     Content(Crashes),
+    Item {
+        crashes: Crashes,
+        /// Set while it is quarantined.
+        trials: Option<Trials>,
+        trial_jitter: f64,
+    },
     Part {
         evidence: Box<Evidence>,
         /// Set while it is quarantined.
@@ -250,7 +257,10 @@
         parts: &[Fingerprint],
         now: Instant,
     ) -> Permission {
-        if let Some(until) = self.quarantined_until(request, now) {
+        let is_item = self.suspects.get(&request).is_some_and(Suspect::is_item);
+        if let Some(until) = self.quarantined_until(request, now)
+            && !is_item
+        {
             return Permission::Denied(Denial {
                 subject: request,
                 kind: Kind::Content,
@@ -258,14 +268,17 @@
             });
         }
         let mut permission = Permission::Granted;
-        for part in parts {
-            let Some(trials) = self.suspects.get(part).and_then(Suspect::trials) else {
+        for subject in std::iter::once(&request).chain(parts) {
+            let Some(suspect) = self.suspects.get(subject) else {
+                continue;
+            };
+            let Some(trials) = suspect.trials() else {
                 continue;
             };
             if now < trials.next_at {
                 return Permission::Denied(Denial {
-                    subject: *part,
-                    kind: Kind::Part,
+                    subject: *subject,
+                    kind: suspect.kind(),
                     until: trials.next_at,
                 });
             }
@@ -274,24 +287,28 @@
         permission
     }
 
-    /// Records that a request with quarantined parts is sent as a trial. Returns these parts.
+    /// Records that a request is sent as a trial of itself, if it is an item, and of the parts of its prompt. Returns those of them that
+    /// are quarantined.
     pub fn begin_trial(
         &mut self,
-        parts: &[Fingerprint],
+        subjects: &[Fingerprint],
         now: Instant,
     ) -> SmallVec<[Fingerprint; 2]> {
         let mut tried = SmallVec::new();
-        for part in parts {
-            if self.record_trial(*part, now) {
-                tried.push(*part);
+        for subject in subjects {
+            if self.record_trial(*subject, now) {
+                tried.push(*subject);
             }
         }
         tried
     }
 
-    /// Records that a request is sent as a trial of a part, here or at another host. Returns whether the part is quarantined.
-    pub fn record_trial(&mut self, part: Fingerprint, now: Instant) -> bool {
-        let trials = self.suspects.get_mut(&part).and_then(Suspect::trials_mut);
+    /// Records that a request is sent as a trial of an item or a part, here or at another host. Returns whether that is quarantined.
+    pub fn record_trial(&mut self, subject: Fingerprint, now: Instant) -> bool {
+        let trials = self
+            .suspects
+            .get_mut(&subject)
+            .and_then(Suspect::trials_mut);
         trials.map(|it| it.begin(now)).is_some()
     }
 
@@ -303,9 +320,11 @@
         for in_flight in &report.requests {
             changes.extend(self.record_progress(in_flight.request, in_flight.reached));
             let request = in_flight.request;
-            changes.extend(self.blame(request, Kind::Content, now, |suspect| {
-                suspect.add_crash(upstream, in_flight.reached, now)
-            }));
+            changes.extend(
+                self.blame(request, in_flight.source.kind(), now, |suspect| {
+                    suspect.add_crash(upstream, in_flight.reached, now)
+                }),
+            );
             for (part, continuation) in in_flight.continuations() {
                 changes.extend(self.blame(part, Kind::Part, now, |suspect| {
                     suspect.add_crash_of_part(upstream, continuation, recent_crashes, now)
@@ -381,7 +400,7 @@
     /// Clears a request whose answer was completed, or a part that is sound, here or at another host. Returns None if it was no suspect.
     pub fn clear(&mut self, subject: Fingerprint) -> Option<Change> {
         match self.remove(&subject)? {
-            Kind::Content => Some(Change::Cleared(subject)),
+            Kind::Content | Kind::Item => Some(Change::Cleared(subject)),
             Kind::Part => Some(Change::PartCleared(subject)),
         }
     }
@@ -503,7 +522,7 @@
     /// Returns the crashes that a request is blamed for.
     fn content(&self, request: Fingerprint) -> Option<&Crashes> {
         match &self.suspects.get(&request)?.blame {
-            Blame::Content(crashes) => Some(crashes),
+            Blame::Content(crashes) | Blame::Item { crashes, .. } => Some(crashes),
             Blame::Part { .. } => None,
         }
     }
@@ -564,6 +583,11 @@
     fn new(kind: Kind, trial_jitter: f64, now: Instant) -> Self {
         let blame = match kind {
             Kind::Content => Blame::Content(Crashes::default()),
+            Kind::Item => Blame::Item {
+                crashes: Crashes::default(),
+                trials: None,
+                trial_jitter,
+            },
             Kind::Part => Blame::Part {
                 evidence: Box::new(Evidence::new(now)),
                 trials: None,
@@ -582,27 +606,34 @@
     fn kind(&self) -> Kind {
         match self.blame {
             Blame::Content(_) => Kind::Content,
+            Blame::Item { .. } => Kind::Item,
             Blame::Part { .. } => Kind::Part,
         }
     }
 
+    fn is_item(&self) -> bool {
+        matches!(self.blame, Blame::Item { .. })
+    }
+
     fn trials(&self) -> Option<&Trials> {
         match &self.blame {
-            Blame::Part { trials, .. } => trials.as_ref(),
+            Blame::Item { trials, .. } | Blame::Part { trials, .. } => trials.as_ref(),
             Blame::Content(_) => None,
         }
     }
 
     fn trials_mut(&mut self) -> Option<&mut Trials> {
         match &mut self.blame {
-            Blame::Part { trials, .. } => trials.as_mut(),
+            Blame::Item { trials, .. } | Blame::Part { trials, .. } => trials.as_mut(),
             Blame::Content(_) => None,
         }
     }
 
     fn summary(&self, subject: Fingerprint) -> Quarantined {
         let (ended, reached) = match &self.blame {
-            Blame::Content(crashes) => (crashes.count, crashes.reached),
+            Blame::Content(crashes) | Blame::Item { crashes, .. } => {
+                (crashes.count, crashes.reached)
+            }
             Blame::Part { evidence, .. } => (evidence.crashes, 0),
         };
         Quarantined {
@@ -616,13 +647,20 @@
 
     /// Adds a crash that a request is blamed for, and quarantines it if there were enough. Returns whether it counts.
     fn add_crash(&mut self, upstream: &id::Instance, reached: Position, now: Instant) -> bool {
-        let Blame::Content(crashes) = &mut self.blame else {
-            return false;
+        let (crashes, trials) = match &mut self.blame {
+            Blame::Content(crashes) => (crashes, None),
+            Blame::Item {
+                crashes, trials, ..
+            } => (crashes, trials.as_mut()),
+            Blame::Part { .. } => return false,
         };
         if !crashes.add(upstream, reached) {
             return false;
         }
-        if crashes.count >= CRASH_THRESHOLD {
+        if let Some(trials) = trials {
+            trials.record_crash(now);
+            self.quarantined_until = Some(now + MAX_QUARANTINE);
+        } else if crashes.count >= CRASH_THRESHOLD {
             self.quarantine(0, now);
         }
         true
@@ -659,7 +697,7 @@
     /// Applies what the store has of it.
     fn merge(&mut self, stored: Quarantined, now: Instant) {
         match &mut self.blame {
-            Blame::Content(crashes) => {
+            Blame::Content(crashes) | Blame::Item { crashes, .. } => {
                 crashes.count = crashes.count.max(stored.ended);
                 crashes.reached = crashes.reached.max(stored.reached);
             }
@@ -677,12 +715,22 @@
     fn quarantine(&mut self, failed_trials: u32, now: Instant) {
         let time = match &mut self.blame {
             Blame::Content(crashes) => crashes.quarantine_time(),
+            Blame::Item {
+                trials,
+                trial_jitter,
+                ..
+            } => {
+                let schedule = Schedule::ITEM;
+                *trials = Some(Trials::new(schedule, failed_trials, *trial_jitter, now));
+                MAX_QUARANTINE
+            }
             Blame::Part {
                 trials,
                 trial_jitter,
                 ..
             } => {
-                *trials = Some(Trials::new(failed_trials, *trial_jitter, now));
+                let schedule = Schedule::PART;
+                *trials = Some(Trials::new(schedule, failed_trials, *trial_jitter, now));
                 MAX_QUARANTINE
             }
         };
@@ -693,12 +741,14 @@
         self.quarantined_until = None;
         self.is_stored = false;
         self.is_outdated = false;
-        if let Blame::Part { trials, .. } = &mut self.blame {
+        if let Blame::Item { trials, .. } | Blame::Part { trials, .. } = &mut self.blame {
             *trials = None;
         }
     }
 
+    /// Returns whether the store lacks it. Items are not stored: a host that starts without them tries them sooner, and counts anew.
     fn has_to_be_stored(&self) -> bool {
-        self.quarantined_until.is_some() && (!self.is_stored || self.is_outdated)
+        let is_missing = !self.is_stored || self.is_outdated;
+        self.quarantined_until.is_some() && is_missing && !self.is_item()
     }
 }
--- /dev/null
+++ b/crates/tinbank-quarantine/src/trial.rs
@@ -0,0 +1,99 @@
+//! Trials of what is quarantined: one request at a time may show that it is sound, or that its upstreams were mended.
+
+use std::time::{Duration, Instant};
+
+/// Largest part of the delay that a host adds to it, so that not all hosts begin a trial at once.
+const MAX_JITTER: f64 = 0.25;
+
+/// How long to wait before each trial. Each that fails costs the answers of all requests that an upstream runs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Schedule {
+    /// Delay before the first trial.
+    first: Duration,
+    /// Factor by which the delay grows with each trial that crashes an upstream.
+    backoff: u32,
+    /// Longest delay.
+    max: Duration,
+}
+
+impl Schedule {
+    /// Of a part of prompts. The longest delay is shorter than the time for which a part stays quarantined without a crash, so that it is
+    /// tried before that ends.
+    pub(crate) const PART: Self = Self {
+        first: Duration::from_secs(2),
+        backoff: 8,
+        max: Duration::from_secs(12 * 60 * 60),
+    };
+    /// Of an item. It has been accepted and is not the cause of the crashes, so it may not wait much longer than they go on.
+    pub(crate) const ITEM: Self = Self {
+        first: Duration::from_secs(2),
+        backoff: 2,
+        max: Duration::from_secs(10),
+    };
+}
+
+/// The trials of one request or part.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Trials {
+    schedule: Schedule,
+    /// Number of trials that crashed an upstream.
+    pub failed: u32,
+    /// When the next trial may begin.
+    pub next_at: Instant,
+    /// Whether one has begun since the last crash.
+    is_running: bool,
+    /// This host's share of the largest jitter.
+    jitter: f64,
+}
+
+impl Trials {
+    /// Creates the trials of a host after some that failed. `jitter` is its share of the largest jitter, from 0 to 1.
+    pub(crate) fn new(schedule: Schedule, failed: u32, jitter: f64, now: Instant) -> Self {
+        let mut trials = Self {
+            schedule,
+            failed,
+            next_at: now,
+            is_running: false,
+            jitter,
+        };
+        trials.postpone(now);
+        trials
+    }
+
+    /// Records that a trial begins, here or at another host. The next one follows later if nothing is heard of this one.
+    pub(crate) fn begin(&mut self, now: Instant) {
+        self.is_running = true;
+        self.postpone(now);
+    }
+
+    /// Records one more crash. Returns whether it was a trial, as opposed to a request that was sent before the quarantine.
+    pub(crate) fn record_crash(&mut self, now: Instant) -> bool {
+        // Another host may have begun a trial without this one knowing.
+        let was_trial = self.is_running || now >= self.next_at;
+        self.failed += u32::from(was_trial);
+        self.is_running = false;
+        self.postpone(now);
+        was_trial
+    }
+
+    /// Applies the number of failed trials that another host has stored.
+    pub(crate) fn merge(&mut self, failed: u32, now: Instant) {
+        if failed > self.failed {
+            self.failed = failed;
+            self.postpone(now);
+        }
+    }
+
+    /// Puts the next trial off for as long as the failed ones demand.
+    fn postpone(&mut self, now: Instant) {
+        let Schedule {
+            first,
+            backoff,
+            max,
+        } = self.schedule;
+        let delay = first.saturating_mul(backoff.saturating_pow(self.failed));
+        let delay = delay.min(max);
+        let next_at = now + delay.mul_f64(1.0 + MAX_JITTER * self.jitter);
+        self.next_at = self.next_at.max(next_at);
+    }
+}
--- a/crates/tinbank-quarantine/tests/fingerprint.rs
+++ b/crates/tinbank-quarantine/tests/fingerprint.rs
@@ -1,9 +1,10 @@
 //! Identity of requests by their content.
 
-use tinbank_quarantine::{Content, Fingerprint, fingerprint::short};
+use tinbank_quarantine::{Content, Fingerprint, Source, fingerprint::short};
 use yare::parameterized;
 
 const CONTENT: Content<'static> = Content {
+    source: Source::Caller,
     customer: Some("north"),
     method: "POST",
     host: b"one.example",
@@ -23,6 +24,7 @@
 }
 
 #[parameterized(
+    an_item = { Content { source: Source::Item, ..CONTENT } },
     another_customer = { Content { customer: Some("south"), ..CONTENT } },
     no_customer = { Content { customer: None, ..CONTENT } },
     an_empty_customer_name = { Content { customer: Some(""), ..CONTENT } },
--- a/crates/tinbank-quarantine/tests/fleet/parts.rs
+++ b/crates/tinbank-quarantine/tests/fleet/parts.rs
@@ -10,7 +10,7 @@
 use smallvec::{SmallVec, smallvec};
 use tinbank_base::id;
 use tinbank_quarantine::{
-    CrashReport, Fingerprint, InFlight, Quarantined, Table, Update,
+    CrashReport, Fingerprint, InFlight, Quarantined, Source, Table, Update,
     table::{Permission, Write},
 };
 
@@ -272,6 +272,7 @@
                 });
                 report.requests.push(InFlight {
                     request: run.content,
+                    source: Source::Caller,
                     reached: 0,
                     parts: if run.is_beyond_start {
                         smallvec![]
@@ -387,6 +388,7 @@
         }
         let request = InFlight {
             request: content,
+            source: Source::Caller,
             reached: 0,
             parts: parts.clone(),
         };
--- a/crates/tinbank-quarantine/tests/fleet/simulation.rs
+++ b/crates/tinbank-quarantine/tests/fleet/simulation.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tinbank_base::id;
 use tinbank_quarantine::{
-    CrashReport, Fingerprint, InFlight, Quarantined, Table, Update,
+    CrashReport, Fingerprint, InFlight, Quarantined, Source, Table, Update,
     table::{Interruption, Write},
 };
 
@@ -318,6 +318,7 @@
                 });
                 report.requests.push(InFlight {
                     request: run.request.name,
+                    source: Source::Caller,
                     reached: run.reached(self.now),
                     parts: Default::default(),
                 });
--- a/crates/tinbank-quarantine/tests/parts.rs
+++ b/crates/tinbank-quarantine/tests/parts.rs
@@ -5,7 +5,7 @@
 use smallvec::{SmallVec, smallvec};
 use tinbank_base::id;
 use tinbank_quarantine::{
-    CrashReport, Fingerprint, InFlight, Kind, Quarantined, SharedPart, Table,
+    CrashReport, Fingerprint, InFlight, Kind, Quarantined, SharedPart, Source, Table,
     table::{Denial, Permission, Write},
 };
 use yare::parameterized;
@@ -27,6 +27,7 @@
 fn in_flight((parts, request): Request) -> InFlight {
     InFlight {
         request,
+        source: Source::Caller,
         reached: 0,
         parts: SmallVec::from_slice(parts),
     }
@@ -313,6 +314,7 @@
         let request = CONTENT + number as Fingerprint;
         let beyond = InFlight {
             request,
+            source: Source::Caller,
             reached: 40,
             parts: smallvec![],
         };
--- a/crates/tinbank-quarantine/tests/table.rs
+++ b/crates/tinbank-quarantine/tests/table.rs
@@ -9,7 +9,7 @@
 use smallvec::smallvec;
 use tinbank_base::id;
 use tinbank_quarantine::{
-    CrashReport, Fingerprint, InFlight, Kind, Position, Quarantined, Table,
+    CrashReport, Fingerprint, InFlight, Kind, Position, Quarantined, Source, Table,
     table::{CAPACITY, CRASH_THRESHOLD, Change, Interruption, Write},
 };
 use tinbank_test_support::property;
@@ -33,6 +33,7 @@
 fn in_flight(request: Fingerprint, reached: Position) -> InFlight {
     InFlight {
         request,
+        source: Source::Caller,
         reached,
         parts: smallvec![],
     }
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -224,6 +224,12 @@
         &["ended"],
         "Runs of batch items, by how they ended.",
     ),
+    counter(
+        "tinbank_entry_item_trials_total",
+        "runs",
+        &[],
+        "Runs of items that were sent although upstreams had crashed while they ran them, to try them.",
+    ),
     counter(
         "tinbank_entry_items_given_up_total",
         "items",
