quarantine: items try a quarantined part by trials of their own

Cause: an item with a quarantined part of its prompt waited for the trials of that part, which callers' requests share. They are 2 s, 16 s, 2 minutes and 17 minutes apart and up to 12 hours, since each one that crashes an upstream counts, whatever crashed that. Same class: a verdict from correlated failures that is hardly ever tried again.

Items have trials of a part of their own, at most 10 s apart, one at a time over all hosts. One that fails counts for items alone; a sound start clears the part for all. Crashes under items still count as evidence, so the bound on upstreams that crash on a part before it is quarantined is unchanged.

Existing tests name the source of a request in their calls, nothing else.

--- a/crates/tinbank-gateway/src/quarantine/mod.rs
+++ b/crates/tinbank-gateway/src/quarantine/mod.rs
@@ -64,7 +64,8 @@
         if !table.has_quarantined() {
             return Permission::Granted;
         }
-        table.permission(request.fingerprint(), request.part_fingerprints(), now)
+        let (content, parts) = (request.fingerprint(), request.part_fingerprints());
+        table.permission(request.source, content, parts, now)
     }
 
     /// Returns why a request must not be sent, if so.
@@ -81,7 +82,10 @@
         let content = request.fingerprint();
         let mut subjects = request.part_fingerprints().clone();
         subjects.push(content);
-        let tried = self.table.borrow_mut().begin_trial(&subjects, now);
+        let source = request.source;
+        let mut table = self.table.borrow_mut();
+        let tried = table.begin_trial(source, &subjects, now);
+        drop(table);
         for subject in tried {
             if subject == content {
                 log::info!(request:% = request.id, content:% = short(content); "quarantined item sent to try it");
@@ -91,7 +95,7 @@
                 log::info!(request:% = request.id, id:%, part:% = short(subject); "request sent to try a quarantined part of its prompt");
                 measure::record_part_trial();
             }
-            self.post(Update::TrialStarted(subject));
+            self.post(Update::TrialStarted { subject, source });
         }
     }
 
@@ -294,9 +298,9 @@
             let change = node.quarantine.table.borrow_mut().clear(subject);
             node.quarantine.record_changes(change, &by);
         }
-        Update::TrialStarted(subject) => {
+        Update::TrialStarted { subject, source } => {
             let mut table = node.quarantine.table.borrow_mut();
-            table.record_trial(subject, Instant::now());
+            table.record_trial(source, subject, Instant::now());
         }
     }
 }
--- a/crates/tinbank-quarantine/src/report.rs
+++ b/crates/tinbank-quarantine/src/report.rs
@@ -71,7 +71,12 @@
     /// A suspected request completed, or got further than where upstreams had crashed. A suspected part was answered beyond the start.
     Cleared(Fingerprint),
     /// The host sends a quarantined item, or a request with a quarantined part, to try it. Others wait for what comes of it.
-    TrialStarted(Fingerprint),
+    TrialStarted {
+        /// The item, or the part.
+        subject: Fingerprint,
+        /// What sent the request.
+        source: Source,
+    },
 }
 
 /// A quarantined request or part, as the store keeps it. No upstream gets it.
--- a/crates/tinbank-quarantine/src/table.rs
+++ b/crates/tinbank-quarantine/src/table.rs
@@ -20,8 +20,8 @@
 use crate::{
     Fingerprint,
     part::{Continuation, Evidence, ONE_MOMENT},
-    report::{CrashReport, InFlight, Kind, Position, Quarantined},
-    trial::{Schedule, Trials},
+    report::{CrashReport, InFlight, Kind, Position, Quarantined, Source},
+    trial::{PartTrials, Schedule, Trials},
 };
 
 /// Number of upstreams that have to crash while they run a request before it is quarantined. With fewer, frequent
@@ -126,7 +126,7 @@
     Part {
         evidence: Box<Evidence>,
         /// Set while it is quarantined.
-        trials: Option<Trials>,
+        trials: Option<Box<PartTrials>>,
         trial_jitter: f64,
     },
 }
@@ -253,6 +253,7 @@
     /// Returns whether a request with shared parts of its prompt may be sent.
     pub fn permission(
         &self,
+        source: Source,
         request: Fingerprint,
         parts: &[Fingerprint],
         now: Instant,
@@ -272,7 +273,7 @@
             let Some(suspect) = self.suspects.get(subject) else {
                 continue;
             };
-            let Some(trials) = suspect.trials() else {
+            let Some(trials) = suspect.trials(source) else {
                 continue;
             };
             if now < trials.next_at {
@@ -291,12 +292,13 @@
     /// are quarantined.
     pub fn begin_trial(
         &mut self,
+        source: Source,
         subjects: &[Fingerprint],
         now: Instant,
     ) -> SmallVec<[Fingerprint; 2]> {
         let mut tried = SmallVec::new();
         for subject in subjects {
-            if self.record_trial(*subject, now) {
+            if self.record_trial(source, *subject, now) {
                 tried.push(*subject);
             }
         }
@@ -304,11 +306,9 @@
     }
 
     /// Records that a request is sent as a trial of an item or a part, here or at another host. Returns whether that is quarantined.
-    pub fn record_trial(&mut self, subject: Fingerprint, now: Instant) -> bool {
-        let trials = self
-            .suspects
-            .get_mut(&subject)
-            .and_then(Suspect::trials_mut);
+    pub fn record_trial(&mut self, source: Source, subject: Fingerprint, now: Instant) -> bool {
+        let suspect = self.suspects.get_mut(&subject);
+        let trials = suspect.and_then(|it| it.trials_mut(source));
         trials.map(|it| it.begin(now)).is_some()
     }
 
@@ -319,15 +319,13 @@
         let mut changes = Vec::new();
         for in_flight in &report.requests {
             changes.extend(self.record_progress(in_flight.request, in_flight.reached));
-            let request = in_flight.request;
-            changes.extend(
-                self.blame(request, in_flight.source.kind(), now, |suspect| {
-                    suspect.add_crash(upstream, in_flight.reached, now)
-                }),
-            );
+            let (request, source) = (in_flight.request, in_flight.source);
+            changes.extend(self.blame(request, source.kind(), now, |suspect| {
+                suspect.add_crash(upstream, in_flight.reached, now)
+            }));
             for (part, continuation) in in_flight.continuations() {
                 changes.extend(self.blame(part, Kind::Part, now, |suspect| {
-                    suspect.add_crash_of_part(upstream, continuation, recent_crashes, now)
+                    suspect.add_crash_of_part(source, upstream, continuation, recent_crashes, now)
                 }));
             }
         }
@@ -615,20 +613,33 @@
         matches!(self.blame, Blame::Item { .. })
     }
 
-    fn trials(&self) -> Option<&Trials> {
+    /// Returns its trials by a source, if it is quarantined and may be tried.
+    fn trials(&self, source: Source) -> Option<&Trials> {
         match &self.blame {
-            Blame::Item { trials, .. } | Blame::Part { trials, .. } => trials.as_ref(),
+            Blame::Item { trials, .. } => trials.as_ref(),
+            Blame::Part { trials, .. } => trials.as_ref().map(|it| it.of(source)),
             Blame::Content(_) => None,
         }
     }
 
-    fn trials_mut(&mut self) -> Option<&mut Trials> {
+    fn trials_mut(&mut self, source: Source) -> Option<&mut Trials> {
         match &mut self.blame {
-            Blame::Item { trials, .. } | Blame::Part { trials, .. } => trials.as_mut(),
+            Blame::Item { trials, .. } => trials.as_mut(),
+            Blame::Part { trials, .. } => trials.as_mut().map(|it| it.of_mut(source)),
             Blame::Content(_) => None,
         }
     }
 
+    /// Returns the number of trials that crashed an upstream. Those of a part by items do not count, since items are not the cause.
+    fn failed_trials(&self) -> u32 {
+        let trials = match &self.blame {
+            Blame::Item { trials, .. } => trials.as_ref(),
+            Blame::Part { trials, .. } => trials.as_ref().map(|it| &it.callers),
+            Blame::Content(_) => None,
+        };
+        trials.map_or(0, |it| it.failed)
+    }
+
     fn summary(&self, subject: Fingerprint) -> Quarantined {
         let (ended, reached) = match &self.blame {
             Blame::Content(crashes) | Blame::Item { crashes, .. } => {
@@ -641,7 +652,7 @@
             kind: self.kind(),
             ended,
             reached,
-            failed_trials: self.trials().map_or(0, |it| it.failed),
+            failed_trials: self.failed_trials(),
         }
     }
 
@@ -669,6 +680,7 @@
     /// Adds a crash that a part is blamed for, and quarantines it if that is proof. Returns whether it counts.
     fn add_crash_of_part(
         &mut self,
+        source: Source,
         upstream: &id::Instance,
         continuation: Continuation,
         recent_crashes: usize,
@@ -685,7 +697,9 @@
         }
         match trials {
             Some(trials) => {
-                self.is_outdated |= trials.record_crash(now);
+                let failed = trials.callers.failed;
+                trials.of_mut(source).record_crash(now);
+                self.is_outdated |= trials.callers.failed != failed;
                 self.quarantined_until = Some(now + MAX_QUARANTINE);
             }
             None if evidence.is_proof(recent_crashes) => self.quarantine(0, now),
@@ -706,7 +720,7 @@
             } => {
                 evidence.crashes = evidence.crashes.max(stored.ended);
                 if let Some(trials) = trials {
-                    trials.merge(stored.failed_trials, now);
+                    trials.callers.merge(stored.failed_trials, now);
                 }
             }
         }
@@ -729,8 +743,8 @@
                 trial_jitter,
                 ..
             } => {
-                let schedule = Schedule::PART;
-                *trials = Some(Trials::new(schedule, failed_trials, *trial_jitter, now));
+                let new = PartTrials::new(failed_trials, *trial_jitter, now);
+                *trials = Some(Box::new(new));
                 MAX_QUARANTINE
             }
         };
@@ -741,8 +755,10 @@
         self.quarantined_until = None;
         self.is_stored = false;
         self.is_outdated = false;
-        if let Blame::Item { trials, .. } | Blame::Part { trials, .. } = &mut self.blame {
-            *trials = None;
+        match &mut self.blame {
+            Blame::Content(_) => {}
+            Blame::Item { trials, .. } => *trials = None,
+            Blame::Part { trials, .. } => *trials = None,
         }
     }
 
--- a/crates/tinbank-quarantine/src/trial.rs
+++ b/crates/tinbank-quarantine/src/trial.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::Source;
+
 /// Largest part of the delay that a host adds to it, so that not all hosts begin a trial at once.
 const MAX_JITTER: f64 = 0.25;
 
@@ -17,14 +19,15 @@
 }
 
 impl Schedule {
-    /// Of a part of prompts. The longest delay is shorter than the time for which a part stays quarantined without a crash, so that it is
+    /// Of a part of prompts, for requests of callers. The longest delay is shorter than the time for which a part stays quarantined without a crash, so that it is
     /// tried before that ends.
     pub(crate) const PART: Self = Self {
         first: Duration::from_secs(2),
         backoff: 8,
         max: Duration::from_secs(12 * 60 * 60),
     };
-    /// Of an item. It has been accepted and is not the cause of the crashes, so it may not wait much longer than they go on.
+    /// Of an item, and of a part for items. They have been accepted and are not the cause of the crashes, so they may not wait much longer
+    /// than these go on.
     pub(crate) const ITEM: Self = Self {
         first: Duration::from_secs(2),
         backoff: 2,
@@ -32,7 +35,40 @@
     };
 }
 
-/// The trials of one request or part.
+/// The trials of a part, by what may begin them. Items do not wait for those of callers, which become rare.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PartTrials {
+    /// Trials by requests of callers.
+    pub callers: Trials,
+    /// Trials by items.
+    items: Trials,
+}
+
+impl PartTrials {
+    /// Creates the trials of a host after some by callers that failed.
+    pub(crate) fn new(failed: u32, jitter: f64, now: Instant) -> Self {
+        Self {
+            callers: Trials::new(Schedule::PART, failed, jitter, now),
+            items: Trials::new(Schedule::ITEM, 0, jitter, now),
+        }
+    }
+
+    pub(crate) fn of(&self, source: Source) -> &Trials {
+        match source {
+            Source::Caller => &self.callers,
+            Source::Item => &self.items,
+        }
+    }
+
+    pub(crate) fn of_mut(&mut self, source: Source) -> &mut Trials {
+        match source {
+            Source::Caller => &mut self.callers,
+            Source::Item => &mut self.items,
+        }
+    }
+}
+
+/// The trials of an item or a part by one kind of source.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Trials {
     schedule: Schedule,
@@ -66,14 +102,13 @@
         self.postpone(now);
     }
 
-    /// Records one more crash. Returns whether it was a trial, as opposed to a request that was sent before the quarantine.
-    pub(crate) fn record_crash(&mut self, now: Instant) -> bool {
+    /// Records one more crash, which was a trial unless its request was sent before the quarantine.
+    pub(crate) fn record_crash(&mut self, now: Instant) {
         // Another host may have begun a trial without this one knowing.
         let was_trial = self.is_running || now >= self.next_at;
         self.failed += u32::from(was_trial);
         self.is_running = false;
         self.postpone(now);
-        was_trial
     }
 
     /// Applies the number of failed trials that another host has stored.
--- a/crates/tinbank-quarantine/tests/fleet/parts.rs
+++ b/crates/tinbank-quarantine/tests/fleet/parts.rs
@@ -223,7 +223,9 @@
                 match update {
                     Update::Crashed(report) => drop(host.table.record_crash(&report, at)),
                     Update::Cleared(subject) => drop(host.table.clear(subject)),
-                    Update::TrialStarted(part) => drop(host.table.record_trial(part, at)),
+                    Update::TrialStarted { subject, source } => {
+                        host.table.record_trial(source, subject, at);
+                    }
                 }
             }
             for (_, stored) in host.reads.extract_if(.., |(time, _)| *time <= now) {
@@ -382,7 +384,7 @@
         self.contents += 1;
         let content = self.contents;
         let host = &mut self.hosts[index];
-        let permission = host.table.permission(content, &parts, at);
+        let permission = host.table.permission(Source::Caller, content, &parts, at);
         if matches!(permission, Permission::Denied(_)) {
             return false;
         }
@@ -410,8 +412,10 @@
             return true;
         }
         if permission == Permission::Trial {
-            for part in self.hosts[index].table.begin_trial(&parts, at) {
-                self.broadcast(index, &Update::TrialStarted(part));
+            let source = Source::Caller;
+            let table = &mut self.hosts[index].table;
+            for subject in table.begin_trial(source, &parts, at) {
+                self.broadcast(index, &Update::TrialStarted { subject, source });
             }
         }
         let is_late = self
--- a/crates/tinbank-quarantine/tests/fleet/simulation.rs
+++ b/crates/tinbank-quarantine/tests/fleet/simulation.rs
@@ -278,7 +278,9 @@
                 match update {
                     Update::Crashed(report) => drop(host.table.record_crash(&report, at)),
                     Update::Cleared(request) => drop(host.table.clear(request)),
-                    Update::TrialStarted(part) => drop(host.table.record_trial(part, at)),
+                    Update::TrialStarted { subject, source } => {
+                        host.table.record_trial(source, subject, at);
+                    }
                 }
             }
             let (due, later) = host.reads.drain(..).partition(|(time, _)| *time <= now);
--- a/crates/tinbank-quarantine/tests/items.rs
+++ b/crates/tinbank-quarantine/tests/items.rs
@@ -38,7 +38,7 @@
 }
 
 fn permission(table: &Table, now: Instant) -> Permission {
-    table.permission(ITEM, &[], now)
+    table.permission(Source::Item, ITEM, &[], now)
 }
 
 /// Returns when an item may be tried.
@@ -84,7 +84,7 @@
 
     for number in 0..failed {
         now = next_trial(&table, now);
-        table.begin_trial(&[ITEM], now);
+        table.begin_trial(Source::Item, &[ITEM], now);
         table.record_crash(&crash(3 + number, 0), now);
     }
 
@@ -98,7 +98,7 @@
     let mut table = table_after(3, now);
 
     let first = next_trial(&table, now);
-    table.begin_trial(&[ITEM], first);
+    table.begin_trial(Source::Item, &[ITEM], first);
     table.record_crash(&crash(3, 0), first);
     let second = next_trial(&table, first);
 
@@ -110,7 +110,7 @@
     let now = Instant::now();
     let mut table = table_after(3, now);
     let due = next_trial(&table, now);
-    table.begin_trial(&[ITEM], due);
+    table.begin_trial(Source::Item, &[ITEM], due);
 
     let change = table.record_progress(ITEM, 40);
 
--- a/crates/tinbank-quarantine/tests/parts.rs
+++ b/crates/tinbank-quarantine/tests/parts.rs
@@ -12,6 +12,8 @@
 
 const FIRST_TRIAL: Duration = Duration::from_secs(2);
 const SECOND_TRIAL: Duration = Duration::from_secs(16);
+/// Longest time for which items wait between two trials of a part.
+const LONGEST_WAIT_OF_ITEMS: Duration = Duration::from_secs(10);
 /// Time between two crashes, so that three are no single moment.
 const INTERVAL: Duration = Duration::from_millis(100);
 const DAY: Duration = Duration::from_secs(24 * 3_600);
@@ -24,10 +26,14 @@
 /// A request, by the shared parts of its prompt and its content.
 type Request = (&'static [Fingerprint], Fingerprint);
 
-fn in_flight((parts, request): Request) -> InFlight {
+fn in_flight(request: Request) -> InFlight {
+    in_flight_of(Source::Caller, request)
+}
+
+fn in_flight_of(source: Source, (parts, request): Request) -> InFlight {
     InFlight {
         request,
-        source: Source::Caller,
+        source,
         reached: 0,
         parts: SmallVec::from_slice(parts),
     }
@@ -61,11 +67,11 @@
 }
 
 fn permission(table: &Table, now: Instant) -> Permission {
-    table.permission(CONTENT + 50, &[FIRST, BAD], now)
+    table.permission(Source::Caller, CONTENT + 50, &[FIRST, BAD], now)
 }
 
 fn is_quarantined(table: &Table, part: Fingerprint, now: Instant) -> bool {
-    table.permission(CONTENT + 50, &[part], now) != Permission::Granted
+    table.permission(Source::Caller, CONTENT + 50, &[part], now) != Permission::Granted
 }
 
 fn denied_until(until: Instant) -> Permission {
@@ -181,7 +187,7 @@
 
     let before = permission(&table, now);
     let first = permission(&table, due);
-    let tried = table.begin_trial(&[FIRST, BAD], due);
+    let tried = table.begin_trial(Source::Caller, &[FIRST, BAD], due);
     let second = permission(&table, due);
 
     assert_eq!(before, denied_until(due));
@@ -196,7 +202,7 @@
     let mut table = table_with_quarantined_part(now);
     let due = now + FIRST_TRIAL;
 
-    table.begin_trial(&[BAD], due);
+    table.begin_trial(Source::Caller, &[BAD], due);
     table.record_crash(&crash(3, &[(&[BAD], 103)]), due);
 
     assert_eq!(permission(&table, due), denied_until(due + SECOND_TRIAL));
@@ -219,19 +225,52 @@
     let mut table = table_with_quarantined_part(now);
     let due = now + FIRST_TRIAL;
 
-    let is_known = table.record_trial(BAD, due);
+    let is_known = table.record_trial(Source::Caller, BAD, due);
 
     assert!(is_known);
     assert_eq!(permission(&table, due), denied_until(due + FIRST_TRIAL));
 }
 
+/// Guards against items that wait for trials of callers, which become rare.
+#[test]
+fn the_wait_of_an_item_for_a_trial_of_a_part_is_bounded() {
+    let now = Instant::now();
+    let mut table = Table::default();
+
+    table.replace_stored(&[stored(4)], now);
+    let item = table.permission(Source::Item, CONTENT, &[BAD], now + LONGEST_WAIT_OF_ITEMS);
+    let caller = table.permission(Source::Caller, CONTENT, &[BAD], now + LONGEST_WAIT_OF_ITEMS);
+
+    assert_eq!(item, Permission::Trial);
+    assert!(matches!(caller, Permission::Denied(_)));
+}
+
+/// Guards against callers that wait longer because upstreams crashed under items, which are not the cause.
+#[test]
+fn a_trial_by_an_item_that_crashes_an_upstream_delays_items_alone() {
+    let now = Instant::now();
+    let mut table = table_with_quarantined_part(now);
+    let due = now + FIRST_TRIAL;
+    table.begin_trial(Source::Item, &[BAD], due);
+    let report = CrashReport {
+        upstream: upstream(3),
+        requests: smallvec![in_flight_of(Source::Item, (&[BAD], 103))],
+    };
+
+    table.record_crash(&report, due);
+
+    let item = table.permission(Source::Item, CONTENT, &[BAD], due);
+    assert_eq!(item, denied_until(due + 2 * FIRST_TRIAL));
+    assert_eq!(permission(&table, due), Permission::Trial);
+}
+
 #[test]
 fn a_trial_that_is_answered_ends_the_quarantine() {
     let now = Instant::now();
     let mut table = table_with_quarantined_part(now);
     table.confirm_write(Write::Quarantine(stored(0)));
     let due = now + FIRST_TRIAL;
-    table.begin_trial(&[BAD], due);
+    table.begin_trial(Source::Caller, &[BAD], due);
 
     table.record_sound_parts(&[BAD], due);
 
