--- a/crates/tinbank-quarantine/tests/fleet/parts.rs
+++ b/crates/tinbank-quarantine/tests/fleet/parts.rs
@@ -10,7 +10,7 @@
 use smallvec::{SmallVec, smallvec};
 use tinbank_base::id;
 use tinbank_quarantine::{
-    CrashReport, Fingerprint, InFlight, Quarantined, Table, Update,
+    CrashReport, Fingerprint, InFlight, Quarantined, Source, Table, Update,
     table::{Permission, Write},
 };
 
@@ -223,7 +223,9 @@
                 match update {
                     Update::Crashed(report) => drop(host.table.record_crash(&report, at)),
                     Update::Cleared(subject) => drop(host.table.clear(subject)),
-                    Update::TrialStarted(part) => drop(host.table.record_trial(part, at)),
+                    Update::TrialStarted { subject, source } => {
+                        host.table.record_trial(source, subject, at);
+                    }
                 }
             }
             for (_, stored) in host.reads.extract_if(.., |(time, _)| *time <= now) {
@@ -272,6 +274,7 @@
                 });
                 report.requests.push(InFlight {
                     request: run.content,
+                    source: Source::Caller,
                     reached: 0,
                     parts: if run.is_beyond_start {
                         smallvec![]
@@ -381,12 +384,13 @@
         self.contents += 1;
         let content = self.contents;
         let host = &mut self.hosts[index];
-        let permission = host.table.permission(content, &parts, at);
+        let permission = host.table.permission(Source::Caller, content, &parts, at);
         if matches!(permission, Permission::Denied(_)) {
             return false;
         }
         let request = InFlight {
             request: content,
+            source: Source::Caller,
             reached: 0,
             parts: parts.clone(),
         };
@@ -408,8 +412,10 @@
             return true;
         }
         if permission == Permission::Trial {
-            for part in self.hosts[index].table.begin_trial(&parts, at) {
-                self.broadcast(index, &Update::TrialStarted(part));
+            let source = Source::Caller;
+            let table = &mut self.hosts[index].table;
+            for subject in table.begin_trial(source, &parts, at) {
+                self.broadcast(index, &Update::TrialStarted { subject, source });
             }
         }
         let is_late = self
--- a/crates/tinbank-quarantine/tests/fleet/simulation.rs
+++ b/crates/tinbank-quarantine/tests/fleet/simulation.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tinbank_base::id;
 use tinbank_quarantine::{
-    CrashReport, Fingerprint, InFlight, Quarantined, Table, Update,
+    CrashReport, Fingerprint, InFlight, Quarantined, Source, Table, Update,
     table::{Interruption, Write},
 };
 
@@ -278,7 +278,9 @@
                 match update {
                     Update::Crashed(report) => drop(host.table.record_crash(&report, at)),
                     Update::Cleared(request) => drop(host.table.clear(request)),
-                    Update::TrialStarted(part) => drop(host.table.record_trial(part, at)),
+                    Update::TrialStarted { subject, source } => {
+                        host.table.record_trial(source, subject, at);
+                    }
                 }
             }
             let (due, later) = host.reads.drain(..).partition(|(time, _)| *time <= now);
@@ -318,6 +320,7 @@
                 });
                 report.requests.push(InFlight {
                     request: run.request.name,
+                    source: Source::Caller,
                     reached: run.reached(self.now),
                     parts: Default::default(),
                 });
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -224,6 +224,12 @@
         &["ended"],
         "Runs of batch items, by how they ended.",
     ),
+    counter(
+        "tinbank_entry_item_trials_total",
+        "runs",
+        &[],
+        "Runs of items that were sent although upstreams had crashed while they ran them, to try them.",
+    ),
     counter(
         "tinbank_entry_items_given_up_total",
         "items",
@@ -279,6 +285,13 @@
         &["cause"],
         "Items denied for more than a free slot, which others go before, by what they lack: memory that is in use, an upstream of their size, or any that they may be sent to.",
     ),
+    Metric {
+        name: "tinbank_entry_pending_items",
+        kind: Kind::Gauge,
+        unit: "items",
+        labels: &["state"],
+        help: "Batch items without a result that this host is to run, by what they wait for: running includes the write of the result, quarantined is their content, quarantined_part a part of their prompt, delayed until a time, due for a slot.",
+    },
     seconds(
         "tinbank_entry_probe_wait_seconds",
         "Time for which requests waited for probes of upstreams that they may have crashed.",
