--- a/crates/tinbank-gateway/src/quarantine/mod.rs
+++ b/crates/tinbank-gateway/src/quarantine/mod.rs
@@ -76,7 +76,8 @@
         }
     }
 
-    /// Records that a request is sent as the trial of itself, or of quarantined parts of its prompt. Other hosts wait for what comes of it.
+    /// Records that a request is sent as the trial of itself, if it is an item, and of the quarantined parts of its prompt. Other hosts
+    /// wait for what comes of it.
     pub fn begin_trial(&self, request: &Request, now: Instant) {
         let content = request.fingerprint();
         let mut subjects = request.part_fingerprints().clone();
@@ -87,8 +88,8 @@
         drop(table);
         for subject in tried {
             if subject == content {
-                log::info!(request:% = request.id, content:% = short(content); "quarantined request sent to try it");
-                measure::record_request_trial();
+                log::info!(request:% = request.id, content:% = short(content); "quarantined item sent to try it");
+                measure::record_item_trial();
             } else {
                 let id = request.part_id(subject).map_or("", |it| it.as_str());
                 log::info!(request:% = request.id, id:%, part:% = short(subject); "request sent to try a quarantined part of its prompt");
@@ -335,10 +336,9 @@
             subject,
             ended,
             reached,
-            failed_trials,
             ..
         }) => {
-            log::warn!(content:% = short(subject), ended, reached, failed_trials, by; "request quarantined, it crashes upstreams");
+            log::warn!(content:% = short(subject), ended, reached, by; "request quarantined, it crashes upstreams");
         }
         Change::Cleared(request) => {
             log::log!(level, content:% = short(request), by; "request cleared, it does not crash upstreams");
--- a/crates/tinbank-quarantine/src/report.rs
+++ b/crates/tinbank-quarantine/src/report.rs
@@ -70,9 +70,9 @@
     Crashed(CrashReport),
     /// A suspected request completed, or got further than where upstreams had crashed. A suspected part was answered beyond the start.
     Cleared(Fingerprint),
-    /// The host sends a quarantined request, or one with a quarantined part, to try it. Others wait for what comes of it.
+    /// The host sends a quarantined item, or a request with a quarantined part, to try it. Others wait for what comes of it.
     TrialStarted {
-        /// The request, or the part.
+        /// The item, or the part.
         subject: Fingerprint,
         /// What sent the request.
         source: Source,
@@ -90,6 +90,6 @@
     pub ended: u32,
     /// Last event of a request's answer before the crashes; 0 for a part.
     pub reached: Position,
-    /// Number of trials that crashed an upstream; of a part, only those by callers.
+    /// Number of trials of a part or an item that crashed an upstream; 0 for a request.
     pub failed_trials: u32,
 }
--- a/crates/tinbank-quarantine/src/table.rs
+++ b/crates/tinbank-quarantine/src/table.rs
@@ -31,8 +31,8 @@
 /// Events by which two positions may differ and still count as the same one: events in flight are lost when an upstream
 /// crashes. Upstreams crash 48 to 122 ms after they begin to run such a request, and send an event each 25 ms or so.
 const POSITION_TOLERANCE: Position = 5;
-/// Duration of the first quarantine. Doubled with each crash beyond the threshold. Trials may end it before, in case the fault that the
-/// request triggers was fixed, or never was the request's.
+/// Duration of the first quarantine. Doubled with each crash beyond the threshold. A request is tried again afterwards, in case
+/// the fault that it triggers was fixed; each try costs the answers of all requests that the upstream runs.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(60 * 60);
 /// Longest duration of a quarantine, and time for which a crash counts. Callers that repeat a request do so within a day.
 const MAX_QUARANTINE: Duration = Duration::from_secs(24 * 60 * 60);
@@ -62,7 +62,7 @@
 pub enum Permission {
     /// Nothing speaks against it.
     Granted,
-    /// To find out whether the request or a part of its prompt, which are quarantined, still crashes upstreams.
+    /// As the only one with a quarantined part, or as a quarantined item, to find out whether that still crashes upstreams.
     Trial,
     /// The request or a part of its prompt is quarantined.
     Denied(Denial),
@@ -116,8 +116,8 @@
 /// What a suspect is blamed for.
 #[derive(Debug)]
 enum Blame {
-    Request {
-        source: Source,
+    Content(Crashes),
+    Item {
         crashes: Crashes,
         /// Set while it is quarantined.
         trials: Option<Trials>,
@@ -258,13 +258,22 @@
         parts: &[Fingerprint],
         now: Instant,
     ) -> Permission {
+        let is_item = self.suspects.get(&request).is_some_and(Suspect::is_item);
+        if let Some(until) = self.quarantined_until(request, now)
+            && !is_item
+        {
+            return Permission::Denied(Denial {
+                subject: request,
+                kind: Kind::Content,
+                until,
+            });
+        }
         let mut permission = Permission::Granted;
         for subject in std::iter::once(&request).chain(parts) {
             let Some(suspect) = self.suspects.get(subject) else {
                 continue;
             };
-            let trials = suspect.trials(source);
-            let Some(trials) = trials.filter(|_| suspect.is_quarantined(now)) else {
+            let Some(trials) = suspect.trials(source) else {
                 continue;
             };
             if now < trials.next_at {
@@ -279,7 +288,8 @@
         permission
     }
 
-    /// Records that a request is sent as a trial of itself and of the parts of its prompt. Returns those of them that are quarantined.
+    /// Records that a request is sent as a trial of itself, if it is an item, and of the parts of its prompt. Returns those of them that
+    /// are quarantined.
     pub fn begin_trial(
         &mut self,
         source: Source,
@@ -295,7 +305,7 @@
         tried
     }
 
-    /// Records that a request is sent as a trial of itself or a part, here or at another host. Returns whether that is quarantined.
+    /// Records that a request is sent as a trial of an item or a part, here or at another host. Returns whether that is quarantined.
     pub fn record_trial(&mut self, source: Source, subject: Fingerprint, now: Instant) -> bool {
         let suspect = self.suspects.get_mut(&subject);
         let trials = suspect.and_then(|it| it.trials_mut(source));
@@ -510,7 +520,7 @@
     /// Returns the crashes that a request is blamed for.
     fn content(&self, request: Fingerprint) -> Option<&Crashes> {
         match &self.suspects.get(&request)?.blame {
-            Blame::Request { crashes, .. } => Some(crashes),
+            Blame::Content(crashes) | Blame::Item { crashes, .. } => Some(crashes),
             Blame::Part { .. } => None,
         }
     }
@@ -570,11 +580,8 @@
 impl Suspect {
     fn new(kind: Kind, trial_jitter: f64, now: Instant) -> Self {
         let blame = match kind {
-            Kind::Content | Kind::Item => Blame::Request {
-                source: match kind {
-                    Kind::Item => Source::Item,
-                    _ => Source::Caller,
-                },
+            Kind::Content => Blame::Content(Crashes::default()),
+            Kind::Item => Blame::Item {
                 crashes: Crashes::default(),
                 trials: None,
                 trial_jitter,
@@ -596,46 +603,48 @@
 
     fn kind(&self) -> Kind {
         match self.blame {
-            Blame::Request { source, .. } => source.kind(),
+            Blame::Content(_) => Kind::Content,
+            Blame::Item { .. } => Kind::Item,
             Blame::Part { .. } => Kind::Part,
         }
     }
 
-    fn is_quarantined(&self, now: Instant) -> bool {
-        self.quarantined_until.is_some_and(|until| now < until)
-    }
-
     fn is_item(&self) -> bool {
-        self.kind() == Kind::Item
+        matches!(self.blame, Blame::Item { .. })
     }
 
     /// Returns its trials by a source, if it is quarantined and may be tried.
     fn trials(&self, source: Source) -> Option<&Trials> {
         match &self.blame {
-            Blame::Request { trials, .. } => trials.as_ref(),
+            Blame::Item { trials, .. } => trials.as_ref(),
             Blame::Part { trials, .. } => trials.as_ref().map(|it| it.of(source)),
+            Blame::Content(_) => None,
         }
     }
 
     fn trials_mut(&mut self, source: Source) -> Option<&mut Trials> {
         match &mut self.blame {
-            Blame::Request { trials, .. } => trials.as_mut(),
+            Blame::Item { trials, .. } => trials.as_mut(),
             Blame::Part { trials, .. } => trials.as_mut().map(|it| it.of_mut(source)),
+            Blame::Content(_) => None,
         }
     }
 
     /// Returns the number of trials that crashed an upstream. Those of a part by items do not count, since items are not the cause.
     fn failed_trials(&self) -> u32 {
         let trials = match &self.blame {
-            Blame::Request { trials, .. } => trials.as_ref(),
+            Blame::Item { trials, .. } => trials.as_ref(),
             Blame::Part { trials, .. } => trials.as_ref().map(|it| &it.callers),
+            Blame::Content(_) => None,
         };
         trials.map_or(0, |it| it.failed)
     }
 
     fn summary(&self, subject: Fingerprint) -> Quarantined {
         let (ended, reached) = match &self.blame {
-            Blame::Request { crashes, .. } => (crashes.count, crashes.reached),
+            Blame::Content(crashes) | Blame::Item { crashes, .. } => {
+                (crashes.count, crashes.reached)
+            }
             Blame::Part { evidence, .. } => (evidence.crashes, 0),
         };
         Quarantined {
@@ -649,25 +658,21 @@
 
     /// Adds a crash that a request is blamed for, and quarantines it if there were enough. Returns whether it counts.
     fn add_crash(&mut self, upstream: &id::Instance, reached: Position, now: Instant) -> bool {
-        let Blame::Request {
-            crashes, trials, ..
-        } = &mut self.blame
-        else {
-            return false;
+        let (crashes, trials) = match &mut self.blame {
+            Blame::Content(crashes) => (crashes, None),
+            Blame::Item {
+                crashes, trials, ..
+            } => (crashes, trials.as_mut()),
+            Blame::Part { .. } => return false,
         };
         if !crashes.add(upstream, reached) {
             return false;
         }
-        let time = crashes.quarantine_time();
-        match trials {
-            Some(trials) => {
-                let failed = trials.failed;
-                trials.record_crash(now);
-                self.is_outdated |= trials.failed != failed;
-                self.quarantined_until = Some(now + time);
-            }
-            None if crashes.count >= CRASH_THRESHOLD => self.quarantine(0, now),
-            None => {}
+        if let Some(trials) = trials {
+            trials.record_crash(now);
+            self.quarantined_until = Some(now + MAX_QUARANTINE);
+        } else if crashes.count >= CRASH_THRESHOLD {
+            self.quarantine(0, now);
         }
         true
     }
@@ -706,14 +711,9 @@
     /// Applies what the store has of it.
     fn merge(&mut self, stored: Quarantined, now: Instant) {
         match &mut self.blame {
-            Blame::Request {
-                crashes, trials, ..
-            } => {
+            Blame::Content(crashes) | Blame::Item { crashes, .. } => {
                 crashes.count = crashes.count.max(stored.ended);
                 crashes.reached = crashes.reached.max(stored.reached);
-                if let Some(trials) = trials {
-                    trials.merge(stored.failed_trials, now);
-                }
             }
             Blame::Part {
                 evidence, trials, ..
@@ -728,15 +728,15 @@
 
     fn quarantine(&mut self, failed_trials: u32, now: Instant) {
         let time = match &mut self.blame {
-            Blame::Request {
-                source,
-                crashes,
+            Blame::Content(crashes) => crashes.quarantine_time(),
+            Blame::Item {
                 trials,
                 trial_jitter,
+                ..
             } => {
-                let schedule = Schedule::of_requests(*source);
+                let schedule = Schedule::ITEM;
                 *trials = Some(Trials::new(schedule, failed_trials, *trial_jitter, now));
-                crashes.quarantine_time()
+                MAX_QUARANTINE
             }
             Blame::Part {
                 trials,
@@ -756,7 +756,8 @@
         self.is_stored = false;
         self.is_outdated = false;
         match &mut self.blame {
-            Blame::Request { trials, .. } => *trials = None,
+            Blame::Content(_) => {}
+            Blame::Item { trials, .. } => *trials = None,
             Blame::Part { trials, .. } => *trials = None,
         }
     }
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -224,6 +224,12 @@
         &["ended"],
         "Runs of batch items, by how they ended.",
     ),
+    counter(
+        "tinbank_entry_item_trials_total",
+        "runs",
+        &[],
+        "Runs of items that were sent although upstreams had crashed while they ran them, to try them.",
+    ),
     counter(
         "tinbank_entry_items_given_up_total",
         "items",
@@ -308,12 +314,6 @@
         &["reply"],
         "Answers of the entry program's own, by what they say.",
     ),
-    counter(
-        "tinbank_entry_request_trials_total",
-        "requests",
-        &[],
-        "Requests and items that were sent to try them, although upstreams had crashed while they ran them.",
-    ),
     counter(
         "tinbank_entry_restarted_items_total",
         "runs",
