quarantine: hosts take turns to try a quarantined part

Cause: each host began a trial once it was due, at a delay with a jitter of up to a quarter, and others learn of it by a datagram. The jitter sets the first trials apart; after some calm all hosts are due. Copies at several hosts, or requests in the time that hosts without a processor take to read the datagram, are trials all at once, and each crashes an upstream.

A host may begin a trial for 0.3 s in 4.8 s, at an offset of its own. With hundreds of hosts some have their turns together; requests that do not come to all hosts at the same moment are that much less often trials together as well. Items, which are not the cause of crashes, take no turns.

--- a/crates/tinbank-quarantine/src/table.rs
+++ b/crates/tinbank-quarantine/src/table.rs
@@ -276,11 +276,12 @@
             let Some(trials) = suspect.trials(source) else {
                 continue;
             };
-            if now < trials.next_at {
+            let until = trials.due_at(now);
+            if now < until {
                 return Permission::Denied(Denial {
                     subject: *subject,
                     kind: suspect.kind(),
-                    until: trials.next_at,
+                    until,
                 });
             }
             permission = Permission::Trial;
--- a/crates/tinbank-quarantine/src/trial.rs
+++ b/crates/tinbank-quarantine/src/trial.rs
@@ -6,6 +6,10 @@
 
 /// Largest part of the delay that a host adds to it, so that not all hosts begin a trial at once.
 const MAX_JITTER: f64 = 0.25;
+/// How long a host may begin a trial before it is the turn of others. Longer than they take to learn that it did.
+const TURN: Duration = Duration::from_millis(300);
+/// Time between two turns of a host. Long enough that a few hosts at most have their turns together.
+const TURN_INTERVAL: Duration = Duration::from_millis(4_800);
 
 /// How long to wait before each trial. Each that fails costs the answers of all requests that an upstream runs.
 #[derive(Clone, Copy, Debug)]
@@ -16,15 +20,19 @@
     backoff: u32,
     /// Longest delay.
     max: Duration,
+    /// Whether hosts take turns to begin a trial. Otherwise all may until one does, and copies of a request at several hosts are trials
+    /// all at once.
+    takes_turns: bool,
 }
 
 impl Schedule {
-    /// Of a part of prompts, for requests of callers. The longest delay is shorter than the time for which a part stays quarantined without a crash, so that it is
-    /// tried before that ends.
+    /// Of a part of prompts, for requests of callers. The longest delay is shorter than the time for which a part stays quarantined without
+    /// a crash, so that it is tried before that ends.
     pub(crate) const PART: Self = Self {
         first: Duration::from_secs(2),
         backoff: 8,
         max: Duration::from_secs(12 * 60 * 60),
+        takes_turns: true,
     };
     /// Of an item, and of a part for items. They have been accepted and are not the cause of the crashes, so they may not wait much longer
     /// than these go on.
@@ -32,6 +40,7 @@
         first: Duration::from_secs(2),
         backoff: 2,
         max: Duration::from_secs(10),
+        takes_turns: false,
     };
 }
 
@@ -74,11 +83,13 @@
     schedule: Schedule,
     /// Number of trials that crashed an upstream.
     pub failed: u32,
-    /// When the next trial may begin.
-    pub next_at: Instant,
+    /// When the next trial may begin at some host.
+    open_at: Instant,
+    /// When it may first begin at this host.
+    next_at: Instant,
     /// Whether one has begun since the last crash.
     is_running: bool,
-    /// This host's share of the largest jitter.
+    /// This host's share of the largest jitter, or of the time between two turns.
     jitter: f64,
 }
 
@@ -88,6 +99,7 @@
         let mut trials = Self {
             schedule,
             failed,
+            open_at: now,
             next_at: now,
             is_running: false,
             jitter,
@@ -96,6 +108,20 @@
         trials
     }
 
+    /// Returns from when on this host may begin the next trial: `now` or earlier if it may do so now.
+    pub(crate) fn due_at(&self, now: Instant) -> Instant {
+        let late = now.saturating_duration_since(self.next_at);
+        if !self.schedule.takes_turns || late.is_zero() {
+            return self.next_at;
+        }
+        let interval = TURN_INTERVAL.as_nanos();
+        let in_turn = Duration::from_nanos((late.as_nanos() % interval) as u64);
+        match in_turn < TURN {
+            true => now,
+            false => now + (TURN_INTERVAL - in_turn),
+        }
+    }
+
     /// Records that a trial begins, here or at another host. The next one follows later if nothing is heard of this one.
     pub(crate) fn begin(&mut self, now: Instant) {
         self.is_running = true;
@@ -105,7 +131,7 @@
     /// Records one more crash, which was a trial unless its request was sent before the quarantine.
     pub(crate) fn record_crash(&mut self, now: Instant) {
         // Another host may have begun a trial without this one knowing.
-        let was_trial = self.is_running || now >= self.next_at;
+        let was_trial = self.is_running || now >= self.open_at;
         self.failed += u32::from(was_trial);
         self.is_running = false;
         self.postpone(now);
@@ -125,10 +151,15 @@
             first,
             backoff,
             max,
+            takes_turns,
         } = self.schedule;
         let delay = first.saturating_mul(backoff.saturating_pow(self.failed));
         let delay = delay.min(max);
-        let next_at = now + delay.mul_f64(1.0 + MAX_JITTER * self.jitter);
-        self.next_at = self.next_at.max(next_at);
+        let jitter = match takes_turns {
+            true => TURN_INTERVAL.mul_f64(self.jitter),
+            false => delay.mul_f64(MAX_JITTER * self.jitter),
+        };
+        self.open_at = self.open_at.max(now + delay);
+        self.next_at = self.next_at.max(now + delay + jitter);
     }
 }
