quarantine: a trial that did not run is begun again at once

Callers saw: sound requests with a quarantined part were refused for a whole wait more, up to 12 hours, because the upstream that was to run the trial was full. An item waited up to 12.5 s more.

Cause: a trial begins before its request is sent, which puts the next one off, and nothing undid that if the request surely did not run.

The host that began the trial takes it back if its request did not run; others wait as they would for its outcome. a_trial_that_did_not_run_is_begun_again_at_once asserts the state afterwards; there was no such call before.

--- a/crates/tinbank-gateway/src/quarantine/mod.rs
+++ b/crates/tinbank-gateway/src/quarantine/mod.rs
@@ -14,7 +14,7 @@
 use smallvec::SmallVec;
 use tinbank_base::id;
 use tinbank_quarantine::{
-    CrashReport, Fingerprint, InFlight, Kind, Position, Quarantined, Table, Update,
+    CrashReport, Fingerprint, InFlight, Kind, Position, Quarantined, Source, Table, Update,
     fingerprint::short,
     table::{Change, Denial, Interruption, Permission},
 };
@@ -99,6 +99,16 @@
         }
     }
 
+    /// Records that a request that was sent as a trial did not run.
+    pub fn withdraw_trial(&self, request: &Request) {
+        let mut table = self.table.borrow_mut();
+        let parts = request.part_fingerprints();
+        for subject in parts.iter().copied().chain([request.fingerprint()]) {
+            table.withdraw_trial(request.source, subject);
+        }
+        log::info!(request:% = request.id; "trial not run, the next request may try");
+    }
+
     /// Returns whether a request must not be sent before the upstreams that interrupted it, or others with parts of its prompt, are
     /// probed.
     pub fn must_wait_for_probes(&self, request: &Request) -> bool {
@@ -216,6 +226,11 @@
         self.post(Update::Crashed(report));
     }
 
+    /// Returns whether a trial has begun since the last crash.
+    fn is_tried(&self, source: Source, subject: Fingerprint) -> bool {
+        self.table.borrow().is_tried(source, subject)
+    }
+
     /// Returns whether a request is a suspect.
     fn is_suspect(&self, request: Fingerprint) -> bool {
         self.table.borrow().is_suspect(request)
--- a/crates/tinbank-gateway/src/relay/attempt.rs
+++ b/crates/tinbank-gateway/src/relay/attempt.rs
@@ -74,10 +74,27 @@
     if node.quarantine.must_wait_for_probes(request) {
         return Err(postponed(request, &lease));
     }
-    if permission == Permission::Trial {
+    let is_trial = permission == Permission::Trial;
+    if is_trial {
         node.quarantine.begin_trial(request, now);
     }
     node.quarantine.log_unproven(request, &lease.upstream);
+    let sent = send_permitted(node, lease, request, resume_after, deadline, answer_by).await;
+    if is_trial && sent.as_ref().is_err_and(|it| *it == AttemptError::NotRun) {
+        node.quarantine.withdraw_trial(request);
+    }
+    sent
+}
+
+async fn send_permitted(
+    node: &Rc<Node>,
+    lease: Lease,
+    request: &Rc<Request>,
+    resume_after: Option<event::Id>,
+    deadline: Instant,
+    answer_by: Instant,
+) -> Result<StartedAnswer, AttemptError> {
+    let now = Instant::now();
     let attempt = Attempt {
         instance: &lease.upstream,
         time_left: deadline.saturating_duration_since(now),
--- a/crates/tinbank-quarantine/src/table.rs
+++ b/crates/tinbank-quarantine/src/table.rs
@@ -306,6 +306,21 @@
         tried
     }
 
+    /// Records that the trial of an item or a part that this host began did not run.
+    pub fn withdraw_trial(&mut self, source: Source, subject: Fingerprint) {
+        let suspect = self.suspects.get_mut(&subject);
+        if let Some(trials) = suspect.and_then(|it| it.trials_mut(source)) {
+            trials.withdraw();
+        }
+    }
+
+    /// Returns whether a trial of an item or a part has begun since the last crash.
+    pub fn is_tried(&self, source: Source, subject: Fingerprint) -> bool {
+        let suspect = self.suspects.get(&subject);
+        let trials = suspect.and_then(|it| it.trials(source));
+        trials.is_some_and(Trials::is_running)
+    }
+
     /// Records that a request is sent as a trial of an item or a part, here or at another host. Returns whether that is quarantined.
     pub fn record_trial(&mut self, source: Source, subject: Fingerprint, now: Instant) -> bool {
         let suspect = self.suspects.get_mut(&subject);
--- a/crates/tinbank-quarantine/src/trial.rs
+++ b/crates/tinbank-quarantine/src/trial.rs
@@ -87,12 +87,19 @@
     open_at: Instant,
     /// When it may first begin at this host.
     next_at: Instant,
-    /// Whether one has begun since the last crash.
-    is_running: bool,
+    /// Whether one has begun since the last crash, and when this host might have begun it.
+    running: Option<Began>,
     /// This host's share of the largest jitter, or of the time between two turns.
     jitter: f64,
 }
 
+/// A trial that was begun.
+#[derive(Clone, Copy, Debug)]
+struct Began {
+    open_at: Instant,
+    next_at: Instant,
+}
+
 impl Trials {
     /// Creates the trials of a host after some that failed. `jitter` is its share of the largest jitter, from 0 to 1.
     pub(crate) fn new(schedule: Schedule, failed: u32, jitter: f64, now: Instant) -> Self {
@@ -101,7 +108,7 @@
             failed,
             open_at: now,
             next_at: now,
-            is_running: false,
+            running: None,
             jitter,
         };
         trials.postpone(now);
@@ -124,16 +131,32 @@
 
     /// Records that a trial begins, here or at another host. The next one follows later if nothing is heard of this one.
     pub(crate) fn begin(&mut self, now: Instant) {
-        self.is_running = true;
+        self.running = Some(Began {
+            open_at: self.open_at,
+            next_at: self.next_at,
+        });
         self.postpone(now);
     }
 
+    /// Records that the trial that this host began did not run, so that another request may try at once.
+    pub(crate) fn withdraw(&mut self) {
+        if let Some(Began { open_at, next_at }) = self.running.take() {
+            self.open_at = open_at;
+            self.next_at = next_at;
+        }
+    }
+
+    /// Returns whether a trial has begun since the last crash.
+    pub(crate) fn is_running(&self) -> bool {
+        self.running.is_some()
+    }
+
     /// Records one more crash, which was a trial unless its request was sent before the quarantine.
     pub(crate) fn record_crash(&mut self, now: Instant) {
         // Another host may have begun a trial without this one knowing.
-        let was_trial = self.is_running || now >= self.open_at;
+        let was_trial = self.is_running() || now >= self.open_at;
         self.failed += u32::from(was_trial);
-        self.is_running = false;
+        self.running = None;
         self.postpone(now);
     }
 
--- a/crates/tinbank-quarantine/tests/trials.rs
+++ b/crates/tinbank-quarantine/tests/trials.rs
@@ -2,14 +2,33 @@
 
 use std::time::{Duration, Instant};
 
-use tinbank_quarantine::{Fingerprint, Kind, Quarantined, Source, Table, table::Permission};
+use smallvec::smallvec;
+use tinbank_base::id;
+use tinbank_quarantine::{
+    CrashReport, Fingerprint, InFlight, Kind, Quarantined, Source, Table, table::Permission,
+};
 use yare::parameterized;
 
 const REQUEST: Fingerprint = 7;
 const PART: Fingerprint = 8;
+const FIRST_TRIAL: Duration = Duration::from_secs(2);
 /// Further requests that may reach upstreams after a verdict, at any number of hosts.
 const MAX_RETRIES: usize = 3;
 
+/// Returns the report of a crash under a request of a caller with the part.
+fn crash() -> CrashReport {
+    let request = InFlight {
+        request: REQUEST,
+        source: Source::Caller,
+        reached: 0,
+        parts: smallvec![PART],
+    };
+    CrashReport {
+        upstream: id::Instance::from("u0"),
+        requests: smallvec![request],
+    }
+}
+
 /// Returns the table of a host that has read a quarantined part from the store.
 fn table_with_quarantined_part(jitter: f64, now: Instant) -> Table {
     let mut table = Table::with_trial_jitter(jitter);
@@ -57,6 +76,40 @@
     );
 }
 
+/// Guards against sound requests that are refused for a whole wait more, because the upstream of their trial was full.
+#[parameterized(
+    caller = { Source::Caller },
+    item = { Source::Item },
+)]
+fn a_trial_that_did_not_run_is_begun_again_at_once(source: Source) {
+    let now = Instant::now();
+    let mut table = table_with_quarantined_part(0.0, now);
+    let due = now + FIRST_TRIAL;
+
+    table.begin_trial(source, &[PART], due);
+    let during = permission(source, &table, due);
+    table.withdraw_trial(source, PART);
+    let afterwards = permission(source, &table, due);
+
+    assert!(matches!(during, Permission::Denied(_)));
+    assert_eq!(afterwards, Permission::Trial);
+}
+
+/// Guards against a wait that grows twice for one trial, whose start is sent again after its crash is known.
+#[test]
+fn a_trial_that_crashed_an_upstream_is_not_announced_again() {
+    let now = Instant::now();
+    let mut table = table_with_quarantined_part(0.0, now);
+
+    table.begin_trial(Source::Caller, &[PART], now + FIRST_TRIAL);
+    let before = table.is_tried(Source::Caller, PART);
+    table.record_crash(&crash(), now + FIRST_TRIAL);
+    let afterwards = table.is_tried(Source::Caller, PART);
+
+    assert!(before);
+    assert!(!afterwards);
+}
+
 /// Guards against a host that never has its turn.
 #[test]
 fn each_host_may_try_a_part_within_seconds() {
