quarantine: the start of a trial is not sent again after its crash

Callers saw: a part was refused for 64 instead of 8 times as long after one failed trial, at hosts that heard of it twice.

Cause: updates are sent twice, 150 ms apart.

The second copy is sent only while the trial is under way. a_trial_that_crashed_an_upstream_is_not_announced_again covers the state that decides.

--- a/crates/tinbank-gateway/src/quarantine/broadcast.rs
+++ b/crates/tinbank-gateway/src/quarantine/broadcast.rs
@@ -31,10 +31,15 @@
     }
 }
 
-/// Removes requests and parts from a crash report that were cleared in the meantime. Returns None if there are no requests left.
+/// Removes requests and parts from a crash report that were cleared in the meantime. Returns None if there are no requests left, or if the
+/// trial that began has crashed an upstream since, which ends the wait for it.
 fn still_relevant(node: &Node, update: Update) -> Option<Update> {
-    let Update::Crashed(mut report) = update else {
-        return Some(update);
+    let mut report = match update {
+        Update::Crashed(report) => report,
+        Update::Cleared(_) => return Some(update),
+        Update::TrialStarted { subject, source } => {
+            return node.quarantine.is_tried(source, subject).then_some(update);
+        }
     };
     report
         .requests
