quarantine: items of all hosts get their turn to try a part

Cause: the start of a trial puts the next one off at all hosts, and the host with the least jitter is due first each time.

A host whose trial had no outcome goes behind the others. items_of_one_host_may_try_a_part_although_trials_of_another_have_no_outcome failed before (no trial within a minute), and passes now.

--- a/crates/tinbank-quarantine/src/table.rs
+++ b/crates/tinbank-quarantine/src/table.rs
@@ -289,8 +289,8 @@
         permission
     }
 
-    /// Records that a request is sent as a trial of itself, if it is an item, and of the parts of its prompt. Returns those of them that
-    /// are quarantined.
+    /// Records that this host sends a request as a trial of itself, if it is an item, and of the parts of its prompt. Returns those of them
+    /// that are quarantined.
     pub fn begin_trial(
         &mut self,
         source: Source,
@@ -299,7 +299,8 @@
     ) -> SmallVec<[Fingerprint; 2]> {
         let mut tried = SmallVec::new();
         for subject in subjects {
-            if self.record_trial(source, *subject, now) {
+            if let Some(trials) = self.trials_mut(source, *subject) {
+                trials.begin_here(now);
                 tried.push(*subject);
             }
         }
@@ -308,8 +309,7 @@
 
     /// Records that the trial of an item or a part that this host began did not run.
     pub fn withdraw_trial(&mut self, source: Source, subject: Fingerprint) {
-        let suspect = self.suspects.get_mut(&subject);
-        if let Some(trials) = suspect.and_then(|it| it.trials_mut(source)) {
+        if let Some(trials) = self.trials_mut(source, subject) {
             trials.withdraw();
         }
     }
@@ -321,13 +321,17 @@
         trials.is_some_and(Trials::is_running)
     }
 
-    /// Records that a request is sent as a trial of an item or a part, here or at another host. Returns whether that is quarantined.
+    /// Records that another host sends a request as a trial of an item or a part. Returns whether that is quarantined.
     pub fn record_trial(&mut self, source: Source, subject: Fingerprint, now: Instant) -> bool {
-        let suspect = self.suspects.get_mut(&subject);
-        let trials = suspect.and_then(|it| it.trials_mut(source));
+        let trials = self.trials_mut(source, subject);
         trials.map(|it| it.begin(now)).is_some()
     }
 
+    fn trials_mut(&mut self, source: Source, subject: Fingerprint) -> Option<&mut Trials> {
+        let suspect = self.suspects.get_mut(&subject);
+        suspect.and_then(|it| it.trials_mut(source))
+    }
+
     /// Records a crash of an upstream, seen here or reported by another host.
     pub fn record_crash(&mut self, report: &CrashReport, now: Instant) -> Vec<Change> {
         let upstream = &report.upstream;
--- a/crates/tinbank-quarantine/src/trial.rs
+++ b/crates/tinbank-quarantine/src/trial.rs
@@ -6,6 +6,8 @@
 
 /// Largest part of the delay that a host adds to it, so that not all hosts begin a trial at once.
 const MAX_JITTER: f64 = 0.25;
+/// Further share of the jitter of a host that has begun a trial without an outcome, so that it goes behind all others.
+const LAST_IN_TURN: f64 = 1.5;
 /// How long a host may begin a trial before it is the turn of others. Longer than they take to learn that it did.
 const TURN: Duration = Duration::from_millis(300);
 /// Time between two turns of a host. Long enough that a few hosts at most have their turns together.
@@ -89,6 +91,8 @@
     next_at: Instant,
     /// Whether one has begun since the last crash, and when this host might have begun it.
     running: Option<Began>,
+    /// Whether this host has begun one since the last crash.
+    was_begun_here: bool,
     /// This host's share of the largest jitter, or of the time between two turns.
     jitter: f64,
 }
@@ -109,6 +113,7 @@
             open_at: now,
             next_at: now,
             running: None,
+            was_begun_here: false,
             jitter,
         };
         trials.postpone(now);
@@ -129,6 +134,12 @@
         }
     }
 
+    /// Records that this host begins a trial. Others go first if it has no outcome.
+    pub(crate) fn begin_here(&mut self, now: Instant) {
+        self.was_begun_here = true;
+        self.begin(now);
+    }
+
     /// Records that a trial begins, here or at another host. The next one follows later if nothing is heard of this one.
     pub(crate) fn begin(&mut self, now: Instant) {
         self.running = Some(Began {
@@ -156,7 +167,9 @@
         // Another host may have begun a trial without this one knowing.
         let was_trial = self.is_running() || now >= self.open_at;
         self.failed += u32::from(was_trial);
-        self.running = None;
+        // The next trial waits for as long as this outcome demands, not for as long as it takes to miss one.
+        self.withdraw();
+        self.was_begun_here = false;
         self.postpone(now);
     }
 
@@ -180,7 +193,10 @@
         let delay = delay.min(max);
         let jitter = match takes_turns {
             true => TURN_INTERVAL.mul_f64(self.jitter),
-            false => delay.mul_f64(MAX_JITTER * self.jitter),
+            false => {
+                let last = f64::from(u8::from(self.was_begun_here)) * LAST_IN_TURN;
+                delay.mul_f64(MAX_JITTER * (self.jitter + last))
+            }
         };
         self.open_at = self.open_at.max(now + delay);
         self.next_at = self.next_at.max(now + delay + jitter);
--- a/crates/tinbank-quarantine/tests/trials.rs
+++ b/crates/tinbank-quarantine/tests/trials.rs
@@ -11,6 +11,8 @@
 
 const REQUEST: Fingerprint = 7;
 const PART: Fingerprint = 8;
+/// Longest time for which an item waits between two trials, the jitter of a host included.
+const LONGEST_WAIT_OF_ITEMS: Duration = Duration::from_millis(12_500);
 const FIRST_TRIAL: Duration = Duration::from_secs(2);
 /// Further requests that may reach upstreams after a verdict, at any number of hosts.
 const MAX_RETRIES: usize = 3;
@@ -110,6 +112,30 @@
     assert!(!afterwards);
 }
 
+/// Guards against items of one host that never run, because those of another one take each trial of their part and have no answer.
+#[test]
+fn items_of_one_host_may_try_a_part_although_trials_of_another_have_no_outcome() {
+    let start = Instant::now();
+    let mut first = table_with_quarantined_part(0.0, start);
+    let mut second = table_with_quarantined_part(1.0, start);
+    let mut waited_until = None;
+
+    for elapsed_ms in (0..60_000).step_by(10) {
+        let now = start + Duration::from_millis(elapsed_ms);
+        if permission(Source::Item, &first, now) == Permission::Trial {
+            first.begin_trial(Source::Item, &[PART], now);
+            second.record_trial(Source::Item, PART, now);
+        }
+        if permission(Source::Item, &second, now) == Permission::Trial {
+            waited_until = Some(now);
+            break;
+        }
+    }
+
+    let waited_until = waited_until.expect("a trial of the second host within a minute");
+    assert!(waited_until <= start + 2 * LONGEST_WAIT_OF_ITEMS);
+}
+
 /// Guards against a host that never has its turn.
 #[test]
 fn each_host_may_try_a_part_within_seconds() {
