batch: an item that was released counts as due, not as quarantined

The state of an item that was quarantined was kept until its next run, so the summary of pending items had it as quarantined while it waited for a slot (found by the review).

--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -231,6 +231,7 @@
         let mut waiting = self.waiting.borrow_mut();
         let waiting = waiting.entry(key.clone()).or_default();
         waiting.lacks_memory_since = None;
+        waiting.quarantined = None;
         waiting.until = Some(until);
     }
 
--- a/crates/tinbank-gateway/src/batch/runner/summary.rs
+++ b/crates/tinbank-gateway/src/batch/runner/summary.rs
@@ -44,10 +44,10 @@
         let waiting = waiting.get(key);
         let is_delayed = waiting.and_then(|it| it.until).is_some_and(|it| now < it);
         let state = match waiting.and_then(|it| it.quarantined) {
+            _ if !is_delayed => &mut self.due,
             Some(Kind::Part) => &mut self.quarantined_part,
             Some(_) => &mut self.quarantined,
-            None if is_delayed => &mut self.delayed,
-            None => &mut self.due,
+            None => &mut self.delayed,
         };
         *state += 1;
     }
