batch: an item that no other upstream takes runs again where it failed

Cause: an item is kept from the upstreams at which it has failed while another one of its service is listed. A listed upstream may be one that no host grants: the hosts of its failure domain are gone, or it has crashed and its entry stays, as it does in an outage of the store. Nothing ended the exclusion but a result. The same class of fault as the quarantine of sound items: decided by a failure that the item need not have caused, and never tried again.

Change: 5 s after the first denial, the upstreams at which an item has failed may run it again. The next failure begins anew, so an item prefers upstreams where it has not failed as before. Items that an earlier denial covers count as denied as well, so they do not wait one after the other.

--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -47,6 +47,8 @@
 const MEMORY_WAIT: Duration = Duration::from_millis(500);
 /// Delay before a slot is requested again for an item that lacks more than a slot, while other items go first.
 const DENIAL_RECHECK: Duration = Duration::from_millis(500);
+/// How long an item that is denied is kept from the upstreams at which it has failed. The others may be such that no host grants them.
+const EXCLUSION_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay before a quarantined item is checked again, since each check takes a slot for a moment.
 const QUARANTINE_RECHECK: Duration = Duration::from_secs(5);
 /// Interval of checkpoints; bounds the work that is lost with a host. Each checkpoint is one more record in the store.
@@ -94,6 +96,18 @@
     failures: u32,
     /// Upstreams at which runs of this host failed.
     failed_upstreams: Vec<id::Instance>,
+    /// When they may run it again, if it was denied since it failed.
+    exclusions_end: Option<Instant>,
+}
+
+impl Waiting {
+    /// Returns the upstreams that must not run the item.
+    fn excluded(&self, now: Instant) -> &[id::Instance] {
+        match self.exclusions_end {
+            Some(end) if now >= end => &[],
+            _ => &self.failed_upstreams,
+        }
+    }
 }
 
 impl Default for Runner {
@@ -207,6 +221,17 @@
         now < since + MEMORY_WAIT
     }
 
+    /// Limits how long an item that is denied is kept from the upstreams at which it has failed.
+    fn limit_exclusions(&self, key: &Key, needs: &Needs, now: Instant) {
+        if needs.exclude.is_empty() {
+            return;
+        }
+        let mut waiting = self.waiting.borrow_mut();
+        let waiting = waiting.entry(key.clone()).or_default();
+        let end = now + EXCLUSION_TIMEOUT;
+        waiting.exclusions_end.get_or_insert(end);
+    }
+
     /// Requests no slot for an item before a time.
     fn set_aside(&self, key: &Key, until: Instant) {
         let mut waiting = self.waiting.borrow_mut();
@@ -270,6 +295,7 @@
     let now = Instant::now();
     let runner = &node.batch.runner;
     let Candidate { key, needs, .. } = candidate;
+    runner.limit_exclusions(key, needs, now);
     // The build of a text is no restriction while no other one serves.
     let is_restricted = start::record_denial(node, candidate, now) || !needs.exclude.is_empty();
     let mut denials = runner.denials.borrow_mut();
@@ -428,6 +454,7 @@
             Ended::Failed => {
                 self.state.failures += 1;
                 self.state.failed_upstreams.push(upstream);
+                self.state.exclusions_end = None;
                 if self.state.failures >= self.max_attempts {
                     return self.abandon(Reason::Attempts);
                 }
--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -284,7 +284,10 @@
         let denials = runner.denials.borrow();
         match denials.coverage(&candidate.needs, Instant::now()) {
             Coverage::None => return Some(candidate),
-            Coverage::Until(until) => runner.set_aside(&candidate.key, until),
+            Coverage::Until(until) => {
+                runner.limit_exclusions(&candidate.key, &candidate.needs, Instant::now());
+                runner.set_aside(&candidate.key, until);
+            }
             Coverage::Full if self.denied.is_none() => {
                 candidate.is_denied = true;
                 self.denied_route = Some(DeniedRoute::new(config, &candidate.route));
@@ -334,12 +337,12 @@
     let waiting = waiting.get(&key);
     let start = Start::new(node, route, waiting, job.progress(index));
     let service = start.service(route, node.next_draw())?.clone();
-    let failed_upstreams = waiting.map(|waiting| waiting.failed_upstreams.clone());
-    let mut excluded = failed_upstreams.unwrap_or_default();
+    let excluded = waiting.map(|it| it.excluded(Instant::now()));
+    let mut excluded = excluded.unwrap_or_default();
     let allowed = region::of_job(config, job);
     // If it has failed at all upstreams that may run it, any of them may run it again.
-    if !excluded.is_empty() && !has_other_upstream(node, &service, &allowed, &excluded) {
-        excluded.clear();
+    if !excluded.is_empty() && !has_other_upstream(node, &service, &allowed, excluded) {
+        excluded = &[];
     }
     let content = node.batch.contents.of_item(&job.id, index);
     let size = content.map(|it| node.engine.item_size(&it));
