batch: a read of the job log that is not answered is made again without wait

What callers saw: jobs answered 202 whose items no host ran, while the store answered all calls but reads that wait for records (found by reading).

Cause: such a read was replaced only for a caller that awaits records at the same host. The owner of a job is mostly another host than the one that took it in. Its follower timed out and waited again, so it renewed its membership, kept its partitions, and learned neither of new jobs nor of results.

Evidence: platform/tests/stuck_items.rs, items_run_while_the_store_answers_no_waiting_reads. On the code before, 5 of 12 jobs at two hosts had not run after 15 s.

Change: the read after one that was not answered does not wait. An answer makes the next one wait again, so a sound store gets no more calls.

After: the test passes in 4 s.

--- a/crates/tinbank-gateway/src/batch/follower.rs
+++ b/crates/tinbank-gateway/src/batch/follower.rs
@@ -44,12 +44,14 @@
     let mut joiner = Joiner::default();
     let mut dependency = Dependency::new("jobs");
     let mut response_timeout = ResponseTimeout::new(ANSWER_TIMEOUT);
+    let mut may_wait = true;
     let mut pruned_at = Instant::now();
     loop {
         let from = node.batch.next_offset.get();
-        match next_page(&node, from, response_timeout.duration()).await {
+        match next_page(&node, from, may_wait, response_timeout.duration()).await {
             Ok(page) => {
                 response_timeout.on_response();
+                may_wait = true;
                 dependency.record_success();
                 let has_records = !page.records.is_empty();
                 let end = page.end;
@@ -72,6 +74,7 @@
                 dependency.record_failure(&error);
                 if matches!(error, Error::Unknown(_)) {
                     response_timeout.on_timeout();
+                    may_wait = false;
                 }
                 node.retry.backoff().await;
             }
@@ -89,10 +92,16 @@
     }
 }
 
-/// Reads the records from an offset on. If a caller awaits records that are already in the log and the waiting read does not
-/// return them, a read without wait replaces it: a store may fail to wake waiting reads while it answers all others.
-async fn next_page(node: &Node, from: Offset, timeout: Duration) -> Result<Page, Error> {
-    if !node.batch.is_behind() {
+/// Reads the records from an offset on, and waits for one if `may_wait`. If a caller awaits records that are already in the log and the
+/// waiting read does not return them, a read without wait replaces it: a store may fail to wake waiting reads while it answers all
+/// others. Without a caller, such a read is noticed when it is not answered.
+async fn next_page(
+    node: &Node,
+    from: Offset,
+    may_wait: bool,
+    timeout: Duration,
+) -> Result<Page, Error> {
+    if may_wait && !node.batch.is_behind() {
         tokio::select! {
             page = read(node, from, LONG_POLL_MS, timeout) => return page,
             () = long_poll_overdue(node) => {
