batch: records of items are written in as many appends as the store needs

What callers saw: results that were never listed, of all items that a host had finished or given up, once it had more of them to write than the store takes in one append (found by reading).

Cause: the writer bounds what it writes at once by the texts of the records, and an abandoned item has none. The store refuses an append that is too large, and the writer repeats it for ever; all records behind it wait. The items count as running meanwhile, so nothing runs or lists them. Texts were counted without the framing of their second and further fragments.

Evidence: platform/tests/stuck_items.rs, many_items_that_are_abandoned_together_are_listed: 5 jobs of 200 items, whose route is removed. On the code before, 0 of 1,000 results were listed within 15 s.

Change: records are appended in groups that fit, each with all fragments of its records, since a reader joins neighbouring ones.

After: the test passes in 5.5 s.

--- a/crates/tinbank-gateway/src/batch/writer.rs
+++ b/crates/tinbank-gateway/src/batch/writer.rs
@@ -12,7 +12,7 @@
 use tokio::{sync::Notify, time};
 
 use super::{JOBS, large};
-use crate::{border::store::Error, dependency::Dependency, node::Node};
+use crate::{border::store::Error, dependency::Dependency, node::Node, settings};
 
 /// Timeout of the first attempt to append, doubled with each further attempt. Duplicate records have no effect.
 const INITIAL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -22,7 +22,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// How long records are gathered before they are written together; short against the interval at which callers poll.
 const GATHER_TIME: Duration = Duration::from_millis(50);
-/// Bytes of framing per record.
+/// Bytes of framing per stored record, by the store and by fragments.
 const RECORD_OVERHEAD: usize = 8;
 
 /// Queue of the records to be written.
@@ -51,14 +51,15 @@
         !self.writing.get() && self.queue.borrow().is_empty()
     }
 
-    /// Takes as many records as fit in one append.
-    fn take(&self, node: &Node) -> Vec<Queued> {
+    /// Takes as many records as have texts that fit in one append.
+    fn take(&self, limits: &settings::Store) -> Vec<Queued> {
         let mut queue = self.queue.borrow_mut();
         let mut taken = Vec::new();
         let mut bytes = 0;
         while let Some(queued) = queue.pop_front() {
-            bytes += queued.text.len() + RECORD_OVERHEAD;
-            if !taken.is_empty() && bytes > node.settings.store.call_bytes {
+            let fragments = fragment::count(queued.text.len(), limits.record_bytes);
+            bytes += queued.text.len() + fragments * RECORD_OVERHEAD;
+            if !taken.is_empty() && bytes > limits.call_bytes {
                 queue.push_front(queued);
                 break;
             }
@@ -71,7 +72,7 @@
 /// Writes queued records for as long as the process runs.
 pub(super) async fn run(node: Rc<Node>) {
     loop {
-        let taken = node.batch.writer.take(&node);
+        let taken = node.batch.writer.take(&node.settings.store);
         if taken.is_empty() {
             node.batch.writer.added.notified().await;
             time::sleep(GATHER_TIME).await;
@@ -92,7 +93,8 @@
         stored = retry("texts", write).await;
     }
     let mut stored = stored.into_iter().zip(texts);
-    let mut fragments = Vec::new();
+    let limits = &node.settings.store;
+    let mut appends = Appends::new(limits.call_bytes);
     for mut queued in taken {
         if !queued.text.is_empty()
             && let Some((at, text)) = stored.next()
@@ -101,14 +103,49 @@
             node.batch.large_records.insert(at, text);
         }
         match queued.record.encode() {
-            Ok(bytes) => {
-                fragments.extend(fragment::split(&bytes, node.settings.store.record_bytes));
-            }
+            Ok(bytes) => appends.add(fragment::split(&bytes, limits.record_bytes)),
             Err(error) => log::error!(error:%; "record of an item can't be encoded"),
         }
     }
-    let append = async |until| node.store.append(JOBS, &fragments, until).await;
-    retry("records", append).await;
+    for fragments in appends.all {
+        let append = async |until| node.store.append(JOBS, &fragments, until).await;
+        retry("records", append).await;
+    }
+}
+
+/// The fragments of records, grouped so that the store accepts each append, and that all fragments of a record are in the same one.
+struct Appends {
+    all: Vec<Vec<Bytes>>,
+    /// Size of the last one, with framing.
+    bytes: usize,
+    max_bytes: usize,
+}
+
+impl Appends {
+    fn new(max_bytes: usize) -> Self {
+        Self {
+            all: Vec::new(),
+            bytes: 0,
+            max_bytes,
+        }
+    }
+
+    /// Adds the fragments of a record.
+    fn add(&mut self, fragments: Vec<Bytes>) {
+        let sizes = fragments.iter().map(|it| it.len() + RECORD_OVERHEAD);
+        let added: usize = sizes.sum();
+        let is_full = self.bytes + added > self.max_bytes;
+        match self.all.last_mut() {
+            Some(last) if !is_full => {
+                last.extend(fragments);
+                self.bytes += added;
+            }
+            _ => {
+                self.all.push(fragments);
+                self.bytes = added;
+            }
+        }
+    }
 }
 
 /// Repeats a call until it succeeds. `name` identifies the dependency in logs and metrics.
--- a/crates/tinbank-jobs/src/fragment.rs
+++ b/crates/tinbank-jobs/src/fragment.rs
@@ -11,8 +11,8 @@
 
 /// Splits a record into fragments of at most `limit` bytes each.
 pub fn split(record: &Bytes, limit: usize) -> Vec<Bytes> {
-    let size = limit.max(2) - 1;
-    let count = record.len().div_ceil(size).max(1);
+    let size = content_size(limit);
+    let count = count(record.len(), limit);
     let fragments = (0..count).map(|index| {
         let from = index * size;
         let to = (from + size).min(record.len());
@@ -24,6 +24,16 @@
     fragments.collect()
 }
 
+/// Returns the number of fragments of at most `limit` bytes each for a record of `bytes` bytes.
+pub fn count(bytes: usize, limit: usize) -> usize {
+    bytes.div_ceil(content_size(limit)).max(1)
+}
+
+/// Returns how many bytes of a record fit in a fragment.
+fn content_size(limit: usize) -> usize {
+    limit.max(2) - 1
+}
+
 /// Joins the fragments of a partition, which are pushed in the order of their offsets.
 #[derive(Debug, Default)]
 pub struct Joiner {
