batch: a cancelled job leaves no items that count as running

What callers saw: a job that was accepted under the name of a cancelled one, which is free again once that one was dropped, and whose items the same owner never ran (found by reading).

Cause: an item counts as running until its result is in the log. A result that was being written when its job was cancelled is dropped by the fold, so nothing ended it. Runs are known by the name of the job, so the entry held for the later job.

Change: the cancellation ends the runs of a job, also those whose result is being written.

--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -4,6 +4,8 @@
 mod selection;
 mod shares;
 mod start;
+#[cfg(test)]
+mod tests;
 
 use std::{
     cell::{Cell, RefCell},
@@ -153,12 +155,15 @@
         }
     }
 
-    /// Stops all items of a cancelled job.
+    /// Stops all items of a cancelled job. Results that are being written no longer count, so nothing else ends their runs.
     pub fn on_cancelled(&self, job: &JobId) {
-        let running = self.running.borrow();
-        for (_, run) in running.iter().filter(|(key, _)| key.0 == *job) {
-            run.stop.notify_one();
-        }
+        self.running.borrow_mut().retain(|key, run| {
+            let is_kept = key.0 != *job;
+            if !is_kept {
+                run.stop.notify_one();
+            }
+            is_kept
+        });
         self.waiting.borrow_mut().retain(|key, _| key.0 != *job);
         self.missing_routes.borrow_mut().remove(job);
     }
