--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -5,6 +5,8 @@
 mod shares;
 mod start;
 mod summary;
+#[cfg(test)]
+mod tests;
 
 use std::{
     cell::{Cell, RefCell},
@@ -49,6 +51,8 @@
 const MEMORY_WAIT: Duration = Duration::from_millis(500);
 /// Delay before a slot is requested again for an item that lacks more than a slot, while other items go first.
 const DENIAL_RECHECK: Duration = Duration::from_millis(500);
+/// How long an item that is denied is kept from the upstreams at which it has failed. The others may be such that no host grants them.
+const EXCLUSION_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay before a quarantined item is checked again, since each check takes a slot for a moment.
 const QUARANTINE_RECHECK: Duration = Duration::from_secs(5);
 /// Interval of checkpoints; bounds the work that is lost with a host. Each checkpoint is one more record in the store.
@@ -108,6 +112,18 @@
     failures: u32,
     /// Upstreams at which runs of this host failed.
     failed_upstreams: Vec<id::Instance>,
+    /// When they may run it again, if it was denied since it failed.
+    exclusions_end: Option<Instant>,
+}
+
+impl Waiting {
+    /// Returns the upstreams that must not run the item.
+    fn excluded(&self, now: Instant) -> &[id::Instance] {
+        match self.exclusions_end {
+            Some(end) if now >= end => &[],
+            _ => &self.failed_upstreams,
+        }
+    }
 }
 
 impl Default for Runner {
@@ -153,12 +169,15 @@
         }
     }
 
-    /// Stops all items of a cancelled job.
+    /// Stops all items of a cancelled job. Results that are being written no longer count, so nothing else ends their runs.
     pub fn on_cancelled(&self, job: &JobId) {
-        let running = self.running.borrow();
-        for (_, run) in running.iter().filter(|(key, _)| key.0 == *job) {
-            run.stop.notify_one();
-        }
+        self.running.borrow_mut().retain(|key, run| {
+            let is_kept = key.0 != *job;
+            if !is_kept {
+                run.stop.notify_one();
+            }
+            is_kept
+        });
         self.waiting.borrow_mut().retain(|key, _| key.0 != *job);
         self.missing_routes.borrow_mut().remove(job);
     }
@@ -226,6 +245,17 @@
         now < since + MEMORY_WAIT
     }
 
+    /// Limits how long an item that is denied is kept from the upstreams at which it has failed.
+    fn limit_exclusions(&self, key: &Key, needs: &Needs, now: Instant) {
+        if needs.exclude.is_empty() {
+            return;
+        }
+        let mut waiting = self.waiting.borrow_mut();
+        let waiting = waiting.entry(key.clone()).or_default();
+        let end = now + EXCLUSION_TIMEOUT;
+        waiting.exclusions_end.get_or_insert(end);
+    }
+
     /// Requests no slot for an item before a time.
     fn set_aside(&self, key: &Key, until: Instant) {
         let mut waiting = self.waiting.borrow_mut();
@@ -290,6 +320,7 @@
     let now = Instant::now();
     let runner = &node.batch.runner;
     let Candidate { key, needs, .. } = candidate;
+    runner.limit_exclusions(key, needs, now);
     // The build of a text is no restriction while no other one serves.
     let is_restricted = start::record_denial(node, candidate, now) || !needs.exclude.is_empty();
     let mut denials = runner.denials.borrow_mut();
@@ -447,6 +478,7 @@
             Ended::Failed => {
                 self.state.failures += 1;
                 self.state.failed_upstreams.push(upstream);
+                self.state.exclusions_end = None;
                 if self.state.failures >= self.max_attempts {
                     return self.abandon(Reason::Attempts);
                 }
