relay: an attempt states the time left as it is sent, after connecting

Upstreams were allowed to work for longer than their callers wait if the host got no processor time while it connected. The time left was computed, and the request encoded, before the connection was opened. The timeout of a connection attempt does not bound this: a process that runs again finds its connection open and sends, however long ago the timeout was.

The request is encoded once the connection is open, and is not sent after its deadline; nothing was sent then, so this counts as not run.

--- a/crates/tinbank-gateway/src/exchange.rs
+++ b/crates/tinbank-gateway/src/exchange.rs
@@ -74,26 +74,55 @@
     deadlines: Deadlines,
     max_buffer_bytes: Option<usize>,
 ) -> Result<(Response<Incoming>, ConnectionGuard), Error> {
-    let stream = connect(address, deadlines.connect.min(deadlines.response)).await?;
-    let mut builder = http1::Builder::new();
-    if let Some(max_bytes) = max_buffer_bytes {
-        builder.max_buf_size(max_bytes);
+    let connect_by = deadlines.connect.min(deadlines.response);
+    let connection = Connection::open(address, connect_by, max_buffer_bytes).await?;
+    connection.send(request, deadlines.response).await
+}
+
+/// An open connection over which nothing was sent.
+pub struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    guard: ConnectionGuard,
+}
+
+impl Connection {
+    /// Opens a connection that reads ahead at most `max_buffer_bytes`. A busy process may notice only long after `until` that
+    /// it is open.
+    pub async fn open(
+        address: SocketAddr,
+        until: Instant,
+        max_buffer_bytes: Option<usize>,
+    ) -> Result<Self, Error> {
+        let stream = connect(address, until).await?;
+        let mut builder = http1::Builder::new();
+        if let Some(max_bytes) = max_buffer_bytes {
+            builder.max_buf_size(max_bytes);
+        }
+        let (sender, connection) = builder
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| Error::NotSent(error.to_string()))?;
+        let task = task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!(error:%; "connection ended");
+            }
+        });
+        let guard = ConnectionGuard(task.abort_handle());
+        Ok(Self { sender, guard })
     }
-    let (mut sender, connection) = builder
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(|error| Error::NotSent(error.to_string()))?;
-    let task = task::spawn_local(async move {
-        if let Err(error) = connection.await {
-            log::debug!(error:%; "connection ended");
+
+    /// Sends a request and waits for the head of the response, which must arrive by `until`.
+    pub async fn send(
+        mut self,
+        request: Request<Full<Bytes>>,
+        until: Instant,
+    ) -> Result<(Response<Incoming>, ConnectionGuard), Error> {
+        let response = time::timeout_at(until.into(), self.sender.send_request(request)).await;
+        match response {
+            Ok(Ok(response)) => Ok((response, self.guard)),
+            Ok(Err(error)) => Err(Error::Lost(error.to_string())),
+            Err(_) => Err(Error::Timeout),
         }
-    });
-    let guard = ConnectionGuard(task.abort_handle());
-    let response = time::timeout_at(deadlines.response.into(), sender.send_request(request)).await;
-    match response {
-        Ok(Ok(response)) => Ok((response, guard)),
-        Ok(Err(error)) => Err(Error::Lost(error.to_string())),
-        Err(_) => Err(Error::Timeout),
     }
 }
 
--- a/crates/tinbank-gateway/src/relay/attempt.rs
+++ b/crates/tinbank-gateway/src/relay/attempt.rs
@@ -6,7 +6,8 @@
     time::{Duration, Instant},
 };
 
-use http::response::Parts;
+use http::{Response, response::Parts};
+use hyper::body::Incoming;
 use tinbank_allocator::lease::Outcome;
 use tinbank_quarantine::{
     fingerprint::short,
@@ -17,7 +18,7 @@
 use super::answer::{AnswerBody, AttemptContext};
 use crate::{
     border::engine::{Attempt, Request, Verdict},
-    exchange::{self, ConnectionGuard, Deadlines, Error},
+    exchange::{Connection, ConnectionGuard, Error},
     measure,
     node::Node,
     sharing::Lease,
@@ -78,20 +79,13 @@
         node.quarantine.begin_trial(request, now);
     }
     node.quarantine.log_unproven(request, &lease.upstream);
-    let attempt = Attempt {
-        instance: &lease.upstream,
-        time_left: deadline.saturating_duration_since(now),
+    let sent = lease.receive(exchange(
+        node,
+        &lease,
+        request,
         resume_after,
-    };
-    let max_buffer_bytes = node.read_ahead.is_some().then_some(READ_BUFFER_BYTES);
-    let sent = lease.receive(exchange::send_buffered(
-        lease.address,
-        node.engine.encode(request, attempt),
-        Deadlines {
-            connect: now + CONNECT_TIMEOUT.max(lease.round_trip_timeout()),
-            response: answer_by,
-        },
-        max_buffer_bytes,
+        deadline,
+        answer_by,
     ));
     let sent = sent.await;
     let context = AttemptContext {
@@ -151,6 +145,33 @@
     }
 }
 
+/// Connects to the upstream of a lease, sends a request, and waits for the head of the answer.
+async fn exchange(
+    node: &Node,
+    lease: &Lease,
+    request: &Request,
+    resume_after: Option<event::Id>,
+    deadline: Instant,
+    answer_by: Instant,
+) -> Result<(Response<Incoming>, ConnectionGuard), Error> {
+    let connect_by = Instant::now() + CONNECT_TIMEOUT.max(lease.round_trip_timeout());
+    let max_buffer_bytes = node.read_ahead.is_some().then_some(READ_BUFFER_BYTES);
+    let connection =
+        Connection::open(lease.address, connect_by.min(answer_by), max_buffer_bytes).await?;
+    // Computed after connecting, which may take a process that is short of processor time longer than its timeout.
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    if time_left.is_zero() {
+        return Err(Error::NotSent("connected after the deadline".to_owned()));
+    }
+    let attempt = Attempt {
+        instance: &lease.upstream,
+        time_left,
+        resume_after,
+    };
+    let encoded = node.engine.encode(request, attempt);
+    connection.send(encoded, answer_by).await
+}
+
 /// Records that a quarantined request was not sent.
 fn quarantined(request: &Request, lease: &Lease, denial: Denial) -> AttemptError {
     let content = short(request.fingerprint());
