relay: time spent connecting does not count as waiting for the answer

A request whose host got no processor time while it connected was sent, and given up in the same moment: its response timeout had begun before the connection was opened. The upstream ran it in vain, and the caller got 502, or the run of another upstream: one of the attempts that its route allows was used up for nothing, and the sound upstream was reported as unresponsive.

Evidence: the second test of time_left.rs holds the host up for 0.9 s between connecting and noticing it, on a route with a target of 300 ms.

The response timeout moves by the time that connecting took, at most to the deadline of the request.

--- a/crates/tinbank-gateway/src/relay/attempt.rs
+++ b/crates/tinbank-gateway/src/relay/attempt.rs
@@ -57,7 +57,7 @@
 }
 
 /// Sends a request to the upstream of a lease. The upstream may work on it until `deadline`; the head of the answer has to
-/// arrive by `answer_by`.
+/// arrive by `answer_by`, which moves by the time that connecting takes.
 pub(crate) async fn send(
     node: &Rc<Node>,
     lease: Lease,
@@ -154,15 +154,19 @@
     deadline: Instant,
     answer_by: Instant,
 ) -> Result<(Response<Incoming>, ConnectionGuard), Error> {
-    let connect_by = Instant::now() + CONNECT_TIMEOUT.max(lease.round_trip_timeout());
+    let started_at = Instant::now();
+    let connect_by = started_at + CONNECT_TIMEOUT.max(lease.round_trip_timeout());
     let max_buffer_bytes = node.read_ahead.is_some().then_some(READ_BUFFER_BYTES);
     let connection =
         Connection::open(lease.address, connect_by.min(answer_by), max_buffer_bytes).await?;
-    // Computed after connecting, which may take a process that is short of processor time longer than its timeout.
-    let time_left = deadline.saturating_duration_since(Instant::now());
+    // A process that is short of processor time may notice the open connection long after the timeout. What it missed neither
+    // is left for the upstream nor counts as waiting for it.
+    let connected_at = Instant::now();
+    let time_left = deadline.saturating_duration_since(connected_at);
     if time_left.is_zero() {
         return Err(Error::NotSent("connected after the deadline".to_owned()));
     }
+    let answer_by = (answer_by + (connected_at - started_at)).min(deadline);
     let attempt = Attempt {
         instance: &lease.upstream,
         time_left,
