batch: items of a build without slots begin anew together

What callers saw: after the hosts of a failure domain were lost, items whose texts had begun at a build that only it has were completed one each 5 s, while the upstreams of another build were idle. With more of them than a few, the last ones waited for as long as a job lives.

Cause: an item waits 5 s for a slot at the build of its text before it begins anew, counted from its first denial. An item that an earlier denial covers is set aside without being denied, and its time did not begin. It began when the item before it had been started.

Evidence: platform/tests/stuck_items.rs, items_of_a_build_without_slots_begin_anew_together. On the code before, six items were completed 7, 12, 17, 22, 28 and 33 s after the loss.

Change: an item that is covered by a denial counts as denied.

After: all six within 8.8 s.

--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -32,7 +32,7 @@
     Key, abandon,
     denials::{Coverage, Needs},
     shares::{Contender, Supply},
-    start::Start,
+    start::{self, Start},
 };
 use crate::{
     batch::{contents, ownership},
@@ -285,7 +285,9 @@
         match denials.coverage(&candidate.needs, Instant::now()) {
             Coverage::None => return Some(candidate),
             Coverage::Until(until) => {
-                runner.limit_exclusions(&candidate.key, &candidate.needs, Instant::now());
+                let now = Instant::now();
+                start::record_denial(node, &candidate, now);
+                runner.limit_exclusions(&candidate.key, &candidate.needs, now);
                 runner.set_aside(&candidate.key, until);
             }
             Coverage::Full if self.denied.is_none() => {
