soak: engines run each attempt no more often and no longer than allowed

The soak counted runs only of requests that may run once. It now counts, for each attempt of a caller, the runs at all engines against the attempts of its route, and compares the time that engines got with what the caller stated. One of the faults is an engine that runs a request and answers with the refusal of another one.

--- a/crates/tinbank-entry/tests/soak/deployment.rs
+++ b/crates/tinbank-entry/tests/soak/deployment.rs
@@ -43,6 +43,8 @@
 const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Tokens that may wait on the batch route, so that some jobs are refused. Items have 10 each.
 const QUOTA: u64 = 60;
+/// Number of engines that may run one attempt of a caller, where it may run more than once.
+pub const MAX_ATTEMPTS: u32 = 2;
 /// How long a process may take to stop before it is killed.
 const GRACE: Duration = Duration::from_secs(4);
 
@@ -351,8 +353,8 @@
     let route = Route::unlimited;
     let routes = [
         route("plain", "streaming", 1, false),
-        route("resumable", "streaming", 2, true),
-        route("keyed", "streaming", 2, true),
+        route("resumable", "streaming", MAX_ATTEMPTS, true),
+        route("keyed", "streaming", MAX_ATTEMPTS, true),
         route(crash::SERVICE, "streaming", 2, true),
         // Engines fail at random here. The high limit on attempts keeps items from being abandoned as always failing.
         Route {
--- a/crates/tinbank-entry/tests/soak/faults.rs
+++ b/crates/tinbank-entry/tests/soak/faults.rs
@@ -90,6 +90,7 @@
         2 => engine::Mode::Sheds,
         3 => engine::Mode::Fails,
         4 => engine::Mode::DropsAnswer,
+        5 => engine::Mode::RefusesAnother,
         _ => engine::Mode::Serves,
     }
 }
--- a/crates/tinbank-entry/tests/soak/invariants.rs
+++ b/crates/tinbank-entry/tests/soak/invariants.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     caller::{Job, Observations, Sender, Stream},
-    deployment::Deployment,
+    deployment::{Deployment, MAX_ATTEMPTS},
     standin::{
         client,
         engine::{EVENTS, Run},
@@ -36,6 +36,7 @@
     for stream in observed.streams.borrow().iter() {
         violations.extend(stream_violation(deployment, stream));
         violations.extend(customer_violation(deployment, stream));
+        violations.extend(budget_violations(deployment, stream));
     }
     violations.extend(limit_violation(deployment, observed));
     let jobs = observed.jobs.borrow().clone();
@@ -93,6 +94,29 @@
     ))
 }
 
+/// Checks that each attempt of a caller ran at no more engines than its route allows, for no longer than the caller stated.
+fn budget_violations(deployment: &Deployment, stream: &Stream) -> Vec<String> {
+    let max = match stream.resumable {
+        true => MAX_ATTEMPTS,
+        false => 1,
+    };
+    let attempts = std::iter::once(&stream.id).chain(&stream.retries);
+    let violation = |id: &String| {
+        let runs = runs(deployment, id);
+        let granted = runs.iter().map(|it| it.run.time_left_ms);
+        let is_limited = |it: Option<u64>| it.is_some_and(|it| it <= client::TIME_LEFT_MS);
+        if runs.len() <= max as usize && granted.clone().all(is_limited) {
+            return None;
+        }
+        let granted: Vec<_> = granted.collect();
+        Some(format!(
+            "{id} may run {max} times for {} ms, engines got it with {granted:?} ms left",
+            client::TIME_LEFT_MS
+        ))
+    };
+    attempts.filter_map(violation).collect()
+}
+
 /// Checks that the customer over its limit did not exceed the limit in any window.
 fn limit_violation(deployment: &Deployment, observed: &Observations) -> Option<String> {
     let streams = observed.streams.borrow();
