relay: a host that was stopped reads what has arrived before it gives an upstream up

After a host had been stopped for longer than the timeouts of its streams, it gave each of its resumable streams up ("stopped sending events") and had it run a second time, though the events were waiting in its connections; some callers got a cut answer. A connection that had been established meanwhile counted as "connect timed out", and its upstream was reported as unresponsive.

Cause: a stop signal interrupts the runtime's wait for events, which then returns none, so that expired timers run before the connections are looked at. A timeout alone does not mean that nothing has arrived.

Evidence: a process is stopped for 1.5 s while it relays six streams, and the engines finish them meanwhile. Streams, heads of answers, connects and the events of items now wait through receive_by, which reads for another 5 ms after the deadline.

--- a/crates/tinbank-entry/tests/soak/main.rs
+++ b/crates/tinbank-entry/tests/soak/main.rs
@@ -10,6 +10,7 @@
 mod faults;
 mod invariants;
 mod lapse;
+mod paused;
 mod proxy;
 #[path = "../../../../platform/tests/standin/mod.rs"]
 #[allow(dead_code, reason = "the stand-ins are shared with other tests")]
--- a/crates/tinbank-gateway/src/batch/item.rs
+++ b/crates/tinbank-gateway/src/batch/item.rs
@@ -12,10 +12,10 @@
 use tinbank_jobs::record::{Piece, RunId, Stored};
 use tinbank_origin::Origin;
 use tinbank_relay::event::{self, Event, Splitter};
-use tokio::time;
 
 use crate::{
     border::engine::{Request, Verdict},
+    exchange,
     node::Node,
     relay::{
         answer::AnswerBody,
@@ -184,19 +184,20 @@
 ) -> (Ended, Outcome) {
     let mut splitter = Splitter::default();
     loop {
-        let frame = lease.receive(time::timeout(EVENT_TIMEOUT, body.frame()));
+        let until = Instant::now() + EVENT_TIMEOUT;
+        let frame = lease.receive(exchange::receive_by(until, body.frame()));
         let frame = match frame.await {
-            Err(_) => return (Ended::Broken, Outcome::Unresponsive),
-            Ok(None) if splitter.is_partial() => {
+            None => return (Ended::Broken, Outcome::Unresponsive),
+            Some(None) if splitter.is_partial() => {
                 body.mark_truncated();
                 return (Ended::Broken, Outcome::Failed);
             }
-            Ok(None) => {
+            Some(None) => {
                 body.mark_complete();
                 return (Ended::Completed, Outcome::Served);
             }
-            Ok(Some(Err(_))) => return (Ended::Broken, Outcome::Failed),
-            Ok(Some(Ok(frame))) => frame,
+            Some(Some(Err(_))) => return (Ended::Broken, Outcome::Failed),
+            Some(Some(Ok(frame))) => frame,
         };
         let Ok(piece) = frame.into_data() else {
             continue;
--- a/crates/tinbank-gateway/src/exchange.rs
+++ b/crates/tinbank-gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 use std::{
     io::ErrorKind,
     net::SocketAddr,
+    pin::pin,
     time::{Duration, Instant},
 };
 
@@ -25,6 +26,9 @@
 /// host that lost power hangs. It is the shortest time after which callers leave a silent stream.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time in which a process reads what has arrived at its connections.
+const READ_TIME: Duration = Duration::from_millis(5);
+
 /// Why an exchange got no response.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -117,15 +121,27 @@
         request: Request<Full<Bytes>>,
         until: Instant,
     ) -> Result<(Response<Incoming>, ConnectionGuard), Error> {
-        let response = time::timeout_at(until.into(), self.sender.send_request(request)).await;
+        let response = receive_by(until, self.sender.send_request(request)).await;
         match response {
-            Ok(Ok(response)) => Ok((response, self.guard)),
-            Ok(Err(error)) => Err(Error::Lost(error.to_string())),
-            Err(_) => Err(Error::Timeout),
+            Some(Ok(response)) => Ok((response, self.guard)),
+            Some(Err(error)) => Err(Error::Lost(error.to_string())),
+            None => Err(Error::Timeout),
         }
     }
 }
 
+/// Waits for input from a connection until a deadline. Returns `None` if there is none.
+///
+/// What arrived before is read also after the deadline: a process that was stopped sees that its timers have expired before it
+/// looks at its connections.
+pub(crate) async fn receive_by<T>(deadline: Instant, input: impl Future<Output = T>) -> Option<T> {
+    let mut input = pin!(input);
+    match time::timeout_at(deadline.into(), &mut input).await {
+        Ok(received) => Some(received),
+        Err(_) => time::timeout(READ_TIME, input).await.ok(),
+    }
+}
+
 /// Reads the body of a response, at most `max_bytes` of it. Fails if no data arrives for `stall_timeout`. There is no timeout
 /// for the body as a whole, because on a slow link a retry would transfer the same data again.
 pub async fn read_body(
@@ -149,11 +165,11 @@
 }
 
 async fn connect(address: SocketAddr, deadline: Instant) -> Result<TcpStream, Error> {
-    let connected = time::timeout_at(deadline.into(), TcpStream::connect(address)).await;
+    let connected = receive_by(deadline, TcpStream::connect(address)).await;
     let stream = match connected {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(Error::NotSent(error.to_string())),
-        Err(_) => return Err(Error::NotSent("connect timed out".to_owned())),
+        Some(Ok(stream)) => stream,
+        Some(Err(error)) => return Err(Error::NotSent(error.to_string())),
+        None => return Err(Error::NotSent("connect timed out".to_owned())),
     };
     set_socket_options(&stream);
     Ok(stream)
--- a/crates/tinbank-gateway/src/relay/stream.rs
+++ b/crates/tinbank-gateway/src/relay/stream.rs
@@ -12,12 +12,11 @@
     route::Kind,
     timeout::IdleTimeout,
 };
-use tokio::time;
 
 use super::{answer::AnswerBody, online::OnlineRequest};
 use crate::{
     border::{Aborted, Body, engine::Verdict},
-    exchange::ConnectionGuard,
+    exchange::{self, ConnectionGuard},
     measure,
     sharing::Lease,
 };
@@ -230,12 +229,12 @@
 ) -> Input {
     let until = idle_deadline.map_or(deadline, |at| at.min(deadline));
     loop {
-        let frame = match time::timeout_at(until.into(), body.frame()).await {
-            Err(_) if Instant::now() >= deadline => return Input::DeadlineExceeded,
-            Err(_) => return Input::Broken("stopped sending events", Outcome::Unresponsive),
-            Ok(None) => return Input::End,
-            Ok(Some(Err(_))) => return Input::Broken("connection lost", Outcome::Failed),
-            Ok(Some(Ok(frame))) => frame,
+        let frame = match exchange::receive_by(until, body.frame()).await {
+            None if Instant::now() >= deadline => return Input::DeadlineExceeded,
+            None => return Input::Broken("stopped sending events", Outcome::Unresponsive),
+            Some(None) => return Input::End,
+            Some(Some(Err(_))) => return Input::Broken("connection lost", Outcome::Failed),
+            Some(Some(Ok(frame))) => frame,
         };
         if let Ok(chunk) = frame.into_data() {
             return Input::Chunk(chunk);
