jobs: an item that failed runs again once its failure is in the log

Callers saw an item that fails on every run reach upstreams beyond three times its attempts. A host counted failures in memory and queued their records, but ran the item again after 100 ms, whether or not the record was in the log. A host that was lost while the store accepted no appends took up to three failures and the abandonment with it, and the next owner began at 0.

An item now waits until the log has the last failure of this host, so that a lost host takes one failure with it at most. The failure of the last attempt is recorded as well, and an item whose failures are all in the log is abandoned without another run by an owner that finds no result.

Cost: the retry of a failed item comes after the append and the next read of the log (up to some 0.4 s, from the read pause) instead of after 100 ms, and waits for the store if that accepts no appends.

--- a/crates/tinbank-gateway/src/batch/runner.rs
+++ b/crates/tinbank-gateway/src/batch/runner.rs
@@ -92,6 +92,8 @@
     until: Option<Instant>,
     /// Number of failed runs, on any host.
     failures: u32,
+    /// The last failed run of this host. The item does not run again before the log has it, since other hosts count only those.
+    last_failure: Option<Failure>,
     /// Upstreams at which runs of this host failed.
     failed_upstreams: Vec<id::Instance>,
 }
@@ -428,10 +430,10 @@
             Ended::Failed => {
                 self.state.failures += 1;
                 self.state.failed_upstreams.push(upstream);
+                self.write_failure(number);
                 if self.state.failures >= self.max_attempts {
                     return self.abandon(Reason::Attempts);
                 }
-                self.write_failure(number);
             }
             Ended::Broken | Ended::Reclaimed | Ended::Stopped => {}
         }
@@ -522,13 +524,15 @@
     }
 
     /// Writes that a run has failed, so that hosts that run the item later count the failure.
-    fn write_failure(&self, run: RunId) {
-        let record = Record::Failed(Failure {
+    fn write_failure(&mut self, run: RunId) {
+        let failure = Failure {
             job: self.key.0.clone(),
             submission: self.submission,
             index: self.key.1,
             run,
-        });
+        };
+        self.state.last_failure = Some(failure.clone());
+        let record = Record::Failed(failure);
         self.node.batch.writer.add(record, Bytes::new());
     }
 
--- a/crates/tinbank-gateway/src/batch/runner/selection.rs
+++ b/crates/tinbank-gateway/src/batch/runner/selection.rs
@@ -303,9 +303,12 @@
     let waiting = runner.waiting.borrow();
     let waiting = waiting.get(&key);
     let last_event = waiting.map_or(0, |waiting| waiting.progress.last_event);
+    let last_failure = waiting.and_then(|waiting| waiting.last_failure.as_ref());
     State {
         is_running: runner.running.borrow().contains_key(&key),
         paused_until: waiting.and_then(|waiting| waiting.until),
+        has_unlogged_failure: last_failure.is_some_and(|it| !job.has_failure(it)),
+        failures: job.failure_count(index),
         last_event: last_event.max(job.progress(index).last_event),
         route: route_state(node, config, job, item),
     }
--- a/crates/tinbank-jobs/src/job.rs
+++ b/crates/tinbank-jobs/src/job.rs
@@ -7,7 +7,8 @@
 use tinbank_origin::Origin;
 
 use crate::record::{
-    Attachment, Index, Item, JobId, Outcome, Piece, Reason, RunId, RunStart, Stored, Submission,
+    Attachment, Failure, Index, Item, JobId, Outcome, Piece, Reason, RunId, RunStart, Stored,
+    Submission,
 };
 
 /// A job.
@@ -233,6 +234,13 @@
         entry.map_or(0, |entry| entry.failed_runs.len() as u32)
     }
 
+    /// Returns whether the log has a failed run, or never will because an earlier job of this name had it.
+    pub fn has_failure(&self, failure: &Failure) -> bool {
+        let entry = self.entries.get(failure.index as usize);
+        failure.submission != self.submission
+            || entry.is_none_or(|entry| entry.failed_runs.contains(&failure.run))
+    }
+
     /// Records a failed run of an item, and returns whether it was counted, that is, not a duplicate.
     pub(crate) fn record_failure(&mut self, index: Index, run: RunId) -> bool {
         let Some(entry) = self.pending_entry(index) else {
--- a/crates/tinbank-jobs/src/schedule.rs
+++ b/crates/tinbank-jobs/src/schedule.rs
@@ -62,13 +62,17 @@
     Unknown,
 }
 
-/// Local state of an item that is not in the log.
+/// State of an item on this host.
 #[derive(Clone, Copy, Debug)]
 pub struct State {
     /// The item is running on this host, or its result is being written.
     pub is_running: bool,
     /// The item must not run before this time.
     pub paused_until: Option<Instant>,
+    /// A run of this host has failed, and the log does not have the failure yet.
+    pub has_unlogged_failure: bool,
+    /// Number of failed runs in the log.
+    pub failures: u32,
     /// Last event of the item that is in the log or being written.
     pub last_event: u64,
     /// State of the item's route.
@@ -113,6 +117,10 @@
     if now.wall > job.expires_at + CLOCK_MARGIN {
         return Decision::Abandon(Reason::Expired);
     }
+    // The host that ran it last was lost before it wrote the result.
+    if state.failures > 0 && state.failures >= job.max_attempts {
+        return Decision::Abandon(Reason::Attempts);
+    }
     match state.route {
         RouteState::Present => {}
         RouteState::MissingSince(at) if now.steady > at + ROUTE_REMOVAL_DELAY => {
@@ -120,7 +128,7 @@
         }
         RouteState::MissingSince(_) | RouteState::Unknown => return Decision::Wait,
     }
-    if state.paused_until.is_some_and(|until| now.steady < until) {
+    if state.has_unlogged_failure || state.paused_until.is_some_and(|until| now.steady < until) {
         return Decision::Wait;
     }
     Decision::Run(due(job, state.last_event, estimator, now))
--- a/crates/tinbank-jobs/tests/schedule.rs
+++ b/crates/tinbank-jobs/tests/schedule.rs
@@ -55,6 +55,8 @@
     State {
         is_running: false,
         paused_until: None,
+        has_unlogged_failure: false,
+        failures: 0,
         last_event: 0,
         route: RouteState::Present,
     }
@@ -102,6 +104,8 @@
 #[parameterized(
     running = { 0, |_| State { is_running: true, ..idle() }, Decision::Wait },
     paused = { 0, |now| State { paused_until: Some(now + TIME_PER_EVENT), ..idle() }, Decision::Wait },
+    failed_and_not_logged = { 0, |_| State { has_unlogged_failure: true, ..idle() }, Decision::Wait },
+    failed_at_all_attempts = { 0, |_| State { failures: 3, ..idle() }, Decision::Abandon(Reason::Attempts) },
     route_removed_recently = { 0, |now| State { route: RouteState::MissingSince(now), ..idle() }, Decision::Wait },
     route_removed = { 0, |now: Instant| State { route: RouteState::MissingSince(now - Duration::from_secs(5)), ..idle() }, Decision::Abandon(Reason::RouteRemoved) },
     configuration_possibly_stale = { 0, |_| State { route: RouteState::Unknown, ..idle() }, Decision::Wait },
