batch: items start once the log has the record of their host's takeover

An item that upstreams answer with 422 reached more than three of them, and an abandoned item ran again. A new owner of a partition started its items 1 s after its join call, whatever it had read of the job log by then and whether or not the store accepted its appends. So each of several owners that were lost while the store accepted no appends ran the item anew, and an owner that read the log late ran items that were abandoned in it. The same holds for a host whose membership had expired and that got its partitions back.

Reproduced by platform/tests/item_failures.rs. Before: the item that is answered with 422 ran 4 times (limit 3) over four hosts of which three were killed while the store rejected appends to the job log; the abandoned item ran twice, the second time at a host whose reads of the job log got no answer. After: 1 run each, the other owners wait.

A host now queues a record when it takes partitions over, or joins after its membership has expired, and starts their items once it reads that record. By then it has read all that the log had before, and the store accepts its appends; a later owner starts after the records of this one. The log line "takeover of partitions is in the log" tells when, beside the offset.

Cost: one record for each change of a host's partitions, mostly within the handover delay. While the store accepts no appends, or joins are more than the TTL apart, no items start at hosts that took over. Hosts of earlier versions log the record as unreadable and skip it. Delegates that run jobs restricted to regions do not wait for a takeover.

--- a/crates/tinbank-gateway/src/batch/follower.rs
+++ b/crates/tinbank-gateway/src/batch/follower.rs
@@ -226,6 +226,7 @@
         Change::Failed { job, index } => {
             log::debug!(job:%, item = index, offset = joined.offset; "run of an item failed");
         }
+        Change::TakenOver { id } => node.batch.ownership.on_taken_over(id, joined.offset),
         Change::Dropped => log::debug!(offset = joined.offset; "record of jobs dropped"),
     }
 }
--- a/crates/tinbank-gateway/src/batch/ownership.rs
+++ b/crates/tinbank-gateway/src/batch/ownership.rs
@@ -10,7 +10,7 @@
 use tinbank_jobs::{
     job::Job,
     partitions::{Partitions, Revoked},
-    record::JobId,
+    record::{JobId, Offset, Record, Takeover, TakeoverId},
 };
 use tinbank_relay::route::Config;
 use tokio::time;
@@ -19,6 +19,7 @@
 use crate::{
     border::store::{Membership, Topic, TopicPartition},
     dependency::Dependency,
+    identity,
     node::Node,
     region,
 };
@@ -69,6 +70,15 @@
         self.member_since.set(Some(Instant::now()));
     }
 
+    /// Handles the record of a takeover in the log.
+    pub fn on_taken_over(&self, takeover: TakeoverId, offset: Offset) {
+        let mut partitions = self.partitions.borrow_mut();
+        if partitions.awaits(takeover) {
+            log::info!(takeover, offset; "takeover of partitions is in the log, their items may start");
+            partitions.on_taken_over(takeover);
+        }
+    }
+
     /// Treats the membership as expired until the next join call.
     pub fn invalidate(&self) {
         self.renewed_at.set(None);
@@ -240,11 +250,19 @@
     let until = called_at + CALL_TIMEOUT;
     let assignment = node.store.join(&membership, until).await?;
     let ownership = &node.batch.ownership;
-    ownership.renewed_at.set(Some(called_at));
+    let renewed_at = ownership.renewed_at.replace(Some(called_at));
+    let has_lapsed = renewed_at.is_none_or(|at| at.elapsed() >= ttl(node));
     ownership.generation.set(assignment.generation);
     let mut partitions = ownership.partitions.borrow_mut();
     let before: Vec<u32> = partitions.iter().collect();
-    let revoked = partitions.assign(&assignment.partitions, Instant::now());
+    let takeover = identity::random_id();
+    if has_lapsed {
+        partitions.take_over_again(takeover);
+    }
+    let revoked = partitions.assign(&assignment.partitions, takeover, Instant::now());
+    if partitions.awaits(takeover) {
+        write_takeover(node, takeover);
+    }
     if before != assignment.partitions {
         log::info!(
             generation = assignment.generation,
@@ -255,6 +273,13 @@
     Ok(revoked)
 }
 
+/// Writes that this host takes partitions over. The record follows those that this host has yet to write.
+fn write_takeover(node: &Node, id: TakeoverId) {
+    let host = node.settings.host.clone();
+    let record = Record::TakenOver(Takeover { id, host });
+    node.batch.writer.add(record, Bytes::new());
+}
+
 fn membership(node: &Node) -> Membership {
     Membership {
         member: node.settings.host.clone(),
--- a/crates/tinbank-jobs/src/change.rs
+++ b/crates/tinbank-jobs/src/change.rs
@@ -1,6 +1,6 @@
 //! Effects of applying a record.
 
-use crate::record::{Index, JobId, RunId};
+use crate::record::{Index, JobId, RunId, TakeoverId};
 
 /// The effect of a record on the table.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,6 +60,11 @@
         /// The job.
         job: JobId,
     },
+    /// A host has taken partitions over.
+    TakenOver {
+        /// The takeover.
+        id: TakeoverId,
+    },
     /// The record was late, a duplicate, or for an unknown job, and had no effect.
     Dropped,
 }
--- a/crates/tinbank-jobs/src/record.rs
+++ b/crates/tinbank-jobs/src/record.rs
@@ -18,6 +18,9 @@
 /// Unique number of a run of an item at an upstream.
 pub type RunId = u64;
 
+/// Unique number of a takeover of partitions.
+pub type TakeoverId = u64;
+
 /// Offset in the job log.
 pub type Offset = u64;
 
@@ -58,6 +61,8 @@
     Failed(Failure),
     /// A run of an item is about to produce text, at an upstream of a build.
     RunStarted(RunStart),
+    /// A host takes partitions over. It has read the records of their previous owners once it reads this one.
+    TakenOver(Takeover),
 }
 
 /// A job with all its items, so that one append accepts all of it or nothing.
@@ -230,6 +235,15 @@
     pub text: Stored,
 }
 
+/// A takeover of partitions by a host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Takeover {
+    /// Identifies the takeover, so that its host recognizes its own record.
+    pub id: TakeoverId,
+    /// Name of the host.
+    pub host: String,
+}
+
 /// The outcome of an item.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
@@ -308,7 +322,8 @@
             | Self::SubmittedBy(..)
             | Self::Cancelled(_)
             | Self::Failed(_)
-            | Self::RunStarted(_) => {}
+            | Self::RunStarted(_)
+            | Self::TakenOver(_) => {}
         }
     }
 
@@ -328,7 +343,8 @@
             | Self::Cancelled(_)
             | Self::Checkpointed(_)
             | Self::Failed(_)
-            | Self::RunStarted(_) => None,
+            | Self::RunStarted(_)
+            | Self::TakenOver(_) => None,
         }
     }
 
@@ -339,7 +355,8 @@
             | Self::Cancelled(_)
             | Self::Checkpointed(_)
             | Self::Failed(_)
-            | Self::RunStarted(_) => None,
+            | Self::RunStarted(_)
+            | Self::TakenOver(_) => None,
         }
     }
 }
--- a/crates/tinbank-jobs/src/table.rs
+++ b/crates/tinbank-jobs/src/table.rs
@@ -37,6 +37,7 @@
             Record::Checkpointed(checkpoint) => self.checkpoint(checkpoint),
             Record::Failed(failure) => self.fail(failure),
             Record::RunStarted(start) => self.start_run(start),
+            Record::TakenOver(takeover) => Change::TakenOver { id: takeover.id },
         }
     }
 
--- a/crates/tinbank-jobs/tests/model/mod.rs
+++ b/crates/tinbank-jobs/tests/model/mod.rs
@@ -42,7 +42,8 @@
             Record::Submitted(_)
             | Record::SubmittedBy(..)
             | Record::Failed(_)
-            | Record::RunStarted(_) => {}
+            | Record::RunStarted(_)
+            | Record::TakenOver(_) => {}
             Record::Cancelled(_) => self.cancelled = true,
             Record::Checkpointed(checkpoint) => {
                 self.append(checkpoint.index, &checkpoint.piece);
