soak: engines crash in bursts

Engines broke answers off, but none refused connections afterwards, which is how hosts tell a crash from a lost connection. A burst lets all engines refuse connections for 0.1 s five times, 40 to 160 ms apart, so that an item may be under way in several crashes.

--- a/crates/tinbank-entry/tests/soak/faults.rs
+++ b/crates/tinbank-entry/tests/soak/faults.rs
@@ -12,6 +12,13 @@
     standin::{engine, store},
 };
 
+/// How often all engines crash in a burst.
+const CRASHES_IN_A_BURST: usize = 5;
+/// Time for which a crashed engine refuses connections, longer than a probe takes to see it.
+const TIME_DOWN: Duration = Duration::from_millis(100);
+/// Time between two crashes in milliseconds. Mostly shorter than the wait of an item for its next run together with that run.
+const TIME_UP_MS: std::ops::Range<u64> = 40..160;
+
 /// Injects faults until `until`.
 pub async fn inject(deployment: &Rc<Deployment>, mut random: StdRng, until: Instant) {
     while Instant::now() < until {
@@ -38,7 +45,7 @@
 async fn inject_one(deployment: &Rc<Deployment>, random: &mut StdRng) {
     let host = &deployment.hosts[random.random_range(0..deployment.hosts.len())];
     let index = random.random_range(0..ENGINES);
-    match random.random_range(0..17) {
+    match random.random_range(0..18) {
         0 => host.kill(),
         1 => host.stop().await,
         2 | 3 => deployment.hosts.iter().for_each(|host| host.start()),
@@ -53,6 +60,7 @@
         8 => host.store_proxy.set(proxy_mode(random)),
         9 => deployment.engine(index).proxy.set(proxy_mode(random)),
         16 => deployment.release(index),
+        17 => crash_engines(deployment, random).await,
         14 => lapse::inject(deployment, random).await,
         10..=13 => deployment
             .engine(index)
@@ -63,6 +71,21 @@
     }
 }
 
+/// Lets all engines crash and start again a few times, so that an item may be under way in several crashes.
+async fn crash_engines(deployment: &Deployment, random: &mut StdRng) {
+    for _ in 0..CRASHES_IN_A_BURST {
+        for index in 0..ENGINES {
+            deployment.engine(index).proxy.set(proxy::Mode::Refuse);
+        }
+        time::sleep(TIME_DOWN).await;
+        for index in 0..ENGINES {
+            deployment.engine(index).proxy.set(proxy::Mode::Pass);
+        }
+        let time_up = random.random_range(TIME_UP_MS);
+        time::sleep(Duration::from_millis(time_up)).await;
+    }
+}
+
 fn store_mode(random: &mut StdRng) -> store::Mode {
     match random.random_range(0..5) {
         0 => store::Mode::Busy,
--- a/crates/tinbank-entry/tests/soak/proxy.rs
+++ b/crates/tinbank-entry/tests/soak/proxy.rs
@@ -25,6 +25,8 @@
     Delay,
     /// Connections are reset.
     Reset,
+    /// Connections are reset, and new ones are refused, as by a server that has crashed.
+    Refuse,
     /// Connections stay open, but no data is forwarded.
     Unresponsive,
     /// Requests are forwarded, responses are not.
@@ -40,6 +42,8 @@
 pub struct Proxy {
     mode: Cell<Mode>,
     reset: Rc<Notify>,
+    /// Notified when the mode has changed.
+    changed: Notify,
     target: RefCell<SocketAddr>,
 }
 
@@ -49,29 +53,46 @@
         let proxy = Rc::new(Self {
             mode: Cell::default(),
             reset: Rc::default(),
+            changed: Notify::new(),
             target: RefCell::new(target),
         });
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let accepting = Rc::clone(&proxy);
-        task::spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                task::spawn_local(Rc::clone(&accepting).forward(stream));
-            }
-        });
+        task::spawn_local(accepting.accept(listener, address));
         (proxy, address)
     }
 
+    async fn accept(self: Rc<Self>, mut listener: TcpListener, address: SocketAddr) {
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => drop(task::spawn_local(Rc::clone(&self).forward(stream))),
+                    Err(_) => return,
+                },
+                () = self.changed.notified() => {}
+            }
+            if self.mode.get() == Mode::Refuse {
+                drop(listener);
+                while self.mode.get() == Mode::Refuse {
+                    self.changed.notified().await;
+                }
+                listener = TcpListener::bind(address).await.unwrap();
+            }
+        }
+    }
+
     pub fn set(&self, mode: Mode) {
         self.mode.set(mode);
-        if mode == Mode::Reset {
+        self.changed.notify_one();
+        if matches!(mode, Mode::Reset | Mode::Refuse) {
             self.reset.notify_waiters();
         }
     }
 
     async fn forward(self: Rc<Self>, client: TcpStream) {
         let target = *self.target.borrow();
-        if self.mode.get() == Mode::Reset {
+        if matches!(self.mode.get(), Mode::Reset | Mode::Refuse) {
             return reset_on_drop(&client);
         }
         let Ok(server) = TcpStream::connect(target).await else {
@@ -110,7 +131,7 @@
         match self.mode.get() {
             Mode::Unresponsive => true,
             Mode::OneWay => is_response,
-            Mode::Pass | Mode::Delay | Mode::Reset => false,
+            Mode::Pass | Mode::Delay | Mode::Reset | Mode::Refuse => false,
         }
     }
 }
