--- a/crates/tinbank-gateway/src/relay/attempt.rs
+++ b/crates/tinbank-gateway/src/relay/attempt.rs
@@ -87,6 +87,7 @@
     sent
 }
 
+/// Sends a request that is not quarantined, or as a trial.
 async fn send_permitted(
     node: &Rc<Node>,
     lease: Lease,
--- a/crates/tinbank-quarantine/src/report.rs
+++ b/crates/tinbank-quarantine/src/report.rs
@@ -79,12 +79,12 @@
     },
 }
 
-/// A quarantined request or part, as the store keeps it. No upstream gets it.
+/// A quarantined request or part, as the store keeps it. No upstream gets it but in trials.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Quarantined {
     /// The content of the request, or the part.
     pub subject: Fingerprint,
-    /// Which of the two it is.
+    /// What it is. Items are not stored.
     pub kind: Kind,
     /// Number of upstreams that crashed while they ran it.
     pub ended: u32,
--- a/crates/tinbank-quarantine/src/table.rs
+++ b/crates/tinbank-quarantine/src/table.rs
@@ -258,33 +258,21 @@
         parts: &[Fingerprint],
         now: Instant,
     ) -> Permission {
-        let is_item = self.suspects.get(&request).is_some_and(Suspect::is_item);
-        if let Some(until) = self.quarantined_until(request, now)
-            && !is_item
-        {
-            return Permission::Denied(Denial {
-                subject: request,
-                kind: Kind::Content,
-                until,
-            });
-        }
         let mut permission = Permission::Granted;
         for subject in std::iter::once(&request).chain(parts) {
             let Some(suspect) = self.suspects.get(subject) else {
                 continue;
             };
-            let Some(trials) = suspect.trials(source) else {
-                continue;
-            };
-            let until = trials.due_at(now);
-            if now < until {
+            if let Some(until) = suspect.denied_until(source, now) {
                 return Permission::Denied(Denial {
                     subject: *subject,
                     kind: suspect.kind(),
                     until,
                 });
             }
-            permission = Permission::Trial;
+            if suspect.trials(source).is_some() {
+                permission = Permission::Trial;
+            }
         }
         permission
     }
@@ -633,6 +621,15 @@
         matches!(self.blame, Blame::Item { .. })
     }
 
+    /// Returns until when requests of a source must not be sent because of it, if so.
+    fn denied_until(&self, source: Source, now: Instant) -> Option<Instant> {
+        let until = match self.trials(source) {
+            Some(trials) => trials.due_at(now),
+            None => self.quarantined_until?,
+        };
+        (now < until).then_some(until)
+    }
+
     /// Returns its trials by a source, if it is quarantined and may be tried.
     fn trials(&self, source: Source) -> Option<&Trials> {
         match &self.blame {
