--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -95,7 +95,8 @@
         self.members = {}
         self.generation = 0
         self.changed = asyncio.Condition()
-        self.hook = None
+        # Topics and partitions that answer nothing and do nothing, while the others serve.
+        self.silent = set()
         self.owners = {}
 
     async def start(self, ip):
@@ -124,17 +125,11 @@
                 method, target, _ = first.split(" ")
                 body = await read_body(reader, headers)
                 path, query = query_of(target)
-                if self.hook is not None:
-                    answered = await self.hook(path, query, body, headers)
-                    if answered == "silent":
-                        await asyncio.sleep(60)
-                        return
-                    if answered is not None:
-                        status, answer = answered
-                        writer.write(head(status, {"Content-Length": len(answer)}) + answer)
-                        await writer.drain()
-                        continue
+                if self.is_silent(query):
+                    return await asyncio.sleep(60)
                 status, answer = await self.answer(method, path, query, body)
+                if self.is_silent(query):
+                    return await asyncio.sleep(60)
                 kind = "application/octet-stream" if path == "/v1/log-read" else "application/json"
                 writer.write(head(status, {"Content-Type": kind, "Content-Length": len(answer)}) + answer)
                 await writer.drain()
@@ -143,6 +138,9 @@
         finally:
             writer.close()
 
+    def is_silent(self, query):
+        return (query.get("topic"), int(query.get("part", "0"))) in self.silent
+
     async def answer(self, method, path, query, body):
         part = int(query.get("part", "0"))
         topic = query.get("topic", "")
