sharing: another allocator acts for a failure domain without hosts

Cause: upstreams have one grantor, the allocator of their own failure domain, and requests go to failure domains with hosts only. Killed, left or never there: nobody grants.

Evidence: logs of all nine hosts of the case. Each skips the three lost allocators in turn, again and again, no slot request names the upstreams elsewhere, and 20 items a host stay due.

Why this works: every allocator hears every host once a second, so it knows whether a failure domain has hosts, at any size. One of them, elected by rank, announces to all that it acts, with an allocator of its own for that failure domain, so regions, evacuations and limits hold as before. Customers are counted once a host. It hands back to the first host there that reaches the store, and names it, so that it is not skipped. It also writes the builds that serve there (docs/design/vacant-failure-domains.md).

--- a/crates/tinbank-allocator/src/allocator.rs
+++ b/crates/tinbank-allocator/src/allocator.rs
@@ -7,18 +7,21 @@
 mod slot_request;
 
 use std::{
+    cell::RefCell,
     collections::VecDeque,
     net::SocketAddr,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
 use smallvec::SmallVec;
-use tinbank_allowance::{Counter, Counts, Reachability, Tolerance};
+use tinbank_allowance::{Counts, Tolerance};
 use tinbank_base::id;
 
 use self::choice::MAX_HEADROOM;
 use crate::{
     cause::Cause,
+    counting::Counting,
     entries::Entries,
     entry::Entry,
     frame::{Denial, Frame, HeartbeatReply, Holdings, Release, Room, SlotResponse, Verdict},
@@ -40,7 +43,7 @@
 /// How often a host reports its holdings, which is also its heartbeat.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which a lease that its holder no longer reports expires: three and a half heartbeats.
-const LEASE_DURATION: Duration = Duration::from_millis(3_500);
+pub(crate) const LEASE_DURATION: Duration = Duration::from_millis(3_500);
 /// Time without any slot request or heartbeat after which this allocator is no longer active.
 const ACTIVE_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a new allocator grants nothing to batch, so that every host reports its holdings first.
@@ -145,10 +148,8 @@
     services: Option<pace::Services>,
     /// State changes that are yet to be returned.
     changes: VecDeque<StateChange>,
-    /// How much of their allowances customers have used.
-    counter: Counter,
-    /// The hosts that use this allocator.
-    reachability: Reachability,
+    /// How much of their allowances customers have used, and the hosts that use the allocators of this host.
+    counting: Rc<RefCell<Counting>>,
     /// Free slots that are reported; `None` if they are not.
     reporter: Option<Reporter>,
 }
@@ -171,6 +172,23 @@
         tolerance: Tolerance,
         order: Box<dyn Order>,
         options: Options,
+    ) -> Self {
+        let counting = Rc::new(RefCell::new(Counting::new(seed, tolerance)));
+        Self::with_counting(seed, counting, order, options)
+    }
+
+    /// Creates an allocator for another failure domain at the same host. Both count customers' requests together, see
+    /// `docs/design/vacant-failure-domains.md`.
+    pub fn for_other_domain(&self, seed: u64, options: Options) -> Self {
+        let counting = Rc::clone(&self.counting);
+        Self::with_counting(seed, counting, options.order(), options)
+    }
+
+    fn with_counting(
+        seed: u64,
+        counting: Rc<RefCell<Counting>>,
+        order: Box<dyn Order>,
+        options: Options,
     ) -> Self {
         Self {
             upstreams: Entries::default(),
@@ -191,8 +209,7 @@
             oversized_quiet_until: None,
             services: options.measures_pace().then(pace::Services::default),
             changes: VecDeque::new(),
-            counter: Counter::new(seed, tolerance),
-            reachability: Reachability::default(),
+            counting,
             reporter: options.share_room.then(Reporter::default),
         }
     }
@@ -245,7 +262,7 @@
 
     /// Sets how many hosts are listed.
     pub fn set_host_count(&mut self, listed: usize, now: Instant) {
-        self.reachability.set_host_count(listed, now);
+        self.counting.borrow_mut().set_host_count(listed, now);
     }
 
     /// Sets what the allocator sends in response to heartbeats.
@@ -284,8 +301,7 @@
                 change
             }
             Frame::Counts(counts) => {
-                self.reachability.record_counts(from, &counts, now);
-                self.counter.apply(from, counts, now);
+                self.counting.borrow_mut().apply(from, counts, now);
                 None
             }
             Frame::Pace(report) => {
@@ -302,7 +318,9 @@
             | Frame::Quarantine(_)
             | Frame::Origins(_)
             | Frame::OriginQuery(_)
-            | Frame::OriginReply(_) => {
+            | Frame::OriginReply(_)
+            | Frame::Substitution(_)
+            | Frame::OnBehalf(_) => {
                 return (out, None);
             }
         };
@@ -327,8 +345,7 @@
         }
         self.order.reset();
         self.learning_until = Some(now + LEARNING_TIME);
-        self.counter.reset(false, now);
-        self.reachability.reset();
+        self.counting.borrow_mut().reset(now);
     }
 
     /// Returns the upstreams that may still process orphaned requests, which are those of hosts that were lost. An
@@ -375,19 +392,11 @@
     fn record_contact(&mut self, from: SocketAddr, now: Instant) -> Option<StateChange> {
         let idle = self.last_contact.is_none_or(|at| now > at + LEASE_DURATION);
         self.last_contact = Some(now);
-        if idle {
-            self.reachability.reset();
-        }
-        self.reachability.record_host(from, now);
-        let share = self.reachability.share(now);
-        self.counter.set_share(share, now);
+        self.counting.borrow_mut().record_contact(from, now);
         if !idle {
             return None;
         }
         self.learning_until = Some(now + LEARNING_TIME);
-        if !self.reachability.has_fresh_report(now) {
-            self.counter.reset(self.reachability.is_starting(now), now);
-        }
         for entry in self.upstreams.iter_mut() {
             entry.state.orphaned = None;
             entry.state.slow_start.reset(now);
@@ -414,21 +423,15 @@
     /// Returns the customer counts to send to other allocators, if this one is active.
     pub fn counts(&mut self, now: Instant) -> Option<Counts> {
         match self.is_active(now) {
-            true => {
-                let reachability = &self.reachability;
-                self.counter.next_counts(reachability, now)
-            }
+            true => self.counting.borrow_mut().next_counts(now),
             false => None,
         }
     }
 
     /// Returns the hosts that have sent their counts within `age`.
-    pub fn recent_count_senders(
-        &self,
-        age: Duration,
-        now: Instant,
-    ) -> impl Iterator<Item = SocketAddr> {
-        self.reachability.recent_senders(age, now)
+    pub fn recent_count_senders(&self, age: Duration, now: Instant) -> SmallVec<[SocketAddr; 12]> {
+        let counting = self.counting.borrow();
+        counting.recent_senders(age, now).collect()
     }
 
     /// Returns the denials since the last call, see [`Order::take_denials`].
--- a/crates/tinbank-allocator/src/allocator/slot_request.rs
+++ b/crates/tinbank-allocator/src/allocator/slot_request.rs
@@ -47,7 +47,8 @@
     /// Returns the overrun if the request's customer has used up its allowance. Does not consume any of it.
     pub(super) fn check_limit(&mut self, request: &SlotRequest, now: Instant) -> Option<OverLimit> {
         let meter = request.meter.as_ref()?;
-        match self.counter.check(&meter.customer, meter.limit, now) {
+        let mut counting = self.counting.borrow_mut();
+        match counting.check(&meter.customer, meter.limit, now) {
             counter::Verdict::Within => None,
             counter::Verdict::Over(over) => Some(OverLimit {
                 retry_after_ms: over.retry_after.as_millis() as u32,
@@ -68,7 +69,8 @@
         let entry = &mut self.upstreams[index];
         let is_known = entry.state.grants.contains(from, request.lease);
         if let (false, Some(meter)) = (is_known, &request.meter) {
-            self.counter.take(&meter.customer, meter.limit, now);
+            let mut counting = self.counting.borrow_mut();
+            counting.take(&meter.customer, meter.limit, now);
         }
         let kept_tokens = entry.state.cache.kept_tokens(&request.size, now);
         let unread_tokens = request.size.prompt_tokens.saturating_sub(kept_tokens);
--- a/crates/tinbank-allocator/src/directory.rs
+++ b/crates/tinbank-allocator/src/directory.rs
@@ -98,6 +98,10 @@
     /// Sorted by the order in which they act for their failure domains, once per list since each request looks up
     /// allocators.
     peers: Vec<Peer>,
+    /// Positions of the hosts in `peers`.
+    positions: HashMap<SocketAddr, usize>,
+    /// The best of each resource that a host has.
+    best: Capacity,
     /// The failure domains of the hosts, sorted.
     failure_domains: Vec<id::FailureDomain>,
     /// Hosts that missed a response and have sent nothing since.
@@ -130,6 +134,9 @@
         peers.sort_by_cached_key(|peer| Rank::new(peer, best));
         let failure_domains: BTreeSet<_> = peers.iter().map(|it| &it.failure_domain).collect();
         self.failure_domains = failure_domains.into_iter().cloned().collect();
+        let positions = peers.iter().enumerate();
+        self.positions = positions.map(|(index, it)| (it.address, index)).collect();
+        self.best = best;
         self.peers = peers;
     }
 
@@ -269,7 +276,21 @@
 
     /// Returns the host with this datagram address.
     pub fn peer(&self, address: SocketAddr) -> Option<&Peer> {
-        self.peers.iter().find(|peer| peer.address == address)
+        self.peers.get(*self.positions.get(&address)?)
+    }
+
+    /// Returns the host with this datagram address, unless it is skipped as unresponsive.
+    pub fn responsive_peer(&self, address: SocketAddr, now: Instant) -> Option<&Peer> {
+        self.peer(address)
+            .filter(|peer| !self.is_skipped(peer.address, now))
+    }
+
+    /// Returns the sort key for the order in which allocators act for a failure domain without hosts. The strongest goes first,
+    /// since it also acts for its own.
+    pub fn substitute_rank(&self, vacant: &str, allocator: &Peer) -> impl Ord {
+        let mut hasher = SipHasher13::new();
+        (vacant, &allocator.failure_domain, allocator.address).hash(&mut hasher);
+        (allocator.capacity.halvings(self.best), hasher.finish())
     }
 
     /// Returns the allocators of all failure domains.
--- a/crates/tinbank-allocator/src/frame.rs
+++ b/crates/tinbank-allocator/src/frame.rs
@@ -9,7 +9,7 @@
 use tinbank_origin::{Answer, Origin, origin};
 use tinbank_quarantine::Update;
 
-use crate::{cause::Cause, lease, pace, size::Size};
+use crate::{cause::Cause, lease, pace, size::Size, vacancy::Vacant};
 
 /// First byte of each datagram; a host ignores datagrams of another version.
 const VERSION: u8 = 11;
@@ -67,6 +67,28 @@
     OriginQuery(OriginQuery),
     /// Reply to [`Frame::OriginQuery`].
     OriginReply(OriginReply),
+    /// For which failure domains without hosts the sending allocator acts.
+    Substitution(Substitution),
+    /// A frame to or from an allocator that acts for another failure domain than its own.
+    OnBehalf(OnBehalf),
+}
+
+/// For which failure domains an allocator acts, because none of their hosts responds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Substitution {
+    /// All of them.
+    pub acting_for: Vacant,
+    /// Hosts that respond again in failure domains that it no longer acts for. Other hosts may have skipped them.
+    pub returned: SmallVec<[SocketAddr; 4]>,
+}
+
+/// A frame about the slots of a failure domain whose allocator runs on a host of another one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OnBehalf {
+    /// The failure domain whose slots it is about.
+    pub failure_domain: id::FailureDomain,
+    /// What would be exchanged with an allocator there.
+    pub frame: Box<Frame>,
 }
 
 /// Where a stream began.
--- a/crates/tinbank-allocator/src/lib.rs
+++ b/crates/tinbank-allocator/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod allocator;
 pub mod avoidance;
 pub mod cause;
+mod counting;
 pub mod directory;
 mod entries;
 mod entry;
@@ -27,6 +28,7 @@
 pub mod size;
 pub mod slow_start;
 pub mod smoothed_duration;
+pub mod vacancy;
 mod waiting;
 pub mod withdrawal;
 
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -77,6 +77,11 @@
     metrics::gauge!("tinbank_entry_known_origins").set(streams as f64);
 }
 
+/// Records for how many failure domains without hosts this host grants the slots.
+pub(crate) fn set_vacant_failure_domains(domains: usize) {
+    metrics::gauge!("tinbank_entry_vacant_failure_domains").set(domains as f64);
+}
+
 /// Records an attempt that got no usable response from its upstream.
 pub(crate) fn record_failed_attempt(why: &'static str) {
     metrics::counter!("tinbank_entry_failed_attempts_total", "why" => why).increment(1);
--- a/crates/tinbank-gateway/src/node.rs
+++ b/crates/tinbank-gateway/src/node.rs
@@ -113,12 +113,16 @@
         pauses
     }
 
-    /// Passes the current upstreams of the own failure domain to the allocator of this host.
+    /// Passes the current upstreams of the own failure domain to the allocator of this host, and those of the failure domains that
+    /// it acts for.
     pub fn update_allocator(&self) {
-        let upstreams = self
-            .view
-            .allocatable(&self.settings.failure_domain, Instant::now());
+        let now = Instant::now();
+        let upstreams = self.view.allocatable(&self.settings.failure_domain, now);
         self.sharing.set_upstreams(upstreams);
+        for domain in self.sharing.acting_for() {
+            let upstreams = self.view.allocatable(&domain, now);
+            self.sharing.set_substitute_upstreams(&domain, upstreams);
+        }
     }
 
     /// Returns the next number of the sequence by which services are selected in proportion to their weights.
--- a/crates/tinbank-gateway/src/origin/builds.rs
+++ b/crates/tinbank-gateway/src/origin/builds.rs
@@ -75,13 +75,18 @@
         || node.view.builds(&[&origin.service]).contains(origin)
 }
 
-/// Writes which builds of the own failure domain appear and disappear, for as long as the process runs. Only allocators do so.
+/// Writes which builds of the own failure domain, and of those that this host acts for, appear and disappear, for as long as the
+/// process runs. Only allocators do so.
 pub(crate) async fn write_to_store(node: Rc<Node>) {
     loop {
         let is_allocator = node.sharing.is_allocator(Instant::now());
-        if is_allocator && let Some(changes) = pending_writes(&node) {
-            for change in changes {
-                write(&node, change).await;
+        if is_allocator {
+            let own = node.settings.failure_domain.clone();
+            let substituted = node.sharing.acting_for();
+            for domain in std::iter::once(own).chain(substituted) {
+                for change in pending_writes(&node, &domain).unwrap_or_default() {
+                    write(&node, change).await;
+                }
             }
         }
         time::sleep(match is_allocator {
@@ -92,12 +97,11 @@
     }
 }
 
-/// Returns what the store lacks, if both lists were read.
-fn pending_writes(node: &Node) -> Option<Vec<Change>> {
+/// Returns what the store lacks of a failure domain, if both lists were read.
+fn pending_writes(node: &Node, domain: &str) -> Option<Vec<Change>> {
     let view = &node.view;
     view.position(List::Upstreams)?;
     view.position(List::Builds)?;
-    let domain = &node.settings.failure_domain;
     let listed = view.builds_in(domain);
     let history = node.origins.builds.history();
     Some(history.changes(domain, &listed, SystemTime::now()))
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -11,11 +11,12 @@
 mod peers;
 mod pending;
 mod room;
+mod substitution;
 mod withdrawal;
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     hash::{Hash, Hasher},
     net::SocketAddr,
     time::{Duration, Instant},
@@ -26,7 +27,7 @@
 use tinbank_allocator::{
     Allocator, Directory, Options,
     admission::Backlog,
-    allocator::{HEARTBEAT_INTERVAL, Upstream},
+    allocator::{HEARTBEAT_INTERVAL, Outgoing, Upstream},
     avoidance::Avoidance,
     cause::Cause,
     directory::Peer,
@@ -36,6 +37,7 @@
     memory,
     room::Rooms,
     size::Size,
+    vacancy::Vacancies,
     withdrawal::Withdrawals,
 };
 use tinbank_allowance::{FallbackLimiter, Tolerance};
@@ -47,6 +49,7 @@
     sync::{Notify, mpsc},
 };
 
+use self::substitution::Substitute;
 pub(crate) use self::{
     counts::broadcast_counts,
     held::Lease,
@@ -54,6 +57,7 @@
     origins::Keepers,
     peers::{heartbeat, receive},
     room::broadcast_room,
+    substitution::Grantor,
 };
 use crate::measure;
 
@@ -67,6 +71,7 @@
     own: Peer,
     state: RefCell<State>,
     next_lease_id: Cell<lease::Id>,
+    options: Options,
     /// Whether free slots are reported, and used to choose failure domains.
     shares_room: bool,
     /// Notified when this host's allocator starts to collect the leases of other hosts.
@@ -79,7 +84,11 @@
 }
 
 struct State {
+    /// Allocator of the own failure domain.
     allocator: Allocator,
+    /// Allocators of failure domains that this host acts for.
+    substitutes: BTreeMap<id::FailureDomain, Substitute>,
+    vacancies: Vacancies,
     directory: Directory,
     /// Slot requests without a final verdict.
     pending: HashMap<lease::Id, mpsc::UnboundedSender<Verdict>>,
@@ -165,6 +174,8 @@
         let socket = UdpSocket::bind(own.address).await?;
         let state = State {
             allocator: Allocator::with_options(seed, tolerance, options),
+            substitutes: BTreeMap::new(),
+            vacancies: Vacancies::default(),
             directory: Directory::default(),
             pending: HashMap::new(),
             holdings: HashMap::new(),
@@ -183,6 +194,7 @@
             own,
             state: RefCell::new(state),
             next_lease_id: Cell::new(first),
+            options,
             shares_room: options.share_room,
             learning: Notify::new(),
             store_read_at: Cell::new(None),
@@ -201,7 +213,7 @@
         let mut state = self.state.borrow_mut();
         let out = state.allocator.set_upstreams(upstreams);
         if self.measures_pace {
-            measure::set_slow_upstreams(state.allocator.slow_upstreams(Instant::now()));
+            measure::set_slow_upstreams(state.slow_upstreams(Instant::now()));
         }
         drop(state);
         self.send_all(out);
@@ -210,12 +222,15 @@
     /// Sets the position up to which the list of upstreams was read, whether it changed or not, and which of them are missing.
     pub fn set_list(&self, position: Position, missing: Vec<Missing>) {
         let mut state = self.state.borrow_mut();
-        state.allocator.set_list(position, missing);
+        for allocator in state.allocators_mut() {
+            allocator.set_list(position, missing.clone());
+        }
     }
 
     /// Returns whether the allocator has removed listed upstreams because other hosts reported that they are leaving.
     pub fn lacks_upstreams(&self) -> bool {
-        self.state.borrow().allocator.has_removed_upstreams()
+        let state = self.state.borrow();
+        state.allocators().any(Allocator::has_removed_upstreams)
     }
 
     /// Sets the listed hosts.
@@ -245,7 +260,10 @@
     /// Discards state that may be outdated after the process was suspended.
     pub fn reset_after_pause(&self, now: Instant) {
         let mut state = self.state.borrow_mut();
-        state.allocator.forget_leases(now);
+        for allocator in state.allocators_mut() {
+            allocator.forget_leases(now);
+        }
+        state.vacancies.reset(now);
         state.awaiting_reply.clear();
         self.store_read_at.set(None);
         self.learning.notify_one();
@@ -380,24 +398,38 @@
     /// Returns the upstreams that may still run requests of failed hosts.
     fn upstreams_to_poll(&self) -> Vec<Upstream> {
         let state = self.state.borrow();
-        state.allocator.upstreams_to_poll().cloned().collect()
+        let now = Instant::now();
+        let allocators = state.allocators().filter(|it| it.needs_load_reports(now));
+        let upstreams = allocators.flat_map(Allocator::upstreams_to_poll);
+        upstreams.cloned().collect()
     }
 
     /// Records the number of requests that an upstream reported.
     fn record_load(&self, upstream: &id::Instance, requests: usize, now: Instant) {
         let mut state = self.state.borrow_mut();
-        let out = state.allocator.record_load(upstream, requests, now);
+        let own = state.allocator.record_load(upstream, requests, now);
+        let substitutes = state.substitutes.iter_mut();
+        let others = substitutes.map(|(domain, it)| {
+            let out = it.allocator.record_load(upstream, requests, now);
+            (domain.clone(), out)
+        });
+        let others: SmallVec<[(id::FailureDomain, Outgoing); 2]> = others.collect();
         drop(state);
-        self.send_all(out);
+        self.send_all(own);
+        for (domain, out) in others {
+            self.send_from(Some(&domain), out);
+        }
     }
 
     /// Stops accounting for requests of failed hosts.
     fn clear_orphaned(&self) {
-        self.state.borrow_mut().allocator.clear_orphaned();
+        let mut state = self.state.borrow_mut();
+        state.allocators_mut().for_each(Allocator::clear_orphaned);
     }
 
     fn needs_load_reports(&self, now: Instant) -> bool {
-        self.state.borrow().allocator.needs_load_reports(now)
+        let state = self.state.borrow();
+        state.allocators().any(|it| it.needs_load_reports(now))
     }
 
     fn avoided_upstreams(&self, now: Instant) -> SmallVec<[id::Instance; 4]> {
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -4,7 +4,6 @@
 mod tests;
 
 use std::{
-    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -19,7 +18,7 @@
 };
 use tinbank_base::id;
 
-use super::{Allocation, Lease, Sharing, SlotSpec, pending::Pending};
+use super::{Allocation, Grantor, Lease, Sharing, SlotSpec, pending::Pending};
 use crate::{measure, node::Node};
 
 /// Number of granted upstreams that turn out to be leaving after which the failure domain counts as full.
@@ -66,7 +65,8 @@
     pub async fn lease(self: &Rc<Self>, node: &Node, spec: &SlotSpec<'_>) -> Allocation {
         let turn = self.next_lease_id.get();
         let own = &self.own.failure_domain;
-        let mut domains = self.state.borrow().directory.failure_domains(own, turn);
+        let now = Instant::now();
+        let mut domains = self.state.borrow().granted_domains(own, turn, now);
         let regions = &node.settings.regions;
         domains.retain(|domain| {
             !node.view.is_evacuated(domain) && regions.permits(spec.allowed, domain)
@@ -208,9 +208,10 @@
         returned: &[id::Instance],
     ) -> SlotResult {
         let now = Instant::now();
-        let Some(allocator) = self.state.borrow().directory.allocator(domain, now) else {
+        let Some(grantor) = self.grantor(domain, now) else {
             return SlotResult::Unresponsive;
         };
+        let allocator = grantor.host;
         let lease = self.new_lease_id();
         let exclude = spec.exclude.iter().chain(returned);
         let mut exclude: SmallVec<[id::Instance; 4]> = exclude.cloned().collect();
@@ -231,7 +232,7 @@
             size: spec.size.clone(),
             max_gap_ms: spec.max_gap.map(|it| it.as_millis() as u32),
         };
-        let mut pending = Pending::send(self, allocator, request);
+        let mut pending = Pending::send(self, grantor.clone(), request);
         let mut verdict = pending
             .first_verdict(now, self.response_timeout(allocator))
             .await;
@@ -247,12 +248,12 @@
         }
         match verdict {
             Some(Verdict::Granted(grant)) => {
-                let lease = self.add_holding(lease, spec, domain, Some(allocator), grant);
+                let lease = self.add_holding(lease, spec, domain, Some(grantor), grant);
                 SlotResult::Granted(lease)
             }
             Some(Verdict::OverLimit(over)) => {
                 let retry_after = Duration::from_millis(over.retry_after_ms.into());
-                log_over_limit(spec, allocator, over);
+                log_over_limit(spec, &grantor, over);
                 SlotResult::OverLimit(retry_after)
             }
             Some(Verdict::Denied(denial)) => {
@@ -318,7 +319,7 @@
     }
 }
 
-fn log_over_limit(spec: &SlotSpec<'_>, allocator: SocketAddr, over: OverLimit) {
+fn log_over_limit(spec: &SlotSpec<'_>, allocator: &Grantor, over: OverLimit) {
     let Some(meter) = spec.meter else {
         return;
     };
--- a/crates/tinbank-gateway/src/sharing/held.rs
+++ b/crates/tinbank-gateway/src/sharing/held.rs
@@ -18,7 +18,7 @@
 use tinbank_origin::Origin;
 use tokio::{sync::Notify, time};
 
-use super::{Sharing, SlotSpec};
+use super::{Grantor, Sharing, SlotSpec};
 use crate::measure;
 
 /// The right to run one request at one upstream. Dropping it releases the slot.
@@ -31,7 +31,7 @@
     pub queued: bool,
     sharing: Rc<Sharing>,
     id: lease::Id,
-    allocator: Option<SocketAddr>,
+    allocator: Option<Grantor>,
     reclaimed: Rc<Notify>,
     outcome: Cell<Outcome>,
     /// The pace that the allocator expects, if it knows it.
@@ -48,14 +48,14 @@
 
     /// Returns the allocator that granted the lease, for logs.
     pub fn granted_by(&self) -> String {
-        self.allocator
-            .map_or_else(|| "none".to_owned(), |allocator| allocator.to_string())
+        let allocator = self.allocator.as_ref();
+        allocator.map_or_else(|| "none".to_owned(), Grantor::to_string)
     }
 
     /// Returns the time to allow for a round trip to the upstream. It is as far away as the allocator of its failure domain.
     pub fn round_trip_timeout(&self) -> Duration {
-        let allocator = self.allocator;
-        allocator.map_or(Duration::ZERO, |host| self.sharing.response_timeout(host))
+        let allocator = self.allocator.as_ref();
+        allocator.map_or(Duration::ZERO, |it| self.sharing.response_timeout(it.host))
     }
 
     /// Sets the outcome that is reported when the lease is dropped.
@@ -109,7 +109,7 @@
     }
 
     fn report(&self, sample: Option<Sample>) {
-        let (Some(allocator), Some(sample)) = (self.allocator, sample) else {
+        let (Some(allocator), Some(sample)) = (&self.allocator, sample) else {
             return;
         };
         measure::record_late_event(sample);
@@ -118,7 +118,8 @@
             upstream: self.upstream.clone(),
             sample,
         };
-        self.sharing.send(allocator, &Frame::Pace(report));
+        let frame = allocator.address(Frame::Pace(report));
+        self.sharing.send(allocator.host, &frame);
     }
 }
 
@@ -144,7 +145,7 @@
         id: lease::Id,
         spec: &SlotSpec<'_>,
         domain: &str,
-        allocator: Option<SocketAddr>,
+        allocator: Option<Grantor>,
         grant: Grant,
     ) -> Lease {
         let reclaimed = Rc::new(Notify::new());
@@ -183,7 +184,7 @@
             .avoidance
             .record_outcome(&lease.upstream, outcome, now);
         drop(state);
-        let Some(allocator) = lease.allocator else {
+        let Some(allocator) = &lease.allocator else {
             return;
         };
         let release = Release {
@@ -192,6 +193,7 @@
             outcome,
             pace: lease.meter.borrow().as_ref().and_then(|it| it.sample()),
         };
-        self.send(allocator, &Frame::Release(release));
+        let frame = allocator.address(Frame::Release(release));
+        self.send(allocator.host, &frame);
     }
 }
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -8,14 +8,19 @@
 
 use smallvec::SmallVec;
 use tinbank_allocator::{
+    Allocator,
     allocator::{HEARTBEAT_INTERVAL, Outgoing, Oversized, StateChange},
-    frame::{self, Frame, Grant, HeartbeatReply, Holdings, MAX_DATAGRAM_BYTES, Release, Verdict},
+    frame::{
+        self, Frame, Grant, HeartbeatReply, Holdings, MAX_DATAGRAM_BYTES, OnBehalf, Release,
+        Verdict,
+    },
     lease::{self, Held, Outcome},
     leaving::Doubt,
+    order::Denials,
 };
 use tokio::time;
 
-use super::Sharing;
+use super::{Grantor, Sharing, substitution};
 use crate::{measure, node::Node};
 
 impl Sharing {
@@ -26,6 +31,7 @@
             state.awaiting_reply.remove(&from);
             let is_back = state.directory.record_datagram(from);
             drop(state);
+            self.record_domain_contact(from, now);
             if is_back {
                 log::info!(peer:% = from; "host responds again");
                 // The host may be an allocator again and has outdated holdings.
@@ -33,49 +39,83 @@
             }
         }
         match frame {
-            Frame::SlotResponse(answer) => self.on_answer(from, answer),
+            Frame::OnBehalf(OnBehalf {
+                failure_domain,
+                frame,
+            }) => {
+                let grantor = Grantor {
+                    host: from,
+                    acting_for: Some(failure_domain),
+                };
+                self.handle(&grantor, *frame, now);
+            }
+            frame => self.handle(&Grantor::from(from), frame, now),
+        }
+    }
+
+    /// Handles a frame from an allocator, or one to the allocator of the failure domain that the sender names.
+    fn handle(&self, sender: &Grantor, frame: Frame, now: Instant) {
+        let from = sender.host;
+        match frame {
+            Frame::SlotResponse(answer) => self.on_answer(sender, answer),
             Frame::Ping => self.send(from, &Frame::HeartbeatReply(self.alive(now))),
             Frame::Reclaim(lease) => self.reclaim(lease),
-            Frame::Denial(denial) => self.on_denial(from, denial, now),
+            Frame::Denial(denial) => self.on_denial(sender, denial, now),
             Frame::Room(report) => self.record_room(report, now),
             Frame::Overloaded(notice) => self.record_overloaded(from, notice, now),
+            Frame::Substitution(substitution) => self.on_substitution(from, &substitution, now),
             Frame::HeartbeatReply(alive) => {
                 let mut state = self.state.borrow_mut();
                 state.directory.record_heartbeat_reply(from, now);
                 if alive.may_withdraw {
                     self.record_permission(now);
                 }
-                if let Some(room) = alive.room {
-                    state.record_own_room(from, room, now);
-                }
                 match alive.reaches_store {
                     true => state.store_reachable_at.insert(from, now),
                     false => state.store_reachable_at.remove(&from),
                 };
-            }
-            frame => {
-                let mut state = self.state.borrow_mut();
-                let reply = HeartbeatReply {
-                    may_withdraw: state.withdrawals.may_withdraw(from, now),
-                    ..self.alive(now)
-                };
-                state.allocator.set_heartbeat_reply(reply);
-                let (mut out, change) = state.allocator.receive(from, frame, now);
-                if self.shares_room {
-                    state.add_rooms(&mut out, &self.own.failure_domain, now);
-                }
-                let summary = state.allocator.take_summary();
-                if let Some(StateChange::Slowed(_) | StateChange::Recovered(_)) = change {
-                    measure::set_slow_upstreams(state.allocator.slow_upstreams(now));
-                }
                 drop(state);
-                measure::record_placements(summary);
-                if change == Some(StateChange::Learning) {
-                    self.learning.notify_one();
+                if let Some(room) = alive.room {
+                    self.record_grantor_room(sender, room, now);
                 }
-                log_change(change, from);
-                self.send_all(out);
             }
+            frame => self.handle_at_allocator(sender, frame, now),
+        }
+    }
+
+    /// Handles a frame at the allocator of the own failure domain, or at the one that acts for another.
+    fn handle_at_allocator(&self, sender: &Grantor, frame: Frame, now: Instant) {
+        let from = sender.host;
+        let domain = sender.acting_for.as_deref();
+        let is_heartbeat = matches!(frame, Frame::Holdings(_));
+        let mut state = self.state.borrow_mut();
+        let reply = HeartbeatReply {
+            may_withdraw: state.withdrawals.may_withdraw(from, now),
+            ..self.alive(now)
+        };
+        let Some(allocator) = state.allocator_of(domain) else {
+            drop(state);
+            self.deny_on_behalf(sender, frame);
+            return;
+        };
+        allocator.set_heartbeat_reply(reply);
+        let (mut out, change) = allocator.receive(from, frame, now);
+        let summary = allocator.take_summary();
+        if self.shares_room {
+            state.add_rooms(&mut out, &self.own.failure_domain, domain, now);
+        }
+        if let Some(StateChange::Slowed(_) | StateChange::Recovered(_)) = change {
+            measure::set_slow_upstreams(state.slow_upstreams(now));
+        }
+        drop(state);
+        measure::record_placements(summary);
+        if change == Some(StateChange::Learning) {
+            self.learning.notify_one();
+        }
+        log_change(change, from);
+        self.send_from(domain, out);
+        if is_heartbeat && domain.is_none() {
+            self.reply_substitution(from);
         }
     }
 
@@ -85,7 +125,7 @@
         }
     }
 
-    pub(super) fn on_answer(&self, from: SocketAddr, answer: frame::SlotResponse) {
+    pub(super) fn on_answer(&self, from: &Grantor, answer: frame::SlotResponse) {
         let frame::SlotResponse { lease, verdict } = answer;
         let state = self.state.borrow();
         let unclaimed = match state.pending.get(&lease) {
@@ -96,13 +136,15 @@
         match unclaimed {
             // The caller has left, so the slot is released at once.
             Some(Verdict::Granted(grant)) => self.release_unused(from, lease, grant),
-            Some(Verdict::Waiting) => self.send(from, &Frame::Withdraw(lease)),
+            Some(Verdict::Waiting) => {
+                self.send(from.host, &from.address(Frame::Withdraw(lease)));
+            }
             Some(Verdict::Denied(_) | Verdict::OverLimit(_)) | None => {}
         }
     }
 
     /// Releases a slot that was not used, unless the grant is a duplicate of one that is in use.
-    pub(super) fn release_unused(&self, allocator: SocketAddr, lease: lease::Id, grant: Grant) {
+    pub(super) fn release_unused(&self, allocator: &Grantor, lease: lease::Id, grant: Grant) {
         if self.state.borrow().holdings.contains_key(&lease) {
             return;
         }
@@ -112,7 +154,7 @@
             outcome: Outcome::Inconclusive,
             pace: None,
         };
-        self.send(allocator, &Frame::Release(release));
+        self.send(allocator.host, &allocator.address(Frame::Release(release)));
     }
 
     fn reclaim(&self, lease: lease::Id) {
@@ -138,11 +180,11 @@
     /// Sends each allocator the leases that this host holds in its failure domain.
     pub(super) fn send_holdings(&self, now: Instant) {
         let next = self.next_lease_id.get();
-        let mut messages: SmallVec<[(SocketAddr, Holdings); 4]> = SmallVec::new();
+        let mut messages: SmallVec<[(Grantor, Holdings); 4]> = SmallVec::new();
         let state = self.state.borrow();
         let own = &self.own.failure_domain;
-        for domain in state.directory.failure_domains(own, 0) {
-            let Some(allocator) = state.directory.allocator(&domain, now) else {
+        for domain in state.granted_domains(own, 0, now) {
+            let Some(allocator) = self.grantor(&domain, now) else {
                 continue;
             };
             let held = state
@@ -160,8 +202,8 @@
         }
         drop(state);
         for (to, holdings) in messages {
-            self.expect_reply(to, now);
-            self.send(to, &Frame::Holdings(holdings));
+            self.expect_reply(to.host, now);
+            self.send(to.host, &to.address(Frame::Holdings(holdings)));
         }
     }
 
@@ -186,17 +228,11 @@
 
     /// Reports which customers this host's allocator has denied slots since the last heartbeat.
     fn report_denials(&self) {
-        let Some(denials) = self.state.borrow_mut().allocator.take_denials() else {
-            return;
-        };
-        log::info!(
-            denied = denials.total,
-            customers = denials.customers,
-            busiest:% = denials.busiest,
-            of_busiest = denials.of_busiest;
-            "customers denied slots"
-        );
-        measure::record_customer_denials(&denials);
+        let mut state = self.state.borrow_mut();
+        let denials = state.allocators_mut().filter_map(Allocator::take_denials);
+        let denials: SmallVec<[Denials; 2]> = denials.collect();
+        drop(state);
+        denials.iter().for_each(log_denials);
     }
 
     /// Expects a reply from a host before the next heartbeat.
@@ -210,6 +246,17 @@
     }
 }
 
+fn log_denials(denials: &Denials) {
+    log::info!(
+        denied = denials.total,
+        customers = denials.customers,
+        busiest:% = denials.busiest,
+        of_busiest = denials.of_busiest;
+        "customers denied slots"
+    );
+    measure::record_customer_denials(denials);
+}
+
 fn log_change(change: Option<StateChange>, from: SocketAddr) {
     match change {
         Some(StateChange::Ejected(upstream)) => {
@@ -289,6 +336,7 @@
             sharing.record_timeout(peer, "no answer to a heartbeat");
         }
         let now = Instant::now();
+        substitution::update(&node, now);
         sharing.send_holdings(now);
         sharing.ping(now);
         sharing.report_denials();
--- a/crates/tinbank-gateway/src/sharing/pending.rs
+++ b/crates/tinbank-gateway/src/sharing/pending.rs
@@ -1,7 +1,6 @@
 //! A slot request in progress.
 
 use std::{
-    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -9,7 +8,7 @@
 use tinbank_allocator::frame::{Frame, SlotRequest, Verdict};
 use tokio::{sync::mpsc, time};
 
-use super::Sharing;
+use super::{Grantor, Sharing};
 
 /// Time after which a request is sent again in case a datagram was lost, in percent of the response timeout. The
 /// response has usually arrived by then, and the second request still has time for its own.
@@ -21,7 +20,7 @@
 /// meanwhile.
 pub(super) struct Pending {
     sharing: Rc<Sharing>,
-    allocator: SocketAddr,
+    allocator: Grantor,
     request: SlotRequest,
     verdicts: mpsc::UnboundedReceiver<Verdict>,
     last: Option<Verdict>,
@@ -29,7 +28,7 @@
 
 impl Pending {
     /// Sends a request to an allocator.
-    pub fn send(sharing: &Rc<Sharing>, allocator: SocketAddr, request: SlotRequest) -> Self {
+    pub fn send(sharing: &Rc<Sharing>, allocator: Grantor, request: SlotRequest) -> Self {
         let (sender, verdicts) = mpsc::unbounded_channel();
         let lease = request.lease;
         sharing.state.borrow_mut().pending.insert(lease, sender);
@@ -83,7 +82,12 @@
 
     fn resend(&self) {
         let frame = Frame::SlotRequest(self.request.clone());
-        self.sharing.send(self.allocator, &frame);
+        self.send_frame(frame);
+    }
+
+    fn send_frame(&self, frame: Frame) {
+        let frame = self.allocator.address(frame);
+        self.sharing.send(self.allocator.host, &frame);
     }
 }
 
@@ -92,13 +96,12 @@
         let lease = self.request.lease;
         self.sharing.state.borrow_mut().pending.remove(&lease);
         if self.is_queued() {
-            let frame = Frame::Withdraw(lease);
-            self.sharing.send(self.allocator, &frame);
+            self.send_frame(Frame::Withdraw(lease));
         }
         self.verdicts.close();
         while let Ok(verdict) = self.verdicts.try_recv() {
             if let Verdict::Granted(grant) = verdict {
-                self.sharing.release_unused(self.allocator, lease, grant);
+                self.sharing.release_unused(&self.allocator, lease, grant);
             }
         }
     }
--- a/crates/tinbank-gateway/src/sharing/room.rs
+++ b/crates/tinbank-gateway/src/sharing/room.rs
@@ -15,7 +15,7 @@
 use tinbank_base::id;
 use tokio::time;
 
-use super::{Sharing, SlotSpec, State, ask::SlotResult};
+use super::{Grantor, Sharing, SlotSpec, State, ask::SlotResult};
 use crate::measure;
 
 /// Time between two reports of an allocator to the others, which pass them on with denials. Demand of a failure domain
@@ -92,7 +92,7 @@
     }
 
     /// Handles a denial that carries reports.
-    pub(super) fn on_denial(&self, from: SocketAddr, report: DenialReport, now: Instant) {
+    pub(super) fn on_denial(&self, from: &Grantor, report: DenialReport, now: Instant) {
         let response = SlotResponse {
             lease: report.lease,
             verdict: Verdict::Denied(report.denial),
@@ -119,15 +119,18 @@
         let Some(room) = state.allocator.room(now) else {
             return now + ROLE_CHECK_INTERVAL;
         };
-        let allocators = state.directory.allocators(now);
+        let mut allocators = state.directory.allocators(now);
         drop(state);
-        let frame = Frame::Room(RoomReport {
+        allocators.retain(|it| *it != self.own.address);
+        let own = RoomReport {
             failure_domain: self.own.failure_domain.clone(),
             age_ms: 0,
             room,
-        });
-        for other in allocators.into_iter().filter(|it| *it != self.own.address) {
-            self.send(other, &frame);
+        };
+        let substitutes = self.take_substitute_rooms(now).into_iter();
+        for report in std::iter::once(own).chain(substitutes) {
+            let frame = Frame::Room(report);
+            allocators.iter().for_each(|it| self.send(*it, &frame));
         }
         now + BROADCAST_INTERVAL
     }
@@ -141,9 +144,16 @@
         }
     }
 
-    /// Adds what is known of free slots to denials: of the own failure domain from the allocator, and for hosts of the own
-    /// failure domain also of the others from their reports. Bytes between failure domains have a price.
-    pub(super) fn add_rooms(&mut self, out: &mut Outgoing, own: &id::FailureDomain, now: Instant) {
+    /// Adds what is known of free slots to denials: of the failure domain whose slots are denied from its allocator, and for hosts
+    /// of the own failure domain also of the others from their reports. Bytes between failure domains have a price.
+    pub(super) fn add_rooms(
+        &mut self,
+        out: &mut Outgoing,
+        own: &id::FailureDomain,
+        acting_for: Option<&str>,
+        now: Instant,
+    ) {
+        let denied = acting_for.unwrap_or(own).to_owned();
         for (to, frame) in out.iter_mut() {
             let Frame::SlotResponse(SlotResponse { lease, verdict }) = frame else {
                 continue;
@@ -151,19 +161,20 @@
             let Verdict::Denied(denial) = *verdict else {
                 continue;
             };
-            let own_room = self.allocator.room(now).map(|room| RoomReport {
-                failure_domain: own.clone(),
+            let room = self.allocator_of(acting_for).and_then(|it| it.room(now));
+            let denied_room = room.map(|room| RoomReport {
+                failure_domain: denied.clone(),
                 age_ms: 0,
                 room,
             });
             let others = self.rooms.recent(now);
             let receiver = self.directory.peer(*to);
             let is_near = receiver.is_some_and(|it| it.failure_domain == *own);
-            let others = others.filter(|it| is_near && it.failure_domain != *own);
+            let others = others.filter(|it| is_near && it.failure_domain != denied);
             *frame = Frame::Denial(DenialReport {
                 lease: *lease,
                 denial,
-                rooms: own_room.into_iter().chain(others).collect(),
+                rooms: denied_room.into_iter().chain(others).collect(),
             });
         }
     }
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -232,6 +232,15 @@
         self.builds_of(|it| it.failure_domain == failure_domain)
     }
 
+    /// Returns the failure domains in which upstreams are listed.
+    pub fn domains_with_upstreams(&self) -> BTreeSet<id::FailureDomain> {
+        let replica = self.upstreams.borrow();
+        // Thousands of upstreams are in few failure domains.
+        let present = replica.listing().present();
+        let named: BTreeSet<_> = present.map(|it| &it.failure_domain).collect();
+        named.into_iter().cloned().collect()
+    }
+
     fn builds_of(&self, matches: impl Fn(&Upstream) -> bool) -> BTreeSet<Origin> {
         let replica = self.upstreams.borrow();
         let present = replica.listing().present().filter(|it| matches(it));
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -344,6 +344,11 @@
         labels: &["what"],
         help: "Whether a list or log at the store can be read; there once it was lost.",
     },
+    gauge(
+        "tinbank_entry_vacant_failure_domains",
+        "failure domains",
+        "Failure domains without hosts whose slots this host grants.",
+    ),
     counter(
         "tinbank_failures_total",
         "answers",
