sharing: a returning host gets its failure domain back as soon as it reaches the store

The substitute asked them once a second, and ended at its next heartbeat.

Change: a host whose failure domain has a substitute reports to it with each read of the log of jobs, and the substitute ends when it hears so.

--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -277,6 +277,7 @@
     /// Records that this host has read the store to its end.
     pub fn record_store_read(&self, now: Instant) {
         self.store_read_at.set(Some(now));
+        self.report_return(now);
     }
 
     /// Records that this host no longer follows the job log, so that other hosts forward no job calls to it.
--- a/crates/tinbank-gateway/src/sharing/peers.rs
+++ b/crates/tinbank-gateway/src/sharing/peers.rs
@@ -75,6 +75,9 @@
                     false => state.store_reachable_at.remove(&from),
                 };
                 drop(state);
+                if alive.reaches_store {
+                    self.hand_back(from, now);
+                }
                 if let Some(room) = alive.room {
                     self.record_grantor_room(sender, room, now);
                 }
--- a/crates/tinbank-gateway/src/sharing/substitution.rs
+++ b/crates/tinbank-gateway/src/sharing/substitution.rs
@@ -303,19 +303,60 @@
     if !changed && acting_for.is_empty() {
         return;
     }
-    let acting_for = sharing.acting_for();
-    measure::set_vacant_failure_domains(acting_for.len());
-    let substitution = Substitution {
-        acting_for,
-        returned,
-    };
-    sharing.on_substitution(sharing.own.address, &substitution, now);
     if changed {
-        sharing.broadcast(&Frame::Substitution(substitution));
+        sharing.announce(returned, now);
+    } else {
+        sharing.record_own_announcement(returned, now);
     }
 }
 
 impl Sharing {
+    /// Ends to act for a failure domain one of whose hosts reaches the store, as soon as that is known.
+    pub(super) fn hand_back(&self, to: SocketAddr, now: Instant) {
+        let state = self.state.borrow();
+        let Some(domain) = state.directory.peer(to).map(|it| it.failure_domain.clone()) else {
+            return;
+        };
+        if !state.substitutes.contains_key(&domain) {
+            return;
+        }
+        drop(state);
+        let returned = self.end_acting(&domain, now);
+        self.announce(returned, now);
+    }
+
+    /// Tells the allocator that acts for the own failure domain that this host reaches the store now.
+    pub(super) fn report_return(&self, now: Instant) {
+        let own = &self.own.failure_domain;
+        let state = self.state.borrow();
+        let substitute = state.vacancies.substitute(own, &state.directory, now);
+        drop(state);
+        if let Some(substitute) = substitute {
+            self.send(substitute, &Frame::HeartbeatReply(self.alive(now)));
+        }
+    }
+
+    /// Tells all hosts for which failure domains this one acts from now on, and which hosts have returned in others.
+    fn announce(&self, returned: SmallVec<[SocketAddr; 4]>, now: Instant) {
+        measure::set_vacant_failure_domains(self.acting_for().len());
+        let substitution = self.record_own_announcement(returned, now);
+        self.broadcast(&Frame::Substitution(substitution));
+    }
+
+    /// Records for this host's own requests for which failure domains it acts.
+    fn record_own_announcement(
+        &self,
+        returned: SmallVec<[SocketAddr; 4]>,
+        now: Instant,
+    ) -> Substitution {
+        let substitution = Substitution {
+            acting_for: self.acting_for(),
+            returned,
+        };
+        self.on_substitution(self.own.address, &substitution, now);
+        substitution
+    }
+
     fn must_act(&self, domain: &str, is_acting: bool, now: Instant) -> bool {
         let state = self.state.borrow();
         let situation = Situation {
