origin: nothing is granted at a build that the store does not name while a named one serves

Callers would see: a resumed stream is answered 200 and whole, with its first events of one software version and the rest of another (ORDER; a report from a system like ours).

Cause: a build served as soon as it was listed, and was named in the store up to 200 ms later, or whenever the store took the write. If all hosts and all upstreams of that build were lost before, the store named one build, and a stream of the other one went on there as that of the only build that can have begun it.

Evidence: a test in which the store refuses just these writes.

Why this works: streams begin only at builds that the store names, or where no other serves, so the list that the last resort concludes from is never short of one. A build gets its first request some 200 ms later.

--- a/crates/tinbank-gateway/src/node.rs
+++ b/crates/tinbank-gateway/src/node.rs
@@ -7,7 +7,10 @@
     time::{Duration, Instant},
 };
 
-use tinbank_allocator::{admission::RouteTimings, smoothed_duration::SmoothedDuration};
+use tinbank_allocator::{
+    admission::RouteTimings, allocator::Upstream, smoothed_duration::SmoothedDuration,
+};
+use tinbank_origin::Origin;
 use tinbank_relay::{caller_timeout::CallerTimeout, route::Route};
 
 use crate::{
@@ -15,7 +18,7 @@
     border::{engine::Engine, ingress::Ingress, store::Store},
     clock::{ClockReading, PauseCount, PauseDetector},
     feed::Feed,
-    origin::Origins,
+    origin::{self, Origins},
     overload::Overload,
     quarantine::Quarantine,
     readiness::Readiness,
@@ -117,14 +120,28 @@
     /// it acts for.
     pub fn update_allocator(&self) {
         let now = Instant::now();
-        let upstreams = self.view.allocatable(&self.settings.failure_domain, now);
+        let upstreams = self.allocatable(&self.settings.failure_domain, now);
         self.sharing.set_upstreams(upstreams);
         for domain in self.sharing.acting_for() {
-            let upstreams = self.view.allocatable(&domain, now);
+            let upstreams = self.allocatable(&domain, now);
             self.sharing.set_substitute_upstreams(&domain, upstreams);
         }
     }
 
+    /// Returns the upstreams whose slots the allocator of a failure domain grants.
+    pub fn allocatable(&self, failure_domain: &str, now: Instant) -> Vec<Upstream> {
+        let mut upstreams = self.view.allocatable(failure_domain, now);
+        // Thousands of upstreams have few builds.
+        let mut withheld = self.view.builds_in(failure_domain);
+        withheld.retain(|it| !origin::may_begin(self, it));
+        let is_withheld = |it: &Origin, upstream: &Upstream| {
+            it.service == upstream.service && it.build == upstream.build
+        };
+        upstreams.retain(|upstream| !withheld.iter().any(|it| is_withheld(it, upstream)));
+        self.origins.builds.set_withheld(failure_domain, withheld);
+        upstreams
+    }
+
     /// Returns the next number of the sequence by which services are selected in proportion to their weights.
     pub fn next_draw(&self) -> u64 {
         let next = self.draws.get().wrapping_add(1);
--- a/crates/tinbank-gateway/src/origin/builds.rs
+++ b/crates/tinbank-gateway/src/origin/builds.rs
@@ -2,10 +2,12 @@
 
 use std::{
     cell::{Ref, RefCell},
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::{Duration, Instant, SystemTime},
 };
 
+use tinbank_base::id;
 use tinbank_origin::{
     History, Origin,
     history::{Change, Entry},
@@ -26,23 +28,27 @@
 
 /// The builds that have served, as the store keeps them.
 #[derive(Default)]
-pub(crate) struct Builds(RefCell<History>);
+pub(crate) struct Builds {
+    history: RefCell<History>,
+    /// Builds of each failure domain at which no stream may begin yet.
+    withheld: RefCell<BTreeMap<id::FailureDomain, BTreeSet<Origin>>>,
+}
 
 impl Builds {
     /// Returns what is known of the builds.
     pub fn history(&self) -> Ref<'_, History> {
-        self.0.borrow()
+        self.history.borrow()
     }
 
     /// Replaces what is known by all entries of the store.
     pub fn replace(&self, entries: Vec<Entry>) {
-        self.0.borrow_mut().replace(entries);
+        self.history.borrow_mut().replace(entries);
     }
 
     /// Applies entries that were read from the store. Returns whether there were any.
     pub fn apply_entries(&self, entries: Vec<ListEntry>, is_whole: bool) -> bool {
         let has_entries = is_whole || !entries.is_empty();
-        let mut history = self.0.borrow_mut();
+        let mut history = self.history.borrow_mut();
         if is_whole {
             history.replace([]);
         }
@@ -58,12 +64,28 @@
 
     /// Returns whether upstreams of an origin are listed in any failure domain.
     pub fn is_listed(&self, origin: &Origin) -> bool {
-        self.0.borrow().is_listed(origin)
+        self.history.borrow().is_listed(origin)
+    }
+
+    /// Returns whether no stream may begin at an origin yet: the store does not name it, and upstreams of its service that the store
+    /// names serve as well. After a loss of all hosts, streams of an unnamed build would be taken for those of a named one.
+    fn withholds(&self, origin: &Origin) -> bool {
+        let history = self.history.borrow();
+        !history.is_listed(origin) && history.lists_others(&[&origin.service], origin)
+    }
+
+    /// Records at which builds of a failure domain no stream may begin yet.
+    pub fn set_withheld(&self, failure_domain: &str, builds: BTreeSet<Origin>) {
+        let mut withheld = self.withheld.borrow_mut();
+        let before = withheld.insert(failure_domain.to_owned(), builds.clone());
+        if before.unwrap_or_default() != builds {
+            log::info!(failure_domain, builds:?; "upstreams of builds that the store does not name yet get no requests");
+        }
     }
 
     /// Returns whether upstreams of some services are listed, other than those of an origin.
     pub fn lists_others(&self, services: &[&str], origin: &Origin) -> bool {
-        self.0.borrow().lists_others(services, origin)
+        self.history.borrow().lists_others(services, origin)
     }
 }
 
@@ -75,6 +97,12 @@
         || node.view.builds(&[&origin.service]).contains(origin)
 }
 
+/// Returns whether streams may begin at a build, as far as this host knows, see `docs/design/mixed-builds.md`.
+pub(crate) fn may_begin(node: &Node, origin: &Origin) -> bool {
+    let is_known = node.view.position(List::Builds).is_some();
+    !is_known || !node.origins.builds.withholds(origin)
+}
+
 /// Writes which builds of the own failure domain, and of those that this host acts for, appear and disappear, for as long as the
 /// process runs. Only allocators do so.
 pub(crate) async fn write_to_store(node: Rc<Node>) {
@@ -112,7 +140,8 @@
     match node.store.record_build(&change, until).await {
         Ok(()) => {
             log::info!(change:?; "builds that have served written to the store");
-            node.origins.builds.0.borrow_mut().apply(change);
+            node.origins.builds.history.borrow_mut().apply(change);
+            node.update_allocator();
         }
         Err(error) => {
             log::info!(change:?, error:%; "builds that have served not written to the store yet");
--- a/crates/tinbank-gateway/src/origin/mod.rs
+++ b/crates/tinbank-gateway/src/origin/mod.rs
@@ -19,7 +19,7 @@
 use tokio::{sync::mpsc, time};
 
 pub(crate) use self::{
-    builds::{Builds, may_serve, write_to_store},
+    builds::{Builds, may_begin, may_serve, write_to_store},
     lookup::find,
 };
 use crate::{measure, node::Node};
--- a/crates/tinbank-gateway/src/sharing/ask.rs
+++ b/crates/tinbank-gateway/src/sharing/ask.rs
@@ -17,9 +17,11 @@
     lease::Outcome,
 };
 use tinbank_base::id;
+use tinbank_origin::Origin;
+use tinbank_relay::upstream::Upstream;
 
 use super::{Allocation, Grantor, Lease, Sharing, SlotSpec, pending::Pending};
-use crate::{measure, node::Node};
+use crate::{measure, node::Node, origin};
 
 /// Number of granted upstreams that turn out to be leaving after which the failure domain counts as full.
 const MAX_LEAVING_GRANTS: usize = 4;
@@ -283,6 +285,7 @@
         candidates.retain(|it| {
             !spec.exclude.contains(&it.instance)
                 && spec.build.is_none_or(|build| *build == it.build)
+                && (spec.build.is_some() || origin::may_begin(node, &origin_of(it)))
                 && node
                     .settings
                     .regions
@@ -319,6 +322,13 @@
     }
 }
 
+fn origin_of(upstream: &Upstream) -> Origin {
+    Origin {
+        service: upstream.service.clone(),
+        build: upstream.build.clone(),
+    }
+}
+
 fn log_over_limit(spec: &SlotSpec<'_>, allocator: &Grantor, over: OverLimit) {
     let Some(meter) = spec.meter else {
         return;
--- a/crates/tinbank-gateway/src/sharing/substitution.rs
+++ b/crates/tinbank-gateway/src/sharing/substitution.rs
@@ -370,7 +370,7 @@
     }
 
     fn begin_acting(&self, domain: &id::FailureDomain, node: &Node, now: Instant) {
-        let upstreams = node.view.allocatable(domain, now);
+        let upstreams = node.allocatable(domain, now);
         let mut state = self.state.borrow_mut();
         let seed = rand::rng().random();
         let mut allocator = state.allocator.for_other_domain(seed, self.options);
