sharing: builds of a failure domain that lost its hosts and its upstreams are recorded as gone

Callers saw: after a loss of all hosts, streams that only one build can have begun were refused, for as long as no host was back in a failure domain that had another build when it lost its hosts and its upstreams (a known limit of docs/design/mixed-builds.md).

Cause: its entries in the store had no writer. Substitutes acted for failure domains with upstreams only.

--- a/crates/tinbank-gateway/src/sharing/substitution.rs
+++ b/crates/tinbank-gateway/src/sharing/substitution.rs
@@ -283,7 +283,7 @@
     let acting_for = sharing.acting_for();
     // A host that tracks the upstreams of its own failure domain only does not know those of others.
     let mut domains = match is_allocator && !node.view.is_own_domain_only() {
-        true => node.view.domains_with_upstreams(),
+        true => domains_with_duties(node),
         false => BTreeSet::new(),
     };
     let mut changed = false;
@@ -310,6 +310,13 @@
     }
 }
 
+/// Returns the failure domains that have upstreams, or of which the store says so.
+fn domains_with_duties(node: &Node) -> BTreeSet<id::FailureDomain> {
+    let mut domains = node.view.domains_with_upstreams();
+    domains.extend(node.origins.builds.history().listed_domains().cloned());
+    domains
+}
+
 impl Sharing {
     /// Ends to act for a failure domain one of whose hosts reaches the store, as soon as that is known.
     pub(super) fn hand_back(&self, to: SocketAddr, now: Instant) {
--- a/crates/tinbank-origin/src/history.rs
+++ b/crates/tinbank-origin/src/history.rs
@@ -95,6 +95,12 @@
         entries.any(|(place, gone_at)| place.origin == *origin && gone_at.is_none())
     }
 
+    /// Returns the failure domains in which builds are listed.
+    pub fn listed_domains(&self) -> impl Iterator<Item = &id::FailureDomain> {
+        let listed = self.entries.iter().filter(|(_, gone_at)| gone_at.is_none());
+        listed.map(|(place, _)| &place.failure_domain)
+    }
+
     /// Returns whether upstreams of some services are listed in any failure domain, other than those of an origin.
     pub fn lists_others(&self, services: &[&str], origin: &Origin) -> bool {
         let listed = self.entries.iter().filter(|(_, gone_at)| gone_at.is_none());
