--- a/crates/tinbank-gateway/src/sharing/load_poll.rs
+++ b/crates/tinbank-gateway/src/sharing/load_poll.rs
@@ -8,7 +8,6 @@
 };
 
 use futures_util::future::join_all;
-use http_body_util::BodyExt;
 use tinbank_allocator::allocator::Upstream;
 use tokio::time;
 
@@ -19,6 +18,8 @@
 };
 
 const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Largest accepted report in bytes. An upstream in trouble may send bytes without end, which a host would keep in memory.
+const MAX_REPORT_BYTES: usize = 64 << 10;
 /// Minimum time between two reports of an upstream: a fraction of the time for which requests hold a slot, so that
 /// slots of failed hosts are soon known to be free. A third of it, since each report has a cost.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
@@ -73,8 +74,6 @@
 enum Error {
     #[error(transparent)]
     Exchange(#[from] exchange::Error),
-    #[error("connection lost: {0}")]
-    Broken(#[from] hyper::Error),
     #[error(transparent)]
     Unreadable(#[from] crate::border::engine::InvalidReport),
 }
@@ -87,9 +86,8 @@
     };
     let (answer, _guard) =
         exchange::send(upstream.address, node.engine.load_request(), times).await?;
-    let body = time::timeout_at(until.into(), answer.into_body().collect()).await;
+    let body = exchange::read_body(answer.into_body(), MAX_REPORT_BYTES, REPORT_TIMEOUT);
+    let body = time::timeout_at(until.into(), body).await;
     let body = body.map_err(|_| exchange::Error::Timeout)??;
-    Ok(node
-        .engine
-        .parse_load(&upstream.instance, &body.to_bytes())?)
+    Ok(node.engine.parse_load(&upstream.instance, &body)?)
 }
