relay: an answer is passed on once it goes beyond its head

Callers saw: an upstream that broke right after the head of its answer, or in the line of its first chunk, closed the caller's connection without any status.

Cause: the head was passed on at once, and waited in a buffer that is dropped with the connection when the body breaks. Evidence: an_answer_whose_first_chunk_is_malformed_is_a_failure, three cases, before: no response for a request without events. Change: such a request is answered once its answer goes beyond the head; else the attempt has failed, and the request is sent to another upstream if it may be, or answered by 502, or 504 at its deadline. Streams are passed on as before.

--- a/crates/tinbank-gateway/src/relay/body.rs
+++ b/crates/tinbank-gateway/src/relay/body.rs
@@ -7,14 +7,15 @@
 };
 
 use bytes::Bytes;
-use http_body::{Frame, SizeHint};
+use http_body::{Body as _, Frame, SizeHint};
+use http_body_util::BodyExt;
 use tinbank_allocator::lease::Outcome;
 use tokio::time::{self, Sleep};
 
 use super::answer::AnswerBody;
 use crate::{
     border::{Aborted, Body},
-    exchange::ConnectionGuard,
+    exchange::{self, ConnectionGuard},
     sharing::Lease,
     stop::WorkGuard,
 };
@@ -50,16 +51,38 @@
     Box::pin(Guarded { body, _guard: work })
 }
 
+/// An answer whose body has begun or is empty, so that its head can be passed on.
+pub(crate) struct BegunBody {
+    body: AnswerBody,
+    /// The first frame, until it is passed on.
+    first: Option<Frame<Bytes>>,
+}
+
+/// Waits until an answer goes beyond its head. Returns `None` if the connection breaks before, or nothing comes by `deadline`: its
+/// caller can then still be told so by a status.
+pub(crate) async fn begin(mut body: AnswerBody, deadline: Instant) -> Option<BegunBody> {
+    if body.is_end_stream() {
+        return Some(BegunBody { body, first: None });
+    }
+    let first = match exchange::receive_by(deadline, body.frame()).await? {
+        Some(frame) => Some(frame.ok()?),
+        None => None,
+    };
+    Some(BegunBody { body, first })
+}
+
 /// Returns a body that forwards an upstream's answer until `deadline`. If it completes, the lease gets `outcome`.
 pub(crate) fn forward(
-    body: AnswerBody,
+    begun: BegunBody,
     lease: Lease,
     guard: ConnectionGuard,
     outcome: Outcome,
     deadline: Instant,
 ) -> Body {
+    let BegunBody { body, first } = begun;
     let forwarded = Forwarded {
         body,
+        first,
         lease,
         outcome,
         deadline: Box::pin(time::sleep_until(deadline.into())),
@@ -71,6 +94,7 @@
 /// The body of an upstream's answer, aborted at a deadline.
 struct Forwarded {
     body: AnswerBody,
+    first: Option<Frame<Bytes>>,
     lease: Lease,
     outcome: Outcome,
     deadline: Pin<Box<Sleep>>,
@@ -92,7 +116,10 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
-        let polled = Pin::new(&mut self.body).poll_frame(context);
+        let polled = match self.first.take() {
+            Some(first) => Poll::Ready(Some(Ok(first))),
+            None => Pin::new(&mut self.body).poll_frame(context),
+        };
         match &polled {
             Poll::Ready(None) => self.complete(),
             Poll::Ready(Some(Err(_))) => self.lease.set_outcome(Outcome::Failed),
@@ -110,10 +137,18 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        let first = self.first.as_ref().and_then(Frame::data_ref);
+        let first = first.map_or(0, |it| it.len() as u64);
+        let rest = self.body.size_hint();
+        let mut hint = SizeHint::new();
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + first);
+        }
+        hint.set_lower(rest.lower() + first);
+        hint
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.first.is_none() && self.body.is_end_stream()
     }
 }
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -189,7 +189,14 @@
                 Verdict::Failed | Verdict::Unprocessable if self.should_retry(&started) => {
                     started.lease.set_outcome(Outcome::Failed);
                 }
-                _ => return self.respond(started, resume_after),
+                Verdict::Answer if self.is_stream() => {
+                    return self.respond_with_stream(started, resume_after);
+                }
+                _ => match self.respond(started).await {
+                    Ok(response) => return response,
+                    Err(Next::Retry) => {}
+                    Err(next) => return self.respond_without_answer(next),
+                },
             }
         }
     }
@@ -455,36 +462,54 @@
         self.attempts.next() == Next::Retry
     }
 
-    fn respond(mut self, started: StartedAnswer, resume_after: Option<u64>) -> Response<Body> {
+    fn respond_with_stream(
+        self,
+        started: StartedAnswer,
+        resume_after: Option<u64>,
+    ) -> Response<Body> {
         let StartedAnswer {
             lease,
             head,
             body,
             guard,
-            verdict,
+            ..
         } = started;
         measure::record_response_start(self.admission.received.elapsed());
         let node = Rc::clone(&self.node);
+        let response = node.engine.caller_response(head);
+        let body = Stream::new(self, lease, guard, body, resume_after).into_body();
+        finish(&node, response, body)
+    }
+
+    /// Forwards an answer once it goes beyond its head. Returns what to do if it does not.
+    async fn respond(&mut self, started: StartedAnswer) -> Result<Response<Body>, Next> {
+        let StartedAnswer {
+            lease,
+            head,
+            body,
+            guard,
+            verdict,
+        } = started;
+        let deadline = self.admission.deadline;
+        let Some(body) = body::begin(body, deadline).await else {
+            log::info!(request:% = self.request.id, upstream:% = lease.upstream; "upstream broke an answer off after its head");
+            measure::record_failed_attempt("broken_body");
+            lease.set_outcome(Outcome::Failed);
+            self.attempts
+                .record(lease.upstream.clone(), Failure::Unknown);
+            return Err(self.attempts.next());
+        };
+        measure::record_response_start(self.admission.received.elapsed());
         let response = self.node.engine.caller_response(head);
-        let is_stream =
-            verdict == Verdict::Answer && matches!(self.route.kind, Kind::Stream { .. });
-        let body: Body = match is_stream {
-            true => Stream::new(self, lease, guard, body, resume_after).into_body(),
-            false => {
-                self.is_finished = true;
-                self.record_first_event(None);
-                self.record_completion();
-                let outcome = match verdict {
-                    Verdict::Failed => Outcome::Failed,
-                    _ => Outcome::Served,
-                };
-                body::forward(body, lease, guard, outcome, self.admission.deadline)
-            }
+        self.is_finished = true;
+        self.record_first_event(None);
+        self.record_completion();
+        let outcome = match verdict {
+            Verdict::Failed => Outcome::Failed,
+            _ => Outcome::Served,
         };
-        response.body(body).unwrap_or_else(|error| {
-            log::error!(error:%; "head of an answer cannot be forwarded");
-            reply_with(&node, Reply::Failed)
-        })
+        let body = body::forward(body, lease, guard, outcome, deadline);
+        Ok(finish(&self.node, response, body))
     }
 
     fn respond_without_answer(&mut self, next: Next) -> Response<Body> {
@@ -544,3 +569,11 @@
         self.admission.retry_after(usual, self.node.next_draw())
     }
 }
+
+/// Completes a response that forwards an answer.
+fn finish(node: &Node, response: http::response::Builder, body: Body) -> Response<Body> {
+    response.body(body).unwrap_or_else(|error| {
+        log::error!(error:%; "head of an answer cannot be forwarded");
+        reply_with(node, Reply::Failed)
+    })
+}
