stop: the shutdown waits until connections have sent their responses

Cause: the shutdown waited for guards of bodies. The HTTP library drops a body once its last frame is in the buffer of the connection, which is sent as the caller reads; the process exited with it.

Why this works: a connection that has had a request counts until it ends, which it does once it has sent its responses. Idle ones end when no new requests are taken.

--- a/crates/tinbank-gateway/src/serve.rs
+++ b/crates/tinbank-gateway/src/serve.rs
@@ -3,7 +3,8 @@
 mod stream;
 
 use std::{
-    convert::Infallible, error::Error, io, net::SocketAddr, pin::pin, rc::Rc, time::Duration,
+    cell::OnceCell, convert::Infallible, error::Error, io, net::SocketAddr, pin::pin, rc::Rc,
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -121,10 +122,12 @@
     let hangup = Hangup::default();
     let ending = Ending::default();
     let stream = CallerStream::new(stream, ending.clone());
+    let guard = OnceCell::new();
     let service = service_fn(|request: Request<Incoming>| {
         if request.version() == Version::HTTP_10 {
             ending.reset_unless_shut_down();
         }
+        guard.get_or_init(|| crate::stop::track_connection(&node));
         serve_request(Rc::clone(&node), request, hangup.clone())
     });
     let connection = http1::Builder::new()
--- a/crates/tinbank-gateway/src/stop.rs
+++ b/crates/tinbank-gateway/src/stop.rs
@@ -22,6 +22,25 @@
     is_closing: Cell<bool>,
     changed: Notify,
     in_flight: Cell<usize>,
+    /// Callers' connections that have had a request. The end of a response waits in its connection until its caller reads.
+    connections: Cell<usize>,
+}
+
+/// Guard for a caller's connection that the shutdown waits for. It is dropped when the connection has sent its responses and ends.
+pub(crate) struct ConnectionGuard(Rc<Node>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        let connections = &self.0.stop.connections;
+        connections.set(connections.get() - 1);
+    }
+}
+
+/// Registers a caller's connection that the shutdown waits for.
+pub(crate) fn track_connection(node: &Rc<Node>) -> ConnectionGuard {
+    let connections = &node.stop.connections;
+    connections.set(connections.get() + 1);
+    ConnectionGuard(Rc::clone(node))
 }
 
 /// Guard for work that the shutdown waits for. The work ends when the guard is dropped.
@@ -40,6 +59,11 @@
         self.requested_at.get().is_some()
     }
 
+    /// Returns whether there is work to finish, or a connection that may have to send the end of a response.
+    fn is_busy(&self) -> bool {
+        self.in_flight.get() > 0 || self.connections.get() > 0
+    }
+
     /// Returns the number of calls and other work in progress.
     pub fn open_calls(&self) -> usize {
         self.in_flight.get()
@@ -72,8 +96,8 @@
     node.stop.is_closing.set(true);
     node.stop.changed.notify_waiters();
     log::info!(busy = node.stop.in_flight.get(); "no new requests are taken");
-    while node.stop.in_flight.get() > 0 && Instant::now() < deadline {
+    while node.stop.is_busy() && Instant::now() < deadline {
         time::sleep(POLL_INTERVAL).await;
     }
-    log::info!(busy = node.stop.in_flight.get(); "stopped");
+    log::info!(busy = node.stop.in_flight.get(), connections = node.stop.connections.get(); "stopped");
 }
