relay, origin: the logs say how a stream ended and what a lookup of its origin knew

The logs could not tell an answer that ended with its connection from one whose end is marked, nor on what the choice of a build for a resumed stream rested. Adds 'stream ended' and 'text of an item ended' with marked, 'origin of a stream looked up at other hosts' with the hosts asked, those without an answer and the ages of both lists, and tinbank_entry_ended_streams_total{marked}. No logic changes.

--- a/crates/tinbank-gateway/src/batch/item.rs
+++ b/crates/tinbank-gateway/src/batch/item.rs
@@ -194,6 +194,9 @@
             }
             Some(None) => {
                 body.mark_complete();
+                let last = received.borrow().last_event;
+                let marked = body.has_marked_end();
+                log::info!(run:? = received.borrow().run, upstream:% = lease.upstream, build:% = lease.origin.build, last, marked; "text of an item ended");
                 return (Ended::Completed, Outcome::Served);
             }
             Some(Some(Err(_))) => return (Ended::Broken, Outcome::Failed),
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -44,6 +44,12 @@
     metrics::counter!("tinbank_entry_broken_streams_total", "resumable" => resumable).increment(1);
 }
 
+/// Records the end of a stream of an upstream, by whether it differs from a lost connection.
+pub(crate) fn record_stream_end(marked: bool) {
+    let marked = if marked { "yes" } else { "no" };
+    metrics::counter!("tinbank_entry_ended_streams_total", "marked" => marked).increment(1);
+}
+
 /// Records a search for the origin of a stream that a caller resumes.
 pub(crate) fn record_origin_lookup(outcome: &'static str, took: Duration) {
     metrics::counter!("tinbank_entry_resumed_streams_total", "origin" => outcome).increment(1);
--- a/crates/tinbank-gateway/src/origin/lookup.rs
+++ b/crates/tinbank-gateway/src/origin/lookup.rs
@@ -28,14 +28,14 @@
         Answer::Conflicting => Choice::Refused(Refusal::Conflicting),
         Answer::Unknown => {
             let answers = ask(node, key).await;
-            choose(node, services, &answers)
+            choose(node, key, services, &answers)
         }
     };
     measure::record_origin_lookup(choice.label(), started_at.elapsed());
     choice
 }
 
-fn choose(node: &Node, services: &[&str], answers: &Answers) -> Choice {
+fn choose(node: &Node, key: Key, services: &[&str], answers: &Answers) -> Choice {
     let now = Instant::now();
     let view = &node.view;
     let builds = node.origins.builds.history();
@@ -49,7 +49,18 @@
         history: view.position(List::Builds).map(|_| &*builds),
         now: SystemTime::now(),
     };
-    evidence.choose(answers)
+    let choice = evidence.choose(answers);
+    log::info!(
+        stream:% = format_args!("{key:016x}"),
+        asked = answers.len(),
+        unanswered = answers.iter().filter(|it| it.is_none()).count(),
+        listed:?,
+        list_age:? = evidence.list_age,
+        builds_age:? = view.builds_age(now),
+        origin = choice.label();
+        "origin of a stream looked up at other hosts"
+    );
+    choice
 }
 
 /// Asks the hosts that keep the origin of a stream, until one knows it.
--- a/crates/tinbank-gateway/src/relay/answer.rs
+++ b/crates/tinbank-gateway/src/relay/answer.rs
@@ -121,6 +121,11 @@
         self.attempt.record_event(event);
     }
 
+    /// Returns whether the end of the answer differs from a lost connection.
+    pub fn has_marked_end(&self) -> bool {
+        self.has_marked_end
+    }
+
     /// Marks the answer as complete. If its end is not marked, an upstream that crashed at the start of the answer may have caused it, so
     /// the upstream is probed.
     pub fn mark_complete(&self) {
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -219,6 +219,7 @@
         log::info!(
             request:% = self.request.id,
             resumes:% = self.resumes.as_deref().unwrap_or_default(),
+            stream:% = format_args!("{:016x}", self.stream),
             after = self.resume_after.unwrap_or(0),
             origin = choice.label(),
             service:%,
--- a/crates/tinbank-gateway/src/relay/stream.rs
+++ b/crates/tinbank-gateway/src/relay/stream.rs
@@ -100,6 +100,7 @@
                 }
                 Input::End => {
                     source.body.mark_complete();
+                    self.log_end();
                     self.relay.record_completion();
                     self.close_source(Outcome::Served);
                     self.relay.is_finished = true;
@@ -160,6 +161,16 @@
         log::info!(request:% = self.relay.request.id, upstream:% = lease.upstream, build:% = lease.origin.build; "stream began");
     }
 
+    fn log_end(&self) {
+        let Some(source) = &self.source else {
+            return;
+        };
+        let lease = &source.lease;
+        let marked = source.body.has_marked_end();
+        measure::record_stream_end(marked);
+        log::info!(request:% = self.relay.request.id, upstream:% = lease.upstream, build:% = lease.origin.build, last = self.last_event.unwrap_or(0), marked; "stream ended");
+    }
+
     /// Returns when the upstream counts as unresponsive, if another one may resume the stream.
     fn idle_deadline(&self) -> Option<Instant> {
         self.is_resumable().then(|| self.idle_timeout.deadline())
--- a/crates/tinbank-gateway/src/view.rs
+++ b/crates/tinbank-gateway/src/view.rs
@@ -50,6 +50,7 @@
     config_read_at: Cell<Option<Instant>>,
     upstreams: RefCell<Replica>,
     upstreams_read_at: Cell<Option<Instant>>,
+    builds_read_at: Cell<Option<Instant>>,
     peers: RefCell<HashMap<SocketAddr, Peer>>,
     peers_read_at: Cell<Option<Instant>>,
     evacuations: RefCell<Evacuations>,
@@ -187,6 +188,12 @@
         read_at.map(|at| now.saturating_duration_since(at))
     }
 
+    /// Returns how long ago the builds that have served were read from the store, or received with a change.
+    pub fn builds_age(&self, now: Instant) -> Option<Duration> {
+        let read_at = self.builds_read_at.get();
+        read_at.map(|at| now.saturating_duration_since(at))
+    }
+
     /// Marks the configuration as stale after a pause of the process, so that it is not used until it was read again.
     pub fn invalidate_config(&self) {
         self.config_read_at.set(None);
--- a/crates/tinbank-gateway/src/view/entries.rs
+++ b/crates/tinbank-gateway/src/view/entries.rs
@@ -71,8 +71,13 @@
             }
             node.feed.on_hosts_read(&node.sharing, Instant::now());
         }
-        List::Builds if changed => node.update_allocator(),
-        List::Quarantine | List::Builds | List::FirstDelegates => {}
+        List::Builds => {
+            view.builds_read_at.set(Some(at));
+            if changed {
+                node.update_allocator();
+            }
+        }
+        List::Quarantine | List::FirstDelegates => {}
     }
 }
 
--- a/crates/tinbank-gateway/src/view/update.rs
+++ b/crates/tinbank-gateway/src/view/update.rs
@@ -52,7 +52,7 @@
     if let Some(snapshot) = newer(&view.lists.builds, update.builds) {
         node.origins.builds.replace(snapshot.entries);
         view.lists.builds.advance(snapshot.position, true);
-        node.update_allocator();
+        record_read(node, List::Builds, received_at, true);
     }
     let latest = |known: Option<Instant>, age: Option<Duration>| {
         let read_at = age.and_then(|age| received_at.checked_sub(age));
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -193,6 +193,12 @@
         &["why"],
         "Responses that were cut because their callers did not read; `host_full` means that the host kept too much.",
     ),
+    counter(
+        "tinbank_entry_ended_streams_total",
+        "streams",
+        &["marked"],
+        "Streams of upstreams that ended, by whether their end differs from a lost connection.",
+    ),
     gauge(
         "tinbank_entry_evacuated_failure_domains",
         "failure domains",
