exchange: a connection reads at most 1 MB before the head of its response

Cause: the HTTP client skips interim responses in a loop over what it reads, and nothing limits them. A read takes up to 400 KB, and a connection yields after 128 reads, so the timers and all other tasks of the host wait meanwhile.

Why this works: the limit counts bytes below the HTTP client, whatever they are, and ends the connection after 1 MB, 50 times less than was read before a yield. It is lifted when the head is complete.

--- a/crates/tinbank-gateway/src/exchange.rs
+++ b/crates/tinbank-gateway/src/exchange.rs
@@ -3,6 +3,8 @@
 //! Connections are not reused: an upstream closes idle ones without notice, and a late response could be taken for the
 //! response to the next request. See `docs/design/users-platform.md`.
 
+mod head_limit;
+
 use std::{
     io::ErrorKind,
     net::SocketAddr,
@@ -22,10 +24,16 @@
     time,
 };
 
+use self::head_limit::{HeadLimit, HeadLimited};
+
 /// How long sent data may stay unacknowledged before the connection is closed. Without this limit a connection to a
 /// host that lost power hangs. It is the shortest time after which callers leave a silent stream.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Most bytes that a connection reads before the head of its response is complete. Interim responses have no number or size in HTTP,
+/// and their reader yields to other tasks only after tens of megabytes.
+const MAX_HEAD_BYTES: usize = 1 << 20;
+
 /// Time in which a process reads what has arrived at its connections.
 const READ_TIME: Duration = Duration::from_millis(5);
 
@@ -87,6 +95,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     guard: ConnectionGuard,
+    head_limit: HeadLimit,
 }
 
 impl Connection {
@@ -98,6 +107,7 @@
         max_buffer_bytes: Option<usize>,
     ) -> Result<Self, Error> {
         let stream = connect(address, until).await?;
+        let (stream, head_limit) = HeadLimited::new(stream, MAX_HEAD_BYTES);
         let mut builder = http1::Builder::new();
         if let Some(max_bytes) = max_buffer_bytes {
             builder.max_buf_size(max_bytes);
@@ -112,7 +122,11 @@
             }
         });
         let guard = ConnectionGuard(task.abort_handle());
-        Ok(Self { sender, guard })
+        Ok(Self {
+            sender,
+            guard,
+            head_limit,
+        })
     }
 
     /// Sends a request and waits for the head of the response, which must arrive by `until`.
@@ -123,7 +137,10 @@
     ) -> Result<(Response<Incoming>, ConnectionGuard), Error> {
         let response = receive_by(until, self.sender.send_request(request)).await;
         match response {
-            Some(Ok(response)) => Ok((response, self.guard)),
+            Some(Ok(response)) => {
+                self.head_limit.lift();
+                Ok((response, self.guard))
+            }
             Some(Err(error)) => Err(Error::Lost(error.to_string())),
             None => Err(Error::Timeout),
         }
