forward: an answer of another host is read up to 16 MB

Cause: the answer was collected until a deadline of 1.6 s and more, without a limit on its size.

Evidence: an_answer_of_another_host_without_end_is_given_up (gateway) failed with 1,149,042,688 bytes taken in two seconds. With the limit it passes, and all 69 tests of the library.

Why this works: the body ends with an error once it is larger than any answer of a host, as the answers of the store and of delegates do already.

--- a/crates/tinbank-gateway/src/batch/forward.rs
+++ b/crates/tinbank-gateway/src/batch/forward.rs
@@ -3,11 +3,15 @@
 //! Only delegates follow the log. A delegate that can't reach the store forwards calls as well, so that callers don't have to
 //! retry at another host, which may not reach the store either.
 
+#[cfg(test)]
+mod tests;
+
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, request::Parts};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use tinbank_relay::region::Allowed;
 use tokio::time;
 
@@ -24,6 +28,9 @@
 /// Limit on the time to the answer, beyond the wait that the call allows. Above the timeout of a submission.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_600);
 
+/// Largest answer in bytes. A page of results has less than a megabyte, unless one text alone is larger.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
 /// Limit on the hosts that are tried, so that the caller gets an answer in time. A caller waits for a second and a half
 /// beyond what it allows, and each further host adds the time of a refusal.
 const MAX_HOSTS: usize = 3;
@@ -98,11 +105,17 @@
 ) -> Result<Response<Body>, exchange::Error> {
     let (answer, _guard) = exchange::send(host, request, until).await?;
     let (head, body) = answer.into_parts();
-    let body = match time::timeout_at(until.response.into(), body.collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => return Err(exchange::Error::Lost(error.to_string())),
-        Err(_) => return Err(exchange::Error::Timeout),
-    };
+    let body = read(body, until.response).await?;
     let answer = node.engine.caller_response(head).body(full_body(body));
     answer.map_err(|error| exchange::Error::Lost(error.to_string()))
 }
+
+/// Reads the body of another host's answer, at most [`MAX_ANSWER_BYTES`] of it.
+async fn read(body: Incoming, until: Instant) -> Result<Bytes, exchange::Error> {
+    let body = Limited::new(body, MAX_ANSWER_BYTES);
+    match time::timeout_at(until.into(), body.collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) => Err(exchange::Error::Lost(error.to_string())),
+        Err(_) => Err(exchange::Error::Timeout),
+    }
+}
