stop: requests that outlast the grace period are rejected, not cut

What callers saw: during a planned stop in calm, requests that came late in the grace period were taken and sent on, and cut without an answer at its end; some of them must not be repeated.

Cause: from SIGTERM until the balancer has noticed, each request was taken, whether it could end in time or not. Requests in flight without a response got none when the process exited.

Change: a request that has not run is sent to an upstream only if it ends in time: by its deadline, or by the longest time of recent responses of its route and a margin. Otherwise it gets 503, not run, with Connection: close, also while it waits for a slot. A host to which no other host answers takes everything. What has no response when the grace period ends gets 502. When connections close has not changed.

--- a/crates/tinbank-allocator/src/directory.rs
+++ b/crates/tinbank-allocator/src/directory.rs
@@ -145,6 +145,12 @@
         self.peers.iter().map(|peer| peer.address).collect()
     }
 
+    /// Returns whether any listed host but `own` is not skipped as unresponsive.
+    pub fn has_responsive_other(&self, own: SocketAddr, now: Instant) -> bool {
+        let mut others = self.peers.iter().filter(|it| it.address != own);
+        others.any(|it| !self.is_skipped(it.address, now))
+    }
+
     /// Returns the number of listed hosts.
     pub fn host_count(&self) -> usize {
         self.peers.len()
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -221,6 +221,11 @@
     metrics::counter!("tinbank_entry_cut_responses_total", "why" => why).increment(1);
 }
 
+/// Records a request that was given up because this host stops.
+pub(crate) fn record_stop_rejection(reply: &'static str) {
+    metrics::counter!("tinbank_entry_stop_rejections_total", "reply" => reply).increment(1);
+}
+
 /// Sets the level of shedding of this host, 0 if it takes all work.
 pub(crate) fn set_overload_level(level: u32) {
     metrics::gauge!("tinbank_entry_overload_level").set(f64::from(level));
--- a/crates/tinbank-gateway/src/node.rs
+++ b/crates/tinbank-gateway/src/node.rs
@@ -11,7 +11,7 @@
     admission::RouteTimings, allocator::Upstream, smoothed_duration::SmoothedDuration,
 };
 use tinbank_origin::Origin;
-use tinbank_relay::{caller_timeout::CallerTimeout, route::Route};
+use tinbank_relay::{caller_timeout::CallerTimeout, grace::LongestTime, route::Route};
 
 use crate::{
     batch::Batch,
@@ -62,6 +62,7 @@
     caller_timeout: CallerTimeout,
     first_event: SmoothedDuration,
     slot_time: SmoothedDuration,
+    longest_response: LongestTime,
 }
 
 impl Node {
@@ -174,6 +175,16 @@
         self.with_stats(route, |it| it.slot_time.record(time));
     }
 
+    /// Returns the longest time that a recent response on a route took, from sending the request to its end.
+    pub fn longest_response(&self, route: &Route) -> Option<Duration> {
+        self.with_stats(route, |it| it.longest_response.get())
+    }
+
+    /// Records how long a response took, from sending the request to its end.
+    pub fn record_response_time(&self, route: &Route, time: Duration) {
+        self.with_stats(route, |it| it.longest_response.record(time));
+    }
+
     fn with_stats<T>(&self, route: &Route, apply: impl FnOnce(&mut RouteStats) -> T) -> T {
         let mut route_stats = self.route_stats.borrow_mut();
         if let Some(stats) = route_stats.get_mut(&route.name) {
--- a/crates/tinbank-gateway/src/relay/body.rs
+++ b/crates/tinbank-gateway/src/relay/body.rs
@@ -12,7 +12,7 @@
 use tinbank_allocator::lease::Outcome;
 use tokio::time::{self, Sleep};
 
-use super::answer::AnswerBody;
+use super::{answer::AnswerBody, timer::Timer};
 use crate::{
     border::{Aborted, Body},
     exchange::{self, ConnectionGuard},
@@ -78,6 +78,7 @@
     guard: ConnectionGuard,
     outcome: Outcome,
     deadline: Instant,
+    timer: Option<Timer>,
 ) -> Body {
     let BegunBody { body, first } = begun;
     let forwarded = Forwarded {
@@ -86,6 +87,7 @@
         lease,
         outcome,
         deadline: Box::pin(time::sleep_until(deadline.into())),
+        timer,
         _guard: guard,
     };
     Box::pin(forwarded)
@@ -98,14 +100,22 @@
     lease: Lease,
     outcome: Outcome,
     deadline: Pin<Box<Sleep>>,
+    timer: Option<Timer>,
     _guard: ConnectionGuard,
 }
 
 impl Forwarded {
-    fn complete(&self) {
+    fn complete(&mut self) {
+        self.record_time();
         self.body.mark_complete();
         self.lease.set_outcome(self.outcome);
     }
+
+    fn record_time(&mut self) {
+        if let Some(timer) = self.timer.take() {
+            timer.record();
+        }
+    }
 }
 
 impl http_body::Body for Forwarded {
@@ -128,6 +138,7 @@
             Poll::Ready(Some(Ok(_))) => {}
             Poll::Pending => {
                 if self.deadline.as_mut().poll(context).is_ready() {
+                    self.record_time();
                     let aborted = Aborted("deadline exceeded");
                     return Poll::Ready(Some(Err(aborted)));
                 }
--- a/crates/tinbank-gateway/src/relay/mod.rs
+++ b/crates/tinbank-gateway/src/relay/mod.rs
@@ -6,6 +6,7 @@
 mod online;
 pub(crate) mod read_ahead;
 mod stream;
+mod timer;
 
 use std::{
     rc::Rc,
--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -1,6 +1,7 @@
 //! An online request, from its arrival to its answer.
 
 use std::{
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -28,6 +29,7 @@
     attempt::{self, AttemptError, StartedAnswer},
     body, reply_with,
     stream::Stream,
+    timer::Timer,
 };
 use crate::{
     border::{
@@ -40,6 +42,7 @@
     node::Node,
     origin::{self, RunningStream},
     sharing::{Allocation, Lease, SlotSpec},
+    stop,
 };
 
 /// Number of attempts without an answer after which a request is given up.
@@ -56,6 +59,10 @@
     suspension_checked_at: ClockReading,
     /// When it was sent to its current upstream, unless it was queued there.
     sent_at: Option<Instant>,
+    /// When it was first sent to an upstream.
+    begun_at: Option<Instant>,
+    /// The upstream that may run it now.
+    current: Option<id::Instance>,
     /// Last event that the caller already has, if it resumes an answer.
     resume_after: Option<event::Id>,
     /// The attempt that brought the first event of that answer, as the caller says.
@@ -150,6 +157,8 @@
             admission,
             suspension_checked_at: arrival.at,
             sent_at: None,
+            begun_at: None,
+            current: None,
             resume_after: arrival.resume_after,
             resumes: arrival.resumes,
             stream: arrival.stream,
@@ -180,8 +189,15 @@
         if resume_after.is_some() && self.is_stream() && !self.find_origin().await {
             return self.respond_without_answer(Next::Refuse);
         }
+        let node = Rc::clone(&self.node);
+        let mut ending = pin!(node.stop.wait_until_ending());
         loop {
-            let started = match self.open(resume_after).await {
+            let opened = tokio::select! {
+                biased;
+                opened = self.open(resume_after) => opened,
+                () = ending.as_mut() => Err(self.give_up_at_exit()),
+            };
+            let started = match opened {
                 Ok(started) => started,
                 Err(next) => return self.respond_without_answer(next),
             };
@@ -192,11 +208,18 @@
                 Verdict::Answer if self.is_stream() => {
                     return self.respond_with_stream(started, resume_after);
                 }
-                _ => match self.respond(started).await {
-                    Ok(response) => return response,
-                    Err(Next::Retry) => {}
-                    Err(next) => return self.respond_without_answer(next),
-                },
+                _ => {
+                    let response = tokio::select! {
+                        biased;
+                        response = self.respond(started) => response,
+                        () = ending.as_mut() => Err(self.give_up_at_exit()),
+                    };
+                    match response {
+                        Ok(response) => return response,
+                        Err(Next::Retry) => {}
+                        Err(next) => return self.respond_without_answer(next),
+                    }
+                }
             }
         }
     }
@@ -265,6 +288,7 @@
         &mut self,
         resume_after: Option<u64>,
     ) -> Result<Option<StartedAnswer>, Next> {
+        self.current = None;
         self.subtract_suspension();
         let quarantine = &self.node.quarantine;
         let deadline = self.admission.deadline;
@@ -282,7 +306,10 @@
             return Err(self.attempts.give_up());
         };
         let pauses = self.node.check_for_pause();
-        let lease = self.lease(&service).await?;
+        let lease = match self.attempts.may_have_run() {
+            true => self.lease(&service).await?,
+            false => self.lease_unless_too_late(&service).await?,
+        };
         if self.node.check_for_pause() != pauses {
             // The slot may have been reassigned during the suspension, and the deadline may have passed.
             return Ok(None);
@@ -293,6 +320,8 @@
         if matches!(self.route.kind, Kind::Stream { .. }) {
             lease.start_meter();
         }
+        self.begun_at.get_or_insert_with(Instant::now);
+        self.current = Some(upstream.clone());
         let answer_by = self.answer_deadline(lease.queued);
         let sent = attempt::send(
             &self.node,
@@ -329,6 +358,53 @@
         self.admission.deadline = earlier(self.admission.deadline);
     }
 
+    /// Returns a slot at an upstream of a service, or what to report to the caller. A request that has not run is rejected, even
+    /// while it waits for a slot, as soon as this host could not finish it before it stops.
+    async fn lease_unless_too_late(&mut self, service: &str) -> Result<Lease, Next> {
+        let (node, route) = (Rc::clone(&self.node), Rc::clone(&self.route));
+        let deadline = self.admission.deadline;
+        tokio::select! {
+            biased;
+            () = stop::wait_until_too_late(node, route, deadline) => {
+                self.record_stop_rejection("not_run");
+                Err(Next::Refuse)
+            }
+            lease = self.lease(service) => lease,
+        }
+    }
+
+    /// Returns what to report to the caller of a request without a response when the grace period ends.
+    fn give_up_at_exit(&mut self) -> Next {
+        if let Some(upstream) = self.current.take() {
+            self.attempts.record(upstream, Failure::Unknown);
+        }
+        let next = self.attempts.give_up();
+        self.record_stop_rejection(match next {
+            Next::Fail => "failed",
+            Next::Retry | Next::Refuse => "not_run",
+        });
+        next
+    }
+
+    fn record_stop_rejection(&self, reply: &'static str) {
+        let left_ms = |at: Instant| {
+            let left = at.saturating_duration_since(Instant::now());
+            left.as_millis() as u64
+        };
+        let longest = self.node.longest_response(&self.route);
+        log::info!(
+            request:% = self.request.id,
+            route:% = self.route.name,
+            left_ms = left_ms(self.admission.deadline),
+            grace_left_ms = self.node.stop.grace().map_or(0, |it| left_ms(it.ends_at)),
+            longest_ms = longest.map_or(0, |it| it.as_millis() as u64),
+            waited_ms = self.admission.received.elapsed().as_millis() as u64,
+            reply;
+            "request given up, this host stops"
+        );
+        measure::record_stop_rejection(reply);
+    }
+
     /// Returns a slot at an upstream of a service, or what to report to the caller.
     async fn lease(&mut self, service: &str) -> Result<Lease, Next> {
         let queue = self.queue_policy();
@@ -423,6 +499,18 @@
         }
     }
 
+    /// Returns what measures the time of the response, unless it is only the rest of one.
+    pub fn timer(&self) -> Option<Timer> {
+        if self.resume_after.is_some() {
+            return None;
+        }
+        Some(Timer {
+            node: Rc::clone(&self.node),
+            route: Rc::clone(&self.route),
+            begun_at: self.begun_at?,
+        })
+    }
+
     /// Returns by when the upstream has to start its answer. This is before the request's deadline only if the request may
     /// run again.
     fn answer_deadline(&self, is_queued: bool) -> Instant {
@@ -444,6 +532,7 @@
     }
 
     fn record_failure(&mut self, upstream: &id::Instance, error: AttemptError) {
+        self.current = None;
         let failure = match error {
             // Nothing was sent, so the upstream is not excluded.
             AttemptError::Postponed => return,
@@ -509,7 +598,7 @@
             Verdict::Failed => Outcome::Failed,
             _ => Outcome::Served,
         };
-        let body = body::forward(body, lease, guard, outcome, deadline);
+        let body = body::forward(body, lease, guard, outcome, deadline, self.timer());
         Ok(finish(&self.node, response, body))
     }
 
--- a/crates/tinbank-gateway/src/relay/stream.rs
+++ b/crates/tinbank-gateway/src/relay/stream.rs
@@ -102,12 +102,14 @@
                     source.body.mark_complete();
                     self.log_end();
                     self.relay.record_completion();
+                    self.record_time();
                     self.close_source(Outcome::Served);
                     self.relay.is_finished = true;
                     return None;
                 }
                 Input::Broken(why, outcome) => (why, outcome),
                 Input::DeadlineExceeded => {
+                    self.record_time();
                     self.close_source(Outcome::Inconclusive);
                     return Some(Err(self.abort("deadline exceeded")));
                 }
@@ -153,6 +155,12 @@
         self.idle_timeout.record_event(Instant::now());
     }
 
+    fn record_time(&self) {
+        if let Some(timer) = self.relay.timer() {
+            timer.record();
+        }
+    }
+
     fn log_begin(&self) {
         let Some(source) = &self.source else {
             return;
--- a/crates/tinbank-gateway/src/sharing.rs
+++ b/crates/tinbank-gateway/src/sharing.rs
@@ -252,6 +252,12 @@
         }
     }
 
+    /// Returns whether another host seems to serve.
+    pub fn has_responsive_other(&self, now: Instant) -> bool {
+        let directory = &self.state.borrow().directory;
+        directory.has_responsive_other(self.own.address, now)
+    }
+
     /// Returns the number of listed hosts.
     pub fn host_count(&self) -> usize {
         self.state.borrow().directory.host_count()
--- a/crates/tinbank-gateway/src/stop.rs
+++ b/crates/tinbank-gateway/src/stop.rs
@@ -6,19 +6,23 @@
     time::{Duration, Instant},
 };
 
+use tinbank_relay::{grace::Grace, route::Route};
 use tokio::{sync::Notify, time};
 
 use crate::node::Node;
 
 /// How long before the process is killed it exits by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// How long before the process exits the last response has to be complete, so that it is sent.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
 /// How often the shutdown checks whether all work is done.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Progress of the shutdown, and the work it waits for.
 #[derive(Default)]
 pub(crate) struct Stop {
-    requested_at: Cell<Option<Instant>>,
+    /// Set once the process was asked to stop.
+    grace: Cell<Option<Grace>>,
     is_closing: Cell<bool>,
     changed: Notify,
     in_flight: Cell<usize>,
@@ -56,7 +60,28 @@
 impl Stop {
     /// Returns whether the process was asked to stop.
     pub fn is_stopping(&self) -> bool {
-        self.requested_at.get().is_some()
+        self.grace.get().is_some()
+    }
+
+    /// Returns the time that is left for requests, if the process was asked to stop.
+    pub fn grace(&self) -> Option<Grace> {
+        self.grace.get()
+    }
+
+    /// Waits until the process is asked to stop.
+    async fn wait_until_stopping(&self) -> Grace {
+        loop {
+            match self.grace.get() {
+                Some(grace) => return grace,
+                None => self.changed.notified().await,
+            }
+        }
+    }
+
+    /// Waits until requests without a response have to be answered, because the grace period ends.
+    pub async fn wait_until_ending(&self) {
+        let grace = self.wait_until_stopping().await;
+        time::sleep_until(grace.ends_at.into()).await;
     }
 
     /// Returns whether there is work to finish, or a connection that may have to send the end of a response.
@@ -84,13 +109,32 @@
     WorkGuard(Rc::clone(node))
 }
 
+/// Waits until a request of a route that ends at `deadline` must not be sent any more, because it may outlast the grace period. That
+/// is never while the process runs on, or while no other host could serve it.
+pub(crate) async fn wait_until_too_late(node: Rc<Node>, route: Rc<Route>, deadline: Instant) {
+    let grace = node.stop.wait_until_stopping().await;
+    loop {
+        let now = Instant::now();
+        let longest = node.longest_response(&route);
+        let latest = grace.latest_start(route.kind, deadline, longest);
+        match latest.filter(|it| *it > now) {
+            Some(latest) => time::sleep_until(latest.into()).await,
+            None if node.sharing.has_responsive_other(now) => return,
+            None => time::sleep(POLL_INTERVAL).await,
+        }
+    }
+}
+
 /// Shuts the process down: takes new requests until the load balancer has noticed, then waits until those in flight are done.
 pub(crate) async fn shut_down(node: Rc<Node>) {
     let now = Instant::now();
     let kill_at = now + node.settings.grace;
-    node.stop.requested_at.set(Some(now));
-    log::info!(busy = node.stop.in_flight.get(); "stop requested, not ready from now on");
     let deadline = kill_at - EXIT_MARGIN;
+    node.stop.grace.set(Some(Grace {
+        ends_at: deadline - RESPONSE_MARGIN,
+    }));
+    node.stop.changed.notify_waiters();
+    log::info!(busy = node.stop.in_flight.get(); "stop requested, not ready from now on");
     let closing_at = now + node.settings.balancer_delay;
     time::sleep_until(closing_at.min(deadline).into()).await;
     node.stop.is_closing.set(true);
--- a/crates/tinbank-relay/src/lib.rs
+++ b/crates/tinbank-relay/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod contact;
 pub mod evacuation;
 pub mod event;
+pub mod grace;
 pub mod listing;
 pub mod region;
 mod remaining;
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -343,6 +343,12 @@
         "upstreams",
         "Upstreams that count as slow at this host's allocator, and get fewer requests.",
     ),
+    counter(
+        "tinbank_entry_stop_rejections_total",
+        "requests",
+        &["reply"],
+        "Requests given up because this host stops: `not_run` before they were sent, `failed` without a response at the end of the grace period.",
+    ),
     Metric {
         name: "tinbank_entry_store_reached",
         kind: Kind::Gauge,
