relay, items: an answer without a marked end is whole only if its upstream is alive

Callers got parts of streams, and items parts of texts, that looked whole. An answer with neither a length nor chunks ends with its connection, and so does one of a process that is killed: the system closes its connections in order, often between two events. The end of the body was taken for the end of the answer.

Now the end, and no event, waits for a probe that begins after it. The quarantine's probe is shared: one covers all answers of an upstream that ended before it began, later ones get another. A refused or unanswered probe makes the answer broken: resumed after its last event, or cut. An upstream that was listed as leaving ends after its answers as planned, so answers of it that can't be resumed are whole without a probe. A transfer coding other than chunks no longer counts as a marked end, and a crash after the start of an unmarked answer counts in the quarantine as after a lost connection.

--- a/crates/tinbank-gateway/src/batch/item.rs
+++ b/crates/tinbank-gateway/src/batch/item.rs
@@ -18,7 +18,7 @@
     exchange,
     node::Node,
     relay::{
-        answer::AnswerBody,
+        answer::{AnswerBody, End},
         attempt::{self, StartedAnswer},
     },
     sharing::Lease,
@@ -193,11 +193,15 @@
                 return (Ended::Broken, Outcome::Failed);
             }
             Some(None) => {
-                body.mark_complete();
+                // An item can always be resumed.
+                let end = body.confirm_end(true).await;
+                body.record_end(end);
                 let last = received.borrow().last_event;
-                let marked = body.has_marked_end();
-                log::info!(run:? = received.borrow().run, upstream:% = lease.upstream, build:% = lease.origin.build, last, marked; "text of an item ended");
-                return (Ended::Completed, Outcome::Served);
+                log::info!(run:? = received.borrow().run, upstream:% = lease.upstream, build:% = lease.origin.build, last, marked = end == End::Marked, end = end.name(); "text of an item ended");
+                return match end.is_whole() {
+                    true => (Ended::Completed, Outcome::Served),
+                    false => (Ended::Broken, Outcome::Failed),
+                };
             }
             Some(Some(Err(_))) => return (Ended::Broken, Outcome::Failed),
             Some(Some(Ok(frame))) => frame,
--- a/crates/tinbank-gateway/src/measure.rs
+++ b/crates/tinbank-gateway/src/measure.rs
@@ -50,6 +50,11 @@
     metrics::counter!("tinbank_entry_ended_streams_total", "marked" => marked).increment(1);
 }
 
+/// Records the end of an answer that ended with its connection, and what was found of its upstream.
+pub(crate) fn record_unmarked_end(found: &'static str) {
+    metrics::counter!("tinbank_entry_unmarked_ends_total", "found" => found).increment(1);
+}
+
 /// Records a search for the origin of a stream that a caller resumes.
 pub(crate) fn record_origin_lookup(outcome: &'static str, took: Duration) {
     metrics::counter!("tinbank_entry_resumed_streams_total", "origin" => outcome).increment(1);
--- a/crates/tinbank-gateway/src/quarantine/mod.rs
+++ b/crates/tinbank-gateway/src/quarantine/mod.rs
@@ -21,7 +21,9 @@
 use tokio::{sync::Notify, time};
 
 pub(crate) use self::{
-    broadcast::broadcast, probe::record_broken_connection, store::write_to_store,
+    broadcast::broadcast,
+    probe::{record_broken_connection, record_unmarked_end},
+    store::write_to_store,
 };
 use crate::{
     border::{engine::Request, store::ListEntry},
@@ -37,7 +39,7 @@
 pub(crate) struct Quarantine {
     table: RefCell<Table>,
     /// Requests whose connections an upstream closed, while the upstream is being probed.
-    interrupted: RefCell<HashMap<id::Instance, probe::Interrupted>>,
+    interrupted: RefCell<HashMap<id::Instance, probe::Interruptions>>,
     /// Notified when the probe of an upstream has ended.
     probed: Notify,
     /// Notified when there may be pending writes to the store.
@@ -124,7 +126,8 @@
         }
         let in_flight = request.in_flight(0);
         let probed = interrupted.iter();
-        let probed = probed.flat_map(|(upstream, all)| all.iter().map(move |it| (upstream, it)));
+        let probed =
+            probed.flat_map(|(upstream, all)| all.iter().map(move |it| (upstream, &it.in_flight)));
         let probed: SmallVec<[(&id::Instance, &InFlight); 8]> = probed.collect();
         table.parts_must_wait_for_probes(&in_flight, &probed, Instant::now())
     }
@@ -167,8 +170,9 @@
     /// Returns the interrupted answers to a request whose upstreams are being probed.
     fn interruptions(&self, request: Fingerprint) -> SmallVec<[Interruption; 2]> {
         let mut interruptions = SmallVec::new();
-        for (upstream, in_flight) in self.interrupted.borrow().iter() {
-            let answers = in_flight.iter().filter(|it| it.request == request);
+        for (upstream, all) in self.interrupted.borrow().iter() {
+            let answers = all.iter().map(|it| &it.in_flight);
+            let answers = answers.filter(|it| it.request == request);
             interruptions.extend(answers.map(|it| Interruption {
                 upstream: upstream.clone(),
                 reached: it.reached,
--- a/crates/tinbank-gateway/src/relay/answer.rs
+++ b/crates/tinbank-gateway/src/relay/answer.rs
@@ -13,11 +13,12 @@
 use http::{header, response::Parts};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
+use tinbank_allocator::leaving::Evidence;
 use tinbank_base::id;
-use tinbank_quarantine::fingerprint::short;
+use tinbank_quarantine::{InFlight, fingerprint::short};
 use tinbank_relay::event;
 
-use crate::{border::engine::Request, node::Node, quarantine};
+use crate::{border::engine::Request, exchange::ProbeOutcome, measure, node::Node, quarantine};
 
 /// Events and time after which an answer is beyond its start. Upstreams that crash as they begin to answer some request do so before
 /// both, and events on the way are lost with them.
@@ -44,12 +45,17 @@
 impl AttemptContext {
     /// Records that the connection was lost before the answer was complete. The request may have crashed the upstream.
     pub fn record_broken_connection(&self) {
+        let blamed = self.blamed();
+        log::info!(request:% = self.request.id, content:% = short(blamed.request), reached = blamed.reached, parts:% = self.request.shared_parts.join(","), upstream:% = self.upstream; "upstream broke an answer off");
+        quarantine::record_broken_connection(&self.node, &self.upstream, self.address, blamed);
+    }
+
+    fn blamed(&self) -> InFlight {
         let mut blamed = self.request.in_flight(self.last_event.get());
         if self.is_beyond_start.get() {
             blamed.parts.clear();
         }
-        log::info!(request:% = self.request.id, content:% = short(blamed.request), reached = blamed.reached, parts:% = self.request.shared_parts.join(","), upstream:% = self.upstream; "upstream broke an answer off");
-        quarantine::record_broken_connection(&self.node, &self.upstream, self.address, blamed);
+        blamed
     }
 
     fn record_event(&self, event: event::Id) {
@@ -65,6 +71,12 @@
         }
     }
 
+    /// Returns whether the upstream was listed as leaving.
+    fn is_leaving(&self) -> bool {
+        let evidence = self.node.view.evidence_of_leaving(&self.upstream);
+        matches!(evidence, Some(Evidence::List(_)))
+    }
+
     /// Records that no part of the prompt crashed the upstream.
     fn record_sound_start(&self, began_at: Instant) {
         if !self.is_beyond_start.replace(true) {
@@ -73,6 +85,37 @@
     }
 }
 
+/// What is known of an answer whose body has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    /// The end differs from a lost connection.
+    Marked,
+    /// The answer ended with its connection, and the upstream was probed.
+    Probed(ProbeOutcome),
+    /// The answer ended with its connection, at an upstream that ends after its answers.
+    Leaving,
+}
+
+impl End {
+    /// Returns whether the answer counts as whole. It does not if the upstream no longer answers at all: a caller can send a request
+    /// again whose answer looks cut, but does not know of events that are missing.
+    pub fn is_whole(self) -> bool {
+        match self {
+            Self::Marked | Self::Leaving => true,
+            Self::Probed(found) => found == ProbeOutcome::Listening,
+        }
+    }
+
+    /// Returns the name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Marked => "marked",
+            Self::Probed(found) => found.name(),
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
 /// The body of an answer. It reports broken connections and completed answers to the quarantine.
 pub(crate) struct AnswerBody {
     body: Incoming,
@@ -121,17 +164,41 @@
         self.attempt.record_event(event);
     }
 
-    /// Returns whether the end of the answer differs from a lost connection.
-    pub fn has_marked_end(&self) -> bool {
-        self.has_marked_end
+    /// Confirms that the answer is whole, once its body has ended. If the end is not marked, the upstream may have crashed, so that it
+    /// is probed; this takes at most a second. An upstream that is known to be leaving may end right after its answers as planned: if
+    /// nothing is lost by doing so, they are resumed after their last events, and taken for whole otherwise.
+    pub fn confirm_end(&self, is_resumable: bool) -> impl Future<Output = End> + use<> {
+        let attempt = &self.attempt;
+        let is_probed = !self.has_marked_end && (is_resumable || !attempt.is_leaving());
+        let probed = is_probed.then(|| {
+            let node = &attempt.node;
+            quarantine::record_unmarked_end(
+                node,
+                &attempt.upstream,
+                attempt.address,
+                attempt.blamed(),
+            )
+        });
+        let has_marked_end = self.has_marked_end;
+        async move {
+            let end = match probed {
+                None if has_marked_end => return End::Marked,
+                None => End::Leaving,
+                Some(probed) => End::Probed(probed.await.unwrap_or(ProbeOutcome::Unresponsive)),
+            };
+            measure::record_unmarked_end(end.name());
+            end
+        }
     }
 
-    /// Marks the answer as complete. If its end is not marked, an upstream that crashed at the start of the answer may have caused it, so
-    /// the upstream is probed.
-    pub fn mark_complete(&self) {
-        match self.has_marked_end || self.attempt.is_beyond_start.get() {
-            true => self.is_complete.set(true),
-            false => self.attempt.record_broken_connection(),
+    /// Records a confirmed end. If an upstream that is leaving crashed at the start of the answer, that may have caused the end, so the
+    /// upstream is probed.
+    pub fn record_end(&self, end: End) {
+        match end {
+            End::Leaving if !self.attempt.is_beyond_start.get() => {
+                self.attempt.record_broken_connection();
+            }
+            _ => self.is_complete.set(end.is_whole()),
         }
     }
 
@@ -165,8 +232,13 @@
     }
 }
 
-/// Returns whether the end of a body differs from a lost connection.
+/// Returns whether the end of a body differs from a lost connection. Of the transfer codings only chunks do so, as the last one.
 fn has_marked_end(head: &Parts) -> bool {
-    head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING)
+    let mut codings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
+    let Some(last) = codings.next_back() else {
+        return head.headers.contains_key(header::CONTENT_LENGTH);
+    };
+    let last = last.to_str().unwrap_or_default();
+    let last = last.rsplit(',').next().unwrap_or_default().trim();
+    last.eq_ignore_ascii_case("chunked")
 }
--- a/crates/tinbank-gateway/src/relay/body.rs
+++ b/crates/tinbank-gateway/src/relay/body.rs
@@ -12,7 +12,7 @@
 use tinbank_allocator::lease::Outcome;
 use tokio::time::{self, Sleep};
 
-use super::answer::AnswerBody;
+use super::answer::{AnswerBody, End};
 use crate::{
     border::{Aborted, Body},
     exchange::{self, ConnectionGuard},
@@ -85,27 +85,62 @@
         first,
         lease,
         outcome,
+        confirmation: None,
         deadline: Box::pin(time::sleep_until(deadline.into())),
         _guard: guard,
     };
     Box::pin(forwarded)
 }
 
+type Confirmation = Pin<Box<dyn Future<Output = End>>>;
+
 /// The body of an upstream's answer, aborted at a deadline.
 struct Forwarded {
     body: AnswerBody,
     first: Option<Frame<Bytes>>,
     lease: Lease,
     outcome: Outcome,
+    /// Confirms the end of the answer, once its body has ended.
+    confirmation: Option<Confirmation>,
     deadline: Pin<Box<Sleep>>,
     _guard: ConnectionGuard,
 }
 
 impl Forwarded {
     fn complete(&self) {
-        self.body.mark_complete();
+        self.body.record_end(End::Marked);
         self.lease.set_outcome(self.outcome);
     }
+
+    /// Confirms the end of the body, which is passed on only then.
+    fn poll_end(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
+        let body = &self.body;
+        let confirmation = self
+            .confirmation
+            .get_or_insert_with(|| Box::pin(body.confirm_end(false)));
+        let Poll::Ready(end) = confirmation.as_mut().poll(context) else {
+            return self.poll_deadline(context);
+        };
+        self.body.record_end(end);
+        if end.is_whole() {
+            self.lease.set_outcome(self.outcome);
+            return Poll::Ready(None);
+        }
+        log::info!(upstream:% = self.lease.upstream, end = end.name(); "answer ended with its upstream");
+        self.lease.set_outcome(Outcome::Failed);
+        Poll::Ready(Some(Err(Aborted("the answer ended with its upstream"))))
+    }
+
+    fn poll_deadline(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
+        let expired = self.deadline.as_mut().poll(context);
+        expired.map(|()| Some(Err(Aborted("deadline exceeded"))))
+    }
 }
 
 impl http_body::Body for Forwarded {
@@ -116,22 +151,20 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
+        if self.confirmation.is_some() {
+            return self.poll_end(context);
+        }
         let polled = match self.first.take() {
             Some(first) => Poll::Ready(Some(Ok(first))),
             None => Pin::new(&mut self.body).poll_frame(context),
         };
         match &polled {
-            Poll::Ready(None) => self.complete(),
+            Poll::Ready(None) => return self.poll_end(context),
             Poll::Ready(Some(Err(_))) => self.lease.set_outcome(Outcome::Failed),
             // A body of known length is not polled again after its last frame.
             Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => self.complete(),
             Poll::Ready(Some(Ok(_))) => {}
-            Poll::Pending => {
-                if self.deadline.as_mut().poll(context).is_ready() {
-                    let aborted = Aborted("deadline exceeded");
-                    return Poll::Ready(Some(Err(aborted)));
-                }
-            }
+            Poll::Pending => return self.poll_deadline(context),
         }
         polled.map_err(|_| Aborted("upstream closed the connection early"))
     }
--- a/crates/tinbank-gateway/src/relay/stream.rs
+++ b/crates/tinbank-gateway/src/relay/stream.rs
@@ -12,8 +12,12 @@
     route::Kind,
     timeout::IdleTimeout,
 };
+use tokio::time;
 
-use super::{answer::AnswerBody, online::OnlineRequest};
+use super::{
+    answer::{AnswerBody, End},
+    online::OnlineRequest,
+};
 use crate::{
     border::{Aborted, Body, engine::Verdict},
     exchange::{self, ConnectionGuard},
@@ -99,12 +103,17 @@
                     ("ended within an event", Outcome::Failed)
                 }
                 Input::End => {
-                    source.body.mark_complete();
-                    self.log_end();
-                    self.relay.record_completion();
-                    self.close_source(Outcome::Served);
-                    self.relay.is_finished = true;
-                    return None;
+                    let Some(end) = self.confirm_end().await else {
+                        self.close_source(Outcome::Inconclusive);
+                        return Some(Err(self.abort("deadline exceeded")));
+                    };
+                    if end.is_whole() {
+                        self.relay.record_completion();
+                        self.close_source(Outcome::Served);
+                        self.relay.is_finished = true;
+                        return None;
+                    }
+                    ("ended with its upstream", Outcome::Failed)
                 }
                 Input::Broken(why, outcome) => (why, outcome),
                 Input::DeadlineExceeded => {
@@ -161,14 +170,17 @@
         log::info!(request:% = self.relay.request.id, upstream:% = lease.upstream, build:% = lease.origin.build; "stream began");
     }
 
-    fn log_end(&self) {
-        let Some(source) = &self.source else {
-            return;
-        };
+    /// Confirms the end of the answer. Returns `None` at the deadline of the request. All events have been passed on by then.
+    async fn confirm_end(&self) -> Option<End> {
+        let source = self.source.as_ref()?;
+        let confirmed = source.body.confirm_end(self.is_resumable());
+        let confirmed = time::timeout_at(self.relay.deadline().into(), confirmed);
+        let end = confirmed.await.ok()?;
+        source.body.record_end(end);
         let lease = &source.lease;
-        let marked = source.body.has_marked_end();
-        measure::record_stream_end(marked);
-        log::info!(request:% = self.relay.request.id, upstream:% = lease.upstream, build:% = lease.origin.build, last = self.last_event.unwrap_or(0), marked; "stream ended");
+        measure::record_stream_end(end == End::Marked);
+        log::info!(request:% = self.relay.request.id, upstream:% = lease.upstream, build:% = lease.origin.build, last = self.last_event.unwrap_or(0), marked = end == End::Marked, end = end.name(); "stream ended");
+        Some(end)
     }
 
     /// Returns when the upstream counts as unresponsive, if another one may resume the stream.
--- a/crates/tinbank-server/src/metrics/catalog.rs
+++ b/crates/tinbank-server/src/metrics/catalog.rs
@@ -350,6 +350,12 @@
         labels: &["what"],
         help: "Whether a list or log at the store can be read; there once it was lost.",
     },
+    counter(
+        "tinbank_entry_unmarked_ends_total",
+        "answers",
+        &["found"],
+        "Answers that ended with their connections, by what a probe found of their upstreams: `listening`, `ended` or `silent`; `leaving` ones may end and are not probed.",
+    ),
     gauge(
         "tinbank_entry_vacant_failure_domains",
         "failure domains",
