--- a/crates/tinbank-gateway/src/origin/barrier.rs
+++ b/crates/tinbank-gateway/src/origin/barrier.rs
@@ -4,7 +4,10 @@
 //! `docs/design/mixed-builds.md`. Callers that come while a read is under way wait for the next one, so a host has one such read in
 //! flight, however many callers come.
 
-use std::{cell::Cell, time::Instant};
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
 
 use tokio::{sync::Notify, time};
 
@@ -14,13 +17,20 @@
     view::{self, View},
 };
 
+/// Timeout of a read.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time that a caller waits: for a read that is under way when it comes, and for the next one.
+pub(super) const MAX_WAIT: Duration = Duration::from_millis(1_000);
+/// Pause after a failed read, so that a store in trouble does not get a read for each caller.
+const FAILURE_PAUSE: Duration = Duration::from_millis(100);
+
 /// The reads of the list of builds that were made for callers.
 #[derive(Default)]
 pub(crate) struct Barrier {
     /// The latest read that was answered.
     answered: Cell<Option<Answered>>,
-    /// When the latest read was requested that failed.
-    failed: Cell<Option<Instant>>,
+    /// Callers that came before this time are told that the latest read failed.
+    failed_until: Cell<Option<Instant>>,
     is_reading: Cell<bool>,
     ended: Notify,
 }
@@ -68,7 +78,8 @@
         if requested_at.is_some_and(|at| at >= arrived_at) {
             return Passage::Answered;
         }
-        if barrier.failed.get().is_some_and(|at| at >= arrived_at) {
+        let failed_until = barrier.failed_until.get();
+        if failed_until.is_some_and(|at| at >= arrived_at) {
             return Passage::Failed;
         }
         if Instant::now() >= until {
@@ -83,21 +94,26 @@
     }
 }
 
+/// Reads the list. A caller that has less time than a read takes does not speak for the others, so that its read does not fail.
 async fn read(node: &Node, until: Instant) {
     let barrier = &node.origins.builds.barrier;
     let _reading = Reading::start(barrier);
     let requested_at = Instant::now();
-    let read = time::timeout_at(until.into(), view::catch_up(node, List::Builds, until));
-    let read = read
-        .await
-        .unwrap_or_else(|_| Err(Error::Unknown("timed out".into())));
-    match read {
-        Ok(end) => barrier.answered.set(Some(Answered { requested_at, end })),
-        Err(error) => {
-            log::info!(error:%; "builds that have served not read for a caller");
-            barrier.failed.set(Some(requested_at));
+    let read_until = requested_at + READ_TIMEOUT;
+    let read = view::catch_up(node, List::Builds, read_until);
+    let error = match time::timeout_at(until.min(read_until).into(), read).await {
+        Ok(Ok(end)) => {
+            barrier.answered.set(Some(Answered { requested_at, end }));
+            return;
         }
-    }
+        Ok(Err(error)) => error,
+        Err(_) if until < read_until => return,
+        Err(_) => Error::Unknown("timed out".into()),
+    };
+    log::info!(error:%; "builds that have served not read for a caller");
+    barrier
+        .failed_until
+        .set(Some(Instant::now() + FAILURE_PAUSE));
 }
 
 /// A read under way. Its caller may leave before it is answered.
--- a/crates/tinbank-gateway/src/origin/builds.rs
+++ b/crates/tinbank-gateway/src/origin/builds.rs
@@ -101,13 +101,15 @@
 }
 
 /// Returns whether streams may begin at a build, as far as this host knows, see `docs/design/mixed-builds.md`. While it does not know
-/// which builds the store names, they begin only at the one that serves.
+/// which builds the store names, they begin only at the one that serves, by a list of all upstreams.
 pub(crate) fn may_begin(node: &Node, origin: &Origin) -> bool {
     match node.view.position(List::Builds) {
         Some(_) => !node.origins.builds.withholds(origin),
         None => {
-            let listed = node.view.builds(&[&origin.service]);
-            listed.iter().all(|it| it == origin)
+            let view = &node.view;
+            let lists_all = view.position(List::Upstreams).is_some() && !view.is_own_domain_only();
+            let listed = view.builds(&[&origin.service]);
+            lists_all && listed.iter().all(|it| it == origin)
         }
     }
 }
--- a/crates/tinbank-gateway/src/origin/lookup.rs
+++ b/crates/tinbank-gateway/src/origin/lookup.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     rc::Rc,
-    time::{Duration, Instant, SystemTime},
+    time::{Instant, SystemTime},
 };
 
 use tinbank_allocator::frame::{Frame, OriginQuery};
@@ -19,8 +19,6 @@
 
 /// Time after which hosts that have not answered are asked again, in percent of the response timeout.
 const RESEND_PERCENT: u32 = 40;
-/// Timeout of the read of the store for a stream that no host knows. The caller may come to another host instead.
-const READ_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A stream that a caller resumes.
 struct Wanted<'a> {
@@ -63,7 +61,7 @@
     let mut choice = choose(node, wanted, &answers);
     let mut read = "not_needed";
     if choice == Choice::Refused(Refusal::ListOutdated) && view.is_config_fresh(asked_at) {
-        let until = deadline.min(asked_at + READ_TIMEOUT);
+        let until = deadline.min(asked_at + barrier::MAX_WAIT);
         read = barrier::pass(node, wanted.arrived_at, until).await.label();
         choice = choose(node, wanted, &answers);
     }
--- a/crates/tinbank-gateway/src/relay/answer.rs
+++ b/crates/tinbank-gateway/src/relay/answer.rs
@@ -13,7 +13,6 @@
 use http::{header, response::Parts};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-use tinbank_allocator::leaving::Evidence;
 use tinbank_base::id;
 use tinbank_quarantine::{InFlight, fingerprint::short};
 use tinbank_relay::event;
@@ -71,10 +70,11 @@
         }
     }
 
-    /// Returns whether the upstream was listed as leaving.
+    /// Returns whether the upstream is listed as leaving. The entry of one that has crashed lapses.
     fn is_leaving(&self) -> bool {
-        let evidence = self.node.view.evidence_of_leaving(&self.upstream);
-        matches!(evidence, Some(Evidence::List(_)))
+        let replica = self.node.view.replica();
+        let upstream = replica.listing().get(&self.upstream);
+        upstream.is_some_and(|it| it.leaving)
     }
 
     /// Records that no part of the prompt crashed the upstream.
