soak: online streams under pressure, whose engines crash as processes do

The soak resumed 0 to 5 streams a seed, and its engines crashed by resets or within an event, so that it could not show it.

TINBANK_SOAK_PROGRAM names another build of the program.

--- a/crates/tinbank-entry/tests/soak/deployment.rs
+++ b/crates/tinbank-entry/tests/soak/deployment.rs
@@ -111,7 +111,7 @@
 
 /// Returns the settings of the decisions under load: all on for every second seed, so that what must always hold is checked with
 /// and without them.
-fn scheduling(seed: u64) -> Value {
+pub fn scheduling(seed: u64) -> Value {
     if seed % 2 == 1 {
         return json!({});
     }
@@ -236,13 +236,13 @@
 
     async fn wait_until_ready(&self) {
         for host in &self.hosts {
-            client::ready(host.readiness).await;
+            host.wait_until_ready().await;
         }
     }
 }
 
 impl Host {
-    async fn prepare(
+    pub async fn prepare(
         folder: &Path,
         index: usize,
         failure_domain: &str,
@@ -285,7 +285,9 @@
             return;
         }
         let log = File::options().create(true).append(true).open(&self.log);
-        let child = Command::new(env!("CARGO_BIN_EXE_tinbank-entry"))
+        let program = std::env::var_os("TINBANK_SOAK_PROGRAM");
+        let program = program.unwrap_or_else(|| env!("CARGO_BIN_EXE_tinbank-entry").into());
+        let child = Command::new(program)
             .arg("--settings")
             .arg(&self.settings)
             .stdout(log.unwrap())
@@ -294,6 +296,10 @@
         *process = Some(child.unwrap());
     }
 
+    pub async fn wait_until_ready(&self) {
+        client::ready(self.readiness).await;
+    }
+
     /// Returns whether the host reads the store for others, by its log.
     pub fn is_delegate(&self) -> bool {
         let log = fs::read_to_string(&self.log).unwrap();
--- a/crates/tinbank-entry/tests/soak/main.rs
+++ b/crates/tinbank-entry/tests/soak/main.rs
@@ -3,6 +3,7 @@
 //!
 //! CI runs a few fixed seeds for some seconds each. To run more seeds:
 //! `TINBANK_SOAK_SEEDS=100..150 cargo test --release -p tinbank-entry --test soak -- --ignored --nocapture`.
+//! `TINBANK_SOAK_PROGRAM=PATH` runs another build of the program.
 
 mod caller;
 mod crash;
@@ -11,6 +12,7 @@
 mod invariants;
 mod lapse;
 mod paused;
+mod pressure;
 mod proxy;
 #[path = "../../../../platform/tests/standin/mod.rs"]
 #[allow(dead_code, reason = "the stand-ins are shared with other tests")]
@@ -37,10 +39,14 @@
 #[test]
 #[ignore = "takes minutes; run manually, see docs/findings.md"]
 fn a_long_soak_violates_no_guarantee() {
+    seeds().for_each(soak);
+}
+
+/// Returns the seeds of a long run.
+fn seeds() -> std::ops::Range<u64> {
     let range = std::env::var("TINBANK_SOAK_SEEDS").expect("TINBANK_SOAK_SEEDS=FIRST..END");
     let (first, end) = range.split_once("..").expect("FIRST..END");
-    let seeds: std::ops::Range<u64> = first.parse().unwrap()..end.parse().unwrap();
-    seeds.for_each(soak);
+    first.parse().unwrap()..end.parse().unwrap()
 }
 
 fn soak(seed: u64) {
--- a/crates/tinbank-entry/tests/soak/proxy.rs
+++ b/crates/tinbank-entry/tests/soak/proxy.rs
@@ -27,6 +27,8 @@
     Reset,
     /// Connections are reset, and new ones are refused, as by a server that has crashed.
     Refuse,
+    /// Connections are closed in an orderly way, and new ones are refused, as by a process that was killed.
+    Close,
     /// Connections stay open, but no data is forwarded.
     Unresponsive,
     /// Requests are forwarded, responses are not.
@@ -72,9 +74,9 @@
                 },
                 () = self.changed.notified() => {}
             }
-            if self.mode.get() == Mode::Refuse {
+            if self.refuses() {
                 drop(listener);
-                while self.mode.get() == Mode::Refuse {
+                while self.refuses() {
                     self.changed.notified().await;
                 }
                 listener = TcpListener::bind(address).await.unwrap();
@@ -85,13 +87,16 @@
     pub fn set(&self, mode: Mode) {
         self.mode.set(mode);
         self.changed.notify_one();
-        if matches!(mode, Mode::Reset | Mode::Refuse) {
+        if matches!(mode, Mode::Reset | Mode::Refuse | Mode::Close) {
             self.reset.notify_waiters();
         }
     }
 
     async fn forward(self: Rc<Self>, client: TcpStream) {
         let target = *self.target.borrow();
+        if self.mode.get() == Mode::Close {
+            return;
+        }
         if matches!(self.mode.get(), Mode::Reset | Mode::Refuse) {
             return reset_on_drop(&client);
         }
@@ -103,7 +108,11 @@
         tokio::select! {
             () = self.copy(&mut client_read, &mut server_write, false) => {}
             () = self.copy(&mut server_read, &mut client_write, true) => {}
-            () = self.reset.notified() => reset_on_drop(client_write.as_ref()),
+            () = self.reset.notified() => {
+                if self.mode.get() != Mode::Close {
+                    reset_on_drop(client_write.as_ref());
+                }
+            }
         }
     }
 
@@ -127,11 +136,15 @@
         }
     }
 
+    fn refuses(&self) -> bool {
+        matches!(self.mode.get(), Mode::Refuse | Mode::Close)
+    }
+
     fn blocks(&self, is_response: bool) -> bool {
         match self.mode.get() {
             Mode::Unresponsive => true,
             Mode::OneWay => is_response,
-            Mode::Pass | Mode::Delay | Mode::Reset | Mode::Refuse => false,
+            Mode::Pass | Mode::Delay | Mode::Reset | Mode::Refuse | Mode::Close => false,
         }
     }
 }
