--- a/crates/tinbank-entry/tests/soak/main.rs
+++ b/crates/tinbank-entry/tests/soak/main.rs
@@ -3,7 +3,8 @@
 //!
 //! CI runs a few fixed seeds for some seconds each. To run more seeds:
 //! `TINBANK_SOAK_SEEDS=100..150 cargo test --release -p tinbank-entry --test soak -- --ignored --nocapture`.
-//! `TINBANK_SOAK_PROGRAM=PATH` runs another build of the program.
+//! A name limits this to one test: `a_long_soak`, or `long_streams` for streams under pressure. `TINBANK_SOAK_PROGRAM=PATH` runs another
+//! build of the program.
 
 mod caller;
 mod crash;
