soak: a reset of the proxy is a reset; an engine that has crashed stays away

The proxy dropped the writing half of a connection before it closed it. That half closes in an orderly way, so that hosts saw a FIN in front of every reset. And a fault that disturbed an engine's connections could let one that had crashed accept connections again. Found by logs of a trial: an upstream "found=listening" after connections that had ended within an event.

Stricter: resets are told from orderly ends.

--- a/crates/tinbank-entry/tests/soak/pressure/faults.rs
+++ b/crates/tinbank-entry/tests/soak/pressure/faults.rs
@@ -9,7 +9,7 @@
     time::{self, Instant},
 };
 
-use super::fleet::{Crash, ENGINES, Fleet};
+use super::fleet::{Crash, ENGINES, Fleet, Incarnation};
 use crate::proxy;
 
 /// Injects faults until `until`, and waits until those that have begun are over.
@@ -76,18 +76,24 @@
             pause(&mut random, 500..4_000).await;
             host.store_proxy.set(proxy::Mode::Pass);
         }
-        13 => {
-            // The engine lives on; only its connections end, or are silent for a time.
-            let engine = fleet.current(place);
-            let modes = [proxy::Mode::Unresponsive, proxy::Mode::Reset];
-            engine.proxy.set(modes[random.random_range(0..modes.len())]);
-            pause(&mut random, 50..1_500).await;
-            engine.proxy.set(proxy::Mode::Pass);
-        }
+        13 => disturb(&fleet.current(place), &mut random).await,
         _ => fleet.disconnects.send_modify(|it| *it += 1),
     }
 }
 
+/// Resets the connections of an engine that lives on, or lets them be silent for a time.
+async fn disturb(engine: &Incarnation, random: &mut StdRng) {
+    if engine.has_crashed.get() {
+        return;
+    }
+    let modes = [proxy::Mode::Unresponsive, proxy::Mode::Reset];
+    engine.proxy.set(modes[random.random_range(0..modes.len())]);
+    pause(random, 50..1_500).await;
+    if !engine.has_crashed.get() {
+        engine.proxy.set(proxy::Mode::Pass);
+    }
+}
+
 /// Crashes an engine. Another one takes its place, and its entry lapses some time later.
 async fn crash(fleet: &Fleet, place: usize, random: &mut StdRng) {
     let engine = fleet.current(place);
--- a/crates/tinbank-entry/tests/soak/pressure/fleet.rs
+++ b/crates/tinbank-entry/tests/soak/pressure/fleet.rs
@@ -52,6 +52,7 @@
     pub engine: Rc<Engine>,
     pub proxy: Rc<Proxy>,
     pub framing: Framing,
+    pub has_crashed: Cell<bool>,
     place: usize,
     version: u32,
     address: SocketAddr,
@@ -128,6 +129,7 @@
             engine,
             proxy,
             framing,
+            has_crashed: Cell::default(),
             place,
             version,
             address,
@@ -172,6 +174,9 @@
 
     /// Ends all connections of an engine for good.
     pub fn crash(&self, incarnation: &Incarnation, crash: Crash) {
+        if incarnation.has_crashed.replace(true) {
+            return;
+        }
         let mut cuts = self.cuts.borrow_mut();
         *cuts.entry((incarnation.framing, crash)).or_default() += incarnation.engine.running();
         incarnation.proxy.set(match crash {
--- a/crates/tinbank-entry/tests/soak/proxy.rs
+++ b/crates/tinbank-entry/tests/soak/proxy.rs
@@ -105,14 +105,15 @@
         };
         let (mut client_read, mut client_write) = client.into_split();
         let (mut server_read, mut server_write) = server.into_split();
-        tokio::select! {
-            () = self.copy(&mut client_read, &mut server_write, false) => {}
-            () = self.copy(&mut server_read, &mut client_write, true) => {}
-            () = self.reset.notified() => {
-                if self.mode.get() != Mode::Close {
-                    reset_on_drop(client_write.as_ref());
-                }
-            }
+        let is_reset = tokio::select! {
+            () = self.copy(&mut client_read, &mut server_write, false) => false,
+            () = self.copy(&mut server_read, &mut client_write, true) => false,
+            () = self.reset.notified() => self.mode.get() != Mode::Close,
+        };
+        if is_reset {
+            reset_on_drop(client_write.as_ref());
+            // Dropping this half would close the connection in an orderly way first.
+            client_write.forget();
         }
     }
 
