soak: engines of other fleets have other names

Cause, by the logs of all runs: the engine had crashed, its address was given to an engine of another run within milliseconds, and that one had the same name, so it accepted requests for the first one (`e3i57` was refused at and answered at ...876331, when another run listed its own `e3i57`). Engines of a platform have ids of their own; those of the soak carry the seed and the process now.

--- a/crates/tinbank-entry/tests/soak/pressure/fleet.rs
+++ b/crates/tinbank-entry/tests/soak/pressure/fleet.rs
@@ -75,6 +75,8 @@
     pub disconnects: tokio::sync::watch::Sender<u64>,
     started: Cell<usize>,
     folder: PathBuf,
+    /// Distinguishes engines from those of other fleets, which may get the address of one that has crashed.
+    tag: String,
 }
 
 impl Fleet {
@@ -101,6 +103,7 @@
             disconnects: tokio::sync::watch::Sender::default(),
             started: Cell::new(0),
             folder,
+            tag: format!("{seed}-{process}"),
         };
         for place in 0..ENGINES {
             fleet.start_engine(place, 1).await;
@@ -116,7 +119,7 @@
     pub async fn start_engine(&self, place: usize, version: u32) {
         let number = self.started.get();
         self.started.set(number + 1);
-        let name = format!("e{place}i{number}");
+        let name = format!("e{place}i{number}-{}", self.tag);
         let (engine, address) = Engine::start(&name).await;
         let (proxy, address) = Proxy::start(address).await;
         let framing = self.framings[number % self.framings.len()];
