jobs, soak: texts of long items over runs of several hosts

A text of an item may join only runs that were asked to go on where the one before ends, of one build. So far this was checked by random records (tests/replay) and by a soak whose items have 12 events, which are mostly over before another host takes part.

tests/runs plays hosts that know the log late, whose appends are done again later, and that forget what they had to write.

The soak gets jobs of 10 items of 270 events on seven hosts. The host with the most items is killed first and stopped for 3.5 to 6 s later, beside stops, kills, restarts, a store that drops answers and appends late, engines that break off, fall silent or are reset, and releases. Events name their run, so two runs at one engine are told apart. A soak that continues too little fails.

--- a/crates/tinbank-entry/tests/soak/invariants.rs
+++ b/crates/tinbank-entry/tests/soak/invariants.rs
@@ -236,7 +236,7 @@
 }
 
 /// Reads a job at every host until it has all results or a cancel was requested.
-async fn wait_until_complete(
+pub async fn wait_until_complete(
     deployment: &Deployment,
     observed: &Observations,
     id: &str,
--- a/crates/tinbank-entry/tests/soak/main.rs
+++ b/crates/tinbank-entry/tests/soak/main.rs
@@ -10,6 +10,7 @@
 mod faults;
 mod invariants;
 mod lapse;
+mod long_items;
 mod paused;
 mod proxy;
 #[path = "../../../../platform/tests/standin/mod.rs"]
