--- a/crates/tinbank-entry/tests/soak/main.rs
+++ b/crates/tinbank-entry/tests/soak/main.rs
@@ -12,6 +12,7 @@
 mod faults;
 mod invariants;
 mod lapse;
+mod long_items;
 mod paused;
 mod pressure;
 mod proxy;
