relay: a stream has no length for its caller, since it may be resumed

Cause: the caller got the Content-Length of the upstream that began the stream. When the stream was resumed within its answer at an upstream whose events are longer, the answer ended at that length, and so looked whole. Class of fault: what is true of one attempt is passed on as true of the whole answer.

Why this works: without a length the answer is sent in chunks, and its end is marked only once the stream has ended. Answers that are not streams are never resumed and keep their length.

--- a/crates/tinbank-gateway/src/relay/online.rs
+++ b/crates/tinbank-gateway/src/relay/online.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use http::Response;
+use http::{Response, header};
 use smallvec::SmallVec;
 use tinbank_allocator::{
     admission::{Admission, Backlog},
@@ -560,12 +560,14 @@
     ) -> Response<Body> {
         let StartedAnswer {
             lease,
-            head,
+            mut head,
             body,
             guard,
             ..
         } = started;
         measure::record_response_start(self.admission.received.elapsed());
+        // The rest of the stream may come from another upstream, and have another length.
+        head.headers.remove(header::CONTENT_LENGTH);
         let node = Rc::clone(&self.node);
         let response = node.engine.caller_response(head);
         let body = Stream::new(self, lease, guard, body, resume_after).into_body();
