--- a/crates/tinbank-entry/tests/soak/pressure/caller.rs
+++ b/crates/tinbank-entry/tests/soak/pressure/caller.rs
@@ -19,7 +19,7 @@
 };
 
 use super::{EVENTS, fleet::Fleet};
-use crate::standin::client::TIME_LEFT_MS;
+use crate::standin::client;
 
 /// Number of callers, of which each sends one stream at a time.
 const CALLERS: usize = 56;
@@ -156,15 +156,8 @@
             true => "/resumable/x",
             false => "/plain/x",
         };
-        let mut request = Request::post(path)
-            .header("host", "one.example")
-            .header("tinbank-attempt-id", &id)
-            .header("tinbank-time-remaining", TIME_LEFT_MS);
-        if after > 0 {
-            request = request
-                .header("resumes", first)
-                .header("last-event-id", after);
-        }
+        let resumed = (after > 0).then_some((first, after));
+        let request = client::stream_request(path, &id, resumed);
         // Requests with the same body would be quarantined together when engines crash.
         let body = Full::new(Bytes::from(format!("prompt {first}")));
         let mut attempt = Attempt {
